Lay the foundation: errors, events, metrics, ids, clocks and the contracts between parts

The parts are built side by side, so their shapes come first: the key-value service, backend servers, peers and declared teams as types, one error catalogue, one event catalogue, reasons with a counter each.

--- /dev/null
+++ b/src/core/clock/index.ts
@@ -0,0 +1,82 @@
+/**
+ * Time as a value that is passed in, so that tests decide how it runs.
+ */
+import { performance } from 'node:perf_hooks'
+import { setTimeout as delay } from 'node:timers/promises'
+
+/** The two clocks of a process and a way to wait. */
+export interface Clock {
+  /** Wall time in milliseconds since the epoch; may step. For deadlines that leave the process. */
+  wallMs: () => number
+  /** Monotonic time in milliseconds since an arbitrary start. For leases and timeouts within the process. */
+  monotonicMs: () => number
+  /** Resolves after `durationMs`, or at once when the signal aborts; never rejects. */
+  sleep: (durationMs: number, signal?: AbortSignal) => Promise<void>
+}
+
+/** The clock of the operating system. */
+export function createSystemClock (): Clock {
+  return {
+    wallMs: () => Date.now(),
+    monotonicMs: () => performance.now(),
+    sleep: async (durationMs, signal) => {
+      try {
+        await delay(durationMs, undefined, signal === undefined ? {} : { signal })
+      } catch {
+        // An abort ends the wait early; the caller looks at its own signal.
+      }
+    }
+  }
+}
+
+/** A clock that moves only when told to. */
+export interface ManualClock extends Clock {
+  /** Moves both clocks on, waking sleepers in the order of their wake times. */
+  advance: (durationMs: number) => Promise<void>
+}
+
+interface Sleeper {
+  wakeAtMs: number
+  wake: () => void
+}
+
+/** Lets every task that is ready run before time moves on. */
+function settle (): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve))
+}
+
+/** A clock for tests, starting at `startAtMs` of wall time. */
+export function createManualClock (startAtMs = 1_700_000_000_000): ManualClock {
+  let nowMs = 0
+  let sleepers: Sleeper[] = []
+
+  function sleep (durationMs: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted === true) return Promise.resolve()
+    return new Promise(resolve => {
+      const sleeper = { wakeAtMs: nowMs + Math.max(0, durationMs), wake: resolve }
+      sleepers.push(sleeper)
+      signal?.addEventListener('abort', () => {
+        sleepers = sleepers.filter(other => other !== sleeper)
+        resolve()
+      }, { once: true })
+    })
+  }
+
+  async function advance (durationMs: number): Promise<void> {
+    const endAtMs = nowMs + durationMs
+    await settle()
+    for (;;) {
+      const next = sleepers
+        .filter(sleeper => sleeper.wakeAtMs <= endAtMs)
+        .sort((a, b) => a.wakeAtMs - b.wakeAtMs)[0]
+      if (next === undefined) break
+      sleepers = sleepers.filter(sleeper => sleeper !== next)
+      nowMs = Math.max(nowMs, next.wakeAtMs)
+      next.wake()
+      await settle()
+    }
+    nowMs = endAtMs
+  }
+
+  return { wallMs: () => startAtMs + nowMs, monotonicMs: () => nowMs, sleep, advance }
+}
--- /dev/null
+++ b/src/core/errors/calls.ts
@@ -0,0 +1,10 @@
+import { entry } from './types.ts'
+
+/** Errors of at-most-once calls. */
+export const callErrors = {
+  IdempotencyKeyReused: entry<{ key: string }>({
+    title: 'Idempotency key reused',
+    message: ({ key }) => `The idempotency key "${key}" was used before with another body.`,
+    hint: 'Use a new key for a new call, and the same body for a repeat.'
+  })
+}
--- /dev/null
+++ b/src/core/errors/moves.ts
@@ -0,0 +1,10 @@
+import { entry } from './types.ts'
+
+/** Errors of version moves. */
+export const moveErrors = {
+  MoveConflict: entry<{ team: string, running: string }>({
+    title: 'Another move is running',
+    message: ({ team, running }) => `Team "${team}" is already moving to version "${running}".`,
+    hint: 'Wait until it ends, or withdraw it first.'
+  })
+}
--- /dev/null
+++ b/src/core/errors/peers.ts
@@ -0,0 +1,20 @@
+import { entry } from './types.ts'
+
+/** Errors between the nodes of this system. */
+export const peerErrors = {
+  PeerUnreachable: entry<{ peer: string, cause: string }>({
+    title: 'Peer unreachable',
+    message: ({ peer, cause }) => `Peer "${peer}" can't be reached: ${cause}.`,
+    hint: 'Check the peer and the network between both nodes; another peer is tried meanwhile.'
+  }),
+  PeerSilent: entry<{ peer: string, silentMs: number }>({
+    title: 'Peer silent',
+    message: ({ peer, silentMs }) => `The connection to peer "${peer}" has been silent for ${silentMs} ms.`,
+    hint: 'It was closed; a new one is opened when needed.'
+  }),
+  PeerRejected: entry<{ peer: string, cause: string }>({
+    title: 'Peer rejected',
+    message: ({ peer, cause }) => `Peer "${peer}" was rejected: ${cause}.`,
+    hint: 'Check that both nodes have the same peer key and protocol version in their settings.'
+  })
+}
--- /dev/null
+++ b/src/core/log/events/index.ts
@@ -0,0 +1,21 @@
+/** The one catalogue of log events; docs/EVENTS.md lists the same. */
+import { nodeEvents } from './node.ts'
+import { requestEvents } from './requests.ts'
+import { callEvents } from './calls.ts'
+import { agreementEvents } from './agreement.ts'
+import { moveEvents } from './moves.ts'
+import { platformEvents } from './platform.ts'
+
+export type { EventEntry } from './types.ts'
+
+export const eventCatalogue = {
+  ...nodeEvents,
+  ...requestEvents,
+  ...callEvents,
+  ...agreementEvents,
+  ...moveEvents,
+  ...platformEvents
+} as const
+
+/** The name of a log event. */
+export type EventName = keyof typeof eventCatalogue
--- /dev/null
+++ b/src/core/metrics/index.ts
@@ -0,0 +1,111 @@
+/**
+ * Counters, gauges and histograms of a process, in the Prometheus text format.
+ * Histograms are hdr histograms, so that high quantiles stay exact.
+ */
+import { Counter, Gauge, Registry } from 'prom-client'
+import { build } from 'hdr-histogram-js'
+import type { Histogram } from 'hdr-histogram-js'
+import { recomputeCauses, refusalReasons, retryReasons } from '../outcomes/index.ts'
+import type { RecomputeCause, RefusalReason, RetryReason } from '../outcomes/index.ts'
+
+const quantiles = [0.5, 0.95, 0.99, 0.999] as const
+
+/** The metrics of one node. */
+export interface Metrics {
+  refused: (reason: RefusalReason) => void
+  retried: (reason: RetryReason) => void
+  recomputed: (cause: RecomputeCause, tokens: number) => void
+  /** Adds to a counter by name; made when first used. Names end in `_total`. */
+  count: (name: string, labels?: Record<string, string>, amount?: number) => void
+  /** Sets a gauge by name; made when first used. */
+  gauge: (name: string, value: number, labels?: Record<string, string>) => void
+  /** Records a value in a histogram by name, such as `first_token_ms`. */
+  observe: (name: string, value: number) => void
+  /** The current value of a counter, or 0. */
+  counterValue: (name: string, labels?: Record<string, string>) => Promise<number>
+  /** One quantile of a histogram, from 0 to 1; 0 when nothing was recorded. */
+  quantile: (name: string, quantile: number) => number
+  /** Everything in the Prometheus text format. */
+  render: () => Promise<string>
+}
+
+const prefix = 'cyclamenshunt_'
+
+/** Creates the metrics of one node, with every reason's counter at zero. */
+export function createMetrics (): Metrics {
+  const registry = new Registry()
+  const counters = new Map<string, Counter>()
+  const gauges = new Map<string, Gauge>()
+  const histograms = new Map<string, Histogram>()
+
+  function counter (name: string, labelNames: string[]): Counter {
+    const known = counters.get(name)
+    if (known !== undefined) return known
+    const made = new Counter({ name: prefix + name, help: name, labelNames, registers: [registry] })
+    counters.set(name, made)
+    return made
+  }
+
+  function gaugeOf (name: string, labelNames: string[]): Gauge {
+    const known = gauges.get(name)
+    if (known !== undefined) return known
+    const made = new Gauge({ name: prefix + name, help: name, labelNames, registers: [registry] })
+    gauges.set(name, made)
+    return made
+  }
+
+  function histogram (name: string): Histogram {
+    const known = histograms.get(name)
+    if (known !== undefined) return known
+    const made = build({ lowestDiscernibleValue: 1, highestTrackableValue: 3_600_000_000, numberOfSignificantValueDigits: 3 })
+    histograms.set(name, made)
+    return made
+  }
+
+  // Values are kept in thousandths, because hdr histograms hold whole numbers.
+  function observe (name: string, value: number): void {
+    histogram(name).recordValue(Math.max(1, Math.round(value * 1000)))
+  }
+
+  function quantileOf (name: string, quantile: number): number {
+    const known = histograms.get(name)
+    if (known === undefined || known.totalCount === 0) return 0
+    return known.getValueAtPercentile(quantile * 100) / 1000
+  }
+
+  function renderHistogram (name: string): string {
+    const full = prefix + name
+    const lines = quantiles.map(quantile => `${full}{quantile="${quantile}"} ${quantileOf(name, quantile)}`)
+    const count = histograms.get(name)?.totalCount ?? 0
+    return [`# TYPE ${full} summary`, ...lines, `${full}_count ${count}`].join('\n')
+  }
+
+  function count (name: string, labels: Record<string, string> = {}, amount = 1): void {
+    counter(name, Object.keys(labels)).inc(labels, amount)
+  }
+
+  for (const reason of refusalReasons) count('refused_total', { reason }, 0)
+  for (const reason of retryReasons) count('retried_total', { reason }, 0)
+  for (const cause of recomputeCauses) count('recomputed_tokens_total', { cause }, 0)
+
+  return {
+    refused: reason => count('refused_total', { reason }),
+    retried: reason => count('retried_total', { reason }),
+    recomputed: (cause, tokens) => count('recomputed_tokens_total', { cause }, tokens),
+    count,
+    gauge: (name, value, labels = {}) => gaugeOf(name, Object.keys(labels)).set(labels, value),
+    observe,
+    counterValue: async (name, labels = {}) => {
+      const known = counters.get(name)
+      if (known === undefined) return 0
+      const { values } = await known.get()
+      const match = values.find(value => Object.entries(labels).every(([key, text]) => value.labels[key] === text))
+      return match?.value ?? 0
+    },
+    quantile: quantileOf,
+    render: async () => {
+      const text = await registry.metrics()
+      return [text.trimEnd(), ...[...histograms.keys()].map(renderHistogram)].join('\n') + '\n'
+    }
+  }
+}
--- /dev/null
+++ b/src/core/teams/index.ts
@@ -0,0 +1,2 @@
+/** What the operators declared for the teams. */
+export type * from './types.ts'
