--- a/src/core/errors/peers.ts
+++ b/src/core/errors/peers.ts
@@ -16,5 +16,10 @@
     title: 'Peer rejected',
     message: ({ peer, cause }) => `Peer "${peer}" was rejected: ${cause}.`,
     hint: 'Check that both nodes have the same peer key and protocol version in their settings.'
+  }),
+  PeerFailed: entry<{ peer: string, cause: string }>({
+    title: 'Peer failed to handle a message',
+    message: ({ peer, cause }) => `Peer "${peer}" got the message and failed: ${cause}.`,
+    hint: 'The work may have been done in part; see the log of that peer.'
   })
 }
--- a/src/core/log/events/agreement.ts
+++ b/src/core/log/events/agreement.ts
@@ -2,5 +2,11 @@
 
 /** Log events 400 to 499: peers, membership and configuration. */
 export const agreementEvents = {
-  peerLost: { number: 400, level: 'warn', text: 'A peer was lost.', remedy: 'none' }
+  peerLost: { number: 400, level: 'warn', text: 'A peer was lost.', remedy: 'none' },
+  peerSilent: { number: 401, level: 'warn', text: 'A connection to a peer was silent and was closed.', remedy: 'none; a new one is opened when needed.' },
+  peerRejected: { number: 402, level: 'warn', text: 'A peer was rejected.', remedy: 'Check that both nodes have the same cluster, peer key and protocol version.' },
+  peerHandlerFailed: { number: 403, level: 'error', text: 'The handling of a message of a peer failed.', remedy: 'Report the cause; the peer was told that the message failed.' },
+  peerJoined: { number: 404, level: 'info', text: 'A peer was found.', remedy: 'none' },
+  peerRefuted: { number: 405, level: 'warn', text: 'This node was taken for dead and refuted it.', remedy: 'If it repeats, look for pauses of this node or loss on its network.' },
+  instanceListFailed: { number: 406, level: 'warn', text: 'The instance list could not be read.', remedy: 'Check the instance list; the nodes go on by their own contact.' }
 } satisfies Record<string, EventEntry>
--- a/src/core/peers/types.ts
+++ b/src/core/peers/types.ts
@@ -14,8 +14,16 @@
   port: number
 }
 
-/** An error of one message to one peer. */
-export type PeerError = CyclamenError<'PeerUnreachable'> | CyclamenError<'PeerSilent'> | CyclamenError<'PeerRejected'>
+/**
+ * An error of one message to one peer. `PeerUnreachable` and `PeerRejected`:
+ * provably not handled. `PeerSilent`: it may have been handled, or still be.
+ * `PeerFailed`: the handler ran and threw.
+ */
+export type PeerError =
+  | CyclamenError<'PeerUnreachable'>
+  | CyclamenError<'PeerSilent'>
+  | CyclamenError<'PeerRejected'>
+  | CyclamenError<'PeerFailed'>
 
 /** Handles a message of one kind; its result answers a request and is dropped for a one-way message. */
 export type PeerHandler = (from: NodeId, body: unknown) => Promise<unknown> | unknown
