--- /dev/null
+++ b/src/core/routing/types.ts
@@ -0,0 +1,111 @@
+/**
+ * Choice of a backend server for an attempt: what the choice needs to know,
+ * what it returns, and what it is told afterwards.
+ */
+import type { Result } from 'true-myth'
+import type { Backend, CacheEvent, LoadReport } from '../backends/types.ts'
+import type { AttemptId, BackendId, NodeId, RequestId, TeamId, VersionId } from '../ids/index.ts'
+import type { Refusal } from '../outcomes/index.ts'
+import type { Priority, VersionShares } from '../teams/types.ts'
+import type { Clock } from '../clock/index.ts'
+import type { Metrics } from '../metrics/index.ts'
+
+/** A prompt cut into blocks. Each hash covers its block and all blocks before it. */
+export interface PromptBlocks {
+  /** Hex hashes of the complete blocks, first to last. */
+  hashes: string[]
+  /** Estimated tokens of the whole prompt. */
+  tokens: number
+}
+
+/** Cuts prompts into blocks and hashes text; made once a process by `createPromptHasher`. */
+export interface PromptHasher {
+  blocks: (prompt: string) => PromptBlocks
+  /** An even draw from 0 (included) to 1 (excluded) that is the same for the same text on every node. */
+  draw: (text: string) => number
+  /** An unsigned 32-bit hash of a text. */
+  hash32: (text: string) => number
+}
+
+/** A request for which an attempt is about to be sent. */
+export interface RouteRequest {
+  request: RequestId
+  team: TeamId
+  shares: VersionShares
+  /** Undefined for calls to plain services. */
+  prompt?: PromptBlocks
+  priority: Priority
+  deadlineAtMs: number
+  /** Backend servers that failed earlier attempts of this request. */
+  excluded: ReadonlySet<BackendId>
+  /** Only this version may be chosen, such as for the rest of an answer that has begun. */
+  wantedVersion?: VersionId
+}
+
+/** Why a backend server was preferred. */
+export type RouteReason = 'prefix-held' | 'prefix-home' | 'least-cost'
+
+/** The backend server for one attempt. */
+export interface RouteChoice {
+  backend: Backend
+  version: VersionId
+  reason: RouteReason
+  promptTokens: number
+  expectedCachedTokens: number
+  /** Expected time from sending to the first token or answer. */
+  expectedFirstTokenMs: number
+  prompt: PromptBlocks | undefined
+}
+
+/** What an attempt showed when it ended. */
+export interface RouteOutcome {
+  ok: boolean
+  /** Prompt tokens that the engine found in its cache, if it said so. */
+  cachedTokens?: number
+  promptTokens?: number
+}
+
+/** Chooses backend servers and keeps what the choice needs. All functions are synchronous and do no input or output. */
+export interface Router {
+  choose: (request: RouteRequest, backends: readonly Backend[]) => Result<RouteChoice, Refusal>
+  /** The attempt has been sent as chosen. */
+  sent: (attempt: AttemptId, choice: RouteChoice) => void
+  /** The attempt's first token or answer arrived. */
+  firstToken: (attempt: AttemptId) => void
+  ended: (attempt: AttemptId, outcome: RouteOutcome) => void
+  onLoad: (report: LoadReport) => void
+  onCacheEvents: (backend: BackendId, events: readonly CacheEvent[]) => void
+  /** Drops all that is known of a backend server that is gone. */
+  forget: (backend: BackendId) => void
+  close: () => void
+}
+
+/** What an engine of a machine class can do; the starting point for estimates. */
+export interface EngineProfile {
+  /** Time to compute one prompt token that isn't cached. */
+  prefillMsPerToken: number
+  /** Requests that the engine runs together before others wait. */
+  slots: number
+  /** Time that one request holds its slot. */
+  serviceMs: number
+}
+
+/** Options of a router. */
+export interface RouterOptions {
+  node: NodeId
+  clock: Clock
+  metrics: Metrics
+  hasher: PromptHasher
+  /** An even draw from 0 (included) to 1 (excluded), from a seeded source. */
+  random: () => number
+  profileOf: (machineClass: string) => EngineProfile
+  /** Requests that this node may have in flight at the backend server; unlimited when left out. */
+  limitOf?: (backend: BackendId) => number
+  /** Most backend servers of a version that two-choice picks draw from. */
+  subsetSize?: number
+  /** Most block hashes that the prefix index holds. */
+  maxIndexEntries?: number
+}
+
+/** A function that makes a router, so that another policy can take its place. */
+export type CreateRouter = (options: RouterOptions) => Router
