Read a node's settings by one schema

All problems of a file are reported at once with file, line, column, field and remedy; an unknown field is answered with the nearest known one.

--- /dev/null
+++ b/src/core/settings/document.ts
@@ -0,0 +1,102 @@
+/**
+ * Reads a YAML text against a schema and reports all problems at once, each
+ * with its file, line, column, field and remedy.
+ */
+import { err, ok } from 'true-myth/result'
+import type { Result } from 'true-myth'
+import { LineCounter, isMap, isNode, isPair, isScalar, parseDocument } from 'yaml'
+import type { Document } from 'yaml'
+import type { z } from 'zod'
+import { createError } from '../errors/index.ts'
+import type { CyclamenError } from '../errors/index.ts'
+import { describeIssue } from './issues.ts'
+
+/** Where a field stands: keys and indexes from the root. */
+export type FieldPath = ReadonlyArray<string | number>
+
+/** One thing that is wrong with a file. */
+export interface Problem {
+  line: number
+  column: number
+  /** Field such as `peers.seeds[0].port`; empty for the whole file. */
+  field: string
+  /** What is wrong and what to write instead. */
+  text: string
+}
+
+/** A parsed file that can tell where its fields stand. */
+export interface SettingsDocument {
+  /** The file's value, or undefined when it isn't YAML. */
+  value: unknown
+  /** Problems of the YAML itself. */
+  problems: Problem[]
+  /** Line and column of a field's value, or of its key with `key`. */
+  position: (path: FieldPath, part?: 'key' | 'value') => { line: number, column: number }
+}
+
+/** Renders a path in the form that messages use. */
+export function fieldName (path: FieldPath): string {
+  return path
+    .map(part => typeof part === 'number' ? `[${part}]` : `.${part}`)
+    .join('')
+    .replace(/^\./, '')
+}
+
+/** Offset of the nearest node of the file that holds the path. */
+function offsetOf (document: Document, path: FieldPath, part: 'key' | 'value'): number {
+  const parent = path.length <= 1 ? document.contents : document.getIn(path.slice(0, -1), true)
+  const last = path.at(-1)
+  if (isMap(parent)) {
+    const pair = parent.items.find(item => isPair(item) && isScalar(item.key) && String(item.key.value) === String(last))
+    const wanted = part === 'key' ? pair?.key : pair?.value ?? pair?.key
+    if (isNode(wanted) && wanted.range != null) return wanted.range[0]
+  }
+  const node = path.length === 0 ? document.contents : document.getIn(path, true)
+  if (isNode(node) && node.range != null) return node.range[0]
+  if (path.length === 0) return 0
+  return offsetOf(document, path.slice(0, -1), 'key')
+}
+
+/** Parses YAML and keeps the positions of its fields. */
+export function readDocument (text: string): SettingsDocument {
+  const lines = new LineCounter()
+  const document = parseDocument(text, { lineCounter: lines, prettyErrors: false })
+  const problems = document.errors.map(error => {
+    const { line, col } = lines.linePos(error.pos[0])
+    return { line, column: col, field: '', text: `is not valid YAML: ${error.message}; correct the syntax here` }
+  })
+  return {
+    value: problems.length === 0 ? document.toJS() : undefined,
+    problems,
+    position: (path, part = 'value') => {
+      const { line, col } = lines.linePos(offsetOf(document, path, part))
+      return { line: Math.max(1, line), column: Math.max(1, col) }
+    }
+  }
+}
+
+/** Renders problems in the order of the file, in the form `file:line:column: field text`. */
+export function renderProblems (file: string, problems: readonly Problem[]): string[] {
+  return [...problems]
+    .sort((a, b) => a.line - b.line || a.column - b.column)
+    .map(({ line, column, field, text }) => `${file}:${line}:${column}: ${field === '' ? 'file' : field} ${text}`)
+}
+
+/** Makes the error that names all problems of a file. */
+export function settingsInvalid (file: string, problems: readonly Problem[]): CyclamenError<'SettingsInvalid'> {
+  return createError('SettingsInvalid', { file, problems: renderProblems(file, problems) })
+}
+
+/** Reads a YAML text by a schema; `file` stands in the messages. */
+export function readYaml<Schema extends z.ZodType> (
+  schema: Schema,
+  text: string,
+  file: string
+): Result<z.output<Schema>, CyclamenError<'SettingsInvalid'>> {
+  const document = readDocument(text)
+  if (document.problems.length > 0) return err(settingsInvalid(file, document.problems))
+  const parsed = schema.safeParse(document.value ?? {})
+  if (parsed.success) return ok(parsed.data)
+  const problems = parsed.error.issues.flatMap(issue => describeIssue(schema, document, issue))
+  return err(settingsInvalid(file, problems))
+}
--- /dev/null
+++ b/src/core/settings/issues.ts
@@ -0,0 +1,100 @@
+/** Turns what the schema library found into problems that name their remedy. */
+import { z } from 'zod'
+import { nearest } from '../nearest/index.ts'
+import { fieldName } from './document.ts'
+import type { FieldPath, Problem, SettingsDocument } from './document.ts'
+
+type Issue = z.core.$ZodIssue
+
+/** Removes defaults, options and transforms around a schema. */
+function unwrap (schema: unknown): unknown {
+  if (schema instanceof z.ZodDefault || schema instanceof z.ZodPrefault) return unwrap(schema.def.innerType)
+  if (schema instanceof z.ZodOptional || schema instanceof z.ZodNullable) return unwrap(schema.def.innerType)
+  if (schema instanceof z.ZodPipe) return unwrap(schema.def.in)
+  return schema
+}
+
+/** Names of the fields that the schema knows at a path. */
+export function knownFields (schema: unknown, path: FieldPath): string[] {
+  const inner = unwrap(schema)
+  const [first, ...rest] = path
+  if (inner instanceof z.ZodObject) {
+    if (first === undefined) return Object.keys(inner.shape)
+    return knownFields(inner.shape[first], rest)
+  }
+  if (inner instanceof z.ZodArray && first !== undefined) return knownFields(inner.element, rest)
+  if (inner instanceof z.ZodRecord && first !== undefined) return knownFields(inner.valueType, rest)
+  return []
+}
+
+/** The value that stands at a path. */
+function valueAt (value: unknown, path: FieldPath): unknown {
+  return path.reduce<unknown>((inner, part) => (inner as Record<string | number, unknown> | undefined)?.[part], value)
+}
+
+function kindOf (value: unknown): string {
+  if (value === null) return 'empty'
+  if (Array.isArray(value)) return 'a list'
+  if (typeof value === 'object') return 'a map'
+  return `the ${typeof value === 'string' ? 'text' : typeof value} ${JSON.stringify(value)}`
+}
+
+const typeNames: Record<string, string> = {
+  int: 'a whole number',
+  number: 'a number',
+  string: 'a text',
+  boolean: 'true or false',
+  object: 'a map of fields',
+  record: 'a map of fields',
+  array: 'a list'
+}
+
+function describeType (issue: Issue & { code: 'invalid_type' }, value: unknown): string {
+  const wanted = typeNames[issue.expected] ?? issue.expected
+  if (value === undefined) return `is missing; add it as ${wanted}`
+  return `is ${kindOf(value)}; write ${wanted} instead`
+}
+
+function unitOf (origin: string): string {
+  if (origin === 'string') return ' characters'
+  if (origin === 'array') return ' entries'
+  return ''
+}
+
+/** Says for one issue what is wrong and what to write instead. */
+function describe (issue: Issue, value: unknown): string {
+  switch (issue.code) {
+    case 'invalid_type':
+      return describeType(issue, value)
+    case 'too_small':
+      return `is too small; write at least ${issue.minimum}${unitOf(issue.origin)}`
+    case 'too_big':
+      return `is too large; write at most ${issue.maximum}${unitOf(issue.origin)}`
+    case 'invalid_value': {
+      const given = nearest(String(value), issue.values.map(String))
+      const hint = given === undefined ? '' : `; did you mean "${given}"?`
+      return `is ${kindOf(value)}; write one of ${issue.values.map(String).join(', ')}${hint}`
+    }
+    default:
+      return `is ${kindOf(value)}; it ${issue.message}`
+  }
+}
+
+/** Problems of the fields that the schema doesn't know. */
+function describeUnknown (schema: unknown, document: SettingsDocument, path: FieldPath, keys: readonly string[]): Problem[] {
+  const known = knownFields(schema, path)
+  return keys.map(key => {
+    const near = nearest(key, known)
+    const remedy = near === undefined ? `remove it; known here: ${known.join(', ')}` : `did you mean "${near}"?`
+    const fieldPath = [...path, key]
+    return { ...document.position(fieldPath, 'key'), field: fieldName(fieldPath), text: `is not known; ${remedy}` }
+  })
+}
+
+/** Turns one issue of the schema library into problems with their places. */
+export function describeIssue (schema: unknown, document: SettingsDocument, issue: Issue): Problem[] {
+  const path = issue.path.filter((part): part is string | number => typeof part !== 'symbol')
+  if (issue.code === 'unrecognized_keys') return describeUnknown(schema, document, path, issue.keys)
+  const value = valueAt(document.value, path)
+  return [{ ...document.position(path), field: fieldName(path), text: describe(issue, value) }]
+}
