--- /dev/null
+++ b/src/core/http/call-handler.ts
@@ -0,0 +1,41 @@
+/** Calls to plain services: registrations, grants and look-ups. */
+import type { Request, Response } from 'express'
+import { contextOf } from './caller-context.ts'
+import { sendProblem } from './problem.ts'
+import { refuseRequest } from './refuse.ts'
+import { bodyOf, callerSignal, keyOf } from './request-parts.ts'
+import type { CallerServerOptions } from './types.ts'
+
+/** Makes the handler of calls. */
+export function createCallHandler (options: CallerServerOptions): (request: Request, response: Response) => Promise<void> {
+  return async (request, response) => {
+    const { team, route, deadlineAtMs } = contextOf(response)
+    const key = keyOf(request)
+    if (key === 'invalid') return refuseRequest(response, 'bad-request', 'An Idempotency-Key has 1 to 255 visible characters.', options)
+    if (key === undefined && !route.repeatable) {
+      return refuseRequest(response, 'key-missing', 'Send an Idempotency-Key: calls of this route run at most once for each key.', options)
+    }
+    const body = bodyOf(request)
+    if (body.length === 0 && !route.repeatable) {
+      return refuseRequest(response, 'body-missing', 'Send the call\'s content as the body.', options)
+    }
+    const gone = callerSignal(response)
+    const permit = await options.admission.admit({
+      team: team.team,
+      route: route.name,
+      priority: route.priority,
+      deadlineAtMs,
+      weight: team.weight,
+      maxConcurrent: team.maxConcurrent,
+      maxQueued: team.maxQueued,
+      signal: gone
+    })
+    if (permit.isErr) return sendProblem(response, permit.error, options.clock.wallMs())
+    const contentType = request.header('content-type') ?? 'application/octet-stream'
+    const result = await options.runCall({ team, route, key, contentType, body, deadlineAtMs }, gone)
+    permit.value.release(result.isOk ? 'done' : 'failed')
+    if (result.isErr) return sendProblem(response, result.error, options.clock.wallMs())
+    response.set({ 'Content-Type': result.value.contentType, 'Cyclamenshunt-Run': 'done', 'Cyclamenshunt-Node': options.node })
+    response.status(result.value.status).send(result.value.body)
+  }
+}
--- /dev/null
+++ b/src/core/http/refuse.ts
@@ -0,0 +1,19 @@
+/** Refuses requests in the form of problem details and counts each reason. */
+import type { Response } from 'express'
+import type { Refusal, RefusalReason } from '../outcomes/index.ts'
+import type { CallerServerOptions } from './types.ts'
+import { sendProblem } from './problem.ts'
+
+/** Answers with a refusal of this node: nothing ran. */
+export function refuseRequest (
+  response: Response,
+  reason: RefusalReason,
+  detail: string,
+  options: Pick<CallerServerOptions, 'metrics' | 'clock' | 'log'>,
+  retryAtMs?: number
+): void {
+  options.metrics.refused(reason)
+  options.log('requestRefused', { reason, run: 'not-run' })
+  const refusal: Refusal = { reason, run: 'not-run', detail, ...(retryAtMs === undefined ? {} : { retryAtMs }) }
+  sendProblem(response, refusal, options.clock.wallMs())
+}
--- a/src/core/requests/index.ts
+++ b/src/core/requests/index.ts
@@ -2,12 +2,12 @@
  * Drafts of one node: submits them, lets callers read them, takes them over
  * from peers and hands them to peers.
  */
-import type { TeamId, VersionId } from '../ids/index.ts'
+import type { IdempotencyKey, TeamId, VersionId } from '../ids/index.ts'
 import type { Backend } from '../backends/types.ts'
 import { AttemptInterruption, runningAttemptOf } from './attempt-draft.ts'
 import { createDraft } from './draft.ts'
 import type { LiveDraft, Reader } from './draft.ts'
-import { resumeIndex } from './event-id.ts'
+import { parseEventId, resumeIndex } from './event-id.ts'
 import type { EventPlace } from './event-id.ts'
 import { createHandOver } from './hand-over.ts'
 import type { HandOverOptions } from './hand-over.ts'
@@ -39,8 +39,10 @@
   submit: (request: DraftRequest) => LiveDraft
   /** The draft that a reconnecting caller began elsewhere or here; undefined when nobody has it. */
   find: (team: TeamId, request: DraftRequest, place: EventPlace | undefined) => Promise<LiveDraft | undefined>
-  /** Where a caller goes on reading. */
-  readerOf: (draft: LiveDraft, place: EventPlace | undefined) => Reader
+  /** The draft of a key that this node holds; undefined when it holds none. */
+  known: (team: TeamId, key: IdempotencyKey) => LiveDraft | undefined
+  /** Where a caller goes on reading, by the id of the last event it got. */
+  readerOf: (draft: LiveDraft, lastEventId: string | undefined) => Reader
   /** Tells that a reader has left; a draft that nobody reads any more is cancelled after a while. */
   left: (draft: LiveDraft, canReconnect: boolean) => void
   /** Moves the drafts of a leaving backend server that won't end in time. */
@@ -83,9 +85,16 @@
     tasks.add(task)
   }
 
+  function known (team: TeamId, key: IdempotencyKey): LiveDraft | undefined {
+    const draft = table.find(team, key)
+    if (draft === undefined || draft.movedTo !== undefined || draft.stop.signal.aborted) return undefined
+    // A draft that failed may be tried again under its key.
+    return draft.end?.kind === 'failed' ? undefined : draft
+  }
+
   function submit (request: DraftRequest): LiveDraft {
-    const known = table.find(request.team, request.key)
-    if (known !== undefined && known.movedTo === undefined && !known.stop.signal.aborted) return known
+    const earlier = known(request.team, request.key)
+    if (earlier !== undefined) return earlier
     const draft = createDraft(request)
     table.add(draft)
     start(draft)
@@ -93,14 +102,15 @@
   }
 
   async function find (team: TeamId, request: DraftRequest, place: EventPlace | undefined): Promise<LiveDraft | undefined> {
-    const known = table.find(team, request.key)
-    if (known !== undefined && known.movedTo === undefined && !known.stop.signal.aborted) return known
+    const here = known(team, request.key)
+    if (here !== undefined) return here
     return await handOver.pull({ team, key: request.key, firstNode: place === undefined ? undefined : firstNodeOf(place.request) })
   }
 
-  function readerOf (draft: LiveDraft, place: EventPlace | undefined): Reader {
-    if (place === undefined) return { nextIndex: 0, mustRestart: false }
-    const index = resumeIndex(draft, place)
+  function readerOf (draft: LiveDraft, lastEventId: string | undefined): Reader {
+    if (lastEventId === undefined) return { nextIndex: 0, mustRestart: false }
+    const place = parseEventId(lastEventId)
+    const index = place === undefined ? undefined : resumeIndex(draft, place)
     return { nextIndex: index ?? 0, mustRestart: index === undefined }
   }
 
@@ -145,6 +155,7 @@
   return {
     submit,
     find,
+    known,
     readerOf,
     left,
     backendLeaving,
@@ -155,4 +166,3 @@
     close
   }
 }
-
