--- /dev/null
+++ b/src/core/platform/key-value/memory/call-counts.ts
@@ -0,0 +1,90 @@
+/**
+ * What a key-value service counts and bounds: its calls by kind and client,
+ * and their rates. A waiting watch takes one read a second of the bound.
+ */
+import { isWrite } from './faults.ts'
+import type { KeyValueOperation } from './faults.ts'
+
+/** Calls since the start or the last reset. */
+export interface CallCounts {
+  total: number
+  reads: number
+  writes: number
+  /** Watches that wait now. */
+  waitingWatches: number
+  refusedByRate: number
+  byOperation: Record<KeyValueOperation, number>
+  byClient: Record<string, number>
+}
+
+/** Rates that the service takes; calls beyond them are refused. */
+export interface RateLimits {
+  maxReadsPerSecond: number
+  maxWritesPerSecond: number
+}
+
+function emptyCounts (waitingWatches: number): CallCounts {
+  return {
+    total: 0,
+    reads: 0,
+    writes: 0,
+    waitingWatches,
+    refusedByRate: 0,
+    byOperation: { get: 0, list: 0, transact: 0, grantLease: 0, keepAlive: 0, revokeLease: 0, watch: 0 },
+    byClient: {}
+  }
+}
+
+/** A token bucket that holds one second's worth. */
+function createBucket (nowMs: () => number): (perSecond: number) => boolean {
+  let tokens: number | undefined
+  let filledAtMs = nowMs()
+  return perSecond => {
+    if (perSecond === Infinity) return true
+    const atMs = nowMs()
+    tokens = Math.min(perSecond, (tokens ?? perSecond) + perSecond * (atMs - filledAtMs) / 1000)
+    filledAtMs = atMs
+    if (tokens < 1) return false
+    tokens -= 1
+    return true
+  }
+}
+
+/** Counts calls and tells which fit under the rates. */
+export interface CallCounter {
+  /** Counts a call; `false` when it is beyond the rate. */
+  admit: (client: string, operation: KeyValueOperation) => boolean
+  watchOpened: () => void
+  watchClosed: () => void
+  counts: () => CallCounts
+  reset: () => void
+}
+
+/** Creates the counter of one service. */
+export function createCallCounter (nowMs: () => number, limits: RateLimits): CallCounter {
+  let counts = emptyCounts(0)
+  const takeRead = createBucket(nowMs)
+  const takeWrite = createBucket(nowMs)
+
+  function admit (client: string, operation: KeyValueOperation): boolean {
+    counts.total += 1
+    counts.byOperation[operation] += 1
+    counts.byClient[client] = (counts.byClient[client] ?? 0) + 1
+    const write = isWrite(operation)
+    if (write) counts.writes += 1
+    else counts.reads += 1
+    const admitted = write
+      ? takeWrite(limits.maxWritesPerSecond)
+      : takeRead(Math.max(0, limits.maxReadsPerSecond - counts.waitingWatches))
+    if (!admitted) counts.refusedByRate += 1
+    return admitted
+  }
+
+  return {
+    admit,
+    watchOpened: () => { counts.waitingWatches += 1 },
+    watchClosed: () => { counts.waitingWatches -= 1 },
+    counts: () => structuredClone(counts),
+    reset: () => { counts = emptyCounts(counts.waitingWatches) }
+  }
+}
--- /dev/null
+++ b/src/core/platform/key-value/memory/call.ts
@@ -0,0 +1,58 @@
+/**
+ * One call of an in-memory key-value service with its faults: what the caller
+ * is told, and when the effect comes.
+ */
+import { Result } from 'true-myth'
+import { createError } from '../../../errors/index.ts'
+import { isWrite } from './faults.ts'
+import type { Clock } from '../../../clock/index.ts'
+import type { CallOptions, KeyValueError } from '../types.ts'
+import type { CallAttempt, CallFault } from './faults.ts'
+
+function unavailable (operation: string, cause: string): KeyValueError {
+  return createError('KeyValueUnavailable', { operation, cause })
+}
+
+/** The error of a call whose answer never came: a read wrote nothing, a write may have. */
+function unanswered ({ operation }: CallAttempt, cause: string): KeyValueError {
+  return isWrite(operation) ? createError('KeyValueAmbiguous', { operation, cause }) : unavailable(operation, cause)
+}
+
+// A manual clock never wakes a sleep of nothing by itself.
+async function pause (clock: Clock, durationMs: number | undefined): Promise<void> {
+  if (durationMs !== undefined && durationMs > 0) await clock.sleep(durationMs)
+}
+
+/** Runs one call: `effect` takes place unless the fault prevents it, even after the caller gave up. */
+export async function runCall<Value> (
+  clock: Clock,
+  attempt: CallAttempt,
+  fault: CallFault,
+  options: CallOptions,
+  effect: () => Result<Value, KeyValueError>
+): Promise<Result<Value, KeyValueError>> {
+  const remainingMs = options.deadlineAtMs - clock.wallMs()
+  if (remainingMs <= 0) return Result.err(unavailable(attempt.operation, 'the deadline had passed before it was sent'))
+  if (fault.refused === true) return Result.err(unavailable(attempt.operation, 'the connection was refused'))
+  if (fault.requestLost === true) return Result.err(unanswered(attempt, 'the connection broke'))
+  const work = carryOut(clock, fault, effect)
+  if (fault.answerLost === true) return Result.err(unanswered(attempt, 'the connection broke'))
+  if ((fault.requestDelayMs ?? 0) + (fault.answerDelayMs ?? 0) === 0) return await work
+  const givenUp = new AbortController()
+  const late = clock.sleep(remainingMs, givenUp.signal)
+    .then(() => Result.err<Value, KeyValueError>(unanswered(attempt, 'its deadline passed')))
+  const answer = await Promise.race([work, late])
+  givenUp.abort()
+  return answer
+}
+
+async function carryOut<Value> (
+  clock: Clock,
+  fault: CallFault,
+  effect: () => Result<Value, KeyValueError>
+): Promise<Result<Value, KeyValueError>> {
+  await pause(clock, fault.requestDelayMs)
+  const result = effect()
+  await pause(clock, fault.answerDelayMs)
+  return result
+}
