--- a/src/core/settings/document.ts
+++ b/src/core/settings/document.ts
@@ -87,16 +87,36 @@
   return createError('SettingsInvalid', { file, problems: renderProblems(file, problems) })
 }
 
+/** A file that was read by a schema: its value when it has no problems, and its positions. */
+export interface CheckedYaml<Value> {
+  value: Value | undefined
+  problems: Problem[]
+  document: SettingsDocument
+}
+
+/** Drops what the schema library says about the bounds of a value whose type is already wrong. */
+function withoutFollowUps (issues: readonly z.core.$ZodIssue[]): z.core.$ZodIssue[] {
+  const mistyped = new Set(issues.filter(issue => issue.code === 'invalid_type').map(issue => issue.path.join('/')))
+  return issues.filter(issue => issue.code === 'invalid_type' || !mistyped.has(issue.path.join('/')))
+}
+
+/** Reads a YAML text by a schema and keeps the positions of its fields. */
+export function checkYaml<Schema extends z.ZodType> (schema: Schema, text: string): CheckedYaml<z.output<Schema>> {
+  const document = readDocument(text)
+  if (document.problems.length > 0) return { value: undefined, problems: document.problems, document }
+  const parsed = schema.safeParse(document.value ?? {})
+  if (parsed.success) return { value: parsed.data, problems: [], document }
+  const problems = withoutFollowUps(parsed.error.issues).flatMap(issue => describeIssue(schema, document, issue))
+  return { value: undefined, problems, document }
+}
+
 /** Reads a YAML text by a schema; `file` stands in the messages. */
 export function readYaml<Schema extends z.ZodType> (
   schema: Schema,
   text: string,
   file: string
 ): Result<z.output<Schema>, CyclamenError<'SettingsInvalid'>> {
-  const document = readDocument(text)
-  if (document.problems.length > 0) return err(settingsInvalid(file, document.problems))
-  const parsed = schema.safeParse(document.value ?? {})
-  if (parsed.success) return ok(parsed.data)
-  const problems = parsed.error.issues.flatMap(issue => describeIssue(schema, document, issue))
-  return err(settingsInvalid(file, problems))
+  const { value, problems } = checkYaml(schema, text)
+  if (value === undefined || problems.length > 0) return err(settingsInvalid(file, problems))
+  return ok(value)
 }
--- a/src/core/settings/issues.ts
+++ b/src/core/settings/issues.ts
@@ -49,34 +49,43 @@
   array: 'a list'
 }
 
-function describeType (issue: Issue & { code: 'invalid_type' }, value: unknown): string {
+function describeType (issue: Issue & { code: 'invalid_type' }, value: unknown, given: string): string {
   const wanted = typeNames[issue.expected] ?? issue.expected
   if (value === undefined) return `is missing; add it as ${wanted}`
-  return `is ${kindOf(value)}; write ${wanted} instead`
+  return `is ${given}; write ${wanted} instead`
 }
 
-function unitOf (origin: string): string {
-  if (origin === 'string') return ' characters'
-  if (origin === 'array') return ' entries'
-  return ''
+/** Renders a bound with its unit. */
+function bound (amount: number | bigint, origin: string): string {
+  if (origin === 'string') return `${amount} characters`
+  if (origin === 'array') return amount === 1 ? '1 entry' : `${amount} entries`
+  return String(amount)
+}
+
+/** Names of fields whose values are never shown. */
+const secretFields: ReadonlySet<string | number> = new Set(['key', 'token', 'tokenDigests'])
+
+function isSecret (path: FieldPath): boolean {
+  return path.some(part => secretFields.has(part))
 }
 
 /** Says for one issue what is wrong and what to write instead. */
-function describe (issue: Issue, value: unknown): string {
+function describe (issue: Issue, value: unknown, secret: boolean): string {
+  const given = secret ? 'set to something else' : kindOf(value)
   switch (issue.code) {
     case 'invalid_type':
-      return describeType(issue, value)
+      return describeType(issue, value, given)
     case 'too_small':
-      return `is too small; write at least ${issue.minimum}${unitOf(issue.origin)}`
+      return `is too small; write at least ${bound(issue.minimum, issue.origin)}`
     case 'too_big':
-      return `is too large; write at most ${issue.maximum}${unitOf(issue.origin)}`
+      return `is too large; write at most ${bound(issue.maximum, issue.origin)}`
     case 'invalid_value': {
-      const given = nearest(String(value), issue.values.map(String))
-      const hint = given === undefined ? '' : `; did you mean "${given}"?`
-      return `is ${kindOf(value)}; write one of ${issue.values.map(String).join(', ')}${hint}`
+      const near = nearest(String(value), issue.values.map(String))
+      const hint = near === undefined ? '' : `; did you mean "${near}"?`
+      return `is ${given}; write one of ${issue.values.map(String).join(', ')}${hint}`
     }
     default:
-      return `is ${kindOf(value)}; it ${issue.message}`
+      return `is ${given}; it ${issue.message}`
   }
 }
 
@@ -96,5 +105,5 @@
   const path = issue.path.filter((part): part is string | number => typeof part !== 'symbol')
   if (issue.code === 'unrecognized_keys') return describeUnknown(schema, document, path, issue.keys)
   const value = valueAt(document.value, path)
-  return [{ ...document.position(path), field: fieldName(path), text: describe(issue, value) }]
+  return [{ ...document.position(path), field: fieldName(path), text: describe(issue, value, isSecret(path)) }]
 }
