Prove drafts under random faults, and mend what the trials found

Cause: trials of callers, nodes and engines under kills, freezes, reclaims, silent and cut streams found four faults of the drafts. - A wait for the next event added a listener to the caller's signal each time; they piled up for the life of the connection. After three failures in a row it now starts anew on another version. - Attempts that brought events counted against the bound of attempts. The restart now carries an id of its own.

--- /dev/null
+++ b/bench/prove/promises/drafts/trial.ts
@@ -0,0 +1,233 @@
+/**
+ * One trial of drafts: callers, nodes and engines under a random schedule of
+ * faults, and what became of every answer.
+ */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { createManualClock } from '../../../../src/core/clock/index.ts'
+import type { ManualClock } from '../../../../src/core/clock/index.ts'
+import { toId } from '../../../../src/core/ids/index.ts'
+import { createMemoryNetwork } from '../../../../src/core/peers/memory-network.ts'
+import { runCaller } from './caller.ts'
+import type { CallerResult } from './caller.ts'
+import { answerLength, createAnswerOracle, createFakeEngine } from './engine-world.ts'
+import type { AnswerOracle, FakeEngine } from './engine-world.ts'
+import { createNodeWorld } from './node-world.ts'
+import type { NodeWorld, TrialNode } from './node-world.ts'
+
+/** Time within which every draft of a trial has its answer, whatever happens. */
+const deadlineMs = 60_000
+const domains = ['a', 'b', 'c']
+const callerCount = 8
+
+/** What a trial counted. */
+export interface DraftTally {
+  /** Refusals of drafts that were accepted, for the trace. */
+  refusals: string[]
+  faults: string[]
+  accepted: number
+  answered: number
+  /** Events that a caller got twice within one answer. */
+  doubled: number
+  /** Accepted drafts without an answer by their deadline, though backend servers were there. */
+  lost: number
+  /** Answers that ended but weren't whole or true. */
+  cut: number
+  /** Refusals that said `not-run` although an engine had made tokens. */
+  falseNotRun: number
+}
+
+/** Time is stepped by this much, so that all waits of a trial are met. */
+const stepMs = 10
+
+/** A source of random numbers from 0 (included) to 1 (excluded). */
+export function seededRandom (seed: number): () => number {
+  const generator = xoroshiro128plus(seed)
+  return () => (generator.next() >>> 0) / 0x1_0000_0000
+}
+
+/** Runs one trial. */
+export async function runDraftTrial (seed: number): Promise<DraftTally> {
+  const random = seededRandom(seed)
+  const clock = createManualClock()
+  const oracle = createAnswerOracle()
+  const engines = createEngines(clock, oracle)
+  const network = createMemoryNetwork({ clock })
+  const world = createNodeWorld({ clock, network, engines, random })
+  for (const [index, domain] of [...domains, ...domains].entries()) world.start(`node-${index}`, domain)
+  const faults: string[] = []
+  const results: CallerResult[] = []
+  const prompts: string[] = []
+  const callers = Array.from({ length: callerCount }, async (_, index) => {
+    const prompt = `case file ${seed}/${index}`
+    prompts[index] = prompt
+    await clock.sleep(random() * 500)
+    results[index] = await runCaller({
+      clock,
+      request: {
+        team: toId('agency'),
+        route: 'letters',
+        key: toId(`key-${index}`),
+        prompt,
+        maxTokens: 1_000,
+        priority: 'normal',
+        deadlineAtMs: clock.wallMs() + deadlineMs
+      },
+      pickNode: () => pick(world.nodes.filter(node => node.ready), random),
+      cutAfterMs: () => random() < 0.3 ? random() * 2_000 : Infinity
+    })
+  })
+  const schedule = runSchedule(world, engines, clock, random, faults)
+  const progress = { finished: false }
+  Promise.all([...callers, schedule]).then(() => { progress.finished = true })
+  for (let elapsedMs = 0; !progress.finished && elapsedMs < deadlineMs + 5_000; elapsedMs += stepMs) await clock.advance(stepMs)
+  return tally(results, prompts, oracle, faults)
+}
+
+function createEngines (clock: ManualClock, oracle: AnswerOracle): FakeEngine[] {
+  return domains.flatMap((domain, index) => [0, 1].map(copy => createFakeEngine({
+    id: toId(`engine-${index}-${copy}`),
+    instance: toId(`instance-${index}-${copy}`),
+    team: toId('agency'),
+    kind: 'model-engine',
+    version: toId(copy === 0 || index > 0 ? 'v1' : 'v2'),
+    domain: toId(domain),
+    machineClass: 'small',
+    reclaimable: true,
+    url: 'http://127.0.0.1:1',
+    state: 'live'
+  }, clock, oracle)))
+}
+
+function pick<Value> (values: readonly Value[], random: () => number): Value | undefined {
+  return values[Math.floor(random() * values.length)]
+}
+
+type Fault = (world: NodeWorld, engines: FakeEngine[], clock: ManualClock, random: () => number) => Promise<void> | void
+
+/** Nodes that may be harmed: enough stay to serve. */
+function victim (world: NodeWorld, random: () => number): TrialNode | undefined {
+  const alive = world.nodes.filter(node => node.ready && !node.frozen)
+  return alive.length > 2 ? pick(alive, random) : undefined
+}
+
+function engineVictim (engines: FakeEngine[], random: () => number): FakeEngine | undefined {
+  const alive = engines.filter(({ faults }) => !faults.dead && !faults.leaving)
+  return alive.length > 2 ? pick(alive, random) : undefined
+}
+
+const faultKinds: Record<string, Fault> = {
+  'node-killed': (world, _engines, _clock, random) => {
+    const node = victim(world, random)
+    if (node !== undefined) world.kill(node)
+  },
+  'node-frozen': async (world, _engines, clock, random) => {
+    const node = victim(world, random)
+    if (node === undefined) return
+    const thaw = world.freeze(node)
+    await clock.sleep(500 + random() * 8_000)
+    thaw()
+  },
+  'node-reclaimed': async (world, _engines, _clock, random) => {
+    const node = victim(world, random)
+    if (node !== undefined) await world.reclaim(node, 300 + random() * 3_000)
+  },
+  'node-killed-in-reclaim': async (world, _engines, _clock, random) => {
+    const node = victim(world, random)
+    if (node !== undefined) await world.reclaim(node, random() * 6)
+  },
+  'domain-reclaimed': async (world, engines, _clock, random) => {
+    const domain = pick(domains, random)
+    for (const engine of engines) {
+      if (engine.backend.domain === domain && engineVictim(engines, random) !== undefined) leaveEngine(engine, world)
+    }
+    const nodes = world.nodes.filter(node => node.domain === domain && node.ready && !node.frozen)
+    if (world.nodes.filter(node => node.ready).length - nodes.length < 2) return
+    await Promise.all(nodes.map(node => world.reclaim(node, 1_500)))
+  },
+  'engine-reclaimed': async (world, engines, clock, random) => {
+    const engine = engineVictim(engines, random)
+    if (engine === undefined) return
+    leaveEngine(engine, world)
+    await clock.sleep(3_000)
+    engine.faults.dead = true
+  },
+  'engine-killed': (_world, engines, _clock, random) => {
+    const engine = engineVictim(engines, random)
+    if (engine !== undefined) engine.faults.dead = true
+  },
+  'streams-silent': (_world, engines, _clock, random) => {
+    const engine = pick(engines, random)
+    if (engine !== undefined) engine.faults.silentEpoch += 1
+  },
+  'streams-cut': (_world, engines, _clock, random) => {
+    const engine = pick(engines, random)
+    if (engine !== undefined) engine.faults.cutEpoch += 1
+  },
+  'ends-early': async (_world, engines, clock, random) => {
+    const engine = pick(engines, random)
+    if (engine === undefined) return
+    engine.faults.endsEarly = true
+    await clock.sleep(1_000)
+    engine.faults.endsEarly = false
+  },
+  'version-withdrawn': world => {
+    for (const node of world.nodes) node.drafts.withdrawVersion(toId('agency'), toId('v2'))
+  }
+}
+
+function leaveEngine (engine: FakeEngine, world: NodeWorld): void {
+  engine.faults.leaving = true
+  for (const node of world.nodes) {
+    if (node.diedAtMs === undefined) node.drafts.backendLeaving({ ...engine.backend, state: 'leaving', goneAtMs: node.clock.wallMs() + 3_000 })
+  }
+}
+
+/** Two to five faults, some of them together, some twice in a row. */
+async function runSchedule (
+  world: NodeWorld,
+  engines: FakeEngine[],
+  clock: ManualClock,
+  random: () => number,
+  faults: string[]
+): Promise<void> {
+  const count = 2 + Math.floor(random() * 4)
+  const names = Object.keys(faultKinds)
+  const running: Array<Promise<void> | void> = []
+  let name = pick(names, random) ?? ''
+  for (let index = 0; index < count; index++) {
+    await clock.sleep(random() < 0.4 ? 0 : random() * 1_500)
+    name = random() < 0.3 ? name : pick(names, random) ?? ''
+    faults.push(name)
+    running.push(faultKinds[name]?.(world, engines, clock, random))
+  }
+  await Promise.all(running)
+}
+
+function tally (
+  results: CallerResult[],
+  prompts: string[],
+  oracle: AnswerOracle,
+  faults: string[]
+): DraftTally {
+  const counts: DraftTally = { refusals: [], faults, accepted: 0, answered: 0, doubled: 0, lost: 0, cut: 0, falseNotRun: 0 }
+  for (let index = 0; index < callerCount; index++) {
+    const result = results[index]
+    const prompt = prompts[index] ?? ''
+    if (result === undefined || !result.accepted) {
+      counts.lost += result === undefined ? 1 : 0
+      continue
+    }
+    counts.accepted += 1
+    counts.doubled += result.doubled
+    if (result.tokens === undefined) {
+      counts.lost += 1
+      counts.refusals.push(`${result.refusal?.reason ?? 'none'}: ${result.refusal?.detail ?? 'no end by the deadline'}`)
+      if (result.refusal?.run === 'not-run' && result.refusal.reason !== 'no-backend') counts.falseNotRun += 1
+      continue
+    }
+    counts.answered += 1
+    const isWhole = result.tokens.length === answerLength(prompt) && result.eventsSaid === result.tokens.length
+    if (!isWhole || !oracle.isTrue(prompt, result.tokens)) counts.cut += 1
+  }
+  return counts
+}
--- a/src/core/http/draft-handler.ts
+++ b/src/core/http/draft-handler.ts
@@ -143,11 +143,12 @@
 
 /** Waits until it is known which status to answer with. */
 async function firstSign (draft: LiveDraft, stream: boolean, gone: AbortSignal): Promise<void> {
-  const left = new Promise<void>(resolve => gone.addEventListener('abort', () => resolve(), { once: true }))
+  gone.addEventListener('abort', draft.wake, { once: true })
   while (!gone.aborted && draft.end === undefined && draft.movedTo === undefined) {
-    if (stream && draft.raws.length > 0) return
-    await Promise.race([draft.changed(), left])
+    if (stream && draft.raws.length > 0) break
+    await draft.changed()
   }
+  gone.removeEventListener('abort', draft.wake)
 }
 
 function sendWhole (response: Response, draft: LiveDraft, options: CallerServerOptions): void {
--- a/src/core/requests/attempt-draft.ts
+++ b/src/core/requests/attempt-draft.ts
@@ -30,7 +30,20 @@
   | { kind: 'stopped' }
   /** The deadline passed on the way. */
   | { kind: 'expired' }
-  | { kind: 'broken', reason: RetryReason, detail: string, counts: boolean }
+  | BrokenAttempt
+
+/** An attempt that broke. */
+export interface BrokenAttempt {
+  kind: 'broken'
+  reason: RetryReason
+  detail: string
+  /** Whether the backend server is to blame. */
+  counts: boolean
+  /** Whether it may have cost the backend server work. */
+  mayHaveRun: boolean
+  /** Whether it brought at least one event. */
+  progressed: boolean
+}
 
 /** Why an attempt was interrupted from within this node. */
 export class AttemptInterruption extends Error {
@@ -86,7 +99,7 @@
     end = await readStream(draft, running, abort.signal, options.clock)
     result = { kind: 'ended' }
   } catch (error) {
-    result = toResult(error, draft, abort.signal)
+    result = toResult(error, draft, abort.signal, draft.raws.length > before)
     cancelIfAbandoned(draft, plan, abort.signal)
   } finally {
     draft.stop.signal.removeEventListener('abort', stop)
@@ -170,20 +183,16 @@
 
 /** Leaves the engine's stream unread until a reader has caught up, so that back pressure reaches the engine. */
 async function waitForReaders (draft: LiveDraft, signal: AbortSignal): Promise<void> {
-  while (isFarAhead(draft) && !signal.aborted && isActive(draft)) {
-    await Promise.race([draft.changed(), aborted(signal)])
-  }
-}
-
-function aborted (signal: AbortSignal): Promise<void> {
-  return new Promise(resolve => signal.addEventListener('abort', () => resolve(), { once: true }))
+  signal.addEventListener('abort', draft.wake, { once: true })
+  while (isFarAhead(draft) && !signal.aborted && isActive(draft)) await draft.changed()
+  signal.removeEventListener('abort', draft.wake)
 }
 
-function toResult (error: unknown, draft: LiveDraft, signal: AbortSignal): AttemptResult {
+function toResult (error: unknown, draft: LiveDraft, signal: AbortSignal, progressed: boolean): AttemptResult {
   const reason = signal.reason
   if (signal.aborted && reason instanceof AttemptInterruption) {
     if (reason.reason === 'backend-leaving' || reason.reason === 'version-withdrawn') {
-      return { kind: 'broken', reason: reason.reason, detail: reason.reason, counts: false }
+      return { kind: 'broken', reason: reason.reason, detail: reason.reason, counts: false, mayHaveRun: true, progressed }
     }
     if (reason.reason === 'deadline-past') return { kind: 'expired' }
     return { kind: 'stopped' }
@@ -191,10 +200,11 @@
   if (!isActive(draft)) return { kind: 'stopped' }
   if (error instanceof AttemptError) {
     const { failure } = error
-    return { kind: 'broken', reason: failure.reason, detail: failure.detail, counts: failure.reason !== 'backend-leaving' }
+    const counts = failure.reason !== 'backend-leaving'
+    return { kind: 'broken', reason: failure.reason, detail: failure.detail, counts, mayHaveRun: failure.mayHaveRun, progressed }
   }
   const detail = error instanceof Error ? error.message : String(error)
-  return { kind: 'broken', reason: 'stream-broken', detail, counts: true }
+  return { kind: 'broken', reason: 'stream-broken', detail, counts: true, mayHaveRun: true, progressed }
 }
 
 /** Cancels the engine's work, unless another node goes on reading it. */
--- a/src/core/requests/event-id.ts
+++ b/src/core/requests/event-id.ts
@@ -15,6 +15,14 @@
   index: number
 }
 
+/**
+ * The id of a restart. It replaces the caller's last event id, so that a
+ * connection that breaks right after the restart isn't resumed in the old answer.
+ */
+export function restartEventId (request: RequestId): string {
+  return `${request}:restart:0`
+}
+
 /** Reads the id of an event as a caller sent it back; undefined when it isn't one. */
 export function parseEventId (text: string): EventPlace | undefined {
   const match = /^([\w-]+):([\w-]+):(\d{1,9})$/.exec(text)
--- a/src/core/requests/read-draft.ts
+++ b/src/core/requests/read-draft.ts
@@ -5,6 +5,7 @@
 import { once } from 'node:events'
 import { attemptOf } from './draft.ts'
 import type { LiveDraft, Reader } from './draft.ts'
+import { restartEventId } from './event-id.ts'
 import type { DraftEnd } from './types.ts'
 
 /** Most events written to a caller's connection at once. */
@@ -24,6 +25,8 @@
   gone: AbortSignal
 ): Promise<ReadResult> {
   draft.readers.add(reader)
+  // One listener for the whole reading: a promise for each wait would pile up on the signal.
+  gone.addEventListener('abort', draft.wake, { once: true })
   try {
     while (!gone.aborted) {
       const text = takeEvents(draft, reader)
@@ -37,11 +40,12 @@
         sink.write('event: handover\nretry: 0\ndata: {}\n\n')
         return 'handed-over'
       } else {
-        await Promise.race([draft.changed(), aborted(gone)])
+        await draft.changed()
       }
     }
     return 'left'
   } finally {
+    gone.removeEventListener('abort', draft.wake)
     draft.readers.delete(reader)
   }
 }
@@ -51,7 +55,7 @@
   let text = ''
   if (reader.mustRestart) {
     reader.mustRestart = false
-    text += 'event: restart\ndata: {}\n\n'
+    text += `id: ${restartEventId(draft.request.request)}\nevent: restart\ndata: {}\n\n`
   }
   const endIndex = Math.min(draft.raws.length, reader.nextIndex + maxEventsAtOnce)
   const { request } = draft.request
@@ -82,7 +86,3 @@
     // The caller left while its connection was full; the loop sees that.
   }
 }
-
-function aborted (signal: AbortSignal): Promise<void> {
-  return new Promise(resolve => signal.addEventListener('abort', () => resolve(), { once: true }))
-}
--- a/src/core/requests/run-draft.ts
+++ b/src/core/requests/run-draft.ts
@@ -10,13 +10,15 @@
 import { createId } from '../ids/index.ts'
 import type { AttemptId } from '../ids/index.ts'
 import { attemptDraft } from './attempt-draft.ts'
-import type { AttemptPlan, AttemptResult } from './attempt-draft.ts'
+import type { AttemptPlan, BrokenAttempt } from './attempt-draft.ts'
 import { attemptOf, endDraft, isActive, restartAnswer } from './draft.ts'
 import type { LiveDraft } from './draft.ts'
 import type { ChooseBackend, DraftChoice } from './types.ts'
 
-/** Most attempts of one draft at one node. */
-const maxAttempts = 8
+/** Most attempts in a row that may have cost a backend server work and brought no event. */
+const maxFruitlessAttempts = 8
+/** Failures in a row after which an answer doesn't wait for its own version any longer. */
+const maxPinnedFailures = 3
 /** First pause before a repeat; doubles with each further one. */
 const firstPauseMs = 20
 /** Longest pause before a repeat. */
@@ -39,25 +41,42 @@
 /** Works on a draft until it has ended here. Never rejects. */
 export async function runDraft (draft: LiveDraft, options: RunDraftOptions): Promise<void> {
   const excluded = new Set<BackendId>()
-  let failures = 0
+  const failures = { sinceProgress: 0, fruitless: 0 }
   let resumable = draft.backend
   while (isActive(draft)) {
     if (options.clock.wallMs() >= draft.request.deadlineAtMs) return refuse(draft, options, deadlinePassed(draft))
     if (endAtLength(draft)) return
-    const choice = await chooseFor(draft, excluded, options)
+    const choice = await chooseFor(draft, excluded, failures, options)
     if (choice === undefined) return
     if (!isActive(draft)) return choice.ended({ ...unusedAttempt })
     const result = await attemptDraft(draft, planAttempt(draft, choice, resumable, options), options)
     resumable = undefined
     if (result.kind === 'ended' || result.kind === 'stopped') return
     if (result.kind === 'expired') continue
-    failures += result.counts ? 1 : 0
+    countFailure(failures, result)
     excluded.add(choice.backend.id)
     if (!allowRetry(draft, choice, result, failures, options)) return
     await pauseBefore(result, failures, draft, options)
   }
 }
 
+/** Attempts of one draft that failed since the last one that brought an event. */
+interface Failures {
+  sinceProgress: number
+  /** Those of them that may have cost a backend server work. */
+  fruitless: number
+}
+
+function countFailure (failures: Failures, result: BrokenAttempt): void {
+  if (result.progressed) {
+    failures.sinceProgress = 0
+    failures.fruitless = 0
+  }
+  if (!result.counts) return
+  failures.sinceProgress += 1
+  failures.fruitless += result.mayHaveRun ? 1 : 0
+}
+
 /** Ends an answer of which only the end mark is missing. */
 function endAtLength (draft: LiveDraft): boolean {
   if (draft.raws.length < draft.request.maxTokens) return false
@@ -75,25 +94,41 @@
   cachedTokens: 0
 }
 
-/** Chooses a backend server; a version that can't go on with the answer lets it start anew. */
+/** Chooses a backend server; when the answer's version has none left, the answer starts anew on another. */
 async function chooseFor (
   draft: LiveDraft,
   excluded: Set<BackendId>,
+  failures: Failures,
   options: RunDraftOptions
 ): Promise<DraftChoice | undefined> {
   const choice = await options.choose({ draft: draft.request, excluded, version: draft.version })
   if (choice.isOk) return choice.value
-  if (excluded.size > 0) {
-    excluded.clear()
-    return await chooseFor(draft, excluded, options)
+  if (draft.version !== undefined && failures.sinceProgress !== 0 && failures.sinceProgress < maxPinnedFailures) {
+    return await chooseAgain(draft, excluded, failures, options, choice.error)
   }
-  if (draft.version !== undefined && choice.error.reason === 'no-backend') {
-    options.metrics.recomputed('version-changed', draft.raws.length)
-    restartAnswer(draft)
-    return await chooseFor(draft, excluded, options)
+  const other = draft.version === undefined
+    ? choice
+    : await options.choose({ draft: draft.request, excluded, version: undefined })
+  if (other.isErr) return await chooseAgain(draft, excluded, failures, options, choice.error)
+  options.metrics.recomputed('version-changed', draft.raws.length)
+  restartAnswer(draft)
+  return other.value
+}
+
+/** Gives the backend servers that failed before another chance; without any the draft is refused. */
+async function chooseAgain (
+  draft: LiveDraft,
+  excluded: Set<BackendId>,
+  failures: Failures,
+  options: RunDraftOptions,
+  refusal: Refusal
+): Promise<DraftChoice | undefined> {
+  if (excluded.size === 0) {
+    refuse(draft, options, refusal)
+    return undefined
   }
-  refuse(draft, options, choice.error)
-  return undefined
+  excluded.clear()
+  return await chooseFor(draft, excluded, failures, options)
 }
 
 /** Takes up the engine's own stream where the draft's last attempt may still run, else starts an attempt. */
@@ -117,12 +152,12 @@
 function allowRetry (
   draft: LiveDraft,
   choice: DraftChoice,
-  result: AttemptResult & { kind: 'broken' },
-  failures: number,
+  result: BrokenAttempt,
+  failures: Failures,
   options: RunDraftOptions
 ): boolean {
-  if (failures >= maxAttempts) {
-    refuse(draft, options, givenUp('attempts-exhausted', `${failures} attempts failed, the last one: ${result.detail}`, options))
+  if (failures.fruitless >= maxFruitlessAttempts) {
+    refuse(draft, options, givenUp('attempts-exhausted', `${failures.fruitless} attempts failed, the last one: ${result.detail}`, options))
     return false
   }
   // What a reclaim or a withdrawn version breaks isn't the caller's doing, so it costs no budget.
@@ -143,13 +178,13 @@
 }
 
 async function pauseBefore (
-  result: AttemptResult & { kind: 'broken' },
-  failures: number,
+  result: BrokenAttempt,
+  failures: Failures,
   draft: LiveDraft,
   options: RunDraftOptions
 ): Promise<void> {
   if (!result.counts) return
-  const ceilingMs = Math.min(maxPauseMs, firstPauseMs * 2 ** (failures - 1))
+  const ceilingMs = Math.min(maxPauseMs, firstPauseMs * 2 ** (failures.sinceProgress - 1))
   await options.clock.sleep(ceilingMs * options.random(), draft.stop.signal)
 }
 
