--- /dev/null
+++ b/src/core/platform/key-value/http/watch.ts
@@ -0,0 +1,120 @@
+/**
+ * One watch over the service's JSON gateway, on a connection of its own. The
+ * service sends progress messages; a watch that hears nothing for the silence
+ * bound is lost, because its connection may be dead without telling.
+ */
+import { Client } from 'undici'
+import { createError } from '../../../errors/index.ts'
+import { causeOf } from './exchange.ts'
+import { decodeKeyValue, encodePrefix, gatewayPaths } from './gateway.ts'
+import type { Clock } from '../../../clock/index.ts'
+import type { KeyValueChange, KeyValueError, Watch, WatchHandlers } from '../types.ts'
+import type { GatewayWatchResponse } from './gateway.ts'
+
+/** What a watch needs. */
+export interface HttpWatchOptions {
+  origin: string
+  headers: Record<string, string>
+  clock: Clock
+  prefix: string
+  afterRevision: number
+  handlers: WatchHandlers
+  silenceBoundMs: number
+  /** Called once at the end, with whether the watch was lost. */
+  onEnd: (lost: boolean) => void
+}
+
+const silenceChecksPerBound = 4
+const newline = 10
+
+/** Cuts a stream of bytes into lines. */
+async function * readLines (chunks: AsyncIterable<Buffer>): AsyncGenerator<string> {
+  let pending: Buffer[] = []
+  for await (const chunk of chunks) {
+    let startOffset = 0
+    for (let end = chunk.indexOf(newline); end !== -1; end = chunk.indexOf(newline, startOffset)) {
+      pending.push(chunk.subarray(startOffset, end))
+      yield Buffer.concat(pending).toString()
+      pending = []
+      startOffset = end + 1
+    }
+    if (startOffset < chunk.length) pending.push(chunk.subarray(startOffset))
+  }
+}
+
+function unavailable (cause: string): KeyValueError {
+  return createError('KeyValueUnavailable', { operation: 'watch', cause })
+}
+
+/** Opens a watch. */
+export function openHttpWatch (options: HttpWatchOptions): Watch {
+  const { clock, handlers } = options
+  const ended = new AbortController()
+  const client = new Client(options.origin, { headersTimeout: 0, bodyTimeout: 0, connect: { timeout: options.silenceBoundMs } })
+  let heardAtMs = clock.monotonicMs()
+
+  function end (lost: boolean): void {
+    ended.abort()
+    client.destroy().catch(() => {})
+    options.onEnd(lost)
+  }
+
+  function lose (error: KeyValueError): void {
+    if (ended.signal.aborted) return
+    end(true)
+    handlers.onLost(error)
+  }
+
+  /** Handles one message; `false` when the watch is over. */
+  function handleMessage (line: string): boolean {
+    const { result } = JSON.parse(line) as { result?: GatewayWatchResponse }
+    if (result === undefined) throw new Error('the service ended the watch')
+    if (result.canceled === true) {
+      const cause = result.compact_revision === undefined ? 'the service cancelled it' : `revisions before ${result.compact_revision} were compacted`
+      lose(createError('KeyValueRejected', { operation: 'watch', cause }))
+      return false
+    }
+    const changes = (result.events ?? []).map(({ type, kv }): KeyValueChange => {
+      const { key, value, modRevision } = decodeKeyValue(kv)
+      return { key, value: type === 'DELETE' ? undefined : value, modRevision }
+    })
+    if (changes.length > 0) handlers.onChanges(changes, Math.max(...changes.map(change => change.modRevision)))
+    return true
+  }
+
+  async function listen (): Promise<void> {
+    try {
+      const createRequest = { ...encodePrefix(options.prefix), start_revision: String(options.afterRevision + 1), progress_notify: true }
+      const { statusCode, body } = await client.request({
+        path: gatewayPaths.watch,
+        method: 'POST',
+        headers: { 'content-type': 'application/json', ...options.headers },
+        body: JSON.stringify({ create_request: createRequest }),
+        signal: ended.signal
+      })
+      if (statusCode !== 200) throw new Error(`status ${statusCode}`)
+      for await (const line of readLines(body)) {
+        heardAtMs = clock.monotonicMs()
+        if (ended.signal.aborted || !handleMessage(line)) return
+      }
+      lose(unavailable('the connection ended'))
+    } catch (error) {
+      lose(unavailable(causeOf(error)))
+    }
+  }
+
+  async function findSilence (): Promise<void> {
+    while (!ended.signal.aborted) {
+      await clock.sleep(options.silenceBoundMs / silenceChecksPerBound, ended.signal)
+      if (clock.monotonicMs() - heardAtMs >= options.silenceBoundMs) lose(unavailable('the connection went silent'))
+    }
+  }
+
+  listen()
+  findSilence()
+  return {
+    close: () => {
+      if (!ended.signal.aborted) end(false)
+    }
+  }
+}
--- a/src/core/platform/key-value/memory/index.ts
+++ b/src/core/platform/key-value/memory/index.ts
@@ -8,7 +8,7 @@
 import { createFaultsFromSettings } from './faults.ts'
 import type { Clock } from '../../../clock/index.ts'
 import type { KeyValueStore } from '../types.ts'
-import type { CallCounts, RateLimits } from './call-counts.ts'
+import type { CallCounter, CallCounts, RateLimits } from './call-counts.ts'
 import type { DecideFault, FaultSettings } from './faults.ts'
 import type { KeyValueState } from './state.ts'
 
@@ -47,8 +47,13 @@
   compact: (revision: number) => void
   /** The data itself, for servers over it and for checks in tests; uses no call. */
   state: KeyValueState
-  /** Lapses leases and tells watches, for servers over the data that bypass `connect`. */
+  /** For servers over the data: lapses leases on time after a grant. */
   watchLeases: () => void
+  /** For servers over the data: counts a call; `false` when it is beyond the rate. */
+  admit: CallCounter['admit']
+  /** For servers over the data: counts a waiting watch, until it is closed. */
+  watchOpened: () => void
+  watchClosed: () => void
   close: () => void
 }
 
@@ -130,6 +135,9 @@
     compact: state.compact,
     state,
     watchLeases,
+    admit: counter.admit,
+    watchOpened: counter.watchOpened,
+    watchClosed: counter.watchClosed,
     close: () => closed.abort()
   }
 }
--- a/src/core/platform/key-value/memory/state.ts
+++ b/src/core/platform/key-value/memory/state.ts
@@ -47,6 +47,8 @@
   subscribe: (prefix: string, afterRevision: number, listener: HistoryListener) => Result<() => void, StateError>
   /** Forgets the history up to a revision. */
   compact: (revision: number) => void
+  /** Last revision whose changes are gone; 0 when none is. */
+  compactedRevision: () => number
 }
 
 /** Checks a transaction before it touches anything. */
@@ -162,6 +164,7 @@
     revokeLease,
     expireLeases,
     subscribe,
-    compact: until => history.compact(until)
+    compact: until => history.compact(until),
+    compactedRevision: history.compactedRevision
   }
 }
--- /dev/null
+++ b/src/stand-ins/key-value/index.ts
@@ -0,0 +1,97 @@
+/**
+ * A stand-in for the key-value service: etcd v3's JSON gateway over the
+ * in-memory service, with a second listener to set faults and read counts.
+ */
+import express from 'express'
+import { createSystemClock } from '../../core/clock/index.ts'
+import { createMemoryKeyValue } from '../../core/platform/key-value/index.ts'
+import { createFaultsFromSettings } from '../../core/platform/key-value/memory/faults.ts'
+import { startServer } from '../server.ts'
+import { createGateway } from './gateway.ts'
+import type { CallCounts, DecideFault, FaultSettings, RateLimits } from '../../core/platform/key-value/memory/index.ts'
+import type { KeyValueState } from '../../core/platform/key-value/memory/state.ts'
+import type { ListenOptions } from '../server.ts'
+
+/** Options of the stand-in. */
+export interface KeyValueStandInOptions extends ListenOptions, Partial<RateLimits> {
+  /** Port of the control listener; 0 takes a free one. */
+  controlPort?: number
+  faults?: FaultSettings
+  /** Interval of the progress messages of an idle watch. */
+  progressIntervalMs?: number
+}
+
+/** Faults that can be set while it runs. */
+export interface KeyValueStandInFaults extends FaultSettings {
+  /** Open connections go silent for good; new ones work. */
+  silenceConnections?: boolean
+}
+
+/** A running stand-in. */
+export interface KeyValueStandIn {
+  url: string
+  controlUrl: string
+  /** Replaces the faults. Plain settings are also taken by `POST /faults` of the control listener. */
+  set: (faults: KeyValueStandInFaults) => Promise<void>
+  /** Replaces the faults by a decision for each call. */
+  decide: (decide: DecideFault) => void
+  calls: () => CallCounts
+  compact: (revision: number) => void
+  state: KeyValueState
+  close: () => Promise<void>
+}
+
+const defaultProgressIntervalMs = 500
+
+/** Starts the stand-in. */
+export async function createKeyValueStandIn (options: KeyValueStandInOptions = {}): Promise<KeyValueStandIn> {
+  const clock = createSystemClock()
+  const service = createMemoryKeyValue({ ...options, clock })
+  let decide: DecideFault = createFaultsFromSettings(options.faults ?? {})
+  const gateway = createGateway({
+    clock,
+    service,
+    decide: attempt => decide(attempt),
+    progressIntervalMs: options.progressIntervalMs ?? defaultProgressIntervalMs
+  })
+  const server = await startServer(gateway, options)
+
+  async function set (faults: KeyValueStandInFaults): Promise<void> {
+    decide = createFaultsFromSettings({ ...faults, down: false })
+    if (faults.silenceConnections === true) server.silenceConnections()
+    if (faults.down === true) await server.goDown()
+    else await server.comeUp()
+  }
+
+  const control = express()
+  control.use(express.json())
+  control.post('/faults', async (request, response) => {
+    await set(request.body as KeyValueStandInFaults)
+    response.json({})
+  })
+  control.get('/calls', (_request, response) => { response.json(service.calls()) })
+  control.post('/calls/reset', (_request, response) => {
+    service.resetCalls()
+    response.json({})
+  })
+  control.post('/compact', (request, response) => {
+    service.compact(Number((request.body as { revision: number }).revision))
+    response.json({})
+  })
+  const controlServer = await startServer(control, { ...options, port: options.controlPort ?? 0 })
+  if (options.faults?.down === true) await server.goDown()
+
+  return {
+    url: server.url,
+    controlUrl: controlServer.url,
+    set,
+    decide: next => { decide = next },
+    calls: service.calls,
+    compact: service.compact,
+    state: service.state,
+    close: async () => {
+      service.close()
+      await Promise.all([server.close(), controlServer.close()])
+    }
+  }
+}
