--- /dev/null
+++ b/src/core/calls/index.ts
@@ -0,0 +1,109 @@
+/**
+ * At-most-once calls: registrations, licence grants and whatever else must not
+ * run twice for one idempotency key, through whichever node they come.
+ */
+import { Result } from 'true-myth'
+import { createId } from '../ids/index.ts'
+import { followCandidates } from './candidates.ts'
+import { forwardToOwner } from './forward.ts'
+import { checkKeyTime, recordId, shardOf } from './keys.ts'
+import { defaultCallLimits } from './limits.ts'
+import { decodeRun, outcomeKind, runKind, takenKind } from './messages.ts'
+import { createPauseWatch } from './pauses.ts'
+import { refuse } from './refusals.ts'
+import { runRepeatable } from './repeatable.ts'
+import { createShards } from './shards.ts'
+import type { IdempotencyKey, RequestId } from '../ids/index.ts'
+import type { Refusal } from '../outcomes/index.ts'
+import type { AttemptOptions } from './attempt.ts'
+import type { OutcomeMessage, RunMessage, TakenMessage } from './messages.ts'
+import type { Call, CallAnswer, CallRequest, Calls, CallsOptions, ServeResult } from './types.ts'
+
+export type * from './types.ts'
+export { defaultCallLimits } from './limits.ts'
+
+const maxAnsweredForwards = 50_000
+
+/** Creates the calls of one node and starts taking the shards it should own. */
+export function createCalls (options: CallsOptions): Calls {
+  const { membership, network, clock, metrics } = options
+  const limits = { ...defaultCallLimits, ...options.limits }
+  const closed = new AbortController()
+  const candidates = followCandidates(membership)
+  const pauses = createPauseWatch(clock, limits.maintainIntervalMs)
+  const attempts: AttemptOptions = { ...options, lookUp: options.lookUp, limits, signal: closed.signal }
+  const shards = createShards({ ...options, ...attempts, candidates, pauses })
+  const answeredForwards = new Map<RequestId, ServeResult>()
+  let taking = false
+
+  /** Remembers what a forward was told, so that a late copy of it is never acted on. */
+  function rememberForward (forward: RequestId, result: ServeResult): void {
+    answeredForwards.set(forward, result)
+    if (answeredForwards.size <= maxAnsweredForwards) return
+    const oldest = answeredForwards.keys().next().value
+    if (oldest !== undefined) answeredForwards.delete(oldest)
+  }
+
+  async function handleRun (message: RunMessage): Promise<ServeResult> {
+    const request = decodeRun(message)
+    const told = answeredForwards.get(request.forward)
+    if (told !== undefined) return told
+    const result = await shards.serve(shardOf(recordId(request.call.team, request.key), limits.callShards), request)
+    if (result.kind !== 'answer') rememberForward(request.forward, result)
+    return result
+  }
+
+  async function forward (call: Call, key: IdempotencyKey): Promise<Result<CallAnswer, Refusal>> {
+    const shard = shardOf(recordId(call.team, key), limits.callShards)
+    const request: CallRequest = { call, key, forward: createId<RequestId>('fwd', clock.wallMs()), unreachable: [] }
+    const outcome = await forwardToOwner({ membership, network, candidates, clock, limits, metrics, serveHere: shards.serve }, shard, request)
+    return outcome.kind === 'answer' ? Result.ok(outcome.answer) : Result.err(outcome.refusal)
+  }
+
+  async function runOnce (call: Call): Promise<Result<CallAnswer, Refusal>> {
+    if (call.key === undefined) return Result.err(refuse('key-missing', 'not-run', 'key-missing'))
+    const time = checkKeyTime(call.key, clock.wallMs(), limits)
+    if (time === 'ahead') return Result.err(refuse('bad-request', 'not-run', 'key-ahead'))
+    if (time === 'expired') return Result.err(refuse('key-expired', 'unknown', 'key-expired'))
+    return await forward(call, call.key)
+  }
+
+  async function run (call: Call): Promise<Result<CallAnswer, Refusal>> {
+    const ended = call.repeatable ? await runRepeatable(attempts, call) : await runOnce(call)
+    if (ended.isErr) metrics.refused(ended.error.reason)
+    metrics.count('calls_total', { run: ended.isOk ? 'done' : ended.error.run })
+    return ended
+  }
+
+  /** Takes shards beside the ticks, so that a slow key-value service isn't taken for a pause of the process. */
+  async function takePreferred (): Promise<void> {
+    if (taking) return
+    taking = true
+    await shards.takePreferred()
+    taking = false
+  }
+
+  async function maintain (): Promise<void> {
+    while (!closed.signal.aborted) {
+      await clock.sleep(limits.maintainIntervalMs, closed.signal)
+      pauses.tick()
+      if (!closed.signal.aborted) takePreferred()
+    }
+  }
+
+  network.handle(runKind, (_from, body) => handleRun(body as RunMessage))
+  network.handle(takenKind, (from, body) => shards.handleTaken(from, body as TakenMessage))
+  network.handle(outcomeKind, (_from, body) => shards.handleOutcome(body as OutcomeMessage))
+  maintain()
+
+  return {
+    run,
+    ownedShards: shards.owned,
+    drain: shards.drain,
+    close: async () => {
+      closed.abort()
+      candidates.close()
+      shards.close()
+    }
+  }
+}
