Try to break the promises on calls by seeded schedules of faults

npm run prove runs several nodes' real modules over a memory network and the key-value service in memory, with faults alone, in pairs and twice in a row. The manual clock kept an abort listener for each sleep that had ended; removed.

--- /dev/null
+++ b/bench/prove/index.ts
@@ -0,0 +1,76 @@
+/**
+ * Tries to break the system's promises by seeded random schedules of faults.
+ * Exits with 1 when a promise broke.
+ *
+ *     npm run prove -- --seed 7 --trials 1000 --json
+ */
+import { parseArgs } from 'node:util'
+import { promises } from './promises/index.ts'
+import { addTally, emptyTally, holds } from './types.ts'
+import type { PromiseProof, Tally } from './types.ts'
+
+const defaultTrials = 1_000
+const maxSeed = 2 ** 31
+const seedStride = 1_000_003
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: 'string' },
+    trials: { type: 'string' },
+    promise: { type: 'string', multiple: true },
+    json: { type: 'boolean', default: false },
+    naive: { type: 'boolean', default: false }
+  }
+})
+
+function wholeNumber (name: string, text: string | undefined, otherwise: number): number {
+  const number = text === undefined ? otherwise : Number(text)
+  if (!Number.isSafeInteger(number) || number < 0) throw new Error(`--${name} takes a whole number, not "${text}".`)
+  return number
+}
+
+function progress (proof: PromiseProof, done: number, trials: number): void {
+  if (done % 100 === 0 || done === trials) process.stderr.write(`${proof.name}: ${done} of ${trials} trials\n`)
+}
+
+async function prove (proof: PromiseProof, seed: number, trials: number): Promise<Tally> {
+  let sum = emptyTally()
+  for (let trial = 0; trial < trials; trial += 1) {
+    const trialSeed = (seed * seedStride + trial) % maxSeed
+    const tally = await proof.createTrial(trialSeed, { naive: values.naive }).run()
+    const problems = tally.problems.map(problem => `seed ${trialSeed}: ${problem}`)
+    sum = addTally(sum, { ...tally, problems })
+    progress(proof, trial + 1, trials)
+  }
+  return sum
+}
+
+function print (proof: PromiseProof, seed: number, trials: number, tally: Tally): void {
+  const { faults, accepted, answered, doubled, lost, cut, falseNotRun } = tally
+  const line = { promise: proof.name, trials, seed, faults, accepted, answered, doubled, lost, cut, falseNotRun }
+  if (values.json) {
+    process.stdout.write(`${JSON.stringify(line)}\n`)
+    return
+  }
+  const verdict = holds(tally) ? 'held' : 'BROKE'
+  process.stdout.write(`${proof.name}: ${verdict} in ${trials} trials of seed ${seed}; accepted ${accepted}, answered ${answered}, doubled ${doubled}, lost ${lost}, cut ${cut}, false not-run ${falseNotRun}\n`)
+}
+
+async function main (): Promise<void> {
+  const seed = wholeNumber('seed', values.seed, Date.now() % maxSeed)
+  const trials = wholeNumber('trials', values.trials, defaultTrials)
+  const chosen = promises.filter(proof => values.promise === undefined || values.promise.includes(proof.name))
+  if (chosen.length === 0) throw new Error(`No such promise; there are ${promises.map(proof => proof.name).join(', ')}.`)
+  process.stderr.write(`seed ${seed}\n`)
+  for (const proof of chosen) {
+    const tally = await prove(proof, seed, trials)
+    print(proof, seed, trials, tally)
+    for (const problem of tally.problems) process.stderr.write(`${proof.name}: ${problem}\n`)
+    if (!holds(tally)) process.exitCode = 1
+  }
+}
+
+main().catch((error: unknown) => {
+  process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`)
+  process.exitCode = 2
+})
--- /dev/null
+++ b/bench/prove/simulation/cluster.ts
@@ -0,0 +1,163 @@
+/**
+ * Several nodes' real modules for calls in one process, over a memory network,
+ * a key-value service in memory and one plain service.
+ */
+import { createCalls } from '../../../src/core/calls/index.ts'
+import { createManualClock } from '../../../src/core/clock/index.ts'
+import { toId } from '../../../src/core/ids/index.ts'
+import { createSilentLog } from '../../../src/core/log/index.ts'
+import { createMetrics } from '../../../src/core/metrics/index.ts'
+import { createMemoryNetwork } from '../../../src/core/peers/index.ts'
+import { createMemoryKeyValue } from '../../../src/core/platform/key-value/index.ts'
+import { createLedgerService } from './service.ts'
+import { createNaiveCalls } from './naive-calls.ts'
+import { createToldMembership, noticeSilence, pausable } from './node.ts'
+import type { Calls } from '../../../src/core/calls/index.ts'
+import type { ManualClock } from '../../../src/core/clock/index.ts'
+import type { DomainId, NodeId } from '../../../src/core/ids/index.ts'
+import type { MemoryNetwork } from '../../../src/core/peers/index.ts'
+import type { PeerAddress } from '../../../src/core/peers/types.ts'
+import type { MemoryClient, MemoryKeyValue } from '../../../src/core/platform/key-value/index.ts'
+import type { Random } from '../random.ts'
+import type { LinkState, ToldMembership } from './node.ts'
+import type { LedgerService } from './service.ts'
+
+/** One simulated node. */
+export interface SimulatedNode {
+  address: PeerAddress
+  calls: Pick<Calls, 'run' | 'drain'>
+  membership: ToldMembership
+  storeClient: MemoryClient
+  /** Whether it was ever frozen, drained or killed, so that requests to it may go unanswered. */
+  disturbed: boolean
+  thaw: (() => void) | undefined
+}
+
+/** A cluster under test. */
+export interface CallCluster {
+  clock: ManualClock
+  network: MemoryNetwork
+  keyValue: MemoryKeyValue
+  service: LedgerService
+  /** Nodes that were not killed. */
+  nodes: () => SimulatedNode[]
+  start: () => SimulatedNode
+  /** Ends a node without notice; the others see it go after a while. */
+  kill: (node: SimulatedNode) => void
+  freeze: (node: SimulatedNode) => void
+  thaw: (node: SimulatedNode) => void
+  /** Sets the link between two nodes, both ways. */
+  setLink: (a: SimulatedNode, b: SimulatedNode, state: LinkState) => void
+  close: () => void
+}
+
+/** Options of a cluster. */
+export interface CallClusterOptions {
+  random: Random
+  naive: boolean
+  /** Whether the service can be asked what became of a key. */
+  lookUp: boolean
+}
+
+const membershipDelayMs = { from: 300, to: 2_000 } as const
+const frozenNoticedMs = 2_500
+
+/** Creates a cluster without nodes. */
+export function createCallCluster (options: CallClusterOptions): CallCluster {
+  const { random } = options
+  const clock = createManualClock()
+  const network = createMemoryNetwork({ clock })
+  const keyValue = createMemoryKeyValue({ clock })
+  const service = createLedgerService(clock, random)
+  const nodes = new Map<NodeId, SimulatedNode>()
+  const links = new Map<string, LinkState>()
+  let started = 0
+
+  const linkKey = (a: NodeId, b: NodeId): string => [a, b].sort().join(' ')
+
+  function linkState (from: NodeId, to: NodeId): LinkState {
+    const other = nodes.get(to)
+    if (other === undefined) return 'cut'
+    if (other.thaw !== undefined) return 'silent'
+    return links.get(linkKey(from, to)) ?? 'well'
+  }
+
+  network.addFault(({ from, to }, delaysMs) => (links.get(linkKey(from, to)) ?? 'well') === 'well' ? delaysMs : [])
+
+  /** Lets each other node see a change at a time of its own. */
+  function spread (node: SimulatedNode, change: (membership: ToldMembership) => void, afterMs = 0): void {
+    for (const other of nodes.values()) {
+      if (other === node) continue
+      const delayMs = afterMs + random.int(membershipDelayMs.from, membershipDelayMs.to)
+      clock.sleep(delayMs).then(() => change(other.membership))
+    }
+  }
+
+  function createParts (address: PeerAddress, membership: ToldMembership, storeClient: MemoryClient): SimulatedNode['calls'] {
+    const whenAwake = (): Promise<void> => network.whenThawed(address.node)
+    const send = (order: Parameters<LedgerService['call']>[0]): ReturnType<LedgerService['call']> => service.call(order, whenAwake)
+    if (options.naive) return createNaiveCalls(send)
+    return createCalls({
+      membership,
+      network: noticeSilence(network.join(address), network.clockOf(address.node), node => linkState(address.node, node)),
+      store: pausable(storeClient, whenAwake),
+      clock: network.clockOf(address.node),
+      metrics: createMetrics(),
+      log: createSilentLog(),
+      send,
+      mayRetry: () => true,
+      ...(options.lookUp ? { lookUp: service.lookUp } : {})
+    })
+  }
+
+  function start (): SimulatedNode {
+    started += 1
+    const address = { node: toId<NodeId>(`node-${started}`), domain: toId<DomainId>(`domain-${started % 3}`), host: 'memory', port: started }
+    const membership = createToldMembership(address)
+    const storeClient = keyValue.connect(address.node)
+    for (const other of nodes.values()) membership.add(other.address)
+    const node = { address, membership, storeClient, calls: createParts(address, membership, storeClient), disturbed: false, thaw: undefined }
+    nodes.set(address.node, node)
+    spread(node, others => others.add(address))
+    return node
+  }
+
+  function freeze (node: SimulatedNode): void {
+    if (node.thaw !== undefined) return
+    node.disturbed = true
+    const thaw = network.freeze(node.address.node)
+    node.thaw = thaw
+    clock.sleep(frozenNoticedMs).then(() => {
+      if (node.thaw === thaw) spread(node, others => others.remove(node.address.node))
+    })
+  }
+
+  function thaw (node: SimulatedNode): void {
+    if (!nodes.has(node.address.node) || node.thaw === undefined) return
+    node.thaw()
+    node.thaw = undefined
+    spread(node, others => others.add(node.address))
+  }
+
+  function kill (node: SimulatedNode): void {
+    node.disturbed = true
+    network.freeze(node.address.node)
+    nodes.delete(node.address.node)
+    network.addFault(({ from, to }, delaysMs) => from === node.address.node || to === node.address.node ? [] : delaysMs)
+    spread(node, others => others.remove(node.address.node))
+  }
+
+  return {
+    clock,
+    network,
+    keyValue,
+    service,
+    nodes: () => [...nodes.values()],
+    start,
+    kill,
+    freeze,
+    thaw,
+    setLink: (a, b, state) => { links.set(linkKey(a.address.node, b.address.node), state) },
+    close: () => keyValue.close()
+  }
+}
--- /dev/null
+++ b/bench/prove/simulation/judge.ts
@@ -0,0 +1,86 @@
+/** Judges what a trial of calls saw against the service's own count. */
+import { emptyTally } from '../types.ts'
+import type { Tally } from '../types.ts'
+import type { RequestSeen } from './callers.ts'
+import type { CallTrialResult } from './call-trial.ts'
+
+/** A count of problems in sentences. */
+type Finding = (result: CallTrialResult) => string[]
+
+function requestsOf ({ seen }: CallTrialResult, key: string): RequestSeen[] {
+  return seen.filter(request => request.key === key)
+}
+
+/** Keys whose work ran twice, or was sent again after a byte had left. */
+export const findDoubled: Finding = result => result.keys.flatMap(key => {
+  const runs = result.cluster.service.runs(key).length
+  const sent = result.cluster.service.attemptsSent(key)
+  return runs > 1 || sent > 1 ? [`${key} ran ${runs} times and was sent ${sent} times`] : []
+})
+
+/** Requests answered as done although nothing ran. */
+export const findLost: Finding = result => result.seen
+  .filter(request => request.answer !== undefined && result.cluster.service.runs(request.key).length === 0)
+  .map(request => `${request.key} was answered as done but never ran`)
+
+/** Keys with answers that differ. */
+export const findDiffering: Finding = result => result.keys.flatMap(key => {
+  const bodies = new Set(requestsOf(result, key).flatMap(request => request.answer?.body.toString() ?? []))
+  return bodies.size > 1 ? [`${key} was given different answers: ${[...bodies].join(', ')}`] : []
+})
+
+/** Requests without an answer although their node was never disturbed. */
+export const findUnanswered: Finding = result => result.seen
+  .filter(request => request.answeredAtMs === undefined && !request.node.disturbed)
+  .map(request => `${request.key} got no answer from ${request.node.address.node}, sent at ${request.sentAtMs}`)
+
+/** Requests told `not run` after the work had run, or keys that ran although each request was told so. */
+export const findFalseNotRun: Finding = result => result.keys.flatMap(key => {
+  const requests = requestsOf(result, key)
+  const runs = result.cluster.service.runs(key)
+  const refused = requests.filter(request => request.refusal?.run === 'not-run')
+  const after = refused
+    .filter(request => runs.some(run => run.startedAtMs < request.sentAtMs))
+    .map(request => `${key} was told not-run (${request.refusal!.reason}) although it had run`)
+  const allRefused = runs.length > 0 && requests.length > 0 && refused.length === requests.length
+  return allRefused ? [...after, `${key} ran although each request was told not-run`] : after
+})
+
+/** The last answers, when all is well again: a refusal that is not final means that the system did not recover. */
+export const findUnrecovered: Finding = result => result.keys.flatMap(key => {
+  const last = requestsOf(result, key).at(-1)
+  const reason = last?.refusal?.reason
+  const stuck = last?.answeredAtMs === undefined || reason === 'store-unavailable' || reason === 'owner-unreachable'
+  return stuck ? [`${key} was still refused at the end: ${reason ?? 'no answer'}`] : []
+})
+
+/** What a promise looks at. */
+export interface Findings {
+  doubled?: Finding
+  lost?: Finding
+  cut?: Finding
+  falseNotRun?: Finding
+}
+
+/** Counts what was found. */
+export function judge (result: CallTrialResult, findings: Findings): Tally {
+  const found = {
+    doubled: findings.doubled?.(result) ?? [],
+    lost: findings.lost?.(result) ?? [],
+    cut: findings.cut?.(result) ?? [],
+    falseNotRun: findings.falseNotRun?.(result) ?? []
+  }
+  const faults: Record<string, number> = {}
+  for (const { kind } of result.faults) faults[kind] = (faults[kind] ?? 0) + 1
+  return {
+    ...emptyTally(),
+    faults,
+    accepted: result.seen.length,
+    answered: result.seen.filter(request => request.answeredAtMs !== undefined).length,
+    doubled: found.doubled.length,
+    lost: found.lost.length,
+    cut: found.cut.length,
+    falseNotRun: found.falseNotRun.length,
+    problems: Object.values(found).flat()
+  }
+}
--- /dev/null
+++ b/bench/prove/simulation/naive-calls.ts
@@ -0,0 +1,28 @@
+/** The naive version of calls: keys in the memory of each node, three attempts after any failure. */
+import { Result } from 'true-myth'
+import type { Call, CallAnswer, Calls, SendOnce } from '../../../src/core/calls/index.ts'
+import { createId } from '../../../src/core/ids/index.ts'
+import type { AttemptId } from '../../../src/core/ids/index.ts'
+
+const maxAttempts = 3
+
+/** Creates the naive calls of one node. */
+export function createNaiveCalls (send: SendOnce): Pick<Calls, 'run' | 'drain'> {
+  const answers = new Map<string, CallAnswer>()
+  const { signal } = new AbortController()
+
+  async function run (call: Call): ReturnType<Calls['run']> {
+    const known = answers.get(call.key!)
+    if (known !== undefined) return Result.ok({ ...known, repeated: true })
+    for (let attempt = 1; attempt <= maxAttempts; attempt += 1) {
+      const sent = await send({ ...call, idempotencyKey: call.key, attempt: createId<AttemptId>('att') }, signal)
+      if (sent.isErr) continue
+      const answer: CallAnswer = { ...sent.value, run: 'done', repeated: false }
+      answers.set(call.key!, answer)
+      return Result.ok(answer)
+    }
+    return Result.err({ reason: 'attempts-exhausted', run: 'not-run', detail: 'All attempts failed.' })
+  }
+
+  return { run, drain: async () => {} }
+}
--- a/src/core/calls/execution.ts
+++ b/src/core/calls/execution.ts
@@ -74,7 +74,7 @@
     return refused(refuse('backend-failed', 'unknown', 'unknown-outcome'))
   }
 
-  /** Records an outcome and waits a bounded time for its commit; the outcome is true without it. */
+  /** Records what became of a call and waits a bounded time for its commit; the outcome is true without it. */
   async function record (entry: CallEntry, outcome: CallRecord): Promise<void> {
     entry.record = outcome
     const committed = committer.append(outcome)
@@ -139,7 +139,8 @@
   }
 
   async function endUnknown (entry: CallEntry, request: CallRequest, failure: AttemptFailure): Promise<ServeResult> {
-    entry.record = { ...entry.record, state: 'unknown' }
+    // Recorded without waiting: the claim alone means the same, but a later owner then needn't ask this one.
+    record(entry, { ...entry.record, state: 'unknown' })
     log('callUnknown', { team: request.call.team, route: request.call.route, cause: failure.detail })
     return await resolveUnknown(entry, request)
   }
--- a/src/core/calls/forward.ts
+++ b/src/core/calls/forward.ts
@@ -73,6 +73,10 @@
       unanswered ||= result.kind === 'silent'
     }
   }
+  const retryAtMs = clock.wallMs() + repeatAfterMs
+  if (unanswered && clock.wallMs() >= request.call.deadlineAtMs) {
+    return ended({ refusal: refuse('running-elsewhere', 'unknown', 'running-elsewhere', retryAtMs) })
+  }
   metrics.count('calls_owner_unreachable_total')
-  return ended({ refusal: refuse('owner-unreachable', 'unknown', 'owner-unreachable', clock.wallMs() + repeatAfterMs) })
+  return ended({ refusal: refuse('owner-unreachable', 'unknown', 'owner-unreachable', retryAtMs) })
 }
--- a/src/core/calls/refusals.ts
+++ b/src/core/calls/refusals.ts
@@ -11,7 +11,7 @@
   'store-unavailable': 'The key-value service does not take claims, so the call was not sent; send it again with the same key.',
   'store-unavailable-unknown': 'What became of this key can\'t be read at the moment; send it again with the same key to be told.',
   'owner-unreachable': 'No owner of the key answered; send it again with the same key to be told what became of it.',
-  'running-elsewhere': 'The call is still running; send it again with the same key to get its answer.',
+  'running-elsewhere': 'The call had no answer by its deadline and may still run; send it again with the same key to get its answer.',
   'unknown-outcome': 'It is not known whether the call ran, and it is never sent again; look it up at the service.',
   'answer-not-kept': 'The call ran; its answer was too long to be kept for repeats.',
   withdrawn: 'The former owner of the key did not send the call; send it again with the same key.',
--- a/src/core/clock/index.ts
+++ b/src/core/clock/index.ts
@@ -53,12 +53,17 @@
   function sleep (durationMs: number, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted === true) return Promise.resolve()
     return new Promise(resolve => {
-      const sleeper = { wakeAtMs: nowMs + Math.max(0, durationMs), wake: resolve }
-      sleepers.push(sleeper)
-      signal?.addEventListener('abort', () => {
+      function abort (): void {
         sleepers = sleepers.filter(other => other !== sleeper)
         resolve()
-      }, { once: true })
+      }
+      function wake (): void {
+        signal?.removeEventListener('abort', abort)
+        resolve()
+      }
+      const sleeper = { wakeAtMs: nowMs + Math.max(0, durationMs), wake }
+      sleepers.push(sleeper)
+      signal?.addEventListener('abort', abort, { once: true })
     })
   }
 
--- a/src/core/http/problem.ts
+++ b/src/core/http/problem.ts
@@ -30,6 +30,7 @@
   'store-unavailable': 503,
   'owner-unreachable': 503,
   'running-elsewhere': 409,
+  'answer-not-kept': 410,
   'caller-left': 499
 }
 
