Route by prefix, home and corrected load

Cause: by the last load report alone a burst falls on one backend server, and a case file is computed again wherever it lands. Fails first: the naive router sends all 64 requests of a burst between two reports to one of eight backend servers, and eight nodes that exchange no messages spread one case file over several of twelve. Passes after: at most 16 to one, and all eight nodes on the same home (npx ava test/routing).

Ruled out: sharing the index between nodes, whose messages grow with nodes times prefixes; a ring with virtual nodes, which needs an order all nodes must agree on first.

--- /dev/null
+++ b/src/core/routing/index.ts
@@ -0,0 +1,177 @@
+/**
+ * Choice of a backend server for each attempt. A request's version comes from
+ * a draw on its id. Among the live backend servers of that version, the homes
+ * of the prompt, those known to hold its prefix and two random ones compete on
+ * the expected time to the first token.
+ */
+import type { Result } from 'true-myth'
+import { err, ok } from 'true-myth/result'
+import type { Backend } from '../backends/types.ts'
+import type { AttemptId, BackendId, VersionId } from '../ids/index.ts'
+import type { Refusal } from '../outcomes/index.ts'
+import { candidatesOf } from './candidates.ts'
+import { candidateCostMs, expectedFirstTokenMs } from './cost.ts'
+import { createHomeHits, homeRanks } from './home-hits.ts'
+import { createLoadBook } from './load-book.ts'
+import { createPrefixIndex } from './prefix-index.ts'
+import { blockTokens } from './prompt-hasher.ts'
+import { createRendezvous, homeKey } from './rendezvous.ts'
+import { drawVersion, eligibleVersions } from './version-draw.ts'
+import type { RouteChoice, RouteOutcome, RouteRequest, Router, RouterOptions } from './types.ts'
+
+export type * from './types.ts'
+export { blockCharacters, blockTokens, charactersPerToken, createPromptHasher } from './prompt-hasher.ts'
+
+const defaultSubsetSize = 32
+const defaultMaxIndexEntries = 65_536
+/** When to come back if no backend server is live. */
+const noBackendRetryMs = 2000
+
+/** A choice with what it is compared by. */
+interface Candidate {
+  choice: RouteChoice
+  costMs: number
+  overLimit: boolean
+  homeRank: number
+}
+
+/** What an open attempt teaches when it ends. */
+interface Expectation {
+  request: RouteRequest
+  homeRank: number
+}
+
+/** Creates the router of one node. */
+export function createRouter (options: RouterOptions): Router {
+  const { node, clock, metrics, hasher, random, profileOf, limitOf = () => Infinity } = options
+  const { subsetSize = defaultSubsetSize, maxIndexEntries = defaultMaxIndexEntries } = options
+  const loads = createLoadBook()
+  const index = createPrefixIndex(maxIndexEntries)
+  const homeHits = createHomeHits()
+  const rendezvous = createRendezvous(hasher)
+  const expectations = new WeakMap<RouteChoice, Expectation>()
+  const open = new Map<AttemptId, { choice: RouteChoice, expectation: Expectation | undefined }>()
+
+  function versionsOf (request: RouteRequest): VersionId[] {
+    if (request.wantedVersion !== undefined) return [request.wantedVersion]
+    const drawn = drawVersion(request.request, request.shares, hasher)
+    return drawn === undefined ? [] : eligibleVersions(drawn, request.shares)
+  }
+
+  function homesOf (request: RouteRequest, live: readonly Backend[]): Backend[] {
+    const key = request.prompt === undefined ? undefined : homeKey(request.prompt)
+    return key === undefined ? [] : rendezvous.rank(key, live, homeRanks)
+  }
+
+  function twoPicks (live: readonly Backend[]): Backend[] {
+    const subset = rendezvous.subset(node, live, subsetSize)
+    const first = Math.floor(random() * subset.length)
+    const second = (first + 1 + Math.floor(random() * (subset.length - 1))) % subset.length
+    return [subset[first], subset[second]].filter(backend => backend !== undefined)
+  }
+
+  function evaluate (request: RouteRequest, backend: Backend, heldBlocks: number, homeRank: number): Candidate {
+    const promptTokens = request.prompt?.tokens ?? 0
+    const wholeTokens = (request.prompt?.hashes.length ?? 0) * blockTokens
+    const guessed = homeRank === -1 ? 0 : homeHits.ratio(request.team, homeRank) * wholeTokens
+    const heldTokens = heldBlocks * blockTokens
+    const expectedCachedTokens = Math.round(Math.max(heldTokens, guessed))
+    const load = loads.read(backend.id)
+    const profile = profileOf(backend.machineClass)
+    const firstTokenMs = expectedFirstTokenMs(load, profile, promptTokens - expectedCachedTokens)
+    const reason = heldTokens > guessed ? 'prefix-held' : homeRank === -1 ? 'least-cost' : 'prefix-home'
+    const choice: RouteChoice = {
+      backend,
+      version: backend.version,
+      reason,
+      promptTokens,
+      expectedCachedTokens,
+      expectedFirstTokenMs: firstTokenMs,
+      prompt: request.prompt
+    }
+    const costMs = candidateCostMs(load, profile, firstTokenMs)
+    return { choice, costMs, overLimit: load.own >= limitOf(backend.id), homeRank }
+  }
+
+  // The whole subset is looked at only when the usual candidates are at their limits.
+  function bestOf (request: RouteRequest, live: readonly Backend[]): Candidate | undefined {
+    const homes = homesOf(request, live)
+    const held = request.prompt === undefined ? new Map<BackendId, number>() : index.held(request.prompt.hashes)
+    const holders = held.size === 0 ? [] : live.filter(backend => held.has(backend.id))
+    const evaluateAll = (backends: Iterable<Backend>): Candidate[] => [...backends].map(backend => {
+      return evaluate(request, backend, held.get(backend.id) ?? 0, homes.indexOf(backend))
+    })
+    const chosen = best(evaluateAll(new Set([...homes, ...holders, ...twoPicks(live)])))
+    if (chosen?.overLimit !== true) return chosen
+    return best([chosen, ...evaluateAll(rendezvous.subset(node, live, subsetSize))])
+  }
+
+  function isBetter (candidate: Candidate, other: Candidate): boolean {
+    if (candidate.overLimit !== other.overLimit) return other.overLimit
+    return candidate.costMs < other.costMs
+  }
+
+  function best (all: readonly Candidate[]): Candidate | undefined {
+    return all.reduce<Candidate | undefined>((known, candidate) => {
+      return known === undefined || isBetter(candidate, known) ? candidate : known
+    }, undefined)
+  }
+
+  function refuse (reason: 'no-backend' | 'deadline-unreachable', waitMs: number): Result<RouteChoice, Refusal> {
+    metrics.refused(reason)
+    const detail = reason === 'no-backend'
+      ? 'No backend server of the version is live.'
+      : 'No backend server can answer by the deadline.'
+    return err({ reason, run: 'not-run', retryAtMs: clock.wallMs() + Math.ceil(waitMs), detail })
+  }
+
+  function choose (request: RouteRequest, backends: readonly Backend[]): Result<RouteChoice, Refusal> {
+    for (const version of versionsOf(request)) {
+      const live = candidatesOf(request, version, backends)
+      const chosen = bestOf(request, live)
+      if (chosen === undefined) continue
+      const { choice, homeRank } = chosen
+      const remainingMs = request.deadlineAtMs - clock.wallMs()
+      if (choice.expectedFirstTokenMs > remainingMs) return refuse('deadline-unreachable', choice.expectedFirstTokenMs)
+      metrics.count('routed_total', { reason: choice.reason })
+      expectations.set(choice, { request, homeRank })
+      return ok(choice)
+    }
+    return refuse('no-backend', noBackendRetryMs)
+  }
+
+  function sent (attempt: AttemptId, choice: RouteChoice): void {
+    const uncachedTokens = choice.promptTokens - choice.expectedCachedTokens
+    loads.sent(attempt, choice.backend.id, uncachedTokens, clock.wallMs())
+    open.set(attempt, { choice, expectation: expectations.get(choice) })
+    if (choice.prompt !== undefined) index.record(choice.backend.id, choice.prompt.hashes)
+  }
+
+  function ended (attempt: AttemptId, outcome: RouteOutcome): void {
+    const known = open.get(attempt)
+    open.delete(attempt)
+    loads.ended(attempt, clock.wallMs())
+    if (known?.expectation === undefined || known.choice.reason !== 'prefix-home') return
+    const { cachedTokens, promptTokens } = outcome
+    if (cachedTokens === undefined || promptTokens === undefined || promptTokens === 0) return
+    homeHits.record(known.expectation.request.team, known.expectation.homeRank, cachedTokens / promptTokens)
+  }
+
+  function forget (backend: BackendId): void {
+    loads.forget(backend)
+    index.forget(backend)
+  }
+
+  return {
+    choose,
+    sent,
+    firstToken: attempt => loads.firstToken(attempt),
+    ended,
+    onLoad: report => loads.report(report),
+    onCacheEvents: (backend, events) => {
+      if (!index.apply(backend, events)) metrics.count('cache_event_gaps_total')
+    },
+    forget,
+    close: () => open.clear()
+  }
+}
--- /dev/null
+++ b/src/core/routing/load-book.ts
@@ -0,0 +1,112 @@
+/**
+ * Load of backend servers: their last report, corrected by what this node sent
+ * and saw ended since then.
+ */
+import type { LoadReport } from '../backends/types.ts'
+import type { AttemptId, BackendId } from '../ids/index.ts'
+
+/** Weight of the newest service time in the moving average. */
+const newestShare = 0.1
+
+/** One attempt of this node that hasn't ended. */
+export interface OpenAttempt {
+  backend: BackendId
+  sentAtMs: number
+  /** Prompt tokens that the engine has yet to compute; 0 once the first token came. */
+  pendingTokens: number
+}
+
+/** What is known of one backend server. */
+interface Account {
+  report: LoadReport | undefined
+  open: Set<OpenAttempt>
+  /** Send and end times of attempts that ended after the last report. */
+  ended: Array<{ sentAtMs: number, endedAtMs: number }>
+  serviceMs: number | undefined
+}
+
+/** Load of one backend server as far as this node can tell. */
+export interface Load {
+  /** Requests running and waiting there, those of other nodes included as of the last report. */
+  requests: number
+  /** Requests of this node in flight there. */
+  own: number
+  /** Prompt tokens sent by this node that are yet to be computed. */
+  pendingTokens: number
+  /** Measured time that a request holds its slot, if any ended. */
+  serviceMs: number | undefined
+}
+
+/** The load of all backend servers that this node deals with. Times are wall times, because reports carry them. */
+export interface LoadBook {
+  read: (backend: BackendId) => Load
+  sent: (attempt: AttemptId, backend: BackendId, pendingTokens: number, nowMs: number) => void
+  firstToken: (attempt: AttemptId) => void
+  ended: (attempt: AttemptId, nowMs: number) => OpenAttempt | undefined
+  report: (report: LoadReport) => void
+  forget: (backend: BackendId) => void
+}
+
+/** A book without entries. */
+export function createLoadBook (): LoadBook {
+  const accounts = new Map<BackendId, Account>()
+  const attempts = new Map<AttemptId, OpenAttempt>()
+
+  function accountOf (backend: BackendId): Account {
+    const known = accounts.get(backend)
+    if (known !== undefined) return known
+    const made: Account = { report: undefined, open: new Set(), ended: [], serviceMs: undefined }
+    accounts.set(backend, made)
+    return made
+  }
+
+  function requestsAt (account: Account): number {
+    const { report, open, ended } = account
+    if (report === undefined) return open.size
+    const sentSince = [...open].filter(({ sentAtMs }) => sentAtMs > report.reportedAtMs).length
+    const endedSince = ended.filter(({ sentAtMs }) => sentAtMs <= report.reportedAtMs).length
+    return Math.max(open.size, report.running + report.waiting + sentSince - endedSince)
+  }
+
+  function read (backend: BackendId): Load {
+    const account = accounts.get(backend)
+    if (account === undefined) return { requests: 0, own: 0, pendingTokens: 0, serviceMs: undefined }
+    let pendingTokens = 0
+    for (const attempt of account.open) pendingTokens += attempt.pendingTokens
+    return { requests: requestsAt(account), own: account.open.size, pendingTokens, serviceMs: account.serviceMs }
+  }
+
+  function sent (attempt: AttemptId, backend: BackendId, pendingTokens: number, nowMs: number): void {
+    const opened = { backend, sentAtMs: nowMs, pendingTokens }
+    attempts.set(attempt, opened)
+    accountOf(backend).open.add(opened)
+  }
+
+  function firstToken (attempt: AttemptId): void {
+    const opened = attempts.get(attempt)
+    if (opened !== undefined) opened.pendingTokens = 0
+  }
+
+  function ended (attempt: AttemptId, nowMs: number): OpenAttempt | undefined {
+    const opened = attempts.get(attempt)
+    if (opened === undefined) return undefined
+    attempts.delete(attempt)
+    const account = accounts.get(opened.backend)
+    if (account === undefined) return opened
+    account.open.delete(opened)
+    if (account.report !== undefined) account.ended.push({ sentAtMs: opened.sentAtMs, endedAtMs: nowMs })
+    const tookMs = Math.max(0, nowMs - opened.sentAtMs)
+    const before = account.serviceMs ?? tookMs
+    account.serviceMs = before + newestShare * (tookMs - before)
+    return opened
+  }
+
+  function report (report: LoadReport): void {
+    const account = accountOf(report.backend)
+    if (account.report !== undefined && account.report.reportedAtMs > report.reportedAtMs) return
+    account.report = report
+    account.ended = account.ended.filter(({ endedAtMs }) => endedAtMs > report.reportedAtMs)
+  }
+
+  return { read, sent, firstToken, ended, report, forget: backend => { accounts.delete(backend) } }
+}
