--- /dev/null
+++ b/src/core/fleet/back-off.ts
@@ -0,0 +1,18 @@
+/** Back-off of refused starts, for each failure domain, class and purchase by itself. */
+import type { OfferEvent, OfferKey } from './types.ts'
+
+const firstBackOffMs = 5000
+const maxBackOffMs = 5 * 60_000
+
+/** Whether two offers are of the same failure domain, class and purchase. */
+export function isSameOffer (a: OfferKey, b: OfferKey): boolean {
+  return a.domain === b.domain && a.machineClass === b.machineClass && a.purchase === b.purchase
+}
+
+/** Wall time from which an offer may be tried again: doubling with each refusal in a row. */
+export function offerRetryAtMs (offer: OfferKey, refusals: readonly OfferEvent[]): number {
+  const own = refusals.filter(refusal => isSameOffer(refusal, offer))
+  const last = own.at(-1)
+  if (last === undefined) return 0
+  return last.atMs + Math.min(maxBackOffMs, firstBackOffMs * 2 ** (own.length - 1))
+}
--- a/src/core/log/events/platform.ts
+++ b/src/core/log/events/platform.ts
@@ -3,5 +3,6 @@
 /** Log events 600 to 699: the services of the platform and the fleet. */
 export const platformEvents = {
   keyValueDown: { number: 600, level: 'warn', text: 'The key-value service does not answer.', remedy: 'Check the service; the node goes on with what it knows.' },
-  keyValueUp: { number: 601, level: 'info', text: 'The key-value service answers again.', remedy: 'none' }
+  keyValueUp: { number: 601, level: 'info', text: 'The key-value service answers again.', remedy: 'none' },
+  fleetCallFailed: { number: 650, level: 'warn', text: 'The cloud did not answer an order of the fleet.', remedy: 'The order is repeated under the same name; check the cloud API if this lasts.' }
 } satisfies Record<string, EventEntry>
