--- a/src/core/admission/index.ts
+++ b/src/core/admission/index.ts
@@ -34,7 +34,7 @@
 
 /** Creates the admission of one node. */
 export function createAdmission (options: AdmissionOptions): Admission {
-  const { clock, metrics, random, maxConcurrent } = options
+  const { clock, metrics, random, capacity = () => Infinity } = options
   const durations = createDurations()
   const teams = new Map<TeamId, TeamState>()
   let inFlight = 0
@@ -94,8 +94,12 @@
     }
   }
 
+  function nodeLimit (): number {
+    return Math.max(1, Math.min(options.maxConcurrent, capacity()))
+  }
+
   function grantNext (): boolean {
-    if (inFlight >= maxConcurrent) return false
+    if (inFlight >= nodeLimit()) return false
     const state = nextTeam(teams.values(), virtualTime)
     const waiter = state?.queue.peek()
     if (state === undefined || waiter === undefined) return false
@@ -137,7 +141,7 @@
     const remainingMs = request.deadlineAtMs - clock.wallMs()
     if (request.signal?.aborted === true) return refusal('caller-left')
     if (remainingMs <= 0) return refusal('deadline-past')
-    const node = { maxConcurrent, inFlight, activeWeight: activeWeight() }
+    const node = { maxConcurrent: nodeLimit(), inFlight, activeWeight: activeWeight() }
     const waitMs = expectedWaitMs(state, request, expectedMs, node)
     if (draining) return refusal('draining', waitMs)
     if (mustWait(state, request, node) && state.queue.size() >= request.maxQueued) {
--- a/src/core/admission/types.ts
+++ b/src/core/admission/types.ts
@@ -60,6 +60,8 @@
   random: () => number
   /** Most requests in flight at this node. */
   maxConcurrent: number
+  /** Requests that the backend servers of all teams can take from this node, from their learned limits; unlimited when left out. */
+  capacity?: () => number
 }
 
 /** One finished attempt as the limit of its backend server sees it. */
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -9,7 +9,7 @@
 import type { Backend } from '../backends/types.ts'
 import type { AttemptId, BackendId, VersionId } from '../ids/index.ts'
 import type { Refusal } from '../outcomes/index.ts'
-import { candidatesOf } from './candidates.ts'
+import { candidatesOf, servesOwnTeam } from './candidates.ts'
 import { candidateCostMs, expectedFirstTokenMs } from './cost.ts'
 import { createHomeHits, homeRanks } from './home-hits.ts'
 import { createLoadBook } from './load-book.ts'
@@ -44,6 +44,7 @@
 /** Creates the router of one node. */
 export function createRouter (options: RouterOptions): Router {
   const { node, clock, metrics, hasher, random, profileOf, limitOf = () => Infinity } = options
+  const { serves = servesOwnTeam } = options
   const { subsetSize = defaultSubsetSize, maxIndexEntries = defaultMaxIndexEntries } = options
   const loads = createLoadBook()
   const index = createPrefixIndex(maxIndexEntries)
@@ -127,7 +128,7 @@
 
   function choose (request: RouteRequest, backends: readonly Backend[]): Result<RouteChoice, Refusal> {
     for (const version of versionsOf(request)) {
-      const live = candidatesOf(request, version, backends)
+      const live = candidatesOf(request, version, backends, serves)
       const chosen = bestOf(request, live)
       if (chosen === undefined) continue
       const { choice, homeRank } = chosen
--- a/src/core/routing/naive.ts
+++ b/src/core/routing/naive.ts
@@ -6,7 +6,7 @@
 import { err, ok } from 'true-myth/result'
 import type { Backend, LoadReport } from '../backends/types.ts'
 import type { BackendId } from '../ids/index.ts'
-import { candidatesOf } from './candidates.ts'
+import { candidatesOf, servesOwnTeam } from './candidates.ts'
 import { drawVersion } from './version-draw.ts'
 import type { RouteRequest, Router, RouterOptions } from './types.ts'
 
@@ -15,7 +15,7 @@
 
 /** Creates a router that follows the last load reports alone. */
 export function createNaiveRouter (options: RouterOptions): Router {
-  const { clock, metrics, hasher, random } = options
+  const { clock, metrics, hasher, random, serves = servesOwnTeam } = options
   const reports = new Map<BackendId, LoadReport>()
 
   function loadOf (backend: Backend): number {
@@ -31,7 +31,7 @@
 
   function choose (request: RouteRequest, backends: readonly Backend[]): ReturnType<Router['choose']> {
     const version = request.wantedVersion ?? drawVersion(request.request, request.shares, hasher)
-    const live = version === undefined ? [] : candidatesOf(request, version, backends)
+    const live = version === undefined ? [] : candidatesOf(request, version, backends, serves)
     const backend = leastLoaded(live)
     if (backend === undefined) {
       metrics.refused('no-backend')
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -99,6 +99,8 @@
   /** An even draw from 0 (included) to 1 (excluded), from a seeded source. */
   random: () => number
   profileOf: (machineClass: string) => EngineProfile
+  /** Whether a backend server may serve a team; by default only its own. */
+  serves?: (backend: Backend, team: TeamId) => boolean
   /** Requests that this node may have in flight at the backend server; unlimited when left out. */
   limitOf?: (backend: BackendId) => number
   /** Most backend servers of a version that two-choice picks draw from. */
