Add the callers' client: whole answers over broken connections

A draft is taken up with its key, body and last event id; events are told once, a gap or a missing end counts as broken, a silent connection is given up.

--- /dev/null
+++ b/src/core/client/draft.ts
@@ -0,0 +1,139 @@
+/**
+ * Streams one draft over as many connections as it takes: each event is told
+ * once and in order, and an answer without its end is never told as whole.
+ */
+import { request } from 'undici'
+import type { Dispatcher } from 'undici'
+import { createError } from '../errors/index.ts'
+import { attemptsFor, invitesRepeat } from './attempts.ts'
+import { eventIndex, parseSummary, parseTokenText } from './draft-events.ts'
+import { answerRefused, parseProblem } from './problem-details.ts'
+import { readServerSentEvents } from './server-sent-events.ts'
+import type { ServerSentEvent } from './server-sent-events.ts'
+import type { CallerClientOptions, DraftEvent, DraftOrder } from './types.ts'
+
+/** How far an answer has come. */
+interface Progress {
+  lastEventId: string | undefined
+  /** Number of events told; the index of the next one. */
+  nextIndex: number
+}
+
+/** What one connection came to: the last event, or why the next connection is needed. */
+type ConnectionEnd =
+  | { kind: 'ended' }
+  | { kind: 'broken', cause: string, notBeforeMs?: number }
+
+/** Why a request got no response. */
+function causeOf (error: unknown): string {
+  return error instanceof Error ? error.message : String(error)
+}
+
+async function open (
+  url: string,
+  order: DraftOrder,
+  progress: Progress,
+  client: CallerClientOptions,
+  dispatcher: Dispatcher,
+  signal: AbortSignal | undefined
+): Promise<Dispatcher.ResponseData> {
+  const path = `/v1/teams/${encodeURIComponent(order.team)}/drafts/${encodeURIComponent(order.route)}`
+  return await request(url + path, {
+    method: 'POST',
+    dispatcher,
+    // A connection of its own for each attempt: one that was open before may have gone silent.
+    reset: true,
+    headers: {
+      authorization: `Bearer ${client.token}`,
+      'content-type': 'application/json',
+      accept: 'text/event-stream',
+      'idempotency-key': order.key,
+      'deadline-at-ms': String(order.deadlineAtMs),
+      ...(progress.lastEventId === undefined ? {} : { 'last-event-id': progress.lastEventId })
+    },
+    body: JSON.stringify({ prompt: order.prompt, maxTokens: order.maxTokens, stream: true }),
+    ...(signal === undefined ? {} : { signal })
+  })
+}
+
+/** Tells one event of the stream; returns why the connection ends with it, if it does. */
+function * take (event: ServerSentEvent, progress: Progress): Generator<DraftEvent, ConnectionEnd | undefined> {
+  switch (event.event) {
+    case 'restart':
+      progress.lastEventId = undefined
+      progress.nextIndex = 0
+      yield { kind: 'restart' }
+      return undefined
+    case 'handover':
+      return { kind: 'broken', cause: 'the node handed the draft over' }
+    case 'error':
+      yield { kind: 'failed', error: answerRefused(parseProblem(200, event.data)) }
+      return { kind: 'ended' }
+    case 'end': {
+      const summary = parseSummary(event.data)
+      if (summary.events !== progress.nextIndex) {
+        return { kind: 'broken', cause: `the answer has ${summary.events} events and ${progress.nextIndex} came` }
+      }
+      yield { kind: 'end', summary }
+      return { kind: 'ended' }
+    }
+    default:
+      return yield * takeToken(event, progress)
+  }
+}
+
+/** Tells a token once; a repeat is dropped and a gap breaks the connection. */
+function * takeToken (event: ServerSentEvent, progress: Progress): Generator<DraftEvent, ConnectionEnd | undefined> {
+  const index = event.id === undefined ? undefined : eventIndex(event.id)
+  if (event.id === undefined || index === undefined) return { kind: 'broken', cause: 'an event came without its id' }
+  if (index < progress.nextIndex) return undefined
+  if (index > progress.nextIndex) return { kind: 'broken', cause: `event ${progress.nextIndex} is missing` }
+  const text = parseTokenText(event.data)
+  progress.nextIndex = index + 1
+  progress.lastEventId = event.id
+  yield { kind: 'token', id: event.id, text }
+  return undefined
+}
+
+/** Reads one response as far as it goes. */
+async function * readConnection (response: Dispatcher.ResponseData, progress: Progress): AsyncGenerator<DraftEvent, ConnectionEnd> {
+  if (response.statusCode !== 200) {
+    const problem = parseProblem(response.statusCode, await response.body.text())
+    if (invitesRepeat(problem)) return { kind: 'broken', cause: problem.reason, notBeforeMs: problem.retryAtMs ?? 0 }
+    if (problem.reason === 'unexpected-answer' && problem.status >= 500) return { kind: 'broken', cause: problem.title }
+    yield { kind: 'failed', error: answerRefused(problem) }
+    return { kind: 'ended' }
+  }
+  for await (const event of readServerSentEvents(response.body)) {
+    const end = yield * take(event, progress)
+    if (end !== undefined) return end
+  }
+  return { kind: 'broken', cause: 'the answer stopped without its end' }
+}
+
+/** Streams the events of a draft, over as many connections as it takes. */
+export async function * streamDraft (
+  client: CallerClientOptions,
+  dispatcher: Dispatcher,
+  start: number,
+  order: DraftOrder,
+  signal?: AbortSignal
+): AsyncGenerator<DraftEvent> {
+  const attempts = attemptsFor(client, start, order.deadlineAtMs, signal)
+  const progress: Progress = { lastEventId: undefined, nextIndex: 0 }
+  for (;;) {
+    let end: ConnectionEnd
+    const indexBefore = progress.nextIndex
+    try {
+      const response = await open(attempts.url(), order, progress, client, dispatcher, signal)
+      end = yield * readConnection(response, progress)
+    } catch (error) {
+      end = { kind: 'broken', cause: causeOf(error) }
+    }
+    if (end.kind === 'ended') return
+    if (progress.nextIndex > indexBefore) attempts.progressed()
+    if (await attempts.next(end.cause, end.notBeforeMs)) continue
+    yield { kind: 'failed', error: createError('NodesUnreachable', { urls: client.urls, cause: end.cause, run: 'unknown' }) }
+    return
+  }
+}
--- /dev/null
+++ b/src/core/client/index.ts
@@ -0,0 +1,26 @@
+/** A caller's client: streams drafts and makes calls through any of several nodes. */
+import { Agent } from 'undici'
+import { makeCall } from './call.ts'
+import { streamDraft } from './draft.ts'
+import type { CallerClient, CallerClientOptions } from './types.ts'
+
+export type * from './types.ts'
+
+const connectTimeoutMs = 3_000
+const defaultMaxSilentMs = 20_000
+
+/** Creates a client of one team. */
+export function createCallerClient (options: CallerClientOptions): CallerClient {
+  const { random = Math.random, maxSilentMs = defaultMaxSilentMs } = options
+  const dispatcher = new Agent({
+    connect: { timeout: connectTimeoutMs },
+    headersTimeout: maxSilentMs,
+    bodyTimeout: maxSilentMs
+  })
+  const start = (): number => Math.floor(random() * options.urls.length)
+  return {
+    draft: (order, signal) => streamDraft(options, dispatcher, start(), order, signal),
+    call: (order, signal) => makeCall(options, dispatcher, start(), order, signal),
+    close: () => dispatcher.destroy()
+  }
+}
--- /dev/null
+++ b/src/core/client/problem-details.ts
@@ -0,0 +1,48 @@
+/** Reads refusals: problem details of HTTP and the `error` event of a stream. */
+import { z } from 'zod'
+import { createError } from '../errors/index.ts'
+import type { CyclamenError } from '../errors/index.ts'
+import type { ProblemDetails } from './types.ts'
+
+const runState = z.enum(['done', 'not-run', 'unknown'])
+
+const problemSchema = z.object({
+  status: z.number().optional(),
+  title: z.string().optional(),
+  detail: z.string().optional(),
+  reason: z.string(),
+  run: runState,
+  retryAtMs: z.number().optional()
+})
+
+/** Body of a response or event that isn't the system's own says nothing on whether the work ran. */
+function foreign (status: number, text: string): ProblemDetails {
+  return {
+    status,
+    title: `HTTP status ${status}`,
+    detail: text.slice(0, 200),
+    reason: 'unexpected-answer',
+    run: 'unknown',
+    retryAtMs: undefined
+  }
+}
+
+/** Reads a refusal from a JSON text; `status` is the response's. */
+export function parseProblem (status: number, text: string): ProblemDetails {
+  let value: unknown
+  try {
+    value = JSON.parse(text)
+  } catch {
+    return foreign(status, text)
+  }
+  const parsed = problemSchema.safeParse(value)
+  if (!parsed.success) return foreign(status, text)
+  const { title, detail, reason, run, retryAtMs } = parsed.data
+  return { status, title: title ?? reason, detail: detail ?? '', reason, run, retryAtMs }
+}
+
+/** Makes the error of a refusal. */
+export function answerRefused (problem: ProblemDetails): CyclamenError<'AnswerRefused'> {
+  const { status, reason, run, detail, retryAtMs } = problem
+  return createError('AnswerRefused', { status, reason, run, detail, retryAtMs })
+}
--- a/src/core/errors/commands.ts
+++ b/src/core/errors/commands.ts
@@ -1,6 +1,6 @@
 import { entry } from './types.ts'
 
-/** Errors of the command line. */
+/** Errors of the command line and of the callers' client behind it. */
 export const commandErrors = {
   CommandUnknown: entry<{ given: string, nearest: string | undefined }>({
     title: 'Unknown command',
@@ -8,5 +8,27 @@
       ? `There is no command "${given}".`
       : `There is no command "${given}"; did you mean "${nearest}"?`,
     hint: 'Run "cyclamenshunt help" for the list.'
+  }),
+  FlagUnknown: entry<{ given: string, nearest: string | undefined, command: string }>({
+    title: 'Unknown flag',
+    message: ({ given, nearest, command }) => nearest === undefined
+      ? `"${command}" has no flag "${given}".`
+      : `"${command}" has no flag "${given}"; did you mean "${nearest}"?`,
+    hint: 'Run the command with --help for its flags.'
+  }),
+  ArgumentWrong: entry<{ argument: string, problem: string }>({
+    title: 'Wrong argument',
+    message: ({ argument, problem }) => `${argument} ${problem}.`,
+    hint: 'Run the command with --help for examples.'
+  }),
+  AnswerRefused: entry<{ status: number, reason: string, run: string, detail: string, retryAtMs: number | undefined }>({
+    title: 'Answer refused',
+    message: ({ status, reason, run, detail }) => `The node refused the request (status ${status}, reason ${reason}, run: ${run}): ${detail}`,
+    hint: 'Send it again with the same key when its reason allows; "cyclamenshunt explain" tells what a reason means.'
+  }),
+  NodesUnreachable: entry<{ urls: string[], cause: string, run: string }>({
+    title: 'No node answered',
+    message: ({ urls, cause, run }) => `No answer came from ${urls.join(', ')} (run: ${run}): ${cause}.`,
+    hint: 'Check the addresses and the network; a repeat with the same key is safe.'
   })
 }
--- a/src/core/requests/index.ts
+++ b/src/core/requests/index.ts
@@ -155,4 +155,3 @@
     close
   }
 }
-
