--- a/src/core/client/draft.ts
+++ b/src/core/client/draft.ts
@@ -12,6 +12,9 @@
 import type { ServerSentEvent } from './server-sent-events.ts'
 import type { CallerClientOptions, DraftEvent, DraftOrder } from './types.ts'
 
+/** Sent as the last event id by a caller that has no event yet but asked before. */
+const unknownPlace = 'any'
+
 /** How far an answer has come. */
 interface Progress {
   lastEventId: string | undefined
@@ -60,7 +63,7 @@
 function * take (event: ServerSentEvent, progress: Progress): Generator<DraftEvent, ConnectionEnd | undefined> {
   switch (event.event) {
     case 'restart':
-      progress.lastEventId = undefined
+      progress.lastEventId = unknownPlace
       progress.nextIndex = 0
       yield { kind: 'restart' }
       return undefined
@@ -111,6 +114,13 @@
   return { kind: 'broken', cause: 'the answer stopped without its end' }
 }
 
+/** Where an answer begins for this caller: at its first event, or after the one it has already. */
+function startOf (order: DraftOrder): Progress {
+  const { afterEventId } = order
+  const index = afterEventId === undefined ? undefined : eventIndex(afterEventId)
+  return { lastEventId: afterEventId, nextIndex: index === undefined ? 0 : index + 1 }
+}
+
 /** Streams the events of a draft, over as many connections as it takes. */
 export async function * streamDraft (
   client: CallerClientOptions,
@@ -120,7 +130,7 @@
   signal?: AbortSignal
 ): AsyncGenerator<DraftEvent> {
   const attempts = attemptsFor(client, start, order.deadlineAtMs, signal)
-  const progress: Progress = { lastEventId: undefined, nextIndex: 0 }
+  const progress = startOf(order)
   for (;;) {
     let end: ConnectionEnd
     const indexBefore = progress.nextIndex
@@ -132,7 +142,10 @@
     }
     if (end.kind === 'ended') return
     if (progress.nextIndex > indexBefore) attempts.progressed()
-    if (await attempts.next(end.cause, end.notBeforeMs)) continue
+    if (await attempts.next(end.cause, end.notBeforeMs)) {
+      progress.lastEventId ??= unknownPlace
+      continue
+    }
     yield { kind: 'failed', error: createError('NodesUnreachable', { urls: client.urls, cause: end.cause, run: 'unknown' }) }
     return
   }
--- a/src/core/client/types.ts
+++ b/src/core/client/types.ts
@@ -35,6 +35,8 @@
   maxTokens: number
   /** Names the draft, so that a broken stream can be taken up. */
   key: string
+  /** Id of the last event that the caller has, to take up an answer that an earlier client began. */
+  afterEventId?: string
   /** Wall time after which the answer is of no use. */
   deadlineAtMs: number
 }
--- a/test/client/draft.test.ts
+++ b/test/client/draft.test.ts
@@ -85,6 +85,13 @@
   await node.close()
 })
 
+test('a reconnect before the first event asks for the draft that was begun', async t => {
+  const node = await startFakeNode([['a']], [{ kind: 'cut', afterEvents: 0 }])
+  t.is((await read(node.url)).text, 'a')
+  t.deepEqual(node.requests.map(({ lastEventId }) => lastEventId), [undefined, 'any'])
+  await node.close()
+})
+
 test('a connection that goes silent is given up and the answer taken up', async t => {
   const node = await startFakeNode([['a', 'b', 'c']], [{ kind: 'silent', afterEvents: 1 }])
   t.is((await read(node.url)).text, 'abc')
