Add the command line and a binary that starts without warnings

explain, check, status, draft and call, by oclif with a table of commands in memory; a wrong command, flag or word is answered with the nearest. The warning at the binary's start came from oclif reading its own package.json for a Node.js version check (found by wrapping require in a scratch build); its own switch turns the check off at build time, as the binary brings its Node.js along.

--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -2,33 +2,54 @@
  * Builds dist/cyclamenshunt, one executable that needs no node_modules.
  */
 import { execFileSync } from 'node:child_process'
-import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from 'node:fs'
+import { chmodSync, copyFileSync, mkdirSync, mkdtempSync, renameSync, rmSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
 import { build } from 'esbuild'
 
 const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
 
+/** Runs Node.js quietly; what it printed stands in the error when it fails. */
+function run (args: string[]): void {
+  execFileSync(process.execPath, args, { stdio: 'pipe' })
+}
+
 mkdirSync('dist', { recursive: true })
+// Built beside and renamed, so that a running executable is never written to.
+const folder = mkdtempSync('dist/build-')
+const bundle = join(folder, 'main.cjs')
+const blob = join(folder, 'sea.blob')
+const configuration = join(folder, 'sea.json')
+const executable = join(folder, 'cyclamenshunt')
+
 await build({
   entryPoints: ['src/main.ts'],
-  outfile: 'dist/main.cjs',
+  outfile: bundle,
   bundle: true,
   minify: true,
   keepNames: true,
   platform: 'node',
   target: 'node20',
   format: 'cjs',
-  external: ['typescript', 'ts-node'],
+  external: ['typescript', 'ts-node', 'cbor-extract'],
+  // The executable can't load modules from disk, and Node.js warns when a
+  // library tries to: oclif reads its own package.json for a check of the
+  // Node.js version, which the executable brings along, and cbor-x looks for
+  // an optional native module. Each library's own switch turns that off.
+  define: {
+    'process.env.OCLIF_DISABLE_ENGINE_WARNING': '"1"',
+    'process.env.CBOR_NATIVE_ACCELERATION_DISABLED': '"true"'
+  },
   logLevel: 'error'
 })
-writeFileSync('dist/sea.json', JSON.stringify({
-  main: 'dist/main.cjs',
-  output: 'dist/sea.blob',
+writeFileSync(configuration, JSON.stringify({
+  main: bundle,
+  output: blob,
   disableExperimentalSEAWarning: true,
   useCodeCache: true
 }))
-execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], { stdio: 'inherit' })
-copyFileSync(process.execPath, 'dist/cyclamenshunt')
-execFileSync(process.execPath, [
-  'node_modules/postject/dist/cli.js', 'dist/cyclamenshunt', 'NODE_SEA_BLOB', 'dist/sea.blob', '--sentinel-fuse', fuse
-], { stdio: 'inherit' })
-chmodSync('dist/cyclamenshunt', 0o755)
+run(['--experimental-sea-config', configuration])
+copyFileSync(process.execPath, executable)
+run(['node_modules/postject/dist/cli.js', executable, 'NODE_SEA_BLOB', blob, '--sentinel-fuse', fuse])
+chmodSync(executable, 0o755)
+renameSync(executable, 'dist/cyclamenshunt')
+rmSync(folder, { recursive: true })
--- /dev/null
+++ b/src/cli/base-command.ts
@@ -0,0 +1,47 @@
+/** What all commands share: errors of the catalogue, exit codes and JSON output. */
+import { Command, Errors } from '@oclif/core'
+import type { Result } from 'true-myth'
+import { CyclamenError, createError } from '../core/errors/index.ts'
+import { nearest } from '../core/nearest/index.ts'
+import { exitCodeOf } from './exit-codes.ts'
+
+/** An error of the parser that names flags which don't exist. */
+interface UnknownFlagsError extends Error {
+  flags: string[]
+}
+
+function isUnknownFlags (error: unknown): error is UnknownFlagsError {
+  return error instanceof Error && error.constructor.name === 'NonExistentFlagsError'
+}
+
+/** Base of all commands. oclif builds commands as classes; these stay thin over functions. */
+export abstract class BaseCommand extends Command {
+  /** Returns the value of a result, or ends the command with its error. */
+  protected unwrap<Value> (result: Result<Value, Error>): Value {
+    if (result.isErr) throw result.error
+    return result.value
+  }
+
+  /** Gives the error its exit code; unknown flags are answered with the nearest. */
+  protected override async catch (given: Error): Promise<void> {
+    const error = isUnknownFlags(given) ? this.unknownFlag(given) : given
+    if (!this.jsonEnabled()) throw error
+    this.logJson(this.toErrorJson(error))
+    process.exitCode = error instanceof Errors.CLIError ? error.oclif.exit ?? 2 : exitCodeOf(error)
+  }
+
+  protected override toErrorJson (error: unknown): unknown {
+    if (error instanceof CyclamenError) {
+      const { kind, title, message, hint, params } = error
+      return { error: { kind, title, message, hint, ...(params as object) } }
+    }
+    return { error: { message: error instanceof Error ? error.message : String(error) } }
+  }
+
+  private unknownFlag (error: UnknownFlagsError): Error {
+    const given = error.flags[0] ?? ''
+    const known = Object.keys({ ...this.ctor.flags, help: true, ...(this.ctor.enableJsonFlag ? { json: true } : {}) }).map(name => `--${name}`)
+    const command = (this.id ?? '').replaceAll(':', ' ')
+    return createError('FlagUnknown', { given, nearest: nearest(given, known), command })
+  }
+}
--- /dev/null
+++ b/src/cli/commands.ts
@@ -0,0 +1,19 @@
+/** All commands by their ids; a colon stands between the words of an id. */
+import type { Command } from '@oclif/core'
+import Call from './call/index.ts'
+import Check from './check/index.ts'
+import Draft from './draft/index.ts'
+import Explain from './explain/index.ts'
+import Status from './status/index.ts'
+
+/** The commands in one table, since the single executable can't load them from files. */
+export const commands: Record<string, Command.Class> = {
+  call: Call,
+  check: Check,
+  draft: Draft,
+  explain: Explain,
+  status: Status
+}
+
+/** Words under which several commands stand. */
+export const topics: Record<string, string> = {}
--- /dev/null
+++ b/src/cli/draft/index.ts
@@ -0,0 +1,66 @@
+import { randomUUID } from 'node:crypto'
+import { Args, Flags } from '@oclif/core'
+import { createCallerClient } from '../../core/client/index.ts'
+import { createSystemClock } from '../../core/clock/index.ts'
+import { BaseCommand } from '../base-command.ts'
+import { callerFlags, readInput, readToken } from '../caller-flags.ts'
+import { readAnswer } from './read-answer.ts'
+import type { WholeAnswer } from './read-answer.ts'
+
+/** Has an answer drafted for a file. */
+export default class Draft extends BaseCommand {
+  static override summary = 'Have an answer drafted for a file, and stream it.'
+  static override description = 'A stream that breaks is taken up where it stopped, through any of the addresses. ' +
+    'On a terminal the answer is shown as it comes; elsewhere it is written once it is whole, so that a script never reads a part of one. ' +
+    'Exit codes: 0 whole answer, 2 usage, 5 refused, 6 unknown, 7 no node answered.'
+
+  static override examples = [
+    '<%= config.bin %> draft case-4711.txt --team agency-north --route letters',
+    '<%= config.bin %> draft - --team agency-north --route summaries --max-tokens 400 < dossier.txt',
+    '<%= config.bin %> draft contract.txt --team radio --route opinions --url http://10.20.1.11:8080 --url http://10.20.2.11:8080 --json'
+  ]
+
+  static override enableJsonFlag = true
+  static override args = {
+    file: Args.string({ description: 'Text file that the answer is drafted for; "-" for standard input.', required: true })
+  }
+
+  static override flags = {
+    ...callerFlags,
+    'max-tokens': Flags.integer({ description: 'Most tokens of the answer.', default: 512, min: 1 }),
+    stream: Flags.boolean({ description: 'Write the answer as it comes, also when the output is no terminal.', default: false }),
+    after: Flags.string({ description: 'Id of the last event that an earlier run showed; only what follows is written.', dependsOn: ['key'] })
+  }
+
+  async run (): Promise<WholeAnswer & { key: string }> {
+    const { args, flags } = await this.parse(Draft)
+    const key = flags.key ?? randomUUID()
+    const clock = createSystemClock()
+    const client = createCallerClient({
+      urls: flags.url,
+      token: await readToken(flags['token-file']),
+      clock,
+      onRepeat: ({ url, cause }) => this.logToStderr(`Again at ${url}: ${cause}`)
+    })
+    const streams = !this.jsonEnabled() && (flags.stream || process.stdout.isTTY)
+    try {
+      const events = client.draft({
+        team: flags.team,
+        route: flags.route,
+        prompt: (await readInput(args.file)).toString('utf8'),
+        maxTokens: flags['max-tokens'],
+        key,
+        ...(flags.after === undefined ? {} : { afterEventId: flags.after }),
+        deadlineAtMs: clock.wallMs() + flags['deadline-in'] * 1000
+      })
+      const answer = this.unwrap(await readAnswer(events, {
+        onText: text => { if (streams) process.stdout.write(text) },
+        onRestart: () => this.logToStderr('The answer begins anew.')
+      }))
+      if (!this.jsonEnabled()) process.stdout.write(streams ? '\n' : `${answer.text}\n`)
+      return { key, ...answer }
+    } finally {
+      await client.close()
+    }
+  }
+}
--- /dev/null
+++ b/src/cli/explain/explanations.ts
@@ -0,0 +1,44 @@
+/** Finds what an error kind, an event or a reason means. */
+import { err, ok } from 'true-myth/result'
+import type { Result } from 'true-myth'
+import { createError, errorCatalogue } from '../../core/errors/index.ts'
+import type { CyclamenError } from '../../core/errors/index.ts'
+import { eventCatalogue } from '../../core/log/events/index.ts'
+import { nearest } from '../../core/nearest/index.ts'
+import { recomputeExplanations, refusalExplanations, retryExplanations } from '../../core/outcomes/explanations.ts'
+
+/** One thing that can be explained. */
+export interface Explained {
+  kind: 'error' | 'event' | 'refusal' | 'retry' | 'recompute'
+  name: string
+  number?: number
+  level?: string
+  text: string
+  remedy: string
+}
+
+/** Everything that can be explained, by kind and name. */
+export function listExplanations (): Explained[] {
+  const reasons = [
+    ['refusal', refusalExplanations],
+    ['retry', retryExplanations],
+    ['recompute', recomputeExplanations]
+  ] as const
+  return [
+    ...Object.entries(errorCatalogue).map(([name, { title, hint }]) => ({ kind: 'error' as const, name, text: `${title}.`, remedy: hint })),
+    ...Object.entries(eventCatalogue).map(([name, entry]) => ({ kind: 'event' as const, name, ...entry })),
+    ...reasons.flatMap(([kind, explanations]) =>
+      Object.entries(explanations).map(([name, { text, remedy }]) => ({ kind, name, text, remedy })))
+  ]
+}
+
+/** Finds all that has the given name or number. */
+export function findExplanations (what: string): Result<Explained[], CyclamenError<'ArgumentWrong'>> {
+  const all = listExplanations()
+  const lower = what.toLowerCase()
+  const found = all.filter(({ name, number }) => name.toLowerCase() === lower || String(number) === what)
+  if (found.length > 0) return ok(found)
+  const near = nearest(what, all.map(({ name }) => name))
+  const problem = `is neither an error, an event nor a reason${near === undefined ? '' : `; did you mean "${near}"?`}`
+  return err(createError('ArgumentWrong', { argument: `"${what}"`, problem: problem.replace(/\?$/, '') }))
+}
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -1,6 +1,61 @@
-/** The command line. */
+/** The command line: finds the command, runs it and reports how it went. */
+import { Help, handle } from '@oclif/core'
+import type { Config } from '@oclif/core'
+import { normalizeArgv } from '@oclif/core/help'
+import { CyclamenError, createError } from '../core/errors/index.ts'
+import { nearest } from '../core/nearest/index.ts'
+import { commands, topics } from './commands.ts'
+import { exitCodeOf } from './exit-codes.ts'
+import { createProgram } from './program.ts'
 
-/** Runs one command. */
+const helpFlags = new Set(['--help', '-h'])
+
+function wantsHelp (argv: readonly string[]): boolean {
+  const end = argv.indexOf('--')
+  const own = end === -1 ? argv : argv.slice(0, end)
+  return own.length === 0 || own[0] === 'help' || own.some(argument => helpFlags.has(argument))
+}
+
+/** The error for a command that doesn't exist, with the nearest one that does. */
+function unknownCommand (words: readonly string[]): CyclamenError {
+  const known = Object.keys(commands).map(id => id.replaceAll(':', ' '))
+  const given = words.length > 1 && words[0]! in topics ? words.slice(0, 2).join(' ') : words[0] ?? ''
+  return createError('CommandUnknown', { given, nearest: nearest(given, [...known, 'help']) })
+}
+
+async function showHelp (config: Config, argv: string[]): Promise<void> {
+  const words = argv.filter(word => word !== 'help' && !word.startsWith('-'))
+  const [id] = normalizeArgv(config, words)
+  const known = words.length === 0 || commands[id ?? ''] !== undefined || (words.length === 1 && words[0]! in topics)
+  const isPrefix = words[0] !== undefined && commands[words[0]] !== undefined
+  if (!known && !isPrefix) throw unknownCommand(words)
+  await new Help(config, { all: true }).showHelp(words)
+}
+
+async function dispatch (config: Config, argv: string[]): Promise<void> {
+  if (argv[0] === '--version') {
+    process.stdout.write(`${config.userAgent}\n`)
+    return
+  }
+  if (wantsHelp(argv)) return await showHelp(config, argv)
+  const [id = '', ...rest] = normalizeArgv(config, argv)
+  const command = commands[id]
+  if (command !== undefined) {
+    await command.run(rest, config)
+  } else if (argv.length === 1 && argv[0]! in topics) {
+    await showHelp(config, argv)
+  } else {
+    throw unknownCommand(argv)
+  }
+}
+
+/** Runs one command line; errors become a message and an exit code, never a stack. */
 export async function run (argv: string[]): Promise<void> {
-  process.stdout.write(`cyclamenshunt ${argv.join(' ')}\n`)
+  try {
+    await dispatch(await createProgram(), argv)
+  } catch (error) {
+    if (!(error instanceof CyclamenError)) return await handle(error as Error)
+    process.stderr.write(`${error.title}: ${error.message}\n`)
+    process.exitCode = exitCodeOf(error)
+  }
 }
--- /dev/null
+++ b/src/cli/table.ts
@@ -0,0 +1,9 @@
+/** Tables in plain text. */
+
+/** Renders a table with a head, its columns as wide as they need to be. */
+export function renderTable (head: readonly string[], rows: ReadonlyArray<readonly string[]>): string {
+  const all = [head, ...rows]
+  const widths = head.map((_, column) => Math.max(...all.map(row => (row[column] ?? '').length)))
+  const line = (row: readonly string[]): string => row.map((text, column) => text.padEnd(widths[column] ?? 0)).join('  ').trimEnd()
+  return [line(head), widths.map(width => '-'.repeat(width)).join('  '), ...rows.map(line)].join('\n')
+}
--- /dev/null
+++ b/test/build/binary.test.ts
@@ -0,0 +1,39 @@
+import { execFileSync, spawnSync } from 'node:child_process'
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join, resolve } from 'node:path'
+import test from 'ava'
+import packageJson from '../../package.json' with { type: 'json' }
+
+const binary = resolve('dist/cyclamenshunt')
+
+/** Runs the binary in an empty folder, with nothing of the project on its paths. */
+function runBinary (args: string[]): { status: number | null, stdout: string, stderr: string } {
+  const folder = mkdtempSync(join(tmpdir(), 'cyclamenshunt-binary-'))
+  try {
+    return spawnSync(binary, args, { cwd: folder, env: { HOME: folder }, encoding: 'utf8' })
+  } finally {
+    rmSync(folder, { recursive: true })
+  }
+}
+
+// Built anew, so that the test never passes over a binary of older sources.
+test.before(() => { execFileSync(process.execPath, ['--import=tsx', 'scripts/build.ts']) })
+
+test.serial('the binary tells its version from an empty folder without a warning', t => {
+  const { status, stdout, stderr } = runBinary(['--version'])
+  t.is(status, 0)
+  t.regex(stdout, new RegExp(`^cyclamenshunt/${packageJson.version.replaceAll('.', '\\.')} `))
+  t.is(stderr, '')
+})
+
+test.serial('the binary helps, explains and answers a wrong command from an empty folder', t => {
+  const help = runBinary(['draft', '--help'])
+  t.is(help.status, 0, help.stderr)
+  t.regex(help.stdout, /EXAMPLES/)
+  const explained = runBinary(['explain', '102', '--json'])
+  t.like(JSON.parse(explained.stdout)[0], { name: 'nodeNotReady', number: 102 })
+  const wrong = runBinary(['explian'])
+  t.is(wrong.status, 2)
+  t.is(wrong.stderr, 'Unknown command: There is no command "explian"; did you mean "explain"? Run "cyclamenshunt help" for the list.\n')
+})
