--- /dev/null
+++ b/scripts/generate.ts
@@ -0,0 +1,9 @@
+/** Writes all generated files. */
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { dirname } from 'node:path'
+import { generatedFiles } from './pages/index.ts'
+
+for (const [path, render] of Object.entries(generatedFiles)) {
+  mkdirSync(dirname(path), { recursive: true })
+  writeFileSync(path, render())
+}
--- /dev/null
+++ b/test/docs/generated-files.test.ts
@@ -0,0 +1,16 @@
+import { readFileSync } from 'node:fs'
+import test from 'ava'
+import { generatedFiles } from '../../scripts/pages/index.ts'
+import { eventCatalogue } from '../../src/core/log/events/index.ts'
+
+for (const [path, render] of Object.entries(generatedFiles)) {
+  test(`${path} is what the code generates`, t => {
+    t.is(readFileSync(path, 'utf8'), render(), 'run "npm run generate"')
+  })
+}
+
+test('no two events share a number, and each names a remedy', t => {
+  const entries = Object.values(eventCatalogue)
+  t.is(new Set(entries.map(({ number }) => number)).size, entries.length)
+  for (const { number, remedy } of entries) t.truthy(remedy, String(number))
+})
