--- a/src/core/clock/index.ts
+++ b/src/core/clock/index.ts
@@ -54,13 +54,16 @@
     if (signal?.aborted === true) return Promise.resolve()
     return new Promise(resolve => {
       function wake (): void {
-        signal?.removeEventListener('abort', wake)
+        signal?.removeEventListener('abort', abort)
+        resolve()
+      }
+      function abort (): void {
         sleepers = sleepers.filter(other => other !== sleeper)
         resolve()
       }
       const sleeper = { wakeAtMs: nowMs + Math.max(0, durationMs), wake }
       sleepers.push(sleeper)
-      signal?.addEventListener('abort', wake, { once: true })
+      signal?.addEventListener('abort', abort, { once: true })
     })
   }
 
@@ -72,6 +75,7 @@
         .filter(sleeper => sleeper.wakeAtMs <= endAtMs)
         .sort((a, b) => a.wakeAtMs - b.wakeAtMs)[0]
       if (next === undefined) break
+      sleepers = sleepers.filter(sleeper => sleeper !== next)
       nowMs = Math.max(nowMs, next.wakeAtMs)
       next.wake()
       await settle()
