Declare teams by templates with typed parameters

check tells all problems of all files at once by file, line, column, field and remedy; apply is one transaction that compares every touched key, the template of each changed team and the histories.

A lost answer is followed by the same transaction: its compares let it take effect once at most, and the write id in the history, written along, tells landed from superseded. Ruled out: a second read instead of a second transaction, because a write still on its way can land after the read.

--- /dev/null
+++ b/src/core/templates/index.ts
@@ -0,0 +1,13 @@
+/** Templates with typed parameters, teams that fill them in, and their changes in the key-value service. */
+export type * from './types.ts'
+export type { CheckedFiles, CheckedTeam } from './check-files.ts'
+export type { ApplyOptions } from './apply.ts'
+export type { PlanError, PlanOptions } from './plan.ts'
+export type { SetParametersOptions } from './set-parameters.ts'
+export type { DeclaredTeam } from './queries.ts'
+export { apply } from './apply.ts'
+export { checkFiles, parseTemplate } from './check-files.ts'
+export { getRevision, getTeam, history } from './queries.ts'
+export { planApply } from './plan.ts'
+export { planParameters, setParameters } from './set-parameters.ts'
+export { resolveTeam } from './resolve.ts'
--- /dev/null
+++ b/src/core/templates/stored.ts
@@ -0,0 +1,41 @@
+/** The declarations as the service holds them. */
+import { ok } from 'true-myth/result'
+import { configurationPrefix, parseDeclared, parseTeamValue, teamsPrefix, templatesPrefix } from '../configuration/index.ts'
+import { parseTemplate } from './check-files.ts'
+import type { Result } from 'true-myth'
+import type { DeclaredValue, TeamContent } from '../configuration/index.ts'
+import type { KeyValueEntry, KeyValueError, KeyValueStore } from '../platform/key-value/types.ts'
+import type { Template, TemplateContent } from './types.ts'
+
+/** Everything declared, at one revision. */
+export interface StoredDeclarations {
+  entries: Map<string, KeyValueEntry>
+  /** Templates by name that this version can read. */
+  templates: Map<string, Template>
+  /** Teams by name that this version can read. */
+  teams: Map<string, DeclaredValue<TeamContent>>
+}
+
+/** Reads a template's value. */
+export function parseTemplateValue (entry: KeyValueEntry): Template | undefined {
+  const value = parseDeclared(entry.value)
+  if (value.isErr) return undefined
+  const { text } = value.value.content as TemplateContent
+  return typeof text === 'string' ? parseTemplate(text) : undefined
+}
+
+/** Reads all declarations. */
+export async function readDeclarations (store: KeyValueStore, deadlineAtMs: number): Promise<Result<StoredDeclarations, KeyValueError>> {
+  const list = await store.list(configurationPrefix, { deadlineAtMs })
+  return list.andThen(({ entries }) => {
+    const templates = new Map<string, Template>()
+    const teams = new Map<string, DeclaredValue<TeamContent>>()
+    for (const entry of entries) {
+      const template = entry.key.startsWith(templatesPrefix) ? parseTemplateValue(entry) : undefined
+      if (template !== undefined) templates.set(template.name, template)
+      const team = entry.key.startsWith(teamsPrefix) ? parseTeamValue(entry.value).unwrapOr(undefined) : undefined
+      if (team !== undefined) teams.set(entry.key.slice(teamsPrefix.length), team)
+    }
+    return ok<StoredDeclarations, KeyValueError>({ entries: new Map(entries.map(entry => [entry.key, entry])), templates, teams })
+  })
+}
--- /dev/null
+++ b/src/core/templates/values.ts
@@ -0,0 +1,90 @@
+/** Values of parameters: from the way operators write them to what declarations hold. */
+import { err, ok } from 'true-myth/result'
+import { nearest } from '../nearest/index.ts'
+import type { Result } from 'true-myth'
+import type { ParameterDefinition, ParameterKind } from './types.ts'
+
+const unitMs: Record<string, number> = { ms: 1, s: 1_000, m: 60_000, h: 3_600_000, d: 86_400_000 }
+
+const examples: Record<ParameterKind, string> = {
+  string: 'a text',
+  number: 'a number',
+  boolean: 'true or false',
+  enum: 'one of the allowed values',
+  list: 'a list',
+  duration: 'a number with a unit, such as 500ms, 90s, 10m, 2h or 1d',
+  money: 'an amount in euros with at most three decimals, such as "1.25 EUR"',
+  time: 'a time with its zone, such as 2027-03-01T06:00:00+02:00'
+}
+
+type Parsed = Result<unknown, string>
+
+function wrong (kind: ParameterKind, raw: unknown): Parsed {
+  return err(`is ${JSON.stringify(raw)}; write ${examples[kind]}`)
+}
+
+function parseDuration (raw: unknown): Parsed {
+  const match = typeof raw === 'string' ? /^(\d+(?:\.\d+)?)(ms|s|m|h|d)$/.exec(raw) : null
+  return match === null ? wrong('duration', raw) : ok(Math.round(Number(match[1]) * unitMs[match[2]!]!))
+}
+
+function parseMoney (raw: unknown): Parsed {
+  const match = typeof raw === 'string' ? /^(\d+(?:\.\d{1,3})?) EUR$/.exec(raw) : null
+  return match === null ? wrong('money', raw) : ok(Math.round(Number(match[1]) * 1_000))
+}
+
+function parseTime (raw: unknown): Parsed {
+  const isTime = typeof raw === 'string' && /^\d{4}-\d{2}-\d{2}T\d{2}:\d{2}(:\d{2}(\.\d+)?)?(Z|[+-]\d{2}:\d{2})$/.test(raw)
+  const atMs = isTime ? Date.parse(raw) : NaN
+  return Number.isNaN(atMs) ? wrong('time', raw) : ok(atMs)
+}
+
+function parseEnum (definition: ParameterDefinition, raw: unknown): Parsed {
+  const values = definition.values ?? []
+  if (typeof raw === 'string' && values.includes(raw)) return ok(raw)
+  const near = nearest(String(raw), values)
+  return err(`is ${JSON.stringify(raw)}; write one of ${values.join(', ')}${near === undefined ? '' : `; did you mean "${near}"?`}`)
+}
+
+function parseList (definition: ParameterDefinition, raw: unknown): Parsed {
+  const isNumbers = definition.of === 'number'
+  const fits = Array.isArray(raw) && raw.every(item => isNumbers ? typeof item === 'number' : typeof item === 'string')
+  return fits ? ok(raw) : err(`is ${JSON.stringify(raw)}; write a list of ${isNumbers ? 'numbers' : 'texts'}`)
+}
+
+/** Reads a value by its kind, without its bounds. Durations become milliseconds, money thousandths of a euro, times milliseconds since the epoch. */
+export function parseKind (definition: ParameterDefinition, raw: unknown): Parsed {
+  switch (definition.kind) {
+    case 'string': return typeof raw === 'string' ? ok(raw) : wrong('string', raw)
+    case 'number': return typeof raw === 'number' && Number.isFinite(raw) ? ok(raw) : wrong('number', raw)
+    case 'boolean': return typeof raw === 'boolean' ? ok(raw) : wrong('boolean', raw)
+    case 'enum': return parseEnum(definition, raw)
+    case 'list': return parseList(definition, raw)
+    case 'duration': return parseDuration(raw)
+    case 'money': return parseMoney(raw)
+    case 'time': return parseTime(raw)
+  }
+}
+
+/** Reads a bound: of strings and lists a length, else a value of the kind. */
+export function parseBound (definition: ParameterDefinition, raw: unknown): Result<number, string> {
+  const isLength = definition.kind === 'string' || definition.kind === 'list'
+  const parsed = isLength ? parseKind({ ...definition, kind: 'number' }, raw) : parseKind(definition, raw)
+  return parsed.andThen(value => typeof value === 'number'
+    ? ok<number, string>(value)
+    : err<number, string>(`is a bound, which a parameter of kind ${definition.kind} can't have; remove it`))
+}
+
+/** Reads a value by its kind and bounds. */
+export function parseParameter (definition: ParameterDefinition, raw: unknown): Parsed {
+  const parsed = parseKind(definition, raw)
+  if (parsed.isErr) return parsed
+  const { value } = parsed
+  const size = typeof value === 'string' || Array.isArray(value) ? value.length : Number(value)
+  const unit = typeof value === 'string' ? ' characters' : Array.isArray(value) ? ' entries' : ''
+  const isBelow = definition.min !== undefined && size < parseBound(definition, definition.min).unwrapOr(-Infinity)
+  const isAbove = definition.max !== undefined && size > parseBound(definition, definition.max).unwrapOr(Infinity)
+  if (isBelow) return err(`is ${JSON.stringify(raw)}; write at least ${String(definition.min)}${unit}`)
+  if (isAbove) return err(`is ${JSON.stringify(raw)}; write at most ${String(definition.max)}${unit}`)
+  return parsed
+}
