--- a/src/core/outcomes/explanations.ts
+++ b/src/core/outcomes/explanations.ts
@@ -33,12 +33,14 @@
   'key-expired': { text: 'The idempotency key is older than what is kept.', remedy: 'Look up at the backend server whether the call ran.' },
   'key-missing': { text: 'A call that may not be repeated came without an idempotency key.', remedy: 'Send an Idempotency-Key.' },
   'running-elsewhere': { text: 'The same call is running.', remedy: 'Repeat with the same key at retryAtMs for its answer.' },
+  'answer-not-kept': { text: 'The call ran; its answer was too long to be kept for repeats.', remedy: 'Look the answer up at the backend server; don\'t send the call under a new key.' },
   'caller-left': { text: 'The caller closed its connection.', remedy: 'None; counted so that it isn\'t taken for a failure.' }
 }
 
 /** Why an attempt was followed by another. */
 export const retryExplanations: Record<RetryReason, Explanation> = {
   'connect-failed': { text: 'No connection to the backend server came about.', remedy: 'None unless it repeats for one backend server.' },
+  'backend-failed': { text: 'The backend server failed the attempt.', remedy: 'Check the backend server\'s log if it repeats.' },
   'backend-refused': { text: 'The backend server refused the attempt.', remedy: 'Check what it runs and its limits.' },
   'backend-leaving': { text: 'The backend server is leaving.', remedy: 'None; expected in a reclaim.' },
   'stream-broken': { text: 'The connection to the backend server broke.', remedy: 'Check the backend server if it repeats.' },
