--- /dev/null
+++ b/src/stand-ins/service/index.ts
@@ -0,0 +1,170 @@
+/**
+ * A stand-in for a plain service such as a case registry: it runs whatever it
+ * is sent and counts how often, so that a doubled call shows.
+ */
+import express from 'express'
+import { createSystemClock } from '../../core/clock/index.ts'
+import { notRunValue, runStateHeader } from '../../core/backends/index.ts'
+import { addOrderRoutes } from '../orders.ts'
+import { startServer } from '../server.ts'
+import { serviceCallMs } from '../timings.ts'
+import type { Request, Response } from 'express'
+import type { BackendState } from '../../core/backends/index.ts'
+import type { ListenOptions } from '../server.ts'
+
+/** Faults that can be set at any time. */
+export interface ServiceFaults {
+  /** Time of a call, in milliseconds. */
+  callMs: number
+  /** This many next answers are lost after the call ran. */
+  loseNextAnswers: number
+  /** This many next requests are lost before they run. */
+  loseNextRequests: number
+  /** Calls are refused before they run, and the answer says so. */
+  refuse: boolean
+  /** Calls are answered with an error after they ran. */
+  failing: boolean
+  frozen: boolean
+  down: boolean
+  /** Set to true to make open connections silent for good; new ones work. */
+  silenceConnections: boolean
+  /** Set to true to break open connections. */
+  breakConnections: boolean
+}
+
+/** Options of the stand-in. */
+export interface ServiceStandInOptions extends ListenOptions {
+  /** Port of the control listener; 0 takes a free one. */
+  controlPort?: number
+  versions?: string[]
+  checksFencing?: boolean
+  /** Whether `GET /calls/:key` tells the outcome of a key. */
+  answersLookups?: boolean
+  faults?: Partial<ServiceFaults>
+}
+
+/** What the service counted. */
+export interface ServiceStats {
+  /** Calls that ran, by idempotency key. */
+  ranByKey: Record<string, number>
+  ran: number
+  refused: number
+  ordersTaken: number
+  ordersRefused: number
+}
+
+/** A running stand-in service. */
+export interface ServiceStandIn {
+  url: string
+  controlUrl: string
+  stats: () => ServiceStats
+  state: () => BackendState
+  /** Changes some faults; `POST /faults` of the control listener does the same. */
+  set: (faults: Partial<ServiceFaults>) => Promise<void>
+  close: () => Promise<void>
+}
+
+const unavailableStatus = 503
+
+/** Starts a stand-in service. */
+export async function createServiceStandIn (options: ServiceStandInOptions = {}): Promise<ServiceStandIn> {
+  const clock = createSystemClock()
+  const faults: ServiceFaults = {
+    callMs: serviceCallMs,
+    loseNextAnswers: 0,
+    loseNextRequests: 0,
+    refuse: false,
+    failing: false,
+    frozen: false,
+    down: false,
+    silenceConnections: false,
+    breakConnections: false
+  }
+  const ranByKey = new Map<string, number>()
+  const outcomes = new Map<string, unknown>()
+  let ran = 0
+  let refused = 0
+
+  const app = express()
+  const server = await startServer(app, options)
+  app.use('/v1', express.json())
+  const orders = addOrderRoutes(app, {
+    versions: options.versions ?? ['v1'],
+    checksFencing: options.checksFencing ?? true,
+    load: async () => {}
+  })
+
+  function refuse (response: Response): void {
+    refused += 1
+    response.status(unavailableStatus).setHeader(runStateHeader, notRunValue).setHeader('retry-after', '1')
+    response.json({ error: { message: 'the service takes no calls now' } })
+  }
+
+  async function runCall (request: Request, response: Response): Promise<void> {
+    if (faults.loseNextRequests > 0) {
+      faults.loseNextRequests -= 1
+      request.socket.destroy()
+      return
+    }
+    if (faults.refuse || orders.state().role === 'drain') return refuse(response)
+    const key = request.get('idempotency-key')
+    ran += 1
+    const outcome = { route: request.params['route'], number: ran, sizeBytes: (request.body as Buffer).length }
+    if (key !== undefined) {
+      ranByKey.set(key, (ranByKey.get(key) ?? 0) + 1)
+      outcomes.set(key, outcome)
+    }
+    if (faults.callMs > 0) await clock.sleep(faults.callMs)
+    await server.whenThawed()
+    if (faults.loseNextAnswers > 0) {
+      faults.loseNextAnswers -= 1
+      request.socket.destroy()
+      return
+    }
+    if (faults.failing) response.status(500).json({ error: { message: 'the service failed' } })
+    else response.json(outcome)
+  }
+
+  app.post('/calls/:route', express.raw({ type: () => true, limit: '16mb' }), runCall)
+  app.get('/calls/:key', (request, response) => {
+    if (options.answersLookups === false) return response.status(404).json({ error: { message: 'no look-ups' } })
+    response.json({ ran: outcomes.has(request.params.key), outcome: outcomes.get(request.params.key) })
+  })
+
+  async function set (changes: Partial<ServiceFaults>): Promise<void> {
+    Object.assign(faults, changes)
+    if (changes.frozen === true) server.freeze()
+    if (changes.frozen === false) server.thaw()
+    if (changes.silenceConnections === true) server.silenceConnections()
+    if (changes.breakConnections === true) server.breakConnections()
+    if (changes.down === true) await server.goDown()
+    if (changes.down === false) await server.comeUp()
+  }
+
+  function stats (): ServiceStats {
+    const { taken, refused: ordersRefused } = orders.counts()
+    return { ranByKey: Object.fromEntries(ranByKey), ran, refused, ordersTaken: taken, ordersRefused }
+  }
+
+  const control = express()
+  control.use(express.json())
+  control.post('/faults', async (request, response) => {
+    await set(request.body as Partial<ServiceFaults>)
+    response.json({})
+  })
+  control.get('/stats', (_request, response) => { response.json(stats()) })
+  const controlServer = await startServer(control, { ...options, port: options.controlPort ?? 0 })
+  await set(options.faults ?? {})
+
+  return {
+    url: server.url,
+    controlUrl: controlServer.url,
+    stats,
+    state: orders.state,
+    set,
+    close: async () => {
+      server.thaw()
+      await Promise.all([server.close(), controlServer.close()])
+    }
+  }
+}
