--- /dev/null
+++ b/src/core/platform/instance-list/index.ts
@@ -0,0 +1,35 @@
+/** The instance list over HTTP. */
+import { createConnections } from '../../connections/index.ts'
+import { createPlatformCall } from '../call.ts'
+import type { Result } from 'true-myth'
+import type { Clock } from '../../clock/index.ts'
+import type { CyclamenError } from '../../errors/index.ts'
+import type { InstanceList, InstanceListing } from './types.ts'
+
+export type * from './types.ts'
+
+/** Options of the client. */
+export interface InstanceListOptions {
+  /** Base address of the list. */
+  url: string
+  clock: Clock
+}
+
+const maxConnections = 2
+
+/** Creates a client of the list. */
+export function createInstanceList ({ url, clock }: InstanceListOptions): InstanceList {
+  const connections = createConnections(url, { maxConnections })
+  const call = createPlatformCall('instance list', connections, clock)
+
+  async function read (deadlineAtMs: number): Promise<Result<InstanceListing, CyclamenError>> {
+    const answer = await call('read', { method: 'GET', path: '/instances', deadlineAtMs })
+    return answer.map(({ body }) => body as InstanceListing)
+  }
+
+  return {
+    read,
+    readNodes: async deadlineAtMs => (await read(deadlineAtMs)).map(({ nodes }) => nodes),
+    close: connections.close
+  }
+}
--- /dev/null
+++ b/src/stand-ins/cloud/index.ts
@@ -0,0 +1,229 @@
+/**
+ * A stand-in for the cloud: prices by zone and class, refused starts, notices
+ * and reclaims of one instance or of a whole failure domain. Instances are
+ * backend servers started in-process by a function.
+ */
+import express from 'express'
+import { createSystemClock } from '../../core/clock/index.ts'
+import { toId } from '../../core/ids/index.ts'
+import { startServer } from '../server.ts'
+import { instanceStartMs, reclaimNoticeMs } from '../timings.ts'
+import { listOffers } from './offers.ts'
+import type { Request, Response } from 'express'
+import type { Backend } from '../../core/backends/index.ts'
+import type { DomainId, InstanceId } from '../../core/ids/index.ts'
+import type { CloudInstance, CloudStart, Purchase, ReclaimNotice } from '../../core/platform/cloud/index.ts'
+import type { ListenOptions } from '../server.ts'
+
+/** A backend server that runs on an instance. */
+export interface StartedBackend {
+  kind: Backend['kind']
+  url: string
+  /** Tells it that its instance is reclaimed. */
+  leave?: (goneAtMs: number) => Promise<void>
+  close: () => Promise<void>
+}
+
+/** Which starts are refused; a rule holds for what matches all its fields. */
+export interface RefusalRule {
+  domain?: string
+  machineClass?: string
+  purchase?: Purchase
+}
+
+/** Options of the stand-in. */
+export interface CloudStandInOptions extends ListenOptions {
+  domains?: string[]
+  startMs?: number
+  noticeMs?: number
+  /** Starts the backend server of an instance. */
+  startBackend?: (instance: CloudInstance) => Promise<StartedBackend>
+  refusals?: RefusalRule[]
+  /** Whether starts and stops with an old fencing number are refused. */
+  checksFencing?: boolean
+}
+
+/** What the cloud counted. */
+export interface CloudStats {
+  started: number
+  refused: number
+  stopped: number
+  reclaimed: number
+  fenced: number
+  /** Cost of all instances since the start. */
+  costMilliEuro: number
+}
+
+/** A running stand-in. */
+export interface CloudStandIn {
+  url: string
+  /** Backend servers as they are now, without any lag. */
+  backends: () => Backend[]
+  instances: () => CloudInstance[]
+  /** Replaces the rules; `POST /control/refusals` does the same. */
+  setRefusals: (rules: RefusalRule[]) => void
+  /** Gives notice to one instance; `POST /control/reclaim` does the same. */
+  reclaim: (instance: InstanceId, noticeMs?: number) => Promise<void>
+  /** Gives notice to all reclaimable instances of a domain. */
+  reclaimDomain: (domain: DomainId, noticeMs?: number) => Promise<void>
+  stats: () => CloudStats
+  close: () => Promise<void>
+}
+
+interface Running {
+  instance: CloudInstance
+  backend: StartedBackend | undefined
+  startedAtMs: number
+}
+
+const defaultDomains = ['zone-a', 'zone-b', 'zone-c']
+const msPerHour = 3_600_000
+
+/** Starts a stand-in cloud. */
+export async function createCloudStandIn (options: CloudStandInOptions = {}): Promise<CloudStandIn> {
+  const clock = createSystemClock()
+  const closed = new AbortController()
+  const offers = listOffers(options.domains ?? defaultDomains)
+  const running = new Map<InstanceId, Running>()
+  const notices: ReclaimNotice[] = []
+  const highestFencing = new Map<string, number>()
+  const counts = { started: 0, refused: 0, stopped: 0, reclaimed: 0, fenced: 0 }
+  let refusals = options.refusals ?? []
+  let endedCostMilliEuro = 0
+
+  function costOf ({ instance, startedAtMs }: Running): number {
+    return instance.priceMilliEuroPerHour * (clock.wallMs() - startedAtMs) / msPerHour
+  }
+
+  /** Whether an order comes from a former holder of the duty. */
+  function isFenced (team: string, fencingNumber: number): boolean {
+    const highest = highestFencing.get(team) ?? 0
+    if (options.checksFencing === true && fencingNumber < highest) {
+      counts.fenced += 1
+      return true
+    }
+    highestFencing.set(team, Math.max(highest, fencingNumber))
+    return false
+  }
+
+  function start (order: CloudStart): CloudInstance | undefined {
+    const same = [...running.values()].find(({ instance }) => instance.name === order.name)
+    if (same !== undefined) return same.instance
+    const offer = offers.find(each => each.domain === order.domain && each.machineClass === order.machineClass && each.purchase === order.purchase)
+    const refused = refusals.some(rule => Object.entries(rule).every(([field, value]) => order[field as keyof RefusalRule] === value))
+    if (offer === undefined || refused) {
+      counts.refused += 1
+      return undefined
+    }
+    counts.started += 1
+    const { fencingNumber: _, ...rest } = order
+    const id = toId<InstanceId>(`i-${counts.started}`)
+    const instance: CloudInstance = { ...rest, id, state: 'starting', priceMilliEuroPerHour: offer.priceMilliEuroPerHour }
+    const entry: Running = { instance, backend: undefined, startedAtMs: clock.wallMs() }
+    running.set(id, entry)
+    bringUp(entry)
+    return instance
+  }
+
+  async function bringUp (entry: Running): Promise<void> {
+    await clock.sleep(options.startMs ?? instanceStartMs, closed.signal)
+    if (closed.signal.aborted || !running.has(entry.instance.id)) return
+    const backend = await options.startBackend?.(entry.instance)
+    entry.backend = backend
+    if (entry.instance.state === 'starting') entry.instance.state = 'live'
+    // The instance may have ended while its backend server started.
+    if (!running.has(entry.instance.id)) await backend?.close()
+    else if (entry.instance.goneAtMs !== undefined) await backend?.leave?.(entry.instance.goneAtMs)
+  }
+
+  async function end (id: InstanceId): Promise<void> {
+    const entry = running.get(id)
+    if (entry === undefined) return
+    running.delete(id)
+    endedCostMilliEuro += costOf(entry)
+    await entry.backend?.close()
+  }
+
+  async function reclaim (id: InstanceId, noticeMs = options.noticeMs ?? reclaimNoticeMs): Promise<void> {
+    const entry = running.get(id)
+    if (entry === undefined || entry.instance.state === 'leaving') return
+    counts.reclaimed += 1
+    const goneAtMs = clock.wallMs() + noticeMs
+    entry.instance.state = 'leaving'
+    entry.instance.goneAtMs = goneAtMs
+    notices.push({ sequence: notices.length + 1, instance: id, goneAtMs })
+    clock.sleep(noticeMs, closed.signal).then(() => end(id))
+    await entry.backend?.leave?.(goneAtMs)
+  }
+
+  async function reclaimDomain (domain: DomainId, noticeMs?: number): Promise<void> {
+    const taken = [...running.values()].filter(({ instance }) => instance.domain === domain && instance.purchase === 'reclaimable')
+    await Promise.all(taken.map(({ instance }) => reclaim(instance.id, noticeMs)))
+  }
+
+  function backends (): Backend[] {
+    return [...running.values()].flatMap(({ instance, backend }) => backend === undefined ? [] : [toBackend(instance, backend)])
+  }
+
+  const app = express()
+  app.use(express.json())
+  app.get('/offers', (_request, response) => { response.json(offers) })
+  app.get('/instances', (_request, response) => { response.json([...running.values()].map(({ instance }) => instance)) })
+  app.get('/backends', (_request, response) => { response.json(backends()) })
+  app.get('/notices', (request, response) => {
+    response.json(notices.filter(({ sequence }) => sequence > Number(request.query['after'] ?? 0)))
+  })
+  app.post('/instances', (request: Request, response: Response) => {
+    const order = request.body as CloudStart
+    if (isFenced(order.team, order.fencingNumber)) return response.status(409).json({ error: 'fenced' })
+    const instance = start(order)
+    if (instance === undefined) return response.status(503).json({ error: 'no capacity' })
+    response.json(instance)
+  })
+  app.delete('/instances/:id', async (request: Request, response: Response) => {
+    const entry = running.get(toId<InstanceId>(String(request.params['id'])))
+    if (entry === undefined) return response.status(404).json({ error: 'no such instance' })
+    if (isFenced(entry.instance.team, Number(request.query['fencingNumber'] ?? 0))) return response.status(409).json({ error: 'fenced' })
+    counts.stopped += 1
+    await end(entry.instance.id)
+    response.json({})
+  })
+  app.post('/control/refusals', (request, response) => {
+    refusals = request.body as RefusalRule[]
+    response.json({})
+  })
+  app.post('/control/reclaim', async (request, response) => {
+    const { instance, domain, noticeMs } = request.body as { instance?: string, domain?: string, noticeMs?: number }
+    if (instance !== undefined) await reclaim(toId<InstanceId>(instance), noticeMs)
+    if (domain !== undefined) await reclaimDomain(toId<DomainId>(domain), noticeMs)
+    response.json({})
+  })
+  app.get('/control/stats', (_request, response) => { response.json(stats()) })
+  const server = await startServer(app, options)
+
+  function stats (): CloudStats {
+    const openCosts = [...running.values()].reduce((sum, entry) => sum + costOf(entry), 0)
+    return { ...counts, costMilliEuro: endedCostMilliEuro + openCosts }
+  }
+
+  return {
+    url: server.url,
+    backends,
+    instances: () => [...running.values()].map(({ instance }) => ({ ...instance })),
+    setRefusals: rules => { refusals = rules },
+    reclaim,
+    reclaimDomain,
+    stats,
+    close: async () => {
+      closed.abort()
+      await Promise.all([...running.keys()].map(end))
+      await server.close()
+    }
+  }
+}
+
+function toBackend (instance: CloudInstance, { kind, url }: StartedBackend): Backend {
+  const { id, team, version, domain, machineClass, purchase, state, goneAtMs } = instance
+  const backend: Backend = { id: toId(id), instance: id, team, kind, version, domain, machineClass, reclaimable: purchase === 'reclaimable', url, state }
+  return goneAtMs === undefined ? backend : { ...backend, goneAtMs }
+}
--- /dev/null
+++ b/src/stand-ins/instance-list/index.ts
@@ -0,0 +1,102 @@
+/**
+ * A stand-in for the platform's instance list: entry nodes and backend
+ * servers as they were some time ago.
+ */
+import express from 'express'
+import { request as sendRequest } from 'undici'
+import { createSystemClock } from '../../core/clock/index.ts'
+import { startServer } from '../server.ts'
+import { instanceListLagMs } from '../timings.ts'
+import type { Backend } from '../../core/backends/index.ts'
+import type { InstanceListing, ListedEntryNode } from '../../core/platform/instance-list/index.ts'
+import type { ListenOptions } from '../server.ts'
+
+/** Options of the stand-in. */
+export interface InstanceListStandInOptions extends ListenOptions {
+  /** Age of what it shows, in milliseconds. */
+  lagMs?: number
+  /** Where the backend servers are read, in-process. */
+  backends?: () => Backend[]
+  /** Where they are read otherwise: the address of a stand-in cloud. */
+  cloudUrl?: string
+  nodes?: ListedEntryNode[]
+}
+
+/** A running stand-in. */
+export interface InstanceListStandIn {
+  url: string
+  /** Sets the entry nodes; `POST /control/nodes` adds or changes one, `DELETE /control/nodes/:node` removes one. */
+  setNodes: (nodes: ListedEntryNode[]) => void
+  /** Backend servers besides those that are read elsewhere. */
+  setBackends: (backends: Backend[]) => void
+  set: (faults: { down: boolean }) => Promise<void>
+  close: () => Promise<void>
+}
+
+const sampleIntervalMs = 100
+
+/** Starts a stand-in list. */
+export async function createInstanceListStandIn (options: InstanceListStandInOptions = {}): Promise<InstanceListStandIn> {
+  const clock = createSystemClock()
+  const closed = new AbortController()
+  const lagMs = options.lagMs ?? instanceListLagMs
+  let nodes = options.nodes ?? []
+  let fixedBackends: Backend[] = []
+  let samples: Array<{ atMs: number, listing: InstanceListing }> = []
+
+  async function readBackends (): Promise<Backend[]> {
+    if (options.backends !== undefined) return options.backends()
+    if (options.cloudUrl === undefined) return []
+    const { body } = await sendRequest(`${options.cloudUrl}/backends`)
+    return await body.json() as Backend[]
+  }
+
+  async function sample (): Promise<void> {
+    const backends = await readBackends()
+    const atMs = clock.monotonicMs()
+    samples.push({ atMs, listing: structuredClone({ nodes, backends: [...fixedBackends, ...backends] }) })
+    const visible = samples.findLastIndex(each => each.atMs <= atMs - lagMs)
+    if (visible > 0) samples = samples.slice(visible)
+  }
+
+  async function sampleOften (): Promise<void> {
+    while (!closed.signal.aborted) {
+      // A cloud that can't be read leaves the list as it was.
+      await sample().catch(() => {})
+      await clock.sleep(sampleIntervalMs, closed.signal)
+    }
+  }
+
+  function setNode (node: ListedEntryNode): void {
+    nodes = [...nodes.filter(other => other.address.node !== node.address.node), node]
+  }
+
+  const app = express()
+  app.use(express.json())
+  app.get('/instances', async (_request, response) => {
+    if (lagMs === 0) await sample().catch(() => {})
+    const shown = lagMs === 0 ? samples.at(-1) : samples[0]
+    response.json(shown?.listing ?? { nodes: [], backends: [] })
+  })
+  app.post('/control/nodes', (request, response) => {
+    setNode(request.body as ListedEntryNode)
+    response.json({})
+  })
+  app.delete('/control/nodes/:node', (request, response) => {
+    nodes = nodes.filter(({ address }) => address.node !== request.params.node as string)
+    response.json({})
+  })
+  const server = await startServer(app, options)
+  sampleOften()
+
+  return {
+    url: server.url,
+    setNodes: next => { nodes = next },
+    setBackends: next => { fixedBackends = next },
+    set: async ({ down }) => { await (down ? server.goDown() : server.comeUp()) },
+    close: async () => {
+      closed.abort()
+      await server.close()
+    }
+  }
+}
--- /dev/null
+++ b/src/stand-ins/weight-store/index.ts
@@ -0,0 +1,70 @@
+/**
+ * A stand-in for the weight store: downloads take the time that their size
+ * and the shared rate ask for, without any bytes.
+ */
+import express from 'express'
+import { createSystemClock } from '../../core/clock/index.ts'
+import { startServer } from '../server.ts'
+import { versionWeightBytes, weightStoreBytesPerSecond } from '../timings.ts'
+import type { ListenOptions } from '../server.ts'
+
+/** Options of the stand-in. */
+export interface WeightStoreStandInOptions extends ListenOptions {
+  maxBytesPerSecond?: number
+  /** Size of every version's weights, in bytes. */
+  sizeBytes?: number
+}
+
+/** A running stand-in. */
+export interface WeightStoreStandIn {
+  url: string
+  /** Fetches a version's weights in-process; `POST /weights/:version/downloads` does the same. */
+  download: () => Promise<void>
+  stats: () => { downloads: number, maxDownloads: number, finished: number }
+  close: () => Promise<void>
+}
+
+const shareIntervalMs = 10
+
+/** Starts a stand-in store. */
+export async function createWeightStoreStandIn (options: WeightStoreStandInOptions = {}): Promise<WeightStoreStandIn> {
+  const clock = createSystemClock()
+  const closed = new AbortController()
+  const maxBytesPerSecond = options.maxBytesPerSecond ?? weightStoreBytesPerSecond
+  const sizeBytes = options.sizeBytes ?? versionWeightBytes
+  const stats = { downloads: 0, maxDownloads: 0, finished: 0 }
+
+  async function download (): Promise<void> {
+    stats.downloads += 1
+    stats.maxDownloads = Math.max(stats.maxDownloads, stats.downloads)
+    let leftBytes = sizeBytes
+    let sharedAtMs = clock.monotonicMs()
+    while (leftBytes > 0 && !closed.signal.aborted) {
+      await clock.sleep(shareIntervalMs, closed.signal)
+      const nowMs = clock.monotonicMs()
+      leftBytes -= maxBytesPerSecond / stats.downloads * (nowMs - sharedAtMs) / 1000
+      sharedAtMs = nowMs
+    }
+    stats.downloads -= 1
+    stats.finished += 1
+  }
+
+  const app = express()
+  app.get('/status', (_request, response) => { response.json({ downloads: stats.downloads, maxBytesPerSecond }) })
+  app.get('/weights/:version', (_request, response) => { response.json({ sizeBytes }) })
+  app.post('/weights/:version/downloads', async (_request, response) => {
+    await download()
+    response.json({ sizeBytes })
+  })
+  const server = await startServer(app, options)
+
+  return {
+    url: server.url,
+    download,
+    stats: () => ({ ...stats }),
+    close: async () => {
+      closed.abort()
+      await server.close()
+    }
+  }
+}
