Route by cost alone and let failures count, instead of a hard limit

Cause: passing over backend servers at their learned limit made prompts spill from their homes and be computed again, which raised the load that the limit reacted to. The limits go on to bound admission. What they guarded against, a backend server that fails at once and looks empty, is now a cost of its own.

Requests may also name a time by which a permit is of use (startByAtMs), so that overload is refused at once and not held until it is late.

--- a/src/core/admission/index.ts
+++ b/src/core/admission/index.ts
@@ -32,6 +32,11 @@
   'caller-left': 'The caller left while the request waited.'
 }
 
+/** Wall time after which a permit is of no use. */
+function latestStartAtMs (request: AdmissionRequest, expectedMs: number): number {
+  return Math.min(request.startByAtMs ?? Infinity, request.deadlineAtMs - expectedMs)
+}
+
 /** Creates the admission of one node. */
 export function createAdmission (options: AdmissionOptions): Admission {
   const { clock, metrics, random, capacity = () => Infinity } = options
@@ -127,8 +132,7 @@
         drain: () => end(err(refusal('draining', minReturnMs)))
       }
       state.queue.push(request.priority, waiter)
-      const latestStartAtMs = request.deadlineAtMs - expectedMs
-      clock.sleep(latestStartAtMs - clock.wallMs(), settled.signal).then(() => {
+      clock.sleep(latestStartAtMs(request, expectedMs) - clock.wallMs(), settled.signal).then(() => {
         if (!settled.signal.aborted) end(err(refusal('deadline-unreachable', expectedMs)))
       })
       request.signal?.addEventListener('abort', () => {
@@ -148,7 +152,7 @@
       const reason = state.inFlight >= state.limit ? 'team-limit' : 'queue-full'
       return refusal(reason, waitMs)
     }
-    if (waitMs + expectedMs > remainingMs) return refusal('deadline-unreachable', waitMs)
+    if (waitMs > latestStartAtMs(request, expectedMs) - clock.wallMs()) return refusal('deadline-unreachable', waitMs)
     return undefined
   }
 
--- a/src/core/admission/types.ts
+++ b/src/core/admission/types.ts
@@ -16,6 +16,11 @@
   priority: Priority
   /** Wall time by which the answer has to be there. */
   deadlineAtMs: number
+  /**
+   * Wall time by which the request has to be let in to be of use, such as what the first
+   * token's latency target leaves. Work that would wait longer is refused and not held.
+   */
+  startByAtMs?: number
   /** The team's share when teams contend; larger is more. */
   weight: number
   /** Most requests of the team in flight at this node. */
--- a/src/core/routing/cost.ts
+++ b/src/core/routing/cost.ts
@@ -3,7 +3,7 @@
 import type { EngineProfile } from './types.ts'
 
 /** Share of its service time by which a request slows down when the batch is full. */
-const batchingShare = 0.2
+const batchingShare = 0.1
 
 /** Expected wait for a free slot: requests beyond the slots, divided by the slots' throughput. */
 function slotWaitMs (load: Load, profile: EngineProfile): number {
@@ -18,8 +18,14 @@
   return slotWaitMs(load, profile) + prefillTokens * profile.prefillMsPerToken
 }
 
-/** Cost of a candidate: the time to its first token, and what a fuller batch costs all that run there. */
-export function candidateCostMs (load: Load, profile: EngineProfile, firstTokenMs: number): number {
-  const batchMs = Math.min(1, load.requests / profile.slots) * batchingShare * profile.serviceMs
-  return firstTokenMs + batchMs
+/**
+ * Cost of a candidate: the time to its first token, and what it costs those
+ * that run there already: a fuller batch, and their wait while the prompt is read.
+ */
+export function candidateCostMs (load: Load, profile: EngineProfile, firstTokenMs: number, uncachedTokens: number): number {
+  const utilisation = Math.min(1, load.requests / profile.slots)
+  const batchMs = batchingShare * profile.serviceMs
+  const delayOfOthersMs = uncachedTokens * profile.prefillMsPerToken
+  const failureMs = load.failureShare * profile.serviceMs
+  return firstTokenMs + utilisation * (batchMs + delayOfOthersMs) + failureMs
 }
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -31,7 +31,6 @@
 interface Candidate {
   choice: RouteChoice
   costMs: number
-  overLimit: boolean
   homeRank: number
 }
 
@@ -43,7 +42,7 @@
 
 /** Creates the router of one node. */
 export function createRouter (options: RouterOptions): Router {
-  const { node, clock, metrics, hasher, random, profileOf, limitOf = () => Infinity } = options
+  const { node, clock, metrics, hasher, random, profileOf } = options
   const { serves = servesOwnTeam } = options
   const { subsetSize = defaultSubsetSize, maxIndexEntries = defaultMaxIndexEntries } = options
   const loads = createLoadBook()
@@ -77,7 +76,7 @@
     const guessed = homeRank === -1 ? 0 : homeHits.ratio(request.team, homeRank) * wholeTokens
     const heldTokens = heldBlocks * blockTokens
     const expectedCachedTokens = Math.round(Math.max(heldTokens, guessed))
-    const load = loads.read(backend.id)
+    const load = loads.read(backend.id, clock.wallMs())
     const profile = profileOf(backend.machineClass)
     const firstTokenMs = expectedFirstTokenMs(load, profile, promptTokens - expectedCachedTokens)
     const reason = heldTokens > guessed ? 'prefix-held' : homeRank === -1 ? 'least-cost' : 'prefix-home'
@@ -90,31 +89,23 @@
       expectedFirstTokenMs: firstTokenMs,
       prompt: request.prompt
     }
-    const costMs = candidateCostMs(load, profile, firstTokenMs)
-    return { choice, costMs, overLimit: load.own >= limitOf(backend.id), homeRank }
+    const costMs = candidateCostMs(load, profile, firstTokenMs, promptTokens - expectedCachedTokens)
+    return { choice, costMs, homeRank }
   }
 
-  // The whole subset is looked at only when the usual candidates are at their limits.
   function bestOf (request: RouteRequest, live: readonly Backend[]): Candidate | undefined {
     const homes = homesOf(request, live)
     const held = request.prompt === undefined ? new Map<BackendId, number>() : index.held(request.prompt.hashes)
     const holders = held.size === 0 ? [] : live.filter(backend => held.has(backend.id))
-    const evaluateAll = (backends: Iterable<Backend>): Candidate[] => [...backends].map(backend => {
+    const considered = new Set([...homes, ...holders, ...twoPicks(live)])
+    return best([...considered].map(backend => {
       return evaluate(request, backend, held.get(backend.id) ?? 0, homes.indexOf(backend))
-    })
-    const chosen = best(evaluateAll(new Set([...homes, ...holders, ...twoPicks(live)])))
-    if (chosen?.overLimit !== true) return chosen
-    return best([chosen, ...evaluateAll(rendezvous.subset(node, live, subsetSize))])
-  }
-
-  function isBetter (candidate: Candidate, other: Candidate): boolean {
-    if (candidate.overLimit !== other.overLimit) return other.overLimit
-    return candidate.costMs < other.costMs
+    }))
   }
 
   function best (all: readonly Candidate[]): Candidate | undefined {
     return all.reduce<Candidate | undefined>((known, candidate) => {
-      return known === undefined || isBetter(candidate, known) ? candidate : known
+      return known === undefined || candidate.costMs < known.costMs ? candidate : known
     }, undefined)
   }
 
@@ -151,7 +142,7 @@
   function ended (attempt: AttemptId, outcome: RouteOutcome): void {
     const known = open.get(attempt)
     open.delete(attempt)
-    loads.ended(attempt, clock.wallMs())
+    loads.ended(attempt, !outcome.ok && outcome.counts !== false, clock.wallMs())
     if (known?.expectation === undefined || known.choice.reason !== 'prefix-home') return
     const { cachedTokens, promptTokens } = outcome
     if (cachedTokens === undefined || promptTokens === undefined || promptTokens === 0) return
--- a/src/core/routing/load-book.ts
+++ b/src/core/routing/load-book.ts
@@ -8,6 +8,11 @@
 /** Weight of the newest service time in the moving average. */
 const newestShare = 0.1
 
+/** Weight of the newest attempt in the share of failures. */
+const newestFailureShare = 0.25
+/** Time after which a failure counts half, so that a backend server is tried again. */
+const failureHalfLifeMs = 5000
+
 /** One attempt of this node that hasn't ended. */
 export interface OpenAttempt {
   backend: BackendId
@@ -23,6 +28,8 @@
   /** Send and end times of attempts that ended after the last report. */
   ended: Array<{ sentAtMs: number, endedAtMs: number }>
   serviceMs: number | undefined
+  failureShare: number
+  failureAtMs: number
 }
 
 /** Load of one backend server as far as this node can tell. */
@@ -35,14 +42,16 @@
   pendingTokens: number
   /** Measured time that a request holds its slot, if any ended. */
   serviceMs: number | undefined
+  /** Share of this node's attempts there that failed lately, 0 to 1. */
+  failureShare: number
 }
 
 /** The load of all backend servers that this node deals with. Times are wall times, because reports carry them. */
 export interface LoadBook {
-  read: (backend: BackendId) => Load
+  read: (backend: BackendId, nowMs: number) => Load
   sent: (attempt: AttemptId, backend: BackendId, pendingTokens: number, nowMs: number) => void
   firstToken: (attempt: AttemptId) => void
-  ended: (attempt: AttemptId, nowMs: number) => OpenAttempt | undefined
+  ended: (attempt: AttemptId, failed: boolean, nowMs: number) => void
   report: (report: LoadReport) => void
   forget: (backend: BackendId) => void
 }
@@ -55,7 +64,7 @@
   function accountOf (backend: BackendId): Account {
     const known = accounts.get(backend)
     if (known !== undefined) return known
-    const made: Account = { report: undefined, open: new Set(), ended: [], serviceMs: undefined }
+    const made: Account = { report: undefined, open: new Set(), ended: [], serviceMs: undefined, failureShare: 0, failureAtMs: 0 }
     accounts.set(backend, made)
     return made
   }
@@ -68,12 +77,17 @@
     return Math.max(open.size, report.running + report.waiting + sentSince - endedSince)
   }
 
-  function read (backend: BackendId): Load {
+  function failureShareAt (account: Account, nowMs: number): number {
+    return account.failureShare * 0.5 ** ((nowMs - account.failureAtMs) / failureHalfLifeMs)
+  }
+
+  function read (backend: BackendId, nowMs: number): Load {
     const account = accounts.get(backend)
-    if (account === undefined) return { requests: 0, own: 0, pendingTokens: 0, serviceMs: undefined }
+    if (account === undefined) return { requests: 0, own: 0, pendingTokens: 0, serviceMs: undefined, failureShare: 0 }
     let pendingTokens = 0
     for (const attempt of account.open) pendingTokens += attempt.pendingTokens
-    return { requests: requestsAt(account), own: account.open.size, pendingTokens, serviceMs: account.serviceMs }
+    const failureShare = failureShareAt(account, nowMs)
+    return { requests: requestsAt(account), own: account.open.size, pendingTokens, serviceMs: account.serviceMs, failureShare }
   }
 
   function sent (attempt: AttemptId, backend: BackendId, pendingTokens: number, nowMs: number): void {
@@ -87,18 +101,26 @@
     if (opened !== undefined) opened.pendingTokens = 0
   }
 
-  function ended (attempt: AttemptId, nowMs: number): OpenAttempt | undefined {
+  function countOutcome (account: Account, failed: boolean, nowMs: number): void {
+    const before = failureShareAt(account, nowMs)
+    account.failureShare = before + newestFailureShare * ((failed ? 1 : 0) - before)
+    account.failureAtMs = nowMs
+  }
+
+  function ended (attempt: AttemptId, failed: boolean, nowMs: number): void {
     const opened = attempts.get(attempt)
-    if (opened === undefined) return undefined
+    if (opened === undefined) return
     attempts.delete(attempt)
     const account = accounts.get(opened.backend)
-    if (account === undefined) return opened
+    if (account === undefined) return
     account.open.delete(opened)
     if (account.report !== undefined) account.ended.push({ sentAtMs: opened.sentAtMs, endedAtMs: nowMs })
+    countOutcome(account, failed, nowMs)
+    // A failure is often quick and says nothing about how long the work takes.
+    if (failed) return
     const tookMs = Math.max(0, nowMs - opened.sentAtMs)
     const before = account.serviceMs ?? tookMs
     account.serviceMs = before + newestShare * (tookMs - before)
-    return opened
   }
 
   function report (report: LoadReport): void {
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -60,6 +60,8 @@
 /** What an attempt showed when it ended. */
 export interface RouteOutcome {
   ok: boolean
+  /** Whether a failure is the backend server's own, and no cancel or reclaim; true when left out. */
+  counts?: boolean
   /** Prompt tokens that the engine found in its cache, if it said so. */
   cachedTokens?: number
   promptTokens?: number
@@ -101,8 +103,6 @@
   profileOf: (machineClass: string) => EngineProfile
   /** Whether a backend server may serve a team; by default only its own. */
   serves?: (backend: Backend, team: TeamId) => boolean
-  /** Requests that this node may have in flight at the backend server; unlimited when left out. */
-  limitOf?: (backend: BackendId) => number
   /** Most backend servers of a version that two-choice picks draw from. */
   subsetSize?: number
   /** Most block hashes that the prefix index holds. */
