--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -2,16 +2,20 @@
 import type { Command } from '@oclif/core'
 import Call from './call/index.ts'
 import Check from './check/index.ts'
+import Completion from './completion/index.ts'
 import Draft from './draft/index.ts'
 import Explain from './explain/index.ts'
+import StandIn from './stand-in/index.ts'
 import Status from './status/index.ts'
 
 /** The commands in one table, since the single executable can't load them from files. */
 export const commands: Record<string, Command.Class> = {
   call: Call,
   check: Check,
+  completion: Completion,
   draft: Draft,
   explain: Explain,
+  'stand-in': StandIn,
   status: Status
 }
 
--- /dev/null
+++ b/src/cli/stop-signal.ts
@@ -0,0 +1,14 @@
+/** Waits until the process is asked to stop. */
+
+/** Resolves at the first SIGTERM or SIGINT. A second one ends the process as usual. */
+export function stopSignal (): Promise<void> {
+  return new Promise(resolve => {
+    function stop (): void {
+      process.off('SIGTERM', stop)
+      process.off('SIGINT', stop)
+      resolve()
+    }
+    process.on('SIGTERM', stop)
+    process.on('SIGINT', stop)
+  })
+}
--- a/src/core/outcomes/explanations.ts
+++ b/src/core/outcomes/explanations.ts
@@ -33,6 +33,7 @@
   'key-expired': { text: 'The idempotency key is older than what is kept.', remedy: 'Look up at the backend server whether the call ran.' },
   'key-missing': { text: 'A call that may not be repeated came without an idempotency key.', remedy: 'Send an Idempotency-Key.' },
   'running-elsewhere': { text: 'The same call is running.', remedy: 'Repeat with the same key at retryAtMs for its answer.' },
+  'answer-not-kept': { text: 'The call ran; its answer was too long to be kept for repeats.', remedy: 'Look the outcome up at the backend server; don\'t send the call under a new key.' },
   'caller-left': { text: 'The caller closed its connection.', remedy: 'None; counted so that it isn\'t taken for a failure.' }
 }
 
@@ -44,6 +45,7 @@
   'stream-broken': { text: 'The connection to the backend server broke.', remedy: 'Check the backend server if it repeats.' },
   'stream-silent': { text: 'The connection to the backend server went silent.', remedy: 'Check what stands between both if it repeats.' },
   'answer-incomplete': { text: 'The answer ended without its end mark or with a gap.', remedy: 'Check the backend server if it repeats.' },
+  'backend-failed': { text: 'The backend server failed the attempt.', remedy: 'See the backend server\'s log if it repeats.' },
   'version-withdrawn': { text: 'The version was taken back.', remedy: 'None; see "cyclamenshunt moves list".' },
   overloaded: { text: 'The backend server said that it is overloaded.', remedy: 'More backend servers are needed if it lasts.' },
   'owner-moved': { text: 'Another node took over what the request needs.', remedy: 'None; expected when nodes come and go.' }
