--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -5,6 +5,7 @@
 import Completion from './completion/index.ts'
 import Draft from './draft/index.ts'
 import Explain from './explain/index.ts'
+import Serve from './serve/index.ts'
 import StandIn from './stand-in/index.ts'
 import Status from './status/index.ts'
 
@@ -15,6 +16,7 @@
   completion: Completion,
   draft: Draft,
   explain: Explain,
+  serve: Serve,
   'stand-in': StandIn,
   status: Status
 }
--- a/src/core/errors/commands.ts
+++ b/src/core/errors/commands.ts
@@ -21,6 +21,11 @@
     message: ({ argument, problem }) => `${argument} ${problem}.`,
     hint: 'Run the command with --help for examples.'
   }),
+  ListenFailed: entry<{ cause: string }>({
+    title: 'Address not available',
+    message: ({ cause }) => `The node can't listen: ${cause}.`,
+    hint: 'Check callers and peers in the settings, and whether another process has the port.'
+  }),
   AnswerRefused: entry<{ status: number, reason: string, run: string, detail: string, retryAtMs: number | undefined }>({
     title: 'Answer refused',
     message: ({ status, reason, run, detail }) => `The node refused the request (status ${status}, reason ${reason}, run: ${run}): ${detail}`,
