--- /dev/null
+++ b/test/calls/calls.test.ts
@@ -0,0 +1,178 @@
+import test from 'ava'
+import { createRandom } from '../../bench/prove/random.ts'
+import { createCallCluster } from '../../bench/prove/simulation/cluster.ts'
+import { toId } from '../../src/core/ids/index.ts'
+import type { Result } from 'true-myth'
+import type { CallCluster, SimulatedNode } from '../../bench/prove/simulation/cluster.ts'
+import type { Call, CallAnswer } from '../../src/core/calls/index.ts'
+import type { IdempotencyKey } from '../../src/core/ids/index.ts'
+import type { Refusal } from '../../src/core/outcomes/index.ts'
+
+type Ended = Result<CallAnswer, Refusal>
+
+async function createCluster (nodes: number, lookUp = false): Promise<{ cluster: CallCluster, nodes: SimulatedNode[] }> {
+  const cluster = createCallCluster({ random: createRandom(7), naive: false, lookUp })
+  for (let node = 0; node < nodes; node += 1) cluster.start()
+  await cluster.clock.advance(8_000)
+  return { cluster, nodes: cluster.nodes() }
+}
+
+function callOf (cluster: CallCluster, key: string, changes: Partial<Call> = {}): Call {
+  return {
+    team: toId('registry'),
+    route: 'registrations',
+    key: toId<IdempotencyKey>(key),
+    repeatable: false,
+    contentType: 'text/plain',
+    body: Buffer.from(`register ${key}`),
+    deadlineAtMs: cluster.clock.wallMs() + 5_000,
+    ...changes
+  }
+}
+
+async function ended (cluster: CallCluster, running: Promise<Ended>, withinMs = 20_000): Promise<Ended> {
+  const seen: { result?: Ended } = {}
+  running.then(result => { seen.result = result })
+  for (let passedMs = 0; seen.result === undefined && passedMs < withinMs; passedMs += 10) await cluster.clock.advance(10)
+  return seen.result!
+}
+
+function run (cluster: CallCluster, node: SimulatedNode, key: string, changes: Partial<Call> = {}): Promise<Ended> {
+  return ended(cluster, node.calls.run(callOf(cluster, key, changes)))
+}
+
+function outcome (result: Ended): string {
+  return result.isOk ? `done ${result.value.body.toString()}` : `${result.error.reason} ${result.error.run}`
+}
+
+test('repeats through every node, at once and later, get the one answer', async t => {
+  const { cluster, nodes } = await createCluster(4)
+  const together = nodes.map(node => node.calls.run(callOf(cluster, 'a')))
+  const first = await Promise.all(together.map(running => ended(cluster, running)))
+  const later = await run(cluster, nodes[2]!, 'a')
+  t.is(new Set([...first, later].map(outcome)).size, 1)
+  t.true(later.isOk && later.value.repeated)
+  t.is(cluster.service.runs('a').length, 1)
+})
+
+test('a key used again with another body is refused and not run', async t => {
+  const { cluster, nodes } = await createCluster(2)
+  await run(cluster, nodes[0]!, 'a')
+  const other = await run(cluster, nodes[1]!, 'a', { body: Buffer.from('something else') })
+  t.is(outcome(other), 'key-reused not-run')
+  t.is(cluster.service.runs('a').length, 1)
+})
+
+test('keys that are missing, too old or ahead of the clocks are refused', async t => {
+  const { cluster, nodes } = await createCluster(1)
+  t.is(outcome(await run(cluster, nodes[0]!, '', { key: undefined })), 'key-missing not-run')
+  t.is(outcome(await run(cluster, nodes[0]!, '018b0000-0000-7abc-8def-0123456789ab')), 'key-expired unknown')
+  t.is(outcome(await run(cluster, nodes[0]!, '118b0000-0000-7abc-8def-0123456789ab')), 'bad-request not-run')
+})
+
+test('while the key-value service is down calls are refused at once, and what ended is still answered', async t => {
+  const { cluster, nodes } = await createCluster(3)
+  const before = await run(cluster, nodes[0]!, 'a')
+  cluster.keyValue.setFaults({ down: true })
+  const startedAtMs = cluster.clock.wallMs()
+  const refused = await run(cluster, nodes[1]!, 'b')
+  t.is(outcome(refused), 'store-unavailable not-run')
+  t.true(refused.isErr && refused.error.retryAtMs! > startedAtMs)
+  t.true(cluster.clock.wallMs() - startedAtMs < 1_000)
+  t.is(outcome(await run(cluster, nodes[2]!, 'a')), outcome(before))
+  t.is(cluster.service.attemptsSent('b'), 0)
+  cluster.keyValue.setFaults({})
+  await cluster.clock.advance(5_000)
+  t.true((await run(cluster, nodes[1]!, 'b')).isOk)
+})
+
+test('a claim whose answer was lost is read back before anything is sent', async t => {
+  const { cluster, nodes } = await createCluster(1)
+  cluster.keyValue.setFaults({ loseNextAnswers: 1 })
+  t.true((await run(cluster, nodes[0]!, 'a')).isOk)
+  t.is(cluster.service.runs('a').length, 1)
+})
+
+test('a claim that never arrived is refused as not run, and the key may run later', async t => {
+  const { cluster, nodes } = await createCluster(1)
+  cluster.keyValue.setFaults({ loseNextRequests: 1 })
+  t.is(outcome(await run(cluster, nodes[0]!, 'a')), 'store-unavailable not-run')
+  await cluster.clock.advance(3_000)
+  t.true((await run(cluster, nodes[0]!, 'a')).isOk)
+  t.is(cluster.service.runs('a').length, 1)
+})
+
+test('an unknown outcome is never sent again, and becomes done where the service can be asked', async t => {
+  for (const lookUp of [false, true]) {
+    const { cluster, nodes } = await createCluster(3, lookUp)
+    cluster.service.setMode('answer-lost')
+    t.is(outcome(await run(cluster, nodes[0]!, 'a')), 'backend-failed unknown')
+    cluster.service.setMode('well')
+    const repeated = await run(cluster, nodes[1]!, 'a')
+    t.is(repeated.isOk, lookUp)
+    t.is(cluster.service.attemptsSent('a'), 1)
+  }
+})
+
+test('a call that a backend server refused is tried again, then said not to have run, and may run later', async t => {
+  const { cluster, nodes } = await createCluster(2)
+  cluster.service.setMode('refusing')
+  t.is(outcome(await run(cluster, nodes[0]!, 'a')), 'attempts-exhausted not-run')
+  cluster.service.setMode('well')
+  t.true((await run(cluster, nodes[1]!, 'a')).isOk)
+})
+
+test('an owner that was frozen between its claim and the deadline sends nothing', async t => {
+  const { cluster, nodes } = await createCluster(1)
+  cluster.keyValue.setFaults({ answerDelayMs: 100 })
+  const running = nodes[0]!.calls.run(callOf(cluster, 'a', { deadlineAtMs: cluster.clock.wallMs() + 2_000 }))
+  await cluster.clock.advance(50)
+  cluster.freeze(nodes[0]!)
+  await cluster.clock.advance(3_000)
+  cluster.thaw(nodes[0]!)
+  await ended(cluster, running)
+  await cluster.clock.advance(3_000)
+  t.is(cluster.service.attemptsSent('a'), 0)
+})
+
+test('the owner that takes over from a dead one knows what was done and what is unknown', async t => {
+  const { cluster, nodes } = await createCluster(3)
+  const keys = Array.from({ length: 12 }, (_, index) => `key-${index}`)
+  const done = await Promise.all(keys.map(key => run(cluster, nodes[0]!, key)))
+  cluster.service.setMode('slow')
+  const open = keys.map(key => nodes[0]!.calls.run(callOf(cluster, `open-${key}`)))
+  await cluster.clock.advance(500)
+  for (const node of nodes) cluster.kill(node)
+  const fresh = cluster.start()
+  await cluster.clock.advance(5_000)
+  for (const [index, key] of keys.entries()) {
+    t.is(outcome(await run(cluster, fresh, key)), outcome(done[index]!))
+    t.is(outcome(await run(cluster, fresh, `open-${key}`)), 'backend-failed unknown')
+    t.is(cluster.service.attemptsSent(`open-${key}`), 1)
+  }
+  t.is(open.length, keys.length)
+})
+
+test('a drained node gives its shards up after its calls have ended', async t => {
+  const { cluster, nodes } = await createCluster(2)
+  cluster.service.setMode('slow')
+  const running = nodes.map((node, index) => node.calls.run(callOf(cluster, `key-${index}`)))
+  await cluster.clock.advance(200)
+  const drained = nodes[0]!.calls.drain(cluster.clock.wallMs() + 10_000)
+  const results = await Promise.all(running.map(result => ended(cluster, result)))
+  await drained
+  t.true(results.every(result => result.isOk))
+  cluster.service.setMode('well')
+  t.is(outcome(await run(cluster, nodes[1]!, 'key-0')), outcome(results[0]!))
+  t.true((await run(cluster, nodes[0]!, 'new')).isOk)
+})
+
+test('calls that come together share their commits', async t => {
+  const { cluster, nodes } = await createCluster(3)
+  cluster.keyValue.resetCalls()
+  const calls = 300
+  const together = Array.from({ length: calls }, (_, index) => nodes[index % 3]!.calls.run(callOf(cluster, `key-${index}`)))
+  const results = await Promise.all(together.map(running => ended(cluster, running)))
+  t.true(results.every(result => result.isOk))
+  t.true(cluster.keyValue.calls().writes < calls / 4, JSON.stringify(cluster.keyValue.calls()))
+})
--- /dev/null
+++ b/test/calls/promises.test.ts
@@ -0,0 +1,33 @@
+import test from 'ava'
+import { promises } from '../../bench/prove/promises/index.ts'
+import { addTally, emptyTally, holds } from '../../bench/prove/types.ts'
+import type { PromiseProof, Tally } from '../../bench/prove/types.ts'
+
+const firstSeed = 4_000
+const trials = 25
+
+async function tallyOf (proof: PromiseProof, naive: boolean): Promise<Tally> {
+  let sum = emptyTally()
+  for (let trial = 0; trial < trials; trial += 1) {
+    sum = addTally(sum, await proof.createTrial(firstSeed + trial, { naive }).run())
+  }
+  return sum
+}
+
+for (const proof of promises.filter(({ name }) => name.startsWith('calls-'))) {
+  test(`${proof.name} holds under seeded faults`, async t => {
+    const tally = await tallyOf(proof, false)
+    t.true(holds(tally), tally.problems.join('\n'))
+    t.true(tally.accepted > 0)
+  })
+
+  test(`${proof.name} is broken by the naive version`, async t => {
+    t.is(holds(await tallyOf(proof, true)), !proof.naiveBreaks)
+  })
+}
+
+test('a trial of one seed sees the same each time', async t => {
+  const [proof] = promises
+  const first = await proof!.createTrial(firstSeed, { naive: false }).run()
+  t.deepEqual(await proof!.createTrial(firstSeed, { naive: false }).run(), first)
+})
