--- a/bench/prove/random.ts
+++ b/bench/prove/random.ts
@@ -1,7 +1,5 @@
 /** Seeded random numbers for schedules. */
-import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
-import { uniformInt } from 'pure-rand/distribution/uniformInt'
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { createRandom as createDraws } from '../../src/core/random/index.ts'
 
 /** Random numbers of one trial. */
 export interface Random {
@@ -14,11 +12,11 @@
 
 /** The same seed gives the same numbers. */
 export function createRandom (seed: number): Random {
-  const generator = xoroshiro128plus(seed)
-  const int = (from: number, to: number): number => uniformInt(generator, from, to)
+  const draw = createDraws(seed)
+  const int = (from: number, to: number): number => from + Math.floor(draw() * (to - from + 1))
   return {
     int,
-    chance: probability => uniformFloat64(generator) < probability,
+    chance: probability => draw() < probability,
     pick: items => items[int(0, items.length - 1)]!
   }
 }
