--- a/src/core/http/call-handler.ts
+++ b/src/core/http/call-handler.ts
@@ -28,6 +28,7 @@
       weight: team.weight,
       maxConcurrent: team.maxConcurrent,
       maxQueued: team.maxQueued,
+      backendCapacity: options.capacityOf(team.team),
       signal: gone
     })
     if (permit.isErr) return sendProblem(response, permit.error, options.clock.wallMs())
--- a/src/core/http/draft-handler.ts
+++ b/src/core/http/draft-handler.ts
@@ -91,6 +91,7 @@
     weight: context.team.weight,
     maxConcurrent: context.team.maxConcurrent,
     maxQueued: context.team.maxQueued,
+    backendCapacity: options.capacityOf(wanted.team),
     signal: gone
   })
   if (permit.isErr) {
--- a/src/core/http/types.ts
+++ b/src/core/http/types.ts
@@ -38,6 +38,8 @@
   admission: Admission
   drafts: Drafts
   runCall: RunCall
+  /** Requests that the team's live backend servers take from this node at once, as learned. */
+  capacityOf: (team: TeamId) => number
   /** The team as declared; undefined when there is none of that name. */
   findTeam: (team: TeamId) => TeamDeclaration | undefined
   teams: () => Iterable<TeamDeclaration>
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -87,8 +87,7 @@
     metrics,
     hasher,
     random,
-    profileOf: engineProfileOf,
-    limitOf: limits.limitOf
+    profileOf: engineProfileOf
   })
   const table = createBackendTable({
     clock,
@@ -162,6 +161,9 @@
     admission,
     drafts,
     runCall,
+    capacityOf: team => table.ofTeam(team)
+      .filter(backend => backend.state === 'live')
+      .reduce((sum, backend) => sum + limits.limitOf(backend.id), 0),
     findTeam,
     teams: () => configuration.current().teams.values(),
     readiness,
--- /dev/null
+++ b/test/node/deployment.ts
@@ -0,0 +1,141 @@
+/** A small deployment in one process: stand-ins for the platform, backend servers and real nodes. */
+import { createHash } from 'node:crypto'
+import type { Backend } from '../../src/core/backends/index.ts'
+import { createSystemClock } from '../../src/core/clock/index.ts'
+import { createId, toId } from '../../src/core/ids/index.ts'
+import { createSilentLog } from '../../src/core/log/index.ts'
+import { createNode } from '../../src/core/node/index.ts'
+import type { Node } from '../../src/core/node/index.ts'
+import { createHttpKeyValue } from '../../src/core/platform/key-value/index.ts'
+import { createRandom } from '../../src/core/random/index.ts'
+import { createSettings } from '../../src/core/settings/index.ts'
+import type { TeamDeclaration } from '../../src/core/teams/index.ts'
+import { immediateEngineTimings } from '../../src/stand-ins/timings.ts'
+import { createEngineStandIn, createInstanceListStandIn, createKeyValueStandIn, createServiceStandIn } from '../../src/stand-ins/index.ts'
+
+export const callerToken = 'token-of-the-agency'
+export const operatorToken = 'token-of-an-operator'
+const domains = ['a', 'b', 'c']
+const waitBoundMs = 20_000
+
+const digestOf = (token: string): string => createHash('sha256').update(token).digest('hex')
+
+function declare (kind: TeamDeclaration['kind'], team: string): TeamDeclaration {
+  return {
+    team: toId(team),
+    template: toId('plain'),
+    kind,
+    version: toId('v1'),
+    routes: kind === 'model-engine'
+      ? [{ name: 'letters', kind: 'draft', priority: 'normal', repeatable: true }]
+      : [
+          { name: 'registrations', kind: 'call', priority: 'urgent', repeatable: false },
+          { name: 'status', kind: 'call', priority: 'normal', repeatable: true }
+        ],
+    tokenDigests: [digestOf(callerToken)],
+    weight: 1,
+    maxConcurrent: 50,
+    maxQueued: 50,
+    maxRequestMs: 60_000,
+    domains: domains.map(domain => toId(domain)),
+    minBackends: 1,
+    maxBackends: 4,
+    maxPriceMilliEuroPerHour: 1_000,
+    checksFencing: true
+  }
+}
+
+function backendOf (kind: Backend['kind'], team: string, url: string, index: number): Backend {
+  return {
+    id: toId(`${team}-${index}`),
+    instance: toId(`instance-${team}-${index}`),
+    team: toId(team),
+    kind,
+    version: toId('v1'),
+    domain: toId(domains[index % domains.length] ?? 'a'),
+    machineClass: 'standard',
+    reclaimable: true,
+    url,
+    state: 'live'
+  }
+}
+
+/** Waits until a condition holds; throws after a generous time. */
+export async function waitUntil (condition: () => Promise<boolean> | boolean): Promise<void> {
+  const clock = createSystemClock()
+  const endAtMs = clock.monotonicMs() + waitBoundMs
+  while (!await condition()) {
+    if (clock.monotonicMs() > endAtMs) throw new Error('the condition did not come true in time')
+    await clock.sleep(20)
+  }
+}
+
+/** Starts everything and waits until all nodes are ready. */
+export async function startDeployment (nodeCount = 3, stepMs = 2) {
+  const clock = createSystemClock()
+  const keyValue = await createKeyValueStandIn()
+  const engines = await Promise.all([0, 1].map(() => createEngineStandIn({ versions: ['v1'], timings: { ...immediateEngineTimings, stepMs } })))
+  const service = await createServiceStandIn({ versions: ['v1'] })
+  const list = await createInstanceListStandIn({ lagMs: 0 })
+  let backends = [
+    ...engines.map((engine, index) => backendOf('model-engine', 'agency', engine.url, index)),
+    backendOf('plain-service', 'registry', service.url, 0)
+  ]
+  list.setBackends(backends)
+  const store = createHttpKeyValue({ endpoints: [keyValue.url], clock })
+  const declarations = [declare('model-engine', 'agency'), declare('plain-service', 'registry')]
+  await store.transact({
+    compares: [],
+    deletes: [],
+    puts: declarations.map(declaration => ({
+      key: `config/teams/${declaration.team}`,
+      value: JSON.stringify({
+        writeId: createId('wr'), by: 'test', atMs: clock.wallMs(), content: { template: 'plain', parameters: {}, declaration }
+      })
+    }))
+  }, { deadlineAtMs: clock.wallMs() + 5_000 })
+
+  const nodes: Node[] = []
+  const listed: Parameters<typeof list.setNodes>[0] = []
+  for (let index = 0; index < nodeCount; index++) {
+    const peerPort = 42_000 + Math.floor(Math.random() * 20_000)
+    const name = `node-${index}`
+    const domain = domains[index % domains.length] ?? 'a'
+    const settings = await createSettings(`
+node: ${name}
+failureDomain: ${domain}
+callers: { host: 127.0.0.1, port: ${peerPort + 1} }
+peers: { host: 127.0.0.1, port: ${peerPort}, key: a-peer-key-of-more-than-32-characters }
+platform:
+  keyValue: { endpoints: ["${keyValue.url}"] }
+  instanceList: { url: "${list.url}" }
+operators: { tokenDigests: ["${digestOf(operatorToken)}"] }
+drain: { maxDrainMs: 10000, balancerDelayMs: 0 }
+calls: { shards: 3 }
+`, `${name}.yaml`, {})
+    if (settings.isErr) throw settings.error
+    nodes.push(await createNode({ settings: settings.value, log: createSilentLog(), random: createRandom(index + 1) }))
+    listed.push({ address: { node: toId(name), domain: toId(domain), host: '127.0.0.1', port: peerPort }, leaving: false })
+  }
+  list.setNodes(listed)
+  const urlOf = (index: number): string => `http://127.0.0.1:${nodes[index]?.callerPort}`
+  for (const index of nodes.keys()) await waitUntil(async () => (await fetch(`${urlOf(index)}/readyz`)).status === 200)
+
+  return {
+    nodes,
+    engines,
+    service,
+    keyValue,
+    urlOf,
+    /** Shows a backend server as leaving in the instance list. */
+    announceReclaim: (engineIndex: number, goneAtMs: number) => {
+      backends = backends.map((backend, index) => index === engineIndex ? { ...backend, state: 'leaving', goneAtMs } : backend)
+      list.setBackends(backends)
+    },
+    close: async () => {
+      await Promise.all(nodes.map(node => node.close().catch(() => {})))
+      await Promise.all([store.close(), list.close(), service.close(), ...engines.map(engine => engine.close())])
+      await keyValue.close()
+    }
+  }
+}
--- /dev/null
+++ b/test/node/whole-path.test.ts
@@ -0,0 +1,107 @@
+/** Requests from end to end: callers, nodes, backend servers, in one process over real connections. */
+import test from 'ava'
+import { generatedAnswer } from '../../src/stand-ins/index.ts'
+import { callerToken, operatorToken, startDeployment } from './deployment.ts'
+
+const authorization = { authorization: `Bearer ${callerToken}` }
+
+function draft (url: string, body: unknown, headers: Record<string, string> = {}): Promise<Response> {
+  return fetch(`${url}/v1/teams/agency/drafts/letters`, { method: 'POST', headers: { ...authorization, ...headers }, body: JSON.stringify(body) })
+}
+
+function call (url: string, key: string | undefined, body: string, headers: Record<string, string> = {}): Promise<Response> {
+  return fetch(`${url}/v1/teams/registry/calls/registrations`, {
+    method: 'POST',
+    headers: { ...authorization, 'content-type': 'text/plain', ...(key === undefined ? {} : { 'idempotency-key': key }), ...headers },
+    body
+  })
+}
+
+test('drafts and calls go from callers to backend servers and back, through any node', async t => {
+  const deployment = await startDeployment()
+  t.teardown(deployment.close)
+  const { urlOf } = deployment
+
+  const streamed = await draft(urlOf(0), { prompt: 'case file 17', maxTokens: 30 })
+  t.is(streamed.status, 200)
+  const events = (await streamed.text()).split('\n\n').filter(event => event !== '')
+  t.true(events.at(-1)?.startsWith('event: end'))
+  t.is(events.length, 31)
+
+  const whole = await draft(urlOf(1), { prompt: 'case file 17', maxTokens: 30, stream: false })
+  const answer = await whole.json() as { text: string, version: string }
+  t.is(answer.text, generatedAnswer('case file 17', 'v1', 30))
+
+  const answers = await Promise.all([0, 1, 2, 0, 1].map(index => call(urlOf(index), 'reminder-1', 'debtor 9')))
+  t.deepEqual(answers.map(({ status }) => status), [200, 200, 200, 200, 200])
+  t.is(new Set(await Promise.all(answers.map(response => response.text()))).size, 1)
+  t.deepEqual(Object.values(deployment.service.stats().ranByKey), [1])
+
+  const status = await fetch(`${urlOf(2)}/v1/status`, { headers: { authorization: `Bearer ${operatorToken}` } })
+  t.is(status.status, 200)
+})
+
+test('bad requests are refused with a typed reason and nothing runs', async t => {
+  const deployment = await startDeployment(1)
+  t.teardown(deployment.close)
+  const url = deployment.urlOf(0)
+  const past = { 'deadline-at-ms': '1000' }
+  const cases: Array<[string, Promise<Response>, string]> = [
+    ['no token', fetch(`${url}/v1/teams/agency/drafts/letters`, { method: 'POST', body: '{}' }), 'unauthorized'],
+    ['wrong token', draft(url, { prompt: 'x' }, { authorization: 'Bearer other' }), 'forbidden'],
+    ['unknown team', fetch(`${url}/v1/teams/nobody/drafts/letters`, { method: 'POST', headers: authorization, body: '{}' }), 'unknown-team'],
+    ['unknown route', fetch(`${url}/v1/teams/agency/drafts/nothing`, { method: 'POST', headers: authorization, body: '{}' }), 'unknown-route'],
+    ['no body', fetch(`${url}/v1/teams/agency/drafts/letters`, { method: 'POST', headers: authorization }), 'bad-request'],
+    ['wrong types', draft(url, { prompt: 7 }), 'bad-request'],
+    ['oversized', call(url, 'key-1', 'x'.repeat(17 * 1024 * 1024)), 'body-too-large'],
+    ['deadline past', draft(url, { prompt: 'x' }, past), 'deadline-past'],
+    ['deadline unreadable', draft(url, { prompt: 'x' }, { 'deadline-at-ms': 'soon' }), 'bad-request'],
+    ['key missing', call(url, undefined, 'debtor 9'), 'key-missing'],
+    ['call without body', call(url, 'key-2', ''), 'body-missing'],
+    ['operator with a caller\'s token', fetch(`${url}/v1/status`, { headers: authorization }), 'forbidden']
+  ]
+  for (const [name, request, reason] of cases) {
+    const response = await request
+    const problem = await response.json() as { reason: string, run: string }
+    t.is(problem.reason, reason, name)
+    t.is(problem.run, 'not-run', name)
+    t.is(response.headers.get('content-type'), 'application/problem+json; charset=utf-8', name)
+  }
+  t.is(deployment.service.stats().ran, 0)
+})
+
+test('a caller whose connection broke takes its answer up at another node, and a drained node cuts nothing', async t => {
+  const deployment = await startDeployment(3, 20)
+  t.teardown(deployment.close)
+  const { urlOf } = deployment
+  const body = { prompt: 'a long case file', maxTokens: 100 }
+  const expected = generatedAnswer(body.prompt, 'v1', 100)
+  const key = { 'idempotency-key': 'draft-1' }
+
+  const first = await draft(urlOf(0), body, key)
+  const reader = first.body?.getReader()
+  let text = ''
+  while (text.split('\n\n').length < 10) text += Buffer.from((await reader?.read())?.value ?? []).toString('utf8')
+  const drained = deployment.nodes[0]?.drain(Date.now() + 6_000)
+  for (;;) {
+    const part = await reader?.read()
+    if (part === undefined || part.done) break
+    text += Buffer.from(part.value).toString('utf8')
+  }
+  await drained
+  const seen = text.split('\n\n').filter(event => event.startsWith('id: '))
+  const isWhole = text.includes('event: end')
+  if (!isWhole) {
+    t.true(text.includes('event: handover'))
+    const lastEventId = /^id: (.*)$/m.exec(seen.at(-1) ?? '')?.[1] ?? ''
+    const second = await draft(urlOf(1), body, { ...key, 'last-event-id': lastEventId })
+    const rest = await second.text()
+    t.false(rest.includes('event: restart'))
+    text += rest
+  }
+  const tokens = text.split('\n\n').filter(event => event.startsWith('id: ')).map(event => {
+    const chunk = JSON.parse(/^data: (.*)$/m.exec(event)?.[1] ?? '{}') as { choices: Array<{ delta: { content: string } }> }
+    return chunk.choices[0]?.delta.content ?? ''
+  })
+  t.is(tokens.join(''), expected)
+})
