--- a/src/core/http/types.ts
+++ b/src/core/http/types.ts
@@ -38,10 +38,14 @@
   admission: Admission
   drafts: Drafts
   runCall: RunCall
+  /** Requests that the team's live backend servers take from this node at once, as learned. */
+  capacityOf: (team: TeamId) => number
   /** The team as declared; undefined when there is none of that name. */
   findTeam: (team: TeamId) => TeamDeclaration | undefined
   teams: () => Iterable<TeamDeclaration>
   readiness: () => Readiness
+  /** Whether the node is about to stop, so that the balancer has to look elsewhere. */
+  isLeaving: () => boolean
   /** Whether new requests are refused because the node is about to stop. */
   isDraining: () => boolean
   /** What operators are shown; `undefined` for a view that doesn't exist. */
