--- a/src/core/configuration/feed/index.ts
+++ b/src/core/configuration/feed/index.ts
@@ -101,13 +101,20 @@
 
   async function compareRegularly (): Promise<void> {
     while (!stop.signal.aborted) {
-      contact.tick()
       await compareNow()
       const intervalMs = contact.readiness().ready ? bounds.exchangeIntervalMs : bounds.retryMs / 2
       await clock.sleep(intervalMs * (0.75 + random() / 2), stop.signal)
     }
   }
 
+  /** Notices when this process stood still, also while a comparison waits for its answer. */
+  async function noticePauses (): Promise<void> {
+    while (!stop.signal.aborted) {
+      contact.tick()
+      await clock.sleep(bounds.retryMs, stop.signal)
+    }
+  }
+
   /** Watches while this node is one of its domain's watchers. */
   async function watchWhenChosen (): Promise<void> {
     while (!stop.signal.aborted) {
@@ -130,7 +137,7 @@
     return true
   })
   network.handle(`${prefix}status`, () => status())
-  const tasks = [compareRegularly(), watchWhenChosen()]
+  const tasks = [compareRegularly(), watchWhenChosen(), noticePauses()]
 
   async function statusOfPeers (deadlineAtMs: number): Promise<Map<NodeId, FeedStatus>> {
     const statuses = new Map<NodeId, FeedStatus>()
