Serve only once the instance list shows this node

Cause: three nodes that started together read an empty list, each held itself for the only node, and two of them took the same shard of calls within 10 ms. The loser could not tell its outcome to a node that it didn't know, so repeats were answered 'unknown' (3 of 5 in the whole-path test). Ruled out: a fault of the hand-over of outcomes; it works as soon as both know each other. After: the whole-path test passes.

--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -25,6 +25,7 @@
 import { drainNode } from './drain.ts'
 import { engineProfileOf } from './engine-profiles.ts'
 import type { LifeState } from './life-state.ts'
+import { createListedCheck } from './listed-check.ts'
 import { createCallSender } from './send-call.ts'
 import { readStatus } from './status.ts'
 import type { Node, NodeOptions } from './types.ts'
@@ -56,12 +57,13 @@
     log,
     metrics
   })
+  const listed = createListedCheck({ node: settings.node, clock, readNodes: instanceList.readNodes })
   const self = { ...network.address, host: settings.peers.advertisedHost ?? settings.peers.host }
   const membership = createMembership({
     self,
     network,
     seeds: settings.peers.seeds.map(({ node, failureDomain, host, port }) => ({ node, domain: failureDomain, host, port })),
-    instanceList: instanceList.readNodes,
+    instanceList: listed.read,
     clock,
     log,
     metrics,
@@ -134,6 +136,7 @@
     const configured = configuration.ready()
     if (!configured.ready) return { ready: false, reason: configured.reason ?? 'the configuration in force is not known' }
     if (!listWasRead) return { ready: false, reason: 'the instance list was not read yet' }
+    if (!listed.isListed()) return { ready: false, reason: 'the instance list does not show this node yet' }
     return { ready: true }
   }
 
--- a/test/node/deployment.ts
+++ b/test/node/deployment.ts
@@ -17,6 +17,7 @@
 export const operatorToken = 'token-of-an-operator'
 const domains = ['a', 'b', 'c']
 const waitBoundMs = 20_000
+let deployments = 0
 
 const digestOf = (token: string): string => createHash('sha256').update(token).digest('hex')
 
@@ -95,12 +96,18 @@
     }))
   }, { deadlineAtMs: clock.wallMs() + 5_000 })
 
+  const firstPort = 20_000 + 200 * (process.pid % 60) + 10 * (deployments++)
+  const places = Array.from({ length: nodeCount }, (_, index) => ({
+    name: `node-${index}`,
+    domain: domains[index % domains.length] ?? 'a',
+    peerPort: firstPort + 2 * index
+  }))
+  list.setNodes(places.map(({ name, domain, peerPort }) => ({
+    address: { node: toId(name), domain: toId(domain), host: '127.0.0.1', port: peerPort },
+    leaving: false
+  })))
   const nodes: Node[] = []
-  const listed: Parameters<typeof list.setNodes>[0] = []
-  for (let index = 0; index < nodeCount; index++) {
-    const peerPort = 42_000 + Math.floor(Math.random() * 20_000)
-    const name = `node-${index}`
-    const domain = domains[index % domains.length] ?? 'a'
+  for (const [index, { name, domain, peerPort }] of places.entries()) {
     const settings = await createSettings(`
 node: ${name}
 failureDomain: ${domain}
@@ -115,9 +122,7 @@
 `, `${name}.yaml`, {})
     if (settings.isErr) throw settings.error
     nodes.push(await createNode({ settings: settings.value, log: createSilentLog(), random: createRandom(index + 1) }))
-    listed.push({ address: { node: toId(name), domain: toId(domain), host: '127.0.0.1', port: peerPort }, leaving: false })
   }
-  list.setNodes(listed)
   const urlOf = (index: number): string => `http://127.0.0.1:${nodes[index]?.callerPort}`
   for (const index of nodes.keys()) await waitUntil(async () => (await fetch(`${urlOf(index)}/readyz`)).status === 200)
 
