--- a/src/core/platform/durable-write/index.ts
+++ b/src/core/platform/durable-write/index.ts
@@ -6,7 +6,7 @@
  */
 import { createId } from '../../ids/index.ts'
 import type { Clock } from '../../clock/index.ts'
-import type { WriteId } from '../../ids/index.ts'
+import type { LeaseId, WriteId } from '../../ids/index.ts'
 import type { KeyValueEntry, KeyValueStore } from '../key-value/types.ts'
 import type { DurableOutcome, DurableWrite, DurableWriter } from './types.ts'
 
@@ -18,6 +18,8 @@
   clock: Clock
   /** Key that only this writer changes, such as `barriers/<node>`. */
   barrierKey: string
+  /** Lease that the barrier key lives under, so that it goes with its writer; without it the key stays. */
+  barrierLease?: () => Promise<LeaseId | undefined>
 }
 
 const retryPauseMs = 100
@@ -59,7 +61,9 @@
   async function moveBarrier (beyondRevision: number, deadlineAtMs: number): Promise<boolean> {
     do {
       const value = createId<WriteId>('bar', clock.wallMs())
-      const answer = await store.transact({ compares: [], puts: [{ key: barrierKey, value }], deletes: [] }, callDeadline(deadlineAtMs))
+      const leaseId = await options.barrierLease?.()
+      const put = leaseId === undefined ? { key: barrierKey, value } : { key: barrierKey, value, leaseId }
+      const answer = await store.transact({ compares: [], puts: [put], deletes: [] }, callDeadline(deadlineAtMs))
       if (answer.isOk) barrierRevision = answer.value.revision
       else barrierRevision = (await store.get(barrierKey, callDeadline(deadlineAtMs))).unwrapOr(undefined)?.entry?.modRevision
       if (barrierRevision !== undefined && barrierRevision > beyondRevision) return true
