--- a/src/core/admission/index.ts
+++ b/src/core/admission/index.ts
@@ -32,9 +32,14 @@
   'caller-left': 'The caller left while the request waited.'
 }
 
+/** Wall time after which a permit is of no use. */
+function latestStartAtMs (request: AdmissionRequest, expectedMs: number): number {
+  return Math.min(request.startByAtMs ?? Infinity, request.deadlineAtMs - expectedMs)
+}
+
 /** Creates the admission of one node. */
 export function createAdmission (options: AdmissionOptions): Admission {
-  const { clock, metrics, random, maxConcurrent } = options
+  const { clock, metrics, random, capacity = () => Infinity } = options
   const durations = createDurations()
   const teams = new Map<TeamId, TeamState>()
   let inFlight = 0
@@ -94,8 +99,12 @@
     }
   }
 
+  function nodeLimit (): number {
+    return Math.max(1, Math.min(options.maxConcurrent, capacity()))
+  }
+
   function grantNext (): boolean {
-    if (inFlight >= maxConcurrent) return false
+    if (inFlight >= nodeLimit()) return false
     const state = nextTeam(teams.values(), virtualTime)
     const waiter = state?.queue.peek()
     if (state === undefined || waiter === undefined) return false
@@ -123,8 +132,7 @@
         drain: () => end(err(refusal('draining', minReturnMs)))
       }
       state.queue.push(request.priority, waiter)
-      const latestStartAtMs = request.deadlineAtMs - expectedMs
-      clock.sleep(latestStartAtMs - clock.wallMs(), settled.signal).then(() => {
+      clock.sleep(latestStartAtMs(request, expectedMs) - clock.wallMs(), settled.signal).then(() => {
         if (!settled.signal.aborted) end(err(refusal('deadline-unreachable', expectedMs)))
       })
       request.signal?.addEventListener('abort', () => {
@@ -137,14 +145,14 @@
     const remainingMs = request.deadlineAtMs - clock.wallMs()
     if (request.signal?.aborted === true) return refusal('caller-left')
     if (remainingMs <= 0) return refusal('deadline-past')
-    const node = { maxConcurrent, inFlight, activeWeight: activeWeight() }
+    const node = { maxConcurrent: nodeLimit(), inFlight, activeWeight: activeWeight() }
     const waitMs = expectedWaitMs(state, request, expectedMs, node)
     if (draining) return refusal('draining', waitMs)
     if (mustWait(state, request, node) && state.queue.size() >= request.maxQueued) {
       const reason = state.inFlight >= state.limit ? 'team-limit' : 'queue-full'
       return refusal(reason, waitMs)
     }
-    if (waitMs + expectedMs > remainingMs) return refusal('deadline-unreachable', waitMs)
+    if (waitMs > latestStartAtMs(request, expectedMs) - clock.wallMs()) return refusal('deadline-unreachable', waitMs)
     return undefined
   }
 
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -60,6 +60,8 @@
 /** What an attempt showed when it ended. */
 export interface RouteOutcome {
   ok: boolean
+  /** Whether a failure is the backend server's own, and no cancel or reclaim; true when left out. */
+  counts?: boolean
   /** Prompt tokens that the engine found in its cache, if it said so. */
   cachedTokens?: number
   promptTokens?: number
@@ -99,8 +101,8 @@
   /** An even draw from 0 (included) to 1 (excluded), from a seeded source. */
   random: () => number
   profileOf: (machineClass: string) => EngineProfile
-  /** Requests that this node may have in flight at the backend server; unlimited when left out. */
-  limitOf?: (backend: BackendId) => number
+  /** Whether a backend server may serve a team; by default only its own. */
+  serves?: (backend: Backend, team: TeamId) => boolean
   /** Most backend servers of a version that two-choice picks draw from. */
   subsetSize?: number
   /** Most block hashes that the prefix index holds. */
