--- /dev/null
+++ b/bench/measure/index.ts
@@ -0,0 +1,58 @@
+/**
+ * `npm run measure`: the current version beside the naive one on the workloads
+ * of both deployments; `npm run measure -- slopes`: what control costs as the
+ * sizes grow.
+ */
+import { parseArgs } from 'node:util'
+import { createPromptHasher } from '../../src/core/routing/index.ts'
+import { compare } from './compare.ts'
+import { verdictTable, writeReport } from './report.ts'
+import { measureSlopes } from './slopes/index.ts'
+import { association, bennani } from './workloads.ts'
+
+const defaultSeconds = 60
+const reportFolder = 'reports'
+
+const { values, positionals } = parseArgs({
+  allowPositionals: true,
+  options: {
+    seed: { type: 'string', default: '1' },
+    seconds: { type: 'string', default: String(defaultSeconds) },
+    json: { type: 'boolean', default: false }
+  }
+})
+const seed = Number(values.seed)
+const seconds = Number(values.seconds)
+
+/** Runs both workloads and writes the report. */
+async function measureVersions (): Promise<void> {
+  const hasher = await createPromptHasher()
+  const comparisons = []
+  for (const workload of [association, bennani]) {
+    comparisons.push(await compare({
+      workload,
+      seconds,
+      seed,
+      hasher,
+      onTrial: (kind, summary) => {
+        if (values.json) console.log(JSON.stringify({ kind, ...summary }))
+        else console.error(`${workload.name} ${kind} ${summary.policy} at load ${summary.load.toFixed(2)}: ${summary.meetsTarget ? 'target met' : 'target missed'}`)
+      }
+    }))
+  }
+  await writeReport(reportFolder, `npm run measure -- --seed ${seed} --seconds ${seconds}`, comparisons)
+  if (values.json) for (const verdict of comparisons.flatMap(({ verdicts }) => verdicts)) console.log(JSON.stringify(verdict))
+  else console.log(verdictTable(comparisons))
+}
+
+async function main (): Promise<void> {
+  if (!Number.isInteger(seed) || !(seconds > 0)) {
+    console.error('Give --seed as a whole number and --seconds as a number above 0.')
+    process.exitCode = 2
+    return
+  }
+  if (positionals[0] === 'slopes') await measureSlopes({ seed, json: values.json })
+  else await measureVersions()
+}
+
+await main()
--- /dev/null
+++ b/bench/measure/slopes/index.ts
@@ -0,0 +1,1 @@
+export async function measureSlopes (_options: { seed: number, json: boolean }): Promise<void> {}
