--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -162,6 +162,9 @@
     admission,
     drafts,
     runCall,
+    capacityOf: team => table.ofTeam(team)
+      .filter(backend => backend.state === 'live')
+      .reduce((sum, backend) => sum + limits.limitOf(backend.id), 0),
     findTeam,
     teams: () => configuration.current().teams.values(),
     readiness,
