--- a/src/core/client/attempts.ts
+++ b/src/core/client/attempts.ts
@@ -65,6 +65,17 @@
   return createAttempts({ urls, start, clock, random, deadlineAtMs, signal, onRepeat })
 }
 
+/** Codes of errors that arise before a byte of the request has left. */
+const connectCodes: ReadonlySet<string> = new Set([
+  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'EAI_AGAIN', 'UND_ERR_CONNECT_TIMEOUT'
+])
+
+/** Whether an error arose before a byte of the request has left. */
+export function neverLeft (error: unknown): boolean {
+  const { code } = error as NodeJS.ErrnoException
+  return code !== undefined && connectCodes.has(code)
+}
+
 /** Whether a refusal invites a repeat: the work didn't run and the node says when to come back. */
 export function invitesRepeat (problem: ProblemDetails): boolean {
   return problem.run === 'not-run' && problem.retryAtMs !== undefined
--- a/src/core/client/call.ts
+++ b/src/core/client/call.ts
@@ -8,7 +8,7 @@
 import type { Dispatcher } from 'undici'
 import { createError } from '../errors/index.ts'
 import type { RunState } from '../outcomes/index.ts'
-import { attemptsFor, invitesRepeat } from './attempts.ts'
+import { attemptsFor, invitesRepeat, neverLeft } from './attempts.ts'
 import { answerRefused, parseProblem } from './problem-details.ts'
 import type { CallAnswer, CallOrder, CallerClientOptions, CallerError, ProblemDetails } from './types.ts'
 
@@ -18,11 +18,6 @@
   | { kind: 'refused', problem: ProblemDetails }
   | { kind: 'broken', cause: string, run: RunState }
 
-/** Codes of errors that arise before a byte of the request has left. */
-const connectCodes: ReadonlySet<string> = new Set([
-  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'EAI_AGAIN', 'UND_ERR_CONNECT_TIMEOUT'
-])
-
 const problemType = 'application/problem+json'
 
 /** Reasons for which the same call is tried again although the node doesn't know whether it ran. */
@@ -56,9 +51,7 @@
     if (contentType.startsWith(problemType)) return { kind: 'refused', problem: parseProblem(status, body.toString('utf8')) }
     return { kind: 'answered', answer: { status, contentType, body } }
   } catch (error) {
-    const { code, message } = error as NodeJS.ErrnoException
-    const run = code !== undefined && connectCodes.has(code) ? 'not-run' : 'unknown'
-    return { kind: 'broken', cause: message, run }
+    return { kind: 'broken', cause: (error as Error).message, run: neverLeft(error) ? 'not-run' : 'unknown' }
   }
 }
 
--- a/src/core/client/draft.ts
+++ b/src/core/client/draft.ts
@@ -5,12 +5,12 @@
 import { request } from 'undici'
 import type { Dispatcher } from 'undici'
 import { createError } from '../errors/index.ts'
-import { attemptsFor, invitesRepeat } from './attempts.ts'
+import { attemptsFor, invitesRepeat, neverLeft } from './attempts.ts'
 import { eventIndex, parseSummary, parseTokenText } from './draft-events.ts'
 import { answerRefused, parseProblem } from './problem-details.ts'
 import { readServerSentEvents } from './server-sent-events.ts'
 import type { ServerSentEvent } from './server-sent-events.ts'
-import type { CallerClientOptions, DraftEvent, DraftOrder } from './types.ts'
+import type { CallerClientOptions, DraftEvent, DraftOrder, ProblemDetails } from './types.ts'
 
 /** Sent as the last event id by a caller that has no event yet but asked before. */
 const unknownPlace = 'any'
@@ -25,7 +25,7 @@
 /** What one connection came to: the last event, or why the next connection is needed. */
 type ConnectionEnd =
   | { kind: 'ended' }
-  | { kind: 'broken', cause: string, notBeforeMs?: number }
+  | { kind: 'broken', cause: string, notBeforeMs?: number, mayHaveBegun?: boolean }
 
 /** Why a request got no response. */
 function causeOf (error: unknown): string {
@@ -98,11 +98,16 @@
   return undefined
 }
 
+/** A refusal before the work began leaves nothing to take up. */
+function refusedFor ({ reason, retryAtMs }: ProblemDetails): ConnectionEnd {
+  return { kind: 'broken', cause: reason, notBeforeMs: retryAtMs ?? 0, mayHaveBegun: false }
+}
+
 /** Reads one response as far as it goes. */
 async function * readConnection (response: Dispatcher.ResponseData, progress: Progress): AsyncGenerator<DraftEvent, ConnectionEnd> {
   if (response.statusCode !== 200) {
     const problem = parseProblem(response.statusCode, await response.body.text())
-    if (invitesRepeat(problem)) return { kind: 'broken', cause: problem.reason, notBeforeMs: problem.retryAtMs ?? 0 }
+    if (invitesRepeat(problem)) return refusedFor(problem)
     if (problem.reason === 'unexpected-answer' && problem.status >= 500) return { kind: 'broken', cause: problem.title }
     yield { kind: 'failed', error: answerRefused(problem) }
     return { kind: 'ended' }
@@ -138,12 +143,12 @@
       const response = await open(attempts.url(), order, progress, client, dispatcher, signal)
       end = yield * readConnection(response, progress)
     } catch (error) {
-      end = { kind: 'broken', cause: causeOf(error) }
+      end = { kind: 'broken', cause: causeOf(error), mayHaveBegun: !neverLeft(error) }
     }
     if (end.kind === 'ended') return
     if (progress.nextIndex > indexBefore) attempts.progressed()
     if (await attempts.next(end.cause, end.notBeforeMs)) {
-      progress.lastEventId ??= unknownPlace
+      if (end.mayHaveBegun !== false) progress.lastEventId ??= unknownPlace
       continue
     }
     yield { kind: 'failed', error: createError('NodesUnreachable', { urls: client.urls, cause: end.cause, run: 'unknown' }) }
--- a/test/client/draft.test.ts
+++ b/test/client/draft.test.ts
@@ -92,6 +92,13 @@
   await node.close()
 })
 
+test('a refusal before the work began leaves nothing to take up', async t => {
+  const node = await startFakeNode([['a']], [{ kind: 'refuse' }])
+  t.is((await read(node.url)).text, 'a')
+  t.deepEqual(node.requests.map(({ lastEventId }) => lastEventId), [undefined, undefined])
+  await node.close()
+})
+
 test('a connection that goes silent is given up and the answer taken up', async t => {
   const node = await startFakeNode([['a', 'b', 'c']], [{ kind: 'silent', afterEvents: 1 }])
   t.is((await read(node.url)).text, 'abc')
