--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -1,22 +1,28 @@
 /** All commands by their ids; a colon stands between the words of an id. */
 import type { Command } from '@oclif/core'
+import Apply from './apply/index.ts'
 import Call from './call/index.ts'
 import Check from './check/index.ts'
 import Completion from './completion/index.ts'
 import Draft from './draft/index.ts'
 import Explain from './explain/index.ts'
+import Get from './get/index.ts'
 import Serve from './serve/index.ts'
+import SetCommand from './set/index.ts'
 import StandIn from './stand-in/index.ts'
 import Status from './status/index.ts'
 
 /** The commands in one table, since the single executable can't load them from files. */
 export const commands: Record<string, Command.Class> = {
+  apply: Apply,
   call: Call,
   check: Check,
   completion: Completion,
   draft: Draft,
   explain: Explain,
+  get: Get,
   serve: Serve,
+  set: SetCommand,
   'stand-in': StandIn,
   status: Status
 }
--- a/src/cli/exit-codes.ts
+++ b/src/cli/exit-codes.ts
@@ -32,6 +32,8 @@
   SettingsInvalid: 'invalidFile',
   ValueTooLarge: 'invalidFile',
   MoveConflict: 'conflict',
+  DeclarationConflict: 'conflict',
+  TeamUnknown: 'usage',
   KeyValueUnavailable: 'unreachable',
   KeyValueAmbiguous: 'outcomeUnknown',
   KeyValueRejected: 'refused',
--- /dev/null
+++ b/src/cli/render-plan.ts
@@ -0,0 +1,56 @@
+/** Renders what a change of declarations would do and what became of it. */
+import type { Result } from 'true-myth'
+import { err, ok } from 'true-myth/result'
+import { createError } from '../core/errors/index.ts'
+import type { CyclamenError } from '../core/errors/index.ts'
+import type { ApplyConflict, ApplyOutcome, ApplyPlan, FieldDifference } from '../core/templates/index.ts'
+
+function show (value: unknown): string {
+  return value === undefined ? '(none)' : JSON.stringify(value)
+}
+
+function renderDifference ({ field, before, after }: FieldDifference): string {
+  return `    ${field}: ${show(before)} -> ${show(after)}`
+}
+
+/** Renders a plan, one block a declaration. */
+export function renderPlan ({ changes }: ApplyPlan): string {
+  if (changes.every(({ action }) => action === 'keep')) return 'Nothing would change.'
+  return changes
+    .map(({ key, action, differences }) => [`${action.padEnd(6)} ${key}`, ...(action === 'change' ? differences.map(renderDifference) : [])].join('\n'))
+    .join('\n')
+}
+
+function renderConflict ({ key, theirs, differences }: ApplyConflict): string {
+  const who = theirs === undefined ? 'is gone' : `was written by ${theirs.by} at ${new Date(theirs.atMs).toISOString()}`
+  const lines = differences.map(({ field, before, after }) => `    ${field}: theirs ${show(before)}, yours ${show(after)}`)
+  return [`  ${key} ${who}`, ...lines].join('\n')
+}
+
+/** What a write that did not fail is told as; a conflict and an unknown outcome are errors. */
+export function readOutcome (outcome: ApplyOutcome): Result<string, CyclamenError> {
+  switch (outcome.outcome) {
+    case 'unchanged':
+      return ok('Nothing had to be written.')
+    case 'landed':
+      return ok(`Written at revision ${outcome.revision}.`)
+    case 'superseded':
+      return ok(`Written at revision ${outcome.revision}, and changed by somebody else since.`)
+    case 'conflict':
+      return err(createError('DeclarationConflict', { conflicts: outcome.conflicts.map(renderConflict) }))
+    case 'unknown':
+      return err(createError('DeclarationUnknown', { writeId: outcome.writeId, run: 'unknown' }))
+  }
+}
+
+/** What a script is told of a plan. */
+export interface PlanOutput {
+  changes: Array<{ key: string, action: string, differences: FieldDifference[] }>
+  outcome: ApplyOutcome | undefined
+}
+
+/** Renders a plan for scripts. */
+export function toPlanOutput (plan: ApplyPlan, outcome: ApplyOutcome | undefined): PlanOutput {
+  const changes = plan.changes.map(({ key, action, differences }) => ({ key, action, differences }))
+  return { changes, outcome }
+}
--- a/src/core/errors/commands.ts
+++ b/src/core/errors/commands.ts
@@ -21,6 +21,23 @@
     message: ({ argument, problem }) => `${argument} ${problem}.`,
     hint: 'Run the command with --help for examples.'
   }),
+  DeclarationConflict: entry<{ conflicts: string[] }>({
+    title: 'Changed by somebody else',
+    message: ({ conflicts }) => `Nothing was written, since another change came first:\n${conflicts.join('\n')}\n`,
+    hint: 'Look at the other change with "cyclamenshunt get", then repeat yours if it is still wanted.'
+  }),
+  DeclarationUnknown: entry<{ writeId: string, run: string }>({
+    title: 'Outcome of the write not known',
+    message: ({ writeId }) => `The key-value service did not answer; write "${writeId}" may or may not have landed.`,
+    hint: 'Run the same command again once the service answers; it changes nothing when the write has landed.'
+  }),
+  TeamUnknown: entry<{ team: string, nearest: string | undefined }>({
+    title: 'Unknown team',
+    message: ({ team, nearest }) => nearest === undefined
+      ? `No team "${team}" is declared.`
+      : `No team "${team}" is declared; did you mean "${nearest}"?`,
+    hint: 'Run "cyclamenshunt get" for the list.'
+  }),
   ListenFailed: entry<{ cause: string }>({
     title: 'Address not available',
     message: ({ cause }) => `The node can't listen: ${cause}.`,
