--- a/bench/demo/declarations.ts
+++ b/bench/demo/declarations.ts
@@ -1,57 +1,48 @@
-/** What the demo's operators declare: two teams that draft and one that registers. */
-import { createHash } from 'node:crypto'
+/** What the demo's operators declare: the Association's templates, with a team that drafts and one that registers. */
+import { readFileSync } from 'node:fs'
 import { toId } from '../../src/core/ids/index.ts'
-import type { DomainId, TeamId, TemplateId, VersionId } from '../../src/core/ids/index.ts'
-import type { RouteDeclaration, TeamDeclaration } from '../../src/core/teams/types.ts'
+import type { DomainId, TeamId } from '../../src/core/ids/index.ts'
+import { checkFiles } from '../../src/core/templates/index.ts'
+import type { SourceFile } from '../../src/core/templates/index.ts'
+import type { TeamDeclaration } from '../../src/core/teams/types.ts'
 
 /** The demo's failure domains. */
 export const domains = ['attica-1', 'attica-2', 'attica-3'].map(name => toId<DomainId>(name))
 
-/** Version that serves at the start. */
-export const firstVersion = toId<VersionId>('v1')
-
 /** A team as its callers know it. */
 export interface DemoTeam {
   name: string
   token: string
-  declaration: TeamDeclaration
-}
-
-function createTeam (name: string, kind: TeamDeclaration['kind'], routes: RouteDeclaration[], backends: number): DemoTeam {
-  const token = `${name}-token-of-the-demo`
-  return {
-    name,
-    token,
-    declaration: {
-      team: toId<TeamId>(name),
-      template: toId<TemplateId>('demo'),
-      kind,
-      version: firstVersion,
-      routes,
-      tokenDigests: [createHash('sha256').update(token).digest('hex')],
-      weight: 1,
-      maxConcurrent: 64,
-      maxQueued: 64,
-      maxRequestMs: 120_000,
-      domains,
-      minBackends: backends,
-      maxBackends: backends + 3,
-      maxPriceMilliEuroPerHour: 5_000,
-      checksFencing: true
-    }
-  }
 }
 
 /** Team whose callers have letters and summaries drafted. */
-export const draftingTeam = createTeam('agency-north', 'model-engine', [
-  { name: 'letters', kind: 'draft', priority: 'urgent', repeatable: true },
-  { name: 'summaries', kind: 'draft', priority: 'normal', repeatable: true }
-], 6)
+export const draftingTeam: DemoTeam = { name: 'agency-north', token: 'agency-north-token-of-the-demo' }
 
 /** Team whose callers register reminders. */
-export const registeringTeam = createTeam('case-registry', 'plain-service', [
-  { name: 'registrations', kind: 'call', priority: 'urgent', repeatable: false }
-], 3)
+export const registeringTeam: DemoTeam = { name: 'case-registry', token: 'case-registry-token-of-the-demo' }
+
+/** Files that are applied. */
+export function readDeclarationFiles (): SourceFile[] {
+  const files = [
+    'examples/association/templates/drafting.yaml',
+    'examples/association/templates/case-registry.yaml',
+    'bench/demo/teams/agency-north.yaml',
+    'bench/demo/teams/case-registry.yaml'
+  ]
+  return files.map(file => ({ file, text: readFileSync(file, 'utf8') }))
+}
+
+/** The teams as they are declared. */
+export function readTeams (): TeamDeclaration[] {
+  const checked = checkFiles(readDeclarationFiles())
+  if (checked.isErr) throw checked.error
+  return checked.value.teams.map(({ declaration }) => declaration)
+}
 
-/** All teams. */
-export const teams = [draftingTeam, registeringTeam]
+/** The declaration of one team. */
+export function declarationOf (team: DemoTeam): TeamDeclaration {
+  const id = toId<TeamId>(team.name)
+  const found = readTeams().find(declaration => declaration.team === id)
+  if (found === undefined) throw new Error(`The demo declares no team "${team.name}".`)
+  return found
+}
--- a/bench/demo/index.ts
+++ b/bench/demo/index.ts
@@ -8,10 +8,10 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { parseArgs } from 'node:util'
 import { findCaseFiles } from './case-files.ts'
-import { declareTeams } from './declare-teams.ts'
-import { domains, teams } from './declarations.ts'
+import { domains, readTeams } from './declarations.ts'
 import { planNodes, startNode } from './nodes.ts'
 import type { DemoNode } from './nodes.ts'
+import { applyDeclarations } from './operator.ts'
 import { startInstances, startPlatform } from './platform.ts'
 import type { DemoPlatform } from './platform.ts'
 import { createProgress } from './progress.ts'
@@ -58,14 +58,15 @@
 async function runDemo (platform: DemoPlatform, nodes: DemoNode[]): Promise<boolean> {
   const progress = createProgress()
   const files = findCaseFiles(positionals[0])
+  const teams = readTeams()
   progress.say(`${files.length} case files; starting ${teams.length} teams' backend servers and 3 nodes`)
   await Promise.all(teams.map(team => startInstances(platform, team)))
   const plans = await planNodes(domains)
   const folder = mkdtempSync(join(tmpdir(), 'cyclamenshunt-demo-'))
   nodes.push(...plans.map(plan => startNode(plan, plans, platform, folder)))
   platform.instanceList.setNodes(nodes.map(({ address }) => ({ address, leaving: false })))
-  await declareTeams(platform)
-  const wanted = teams.reduce((sum, { declaration }) => sum + declaration.minBackends, 0)
+  await applyDeclarations(platform)
+  const wanted = teams.reduce((sum, { minBackends }) => sum + minBackends, 0)
   await waitUntil('the backend servers are live', startTimeoutMs, () => platform.cloud.backends().length >= wanted)
   await waitUntil('all nodes are ready', startTimeoutMs, async () => (await Promise.all(nodes.map(node => node.isReady()))).every(Boolean))
   progress.say(`ready; settings and logs of the nodes are in ${folder}`)
--- /dev/null
+++ b/bench/demo/operator.ts
@@ -0,0 +1,24 @@
+/** What the demo's operator does in the key-value service. */
+import { createSystemClock } from '../../src/core/clock/index.ts'
+import { createHttpKeyValue } from '../../src/core/platform/key-value/index.ts'
+import { apply, planApply } from '../../src/core/templates/index.ts'
+import { readDeclarationFiles } from './declarations.ts'
+import type { DemoPlatform } from './platform.ts'
+
+const timeoutMs = 10_000
+
+/** Applies the templates and teams, as "cyclamenshunt apply" does. */
+export async function applyDeclarations (platform: DemoPlatform): Promise<void> {
+  const clock = createSystemClock()
+  const store = createHttpKeyValue({ endpoints: [platform.keyValue.url], clock })
+  const deadlineAtMs = clock.wallMs() + timeoutMs
+  try {
+    const plan = await planApply(readDeclarationFiles(), { store, deadlineAtMs, nowMs: clock.wallMs() })
+    if (plan.isErr) throw plan.error
+    const written = await apply(plan.value, { store, clock, by: 'demo', deadlineAtMs })
+    if (written.isErr) throw written.error
+    if (written.value.outcome !== 'landed') throw new Error(`The declarations were not written: ${written.value.outcome}.`)
+  } finally {
+    await store.close()
+  }
+}
--- a/bench/demo/platform.ts
+++ b/bench/demo/platform.ts
@@ -5,8 +5,8 @@
 import {
   createCloudStandIn, createEngineStandIn, createInstanceListStandIn, createKeyValueStandIn, createServiceStandIn, createWeightStoreStandIn
 } from '../../src/stand-ins/index.ts'
+import type { TeamDeclaration } from '../../src/core/teams/types.ts'
 import { domains, registeringTeam } from './declarations.ts'
-import type { DemoTeam } from './declarations.ts'
 
 const instanceStartMs = 500
 const callTimeoutMs = 5_000
@@ -35,7 +35,7 @@
 
   async function startBackend (instance: CloudInstance) {
     const versions = [instance.version]
-    if (instance.team === registeringTeam.declaration.team) {
+    if (String(instance.team) === registeringTeam.name) {
       const service = await createServiceStandIn({ versions })
       services.push(service)
       return { kind: 'plain-service' as const, url: service.url, leave: () => service.set({ refuse: true }), close: service.close }
@@ -59,13 +59,13 @@
 }
 
 /** Buys the instances that a team starts with, spread over the failure domains. */
-export async function startInstances (platform: DemoPlatform, { name, declaration }: DemoTeam): Promise<void> {
+export async function startInstances (platform: DemoPlatform, declaration: TeamDeclaration): Promise<void> {
   const clock = createSystemClock()
   const cloud = createCloud({ url: platform.cloud.url, clock })
   try {
     for (let index = 0; index < declaration.minBackends; index++) {
       const started = await cloud.start({
-        name: `${name}-${index}`,
+        name: `${declaration.team}-${index}`,
         domain: domains[index % domains.length]!,
         machineClass: declaration.kind === 'model-engine' ? 'one-accelerator' : 'small',
         purchase: 'reclaimable',
--- a/bench/demo/workload.ts
+++ b/bench/demo/workload.ts
@@ -9,7 +9,9 @@
 
 const draftDeadlineMs = 60_000
 const callDeadlineMs = 30_000
-const draftCallers = 6
+const draftCallers = 8
+const minTokens = 60
+const maxTokens = 320
 const callIntervalMs = 250
 const repeatShare = 0.2
 
@@ -62,7 +64,7 @@
       team: draftingTeam.name,
       route,
       prompt: file.text,
-      maxTokens: 40 + Math.floor(random() * 120),
+      maxTokens: minTokens + Math.floor(random() * (maxTokens - minTokens)),
       key,
       deadlineAtMs: clock.wallMs() + draftDeadlineMs
     }
