--- /dev/null
+++ b/bench/prove/cost/node.ts
@@ -0,0 +1,53 @@
+/** The calls of one node over TCP and HTTP, without its HTTP interface for callers. */
+import { createServiceClient } from '../../../src/core/backends/index.ts'
+import { createCalls } from '../../../src/core/calls/index.ts'
+import { createSystemClock } from '../../../src/core/clock/index.ts'
+import { toId } from '../../../src/core/ids/index.ts'
+import { createSilentLog } from '../../../src/core/log/index.ts'
+import { createMetrics } from '../../../src/core/metrics/index.ts'
+import { createPeerNetwork } from '../../../src/core/peers/index.ts'
+import { createHttpKeyValue } from '../../../src/core/platform/key-value/index.ts'
+import { createToldMembership } from '../simulation/node.ts'
+import type { Calls, SendOnce } from '../../../src/core/calls/index.ts'
+import type { PeerAddress } from '../../../src/core/peers/types.ts'
+import type { ToldMembership } from '../simulation/node.ts'
+
+/** Addresses of the stand-ins. */
+export interface StandInUrls {
+  keyValueUrl: string
+  keyValueControlUrl: string
+  serviceUrl: string
+}
+
+/** One node. */
+export interface CostNode {
+  calls: Calls
+  send: SendOnce
+  membership: ToldMembership
+  address: PeerAddress
+  close: () => Promise<void>
+}
+
+/** Starts the calls of one node. */
+export async function startCostNode (name: string, urls: StandInUrls, callShards: number): Promise<CostNode> {
+  const clock = createSystemClock()
+  const metrics = createMetrics()
+  const log = createSilentLog()
+  const address: PeerAddress = { node: toId(name), domain: toId('domain-1'), host: '127.0.0.1', port: 0 }
+  const network = await createPeerNetwork({ address, cluster: 'cost', peerKey: 'a key for this measurement', clock, log, metrics })
+  const membership = createToldMembership(network.address)
+  const service = createServiceClient({ backend: toId('registry-1'), url: urls.serviceUrl, clock })
+  const store = createHttpKeyValue({ endpoints: [urls.keyValueUrl], clock })
+  const send: SendOnce = (order, signal) => service.call(order, signal)
+  const calls = createCalls({ membership, network, store, clock, metrics, log, send, mayRetry: () => true, limits: { callShards } })
+  return {
+    calls,
+    send,
+    membership,
+    address: network.address,
+    close: async () => {
+      await calls.close()
+      await Promise.all([network.close(), service.close(), store.close()])
+    }
+  }
+}
--- a/bench/prove/simulation/naive-calls.ts
+++ b/bench/prove/simulation/naive-calls.ts
@@ -9,13 +9,12 @@
 /** Creates the naive calls of one node. */
 export function createNaiveCalls (send: SendOnce): Pick<Calls, 'run' | 'drain'> {
   const answers = new Map<string, CallAnswer>()
-  const { signal } = new AbortController()
 
   async function run (call: Call): ReturnType<Calls['run']> {
     const known = answers.get(call.key!)
     if (known !== undefined) return Result.ok({ ...known, repeated: true })
     for (let attempt = 1; attempt <= maxAttempts; attempt += 1) {
-      const sent = await send({ ...call, idempotencyKey: call.key, attempt: createId<AttemptId>('att') }, signal)
+      const sent = await send({ ...call, idempotencyKey: call.key, attempt: createId<AttemptId>('att') }, new AbortController().signal)
       if (sent.isErr) continue
       const answer: CallAnswer = { ...sent.value, run: 'done', repeated: false }
       answers.set(call.key!, answer)
--- a/src/core/calls/index.ts
+++ b/src/core/calls/index.ts
@@ -2,6 +2,7 @@
  * At-most-once calls: registrations, licence grants and whatever else must not
  * run twice for one idempotency key, through whichever node they come.
  */
+import { setMaxListeners } from 'node:events'
 import { Result } from 'true-myth'
 import { createId } from '../ids/index.ts'
 import { followCandidates } from './candidates.ts'
@@ -28,6 +29,8 @@
   const { membership, network, clock, metrics } = options
   const limits = { ...defaultCallLimits, ...options.limits }
   const closed = new AbortController()
+  // Every call in flight listens to it.
+  setMaxListeners(0, closed.signal)
   const candidates = followCandidates(membership)
   const attempts: AttemptOptions = { ...options, lookUp: options.lookUp, limits, signal: closed.signal }
   const shards = createShards({ ...options, ...attempts, candidates })
