--- a/bench/prove/index.ts
+++ b/bench/prove/index.ts
@@ -3,20 +3,26 @@
  * Exits with 1 when a promise broke.
  *
  *     npm run prove -- --seed 7 --trials 1000 --json
+ *     npm run prove -- --seed 7 --processes 50
+ *
+ * `--processes` gives the number of trials with real processes; without
+ * `--trials` only those are run.
  */
 import { parseArgs } from 'node:util'
-import { promises } from './promises/index.ts'
+import { processPromises, promises } from './promises/index.ts'
 import { addTally, emptyTally, holds } from './types.ts'
 import type { PromiseProof, Tally } from './types.ts'
 
 const defaultTrials = 1_000
 const maxSeed = 2 ** 31
+const progressStep = 50
 const seedStride = 1_000_003
 
 const { values } = parseArgs({
   options: {
     seed: { type: 'string' },
     trials: { type: 'string' },
+    processes: { type: 'string' },
     promise: { type: 'string', multiple: true },
     json: { type: 'boolean', default: false },
     naive: { type: 'boolean', default: false }
@@ -30,7 +36,7 @@
 }
 
 function progress (proof: PromiseProof, done: number, trials: number): void {
-  if (done % 100 === 0 || done === trials) process.stderr.write(`${proof.name}: ${done} of ${trials} trials\n`)
+  if (done % progressStep === 0 || done === trials) process.stderr.write(`${proof.name}: ${done} of ${trials} trials\n`)
 }
 
 async function prove (proof: PromiseProof, seed: number, trials: number): Promise<Tally> {
@@ -42,6 +48,7 @@
     sum = addTally(sum, { ...tally, problems })
     progress(proof, trial + 1, trials)
   }
+  await proof.close?.()
   return sum
 }
 
@@ -56,13 +63,15 @@
   process.stdout.write(`${proof.name}: ${verdict} in ${trials} trials of seed ${seed}; accepted ${accepted}, answered ${answered}, doubled ${doubled}, lost ${lost}, cut ${cut}, false not-run ${falseNotRun}\n`)
 }
 
-async function main (): Promise<void> {
-  const seed = wholeNumber('seed', values.seed, Date.now() % maxSeed)
-  const trials = wholeNumber('trials', values.trials, defaultTrials)
-  const chosen = promises.filter(proof => values.promise === undefined || values.promise.includes(proof.name))
-  if (chosen.length === 0) throw new Error(`No such promise; there are ${promises.map(proof => proof.name).join(', ')}.`)
-  process.stderr.write(`seed ${seed}\n`)
-  for (const proof of chosen) {
+function chosen (proofs: PromiseProof[]): PromiseProof[] {
+  const known = [...promises, ...processPromises].map(proof => proof.name)
+  const unknown = values.promise?.find(name => !known.includes(name))
+  if (unknown !== undefined) throw new Error(`There is no promise "${unknown}"; there are ${known.join(', ')}.`)
+  return proofs.filter(proof => values.promise === undefined || values.promise.includes(proof.name))
+}
+
+async function proveAll (proofs: PromiseProof[], seed: number, trials: number): Promise<void> {
+  for (const proof of trials === 0 ? [] : proofs) {
     const tally = await prove(proof, seed, trials)
     print(proof, seed, trials, tally)
     for (const problem of tally.problems) process.stderr.write(`${proof.name}: ${problem}\n`)
@@ -70,6 +79,16 @@
   }
 }
 
+async function main (): Promise<void> {
+  const seed = wholeNumber('seed', values.seed, Date.now() % maxSeed)
+  const processTrials = wholeNumber('processes', values.processes, 0)
+  const trials = wholeNumber('trials', values.trials, processTrials > 0 ? 0 : defaultTrials)
+  if (values.naive && processTrials > 0) throw new Error('The naive version has no processes; leave --processes out.')
+  process.stderr.write(`seed ${seed}\n`)
+  await proveAll(chosen(promises), seed, trials)
+  await proveAll(chosen(processPromises), seed, processTrials)
+}
+
 main().catch((error: unknown) => {
   process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`)
   process.exitCode = 2
--- /dev/null
+++ b/bench/prove/promises/calls-real-processes.ts
@@ -0,0 +1,29 @@
+/** All promises on calls, with real node processes that are killed and stopped by their process ids. */
+import { createRandom } from '../random.ts'
+import { startDeployment } from '../processes/deployment.ts'
+import { runProcessTrial } from '../processes/trial.ts'
+import { findDiffering, findDoubled, findFalseNotRun, findLost, findUnanswered, judge } from '../simulation/judge.ts'
+import type { Deployment } from '../processes/deployment.ts'
+import type { CallTrialResult } from '../simulation/call-trial.ts'
+import type { PromiseProof } from '../types.ts'
+
+let deployment: Promise<Deployment> | undefined
+
+const findCut = (result: CallTrialResult): string[] => [...findDiffering(result), ...findUnanswered(result)]
+
+export const callsRealProcesses: PromiseProof = {
+  name: 'calls-real-processes',
+  naiveBreaks: false,
+  createTrial: seed => ({
+    run: async () => {
+      // Trials share the processes; those that a trial killed were replaced by its end.
+      deployment ??= startDeployment()
+      const result = await runProcessTrial(await deployment, createRandom(seed), seed)
+      return judge(result, { doubled: findDoubled, lost: findLost, cut: findCut, falseNotRun: findFalseNotRun })
+    }
+  }),
+  close: async () => {
+    await (await deployment)?.close()
+    deployment = undefined
+  }
+}
--- a/bench/prove/promises/index.ts
+++ b/bench/prove/promises/index.ts
@@ -1,8 +1,13 @@
 /** The promises that `npm run prove` tries to break. */
 import { callsAtMostOnce } from './calls-at-most-once.ts'
 import { callsNotRunTrue } from './calls-not-run-true.ts'
+import { callsRealProcesses } from './calls-real-processes.ts'
 import { callsSameAnswer } from './calls-same-answer.ts'
 import { callsUnknownNotRepeated } from './calls-unknown-not-repeated.ts'
 import type { PromiseProof } from '../types.ts'
 
+/** Proved in this process, with simulated faults. */
 export const promises: PromiseProof[] = [callsAtMostOnce, callsSameAnswer, callsNotRunTrue, callsUnknownNotRepeated]
+
+/** Proved with real processes, which are killed and stopped. */
+export const processPromises: PromiseProof[] = [callsRealProcesses]
--- a/bench/prove/simulation/call-trial.ts
+++ b/bench/prove/simulation/call-trial.ts
@@ -5,15 +5,17 @@
 import { causeFault, planFaults } from './faults.ts'
 import type { TrialOptions } from '../types.ts'
 import type { RequestSeen } from './callers.ts'
-import type { CallCluster } from './cluster.ts'
-import type { FaultKind, PlannedFault } from './faults.ts'
+import type { FaultKind } from './faults.ts'
 
 /** What a trial leaves to be judged. */
 export interface CallTrialResult {
   keys: string[]
   seen: RequestSeen[]
-  faults: PlannedFault[]
-  cluster: CallCluster
+  faults: Array<{ kind: string }>
+  /** What the service counted, by key. */
+  runs: (key: string) => number
+  /** Attempts by key of which a byte left a node. */
+  attemptsSent: (key: string) => number
 }
 
 /** What a promise's trials look for. */
@@ -50,5 +52,5 @@
   if (!progress.ended) throw new Error(`Trial ${seed} did not end within ${longestTrialMs} ms of its clock.`)
   await callers
   cluster.close()
-  return { keys, seen, faults, cluster }
+  return { keys, seen, faults, runs: key => cluster.service.runs(key).length, attemptsSent: cluster.service.attemptsSent }
 }
--- a/bench/prove/simulation/callers.ts
+++ b/bench/prove/simulation/callers.ts
@@ -1,6 +1,5 @@
 /** Callers of one trial: each has a key, and repeats it through other nodes when the answer leaves it in doubt. */
 import { toId } from '../../../src/core/ids/index.ts'
-import type { CallAnswer } from '../../../src/core/calls/index.ts'
 import type { IdempotencyKey, TeamId } from '../../../src/core/ids/index.ts'
 import type { Refusal } from '../../../src/core/outcomes/index.ts'
 import type { Random } from '../random.ts'
@@ -9,14 +8,21 @@
 /** One request of a caller. */
 export interface RequestSeen {
   key: string
-  node: SimulatedNode
+  node: SeenNode
   sentAtMs: number
   deadlineAtMs: number
+  /** Runs of the key's work when the request was sent. */
+  runsWhenSent: number
   answeredAtMs?: number
-  answer?: CallAnswer
-  refusal?: Refusal
-  /** Runs of the key's work when the answer came. */
-  runsWhenAnswered?: number
+  /** The answer's body, when done. */
+  body?: string
+  refusal?: Pick<Refusal, 'reason' | 'run'>
+}
+
+/** The node that a request was sent to. `disturbed` tells that it may have left requests unanswered. */
+export interface SeenNode {
+  name: string
+  disturbed: boolean
 }
 
 const lastStartMs = 8_000
@@ -30,13 +36,13 @@
   const node = random.pick(cluster.nodes())
   const sentAtMs = cluster.clock.wallMs()
   const deadlineAtMs = sentAtMs + random.int(shortestMs, longestDeadlineMs)
-  const request: RequestSeen = { key, node, sentAtMs, deadlineAtMs }
+  const request: RequestSeen = { key, node, sentAtMs, deadlineAtMs, runsWhenSent: cluster.service.runs(key).length }
   seen.push(request)
-  return deliver(cluster, request)
+  return deliver(cluster, node, request)
 }
 
-async function deliver (cluster: CallCluster, request: RequestSeen): Promise<RequestSeen> {
-  const { key, node, deadlineAtMs } = request
+async function deliver (cluster: CallCluster, node: SimulatedNode, request: RequestSeen): Promise<RequestSeen> {
+  const { key, deadlineAtMs } = request
   const answered = async (): Promise<void> => {
     await cluster.network.whenThawed(node.address.node)
     const result = await node.calls.run({
@@ -50,8 +56,7 @@
     })
     await cluster.network.whenThawed(node.address.node)
     request.answeredAtMs = cluster.clock.wallMs()
-    request.runsWhenAnswered = cluster.service.runs(key).length
-    if (result.isOk) request.answer = result.value
+    if (result.isOk) request.body = result.value.body.toString()
     else request.refusal = result.error
   }
   await Promise.race([answered(), cluster.clock.sleep(deadlineAtMs + patienceMs - cluster.clock.wallMs())])
@@ -65,7 +70,7 @@
     const twin = random.chance(0.2) ? send(cluster, random, key, seen) : undefined
     const request = await send(cluster, random, key, seen)
     await twin
-    if (request.answer !== undefined && random.chance(0.5)) return
+    if (request.body !== undefined && random.chance(0.5)) return
     await cluster.clock.sleep(random.int(0, unknownPauseMs))
   }
 }
--- a/bench/prove/simulation/cluster.ts
+++ b/bench/prove/simulation/cluster.ts
@@ -24,6 +24,7 @@
 
 /** One simulated node. */
 export interface SimulatedNode {
+  name: string
   address: PeerAddress
   calls: Pick<Calls, 'run' | 'drain'>
   membership: ToldMembership
@@ -116,7 +117,7 @@
     const membership = createToldMembership(address)
     const storeClient = keyValue.connect(address.node)
     for (const other of nodes.values()) membership.add(other.address)
-    const node = { address, membership, storeClient, calls: createParts(address, membership, storeClient), disturbed: false, thaw: undefined }
+    const node = { name: address.node, address, membership, storeClient, calls: createParts(address, membership, storeClient), disturbed: false, thaw: undefined }
     nodes.set(address.node, node)
     spread(node, others => others.add(address))
     return node
--- a/bench/prove/simulation/judge.ts
+++ b/bench/prove/simulation/judge.ts
@@ -13,36 +13,35 @@
 
 /** Keys whose work ran twice, or was sent again after a byte had left. */
 export const findDoubled: Finding = result => result.keys.flatMap(key => {
-  const runs = result.cluster.service.runs(key).length
-  const sent = result.cluster.service.attemptsSent(key)
+  const runs = result.runs(key)
+  const sent = result.attemptsSent(key)
   return runs > 1 || sent > 1 ? [`${key} ran ${runs} times and was sent ${sent} times`] : []
 })
 
 /** Requests answered as done although nothing ran. */
 export const findLost: Finding = result => result.seen
-  .filter(request => request.answer !== undefined && result.cluster.service.runs(request.key).length === 0)
+  .filter(request => request.body !== undefined && result.runs(request.key) === 0)
   .map(request => `${request.key} was answered as done but never ran`)
 
 /** Keys with answers that differ. */
 export const findDiffering: Finding = result => result.keys.flatMap(key => {
-  const bodies = new Set(requestsOf(result, key).flatMap(request => request.answer?.body.toString() ?? []))
+  const bodies = new Set(requestsOf(result, key).flatMap(request => request.body ?? []))
   return bodies.size > 1 ? [`${key} was given different answers: ${[...bodies].join(', ')}`] : []
 })
 
 /** Requests without an answer although their node was never disturbed. */
 export const findUnanswered: Finding = result => result.seen
   .filter(request => request.answeredAtMs === undefined && !request.node.disturbed)
-  .map(request => `${request.key} got no answer from ${request.node.address.node}, sent at ${request.sentAtMs}`)
+  .map(request => `${request.key} got no answer from ${request.node.name}, sent at ${request.sentAtMs}`)
 
 /** Requests told `not run` after the work had run, or keys that ran although each request was told so. */
 export const findFalseNotRun: Finding = result => result.keys.flatMap(key => {
   const requests = requestsOf(result, key)
-  const runs = result.cluster.service.runs(key)
   const refused = requests.filter(request => request.refusal?.run === 'not-run')
   const after = refused
-    .filter(request => runs.some(run => run.startedAtMs < request.sentAtMs))
+    .filter(request => request.runsWhenSent > 0)
     .map(request => `${key} was told not-run (${request.refusal!.reason}) although it had run`)
-  const allRefused = runs.length > 0 && requests.length > 0 && refused.length === requests.length
+  const allRefused = result.runs(key) > 0 && requests.length > 0 && refused.length === requests.length
   return allRefused ? [...after, `${key} ran although each request was told not-run`] : after
 })
 
--- a/bench/prove/types.ts
+++ b/bench/prove/types.ts
@@ -38,6 +38,8 @@
   /** Whether the naive version is expected to break it. */
   naiveBreaks: boolean
   createTrial: (seed: number, options: TrialOptions) => Trial
+  /** Ends what the trials shared, such as processes. */
+  close?: () => Promise<void>
 }
 
 /** A tally of nothing. */
