--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -2,7 +2,7 @@
  * One node: makes every part from the settings and connects them. This is the
  * only place where parts meet; each knows the others by functions passed in.
  */
-import { createAdmission, createConcurrencyLimits, createRetryBudget } from '../admission/index.ts'
+import { capacityOf, createAdmission, createConcurrencyLimits, createRetryBudget } from '../admission/index.ts'
 import { createEngineClient, createServiceClient } from '../backends/index.ts'
 import { createBackendTable } from '../backends/table.ts'
 import { createCalls } from '../calls/index.ts'
@@ -25,6 +25,7 @@
 import { drainNode } from './drain.ts'
 import { engineProfileOf } from './engine-profiles.ts'
 import type { LifeState } from './life-state.ts'
+import { createListedCheck } from './listed-check.ts'
 import { createCallSender } from './send-call.ts'
 import { readStatus } from './status.ts'
 import type { Node, NodeOptions } from './types.ts'
@@ -56,12 +57,13 @@
     log,
     metrics
   })
+  const listed = createListedCheck({ node: settings.node, clock, readNodes: instanceList.readNodes })
   const self = { ...network.address, host: settings.peers.advertisedHost ?? settings.peers.host }
   const membership = createMembership({
     self,
     network,
     seeds: settings.peers.seeds.map(({ node, failureDomain, host, port }) => ({ node, domain: failureDomain, host, port })),
-    instanceList: instanceList.readNodes,
+    instanceList: listed.read,
     clock,
     log,
     metrics,
@@ -79,7 +81,8 @@
   // Calls choose anew for each attempt, so their retries are counted for the team instead of a backend server.
   const callRetries = createRetryBudget({ clock })
   const limits = createConcurrencyLimits({ clock, initial: 16, min: 2, max: 512 })
-  const admission = createAdmission({ clock, metrics, random, maxConcurrent: settings.limits.maxInFlight })
+  const capacity = (): number => capacityOf(table.all(), limits.limitOf)
+  const admission = createAdmission({ clock, metrics, random, maxConcurrent: settings.limits.maxInFlight, capacity })
   const hasher = await createPromptHasher()
   const router = createRouter({
     node: settings.node,
@@ -134,6 +137,7 @@
     const configured = configuration.ready()
     if (!configured.ready) return { ready: false, reason: configured.reason ?? 'the configuration in force is not known' }
     if (!listWasRead) return { ready: false, reason: 'the instance list was not read yet' }
+    if (!listed.isListed()) return { ready: false, reason: 'the instance list does not show this node yet' }
     return { ready: true }
   }
 
