--- a/bench/prove/promises/drafts/caller.ts
+++ b/bench/prove/promises/drafts/caller.ts
@@ -8,6 +8,7 @@
 import type { Refusal } from '../../../../src/core/outcomes/index.ts'
 import { createRequestId, parseEventId, readDraft } from '../../../../src/core/requests/index.ts'
 import type { DraftRequest, LiveDraft } from '../../../../src/core/requests/index.ts'
+import type { FakeEngine } from './engine-world.ts'
 import type { TrialNode } from './node-world.ts'
 
 /** Silence after which a caller gives its connection up. */
@@ -25,10 +26,14 @@
   refusal: Refusal | undefined
   /** Events that came a second time without a restart between. */
   doubled: number
+  /** Times that the answer began anew. */
+  restarts: number
 }
 
 /** What a caller does and sees. */
 export interface CallerOptions {
+  engines: FakeEngine[]
+  random: () => number
   clock: Clock
   request: Omit<DraftRequest, 'request'>
   /** The balancer's pick of a ready node; undefined when there is none. */
@@ -44,6 +49,7 @@
   refusal: Refusal | undefined
   ended: boolean
   doubled: number
+  restarts: number
   lastHeardAtMs: number
 }
 
@@ -57,6 +63,7 @@
     refusal: undefined,
     ended: false,
     doubled: 0,
+    restarts: 0,
     lastHeardAtMs: 0
   }
   let accepted = false
@@ -73,7 +80,8 @@
     tokens: progress.ended && progress.refusal === undefined ? progress.tokens : undefined,
     eventsSaid: progress.eventsSaid,
     refusal: progress.refusal,
-    doubled: progress.doubled
+    doubled: progress.doubled,
+    restarts: progress.restarts
   }
 }
 
@@ -142,6 +150,7 @@
   const name = fields.get('event')
   progress.lastEventId = fields.get('id') ?? progress.lastEventId
   if (name === 'restart') {
+    progress.restarts += progress.tokens.length > 0 ? 1 : 0
     progress.tokens = []
   } else if (name === 'end') {
     progress.ended = true
--- a/bench/prove/promises/drafts/node-world.ts
+++ b/bench/prove/promises/drafts/node-world.ts
@@ -93,6 +93,7 @@
       network: peerNetwork,
       membership: membershipOf(address),
       choose: chooser(own),
+      hasAlternative: (_team, leaving) => engines.some(({ backend, faults }) => !faults.leaving && !faults.dead && backend.version === leaving.version),
       takeRetry: (_backend: BackendId) => true,
       random
     })
--- a/bench/prove/promises/drafts/trial.ts
+++ b/bench/prove/promises/drafts/trial.ts
@@ -2,15 +2,18 @@
  * One trial of drafts: callers, nodes and engines under a random schedule of
  * faults, and what became of every answer.
  */
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { createManualClock } from '../../../../src/core/clock/index.ts'
 import type { ManualClock } from '../../../../src/core/clock/index.ts'
 import { toId } from '../../../../src/core/ids/index.ts'
+import { createRandom } from '../../../../src/core/random/index.ts'
 import { createMemoryNetwork } from '../../../../src/core/peers/memory-network.ts'
+import { emptyTally } from '../../types.ts'
+import type { Tally } from '../../types.ts'
 import { runCaller } from './caller.ts'
 import type { CallerResult } from './caller.ts'
 import { answerLength, createAnswerOracle, createFakeEngine } from './engine-world.ts'
 import type { AnswerOracle, FakeEngine } from './engine-world.ts'
+import { runNaiveCaller } from './naive.ts'
 import { createNodeWorld } from './node-world.ts'
 import type { NodeWorld, TrialNode } from './node-world.ts'
 
@@ -19,49 +22,42 @@
 const domains = ['a', 'b', 'c']
 const callerCount = 8
 
-/** What a trial counted. */
-export interface DraftTally {
-  /** Refusals of drafts that were accepted, for the trace. */
-  refusals: string[]
-  faults: string[]
-  accepted: number
-  answered: number
-  /** Events that a caller got twice within one answer. */
-  doubled: number
-  /** Accepted drafts without an answer by their deadline, though backend servers were there. */
-  lost: number
-  /** Answers that ended but weren't whole or true. */
-  cut: number
-  /** Refusals that said `not-run` although an engine had made tokens. */
-  falseNotRun: number
-}
-
 /** Time is stepped by this much, so that all waits of a trial are met. */
 const stepMs = 10
 
-/** A source of random numbers from 0 (included) to 1 (excluded). */
-export function seededRandom (seed: number): () => number {
-  const generator = xoroshiro128plus(seed)
-  return () => (generator.next() >>> 0) / 0x1_0000_0000
+/** What a kind of trials does. */
+export interface DraftTrialOptions {
+  naive: boolean
+  /** Faults that may be caused; all when left out. */
+  faultNames?: string[]
+  /** Whether callers' own connections are cut at times. */
+  cutsConnections: boolean
+  /** Whether some backend servers run another version; an answer is of one version only. */
+  twoVersions: boolean
+  /** Whether an answer that began anew counts as cut short. */
+  forbidsRestarts: boolean
 }
 
 /** Runs one trial. */
-export async function runDraftTrial (seed: number): Promise<DraftTally> {
-  const random = seededRandom(seed)
+export async function runDraftTrial (seed: number, options: DraftTrialOptions): Promise<Tally> {
+  const random = createRandom(seed)
   const clock = createManualClock()
   const oracle = createAnswerOracle()
-  const engines = createEngines(clock, oracle)
+  const engines = createEngines(clock, oracle, options.twoVersions)
   const network = createMemoryNetwork({ clock })
   const world = createNodeWorld({ clock, network, engines, random })
   for (const [index, domain] of [...domains, ...domains].entries()) world.start(`node-${index}`, domain)
-  const faults: string[] = []
+  const faults: Record<string, number> = {}
   const results: CallerResult[] = []
   const prompts: string[] = []
   const callers = Array.from({ length: callerCount }, async (_, index) => {
     const prompt = `case file ${seed}/${index}`
     prompts[index] = prompt
     await clock.sleep(random() * 500)
-    results[index] = await runCaller({
+    const run = options.naive ? runNaiveCaller : runCaller
+    results[index] = await run({
+      engines,
+      random,
       clock,
       request: {
         team: toId('agency'),
@@ -73,23 +69,23 @@
         deadlineAtMs: clock.wallMs() + deadlineMs
       },
       pickNode: () => pick(world.nodes.filter(node => node.ready), random),
-      cutAfterMs: () => random() < 0.3 ? random() * 2_000 : Infinity
+      cutAfterMs: () => options.cutsConnections && random() < 0.3 ? random() * 2_000 : Infinity
     })
   })
-  const schedule = runSchedule(world, engines, clock, random, faults)
+  const schedule = runSchedule(world, engines, clock, random, faults, options.faultNames ?? Object.keys(faultKinds))
   const progress = { finished: false }
   Promise.all([...callers, schedule]).then(() => { progress.finished = true })
   for (let elapsedMs = 0; !progress.finished && elapsedMs < deadlineMs + 5_000; elapsedMs += stepMs) await clock.advance(stepMs)
-  return tally(results, prompts, oracle, faults)
+  return tally(results, prompts, oracle, faults, options)
 }
 
-function createEngines (clock: ManualClock, oracle: AnswerOracle): FakeEngine[] {
+function createEngines (clock: ManualClock, oracle: AnswerOracle, twoVersions: boolean): FakeEngine[] {
   return domains.flatMap((domain, index) => [0, 1].map(copy => createFakeEngine({
     id: toId(`engine-${index}-${copy}`),
     instance: toId(`instance-${index}-${copy}`),
     team: toId('agency'),
     kind: 'model-engine',
-    version: toId(copy === 0 || index > 0 ? 'v1' : 'v2'),
+    version: toId(twoVersions && copy === 1 && index === 0 ? 'v2' : 'v1'),
     domain: toId(domain),
     machineClass: 'small',
     reclaimable: true,
@@ -131,6 +127,10 @@
     const node = victim(world, random)
     if (node !== undefined) await world.reclaim(node, 300 + random() * 3_000)
   },
+  'node-stopped': async (world, _engines, _clock, random) => {
+    const node = victim(world, random)
+    if (node !== undefined) await world.reclaim(node, 2_000)
+  },
   'node-killed-in-reclaim': async (world, _engines, _clock, random) => {
     const node = victim(world, random)
     if (node !== undefined) await world.reclaim(node, random() * 6)
@@ -188,16 +188,16 @@
   engines: FakeEngine[],
   clock: ManualClock,
   random: () => number,
-  faults: string[]
+  faults: Record<string, number>,
+  names: readonly string[]
 ): Promise<void> {
   const count = 2 + Math.floor(random() * 4)
-  const names = Object.keys(faultKinds)
   const running: Array<Promise<void> | void> = []
   let name = pick(names, random) ?? ''
   for (let index = 0; index < count; index++) {
     await clock.sleep(random() < 0.4 ? 0 : random() * 1_500)
     name = random() < 0.3 ? name : pick(names, random) ?? ''
-    faults.push(name)
+    faults[name] = (faults[name] ?? 0) + 1
     running.push(faultKinds[name]?.(world, engines, clock, random))
   }
   await Promise.all(running)
@@ -207,27 +207,37 @@
   results: CallerResult[],
   prompts: string[],
   oracle: AnswerOracle,
-  faults: string[]
-): DraftTally {
-  const counts: DraftTally = { refusals: [], faults, accepted: 0, answered: 0, doubled: 0, lost: 0, cut: 0, falseNotRun: 0 }
+  faults: Record<string, number>,
+  options: DraftTrialOptions
+): Tally {
+  const counts: Tally = { ...emptyTally(), faults }
   for (let index = 0; index < callerCount; index++) {
-    const result = results[index]
     const prompt = prompts[index] ?? ''
-    if (result === undefined || !result.accepted) {
-      counts.lost += result === undefined ? 1 : 0
-      continue
-    }
-    counts.accepted += 1
-    counts.doubled += result.doubled
-    if (result.tokens === undefined) {
+    const result = results[index]
+    if (result === undefined) {
       counts.lost += 1
-      counts.refusals.push(`${result.refusal?.reason ?? 'none'}: ${result.refusal?.detail ?? 'no end by the deadline'}`)
-      if (result.refusal?.run === 'not-run' && result.refusal.reason !== 'no-backend') counts.falseNotRun += 1
-      continue
+      counts.problems.push(`the caller of "${prompt}" never came to an end`)
+    } else if (result.accepted) {
+      count(counts, result, prompt, oracle, options)
     }
-    counts.answered += 1
-    const isWhole = result.tokens.length === answerLength(prompt) && result.eventsSaid === result.tokens.length
-    if (!isWhole || !oracle.isTrue(prompt, result.tokens)) counts.cut += 1
   }
   return counts
 }
+
+function count (counts: Tally, result: CallerResult, prompt: string, oracle: AnswerOracle, options: DraftTrialOptions): void {
+  counts.accepted += 1
+  counts.doubled += result.doubled
+  if (result.tokens === undefined) {
+    counts.lost += 1
+    counts.problems.push(`no answer to "${prompt}": ${result.refusal?.reason ?? 'none by the deadline'}`)
+    if (result.refusal?.run === 'not-run' && result.refusal.reason !== 'no-backend') counts.falseNotRun += 1
+    return
+  }
+  counts.answered += 1
+  const isWhole = result.tokens.length === answerLength(prompt) && result.eventsSaid === result.tokens.length
+  const isTrue = oracle.isTrue(prompt, result.tokens)
+  const restarted = options.forbidsRestarts && result.restarts > 0
+  if (isWhole && isTrue && !restarted) return
+  counts.cut += 1
+  counts.problems.push(`the answer to "${prompt}" is whole: ${isWhole}, true: ${isTrue}, began anew: ${result.restarts} times`)
+}
--- a/bench/prove/promises/index.ts
+++ b/bench/prove/promises/index.ts
@@ -4,10 +4,19 @@
 import { callsRealProcesses } from './calls-real-processes.ts'
 import { callsSameAnswer } from './calls-same-answer.ts'
 import { callsUnknownNotRepeated } from './calls-unknown-not-repeated.ts'
+import { draftsPlannedStop } from './drafts-planned-stop.ts'
+import { draftsWhole } from './drafts-whole.ts'
 import type { PromiseProof } from '../types.ts'
 
 /** Proved in this process, with simulated faults. */
-export const promises: PromiseProof[] = [callsAtMostOnce, callsSameAnswer, callsNotRunTrue, callsUnknownNotRepeated]
+export const promises: PromiseProof[] = [
+  callsAtMostOnce,
+  callsSameAnswer,
+  callsNotRunTrue,
+  callsUnknownNotRepeated,
+  draftsWhole,
+  draftsPlannedStop
+]
 
 /** Proved with real processes, which are killed and stopped. */
 export const processPromises: PromiseProof[] = [callsRealProcesses]
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -116,7 +116,9 @@
     membership,
     random,
     choose: createDraftChooser(choice),
-    takeRetry: retryBudget.take
+    takeRetry: retryBudget.take,
+    hasAlternative: (team, leaving) => table.ofTeam(team)
+      .some(backend => backend.state === 'live' && backend.version === leaving.version && backend.id !== leaving.id)
   })
   const calls = createCalls({
     membership,
--- a/src/core/requests/index.ts
+++ b/src/core/requests/index.ts
@@ -31,6 +31,10 @@
 export type DraftsOptions =
   & Omit<RunDraftOptions, 'takeCacheHandle'>
   & Omit<HandOverOptions, 'table' | 'start' | 'isLeaving'>
+  & {
+    /** Whether another live backend server of the team runs the version of the given one. */
+    hasAlternative: (team: TeamId, backend: Backend) => boolean
+  }
 
 /** The drafts of one node. */
 export interface Drafts {
@@ -133,6 +137,7 @@
     for (const draft of drafts) {
       moveOffBackend(draft, backend, {
         clock: options.clock,
+        hasAlternative: options.hasAlternative(draft.request.team, backend),
         keepCacheHandle: handle => { cacheHandles.set(draft, handle) }
       }).catch(() => runningAttemptOf(draft)?.interrupt('backend-leaving'))
     }
--- a/src/core/requests/leave-backend.ts
+++ b/src/core/requests/leave-backend.ts
@@ -17,6 +17,8 @@
 /** What a move off a backend server needs. */
 export interface LeaveBackendOptions {
   clock: Clock
+  /** Whether another backend server runs the version that began the answer. */
+  hasAlternative: boolean
   keepCacheHandle: (handle: string) => void
 }
 
@@ -26,6 +28,12 @@
   if (running === undefined) return
   const leftMs = (backend.goneAtMs ?? 0) - options.clock.wallMs() - safetyMarginMs
   if (expectedRestMs(draft, running, options.clock) < leftMs) return
+  if (!options.hasAlternative) {
+    // The answer would have to begin anew, so it gets all the time there is to end here.
+    await options.clock.sleep(leftMs, draft.stop.signal)
+    running.interrupt('backend-leaving')
+    return
+  }
   if (leftMs > maxExportMs) {
     const deadlineAtMs = options.clock.wallMs() + maxExportMs
     const exported = await running.plan.choice.engine.exportCache(running.plan.attempt, deadlineAtMs)
