--- a/bench/prove/promises/drafts/trial.ts
+++ b/bench/prove/promises/drafts/trial.ts
@@ -129,7 +129,7 @@
   },
   'node-stopped': async (world, _engines, _clock, random) => {
     const node = victim(world, random)
-    if (node !== undefined) await world.reclaim(node, 2_000)
+    if (node !== undefined) await world.reclaim(node, 300)
   },
   'node-killed-in-reclaim': async (world, _engines, _clock, random) => {
     const node = victim(world, random)
