--- a/test/build/binary.test.ts
+++ b/test/build/binary.test.ts
@@ -1,11 +1,12 @@
-import { execFileSync, spawnSync } from 'node:child_process'
+import { spawnSync } from 'node:child_process'
 import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
-import { join, resolve } from 'node:path'
+import { join } from 'node:path'
 import test from 'ava'
 import packageJson from '../../package.json' with { type: 'json' }
+import { buildBinary } from './build-binary.ts'
 
-const binary = resolve('dist/cyclamenshunt')
+let binary: string
 
 /** Runs the binary in an empty folder, with nothing of the project on its paths. */
 function runBinary (args: string[]): { status: number | null, stdout: string, stderr: string } {
@@ -17,8 +18,7 @@
   }
 }
 
-// Built anew, so that the test never passes over a binary of older sources.
-test.before(() => { execFileSync(process.execPath, ['--import=tsx', 'scripts/build.ts']) })
+test.before(() => { binary = buildBinary() })
 
 test.serial('the binary tells its version from an empty folder without a warning', t => {
   const { status, stdout, stderr } = runBinary(['--version'])
