Hand shards over without a wait when a node leaves on its own accord

A node that drains takes no shard back from its successors, and the owner's key holds its address, so that a new owner can ask it to let go after it has left the membership.

--- a/bench/prove/cost/index.ts
+++ b/bench/prove/cost/index.ts
@@ -14,6 +14,7 @@
 import { createId, toId } from '../../../src/core/ids/index.ts'
 import { recordId, shardOf } from '../../../src/core/calls/keys.ts'
 import { createNaiveCalls } from '../simulation/naive-calls.ts'
+import { createClaimPerCall } from './claim-per-call.ts'
 import { startCostNode } from './node.ts'
 import type { ChildProcessWithoutNullStreams } from 'node:child_process'
 import type { AttemptId, IdempotencyKey, TeamId } from '../../../src/core/ids/index.ts'
@@ -143,6 +144,7 @@
   const paths: Array<[string, RunOne]> = [
     ['direct', direct(owner)],
     ['naive', throughCalls(createNaiveCalls(owner.send))],
+    ['claim-per-call', createClaimPerCall(owner.store, owner.send)],
     ['owner', throughCalls(owner.calls)],
     ['forwarded', throughCalls(front.calls)]
   ]
--- a/bench/prove/cost/node.ts
+++ b/bench/prove/cost/node.ts
@@ -10,6 +10,7 @@
 import { createToldMembership } from '../simulation/node.ts'
 import type { Calls, SendOnce } from '../../../src/core/calls/index.ts'
 import type { PeerAddress } from '../../../src/core/peers/types.ts'
+import type { KeyValueStore } from '../../../src/core/platform/key-value/index.ts'
 import type { ToldMembership } from '../simulation/node.ts'
 
 /** Addresses of the stand-ins. */
@@ -23,6 +24,7 @@
 export interface CostNode {
   calls: Calls
   send: SendOnce
+  store: KeyValueStore
   membership: ToldMembership
   address: PeerAddress
   close: () => Promise<void>
@@ -43,6 +45,7 @@
   return {
     calls,
     send,
+    store,
     membership,
     address: network.address,
     close: async () => {
--- a/bench/prove/processes/deployment.ts
+++ b/bench/prove/processes/deployment.ts
@@ -31,6 +31,8 @@
   nodes: () => NodeProcess[]
   start: () => Promise<NodeProcess>
   kill: (node: NodeProcess) => Promise<void>
+  /** Asks a node to stop and gives it no new requests; what is open there has to be answered. */
+  drain: (node: NodeProcess) => Promise<void>
   close: () => Promise<void>
 }
 
@@ -90,6 +92,7 @@
     peers: { host: '127.0.0.1', port: ports.peer, key: peerKey },
     platform: { keyValue: { endpoints: [urls.keyValue] }, instanceList: { url: urls.list } },
     operators: { tokenDigests: [digest] },
+    drain: { maxDrainMs: 10_000, balancerDelayMs: 200 },
     calls: { shards: 3 },
     log: { level: 'error' }
   })
@@ -155,6 +158,15 @@
     await exited
   }
 
+  async function drain (node: NodeProcess): Promise<void> {
+    ready.delete(node)
+    const exited = once(node.child, 'exit')
+    node.child.kill('SIGTERM')
+    await exited
+    nodes.delete(node)
+    publish()
+  }
+
   await Promise.all(Array.from({ length: nodeCount }, start))
   return {
     token,
@@ -163,6 +175,7 @@
     nodes: () => [...ready],
     start,
     kill,
+    drain,
     close: async () => {
       await Promise.all([...nodes.keys()].map(kill))
       await Promise.all([list.close(), service.close(), keyValue.close()])
--- a/bench/prove/processes/trial.ts
+++ b/bench/prove/processes/trial.ts
@@ -8,7 +8,7 @@
 import type { Deployment, NodeProcess } from './deployment.ts'
 
 const processFaults = [
-  'node-killed', 'node-stopped', 'store-down', 'store-slow', 'store-answers-lost', 'store-connections-silent',
+  'node-killed', 'node-stopped', 'node-drained', 'store-down', 'store-slow', 'store-answers-lost', 'store-connections-silent',
   'service-answers-lost', 'service-requests-lost', 'service-refusing', 'service-frozen', 'service-connections-silent'
 ] as const
 
@@ -45,6 +45,10 @@
     await deployment.kill(node)
     await deployment.start()
   }
+  if (kind === 'node-drained') {
+    await deployment.drain(node)
+    await deployment.start()
+  }
   if (kind === 'node-stopped') await stop(node, lastsMs)
   if (kind === 'store-down') await during(keyValue.set, { down: true }, {}, lastsMs)
   if (kind === 'store-slow') await during(keyValue.set, { answerDelayMs: slowStoreMs }, {}, lastsMs)
--- a/src/core/calls/execution.ts
+++ b/src/core/calls/execution.ts
@@ -174,9 +174,14 @@
     return await resolveUnknown(entry, request)
   }
 
-  /** Runs a task as the one that runs for its key. */
+  /** Runs a task as the one that runs for its key. An unexpected error leaves open whether the call ran. */
   function start (entry: CallEntry, task: () => Promise<ServeResult>): Promise<ServeResult> {
-    const running = task().finally(() => { entry.running = undefined })
+    const running = task()
+      .catch((error: unknown) => {
+        log('callUnknown', { cause: String(error) })
+        return unknownOutcome()
+      })
+      .finally(() => { entry.running = undefined })
     entry.running = running
     return running
   }
--- a/src/core/calls/index.ts
+++ b/src/core/calls/index.ts
@@ -91,6 +91,7 @@
   return {
     run,
     ownedShards: shards.owned,
+    leave: shards.leave,
     drain: shards.drain,
     close: async () => {
       closed.abort()
--- a/src/core/calls/ownership.ts
+++ b/src/core/calls/ownership.ts
@@ -8,12 +8,15 @@
 import { ownerKey, shardPrefix } from './journal.ts'
 import type { Clock } from '../clock/index.ts'
 import type { NodeId, WriteId } from '../ids/index.ts'
+import type { PeerAddress } from '../peers/types.ts'
 import type { KeyValueEntry, KeyValueStore } from '../platform/key-value/types.ts'
 import type { CallLimits } from './types.ts'
 
 /** The value of an owner's key. `node` is null after an owner gave its shard up. */
 export interface OwnerValue {
   node: NodeId | null
+  /** Where the node listens, so that it can be asked to let go after it left the membership. */
+  address: PeerAddress
   epoch: number
   writeId: WriteId
   takenAtMs: number
@@ -37,7 +40,7 @@
 /** What taking a shard needs. */
 export interface TakeOptions {
   shard: number
-  self: NodeId
+  self: PeerAddress
   store: KeyValueStore
   clock: Clock
   limits: CallLimits
@@ -62,7 +65,8 @@
     return Result.err({ kind: 'held', holder: before.owner.node })
   }
   const owner: OwnerValue = {
-    node: self,
+    node: self.node,
+    address: self,
     epoch: (before?.owner.epoch ?? 0) + 1,
     writeId: createId<WriteId>('wri', clock.wallMs()),
     takenAtMs: clock.wallMs()
--- a/src/core/calls/shards.ts
+++ b/src/core/calls/shards.ts
@@ -50,7 +50,9 @@
   handleTaken: (from: NodeId, message: TakenMessage) => TakenAnswer
   handleVouch: (message: VouchMessage) => VouchAnswer
   handleOutcome: (message: OutcomeMessage) => boolean
-  /** Takes nothing more, and gives up what is owned once it has ended. */
+  /** Takes nothing more; what is owned is served until another node takes it. */
+  leave: () => void
+  /** Gives up what is owned once it has ended. */
   drain: (deadlineAtMs: number) => Promise<void>
   close: () => void
 }
@@ -71,6 +73,7 @@
   const taking = new Map<number, Promise<Result<OwnedShard, TakeFailure>>>()
   const vouches = createVouches(membership, network, clock)
   const knownEpochs = new Map<number, number>()
+  let leaving = false
   let draining = false
 
   function held (shard: number): OwnedShard | undefined {
@@ -126,7 +129,7 @@
   async function take (shard: number, unreachable: NodeId[]): Promise<Result<OwnedShard, TakeFailure>> {
     const startedAtMs = clock.monotonicMs()
     const mayTake = (owner: OwnerValue): boolean => mayTakeFrom(owner, unreachable)
-    const taken = await takeShard({ shard, self, store, clock, limits, mayTake })
+    const taken = await takeShard({ shard, self: membership.self, store, clock, limits, mayTake })
     if (taken.isErr) return Result.err(taken.error)
     const { epoch } = taken.value.owner
     // Another node's word that it took the shard in a later epoch may have come first.
@@ -140,10 +143,9 @@
   /** Asks the former owner to let a shard go; resolves with how long to hold back attempts. */
   async function askToLetGo (shard: number, { previous, owner }: TakenShard): Promise<number> {
     if (previous === undefined || previous.node === null) return 0
-    const address = previous.node === self ? undefined : membership.find(previous.node)
-    if (address === undefined) return limits.trustMs
+    if (previous.node === self) return limits.trustMs
     const message: TakenMessage = { shard, epoch: owner.epoch }
-    const answered = await network.request(address, takenKind, message, clock.wallMs() + limits.trustMs)
+    const answered = await network.request(previous.address, takenKind, message, clock.wallMs() + limits.trustMs)
     return answered.isOk ? (answered.value as TakenAnswer).quietMs : limits.trustMs
   }
 
@@ -167,7 +169,7 @@
     const present = draining ? undefined : held(shard)
     if (present !== undefined) return await present.execution.serve(request)
     const first = candidates.of(shard).find(node => !request.unreachable.includes(node))
-    if (draining || first !== self) return { kind: 'moved', holder: draining ? undefined : first }
+    if (leaving || first !== self) return { kind: 'moved', holder: leaving ? undefined : first }
     const taken = await takeOnce(shard, request.unreachable)
     if (taken.isOk) return await taken.value.execution.serve(request)
     if (taken.error.kind === 'held') return { kind: 'moved', holder: taken.error.holder }
@@ -177,7 +179,7 @@
 
   async function takePreferred (): Promise<void> {
     for (let shard = 0; shard < limits.callShards; shard += 1) {
-      const wanted = !draining && candidates.of(shard)[0] === self && held(shard) === undefined
+      const wanted = !leaving && candidates.of(shard)[0] === self && held(shard) === undefined
       if (wanted) await takeOnce(shard, [])
     }
   }
@@ -216,6 +218,7 @@
   }
 
   async function drain (deadlineAtMs: number): Promise<void> {
+    leaving = true
     draining = true
     await Promise.all([...owned.values()].map(shard => drainShard(shard, deadlineAtMs)))
   }
@@ -230,6 +233,7 @@
       nodes: [self, ...membership.peers().map(peer => peer.node)]
     }),
     handleOutcome: ({ shard, record }) => held(shard)?.execution.acceptOutcome(record) ?? false,
+    leave: () => { leaving = true },
     drain,
     close: () => {
       vouches.close()
--- a/src/core/calls/trust.ts
+++ b/src/core/calls/trust.ts
@@ -65,7 +65,9 @@
 
   async function holdBack (): Promise<void> {
     const latestMs = clock.wallMs() + trustMs
-    const holdMs = await valueUntil(clock, options.formerLetGo(), latestMs)
+    // Whatever keeps the former owner from answering, holding back for the whole time is safe.
+    const letGo = options.formerLetGo().catch(() => trustMs)
+    const holdMs = await valueUntil(clock, letGo, latestMs)
     if (holdMs !== undefined) quietUntilMs = Math.min(quietUntilMs, clock.monotonicMs() + holdMs)
     const restMs = quietUntilMs - clock.monotonicMs()
     if (restMs > 0) await clock.sleep(restMs)
--- a/src/core/calls/types.ts
+++ b/src/core/calls/types.ts
@@ -107,6 +107,8 @@
   run: (call: Call) => Promise<Result<CallAnswer, Refusal>>
   /** Shards that this node owns now. */
   ownedShards: () => number[]
+  /** Takes no more shards, because this node has left the membership; it serves those it owns until they are taken. */
+  leave: () => void
   /** Gives up all shards, after what is running here has ended or the deadline has passed. */
   drain: (deadlineAtMs: number) => Promise<void>
   close: () => Promise<void>
--- a/src/core/node/drain.ts
+++ b/src/core/node/drain.ts
@@ -40,6 +40,7 @@
   life.leaving = true
   options.membership.leave()
   drafts.leave()
+  options.calls.leave()
   const leftMs = endAtMs - clock.wallMs()
   await clock.sleep(Math.min(options.balancerDelayMs, Math.max(0, leftMs) * maxBalancerShare))
   life.draining = true
