--- a/bench/measure/slopes/node-process.ts
+++ b/bench/measure/slopes/node-process.ts
@@ -1,2 +1,97 @@
+/** Slopes of a real node's processor time and memory, read from its process. */
+import { createSystemClock } from '../../../src/core/clock/index.ts'
+import { createRandom } from '../../../src/core/random/index.ts'
 import type { Slope } from './index.ts'
-export async function nodeSlopes (_seed: number): Promise<Slope[]> { return [] }
+import { startNodeDeployment } from './node-deployment.ts'
+import type { NodeDeployment } from './node-deployment.ts'
+
+const clock = createSystemClock()
+const settleMs = 2000
+const windowMs = 6000
+const promptCharacters = 2000
+
+/** Processor time and memory of the node over a while. */
+interface Reading {
+  coreShare: number
+  residentBytes: number
+  keyValueCallsPerSecond: number
+}
+
+async function read (node: NodeDeployment): Promise<Reading> {
+  await clock.sleep(settleMs)
+  const before = { cpuMs: node.cpuMs(), calls: node.keyValueCalls(), atMs: clock.monotonicMs() }
+  await clock.sleep(windowMs)
+  const elapsedMs = clock.monotonicMs() - before.atMs
+  return {
+    coreShare: (node.cpuMs() - before.cpuMs) / elapsedMs,
+    residentBytes: node.residentBytes(),
+    keyValueCallsPerSecond: (node.keyValueCalls() - before.calls) * 1000 / elapsedMs
+  }
+}
+
+/** Reads the node while drafts arrive at an even rate; counts the answers that were not whole. */
+async function readUnderLoad (node: NodeDeployment, perSecond: number, maxTokens: number, failures: { count: number }): Promise<Reading> {
+  const stop = new AbortController()
+  const open = new Set<Promise<void>>()
+  async function drive (): Promise<void> {
+    for (let index = 0; !stop.signal.aborted; index += 1) {
+      const prompt = `case file ${index} `.repeat(200).slice(0, promptCharacters)
+      const answered = node.draft(prompt, maxTokens).then(
+        whole => { failures.count += whole ? 0 : 1 },
+        () => { failures.count += 1 }
+      )
+      open.add(answered)
+      answered.finally(() => open.delete(answered)).catch(() => {})
+      await clock.sleep(1000 / perSecond, stop.signal)
+    }
+  }
+  const driving = drive()
+  // Streams of earlier requests have to be open before the reading, as many as there will be.
+  await clock.sleep(maxTokens * 20)
+  const reading = await read(node)
+  stop.abort()
+  await driving
+  await Promise.all(open)
+  return reading
+}
+
+async function runnerSlopes (node: NodeDeployment): Promise<Slope[]> {
+  const readings: Array<{ x: number, reading: Reading }> = []
+  for (const x of [0, 1000, 3000, 10_000]) {
+    node.setListedRunners(x)
+    readings.push({ x, reading: await read(node) })
+  }
+  node.setListedRunners(0)
+  return [
+    { name: 'share of a core of an idle node', over: 'runners listed', unit: 'cores', points: readings.map(({ x, reading }) => ({ x, y: reading.coreShare })) },
+    { name: 'resident memory of an idle node', over: 'runners listed', unit: 'bytes', points: readings.map(({ x, reading }) => ({ x, y: reading.residentBytes })) },
+    { name: 'key-value calls of an idle node', over: 'runners listed', unit: 'calls a second', points: readings.map(({ x, reading }) => ({ x, y: reading.keyValueCallsPerSecond })) }
+  ]
+}
+
+/** Measures one node process after another kind of load. */
+export async function nodeSlopes (seed: number): Promise<Slope[]> {
+  const node = await startNodeDeployment(createRandom(seed))
+  const failures = { count: 0 }
+  try {
+    const requests: Slope = { name: 'share of a core of a node, drafts of 2 tokens', over: 'requests a second', unit: 'cores', points: [] }
+    const tokens: Slope = { name: 'share of a core of a node, 10 drafts a second', over: 'token events a second', unit: 'cores', points: [] }
+    const keyValue: Slope = { name: 'key-value calls of a node, drafts', over: 'requests a second', unit: 'calls a second', points: [] }
+    // The first load only warms the process up.
+    await readUnderLoad(node, 20, 50, failures)
+    for (const x of [5, 10, 20, 40]) {
+      const reading = await readUnderLoad(node, x, 2, failures)
+      requests.points.push({ x, y: reading.coreShare })
+      keyValue.points.push({ x, y: reading.keyValueCallsPerSecond })
+    }
+    for (const maxTokens of [10, 50, 100, 200]) {
+      const reading = await readUnderLoad(node, 10, maxTokens, failures)
+      tokens.points.push({ x: 10 * maxTokens, y: reading.coreShare })
+    }
+    const runners = await runnerSlopes(node)
+    if (failures.count > 0) console.error(`${failures.count} drafts were refused or not whole; the slopes of requests and tokens are too low.`)
+    return [requests, tokens, keyValue, ...runners]
+  } finally {
+    await node.close()
+  }
+}
