Tell the peers of a node's end and don't refute it

A closing node sent its end one way just before its links closed, and went on answering probes: a peer that knew of the end said so, and the node refuted it. The new test failed on that (every other node found it alive after 100 ms) and passes: an ended node no longer refutes, and waits for the notice to be acknowledged, at most for the time of a ping. A read of the instance list has 2 s, so that closing doesn't wait for it for ten.

--- a/src/core/membership/bounds.ts
+++ b/src/core/membership/bounds.ts
@@ -12,6 +12,8 @@
   indirectProbes: number
   /** Time between two reads of the platform's instance list. */
   listIntervalMs: number
+  /** Time for one read of the list. */
+  listTimeoutMs: number
   /** Time after which a dead node that the list no longer shows is forgotten. */
   forgetAfterMs: number
   /** One dead node that the list still shows is probed every so many periods. */
@@ -25,6 +27,7 @@
   indirectTimeoutMs: 500,
   indirectProbes: 3,
   listIntervalMs: 10_000,
+  listTimeoutMs: 2_000,
   forgetAfterMs: 600_000,
   periodsPerRevival: 5
 }
--- a/src/core/membership/index.ts
+++ b/src/core/membership/index.ts
@@ -96,7 +96,7 @@
   }
 
   async function readList (): Promise<void> {
-    const result = await options.instanceList(clock.wallMs() + bounds.listIntervalMs)
+    const result = await options.instanceList(clock.wallMs() + bounds.listTimeoutMs)
     if (result.isErr) {
       metrics.count('instance_list_failures_total')
       if (listWorks) log('instanceListFailed', { cause: result.error.message })
@@ -142,6 +142,13 @@
     for (const peer of sample(livePeers, noticeFanOut, random)) network.send(peer, 'membership/notice', [toWire(record)])
   }
 
+  /** Tells a few peers that this node ends, and waits until they have it or the time for a ping is over. */
+  async function announceEnd (): Promise<void> {
+    const ended = [toWire(table.end())]
+    const deadlineAtMs = clock.wallMs() + bounds.pingTimeoutMs
+    await Promise.all(sample(livePeers, noticeFanOut, random).map(peer => network.request(peer, 'membership/notice', ended, deadlineAtMs)))
+  }
+
   async function pollList (): Promise<void> {
     while (!stop.signal.aborted) {
       await readList()
@@ -206,9 +213,8 @@
     },
     noteLeaving,
     close: async () => {
-      notify({ ...table.self(), status: 'dead' })
       stop.abort()
-      await Promise.all(tasks)
+      await Promise.all([announceEnd(), ...tasks])
     }
   }
 }
--- a/src/core/membership/table.ts
+++ b/src/core/membership/table.ts
@@ -22,6 +22,8 @@
   /** The records to send to a peer: own, the one about the peer if it isn't alive, changes, some others in turn. */
   recordsFor: (peer: NodeId) => WireRecord[]
   forget: (node: NodeId) => void
+  /** Marks this node as ended; it no longer refutes its death while its connections are still open. */
+  end: () => MemberRecord
 }
 
 /** Options of a table. */
@@ -40,6 +42,7 @@
   const records = new Map<NodeId, MemberRecord>()
   const updates = createUpdateQueue()
   let refreshAt = 0
+  let hasEnded = false
   records.set(selfNode, { address: options.self, incarnation: options.incarnation, status: 'alive', leaving: false })
 
   function self (): MemberRecord {
@@ -48,7 +51,7 @@
 
   /** Answers a record that takes this node for suspect, dead or a former life of it with a higher incarnation. */
   function refute (record: MemberRecord): MemberRecord {
-    if (record.incarnation < self().incarnation) return self()
+    if (hasEnded || record.incarnation < self().incarnation) return self()
     const leaving = self().leaving || (record.leaving && record.incarnation === self().incarnation)
     if (record.status === 'alive' && record.incarnation === self().incarnation) return { ...self(), leaving }
     options.onRefuted()
@@ -89,6 +92,12 @@
     all: () => [...records.values()],
     merge: given => given.map(mergeOne).includes(true),
     recordsFor,
-    forget: node => { if (node !== selfNode) records.delete(node) }
+    forget: node => { if (node !== selfNode) records.delete(node) },
+    end: () => {
+      hasEnded = true
+      const ended: MemberRecord = { ...self(), status: 'dead' }
+      records.set(selfNode, ended)
+      return ended
+    }
   }
 }
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -81,6 +81,19 @@
   await cluster.close()
 })
 
+test('a node that ends says so: nobody has to find it by silence', async t => {
+  const cluster = createCluster(9, 6)
+  await cluster.clock.advance(10_000)
+  const [ending, ...others] = cluster.nodes
+  const closing = ending!.membership.close()
+  await cluster.clock.advance(100)
+  t.true(others.every(node => node.membership.find(ending!.address.node) === undefined))
+  await cluster.clock.advance(3_000)
+  await closing
+  t.true(others.every(node => node.membership.status().suspect === 0))
+  await cluster.close()
+})
+
 test('a node replaced under the same id is neither dead nor leaving, though the one before it was', async t => {
   const cluster = createCluster(5, 5)
   await cluster.clock.advance(5_000)
