--- a/src/core/requests/event-id.ts
+++ b/src/core/requests/event-id.ts
@@ -15,12 +15,16 @@
   index: number
 }
 
+/** Stands for the attempt where a caller has no event of the answer. */
+const noAttempt = 'start'
+
 /**
- * The id of a restart. It replaces the caller's last event id, so that a
- * connection that breaks right after the restart isn't resumed in the old answer.
+ * The id of the place before the first event. A restart carries it, so that a
+ * connection that breaks right after isn't resumed in the void answer, and a
+ * hand-over before the first event, so that the caller asks for its draft.
  */
-export function restartEventId (request: RequestId): string {
-  return `${request}:restart:0`
+export function startEventId (request: RequestId): string {
+  return `${request}:${noAttempt}:0`
 }
 
 /** Reads the id of an event as a caller sent it back; undefined when it isn't one. */
@@ -32,6 +36,7 @@
 
 /** The index a reader goes on from; undefined when it has to begin anew. */
 export function resumeIndex (draft: Draft, place: EventPlace): number | undefined {
+  if (place.attempt === noAttempt) return 0
   if (place.request !== draft.request.request) return undefined
   return attemptOf(draft, place.index) === place.attempt ? place.index + 1 : undefined
 }
--- a/src/core/requests/read-draft.ts
+++ b/src/core/requests/read-draft.ts
@@ -5,7 +5,7 @@
 import { once } from 'node:events'
 import { attemptOf } from './draft.ts'
 import type { LiveDraft, Reader } from './draft.ts'
-import { restartEventId } from './event-id.ts'
+import { startEventId } from './event-id.ts'
 import type { DraftEnd } from './types.ts'
 
 /** Most events written to a caller's connection at once. */
@@ -37,7 +37,7 @@
         sink.write(endEvent(draft, draft.end))
         return 'ended'
       } else if (draft.movedTo !== undefined) {
-        sink.write('event: handover\nretry: 0\ndata: {}\n\n')
+        sink.write(handOverEvent(draft, reader))
         return 'handed-over'
       } else {
         await draft.changed()
@@ -55,7 +55,7 @@
   let text = ''
   if (reader.mustRestart) {
     reader.mustRestart = false
-    text += `id: ${restartEventId(draft.request.request)}\nevent: restart\ndata: {}\n\n`
+    text += `id: ${startEventId(draft.request.request)}\nevent: restart\ndata: {}\n\n`
   }
   const endIndex = Math.min(draft.raws.length, reader.nextIndex + maxEventsAtOnce)
   const { request } = draft.request
@@ -66,6 +66,11 @@
   return text
 }
 
+function handOverEvent (draft: LiveDraft, reader: Reader): string {
+  const id = reader.nextIndex === 0 ? `id: ${startEventId(draft.request.request)}\n` : ''
+  return `${id}event: handover\nretry: 0\ndata: {}\n\n`
+}
+
 function endEvent (draft: LiveDraft, end: DraftEnd): string {
   if (end.kind === 'failed') return `event: error\ndata: ${JSON.stringify(end.refusal)}\n\n`
   const body = {
