Let a draft that has begun wait for a backend server

Cause: refused two accepted drafts with 'no-backend' although servers of another version were there: after the exclusions were cleared once, a choice without any server ended the draft. Drafts without any attempt are still refused at once.

--- a/src/core/requests/run-draft.ts
+++ b/src/core/requests/run-draft.ts
@@ -2,6 +2,7 @@
  * The task that works on one draft: it makes attempts at backend servers until
  * the answer is whole, the deadline passes or another node takes over.
  */
+import type { Result } from 'true-myth'
 import type { Clock } from '../clock/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { Log } from '../log/index.ts'
@@ -21,6 +22,8 @@
 const maxPinnedFailures = 3
 /** First pause before a repeat; doubles with each further one. */
 const firstPauseMs = 20
+/** Pause before a draft that has begun looks for a backend server again. */
+const noBackendPauseMs = 200
 /** Pause before the retry budget is asked again. */
 const budgetPauseMs = 100
 /** Longest pause before a repeat. */
@@ -43,13 +46,14 @@
 /** Works on a draft until it has ended here. Never rejects. */
 export async function runDraft (draft: LiveDraft, options: RunDraftOptions): Promise<void> {
   const excluded = new Set<BackendId>()
-  const failures = { sinceProgress: 0, fruitless: 0 }
+  const failures: Failures = { begun: draft.holderEpoch > 0, sinceProgress: 0, fruitless: 0 }
   let resumable = draft.backend
   while (isActive(draft)) {
     if (options.clock.wallMs() >= draft.request.deadlineAtMs) return refuse(draft, options, deadlinePassed(draft))
     if (endAtLength(draft)) return
     const choice = await chooseFor(draft, excluded, failures, options)
-    if (choice === undefined) return
+    if (choice === undefined) continue
+    failures.begun = true
     if (!isActive(draft)) return choice.ended({ ...unusedAttempt })
     const result = await attemptDraft(draft, planAttempt(draft, choice, resumable, options), options)
     resumable = undefined
@@ -62,8 +66,10 @@
   }
 }
 
-/** Attempts of one draft that failed since the last one that brought an event. */
+/** Attempts of one draft; the counts are of failures since the last attempt that brought an event. */
 interface Failures {
+  /** Whether an attempt was made, here or at another node. */
+  begun: boolean
   sinceProgress: number
   /** Those of them that may have cost a backend server work. */
   fruitless: number
@@ -97,41 +103,47 @@
   cachedTokens: 0
 }
 
-/** Chooses a backend server; when the answer's version has none left, the answer starts anew on another. */
+/**
+ * Chooses a backend server. A draft that no attempt was made for is refused when
+ * there is none; one that has begun is accepted work and waits for one.
+ */
 async function chooseFor (
   draft: LiveDraft,
   excluded: Set<BackendId>,
   failures: Failures,
   options: RunDraftOptions
 ): Promise<DraftChoice | undefined> {
-  const choice = await options.choose({ draft: draft.request, excluded, version: draft.version })
-  if (choice.isOk) return choice.value
-  if (draft.version !== undefined && failures.sinceProgress !== 0 && failures.sinceProgress < maxPinnedFailures) {
-    return await chooseAgain(draft, excluded, failures, options, choice.error)
+  const { clock } = options
+  while (isActive(draft) && clock.wallMs() < draft.request.deadlineAtMs) {
+    const choice = await chooseOnce(draft, excluded, failures, options)
+    if (choice.isOk) return choice.value
+    if (excluded.size === 0 && !failures.begun) {
+      refuse(draft, options, choice.error)
+      return undefined
+    }
+    // Those that failed before get another chance, at once if there were any.
+    if (excluded.size === 0) await clock.sleep(noBackendPauseMs, draft.stop.signal)
+    excluded.clear()
   }
-  const other = draft.version === undefined
-    ? choice
-    : await options.choose({ draft: draft.request, excluded, version: undefined })
-  if (other.isErr) return await chooseAgain(draft, excluded, failures, options, choice.error)
-  options.metrics.recomputed('version-changed', draft.raws.length)
-  restartAnswer(draft)
-  return other.value
+  return undefined
 }
 
-/** Gives the backend servers that failed before another chance; without any the draft is refused. */
-async function chooseAgain (
+/** Chooses among the servers of the answer's version; when there are none, the answer starts anew on another. */
+async function chooseOnce (
   draft: LiveDraft,
   excluded: Set<BackendId>,
   failures: Failures,
-  options: RunDraftOptions,
-  refusal: Refusal
-): Promise<DraftChoice | undefined> {
-  if (excluded.size === 0) {
-    refuse(draft, options, refusal)
-    return undefined
-  }
-  excluded.clear()
-  return await chooseFor(draft, excluded, failures, options)
+  options: RunDraftOptions
+): Promise<Result<DraftChoice, Refusal>> {
+  const choice = await options.choose({ draft: draft.request, excluded, version: draft.version })
+  if (choice.isOk || draft.version === undefined) return choice
+  const mayRecover = excluded.size > 0 && failures.sinceProgress > 0 && failures.sinceProgress < maxPinnedFailures
+  if (mayRecover) return choice
+  const other = await options.choose({ draft: draft.request, excluded, version: undefined })
+  if (other.isErr) return other
+  options.metrics.recomputed('version-changed', draft.raws.length)
+  restartAnswer(draft)
+  return other
 }
 
 /** Takes up the engine's own stream where the draft's last attempt may still run, else starts an attempt. */
