--- a/src/stand-ins/key-value/gateway.ts
+++ b/src/stand-ins/key-value/gateway.ts
@@ -68,8 +68,10 @@
   }
 
   /** Answers one route, with the faults and rates of the service. */
-  function answer (path: string, operation: KeyValueOperation, effect: Effect): void {
+  function answer (path: string, usualOperation: KeyValueOperation, effect: Effect): void {
     app.post(path, async (request: Request, response: Response) => {
+      const isList = usualOperation === 'get' && readPrefix(request.body as GatewayRangeRequest) !== undefined
+      const operation = isList ? 'list' : usualOperation
       const fault = decide({ client: clientOf(request), operation, keys: [] })
       if (fault.requestLost === true) return request.socket.destroy()
       const admitted = fault.refused !== true && service.admit(clientOf(request), operation)
