--- a/bench/measure/slopes/node-deployment.ts
+++ b/bench/measure/slopes/node-deployment.ts
@@ -10,6 +10,7 @@
 import { createId, toId } from '../../../src/core/ids/index.ts'
 import { createHttpKeyValue } from '../../../src/core/platform/key-value/index.ts'
 import type { TeamDeclaration } from '../../../src/core/teams/index.ts'
+import { createCountingProxy } from './counting-proxy.ts'
 import { createEngineStandIn, createInstanceListStandIn, createKeyValueStandIn } from '../../../src/stand-ins/index.ts'
 
 const team = 'agency'
@@ -23,12 +24,14 @@
 export interface NodeDeployment {
   /** Sends one draft and reads its answer to the end; resolves to whether it was whole. */
   draft: (prompt: string, maxTokens: number) => Promise<boolean>
-  /** Sets how many entries the instance list has besides the engines that serve. */
-  setListedRunners: (count: number) => void
+  /** Sets how many entries the instance list has besides the engines that serve, and how many of those it shows. */
+  setListed: (runners: number, engines: number) => void
   /** Processor time that the node's process has used, in milliseconds. */
   cpuMs: () => number
   residentBytes: () => number
   keyValueCalls: () => number
+  /** Bytes between the node and the services of the platform and engines so far. */
+  bytes: () => { list: number, engines: number, keyValue: number }
   close: () => Promise<void>
 }
 
@@ -90,12 +93,15 @@
   const keyValue = await createKeyValueStandIn()
   const engines = await Promise.all([0, 1, 2, 3].map(() => createEngineStandIn({ versions: ['v1'], timings: { stepMs: 20, stepMsPerSequence: 0, prefillMsPerToken: 0 } })))
   const list = await createInstanceListStandIn({ lagMs: 0 })
-  const serving = engines.map(({ url }, index) => backendOf(index, url, 'live'))
-  const setListedRunners = (count: number): void => {
+  const engineProxies = await Promise.all(engines.map(({ url }) => createCountingProxy(url)))
+  const listProxy = await createCountingProxy(list.url)
+  const keyValueProxy = await createCountingProxy(keyValue.url)
+  const serving = engineProxies.map(({ url }, index) => backendOf(index, url, 'live'))
+  const setListed = (count: number, engineCount: number): void => {
     // Starting ones are listed and kept, and no requests go to them.
-    list.setBackends([...serving, ...Array.from({ length: count }, (_, index) => backendOf(index + serving.length, 'http://127.0.0.1:9', 'starting'))])
+    list.setBackends([...serving.slice(0, engineCount), ...Array.from({ length: count }, (_, index) => backendOf(index + serving.length, 'http://127.0.0.1:9', 'starting'))])
   }
-  setListedRunners(0)
+  setListed(0, serving.length)
   const store = createHttpKeyValue({ endpoints: [keyValue.url], clock })
   const content = { template: 'plain', parameters: {}, declaration: declare() }
   const value = JSON.stringify({ writeId: createId('wr'), by: 'measure', atMs: clock.wallMs(), content })
@@ -104,7 +110,7 @@
   const ports = { callers: peers + 1, peers }
   const folder = await mkdtemp(join(tmpdir(), 'measure-'))
   const file = join(folder, 'node.yaml')
-  await writeFile(file, settingsText(ports, keyValue.url, list.url))
+  await writeFile(file, settingsText(ports, keyValueProxy.url, listProxy.url))
   const child = spawn(process.execPath, ['--import=tsx', 'src/main.ts', 'serve', '--config', file], { stdio: 'ignore' })
   const url = `http://127.0.0.1:${ports.callers}`
   await untilReady(url)
@@ -135,13 +141,19 @@
 
   return {
     draft,
-    setListedRunners,
+    setListed,
     cpuMs,
     residentBytes: () => Number(/VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${child.pid}/status`, 'utf8'))?.[1] ?? 0) * 1024,
     keyValueCalls: () => keyValue.calls().total,
+    bytes: () => ({
+      list: listProxy.bytes(),
+      engines: engineProxies.reduce((sum, proxy) => sum + proxy.bytes(), 0),
+      keyValue: keyValueProxy.bytes()
+    }),
     close: async () => {
       child.kill('SIGTERM')
       await new Promise(resolve => child.once('exit', resolve))
+      await Promise.all([listProxy, keyValueProxy, ...engineProxies].map(proxy => proxy.close()))
       await Promise.all([store.close(), list.close(), ...engines.map(engine => engine.close())])
       await keyValue.close()
       await rm(folder, { recursive: true })
--- a/bench/measure/slopes/node-process.ts
+++ b/bench/measure/slopes/node-process.ts
@@ -15,17 +15,22 @@
   coreShare: number
   residentBytes: number
   keyValueCallsPerSecond: number
+  listBytesPerSecond: number
+  engineBytesPerSecond: number
 }
 
 async function read (node: NodeDeployment): Promise<Reading> {
   await clock.sleep(settleMs)
-  const before = { cpuMs: node.cpuMs(), calls: node.keyValueCalls(), atMs: clock.monotonicMs() }
+  const before = { cpuMs: node.cpuMs(), calls: node.keyValueCalls(), bytes: node.bytes(), atMs: clock.monotonicMs() }
   await clock.sleep(windowMs)
   const elapsedMs = clock.monotonicMs() - before.atMs
+  const bytes = node.bytes()
   return {
     coreShare: (node.cpuMs() - before.cpuMs) / elapsedMs,
     residentBytes: node.residentBytes(),
-    keyValueCallsPerSecond: (node.keyValueCalls() - before.calls) * 1000 / elapsedMs
+    keyValueCallsPerSecond: (node.keyValueCalls() - before.calls) * 1000 / elapsedMs,
+    listBytesPerSecond: (bytes.list - before.bytes.list) * 1000 / elapsedMs,
+    engineBytesPerSecond: (bytes.engines - before.bytes.engines) * 1000 / elapsedMs
   }
 }
 
@@ -55,17 +60,33 @@
   return reading
 }
 
+const engineCounts = [1, 2, 4]
+
+async function engineSlopes (node: NodeDeployment): Promise<Slope[]> {
+  const readings: Array<{ x: number, reading: Reading }> = []
+  for (const x of engineCounts) {
+    node.setListed(0, x)
+    readings.push({ x, reading: await read(node) })
+  }
+  return [
+    { name: 'bytes between an idle node and the engines it follows', over: 'engines followed', unit: 'bytes a second', points: readings.map(({ x, reading }) => ({ x, y: reading.engineBytesPerSecond })) },
+    { name: 'share of a core of an idle node', over: 'engines followed', unit: 'cores', points: readings.map(({ x, reading }) => ({ x, y: reading.coreShare })) }
+  ]
+}
+
 async function runnerSlopes (node: NodeDeployment): Promise<Slope[]> {
   const readings: Array<{ x: number, reading: Reading }> = []
   for (const x of [0, 1000, 3000, 10_000]) {
-    node.setListedRunners(x)
+    node.setListed(x, 1)
     readings.push({ x, reading: await read(node) })
   }
-  node.setListedRunners(0)
+  const over = 'runners listed'
+  const points = (field: keyof Reading): Slope['points'] => readings.map(({ x, reading }) => ({ x, y: reading[field] }))
   return [
-    { name: 'share of a core of an idle node', over: 'runners listed', unit: 'cores', points: readings.map(({ x, reading }) => ({ x, y: reading.coreShare })) },
-    { name: 'resident memory of an idle node', over: 'runners listed', unit: 'bytes', points: readings.map(({ x, reading }) => ({ x, y: reading.residentBytes })) },
-    { name: 'key-value calls of an idle node', over: 'runners listed', unit: 'calls a second', points: readings.map(({ x, reading }) => ({ x, y: reading.keyValueCallsPerSecond })) }
+    { name: 'share of a core of an idle node', over, unit: 'cores', points: points('coreShare') },
+    { name: 'resident memory of an idle node', over, unit: 'bytes', points: points('residentBytes') },
+    { name: 'bytes between an idle node and the instance list', over, unit: 'bytes a second', points: points('listBytesPerSecond') },
+    { name: 'key-value calls of an idle node', over, unit: 'calls a second', points: points('keyValueCallsPerSecond') }
   ]
 }
 
@@ -88,9 +109,9 @@
       const reading = await readUnderLoad(node, 10, maxTokens, failures)
       tokens.points.push({ x: 10 * maxTokens, y: reading.coreShare })
     }
-    const runners = await runnerSlopes(node)
+    const idle = [...await engineSlopes(node), ...await runnerSlopes(node)]
     if (failures.count > 0) console.error(`${failures.count} drafts were refused or not whole; the slopes of requests and tokens are too low.`)
-    return [requests, tokens, keyValue, ...runners]
+    return [requests, tokens, keyValue, ...idle]
   } finally {
     await node.close()
   }
--- a/src/core/admission/concurrency-limit.ts
+++ b/src/core/admission/concurrency-limit.ts
@@ -5,7 +5,6 @@
  * latency target to the measured latency.
  */
 import type { Clock } from '../clock/index.ts'
-import type { Backend } from '../backends/types.ts'
 import type { BackendId } from '../ids/index.ts'
 import type { ConcurrencyLimit, ConcurrencyLimits, LatencySample } from './types.ts'
 
@@ -74,13 +73,3 @@
     forget: backend => { limits.delete(backend) }
   }
 }
-
-/**
- * Requests that live backend servers can take from this node, by their learned
- * limits. Unlimited when none is live, because then the choice refuses at once.
- */
-export function capacityOf (backends: readonly Backend[], limitOf: (backend: BackendId) => number): number {
-  const live = backends.filter(({ state }) => state === 'live')
-  if (live.length === 0) return Infinity
-  return live.reduce((sum, { id }) => sum + limitOf(id), 0)
-}
--- a/src/core/admission/index.ts
+++ b/src/core/admission/index.ts
@@ -13,7 +13,7 @@
 import { expectedWaitMs, mustWait } from './waiting-time.ts'
 
 export type * from './types.ts'
-export { capacityOf, createConcurrencyLimit, createConcurrencyLimits } from './concurrency-limit.ts'
+export { createConcurrencyLimit, createConcurrencyLimits } from './concurrency-limit.ts'
 export { createRetryBudget } from './retry-budget.ts'
 
 /** Earliest return of a refused caller when nothing was learned yet. */
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -2,7 +2,7 @@
  * One node: makes every part from the settings and connects them. This is the
  * only place where parts meet; each knows the others by functions passed in.
  */
-import { capacityOf, createAdmission, createConcurrencyLimits, createRetryBudget } from '../admission/index.ts'
+import { createAdmission, createConcurrencyLimits, createRetryBudget } from '../admission/index.ts'
 import { createEngineClient, createServiceClient } from '../backends/index.ts'
 import { createBackendTable } from '../backends/table.ts'
 import { createCalls } from '../calls/index.ts'
@@ -79,8 +79,7 @@
   // Calls choose anew for each attempt, so their retries are counted for the team instead of a backend server.
   const callRetries = createRetryBudget({ clock })
   const limits = createConcurrencyLimits({ clock, initial: 16, min: 2, max: 512 })
-  const capacity = (): number => capacityOf(table.all(), limits.limitOf)
-  const admission = createAdmission({ clock, metrics, random, maxConcurrent: settings.limits.maxInFlight, capacity })
+  const admission = createAdmission({ clock, metrics, random, maxConcurrent: settings.limits.maxInFlight })
   const hasher = await createPromptHasher()
   const router = createRouter({
     node: settings.node,
