--- a/src/core/calls/types.ts
+++ b/src/core/calls/types.ts
@@ -70,7 +70,12 @@
   storeRetryMs: number
   /** Shortest time that a live owner keeps its shard. */
   minTenureMs: number
-  /** Interval at which a node takes the shards it should own; a pause of the process is noticed by it. */
+  /**
+   * How long after a proof of its ownership an owner may say that a key has not
+   * run. A new owner that the former one has not let go sends nothing for as long.
+   */
+  trustMs: number
+  /** Interval at which a node takes the shards it should own. */
   maintainIntervalMs: number
   /** Attempts at backend servers for one request. */
   maxAttempts: number
@@ -102,6 +107,8 @@
   run: (call: Call) => Promise<Result<CallAnswer, Refusal>>
   /** Shards that this node owns now. */
   ownedShards: () => number[]
+  /** Takes no more shards, because this node has left the membership; it serves those it owns until they are taken. */
+  leave: () => void
   /** Gives up all shards, after what is running here has ended or the deadline has passed. */
   drain: (deadlineAtMs: number) => Promise<void>
   close: () => Promise<void>
