--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -14,13 +14,14 @@
 import { createHomeHits, homeRanks } from './home-hits.ts'
 import { createLoadBook } from './load-book.ts'
 import { createPrefixIndex } from './prefix-index.ts'
-import { blockTokens } from './prompt-hasher.ts'
+import { blockTokens } from '../backends/prompt-blocks.ts'
 import { createRendezvous, homeKey } from './rendezvous.ts'
 import { drawVersion, eligibleVersions } from './version-draw.ts'
 import type { RouteChoice, RouteOutcome, RouteRequest, Router, RouterOptions } from './types.ts'
 
 export type * from './types.ts'
-export { blockCharacters, blockTokens, charactersPerToken, createPromptHasher } from './prompt-hasher.ts'
+export { blockTokens } from '../backends/prompt-blocks.ts'
+export { createPromptHasher } from './prompt-hasher.ts'
 
 const defaultSubsetSize = 32
 const defaultMaxIndexEntries = 65_536
