--- /dev/null
+++ b/src/core/moves/conduct.ts
@@ -0,0 +1,158 @@
+/**
+ * The duty of one team's move: its holder gives the orders, and writes the
+ * record step by step. A new holder goes on from the record alone.
+ */
+import { createId } from '../ids/index.ts'
+import { createBadEnd, createEnd } from './end.ts'
+import { commitAtMs, lastStep, nextStepAtMs } from './schedule.ts'
+import { isStillDeclared, unloadAtMs, versionInForce } from './versions.ts'
+import type { Backend } from '../backends/types.ts'
+import type { Clock } from '../clock/index.ts'
+import type { BackendId, MoveId, NodeId } from '../ids/index.ts'
+import type { Duty } from '../leases/index.ts'
+import type { TeamDeclaration } from '../teams/types.ts'
+import type { BringTo } from './loads.ts'
+import type { RecordRegister } from './register.ts'
+import type { Trial } from './trial.ts'
+import type { EndReason, MoveEnd, MoveRecord } from './types.ts'
+
+/** Attempts of a route that have to be expected of the new version before their absence holds a step back. */
+const minExpectedAttempts = 8
+/** Interval of looks at the backend servers once the new version is loaded. */
+const loadsIntervalMs = 10_000
+
+/** What the conduct of moves needs. */
+export interface ConductOptions {
+  node: NodeId
+  clock: Clock
+  register: RecordRegister
+  bringTo: BringTo
+  liveBackends: (declaration: TeamDeclaration) => Backend[]
+  trialOf: (record: MoveRecord) => Trial | undefined
+}
+
+/** One round of the holder for one team. */
+export type Conduct = (declaration: TeamDeclaration, duty: Duty) => Promise<void>
+
+/** Makes the rounds of a node. */
+export function createConduct (options: ConductOptions): Conduct {
+  const { node, clock, register, bringTo } = options
+  const nextLoadsAtMs = new Map<string, number>()
+
+  function endOf (word: MoveEnd['word'], reason: EndReason, detail: string): MoveEnd {
+    return createEnd(word, reason, detail, clock.wallMs())
+  }
+
+  async function change (record: MoveRecord, duty: Duty, changes: Partial<MoveRecord>): Promise<void> {
+    const fencingNumber = duty.fencingNumber()
+    if (fencingNumber === undefined) return
+    await register.write({ ...record, ...changes, holder: node, fencingNumber })
+  }
+
+  /** Begins the declared move, unless it has ended already. */
+  async function begin (declaration: TeamDeclaration, former: MoveRecord | undefined, duty: Duty): Promise<void> {
+    const { move, team } = declaration
+    const fromVersion = versionInForce(declaration, former)
+    if (move === undefined || move.toVersion === fromVersion) return
+    if (former !== undefined && isStillDeclared(declaration, former)) return
+    const nowMs = clock.wallMs()
+    const brought = former?.end?.word === 'done' ? former.loadedOn : []
+    const live = new Set(options.liveBackends(declaration).map(backend => backend.id))
+    const servesFrom = [...new Set([...brought, ...(former?.servesFrom ?? [])])].filter(backend => live.has(backend))
+    const isPast = nowMs >= move.deadlineAtMs
+    await change({
+      writeId: createId('wr', nowMs),
+      move: createId<MoveId>('mv', nowMs),
+      team,
+      fromVersion,
+      toVersion: move.toVersion,
+      startedAtMs: nowMs,
+      deadlineAtMs: move.deadlineAtMs,
+      holder: node,
+      fencingNumber: 0,
+      servesFrom,
+      loadedOn: [],
+      step: 0,
+      stepAtMs: nowMs,
+      ...(isPast ? { end: endOf('taken-back', 'deadline-past', 'The deadline was past before the move could begin.') } : {})
+    }, duty, {})
+  }
+
+  /** The end that is due whatever the move's step. */
+  function dueEnd (declaration: TeamDeclaration, record: MoveRecord): MoveEnd | undefined {
+    const brake = options.trialOf(record)?.brake()
+    if (brake !== undefined) return createBadEnd(brake, clock.wallMs())
+    if (clock.wallMs() >= record.deadlineAtMs) return endOf('taken-back', 'deadline-past', 'The outcome could not be written before the deadline.')
+    if (isStillDeclared(declaration, record)) return undefined
+    const { move } = declaration
+    if (move === undefined) return endOf('taken-back', 'withdrawn', `The move to "${record.toVersion}" was withdrawn.`)
+    const now = `"${move.toVersion}" by ${new Date(move.deadlineAtMs).toISOString()}`
+    const before = `"${record.toVersion}" by ${new Date(record.deadlineAtMs).toISOString()}`
+    return endOf('taken-back', 'changed', `The declared move was changed from ${before} to ${now}.`)
+  }
+
+  async function look (declaration: TeamDeclaration, record: MoveRecord, duty: Duty): Promise<BackendId[]> {
+    nextLoadsAtMs.set(record.team, clock.monotonicMs() + loadsIntervalMs)
+    const backends = options.liveBackends(declaration)
+    return await bringTo(duty, backends, [record.fromVersion, record.toVersion], declaration.checksFencing)
+  }
+
+  async function load (declaration: TeamDeclaration, record: MoveRecord, duty: Duty): Promise<void> {
+    const nowMs = clock.wallMs()
+    if (nowMs >= commitAtMs(record)) {
+      const detail = 'The new version was not loaded on all backend servers in time.'
+      return await change(record, duty, { end: endOf('taken-back', 'not-loaded', detail) })
+    }
+    const loadedOn = await look(declaration, record, duty)
+    const backends = options.liveBackends(declaration)
+    const isLoaded = backends.length > 0 && backends.every(backend => loadedOn.includes(backend.id))
+    if (isLoaded) await change(record, duty, { loadedOn, trafficAtMs: clock.wallMs(), step: 0, stepAtMs: clock.wallMs() })
+  }
+
+  /** Whether every route with enough traffic has shown the new version. */
+  function isSeen (declaration: TeamDeclaration, record: MoveRecord): boolean {
+    const trial = options.trialOf(record)
+    if (trial === undefined) return false
+    const smallestShare = 0.015
+    return declaration.routes.every(({ name }) => {
+      const { newTotal, total } = trial.seen(name)
+      return newTotal >= minExpectedAttempts || total * smallestShare < minExpectedAttempts * 2
+    })
+  }
+
+  async function shift (declaration: TeamDeclaration, record: MoveRecord, duty: Duty): Promise<void> {
+    if (clock.monotonicMs() >= (nextLoadsAtMs.get(record.team) ?? 0)) {
+      const ready = await look(declaration, record, duty)
+      const loadedOn = [...new Set([...record.loadedOn, ...ready])]
+      if (loadedOn.length > record.loadedOn.length) return await change(record, duty, { loadedOn })
+    }
+    if (clock.wallMs() < nextStepAtMs(record) || !isSeen(declaration, record)) return
+    if (record.step < lastStep) return await change(record, duty, { step: record.step + 1, stepAtMs: clock.wallMs() })
+    await change(record, duty, { end: endOf('done', 'moved', `All traffic is on "${record.toVersion}".`) })
+  }
+
+  /** Unloads what doesn't serve any more, on every live backend server. */
+  async function unload (declaration: TeamDeclaration, record: MoveRecord, duty: Duty): Promise<void> {
+    if (clock.wallMs() < unloadAtMs(record, declaration.maxRequestMs)) return
+    const version = record.end?.word === 'done' ? record.toVersion : record.fromVersion
+    const backends = options.liveBackends(declaration)
+    const ready = await bringTo(duty, backends, [version], declaration.checksFencing)
+    const isUnloaded = backends.every(backend => ready.includes(backend.id))
+    const loadedOn = record.end?.word === 'done' ? [...new Set([...record.loadedOn, ...ready])] : record.loadedOn
+    if (isUnloaded) await change(record, duty, { loadedOn, unloadedAtMs: clock.wallMs() })
+  }
+
+  return async (declaration, duty) => {
+    if (duty.fencingNumber() === undefined) return
+    const record = register.read(declaration.team)
+    if (record === undefined) return await begin(declaration, undefined, duty)
+    if (record.end !== undefined) {
+      if (record.unloadedAtMs === undefined) return await unload(declaration, record, duty)
+      return await begin(declaration, record, duty)
+    }
+    const end = dueEnd(declaration, record)
+    if (end !== undefined) return await change(record, duty, { end })
+    if (record.trafficAtMs === undefined) await load(declaration, record, duty)
+    else await shift(declaration, record, duty)
+  }
+}
--- /dev/null
+++ b/src/core/moves/index.ts
@@ -0,0 +1,262 @@
+/**
+ * Version moves: each node evaluates the same schedule from the record and its
+ * clock, brakes on its own evidence, and one node at a time has the duty to
+ * give orders and write the record.
+ */
+import { createFeed } from '../configuration/index.ts'
+import { rankNodes } from '../membership/index.ts'
+import { createDurableWriter } from '../platform/durable-write/index.ts'
+import { createConduct } from './conduct.ts'
+import { createBadEnd } from './end.ts'
+import { createBringTo } from './loads.ts'
+import { brakeKind, parseBrake, parseReport, reportKind } from './messages.ts'
+import { movesPrefix } from './record.ts'
+import { createRegister } from './register.ts'
+import { newShareOf } from './schedule.ts'
+import { createTrial } from './trial.ts'
+import { expandVersions, sharesAt } from './versions.ts'
+import type { Backend } from '../backends/types.ts'
+import type { Clock } from '../clock/index.ts'
+import type { Configuration, FeedBounds } from '../configuration/index.ts'
+import type { AttemptEvidence } from '../node/evidence.ts'
+import type { BackendId, TeamId, VersionId } from '../ids/index.ts'
+import type { Duties, Duty } from '../leases/index.ts'
+import type { Log } from '../log/index.ts'
+import type { Metrics } from '../metrics/index.ts'
+import type { Membership, PeerAddress, PeerNetwork } from '../peers/types.ts'
+import type { KeyValueStore } from '../platform/key-value/types.ts'
+import type { TeamDeclaration } from '../teams/types.ts'
+import type { BackendOrders } from './loads.ts'
+import type { MoveReport } from './messages.ts'
+import type { Trial } from './trial.ts'
+import type { BadnessEvidence, MoveRecord, Moves } from './types.ts'
+
+export type * from './types.ts'
+export type { BackendOrders } from './loads.ts'
+export { movesPrefix, parseMoveRecord } from './record.ts'
+
+/** Options of a node's moves. */
+export interface MovesOptions {
+  store: KeyValueStore
+  network: PeerNetwork
+  membership: Membership
+  configuration: Pick<Configuration, 'current'>
+  duties: Duties
+  clock: Clock
+  log: Log
+  metrics: Metrics
+  random: () => number
+  /** Backend servers of a team as the instance list shows them. */
+  backendsOf: (team: TeamId) => readonly Backend[]
+  ordersOf: (backend: BackendId) => BackendOrders | undefined
+  /** Begins the running drafts of a version anew on another. */
+  withdrawVersion: (team: TeamId, version: VersionId) => void
+  feedBounds?: Partial<FeedBounds>
+}
+
+const roundMs = 1_000
+const reportMs = 500
+const barrierPrefix = 'barriers/moves/'
+/** Nodes that sum the reports of a move, besides the holder of its duty. */
+const summingNodes = 2
+/** Up to so many peers, a brake goes to all of them; above, to a random few of them at each hop. */
+const allPeers = 16
+const brakeFanOut = 8
+
+/** Name of a team's duty. */
+export function moveDuty (team: TeamId): string {
+  return `moves/${team}`
+}
+
+/** Starts a node's part in all moves. */
+export function createMoves (options: MovesOptions): Moves {
+  const { store, network, membership, configuration, clock, log, metrics, random } = options
+  const { node } = membership.self
+  const stop = new AbortController()
+  const feed = createFeed({ ...options, prefix: movesPrefix, ...(options.feedBounds === undefined ? {} : { bounds: options.feedBounds }) })
+  const writer = createDurableWriter({ store, clock, barrierKey: barrierPrefix + node })
+  const register = createRegister({ clock, log, feed, writer })
+  const duties = new Map<TeamId, Duty>()
+  const trials = new Map<TeamId, Trial>()
+  const withdrawn = new Set<string>()
+  const reportedTotals = new Map<TeamId, number>()
+
+  function declarationOf (team: TeamId): TeamDeclaration | undefined {
+    return configuration.current().teams.get(team)
+  }
+
+  /** The trial of a running move that has traffic, begun when first asked for. */
+  function trialOf (record: MoveRecord): Trial | undefined {
+    const { team } = record
+    const known = trials.get(team)
+    if (known?.record.move === record.move) return known
+    if (record.end !== undefined || record.trafficAtMs === undefined) return undefined
+    const trial = createTrial({
+      node,
+      record,
+      nodes: membership.peers().length + 1,
+      routes: declarationOf(team)?.routes.length ?? 1,
+      onBrake: brake => onBrake(record, brake)
+    })
+    trials.set(team, trial)
+    return trial
+  }
+
+  function onBrake (record: MoveRecord, brake: BadnessEvidence): void {
+    const { team, move, toVersion } = record
+    metrics.count('move_brakes_total', { team, kind: brake.kind })
+    log('moveBraked', { team, move, toVersion, ...brake })
+    for (const peer of brakeReceivers()) network.send(peer, brakeKind, { team, move, brake })
+    withdraw(record)
+    // The finder writes without the duty, because the first end of the record stands whoever wrote it.
+    if (brake.node === node) endAsBad(team, brake)
+  }
+
+  async function endAsBad (team: TeamId, brake: BadnessEvidence): Promise<void> {
+    const current = register.read(team)
+    if (current?.end !== undefined || current === undefined) return
+    await register.write({ ...current, end: createBadEnd(brake, clock.wallMs()) })
+  }
+
+  function brakeReceivers (): PeerAddress[] {
+    const peers = [...membership.peers()]
+    if (peers.length <= allPeers) return peers
+    return Array.from({ length: brakeFanOut }, () => peers.splice(Math.floor(random() * peers.length), 1)).flat()
+  }
+
+  function withdraw ({ team, move, toVersion }: MoveRecord): void {
+    if (withdrawn.has(move)) return
+    withdrawn.add(move)
+    options.withdrawVersion(team, toVersion)
+  }
+
+  function record (evidence: AttemptEvidence): void {
+    const current = register.read(evidence.team)
+    if (current === undefined || current.end !== undefined) return
+    const nowMs = clock.wallMs()
+    const share = newShareOf(current, nowMs)
+    if (share > 0) trialOf(current)?.attempt(evidence, share, nowMs)
+  }
+
+  network.handle(reportKind, (from, body) => {
+    const report = parseReport(body)
+    const current = report === undefined ? undefined : register.read(report.team)
+    if (report === undefined || current?.move !== report.move) return
+    const trial = trialOf(current)
+    trial?.addReport(from, report.counts, clock.wallMs())
+    if (report.brake !== undefined) trial?.pullBrake(report.brake)
+  })
+  network.handle(brakeKind, (_from, body) => {
+    const message = parseBrake(body)
+    const current = message === undefined ? undefined : register.read(message.team)
+    if (message !== undefined && current?.move === message.move) trialOf(current)?.pullBrake(message.brake)
+  })
+
+  /** Nodes that sum the reports of a move. */
+  function summing ({ team, holder }: MoveRecord): PeerAddress[] {
+    const ranked = rankNodes([membership.self, ...membership.peers()], moveDuty(team)).slice(0, summingNodes)
+    const holding = membership.find(holder)
+    return holding === undefined || ranked.some(address => address.node === holder) ? ranked : [...ranked, holding]
+  }
+
+  function report (trial: Trial): void {
+    const { team, move } = trial.record
+    const current = register.read(team)
+    if (current?.move !== move || current.end !== undefined) return
+    const counts = trial.counts()
+    const brake = trial.brake()
+    const total = counts.reduce((sum, { newTotal, oldTotal }) => sum + newTotal + oldTotal, 0)
+    const body: MoveReport = { team, move, counts, ...(brake === undefined ? {} : { brake }) }
+    trial.addReport(node, counts, clock.wallMs())
+    if (brake === undefined && total === reportedTotals.get(team)) return
+    reportedTotals.set(team, total)
+    for (const address of summing(current)) if (address.node !== node) network.send(address, reportKind, body)
+  }
+
+  async function reportOn (): Promise<void> {
+    while (!stop.signal.aborted) {
+      for (const trial of trials.values()) report(trial)
+      await clock.sleep(reportMs, stop.signal)
+    }
+  }
+
+  const conduct = createConduct({
+    node,
+    clock,
+    register,
+    bringTo: createBringTo({ clock, ordersOf: options.ordersOf }),
+    liveBackends: ({ team }) => options.backendsOf(team).filter(backend => backend.state === 'live'),
+    trialOf
+  })
+
+  /** Seeks the duty of teams with something to do, and gives up that of the others. */
+  async function tendDuty (declaration: TeamDeclaration): Promise<Duty | undefined> {
+    const { team, move } = declaration
+    const current = register.read(team)
+    const hasWork = current === undefined
+      ? move !== undefined
+      : current.unloadedAtMs === undefined || (move !== undefined && (move.toVersion !== current.toVersion || move.deadlineAtMs !== current.deadlineAtMs))
+    const known = duties.get(team)
+    if (hasWork) {
+      const duty = known ?? options.duties.seek(moveDuty(team))
+      duties.set(team, duty)
+      return duty
+    }
+    duties.delete(team)
+    await known?.close()
+    return undefined
+  }
+
+  /** Takes running drafts off a version once this node sends it nothing any more. */
+  function withdrawEnded (declaration: TeamDeclaration): void {
+    const current = register.read(declaration.team)
+    if (current?.trafficAtMs === undefined) return
+    const { shares } = sharesOf(declaration.team) ?? { shares: [] }
+    if (!shares.some(({ version }) => version === current.toVersion)) withdraw(current)
+  }
+
+  async function tend (declaration: TeamDeclaration): Promise<void> {
+    withdrawEnded(declaration)
+    const duty = await tendDuty(declaration)
+    if (duty !== undefined) await conduct(declaration, duty)
+  }
+
+  /** One task a team, so that one whose backend servers are slow holds up no other. */
+  const tending = new Map<TeamId, Promise<void>>()
+  async function run (): Promise<void> {
+    while (!stop.signal.aborted) {
+      for (const declaration of configuration.current().teams.values()) {
+        const { team } = declaration
+        if (tending.has(team)) continue
+        tending.set(team, tend(declaration).finally(() => tending.delete(team)))
+      }
+      await clock.sleep(roundMs, stop.signal)
+    }
+    await Promise.all(tending.values())
+  }
+
+  function sharesOf (team: TeamId) {
+    const declaration = declarationOf(team)
+    if (declaration === undefined) return undefined
+    const current = register.read(team)
+    const known = trials.get(team)
+    const isBraked = known !== undefined && known.record.move === current?.move && known.brake() !== undefined
+    // A node that may have missed a brake or an end sends a version on trial nothing.
+    const isStopped = isBraked || !feed.ready().ready
+    return sharesAt(declaration, current, isStopped, clock.wallMs())
+  }
+
+  const tasks = [run(), reportOn()]
+  return {
+    sharesOf,
+    record,
+    withVersions: (team, backends) => expandVersions(backends, register.read(team)),
+    list: register.all,
+    close: async () => {
+      stop.abort()
+      await Promise.all(tasks)
+      await Promise.all([...duties.values()].map(duty => duty.close()))
+      await feed.close()
+    }
+  }
+}
--- a/src/core/node/choose-backend.ts
+++ b/src/core/node/choose-backend.ts
@@ -112,6 +112,7 @@
   }
   record({
     team: draft.team,
+    request: draft.request,
     route: draft.route,
     version: choice.version,
     backend: choice.backend.id,
--- a/src/core/node/evidence.ts
+++ b/src/core/node/evidence.ts
@@ -2,11 +2,13 @@
  * How attempts went, as whoever judges versions and limits is told. One
  * function for all listeners, because it stands on the path of every request.
  */
-import type { BackendId, TeamId, VersionId } from '../ids/index.ts'
+import type { BackendId, RequestId, TeamId, VersionId } from '../ids/index.ts'
 
 /** One finished attempt. */
 export interface AttemptEvidence {
   team: TeamId
+  /** Request of the attempt, so that retries of one request aren't taken for several; absent where it isn't known. */
+  request?: RequestId
   route: string
   version: VersionId
   backend: BackendId
