--- a/bench/measure/slopes/node-deployment.ts
+++ b/bench/measure/slopes/node-deployment.ts
@@ -17,8 +17,8 @@
 const token = 'token-of-the-agency'
 const ticksPerSecond = 100
 const readyBoundMs = 30_000
-const lowestPort = 42_000
-const portRange = 20_000
+const lowestPort = 20_000
+const portRange = 12_000
 
 /** A node process under measurement. */
 export interface NodeDeployment {
@@ -108,6 +108,8 @@
   await store.transact({ compares: [], deletes: [], puts: [{ key: `config/teams/${team}`, value }] }, { deadlineAtMs: clock.wallMs() + 5000 })
   const peers = lowestPort + Math.floor(random() * portRange)
   const ports = { callers: peers + 1, peers }
+  // A node serves once the list shows it.
+  list.setNodes([{ address: { node: toId('node-1'), domain: toId('a'), host: '127.0.0.1', port: ports.peers }, leaving: false }])
   const folder = await mkdtemp(join(tmpdir(), 'measure-'))
   const file = join(folder, 'node.yaml')
   await writeFile(file, settingsText(ports, keyValueProxy.url, listProxy.url))
--- a/src/core/http/draft-handler.ts
+++ b/src/core/http/draft-handler.ts
@@ -107,10 +107,12 @@
   return known.prompt === wanted.prompt && known.maxTokens === wanted.maxTokens && known.route === wanted.route
 }
 
-async function releaseAtEnd (draft: LiveDraft, release: (outcome: 'done' | 'failed' | 'abandoned') => void): Promise<void> {
-  while (draft.end === undefined && draft.movedTo === undefined && !draft.stop.signal.aborted) await draft.changed()
-  if (draft.end === undefined) return release('abandoned')
-  release(draft.end.kind === 'finished' ? 'done' : 'failed')
+/** A permit is held until the draft's task is over, whoever reads it. */
+function releaseAtEnd (draft: LiveDraft, release: (outcome: 'done' | 'failed' | 'abandoned') => void): void {
+  draft.onOver = ({ end }) => {
+    if (end === undefined) release('abandoned')
+    else release(end.kind === 'finished' ? 'done' : 'failed')
+  }
 }
 
 async function answer (
--- a/src/core/requests/draft.ts
+++ b/src/core/requests/draft.ts
@@ -19,6 +19,8 @@
   changed: () => Promise<void>
   /** Wakes all that wait. */
   wake: () => void
+  /** Called once when the draft has ended here, in whatever way; may be set at any time. */
+  onOver: ((draft: LiveDraft) => void) | undefined
   /** Where each reader stands. */
   readers: Set<Reader>
   /** Ends the task that works on the draft here; the reason is an Error or undefined. */
@@ -49,6 +51,7 @@
     texts: [...snapshot.texts],
     movedTo: undefined,
     readers: new Set(),
+    onOver: undefined,
     stop: new AbortController(),
     changed: () => new Promise(resolve => { waiting.push(resolve) }),
     wake: () => {
--- a/src/core/requests/index.ts
+++ b/src/core/requests/index.ts
@@ -84,6 +84,7 @@
       .finally(() => {
         tasks.delete(task)
         table.retire(draft)
+        draft.onOver?.(draft)
       })
     tasks.add(task)
   }
