--- a/bench/prove/simulation/faults.ts
+++ b/bench/prove/simulation/faults.ts
@@ -1,5 +1,6 @@
 /** The faults that a trial causes: alone, in pairs and twice in a row, at random times. */
 import { delaying, duplicating } from '../../../src/core/peers/index.ts'
+import type { CallFault } from '../../../src/core/platform/key-value/memory/index.ts'
 import type { Random } from '../random.ts'
 import type { CallCluster, SimulatedNode } from './cluster.ts'
 
@@ -108,6 +109,13 @@
   heal()
 }
 
+/** Half of the calls get no answer: some never arrived, the others take effect now or later. */
+function loseCall (random: Random): CallFault {
+  if (random.chance(0.5)) return {}
+  if (random.chance(0.3)) return { requestLost: true }
+  return { answerLost: true, requestDelayMs: random.int(0, slowAnswerMs) }
+}
+
 /** Causes one fault and heals it in its time. */
 export async function causeFault (cluster: CallCluster, random: Random, fault: PlannedFault): Promise<void> {
   const { kind, lastsMs } = fault
@@ -124,7 +132,7 @@
   if (kind === 'store-down') await disturbStore(cluster, { down: true }, lastsMs)
   if (kind === 'store-down-for-one') await disturbStoreOfOne(cluster, node, lastsMs)
   if (kind === 'store-slow') await disturbStore(cluster, { requestDelayMs: random.int(10, slowAnswerMs), answerDelayMs: random.int(10, slowAnswerMs) }, lastsMs)
-  if (kind === 'store-answers-lost') await disturbStore(cluster, () => (random.chance(0.5) ? { answerLost: true, requestDelayMs: random.int(0, slowAnswerMs) } : {}), lastsMs)
+  if (kind === 'store-answers-lost') await disturbStore(cluster, () => loseCall(random), lastsMs)
   if (kind === 'service-refusing') await disturbService(cluster, 'refusing', lastsMs)
   if (kind === 'service-request-lost') await disturbService(cluster, 'request-lost', lastsMs)
   if (kind === 'service-answer-lost') await disturbService(cluster, 'answer-lost', lastsMs)
--- a/test/calls/calls.test.ts
+++ b/test/calls/calls.test.ts
@@ -1,6 +1,9 @@
 import test from 'ava'
 import { createRandom } from '../../bench/prove/random.ts'
 import { createCallCluster } from '../../bench/prove/simulation/cluster.ts'
+import { defaultCallLimits } from '../../src/core/calls/index.ts'
+import { ownerKey } from '../../src/core/calls/journal.ts'
+import { recordId, shardOf } from '../../src/core/calls/keys.ts'
 import { toId } from '../../src/core/ids/index.ts'
 import type { Result } from 'true-myth'
 import type { CallCluster, SimulatedNode } from '../../bench/prove/simulation/cluster.ts'
@@ -167,6 +170,51 @@
   t.true((await run(cluster, nodes[0]!, 'new')).isOk)
 })
 
+/** Cuts a shard's owner off from the key-value service and from the one other node; returns a key of the shard. */
+async function isolateOwner (): Promise<{ cluster: CallCluster, owner: SimulatedNode, other: SimulatedNode, key: string }> {
+  const { cluster, nodes } = await createCluster(2)
+  const key = 'isolated'
+  const shard = shardOf(recordId(toId('registry'), toId(key)), defaultCallLimits.callShards)
+  const { node: ownerName } = JSON.parse(cluster.keyValue.state.get(ownerKey(shard))!.value) as { node: string }
+  const owner = nodes.find(node => node.name === ownerName)!
+  const other = nodes.find(node => node !== owner)!
+  const sameShard = Array.from({ length: 100 }, (_, index) => `fresh-${index}`)
+    .find(fresh => shardOf(recordId(toId('registry'), toId(fresh)), defaultCallLimits.callShards) === shard)!
+  // A commit just now is the owner's last proof of its ownership.
+  await run(cluster, owner, sameShard)
+  cluster.setLink(owner, other, 'cut')
+  owner.storeClient.setFaults({ down: true })
+  return { cluster, owner, other, key }
+}
+
+test('an owner without its proof says unknown, because another node may have run the key', async t => {
+  const { cluster, owner, other, key } = await isolateOwner()
+  t.true((await run(cluster, other, key)).isOk)
+  await cluster.clock.advance(3_000)
+  t.is(outcome(await run(cluster, owner, key)), 'store-unavailable unknown')
+  t.is(cluster.service.runs(key).length, 1)
+})
+
+test('a new owner sends nothing while the former one may still say not-run', async t => {
+  const { cluster, owner, other, key } = await isolateOwner()
+  const atOther = other.calls.run(callOf(cluster, key))
+  await cluster.clock.advance(500)
+  t.is(outcome(await run(cluster, owner, key)), 'store-unavailable not-run')
+  t.is(cluster.service.attemptsSent(key), 0)
+  t.true((await ended(cluster, atOther)).isOk)
+})
+
+test('in an outage longer than a proof lasts, not-run is said while all other nodes vouch for it', async t => {
+  const { cluster, nodes } = await createCluster(3)
+  cluster.keyValue.setFaults({ down: true })
+  await cluster.clock.advance(10_000)
+  t.is(outcome(await run(cluster, nodes[0]!, 'a')), 'store-unavailable not-run')
+  cluster.freeze(nodes[2]!)
+  await cluster.clock.advance(1_900)
+  const refusals = await Promise.all(['b', 'c', 'd', 'e', 'f', 'g'].map(key => run(cluster, nodes[0]!, key)))
+  t.true(refusals.every(refusal => refusal.isErr && refusal.error.run === 'unknown'), refusals.map(outcome).join())
+})
+
 test('calls that come together share their commits', async t => {
   const { cluster, nodes } = await createCluster(3)
   cluster.keyValue.resetCalls()
