--- a/test/calls/calls.test.ts
+++ b/test/calls/calls.test.ts
@@ -170,13 +170,31 @@
   t.true((await run(cluster, nodes[0]!, 'new')).isOk)
 })
 
+function ownerOf (cluster: CallCluster, key: string): SimulatedNode {
+  const shard = shardOf(recordId(toId('registry'), toId(key)), defaultCallLimits.callShards)
+  const { node } = JSON.parse(cluster.keyValue.state.get(ownerKey(shard))!.value) as { node: string }
+  return cluster.nodes().find(({ name }) => name === node)!
+}
+
+test('a claim that landed late and was refused as not run does not bar the key at the next owner', async t => {
+  const { cluster } = await createCluster(2)
+  const owner = ownerOf(cluster, 'a')
+  let calls = 0
+  owner.storeClient.setFaults(() => (calls++ === 0 ? { answerLost: true, requestDelayMs: 100 } : {}))
+  t.is(outcome(await run(cluster, owner, 'a')), 'store-unavailable not-run')
+  await cluster.clock.advance(3_000)
+  cluster.kill(owner)
+  await cluster.clock.advance(5_000)
+  t.true((await run(cluster, cluster.nodes()[0]!, 'a')).isOk)
+  t.is(cluster.service.runs('a').length, 1)
+})
+
 /** Cuts a shard's owner off from the key-value service and from the one other node; returns a key of the shard. */
 async function isolateOwner (): Promise<{ cluster: CallCluster, owner: SimulatedNode, other: SimulatedNode, key: string }> {
   const { cluster, nodes } = await createCluster(2)
   const key = 'isolated'
   const shard = shardOf(recordId(toId('registry'), toId(key)), defaultCallLimits.callShards)
-  const { node: ownerName } = JSON.parse(cluster.keyValue.state.get(ownerKey(shard))!.value) as { node: string }
-  const owner = nodes.find(node => node.name === ownerName)!
+  const owner = ownerOf(cluster, key)
   const other = nodes.find(node => node !== owner)!
   const sameShard = Array.from({ length: 100 }, (_, index) => `fresh-${index}`)
     .find(fresh => shardOf(recordId(toId('registry'), toId(fresh)), defaultCallLimits.callShards) === shard)!
