--- a/src/cli/exit-codes.ts
+++ b/src/cli/exit-codes.ts
@@ -10,7 +10,8 @@
   conflict: 4,
   refused: 5,
   outcomeUnknown: 6,
-  unreachable: 7
+  unreachable: 7,
+  takenBack: 8
 } as const
 
 /** What each exit code means, for --help and the operators' pages. */
@@ -22,7 +23,8 @@
   conflict: 'somebody else changed the same thing first',
   refused: 'the system refused; nothing was done',
   outcomeUnknown: 'it isn\'t known whether the work was done',
-  unreachable: 'no node or service answered; nothing was done'
+  unreachable: 'no node or service answered; nothing was done',
+  takenBack: 'the version move was taken back'
 }
 
 const codesByKind: Partial<Record<ErrorName, keyof typeof exitCodes>> = {
--- /dev/null
+++ b/src/cli/moves/list/index.ts
@@ -0,0 +1,31 @@
+import type { MoveRecord } from '../../../core/moves/index.ts'
+import { BaseCommand } from '../../base-command.ts'
+import { listMoves, stateOf } from '../records.ts'
+import { storeFlags, withStore } from '../../store-flags.ts'
+import { renderTable } from '../../table.ts'
+
+/** Lists the version moves. */
+export default class MovesList extends BaseCommand {
+  static override summary = 'List the last version move of each team.'
+  static override description = 'Exit codes: 0 shown, 2 usage, 7 the service did not answer.'
+  static override examples = [
+    '<%= config.bin %> moves list',
+    '<%= config.bin %> moves list --json'
+  ]
+
+  static override enableJsonFlag = true
+  static override flags = storeFlags
+
+  async run (): Promise<MoveRecord[]> {
+    const { flags } = await this.parse(MovesList)
+    return await withStore(flags, async ({ store, deadlineAtMs }) => {
+      const records = this.unwrap(await listMoves(store, deadlineAtMs))
+      const rows = records.map(record => {
+        const { team, fromVersion, toVersion, deadlineAtMs: byMs, end } = record
+        return [team, fromVersion, toVersion, new Date(byMs).toISOString(), stateOf(record), end?.reason ?? '-']
+      })
+      this.log(renderTable(['team', 'from', 'to', 'by the time', 'state', 'reason'], rows))
+      return records
+    })
+  }
+}
--- /dev/null
+++ b/src/cli/moves/records.ts
@@ -0,0 +1,68 @@
+/** Reads the records of version moves. */
+import { err, ok } from 'true-myth/result'
+import type { Result } from 'true-myth'
+import { parseTeamValue, teamsPrefix } from '../../core/configuration/index.ts'
+import type { TeamId } from '../../core/ids/index.ts'
+import { movesPrefix, parseMoveRecord } from '../../core/moves/index.ts'
+import type { MoveRecord } from '../../core/moves/index.ts'
+import type { KeyValueError, KeyValueStore } from '../../core/platform/key-value/index.ts'
+import type { MoveDeclaration } from '../../core/teams/types.ts'
+
+/** All records, in order of team. */
+export async function listMoves (store: KeyValueStore, deadlineAtMs: number): Promise<Result<MoveRecord[], KeyValueError>> {
+  const read = await store.list(movesPrefix, { deadlineAtMs })
+  return read.map(({ entries }) => entries.flatMap(({ value }) => parseMoveRecord(value) ?? []))
+}
+
+/** What is declared and what is recorded of a team's move. */
+export interface TeamMove {
+  isDeclared: boolean
+  declared: MoveDeclaration | undefined
+  record: MoveRecord | undefined
+  /** Revision of the service at which the record was read. */
+  revision: number
+}
+
+/** Reads a team's declaration and record. */
+export async function readTeamMove (team: TeamId, store: KeyValueStore, deadlineAtMs: number): Promise<Result<TeamMove, KeyValueError>> {
+  const declaration = await store.get(teamsPrefix + team, { deadlineAtMs })
+  if (declaration.isErr) return err(declaration.error)
+  const record = await store.get(movesPrefix + team, { deadlineAtMs })
+  if (record.isErr) return err(record.error)
+  const { entry } = declaration.value
+  const declared = entry === undefined ? undefined : parseTeamValue(entry.value).map(({ content }) => content.declaration.move).unwrapOr(undefined)
+  const recordText = record.value.entry?.value
+  return ok({
+    isDeclared: entry !== undefined,
+    declared,
+    record: recordText === undefined ? undefined : parseMoveRecord(recordText),
+    revision: record.value.revision
+  })
+}
+
+/** Whether the record is of the move that is declared now. */
+export function isOfDeclaration ({ declared, record }: TeamMove): boolean {
+  if (declared === undefined || record === undefined) return record !== undefined
+  return record.toVersion === declared.toVersion && record.deadlineAtMs === declared.deadlineAtMs
+}
+
+function time (atMs: number): string {
+  return new Date(atMs).toISOString()
+}
+
+/** Where a move stands, in a word or two. */
+export function stateOf (record: MoveRecord): string {
+  if (record.end !== undefined) return record.end.word.replace('-', ' ')
+  return record.trafficAtMs === undefined ? 'loading' : `step ${record.step + 1}`
+}
+
+/** One line on a move for people. */
+export function renderMove (record: MoveRecord): string {
+  const { team, fromVersion, toVersion, deadlineAtMs, end, loadedOn } = record
+  const heading = `${team}: ${fromVersion} -> ${toVersion} by ${time(deadlineAtMs)}: ${stateOf(record)}`
+  if (end === undefined) return `${heading}, loaded on ${loadedOn.length} backend server(s)`
+  const evidence = end.evidence === undefined
+    ? ''
+    : ` Evidence on route "${end.evidence.route}", ${end.evidence.kind}: new ${end.evidence.newBad} of ${end.evidence.newTotal}, old ${end.evidence.oldBad} of ${end.evidence.oldTotal}.`
+  return `${heading} at ${time(end.atMs)} (${end.reason}). ${end.detail}${evidence}`
+}
