Count a missed prefix only where one was known to be held; three shards of calls by default

Cause: the router's expectation for a prompt's home is a chance (768 of 1,536 tokens for a first prompt that nobody had computed), and its miss was counted as well.

--- a/src/core/node/choose-backend.ts
+++ b/src/core/node/choose-backend.ts
@@ -107,7 +107,8 @@
     inFlight,
     overloaded: !outcome.ok && firstTokenMs === undefined
   })
-  if (outcome.ok && choice.expectedCachedTokens > outcome.cachedTokens) {
+  // A home that may hold the prefix is a guess; only what was known to be there counts as computed again.
+  if (outcome.ok && choice.reason === 'prefix-held' && choice.expectedCachedTokens > outcome.cachedTokens) {
     metrics.recomputed('prefix-missed', choice.expectedCachedTokens - outcome.cachedTokens)
   }
   record({
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -77,7 +77,7 @@
 })
 
 const calls = z.strictObject({
-  shards: z.int().min(1).max(4096).default(16).describe('Shards of the table of at-most-once calls; the same at all nodes.'),
+  shards: z.int().min(1).max(4096).default(3).describe('Shards of the table of at-most-once calls; the same at all nodes.'),
   retentionMs: intervalMs.min(hourMs).default(24 * hourMs).describe('How long the outcome of a call is kept for repeats, in milliseconds.')
 })
 
