--- /dev/null
+++ b/bench/moves/agreed.ts
@@ -0,0 +1,19 @@
+/** The system's own way to move versions. */
+import { createMetrics } from '../../src/core/metrics/index.ts'
+import { createMoves } from '../../src/core/moves/index.ts'
+import type { StartMoves } from './world.ts'
+
+export const startAgreed: StartMoves = ({ client, network, membership, duties, clock, log, random, teams, backends, ordersOf }) => createMoves({
+  store: client,
+  network,
+  membership,
+  configuration: { current: () => ({ revision: 1, teams }) },
+  duties,
+  clock,
+  log,
+  metrics: createMetrics(),
+  random,
+  backendsOf: () => backends,
+  ordersOf,
+  withdrawVersion: () => {}
+})
--- /dev/null
+++ b/bench/moves/index.ts
@@ -0,0 +1,66 @@
+/**
+ * Runs seeded moves (kinds of badness by faults by load) with the system's way
+ * and with the naive one. Exits with 1 when the system's way broke a bound.
+ *
+ *     npm run moves -- --seed 7 --moves 98 --json
+ *
+ * `--policy` runs one way only; `--each` prints each trial to standard error.
+ */
+import { parseArgs } from 'node:util'
+import { startAgreed } from './agreed.ts'
+import { planOf } from './grid.ts'
+import { startNaive } from './naive.ts'
+import { brokenBounds, summarize } from './summary.ts'
+import { runTrial } from './trial.ts'
+import type { TrialResult } from './types.ts'
+import type { Summary } from './summary.ts'
+import type { StartMoves } from './world.ts'
+
+const policies: Record<string, StartMoves> = { cyclamenshunt: startAgreed, naive: startNaive }
+const own = 'cyclamenshunt'
+const defaultMoves = 98
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: 'string', default: '1' },
+    moves: { type: 'string', default: String(defaultMoves) },
+    policy: { type: 'string' },
+    each: { type: 'boolean', default: false },
+    json: { type: 'boolean', default: false }
+  }
+})
+
+function wholeNumber (name: string, text: string): number {
+  const number = Number(text)
+  if (!Number.isSafeInteger(number) || number < 0) throw new Error(`--${name} takes a whole number, not "${text}".`)
+  return number
+}
+
+async function runAll (startMoves: StartMoves, seed: number, moves: number): Promise<TrialResult[]> {
+  const results: TrialResult[] = []
+  for (let index = 0; index < moves; index += 1) {
+    const result = await runTrial(planOf(seed, index), startMoves)
+    results.push(result)
+    if (values.each) process.stderr.write(`${index} ${JSON.stringify(result)}\n`)
+  }
+  return results
+}
+
+function print (summary: Summary, broken: string[]): void {
+  if (values.json) {
+    process.stdout.write(`${JSON.stringify({ ...summary, brokenBounds: broken })}\n`)
+    return
+  }
+  const lines = Object.entries(summary).map(([name, value]) => `  ${name}: ${value}`)
+  process.stdout.write(`${[...lines, ...broken.map(text => `  broken: ${text}`)].join('\n')}\n\n`)
+}
+
+const seed = wholeNumber('seed', values.seed)
+const moves = wholeNumber('moves', values.moves)
+for (const [policy, startMoves] of Object.entries(policies)) {
+  if (values.policy !== undefined && values.policy !== policy) continue
+  const summary = summarize(policy, seed, await runAll(startMoves, seed, moves))
+  const broken = brokenBounds(summary)
+  print(summary, broken)
+  if (policy === own && broken.length > 0) process.exitCode = 1
+}
--- /dev/null
+++ b/bench/moves/world.ts
@@ -0,0 +1,229 @@
+/** Nodes of one process on a manual clock, with what a move needs of the platform and of backend servers. */
+import { ok } from 'true-myth/result'
+import { createManualClock } from '../../src/core/clock/index.ts'
+import { toId } from '../../src/core/ids/index.ts'
+import { createDuties } from '../../src/core/leases/index.ts'
+import { createSilentLog } from '../../src/core/log/index.ts'
+import { createMembership, rankNodes } from '../../src/core/membership/index.ts'
+import { createMetrics } from '../../src/core/metrics/index.ts'
+import { createMemoryNetwork } from '../../src/core/peers/index.ts'
+import { createMemoryKeyValue } from '../../src/core/platform/key-value/index.ts'
+import { createRandom } from '../../src/core/random/index.ts'
+import type { Backend, BackendOrder, BackendState } from '../../src/core/backends/index.ts'
+import type { Clock, ManualClock } from '../../src/core/clock/index.ts'
+import type { BackendId, NodeId, TeamId, VersionId } from '../../src/core/ids/index.ts'
+import type { Duties } from '../../src/core/leases/index.ts'
+import type { Log } from '../../src/core/log/index.ts'
+import type { MemoryNetwork } from '../../src/core/peers/index.ts'
+import type { Membership, PeerAddress, PeerNetwork } from '../../src/core/peers/types.ts'
+import type { MemoryClient, MemoryKeyValue } from '../../src/core/platform/key-value/index.ts'
+import type { TeamDeclaration } from '../../src/core/teams/index.ts'
+import type { AttemptEvidence } from '../../src/core/node/evidence.ts'
+import type { BackendOrders, MoveRecord } from '../../src/core/moves/index.ts'
+import type { VersionShares } from '../../src/core/teams/index.ts'
+import { routes } from './outcomes.ts'
+
+export const team = toId<TeamId>('agency')
+export const oldVersion = toId<VersionId>('v1')
+export const newVersion = toId<VersionId>('v2')
+const loadMs = 4_000
+const endMs = 60_000
+
+/** What the trial needs of one way to move versions, on one node. */
+export interface NodeMoves {
+  sharesOf: (team: TeamId) => VersionShares | undefined
+  record: (evidence: AttemptEvidence) => void
+  list: () => MoveRecord[]
+  close: () => Promise<void>
+}
+
+/** What a way to move versions is given. */
+export interface NodeParts {
+  client: MemoryClient
+  network: PeerNetwork
+  membership: Membership
+  duties: Duties
+  clock: Clock
+  log: Log
+  random: () => number
+  teams: ReadonlyMap<TeamId, TeamDeclaration>
+  backends: readonly Backend[]
+  ordersOf: (backend: BackendId) => BackendOrders | undefined
+}
+
+/** Starts a node's moves. */
+export type StartMoves = (parts: NodeParts) => NodeMoves
+
+/** One node of the world. */
+export interface WorldNode {
+  node: NodeId
+  client: MemoryClient
+  duties: Duties
+  moves: NodeMoves
+  isUp: boolean
+}
+
+/** Everything that a trial runs in. */
+export interface World {
+  clock: ManualClock
+  network: MemoryNetwork
+  service: MemoryKeyValue
+  nodes: WorldNode[]
+  teams: Map<TeamId, TeamDeclaration>
+  /** Versions that each backend server holds, and how many orders it took. */
+  servers: Map<BackendId, BackendState & { orders: number }>
+  /** Events that any node logged. */
+  events: Array<{ event: string, node: NodeId, atMs: number }>
+  /** The node that holds the move's duty, or ranks first for it. */
+  holder: () => WorldNode
+  /** Stops a node's tasks and traffic; returns a function that lets it go on. */
+  freeze: (node: WorldNode) => () => void
+  close: () => Promise<void>
+}
+
+/** A declaration of the team as operators would make it. */
+export function declare (move: TeamDeclaration['move']): TeamDeclaration {
+  return {
+    team,
+    template: toId('plain'),
+    kind: 'model-engine',
+    version: oldVersion,
+    ...(move === undefined ? {} : { move }),
+    routes: routes.map(({ name }) => ({ name, kind: 'draft', priority: 'normal', repeatable: true })),
+    tokenDigests: [],
+    weight: 1,
+    maxConcurrent: 100,
+    maxQueued: 100,
+    maxRequestMs: 30_000,
+    domains: [],
+    minBackends: 1,
+    maxBackends: 8,
+    maxPriceMilliEuroPerHour: 1_000,
+    checksFencing: true
+  }
+}
+
+/** Starts nodes over one service. */
+export function createWorld (seed: number, startMoves: StartMoves, size = 3): World {
+  const clock = createManualClock()
+  const random = createRandom(seed)
+  const network = createMemoryNetwork({ clock })
+  const service = createMemoryKeyValue({ clock })
+  const teams = new Map([[team, declare(undefined)]])
+  const events: World['events'] = []
+  const servers: World['servers'] = new Map()
+  const backends = Array.from({ length: 4 }, (_, index): Backend => ({
+    id: toId(`engine-${index}`),
+    instance: toId(`instance-${index}`),
+    team,
+    kind: 'model-engine',
+    version: oldVersion,
+    domain: toId(`d${index % 3}`),
+    machineClass: 'standard',
+    reclaimable: true,
+    url: 'http://127.0.0.1:1',
+    state: 'live'
+  }))
+  for (const { id } of backends) servers.set(id, { versions: [oldVersion], loading: [], adapters: [], role: 'serve', highestFencingNumber: 0, orders: 0 })
+  const addresses = Array.from({ length: size }, (_, index): PeerAddress => ({ node: toId(`node-${index}`), domain: toId(`d${index % 3}`), host: '10.0.0.1', port: 7000 + index }))
+
+  async function load (server: BackendState, version: VersionId): Promise<void> {
+    server.loading = [...server.loading, version]
+    await clock.sleep(loadMs)
+    server.loading = server.loading.filter(other => other !== version)
+    server.versions = [...server.versions, version]
+  }
+
+  function ordersOf (id: BackendId): BackendOrders | undefined {
+    const server = servers.get(id)
+    if (server === undefined) return undefined
+    return {
+      state: async () => ok({ ...server }),
+      order: async ({ wanted }: BackendOrder) => {
+        server.orders += 1
+        server.versions = server.versions.filter(version => wanted.versions.includes(version))
+        for (const version of wanted.versions) {
+          if (!server.versions.includes(version) && !server.loading.includes(version)) load(server, version)
+        }
+        return ok({ ...server })
+      }
+    }
+  }
+
+  function start (self: PeerAddress): WorldNode {
+    const { node } = self
+    const nodeClock = network.clockOf(node)
+    const silent = createSilentLog()
+    const log: Log = (event, fields) => {
+      silent(event, fields)
+      events.push({ event, node, atMs: clock.wallMs() })
+    }
+    const client = service.connect(node)
+    const nodeNetwork = network.join(self)
+    const membership = createMembership({
+      self,
+      network: nodeNetwork,
+      seeds: [],
+      instanceList: async () => ok(addresses.map(address => ({ address, leaving: false }))),
+      clock: nodeClock,
+      log,
+      metrics: createMetrics(),
+      random
+    })
+    const wants = (duty: string): boolean => rankNodes([self, ...membership.peers()], duty)[0]?.node === node
+    const duties = createDuties({ store: client, clock: nodeClock, log, node, wants })
+    const moves = startMoves({ client, network: nodeNetwork, membership, duties, clock: nodeClock, log, random, teams, backends, ordersOf })
+    const closeMoves = moves.close
+    return {
+      node,
+      client,
+      duties,
+      isUp: true,
+      moves: {
+        ...moves,
+        close: async () => {
+          await closeMoves()
+          await duties.close()
+          await membership.close()
+        }
+      }
+    }
+  }
+
+  const nodes = addresses.map(start)
+
+  function holder (): WorldNode {
+    const holding = nodes.find(({ duties, isUp }) => isUp && duties.held().length > 0)
+    return holding ?? nodes.find(({ isUp }) => isUp)!
+  }
+
+  function freeze (frozen: WorldNode): () => void {
+    const thaw = network.freeze(frozen.node)
+    frozen.isUp = false
+    frozen.client.setFaults({ down: true })
+    return () => {
+      frozen.client.setFaults(undefined)
+      frozen.isUp = true
+      thaw()
+    }
+  }
+
+  return {
+    clock,
+    network,
+    service,
+    nodes,
+    teams,
+    servers,
+    events,
+    holder,
+    freeze,
+    close: async () => {
+      for (const { node } of nodes) network.freeze(node)()
+      const closings = nodes.map(({ moves }) => moves.close())
+      await clock.advance(endMs)
+      await Promise.all(closings)
+      service.close()
+    }
+  }
+}
