--- a/bench/moves/trial.ts
+++ b/bench/moves/trial.ts
@@ -1,5 +1,5 @@
 /** One move from its declaration to a while after its deadline, under traffic and a fault. */
-import { createId, toId } from '../../src/core/ids/index.ts'
+import { toId } from '../../src/core/ids/index.ts'
 import type { RequestId } from '../../src/core/ids/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
 import { scheduleOf } from './faults.ts'
@@ -78,7 +78,7 @@
       atMs: nowMs + outcome.firstTokenMs + 40 * outcome.betweenTokensMs,
       evidence: {
         team,
-        request: createId<RequestId>('req', nowMs),
+        request: toId<RequestId>(`request-${tally.total}`),
         route,
         version: isNew ? newVersion : oldVersion,
         backend: toId('engine-0'),
--- a/src/core/moves/register.ts
+++ b/src/core/moves/register.ts
@@ -1,6 +1,6 @@
 /** The records in force on a node, and writes of them by compare-and-swap. */
-import { createId } from '../ids/index.ts'
-import { moveKey, parseMoveRecord } from './record.ts'
+import { createId, toId } from '../ids/index.ts'
+import { moveKey, movesPrefix, parseMoveRecord } from './record.ts'
 import type { Clock } from '../clock/index.ts'
 import type { Feed } from '../configuration/index.ts'
 import type { TeamId, WriteId } from '../ids/index.ts'
@@ -72,7 +72,7 @@
   }
 
   function all (): MoveRecord[] {
-    return feed.entries().flatMap(entry => parseMoveRecord(entry.value) ?? [])
+    return feed.entries().flatMap(({ key }) => knownOf(toId<TeamId>(key.slice(movesPrefix.length)))?.record ?? [])
   }
 
   return { read: team => knownOf(team)?.record, write, all }
