--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -7,6 +7,8 @@
 import Draft from './draft/index.ts'
 import Explain from './explain/index.ts'
 import Get from './get/index.ts'
+import MovesList from './moves/list.ts'
+import MovesWatch from './moves/watch.ts'
 import Serve from './serve/index.ts'
 import SetCommand from './set/index.ts'
 import StandIn from './stand-in/index.ts'
@@ -21,6 +23,8 @@
   draft: Draft,
   explain: Explain,
   get: Get,
+  'moves:list': MovesList,
+  'moves:watch': MovesWatch,
   serve: Serve,
   set: SetCommand,
   'stand-in': StandIn,
@@ -28,4 +32,6 @@
 }
 
 /** Words under which several commands stand. */
-export const topics: Record<string, string> = {}
+export const topics: Record<string, string> = {
+  moves: 'Show how version moves go.'
+}
--- a/src/core/moves/index.ts
+++ b/src/core/moves/index.ts
@@ -34,6 +34,7 @@
 export type * from './types.ts'
 export type { BackendOrders } from './loads.ts'
 export { movesPrefix, parseMoveRecord } from './record.ts'
+export { newShareOf } from './schedule.ts'
 
 /** Options of a node's moves. */
 export interface MovesOptions {
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -12,15 +12,17 @@
 import type { Readiness, RunCall } from '../http/index.ts'
 import { toId } from '../ids/index.ts'
 import type { BackendId, TeamId } from '../ids/index.ts'
-import { createMembership } from '../membership/index.ts'
+import { createDuties } from '../leases/index.ts'
+import { createMembership, rankNodes } from '../membership/index.ts'
 import { createMetrics } from '../metrics/index.ts'
+import { createMoves } from '../moves/index.ts'
 import { createPeerNetwork } from '../peers/index.ts'
 import { createCloud } from '../platform/cloud/index.ts'
 import { createInstanceList } from '../platform/instance-list/index.ts'
 import { createHttpKeyValue } from '../platform/key-value/index.ts'
 import { createDrafts } from '../requests/index.ts'
 import { createPromptHasher, createRouter } from '../routing/index.ts'
-import type { TeamDeclaration, VersionShares } from '../teams/index.ts'
+import type { TeamDeclaration } from '../teams/index.ts'
 import { createDraftChooser } from './choose-backend.ts'
 import { drainNode } from './drain.ts'
 import { engineProfileOf } from './engine-profiles.ts'
@@ -72,11 +74,6 @@
   const configuration = createConfiguration({ store, network, membership, clock, log, metrics, random })
 
   const findTeam = (team: TeamId): TeamDeclaration | undefined => configuration.current().teams.get(team)
-  const sharesOf = (team: TeamId): VersionShares | undefined => {
-    const declaration = findTeam(team)
-    return declaration === undefined ? undefined : { shares: [{ version: declaration.version, share: 1 }] }
-  }
-
   const retryBudget = createRetryBudget({ clock })
   // Calls choose anew for each attempt, so their retries are counted for the team instead of a backend server.
   const callRetries = createRetryBudget({ clock })
@@ -106,7 +103,31 @@
       retryBudget.forget(backend)
     }
   })
-  const choice = { clock, metrics, router, hasher, limits, retryBudget, table, sharesOf, record: () => {} }
+  const duties = createDuties({
+    store,
+    clock,
+    log,
+    node: settings.node,
+    wants: duty => !life.leaving && rankNodes([membership.self, ...membership.peers()], duty)[0]?.node === settings.node
+  })
+  const moves = createMoves({
+    store,
+    network,
+    membership,
+    configuration,
+    duties,
+    clock,
+    log,
+    metrics,
+    random,
+    backendsOf: table.ofTeam,
+    ordersOf: backend => table.engineOf(backend) ?? table.serviceOf(backend),
+    withdrawVersion: (team, version) => drafts.withdrawVersion(team, version)
+  })
+  const { sharesOf } = moves
+  /** Backend servers as routing sees them: one entry for each version that they serve. */
+  const routed = { ...table, ofTeam: (team: TeamId) => moves.withVersions(team, table.ofTeam(team)) }
+  const choice = { clock, metrics, router, hasher, limits, retryBudget, table: routed, sharesOf, record: moves.record }
   const drafts = createDrafts({
     clock,
     metrics,
@@ -116,7 +137,7 @@
     random,
     choose: createDraftChooser(choice),
     takeRetry: retryBudget.take,
-    hasAlternative: (team, leaving) => table.ofTeam(team)
+    hasAlternative: (team, leaving) => routed.ofTeam(team)
       .some(backend => backend.state === 'live' && backend.version === leaving.version && backend.id !== leaving.id)
   })
   const calls = createCalls({
@@ -153,7 +174,7 @@
   })
 
   const status = (): Promise<unknown> => readStatus({
-    clock, admission, table, calls, configuration, membership, network, drafts, readiness, sharesOf
+    clock, admission, table, calls, configuration, membership, network, drafts, readiness, sharesOf, moves
   })
 
   const server = await createCallerServer({
@@ -188,6 +209,8 @@
     await drafts.close()
     await calls.close()
     await backendWatch.close()
+    await moves.close()
+    await duties.close()
     await configuration.close()
     await membership.close()
     await network.close()
--- a/src/core/node/status.ts
+++ b/src/core/node/status.ts
@@ -6,6 +6,7 @@
 import type { Configuration } from '../configuration/index.ts'
 import type { Readiness } from '../http/index.ts'
 import type { NodeMembership } from '../membership/index.ts'
+import type { Moves } from '../moves/index.ts'
 import type { PeerNetwork } from '../peers/types.ts'
 import type { Drafts } from '../requests/index.ts'
 import type { TeamId } from '../ids/index.ts'
@@ -26,6 +27,7 @@
   drafts: Drafts
   readiness: () => Readiness
   sharesOf: (team: TeamId) => VersionShares | undefined
+  moves: Pick<Moves, 'list'>
 }
 
 /** Reads the status: this node, its backend servers, its teams, and how far each peer's configuration is. */
@@ -45,6 +47,7 @@
     ownedCallShards: options.calls.ownedShards(),
     control: options.network.traffic(),
     backends: table.all(),
+    moves: options.moves.list(),
     teams: [...configuration.current().teams.values()].map(({ team, version, move }) => ({
       team,
       version,
