--- /dev/null
+++ b/test/moves/schedule.test.ts
@@ -0,0 +1,99 @@
+/** The share over time, and the test that judges versions. */
+import test from 'ava'
+import fc from 'fast-check'
+import { createRandom } from '../../src/core/random/index.ts'
+import { toId } from '../../src/core/ids/index.ts'
+import { commitAtMs, lastStep, newShareOf, nextStepAtMs } from '../../src/core/moves/schedule.ts'
+import { createSequentialTest, logBoundFor } from '../../src/core/moves/sequential-test.ts'
+import type { MoveRecord } from '../../src/core/moves/index.ts'
+
+const seed = 20_261
+const maxShare = 0.05
+
+function recordOf (windowMs: number, loadMs: number): MoveRecord {
+  return {
+    writeId: toId('wr'),
+    move: toId('mv'),
+    team: toId('agency'),
+    fromVersion: toId('v1'),
+    toVersion: toId('v2'),
+    startedAtMs: 0,
+    deadlineAtMs: windowMs,
+    holder: toId('node-0'),
+    fencingNumber: 1,
+    servesFrom: [],
+    loadedOn: [],
+    trafficAtMs: loadMs,
+    step: 0,
+    stepAtMs: loadMs
+  }
+}
+
+test('over a whole move, also when no later step is ever written, the new version gets less than 5%', t => {
+  fc.assert(fc.property(
+    fc.integer({ min: 60_000, max: 86_400_000 }),
+    fc.double({ min: 0, max: 0.5, noNaN: true }),
+    fc.integer({ min: 0, max: lastStep }),
+    (windowMs, loadPart, stuckStep) => {
+      let record = recordOf(windowMs, windowMs * loadPart)
+      const stepMs = windowMs / 2_000
+      let total = 0
+      for (let nowMs = 0; nowMs < windowMs; nowMs += stepMs) {
+        const mayStep = record.step < stuckStep && nowMs >= nextStepAtMs(record)
+        if (mayStep) record = { ...record, step: record.step + 1, stepAtMs: nowMs }
+        const isCommitted = stuckStep === lastStep && record.step === lastStep && nowMs >= nextStepAtMs(record)
+        if (isCommitted) break
+        if (nowMs >= windowMs * loadPart) total += newShareOf(record, nowMs) * stepMs
+      }
+      return total / (windowMs * (1 - loadPart)) < maxShare && commitAtMs(record) < windowMs
+    }
+  ), { seed, numRuns: 300 })
+  t.pass()
+})
+
+test('from the deadline on, every node serves one version, whatever it knows', t => {
+  fc.assert(fc.property(fc.integer({ min: 0, max: lastStep }), fc.integer({ min: 0, max: 1e9 }), (step, lateMs) => {
+    const record = { ...recordOf(600_000, 1_000), step, stepAtMs: 599_000 }
+    const done = { ...record, end: { word: 'done' as const, reason: 'moved' as const, detail: '', atMs: 500_000 } }
+    const back = { ...record, end: { word: 'taken-back' as const, reason: 'withdrawn' as const, detail: '', atMs: 500_000 } }
+    const atMs = record.deadlineAtMs + lateMs
+    return newShareOf(record, atMs) === 0 && newShareOf(done, atMs) === 1 && newShareOf(back, atMs) === 0
+  }), { seed })
+  t.pass()
+})
+
+/** Attempts until the test's bound is reached; undefined when it never is. */
+function attemptsUntilFound (random: () => number, share: number, oldRate: number, newRateAt: (attempt: number) => number): number | undefined {
+  const judged = createSequentialTest()
+  const bound = logBoundFor(1)
+  const attempts = 20_000
+  for (let attempt = 0; attempt < attempts; attempt += 1) {
+    if (attempt % 156 === 0) judged.beginEpoch()
+    const isNew = random() < share
+    const isBad = random() < (isNew ? newRateAt(attempt) : oldRate)
+    if (isBad) judged.add(isNew ? 1 : 0, isNew ? 0 : 1, share)
+    if (judged.logStatistic() >= bound) return attempt
+  }
+  return undefined
+}
+
+test('equal versions are taken for bad in at most 1 of 100 long streams, whatever the share and the rate of failures', t => {
+  const random = createRandom(seed)
+  let found = 0
+  const streams = 400
+  for (let stream = 0; stream < streams; stream += 1) {
+    const rate = [0.001, 0.01, 0.1, 0.5][stream % 4] ?? 0
+    const share = [0.015, 0.1, 0.25, 0.5][Math.floor(stream / 4) % 4] ?? 0
+    if (attemptsUntilFound(random, share, rate, () => rate) !== undefined) found += 1
+  }
+  t.true(found <= streams / 100, `${found} of ${streams}`)
+})
+
+test('badness that begins late, after thousands of good attempts, is found at a small share', t => {
+  const random = createRandom(seed)
+  const badFrom = 10_000
+  for (let stream = 0; stream < 20; stream += 1) {
+    const foundAt = attemptsUntilFound(random, 0.015, 0.004, attempt => attempt < badFrom ? 0.004 : 0.8)
+    t.true(foundAt !== undefined && foundAt >= badFrom)
+  }
+})
