Move a team to a new version in the demo; walk through a first move

Not run: the nodes don't run moves yet (src/core/node calls no createMoves), so the demo's promise on the move would break.

--- a/bench/demo/index.ts
+++ b/bench/demo/index.ts
@@ -8,7 +8,8 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { parseArgs } from 'node:util'
 import { findCaseFiles } from './case-files.ts'
-import { domains, readTeams } from './declarations.ts'
+import { domains, draftingTeam, readTeams } from './declarations.ts'
+import { checkMove, declareMove, nextVersion, readMove } from './move.ts'
 import { planNodes, startNode } from './nodes.ts'
 import type { DemoNode } from './nodes.ts'
 import { applyDeclarations } from './operator.ts'
@@ -73,6 +74,9 @@
 
   const workload = startWorkload(nodes.map(({ url }) => url), files, seed)
   const stopProgress = progress.follow(workload)
+  const moveDeadlineAtMs = Date.now() + runMs
+  await declareMove(platform, moveDeadlineAtMs)
+  progress.say(`moving ${draftingTeam.name} to ${nextVersion} by ${new Date(moveDeadlineAtMs).toISOString()}`)
   await delay(runMs / 2)
   progress.say(`reclaiming ${reclaimedDomain} with ${reclaimNoticeMs / 1000} s of notice`)
   const codes = await reclaim(platform, nodes)
@@ -82,13 +86,15 @@
   await workload.finish()
   stopProgress()
 
+  const move = await readMove(platform)
   const promises = [
+    checkMove(move),
     ...checkPromises(workload.drafts, workload.calls, countRuns(platform)),
     { promise: 'A reclaimed node stops by itself', checked: codes.length, broken: codes.filter(code => code !== 0).map(code => `status ${code}`) }
   ]
   const metrics = await Promise.all(nodes.map(node => node.readMetrics()))
   const { costMilliEuro } = platform.cloud.stats()
-  process.stdout.write(`\n${renderReport({ ...workload, metrics, costMilliEuro, promises })}\n`)
+  process.stdout.write(`\n${renderReport({ ...workload, metrics, costMilliEuro, promises, move })}\n`)
   return promises.every(({ broken }) => broken.length === 0)
 }
 
--- a/bench/demo/report.ts
+++ b/bench/demo/report.ts
@@ -1,6 +1,8 @@
 /** The table that the demo prints at its end. */
 import { build } from 'hdr-histogram-js'
+import { renderMove } from '../../src/cli/moves/records.ts'
 import { renderTable } from '../../src/cli/table.ts'
+import type { MoveRecord } from '../../src/core/moves/index.ts'
 import { sumByLabel } from './metrics-text.ts'
 import type { CheckedPromise } from './promises.ts'
 import type { CallOutcome, DraftOutcome } from './workload.ts'
@@ -13,6 +15,7 @@
   metrics: readonly string[]
   costMilliEuro: number
   promises: readonly CheckedPromise[]
+  move: MoveRecord | undefined
 }
 
 const maxBrokenShown = 5
@@ -62,7 +65,7 @@
 
 /** Renders the results for people. */
 export function renderReport (results: DemoResults): string {
-  const { metrics, costMilliEuro, drafts } = results
+  const { metrics, costMilliEuro, drafts, move } = results
   const finished = drafts.filter(({ summary }) => summary !== undefined)
   const cost = costMilliEuro / 1000
   const tokens = finished.reduce((sum, { summary }) => sum + (summary?.events ?? 0), 0)
@@ -73,6 +76,7 @@
     section('Retried by reason, all nodes', counts(metrics, 'retried_total', 'reason')),
     section('Tokens recomputed by cause, all nodes', counts(metrics, 'recomputed_tokens_total', 'cause')),
     section('Cost of the instances', `${cost.toFixed(4)} euro for ${finished.length} drafts with ${tokens} tokens and the registrations`),
+    section('Version move', move === undefined ? 'no node began it' : renderMove(move)),
     section('Promises', promiseTable(results.promises))
   ].join('\n')
 }
