Import the KV cache that was exported, and count recomputed tokens by what was cached

Cause: the handle of an exported KV cache went along with the next attempt, but no engine was ever told to import it, so every move off a reclaimed engine computed the whole prompt again. The counter hid it: it counted the answer's events so far instead of what the engine computed.

--- a/src/core/requests/attempt-draft.ts
+++ b/src/core/requests/attempt-draft.ts
@@ -15,6 +15,9 @@
 /** Events that an engine may be ahead of the fastest reader before its stream is left unread. */
 const maxEventsAhead = 1_024
 
+/** Longest time that an import of a KV cache may take; reading the prompt again is the other way. */
+const maxImportMs = 2_000
+
 /** What one attempt is to do. */
 export interface AttemptPlan {
   choice: DraftChoice
@@ -26,7 +29,7 @@
 
 /** How an attempt ended. `broken` ones may be followed by another. */
 export type AttemptResult =
-  | { kind: 'ended' }
+  | { kind: 'ended', promptTokens: number, cachedTokens: number }
   | { kind: 'stopped' }
   /** The deadline passed on the way. */
   | { kind: 'expired' }
@@ -96,8 +99,9 @@
   let end: GenerateEvent & { kind: 'end' } | undefined
   let result: AttemptResult
   try {
-    end = await readStream(draft, running, abort.signal, options.clock)
-    result = { kind: 'ended' }
+    const last = await readStream(draft, running, abort.signal, options.clock)
+    end = last
+    result = { kind: 'ended', promptTokens: last.promptTokens, cachedTokens: last.cachedTokens }
   } catch (error) {
     result = toResult(error, draft, abort.signal, draft.raws.length > before)
     cancelIfAbandoned(draft, plan, abort.signal)
@@ -128,7 +132,7 @@
   const partStart = beginOrFindPart(draft, running.plan)
   const stream = running.plan.resume
     ? choice.engine.resume(attempt, draft.raws.length - partStart, signal)
-    : choice.engine.generate(orderOf(draft, running.plan), signal)
+    : choice.engine.generate(orderOf(draft, running.plan, await importCache(running.plan, clock)), signal)
   for await (const event of stream) {
     signal.throwIfAborted()
     if (event.kind === 'end') return event
@@ -150,7 +154,14 @@
   return draft.raws.length
 }
 
-function orderOf (draft: LiveDraft, plan: AttemptPlan): Parameters<DraftChoice['engine']['generate']>[0] {
+/** Brings the KV cache of the attempt before to this engine; undefined when there is none to be had. */
+async function importCache ({ choice, cacheHandle }: AttemptPlan, clock: Clock): Promise<string | undefined> {
+  if (cacheHandle === undefined) return undefined
+  const imported = await choice.engine.importCache(cacheHandle, clock.wallMs() + maxImportMs)
+  return imported.isOk ? cacheHandle : undefined
+}
+
+function orderOf (draft: LiveDraft, plan: AttemptPlan, cacheHandle: string | undefined): Parameters<DraftChoice['engine']['generate']>[0] {
   const { request } = draft
   return {
     attempt: plan.attempt,
@@ -160,7 +171,7 @@
     maxTokens: request.maxTokens - draft.raws.length,
     priority: request.priority,
     deadlineAtMs: request.deadlineAtMs,
-    ...(plan.cacheHandle === undefined ? {} : { cacheHandle: plan.cacheHandle })
+    ...(cacheHandle === undefined ? {} : { cacheHandle })
   }
 }
 
--- a/src/core/requests/run-draft.ts
+++ b/src/core/requests/run-draft.ts
@@ -46,7 +46,7 @@
 /** Works on a draft until it has ended here. Never rejects. */
 export async function runDraft (draft: LiveDraft, options: RunDraftOptions): Promise<void> {
   const excluded = new Set<BackendId>()
-  const failures: Failures = { begun: draft.holderEpoch > 0, sinceProgress: 0, fruitless: 0 }
+  const failures: Failures = { begun: draft.holderEpoch > 0, cause: undefined, sinceProgress: 0, fruitless: 0 }
   let resumable = draft.backend
   while (isActive(draft)) {
     if (options.clock.wallMs() >= draft.request.deadlineAtMs) return refuse(draft, options, deadlinePassed(draft))
@@ -57,7 +57,8 @@
     if (!isActive(draft)) return choice.ended({ ...unusedAttempt })
     const result = await attemptDraft(draft, planAttempt(draft, choice, resumable, options), options)
     resumable = undefined
-    if (result.kind === 'ended' || result.kind === 'stopped') return
+    if (result.kind === 'ended') return countRecomputed(failures, result, options)
+    if (result.kind === 'stopped') return
     if (result.kind === 'expired') continue
     countFailure(failures, result)
     excluded.add(choice.backend.id)
@@ -70,11 +71,19 @@
 interface Failures {
   /** Whether an attempt was made, here or at another node. */
   begun: boolean
+  /** Why the next attempt may have to compute tokens again; undefined for a first one. */
+  cause: RecomputeCause | undefined
   sinceProgress: number
   /** Those of them that may have cost a backend server work. */
   fruitless: number
 }
 
+/** Counts the tokens that the last attempt computed although an earlier one had; those found in a cache weren't. */
+function countRecomputed (failures: Failures, ended: { promptTokens: number, cachedTokens: number }, options: RunDraftOptions): void {
+  if (failures.cause === undefined) return
+  options.metrics.recomputed(failures.cause, Math.max(0, ended.promptTokens - ended.cachedTokens))
+}
+
 function countFailure (failures: Failures, result: BrokenAttempt): void {
   if (result.progressed) {
     failures.sinceProgress = 0
@@ -141,7 +150,7 @@
   if (mayRecover) return choice
   const other = await options.choose({ draft: draft.request, excluded, version: undefined })
   if (other.isErr) return other
-  options.metrics.recomputed('version-changed', draft.raws.length)
+  failures.cause = 'version-changed'
   restartAnswer(draft)
   return other
 }
@@ -179,7 +188,7 @@
   }
   if (result.counts) await waitForBudget(draft, choice, result, options)
   metrics.retried(result.reason)
-  metrics.recomputed(causeOf(result.reason), draft.raws.length)
+  failures.cause = causeOf(result.reason)
   options.log('requestRetried', { request: draft.request.request, reason: result.reason, backend: choice.backend.id })
   return true
 }
--- a/test/node/whole-path.test.ts
+++ b/test/node/whole-path.test.ts
@@ -1,7 +1,7 @@
 /** Requests from end to end: callers, nodes, backend servers, in one process over real connections. */
 import test from 'ava'
 import { generatedAnswer } from '../../src/stand-ins/index.ts'
-import { callerToken, operatorToken, startDeployment } from './deployment.ts'
+import { callerToken, operatorToken, startDeployment, waitUntil } from './deployment.ts'
 
 const authorization = { authorization: `Bearer ${callerToken}` }
 
@@ -105,3 +105,20 @@
   })
   t.is(tokens.join(''), expected)
 })
+
+test('a draft moves off a reclaimed engine with its KV cache, and the prompt is not computed again', async t => {
+  const deployment = await startDeployment(1, 10)
+  t.teardown(deployment.close)
+  const prompt = 'paragraph of a long case file '.repeat(300)
+  const answering = draft(deployment.urlOf(0), { prompt, maxTokens: 600, stream: false })
+  await waitUntil(() => deployment.engines.some(engine => engine.stats().running > 0))
+  const busy = deployment.engines.findIndex(engine => engine.stats().running > 0)
+  await new Promise(resolve => setTimeout(resolve, 500))
+  deployment.announceReclaim(busy, Date.now() + 4_500)
+  const answer = await (await answering).json() as { text: string }
+  t.is(answer.text, generatedAnswer(prompt, 'v1', 600))
+  const metrics = deployment.nodes[0]?.metrics
+  t.is(await metrics?.counterValue('retried_total', { reason: 'backend-leaving' }), 1)
+  const recomputed = await metrics?.counterValue('recomputed_tokens_total', { cause: 'backend-reclaimed' }) ?? Infinity
+  t.true(recomputed < 300, `${recomputed} of more than 2,250 tokens were computed again`)
+})
