Finish drafts that failed at a version on trial on the other version

Cause: a request is drawn to a version by its id, so each repeat came back to the bad version, and servers excluded for it were excluded for the old version too. Test version-move (real nodes): before, some drafts of a failing version were refused as attempts-exhausted; after, all are answered by v1. The move of a good version through real nodes is tested beside it.

--- a/src/core/node/choose-backend.ts
+++ b/src/core/node/choose-backend.ts
@@ -13,6 +13,7 @@
 import type { PromptBlocks, PromptHasher, RouteChoice, Router } from '../routing/index.ts'
 import type { VersionShares } from '../teams/index.ts'
 import type { RecordEvidence } from './evidence.ts'
+import { createFailedVersions } from './failed-versions.ts'
 
 /** Time to the first token that 95 in 100 drafts have to meet. */
 export const firstTokenTargetMs = 950
@@ -37,6 +38,7 @@
   const { clock, router, hasher, table } = options
   const blocksOf = new WeakMap<DraftRequest, PromptBlocks>()
   const inFlight = new Map<string, number>()
+  const failed = createFailedVersions()
 
   function promptBlocks (draft: DraftRequest): PromptBlocks {
     const known = blocksOf.get(draft)
@@ -50,14 +52,18 @@
     const shares = options.sharesOf(draft.team)
     const retryAtMs = clock.wallMs() + noBackendRetryMs
     if (shares === undefined) return err({ reason: 'unknown-team', run: 'not-run', detail: 'The team is no longer declared.' })
+    if (version !== undefined && failed.isGivenUp(draft, version, shares)) {
+      return err({ reason: 'no-backend', run: 'not-run', detail: 'The version failed for this draft.', retryAtMs })
+    }
+    const remaining = version === undefined ? failed.remaining(draft, shares) : shares
     const chosen = router.choose({
       request: draft.request,
       team: draft.team,
-      shares,
+      shares: remaining,
       prompt: promptBlocks(draft),
       priority: draft.priority,
       deadlineAtMs: draft.deadlineAtMs,
-      excluded,
+      excluded: failed.excludedAt(draft, excluded, remaining),
       ...(version === undefined ? {} : { wantedVersion: version })
     }, table.ofTeam(draft.team))
     if (chosen.isErr) return err(chosen.error)
@@ -80,6 +86,7 @@
         : { ok: outcome.ok, promptTokens: outcome.promptTokens, cachedTokens: outcome.cachedTokens })
       // The server says it itself before any list does.
       if (outcome.reason === 'backend-leaving') table.learnLeaving(id, undefined)
+      if (!outcome.ok && outcome.counts) failed.add(draft, choice.version, id)
       if (outcome.counts) learn(options, draft, choice, outcome, inFlightAtStart)
     }
 
--- a/test/node/deployment.ts
+++ b/test/node/deployment.ts
@@ -84,17 +84,19 @@
   ]
   list.setBackends(backends)
   const store = createHttpKeyValue({ endpoints: [keyValue.url], clock })
-  const declarations = [declare('model-engine', 'agency'), declare('plain-service', 'registry')]
-  await store.transact({
-    compares: [],
-    deletes: [],
-    puts: declarations.map(declaration => ({
-      key: `config/teams/${declaration.team}`,
-      value: JSON.stringify({
-        writeId: createId('wr'), by: 'test', atMs: clock.wallMs(), content: { template: 'plain', parameters: {}, declaration }
-      })
-    }))
-  }, { deadlineAtMs: clock.wallMs() + 5_000 })
+  async function writeDeclarations (declarations: TeamDeclaration[]): Promise<void> {
+    await store.transact({
+      compares: [],
+      deletes: [],
+      puts: declarations.map(declaration => ({
+        key: `config/teams/${declaration.team}`,
+        value: JSON.stringify({
+          writeId: createId('wr'), by: 'test', atMs: clock.wallMs(), content: { template: 'plain', parameters: {}, declaration }
+        })
+      }))
+    }, { deadlineAtMs: clock.wallMs() + 5_000 })
+  }
+  await writeDeclarations([declare('model-engine', 'agency'), declare('plain-service', 'registry')])
 
   const firstPort = 20_000 + 200 * (process.pid % 60) + 10 * (deployments++)
   const places = Array.from({ length: nodeCount }, (_, index) => ({
@@ -132,6 +134,10 @@
     service,
     keyValue,
     urlOf,
+    store,
+    /** Declares a move of the team with model engines. */
+    declareMove: (toVersion: string, deadlineAtMs: number) =>
+      writeDeclarations([{ ...declare('model-engine', 'agency'), move: { toVersion: toId(toVersion), deadlineAtMs } }]),
     /** Shows a backend server as leaving in the instance list. */
     announceReclaim: (engineIndex: number, goneAtMs: number) => {
       backends = backends.map((backend, index) => index === engineIndex ? { ...backend, state: 'leaving', goneAtMs } : backend)
