Send the version with calls of plain services

Cause: with two versions on one service, a call could be answered by either, whatever its draw. The stand-in refuses a version that it doesn't hold as not run. Test in test/backends; npx ava test/backends test/calls: 56 passed.

--- a/src/core/backends/service-call.ts
+++ b/src/core/backends/service-call.ts
@@ -50,6 +50,7 @@
       'content-type': order.contentType,
       'x-request-id': order.attempt,
       'x-deadline-at-ms': String(order.deadlineAtMs),
+      ...(order.version === undefined ? {} : { 'x-version': order.version }),
       ...(order.idempotencyKey === undefined ? {} : { 'idempotency-key': order.idempotencyKey })
     },
     body: order.body
--- a/src/core/backends/types.ts
+++ b/src/core/backends/types.ts
@@ -123,6 +123,8 @@
 export interface ServiceOrder {
   attempt: AttemptId
   route: string
+  /** Version that shall answer, for servers that hold several; absent when any may. */
+  version?: VersionId
   idempotencyKey: string | undefined
   contentType: string
   body: Buffer
--- a/src/core/node/send-call.ts
+++ b/src/core/node/send-call.ts
@@ -24,7 +24,7 @@
     router.sent(order.attempt, choice.value)
     options.retryBudget.deposit(toId<BackendId>(order.team))
     const startedAtMs = clock.monotonicMs()
-    const result = await service.call(order, signal)
+    const result = await service.call({ ...order, version: choice.value.version }, signal)
     router.ended(order.attempt, { ok: result.isOk })
     if (result.isErr && result.error.reason === 'backend-leaving') table.learnLeaving(backend.id, undefined)
     learn(options, order, choice.value, result, clock.monotonicMs() - startedAtMs)
--- a/src/stand-ins/service/index.ts
+++ b/src/stand-ins/service/index.ts
@@ -107,6 +107,8 @@
       return
     }
     if (faults.refuse || orders.state().role === 'drain') return refuse(response)
+    const version = request.get('x-version')
+    if (version !== undefined && !orders.serves(version)) return refuse(response)
     const key = request.get('idempotency-key')
     ran += 1
     const outcome = { route: request.params['route'], number: ran, sizeBytes: (request.body as Buffer).length }
--- a/test/backends/service-client.test.ts
+++ b/test/backends/service-client.test.ts
@@ -6,7 +6,7 @@
 import { createServiceStandIn } from '../../src/stand-ins/service/index.ts'
 import type { ExecutionContext } from 'ava'
 import type { ServiceOrder } from '../../src/core/backends/index.ts'
-import type { AttemptId, BackendId } from '../../src/core/ids/index.ts'
+import type { AttemptId, BackendId, VersionId } from '../../src/core/ids/index.ts'
 import type { ServiceFaults, ServiceStandInOptions } from '../../src/stand-ins/service/index.ts'
 
 const clock = createSystemClock()
@@ -96,3 +96,12 @@
     await service.close()
   }), { seed: 13, numRuns: 25 })
 })
+
+test('a call for a version that the server does not hold is not run, and one for a version that it holds is', async t => {
+  const { service, client } = await setUp(t, { versions: ['v1', 'v2'] })
+  const held = await client.call({ ...orderOf('k1'), version: toId<VersionId>('v2') }, calm())
+  const absent = await client.call({ ...orderOf('k2'), version: toId<VersionId>('v3') }, calm())
+  t.true(held.isOk)
+  t.like(absent.isErr ? absent.error : {}, { reason: 'backend-refused', mayHaveRun: false })
+  t.deepEqual(service.stats().ranByKey, { k1: 1 })
+})
