Keep the instances of declared teams from the running node

Cause: the fleet part ran in its own tests only, so no node started, replaced or drained an instance. Each declared team now has the duty fleet/<team>, which two nodes seek by rendezvous over the live nodes; its holder observes the cloud's instances with the role, versions and load that the servers report.

An accepted start that was reclaimed before any round saw it kept its place for 120 s, the bound made for a lagging list, so it wasn't replaced; the node reads the cloud itself and passes 10 s. A repeat under the same name starts no other.

Also: routing is told of first tokens and of cancels that don't count, drafts that aren't batch work ask admission to start within 475 ms, the status shows duties, and the stand-in service counts a call whose caller left while it was frozen.

Before the change no instance starts.

--- a/src/core/fleet/index.ts
+++ b/src/core/fleet/index.ts
@@ -37,6 +37,8 @@
   /** Orders a backend server to take no new work. Safe to repeat. */
   drain: (instance: InstanceId, fencingNumber: number, deadlineAtMs: number) => Promise<void>
   slotsOf: FleetInput['slotsOf']
+  /** Time after which an accepted start that `observe` still doesn't show is taken for lost and ordered again under its name. */
+  maxListLagMs?: number
   planFleet?: PlanFleet
 }
 
@@ -45,7 +47,7 @@
   const { clock, log, metrics, cloud, lease, tickets, observe, drain, slotsOf, planFleet = planByTarget } = options
   const closing = new AbortController()
   const demand = createDemandWindow()
-  const pending = createPendingStarts()
+  const pending = createPendingStarts(options.maxListLagMs)
   const turns = new Set<string>()
   const draining = new Set<InstanceId>()
   let refusals: OfferEvent[] = []
--- a/src/core/fleet/pending-starts.ts
+++ b/src/core/fleet/pending-starts.ts
@@ -3,8 +3,8 @@
 import { toId } from '../ids/index.ts'
 import type { FleetInstance, OfferKey } from './types.ts'
 
-/** Time after which an accepted start that the list still doesn't show is taken for lost. */
-const maxListLagMs = 120_000
+/** Time after which an accepted start that the list still doesn't show is taken for lost, unless another is given. */
+const defaultListLagMs = 120_000
 
 /** Starts that were ordered and aren't listed. */
 export interface PendingStarts {
@@ -16,7 +16,7 @@
 }
 
 /** Creates an empty list of pending starts. */
-export function createPendingStarts (): PendingStarts {
+export function createPendingStarts (maxListLagMs = defaultListLagMs): PendingStarts {
   const pending = new Map<string, { instance: FleetInstance, orderedAtMs: number }>()
 
   function nextName (team: TeamId, version: VersionId, offer: OfferKey, listed: readonly FleetInstance[]): string {
--- a/src/core/http/draft-handler.ts
+++ b/src/core/http/draft-handler.ts
@@ -17,6 +17,9 @@
 import { refuseRequest } from './refuse.ts'
 import type { CallerServerOptions } from './types.ts'
 
+/** Half of the time to the first token that drafts have to meet; the other half is the backend server's. */
+const maxQueueMs = 475
+
 /** How a form of draft requests is read and how its stream ends. */
 export interface DraftForm {
   readBody: (body: Buffer) => Result<DraftBody, string>
@@ -88,6 +91,7 @@
     route: wanted.route,
     priority: wanted.priority,
     deadlineAtMs: wanted.deadlineAtMs,
+    ...startBoundOf(wanted, options.clock.wallMs()),
     weight: context.team.weight,
     maxConcurrent: context.team.maxConcurrent,
     maxQueued: context.team.maxQueued,
@@ -103,6 +107,11 @@
   return draft
 }
 
+/** Drafts that someone waits for start in time for the first token or are refused; batch work may wait to its deadline. */
+function startBoundOf ({ priority }: DraftRequest, arrivedAtMs: number): { startByAtMs?: number } {
+  return priority === 'batch' ? {} : { startByAtMs: arrivedAtMs + maxQueueMs }
+}
+
 function isSameWork (known: DraftRequest, wanted: DraftRequest): boolean {
   return known.prompt === wanted.prompt && known.maxTokens === wanted.maxTokens && known.route === wanted.route
 }
--- a/src/core/node/choose-backend.ts
+++ b/src/core/node/choose-backend.ts
@@ -75,15 +75,14 @@
       const left = (inFlight.get(id) ?? 1) - 1
       if (left > 0) inFlight.set(id, left)
       else inFlight.delete(id)
-      router.ended(attempt, outcome.promptTokens === 0
-        ? { ok: outcome.ok }
-        : { ok: outcome.ok, promptTokens: outcome.promptTokens, cachedTokens: outcome.cachedTokens })
+      const { ok, counts, promptTokens, cachedTokens } = outcome
+      router.ended(attempt, promptTokens === 0 ? { ok, counts } : { ok, counts, promptTokens, cachedTokens })
       // The server says it itself before any list does.
       if (outcome.reason === 'backend-leaving') table.learnLeaving(id, undefined)
       if (outcome.counts) learn(options, draft, choice, outcome, inFlightAtStart)
     }
 
-    return ok({ backend: choice.backend, engine, version: choice.version, ended })
+    return ok({ backend: choice.backend, engine, version: choice.version, firstToken: () => router.firstToken(attempt), ended })
   }
 }
 
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -12,6 +12,7 @@
 import type { Readiness, RunCall } from '../http/index.ts'
 import { toId } from '../ids/index.ts'
 import type { BackendId, TeamId } from '../ids/index.ts'
+import { createDuties } from '../leases/index.ts'
 import { createMembership } from '../membership/index.ts'
 import { createMetrics } from '../metrics/index.ts'
 import { createPeerNetwork } from '../peers/index.ts'
@@ -23,7 +24,9 @@
 import type { TeamDeclaration, VersionShares } from '../teams/index.ts'
 import { createDraftChooser } from './choose-backend.ts'
 import { drainNode } from './drain.ts'
+import { createDutyRank } from './duty-rank.ts'
 import { engineProfileOf } from './engine-profiles.ts'
+import { createFleetDuties } from './fleet-duties.ts'
 import type { LifeState } from './life-state.ts'
 import { createListedCheck } from './listed-check.ts'
 import { createCallSender } from './send-call.ts'
@@ -130,6 +133,22 @@
     mayRetry: (team, reason) => callRetries.take(toId<BackendId>(team), reason),
     limits: { callShards: settings.calls.shards, retentionMs: settings.calls.retentionMs }
   })
+  const ranksFor = createDutyRank(membership)
+  const duties = createDuties({ store, clock, log, node: settings.node, wants: duty => !life.leaving && ranksFor(duty) })
+  const fleetDuties = cloud === undefined
+    ? undefined
+    : createFleetDuties({
+      clock,
+      log,
+      metrics,
+      cloud,
+      duties,
+      store,
+      table,
+      teams: () => configuration.current().teams.values(),
+      findTeam,
+      onChange: configuration.onChange
+    })
   const backendWatch = watchBackends({ clock, log, metrics, table, router, instanceList, cloud })
   let listWasRead = false
   backendWatch.firstList.then(() => { listWasRead = true }, () => {})
@@ -153,7 +172,7 @@
   })
 
   const status = (): Promise<unknown> => readStatus({
-    clock, admission, table, calls, configuration, membership, network, drafts, readiness, sharesOf
+    clock, admission, table, calls, configuration, membership, network, drafts, duties, readiness, sharesOf
   })
 
   const server = await createCallerServer({
@@ -185,6 +204,8 @@
 
   async function closeParts (): Promise<void> {
     admission.close()
+    await fleetDuties?.close()
+    await duties.close()
     await drafts.close()
     await calls.close()
     await backendWatch.close()
--- a/src/core/node/status.ts
+++ b/src/core/node/status.ts
@@ -4,6 +4,7 @@
 import type { Calls } from '../calls/index.ts'
 import type { Clock } from '../clock/index.ts'
 import type { Configuration } from '../configuration/index.ts'
+import type { Duties } from '../leases/index.ts'
 import type { Readiness } from '../http/index.ts'
 import type { NodeMembership } from '../membership/index.ts'
 import type { PeerNetwork } from '../peers/types.ts'
@@ -24,6 +25,7 @@
   membership: NodeMembership
   network: PeerNetwork
   drafts: Drafts
+  duties: Duties
   readiness: () => Readiness
   sharesOf: (team: TeamId) => VersionShares | undefined
 }
@@ -43,6 +45,7 @@
     load: options.admission.load(),
     openDrafts: options.drafts.openCount(),
     ownedCallShards: options.calls.ownedShards(),
+    duties: options.duties.held(),
     control: options.network.traffic(),
     backends: table.all(),
     teams: [...configuration.current().teams.values()].map(({ team, version, move }) => ({
--- a/src/core/requests/attempt-draft.ts
+++ b/src/core/requests/attempt-draft.ts
@@ -136,7 +136,10 @@
     const index = partStart + event.index
     if (index < draft.raws.length) continue
     if (index > draft.raws.length) throw incomplete(choice, draft.raws.length)
-    running.firstTokenAtMs ??= clock.wallMs()
+    if (running.firstTokenAtMs === undefined) {
+      running.firstTokenAtMs = clock.wallMs()
+      choice.firstToken()
+    }
     appendEvent(draft, event.raw, event.text)
     if (isFarAhead(draft)) await waitForReaders(draft, signal)
   }
--- a/src/core/requests/types.ts
+++ b/src/core/requests/types.ts
@@ -69,6 +69,8 @@
   backend: Backend
   engine: EngineClient
   version: VersionId
+  /** Tells the router that the attempt's first event came; called at most once. */
+  firstToken: () => void
   /** Tells the router how the attempt went; called once. */
   ended: (outcome: AttemptOutcome) => void
 }
--- a/src/stand-ins/service/index.ts
+++ b/src/stand-ins/service/index.ts
@@ -66,6 +66,11 @@
 
 const unavailableStatus = 503
 
+/** A request whose caller left while the service was frozen has no body any more, but runs all the same. */
+function bodySizeOf ({ body }: Request): number {
+  return Buffer.isBuffer(body) ? body.length : 0
+}
+
 /** Starts a stand-in service. */
 export async function createServiceStandIn (options: ServiceStandInOptions = {}): Promise<ServiceStandIn> {
   const clock = createSystemClock()
@@ -109,7 +114,7 @@
     if (faults.refuse || orders.state().role === 'drain') return refuse(response)
     const key = request.get('idempotency-key')
     ran += 1
-    const outcome = { route: request.params['route'], number: ran, sizeBytes: (request.body as Buffer).length }
+    const outcome = { route: request.params['route'], number: ran, sizeBytes: bodySizeOf(request) }
     if (key !== undefined) {
       ranByKey.set(key, (ranByKey.get(key) ?? 0) + 1)
       outcomes.set(key, outcome)
--- a/test/node/deployment.ts
+++ b/test/node/deployment.ts
@@ -62,30 +62,39 @@
 }
 
 /** Waits until a condition holds; throws after a generous time. */
-export async function waitUntil (condition: () => Promise<boolean> | boolean): Promise<void> {
+export async function waitUntil (condition: () => Promise<boolean> | boolean, boundMs = waitBoundMs): Promise<void> {
   const clock = createSystemClock()
-  const endAtMs = clock.monotonicMs() + waitBoundMs
+  const endAtMs = clock.monotonicMs() + boundMs
   while (!await condition()) {
     if (clock.monotonicMs() > endAtMs) throw new Error('the condition did not come true in time')
     await clock.sleep(20)
   }
 }
 
+/** What a deployment has besides the usual. */
+export interface DeploymentChanges {
+  /** Address of a cloud, whose instances then run all backend servers. */
+  cloudUrl?: string
+  /** Changes to all declarations. */
+  declaration?: Partial<TeamDeclaration>
+}
+
 /** Starts everything and waits until all nodes are ready. */
-export async function startDeployment (nodeCount = 3, stepMs = 2) {
+export async function startDeployment (nodeCount = 3, stepMs = 2, changes: DeploymentChanges = {}) {
   const clock = createSystemClock()
   const keyValue = await createKeyValueStandIn()
   const engines = await Promise.all([0, 1].map(() => createEngineStandIn({ versions: ['v1'], timings: { ...immediateEngineTimings, stepMs } })))
   const service = await createServiceStandIn({ versions: ['v1'] })
-  const list = await createInstanceListStandIn({ lagMs: 0 })
-  let backends = [
-    ...engines.map((engine, index) => backendOf('model-engine', 'agency', engine.url, index)),
-    backendOf('plain-service', 'registry', service.url, 0)
-  ]
+  const list = await createInstanceListStandIn({ lagMs: 0, ...(changes.cloudUrl === undefined ? {} : { cloudUrl: changes.cloudUrl }) })
+  let backends = changes.cloudUrl !== undefined
+    ? []
+    : [
+        ...engines.map((engine, index) => backendOf('model-engine', 'agency', engine.url, index)),
+        backendOf('plain-service', 'registry', service.url, 0)
+      ]
   list.setBackends(backends)
   const store = createHttpKeyValue({ endpoints: [keyValue.url], clock })
-  const declarations = [declare('model-engine', 'agency'), declare('plain-service', 'registry')]
-  await store.transact({
+  const declareTeams = (declarations: TeamDeclaration[]) => store.transact({
     compares: [],
     deletes: [],
     puts: declarations.map(declaration => ({
@@ -95,6 +104,9 @@
       })
     }))
   }, { deadlineAtMs: clock.wallMs() + 5_000 })
+  const declarations = [declare('model-engine', 'agency'), declare('plain-service', 'registry')]
+    .map(declaration => ({ ...declaration, ...changes.declaration }))
+  await declareTeams(declarations)
 
   const firstPort = 20_000 + 200 * (process.pid % 60) + 10 * (deployments++)
   const places = Array.from({ length: nodeCount }, (_, index) => ({
@@ -115,7 +127,7 @@
 peers: { host: 127.0.0.1, port: ${peerPort}, key: a-peer-key-of-more-than-32-characters }
 platform:
   keyValue: { endpoints: ["${keyValue.url}"] }
-  instanceList: { url: "${list.url}" }
+  instanceList: { url: "${list.url}" }${changes.cloudUrl === undefined ? '' : `\n  cloud: { url: "${changes.cloudUrl}" }`}
 operators: { tokenDigests: ["${digestOf(operatorToken)}"] }
 drain: { maxDrainMs: 10000, balancerDelayMs: 0 }
 calls: { shards: 3 }
@@ -132,6 +144,8 @@
     service,
     keyValue,
     urlOf,
+    /** Declares all teams anew with changes. */
+    redeclare: (next: Partial<TeamDeclaration>) => declareTeams(declarations.map(declaration => ({ ...declaration, ...next }))),
     /** Shows a backend server as leaving in the instance list. */
     announceReclaim: (engineIndex: number, goneAtMs: number) => {
       backends = backends.map((backend, index) => index === engineIndex ? { ...backend, state: 'leaving', goneAtMs } : backend)
