Look unknown calls up at services, and drain instances that aren't wanted

Cause: calls could look an unknown outcome up, but no client asked a service. The client now reads GET /calls/:key; only an answer with run-state: done counts, so a service that answers any path with 200 can't turn unknown into done. The stand-in answers so, and 404 for keys that it doesn't know (before: a body with ran: false).

Ruled out for the drain test: one under load.

The look-up tests have no client function to call before the change.

--- a/src/core/backends/index.ts
+++ b/src/core/backends/index.ts
@@ -7,4 +7,4 @@
 export type { HashPrompt } from './prompt-blocks.ts'
 export { createServiceClient } from './service-client.ts'
 export type { ServiceClientOptions } from './service-client.ts'
-export { notRunValue, runStateHeader } from './service-call.ts'
+export { doneValue, notRunValue, runStateHeader } from './service-call.ts'
--- a/src/core/backends/service-call.ts
+++ b/src/core/backends/service-call.ts
@@ -15,6 +15,9 @@
 /** Value of the header that says so. */
 export const notRunValue = 'not-run'
 
+/** Value of the header by which the answer to a look-up says that it is a call's answer. */
+export const doneValue = 'done'
+
 interface Exchange {
   /** Whether a byte of the request may have left. */
   sent: boolean
--- a/src/core/backends/service-client.ts
+++ b/src/core/backends/service-client.ts
@@ -5,6 +5,7 @@
 import { createConnections } from '../connections/index.ts'
 import { createBackendOrders } from './orders.ts'
 import { createProvenConnections } from './proven-connections.ts'
+import { lookUpCall } from './look-up.ts'
 import { callService } from './service-call.ts'
 import type { Clock } from '../clock/index.ts'
 import type { BackendId } from '../ids/index.ts'
@@ -53,6 +54,7 @@
 
   return {
     call,
+    lookUp: (callOrder, signal) => lookUpCall(connections, callOrder, signal),
     order,
     state,
     close: async () => { await Promise.all([proven.close(), connections.close()]) }
--- a/src/core/backends/types.ts
+++ b/src/core/backends/types.ts
@@ -139,6 +139,12 @@
 /** A plain service's functions. `call` opens or proves its connection before a byte of the call leaves. */
 export interface ServiceClient {
   call: (order: ServiceOrder, signal: AbortSignal) => Promise<Result<ServiceAnswer, AttemptFailure>>
+  /**
+   * The answer of an earlier call with the order's key, by `GET /calls/:key`.
+   * Only an answer whose `run-state` header is `done` counts; undefined when
+   * the service knows none, answers no look-ups or doesn't answer in time.
+   */
+  lookUp?: (order: ServiceOrder, signal: AbortSignal) => Promise<ServiceAnswer | undefined>
   order: (order: BackendOrder, deadlineAtMs: number) => Promise<Result<BackendState, CyclamenError>>
   state: (deadlineAtMs: number) => Promise<Result<BackendState, CyclamenError>>
   close: () => Promise<void>
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -29,7 +29,7 @@
 import { createFleetDuties } from './fleet-duties.ts'
 import type { LifeState } from './life-state.ts'
 import { createListedCheck } from './listed-check.ts'
-import { createCallSender } from './send-call.ts'
+import { createCallLookUp, createCallSender } from './send-call.ts'
 import { readStatus } from './status.ts'
 import type { Node, NodeOptions } from './types.ts'
 import { watchBackends } from './watch-backends.ts'
@@ -130,6 +130,7 @@
     metrics,
     log,
     send: createCallSender({ ...choice, retryBudget: callRetries }),
+    lookUp: createCallLookUp(table),
     mayRetry: (team, reason) => callRetries.take(toId<BackendId>(team), reason),
     limits: { callShards: settings.calls.shards, retentionMs: settings.calls.retentionMs }
   })
--- a/src/core/node/send-call.ts
+++ b/src/core/node/send-call.ts
@@ -1,11 +1,12 @@
 /** Makes one attempt of a call at a plain service of the team. */
-import { err } from 'true-myth/result'
+import { err, ok } from 'true-myth/result'
 import type { Result } from 'true-myth'
 import type { AttemptFailure, ServiceAnswer } from '../backends/types.ts'
-import type { CallOrder, SendOnce } from '../calls/index.ts'
+import type { CallOrder, LookUp, SendOnce } from '../calls/index.ts'
 import { toId } from '../ids/index.ts'
 import type { BackendId, RequestId } from '../ids/index.ts'
 import type { RouteChoice } from '../routing/index.ts'
+import type { BackendTable } from '../backends/table.ts'
 import type { ChooseBackendOptions } from './choose-backend.ts'
 
 /** Status from which an answer of a service counts against its version. */
@@ -32,6 +33,15 @@
   }
 }
 
+/** Makes the function that asks the team's services for the answer of an earlier call; the first that knows it tells. */
+export function createCallLookUp (table: BackendTable): LookUp {
+  return async (order, signal) => {
+    const services = table.ofTeam(order.team).map(({ id }) => table.serviceOf(id))
+    const answers = await Promise.all(services.map(service => service?.lookUp?.(order, signal)))
+    return ok(answers.find(answer => answer !== undefined))
+  }
+}
+
 function neverSent (detail: string, retryAtMs?: number): AttemptFailure {
   return { reason: 'connect-failed', mayHaveRun: false, detail, ...(retryAtMs === undefined ? {} : { retryAtMs }) }
 }
--- a/src/stand-ins/service/index.ts
+++ b/src/stand-ins/service/index.ts
@@ -4,7 +4,7 @@
  */
 import express from 'express'
 import { createSystemClock } from '../../core/clock/index.ts'
-import { notRunValue, runStateHeader } from '../../core/backends/index.ts'
+import { doneValue, notRunValue, runStateHeader } from '../../core/backends/index.ts'
 import { addOrderRoutes } from '../orders.ts'
 import { startServer } from '../server.ts'
 import { serviceCallMs } from '../timings.ts'
@@ -132,8 +132,11 @@
 
   app.post('/calls/:route', express.raw({ type: () => true, limit: '16mb' }), runCall)
   app.get('/calls/:key', (request, response) => {
-    if (options.answersLookups === false) return response.status(404).json({ error: { message: 'no look-ups' } })
-    response.json({ ran: outcomes.has(request.params.key), outcome: outcomes.get(request.params.key) })
+    const outcome = outcomes.get(request.params.key)
+    if (options.answersLookups === false || outcome === undefined) {
+      return response.status(404).json({ error: { message: 'no call of this key is known' } })
+    }
+    response.setHeader(runStateHeader, doneValue).json(outcome)
   })
 
   async function set (changes: Partial<ServiceFaults>): Promise<void> {
--- a/test/backends/service-client.test.ts
+++ b/test/backends/service-client.test.ts
@@ -96,3 +96,20 @@
     await service.close()
   }), { seed: 13, numRuns: 25 })
 })
+
+test('a call that was sent to a frozen service and given up counts once it ran, and a look-up tells its answer', async t => {
+  const { service, client } = await setUp(t)
+  t.is(await client.lookUp?.(orderOf('k'), calm()), undefined)
+  await service.set({ frozen: true })
+  t.true((await client.call(orderOf('k', 300), calm())).isErr)
+  await service.set({ frozen: false })
+  while (service.stats().ran === 0) await clock.sleep(20)
+  t.is(service.stats().ranByKey['k'], 1)
+  t.is((await client.lookUp?.(orderOf('k'), calm()))?.status, 200)
+})
+
+test('a service that answers no look-ups leaves the call unknown', async t => {
+  const { client } = await setUp(t, { answersLookups: false })
+  t.true((await client.call(orderOf('k'), calm())).isOk)
+  t.is(await client.lookUp?.(orderOf('k'), calm()), undefined)
+})
--- a/test/node/fleet-duties.test.ts
+++ b/test/node/fleet-duties.test.ts
@@ -88,3 +88,12 @@
   t.true(cloud.stats().refused > 0)
   for (const team of ['agency', 'registry']) t.deepEqual(live(team).map(({ domain }) => String(domain)).sort(), ['a', 'b'])
 })
+
+test.serial('an instance that is no longer wanted is drained and stopped', async t => {
+  const { cloud, deployment, live, allLive } = await setUp(t)
+  await waitUntil(allLive)
+  await deployment.redeclare({ minBackends: 1 })
+  await waitUntil(() => live('agency').length === 1)
+  t.true(cloud.stats().stopped > 0)
+  t.is(cloud.stats().started, instancesOfTwoTeams)
+})
