--- a/bench/moves/trial.ts
+++ b/bench/moves/trial.ts
@@ -5,7 +5,7 @@
 import { scheduleOf } from './faults.ts'
 import { drawOutcome, loadAt, routes } from './outcomes.ts'
 import { createWorld, declare, newVersion, oldVersion, team } from './world.ts'
-import type { AttemptEvidence } from '../../src/core/node/evidence.ts'
+import type { AttemptEvidence } from '../../src/core/moves/evidence.ts'
 import type { StartMoves, World, WorldNode } from './world.ts'
 import type { TrialPlan, TrialResult } from './types.ts'
 
--- a/src/core/moves/index.ts
+++ b/src/core/moves/index.ts
@@ -14,11 +14,11 @@
 import { createRegister } from './register.ts'
 import { newShareOf } from './schedule.ts'
 import { createTrial } from './trial.ts'
-import { expandVersions, sharesAt } from './versions.ts'
+import { expandVersions, sharesAt, versionInForce } from './versions.ts'
 import type { Backend } from '../backends/types.ts'
 import type { Clock } from '../clock/index.ts'
 import type { Configuration, FeedBounds } from '../configuration/index.ts'
-import type { AttemptEvidence } from '../node/evidence.ts'
+import type { AttemptEvidence } from './evidence.ts'
 import type { BackendId, TeamId, VersionId } from '../ids/index.ts'
 import type { Duties, Duty } from '../leases/index.ts'
 import type { Log } from '../log/index.ts'
@@ -247,9 +247,15 @@
     return sharesAt(declaration, current, isStopped, clock.wallMs())
   }
 
+  function inForce (team: TeamId): TeamDeclaration | undefined {
+    const declaration = declarationOf(team)
+    return declaration === undefined ? undefined : { ...declaration, version: versionInForce(declaration, register.read(team)) }
+  }
+
   const tasks = [run(), reportOn()]
   return {
     sharesOf,
+    inForce,
     record,
     withVersions: (team, backends) => expandVersions(backends, register.read(team)),
     list: register.all,
--- a/src/core/moves/trial.ts
+++ b/src/core/moves/trial.ts
@@ -5,7 +5,7 @@
 import { createCountsTable } from './counts.ts'
 import { createJudge } from './judge.ts'
 import { createSlowness } from './slowness.ts'
-import type { AttemptEvidence } from '../node/evidence.ts'
+import type { AttemptEvidence } from './evidence.ts'
 import type { NodeId } from '../ids/index.ts'
 import type { CountsOfShare, CountsTable } from './counts.ts'
 import type { Judge } from './judge.ts'
--- a/src/core/moves/types.ts
+++ b/src/core/moves/types.ts
@@ -1,8 +1,8 @@
 /** Version moves: what the record holds, and what a node does with it. */
-import type { AttemptEvidence } from '../node/evidence.ts'
+import type { AttemptEvidence } from './evidence.ts'
 import type { Backend } from '../backends/types.ts'
 import type { BackendId, MoveId, NodeId, TeamId, VersionId, WriteId } from '../ids/index.ts'
-import type { VersionShares } from '../teams/types.ts'
+import type { TeamDeclaration, VersionShares } from '../teams/types.ts'
 
 /** How a version can be worse than the one it replaces. */
 export type BadnessKind = 'failing' | 'first-token-slow' | 'between-tokens-slow'
@@ -73,6 +73,8 @@
 export interface Moves {
   /** Shares of a team's versions in force now; undefined for an unknown team. */
   sharesOf: (team: TeamId) => VersionShares | undefined
+  /** The team as declared, with the version in force after its last move. */
+  inForce: (team: TeamId) => TeamDeclaration | undefined
   /** Takes in how an attempt went. */
   record: (evidence: AttemptEvidence) => void
   /** Backend servers with one entry for each version that they serve. */
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -13,7 +13,7 @@
 import { toId } from '../ids/index.ts'
 import type { BackendId, TeamId } from '../ids/index.ts'
 import { createDuties } from '../leases/index.ts'
-import { createMembership, rankNodes } from '../membership/index.ts'
+import { createMembership } from '../membership/index.ts'
 import { createMetrics } from '../metrics/index.ts'
 import { createMoves } from '../moves/index.ts'
 import { createPeerNetwork } from '../peers/index.ts'
@@ -25,10 +25,12 @@
 import type { TeamDeclaration } from '../teams/index.ts'
 import { createDraftChooser } from './choose-backend.ts'
 import { drainNode } from './drain.ts'
+import { createDutyRank } from './duty-rank.ts'
 import { engineProfileOf } from './engine-profiles.ts'
+import { createFleetDuties } from './fleet-duties.ts'
 import type { LifeState } from './life-state.ts'
 import { createListedCheck } from './listed-check.ts'
-import { createCallSender } from './send-call.ts'
+import { createCallLookUp, createCallSender } from './send-call.ts'
 import { readStatus } from './status.ts'
 import type { Node, NodeOptions } from './types.ts'
 import { watchBackends } from './watch-backends.ts'
@@ -103,13 +105,8 @@
       retryBudget.forget(backend)
     }
   })
-  const duties = createDuties({
-    store,
-    clock,
-    log,
-    node: settings.node,
-    wants: duty => !life.leaving && rankNodes([membership.self, ...membership.peers()], duty)[0]?.node === settings.node
-  })
+  const ranksFor = createDutyRank(membership)
+  const duties = createDuties({ store, clock, log, node: settings.node, wants: duty => !life.leaving && ranksFor(duty) })
   const moves = createMoves({
     store,
     network,
@@ -148,9 +145,24 @@
     metrics,
     log,
     send: createCallSender({ ...choice, retryBudget: callRetries }),
+    lookUp: createCallLookUp(table),
     mayRetry: (team, reason) => callRetries.take(toId<BackendId>(team), reason),
     limits: { callShards: settings.calls.shards, retentionMs: settings.calls.retentionMs }
   })
+  const fleetDuties = cloud === undefined
+    ? undefined
+    : createFleetDuties({
+      clock,
+      log,
+      metrics,
+      cloud,
+      duties,
+      store,
+      table,
+      teams: () => [...configuration.current().teams.keys()].flatMap(team => moves.inForce(team) ?? []),
+      findTeam: moves.inForce,
+      onChange: configuration.onChange
+    })
   const backendWatch = watchBackends({ clock, log, metrics, table, router, instanceList, cloud })
   let listWasRead = false
   backendWatch.firstList.then(() => { listWasRead = true }, () => {})
@@ -174,7 +186,7 @@
   })
 
   const status = (): Promise<unknown> => readStatus({
-    clock, admission, table, calls, configuration, membership, network, drafts, readiness, sharesOf, moves
+    clock, admission, table, calls, configuration, membership, network, drafts, duties, readiness, sharesOf, moves
   })
 
   const server = await createCallerServer({
@@ -206,11 +218,12 @@
 
   async function closeParts (): Promise<void> {
     admission.close()
+    await fleetDuties?.close()
+    await moves.close()
+    await duties.close()
     await drafts.close()
     await calls.close()
     await backendWatch.close()
-    await moves.close()
-    await duties.close()
     await configuration.close()
     await membership.close()
     await network.close()
--- a/src/stand-ins/service/index.ts
+++ b/src/stand-ins/service/index.ts
@@ -4,7 +4,7 @@
  */
 import express from 'express'
 import { createSystemClock } from '../../core/clock/index.ts'
-import { notRunValue, runStateHeader } from '../../core/backends/index.ts'
+import { doneValue, notRunValue, runStateHeader } from '../../core/backends/index.ts'
 import { addOrderRoutes } from '../orders.ts'
 import { startServer } from '../server.ts'
 import { serviceCallMs } from '../timings.ts'
@@ -66,6 +66,11 @@
 
 const unavailableStatus = 503
 
+/** A request whose caller left while the service was frozen has no body any more, but runs all the same. */
+function bodySizeOf ({ body }: Request): number {
+  return Buffer.isBuffer(body) ? body.length : 0
+}
+
 /** Starts a stand-in service. */
 export async function createServiceStandIn (options: ServiceStandInOptions = {}): Promise<ServiceStandIn> {
   const clock = createSystemClock()
@@ -111,7 +116,7 @@
     if (version !== undefined && !orders.serves(version)) return refuse(response)
     const key = request.get('idempotency-key')
     ran += 1
-    const outcome = { route: request.params['route'], number: ran, sizeBytes: (request.body as Buffer).length }
+    const outcome = { route: request.params['route'], number: ran, sizeBytes: bodySizeOf(request) }
     if (key !== undefined) {
       ranByKey.set(key, (ranByKey.get(key) ?? 0) + 1)
       outcomes.set(key, outcome)
@@ -129,8 +134,11 @@
 
   app.post('/calls/:route', express.raw({ type: () => true, limit: '16mb' }), runCall)
   app.get('/calls/:key', (request, response) => {
-    if (options.answersLookups === false) return response.status(404).json({ error: { message: 'no look-ups' } })
-    response.json({ ran: outcomes.has(request.params.key), outcome: outcomes.get(request.params.key) })
+    const outcome = outcomes.get(request.params.key)
+    if (options.answersLookups === false || outcome === undefined) {
+      return response.status(404).json({ error: { message: 'no call of this key is known' } })
+    }
+    response.setHeader(runStateHeader, doneValue).json(outcome)
   })
 
   async function set (changes: Partial<ServiceFaults>): Promise<void> {
--- a/test/backends/service-client.test.ts
+++ b/test/backends/service-client.test.ts
@@ -105,3 +105,20 @@
   t.like(absent.isErr ? absent.error : {}, { reason: 'backend-refused', mayHaveRun: false })
   t.deepEqual(service.stats().ranByKey, { k1: 1 })
 })
+
+test('a call that was sent to a frozen service and given up counts once it ran, and a look-up tells its answer', async t => {
+  const { service, client } = await setUp(t)
+  t.is(await client.lookUp?.(orderOf('k'), calm()), undefined)
+  await service.set({ frozen: true })
+  t.true((await client.call(orderOf('k', 300), calm())).isErr)
+  await service.set({ frozen: false })
+  while (service.stats().ran === 0) await clock.sleep(20)
+  t.is(service.stats().ranByKey['k'], 1)
+  t.is((await client.lookUp?.(orderOf('k'), calm()))?.status, 200)
+})
+
+test('a service that answers no look-ups leaves the call unknown', async t => {
+  const { client } = await setUp(t, { answersLookups: false })
+  t.true((await client.call(orderOf('k'), calm())).isOk)
+  t.is(await client.lookUp?.(orderOf('k'), calm()), undefined)
+})
