Share the instance list by two watchers a domain

Each node read the whole list every second, and once more every ten seconds for its membership. Two watchers a failure domain, chosen by rendezvous rank, now read it and push changes to the others; the others compare a digest with a watcher every 5 s, fetch what differs, and read the list themselves after 10 s without one.

A list that lags behind another reader's must not undo what is known: a first form took every difference from the reading before for news, and brought a server back that was gone. A difference is now news only if the reading before agreed with what is known, if the server starts to leave, or after 30 s. Ruled out: a newer stamp alone, for the same reason.

Proofs that fail first, on a scratch copy with `npx ava test/instance-feed`: with each node reading, the test on bytes and reads fails; without the rule on leaving, the merge property fails; with every difference as news, the test of the older list fails.

Watchers still read the whole list each second.

--- a/src/core/configuration/feed/topology.ts
+++ b/src/core/configuration/feed/topology.ts
@@ -7,13 +7,15 @@
 export interface Topology {
   /** This node's place among the watchers, which is also the tree it is the root of; -1 when it doesn't watch. */
   watcherIndex: () => number
+  /** The nodes that watch for this node's domain. */
+  watchers: () => readonly PeerAddress[]
   /** The nodes that the given one pushes to in a tree. */
   childrenOf: (node: PeerAddress, tree: number) => PeerAddress[]
   close: () => void
 }
 
 /** Follows the membership. */
-export function createTopology (prefix: string, membership: Membership, bounds: FeedBounds): Topology {
+export function createTopology (prefix: string, membership: Membership, bounds: Pick<FeedBounds, 'watchersPerDomain' | 'fanOut'>): Topology {
   const { self } = membership
   let watchers: PeerAddress[] = []
   let trees: PeerAddress[][] = []
@@ -39,6 +41,7 @@
   rank()
   return {
     watcherIndex: () => watchers.findIndex(address => address.node === self.node),
+    watchers: () => watchers,
     childrenOf,
     close: membership.onChange(rank)
   }
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -12,6 +12,7 @@
 import type { Readiness, RunCall } from '../http/index.ts'
 import { toId } from '../ids/index.ts'
 import type { BackendId, TeamId } from '../ids/index.ts'
+import { createInstanceFeed } from '../instance-feed/index.ts'
 import { createMembership } from '../membership/index.ts'
 import { createMetrics } from '../metrics/index.ts'
 import { createPeerNetwork } from '../peers/index.ts'
@@ -57,7 +58,13 @@
     log,
     metrics
   })
-  const listed = createListedCheck({ node: settings.node, clock, readNodes: instanceList.readNodes })
+  // Membership reads the list itself until the feed runs, which needs the membership.
+  const nodeList = { read: instanceList.readNodes }
+  const listed = createListedCheck({
+    node: settings.node,
+    clock,
+    readNodes: deadlineAtMs => nodeList.read(deadlineAtMs)
+  })
   const self = { ...network.address, host: settings.peers.advertisedHost ?? settings.peers.host }
   const membership = createMembership({
     self,
@@ -130,9 +137,11 @@
     mayRetry: (team, reason) => callRetries.take(toId<BackendId>(team), reason),
     limits: { callShards: settings.calls.shards, retentionMs: settings.calls.retentionMs }
   })
-  const backendWatch = watchBackends({ clock, log, metrics, table, router, instanceList, cloud })
+  const backendWatch = watchBackends({ clock, log, metrics, table, router, cloud })
+  const instanceFeed = createInstanceFeed({ instanceList, network, membership, clock, metrics, random, onChange: backendWatch.update })
+  nodeList.read = instanceFeed.readNodes
   let listWasRead = false
-  backendWatch.firstList.then(() => { listWasRead = true }, () => {})
+  instanceFeed.firstState.then(() => { listWasRead = true }, () => {})
 
   function readiness (): Readiness {
     const configured = configuration.ready()
@@ -187,6 +196,7 @@
     admission.close()
     await drafts.close()
     await calls.close()
+    await instanceFeed.close()
     await backendWatch.close()
     await configuration.close()
     await membership.close()
--- a/src/core/node/watch-backends.ts
+++ b/src/core/node/watch-backends.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps the table of backend servers and the router's knowledge of them fresh:
- * one task reads the instance list, one the cloud's notices, and one for each
- * engine of this node's subset its load and cache events.
+ * the instance feed brings what the list shows, one task reads the cloud's
+ * notices, and one for each engine of this node's subset its load and cache events.
  */
 import type { BackendTable } from '../backends/table.ts'
 import type { Backend, EngineClient } from '../backends/types.ts'
@@ -10,10 +10,8 @@
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { Cloud } from '../platform/cloud/index.ts'
-import type { InstanceList } from '../platform/instance-list/index.ts'
 import type { Router } from '../routing/index.ts'
 
-const listIntervalMs = 1_000
 const noticeIntervalMs = 500
 const engineIntervalMs = 500
 /** Longest wait for one answer. */
@@ -28,15 +26,14 @@
   metrics: Metrics
   table: BackendTable
   router: Router
-  instanceList: InstanceList
   /** Left out where no cloud is configured; notices then come from the list and the servers. */
   cloud: Cloud | undefined
 }
 
 /** The running tasks. */
 export interface BackendWatch {
-  /** Resolves once the list was read for the first time. */
-  firstList: Promise<void>
+  /** Takes in all backend servers that the list shows now. */
+  update: (listed: readonly Backend[]) => void
   close: () => Promise<void>
 }
 
@@ -45,21 +42,10 @@
   const { clock, table } = options
   const stop = new AbortController()
   const followed = new Map<BackendId, Promise<void>>()
-  let resolveFirst = (): void => {}
-  const firstList = new Promise<void>(resolve => { resolveFirst = resolve })
 
-  async function readList (): Promise<void> {
-    while (!stop.signal.aborted) {
-      const listing = await options.instanceList.read(clock.wallMs() + answerMs)
-      if (listing.isOk && !stop.signal.aborted) {
-        table.update(listing.value.backends)
-        followEngines()
-        resolveFirst()
-      } else {
-        options.metrics.count('instance_list_failures_total')
-      }
-      await clock.sleep(listIntervalMs, stop.signal)
-    }
+  function update (listed: readonly Backend[]): void {
+    table.update(listed)
+    followEngines()
   }
 
   async function readNotices (cloud: Cloud): Promise<void> {
@@ -97,10 +83,10 @@
     }
   }
 
-  const tasks = [readList(), ...(options.cloud === undefined ? [] : [readNotices(options.cloud)])]
+  const tasks = options.cloud === undefined ? [] : [readNotices(options.cloud)]
 
   return {
-    firstList,
+    update,
     close: async () => {
       stop.abort()
       await Promise.all([...tasks, ...followed.values()])
--- /dev/null
+++ b/test/instance-feed/instance-feed.test.ts
@@ -0,0 +1,136 @@
+import test from 'ava'
+import fc from 'fast-check'
+import type { Backend } from '../../src/core/backends/types.ts'
+import { createFeedTable } from '../../src/core/instance-feed/table.ts'
+import { dropping } from '../../src/core/peers/index.ts'
+import { createRandom } from '../membership/cluster.ts'
+import { backendOf, createFeedCluster, textOf } from './cluster.ts'
+
+/** Bound of the design: the lag of two readings, a comparison and its retries. */
+const convergeMs = 30_000 + 3 * 10_000
+
+const range = (count: number): number[] => Array.from({ length: count }, (_, index) => index)
+const isLeft = (backend: Backend): boolean => backend.state === 'leaving'
+
+test('lost pushes and a killed watcher: every node converges on the list and no leaving reverts', async t => {
+  const steps = fc.array(fc.record({ index: fc.nat(9), action: fc.constantFrom('leave', 'remove', 'add', 'kill') }), { minLength: 4, maxLength: 8 })
+  await fc.assert(fc.asyncProperty(steps, fc.nat(1_000), async (actions, seed) => {
+    const cluster = createFeedCluster(9, seed + 1, range(10).map(index => backendOf(index)))
+    await cluster.clock.advance(20_000)
+    const heal = cluster.network.addFault(dropping(0.3, createRandom(seed + 1)))
+    let replacements = 0
+    for (const { index, action } of actions) {
+      const without = cluster.list().filter(({ id }) => id !== backendOf(index).id)
+      if (action === 'leave') cluster.setList(cluster.list().map(backend => backend.id === backendOf(index).id ? { ...backend, state: 'leaving' } : backend))
+      if (action === 'remove') cluster.setList(without)
+      if (action === 'add') cluster.setList([...without, backendOf(index, 'live', `instance-${index}-${++replacements}`)])
+      if (action === 'kill') await cluster.feeds.find(({ feed }) => feed.isWatching() && cluster.feeds.length > 5)?.kill()
+      await cluster.clock.advance(3_000)
+    }
+    heal()
+    await cluster.clock.advance(convergeMs)
+    const wanted = textOf(cluster.list())
+    const views = cluster.feeds.map(({ feed }) => textOf(feed.backends()))
+    for (const { reported } of cluster.feeds) t.false(revertsLeaving(reported))
+    await cluster.close()
+    return views.every(view => view === wanted)
+  }), { seed: 7, numRuns: 12 })
+  t.pass()
+})
+
+function revertsLeaving (reported: Backend[][]): boolean {
+  const left = new Set<string>()
+  return reported.some(backends => backends.some(backend => {
+    const key = `${backend.id} ${backend.instance}`
+    if (isLeft(backend)) left.add(key)
+    return !isLeft(backend) && left.has(key)
+  }))
+}
+
+function bringsBack (reported: Backend[][], id: Backend['id']): boolean {
+  const shows = reported.map(backends => backends.some(backend => backend.id === id))
+  return shows.some((shown, index) => shown && shows.slice(0, index).some((earlier, place) => earlier && !shows[place + 1]))
+}
+
+test('a watcher that reads an older list neither reverts a leaving nor brings back what is gone', async t => {
+  const cluster = createFeedCluster(9, 3, range(6).map(index => backendOf(index)))
+  await cluster.clock.advance(20_000)
+  cluster.feeds.filter(({ feed }) => feed.isWatching()).forEach((node, index) => { node.lagChanges = index % 2 === 0 ? 1 : 0 })
+  cluster.setList([...range(5).map(index => backendOf(index)), backendOf(5, 'leaving')])
+  await cluster.clock.advance(5_000)
+  cluster.setList(range(5).map(index => backendOf(index)))
+  await cluster.clock.advance(5_000)
+  for (const node of cluster.feeds) node.lagChanges = 0
+  await cluster.clock.advance(convergeMs)
+  for (const { feed, reported } of cluster.feeds) {
+    t.is(textOf(feed.backends()), textOf(cluster.list()))
+    t.false(revertsLeaving(reported))
+    t.false(bringsBack(reported, backendOf(5).id))
+  }
+  await cluster.close()
+})
+
+test('entries merge to the same state in any order, and a leaving wins over any later live one', t => {
+  const entry = fc.record({ stampMs: fc.nat(1_000), state: fc.constantFrom<Backend['state']>('starting', 'live', 'leaving'), gone: fc.boolean() })
+  const entries = fc.uniqueArray(entry, { selector: ({ stampMs }) => stampMs, minLength: 1, maxLength: 8 })
+  fc.assert(fc.property(entries, fc.nat(1_000), (made, seed) => {
+    const list = made.map(({ stampMs, state, gone }) => ({ stampMs, gone, backend: backendOf(1, state) }))
+    const random = createRandom(seed + 1)
+    const shuffled = list.map(item => ({ item, place: random() })).sort((a, b) => a.place - b.place).map(({ item }) => item)
+    const [one, other] = [createFeedTable(), createFeedTable()]
+    one.merge(list)
+    for (const item of shuffled) other.merge([item])
+    t.deepEqual(one.entries(), other.entries())
+    t.deepEqual(one.digest(), other.digest())
+    t.is(isLeft(one.entries()[0]!.backend), list.some(({ backend }) => isLeft(backend)))
+  }), { seed: 11 })
+})
+
+test('a node that reaches no watcher reads the list itself', async t => {
+  const cluster = createFeedCluster(9, 5, range(4).map(index => backendOf(index)))
+  await cluster.clock.advance(20_000)
+  const lonely = cluster.feeds.find(({ feed }) => !feed.isWatching())!
+  const own = lonely.node.address.node
+  cluster.network.addFault((message, delaysMs) => message.from === own || message.to === own ? [] : delaysMs)
+  cluster.setList(range(7).map(index => backendOf(index)))
+  await cluster.clock.advance(10_000 + convergeMs)
+  t.is(textOf(lonely.feed.backends()), textOf(cluster.list()))
+  await cluster.close()
+})
+
+test('a node whose watchers read nothing stands by another source, and starts with the whole state only', async t => {
+  const cluster = createFeedCluster(6, 5, range(4).map(index => backendOf(index)))
+  const [cut] = cluster.feeds
+  cut!.listWorks = false
+  await cluster.clock.advance(30_000)
+  for (const { feed, reported } of cluster.feeds) {
+    t.is(textOf(feed.backends()), textOf(cluster.list()))
+    t.is(textOf(reported[0] ?? []), textOf(cluster.list()))
+  }
+  await cluster.close()
+})
+
+/** Bytes of peers and reads of the list of the nodes that don't watch, over a minute without a change. */
+async function quietMinute (backendCount: number): Promise<{ bytes: number, reads: number, watchers: number, watcherReads: number }> {
+  const cluster = createFeedCluster(12, 2, range(backendCount).map(index => backendOf(index)))
+  await cluster.clock.advance(30_000)
+  const others = cluster.feeds.filter(({ feed }) => !feed.isWatching())
+  const watchers = cluster.feeds.filter(({ feed }) => feed.isWatching())
+  const bytesOf = (): number => others.reduce((sum, { node }) => sum + node.network.traffic().sentBytes + node.network.traffic().receivedBytes, 0)
+  const readsOf = (nodes: typeof others): number => nodes.reduce((sum, { reads }) => sum + reads, 0)
+  const before = { bytes: bytesOf(), reads: readsOf(others), watcherReads: readsOf(watchers) }
+  await cluster.clock.advance(60_000)
+  const after = { bytes: bytesOf() - before.bytes, reads: readsOf(others) - before.reads, watcherReads: readsOf(watchers) - before.watcherReads }
+  await cluster.close()
+  return { ...after, watchers: watchers.length }
+}
+
+test('without a change, bytes of a node that does not watch do not depend on the number of backend servers', async t => {
+  const few = await quietMinute(10)
+  const many = await quietMinute(1_000)
+  t.is(many.reads, 0)
+  t.is(many.watchers, 6)
+  t.true(many.watcherReads <= 6 * 61)
+  // Counts in the messages are longer by a few bytes, the entries themselves are not sent.
+  t.true(many.bytes < few.bytes * 1.05)
+})
