Ask each engine about every ten seconds

Each is now asked about every 10 s at random times; the load book corrects the last report by this node's own attempts in between.

Ruled out: leaving out engines that this node sends to.

An engine beyond the 32 followed ones is now followed as soon as one is gone, since the list no longer comes every second. The slopes' window for engines is 40 s, since 6 s may hold no question at all. The test of the rate fails with the interval at 500 ms, by its count.

--- a/bench/measure/node.ts
+++ b/bench/measure/node.ts
@@ -15,7 +15,8 @@
 
 /** One way between a caller, a node and an engine. */
 const networkMs = 1.5
-const pollMs = 500
+/** As in src/core/node/watch-backends.ts. */
+const pollMs = 10_000
 /** Part of the first token's target that a request may wait for its permit. */
 const maxWaitMs = target.firstTokenMs / 2
 /** Share of a node that one team may take, so that what bounds it is the fair share. */
@@ -63,7 +64,7 @@
   async function poll (): Promise<void> {
     const sequences = new Map<BackendId, number>()
     // Nodes don't poll in step with one another.
-    await clock.sleep(index * 37)
+    await clock.sleep(index * 370)
     while (!stopped.aborted) {
       for (const [id, engine] of engines) {
         if (listed().every(backend => backend.id !== id)) continue
--- a/bench/measure/slopes/node-process.ts
+++ b/bench/measure/slopes/node-process.ts
@@ -8,6 +8,8 @@
 const clock = createSystemClock()
 const settleMs = 2000
 const windowMs = 6000
+/** Engines are asked about every 10 s, so that a reading has to hold several questions. */
+const engineWindowMs = 40_000
 const promptCharacters = 2000
 
 /** Processor time and memory of the node over a while. */
@@ -19,10 +21,10 @@
   engineBytesPerSecond: number
 }
 
-async function read (node: NodeDeployment): Promise<Reading> {
+async function read (node: NodeDeployment, durationMs = windowMs): Promise<Reading> {
   await clock.sleep(settleMs)
   const before = { cpuMs: node.cpuMs(), calls: node.keyValueCalls(), bytes: node.bytes(), atMs: clock.monotonicMs() }
-  await clock.sleep(windowMs)
+  await clock.sleep(durationMs)
   const elapsedMs = clock.monotonicMs() - before.atMs
   const bytes = node.bytes()
   return {
@@ -66,7 +68,7 @@
   const readings: Array<{ x: number, reading: Reading }> = []
   for (const x of engineCounts) {
     node.setListed(0, x)
-    readings.push({ x, reading: await read(node) })
+    readings.push({ x, reading: await read(node, engineWindowMs) })
   }
   return [
     { name: 'bytes between an idle node and the engines it follows', over: 'engines followed', unit: 'bytes a second', points: readings.map(({ x, reading }) => ({ x, y: reading.engineBytesPerSecond })) },
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -137,7 +137,7 @@
     mayRetry: (team, reason) => callRetries.take(toId<BackendId>(team), reason),
     limits: { callShards: settings.calls.shards, retentionMs: settings.calls.retentionMs }
   })
-  const backendWatch = watchBackends({ clock, log, metrics, table, router, cloud })
+  const backendWatch = watchBackends({ clock, log, metrics, table, router, cloud, random })
   const instanceFeed = createInstanceFeed({ instanceList, network, membership, clock, metrics, random, onChange: backendWatch.update })
   nodeList.read = instanceFeed.readNodes
   let listWasRead = false
--- a/src/core/node/watch-backends.ts
+++ b/src/core/node/watch-backends.ts
@@ -13,7 +13,8 @@
 import type { Router } from '../routing/index.ts'
 
 const noticeIntervalMs = 500
-const engineIntervalMs = 500
+/** Mean time between two questions to one engine; in between, the router corrects its load by this node's own attempts. */
+const engineIntervalMs = 10_000
 /** Longest wait for one answer. */
 const answerMs = 2_000
 /** Most engines that one node follows; requests to others rely on what their answers show. */
@@ -25,9 +26,11 @@
   log: Log
   metrics: Metrics
   table: BackendTable
-  router: Router
+  router: Pick<Router, 'onLoad' | 'onCacheEvents'>
   /** Left out where no cloud is configured; notices then come from the list and the servers. */
   cloud: Cloud | undefined
+  /** Numbers from 0 to 1, which spread the questions over time. */
+  random: () => number
 }
 
 /** The running tasks. */
@@ -65,10 +68,16 @@
     for (const backend of table.all()) {
       const engine = table.engineOf(backend.id)
       if (engine === undefined || followed.has(backend.id) || followed.size >= maxFollowedEngines) continue
-      followed.set(backend.id, followEngine(backend, engine).finally(() => followed.delete(backend.id)))
+      followed.set(backend.id, followEngine(backend, engine).finally(() => followAnother(backend.id)))
     }
   }
 
+  /** An engine beyond the bound is followed once another one is gone, without waiting for a change of the list. */
+  function followAnother (ended: BackendId): void {
+    followed.delete(ended)
+    if (!stop.signal.aborted) followEngines()
+  }
+
   async function followEngine (backend: Backend, engine: EngineClient): Promise<void> {
     let sequence = 0
     while (!stop.signal.aborted && table.engineOf(backend.id) === engine) {
@@ -79,7 +88,7 @@
         sequence = events.value.at(-1)?.sequence ?? sequence
         options.router.onCacheEvents(backend.id, events.value)
       }
-      await clock.sleep(engineIntervalMs, stop.signal)
+      await clock.sleep(engineIntervalMs * (0.75 + options.random() / 2), stop.signal)
     }
   }
 
--- a/test/instance-feed/instance-feed.test.ts
+++ b/test/instance-feed/instance-feed.test.ts
@@ -98,7 +98,7 @@
   await cluster.close()
 })
 
-test('a node whose watchers read nothing stands by another source, and starts with the whole state only', async t => {
+test('a watcher whose list fails takes the state from the other one, and no node starts with a part of it', async t => {
   const cluster = createFeedCluster(6, 5, range(4).map(index => backendOf(index)))
   const [cut] = cluster.feeds
   cut!.listWorks = false
--- /dev/null
+++ b/test/node/watch-backends.test.ts
@@ -0,0 +1,57 @@
+import test from 'ava'
+import { ok } from 'true-myth/result'
+import type { Backend, EngineClient } from '../../src/core/backends/types.ts'
+import type { BackendTable } from '../../src/core/backends/table.ts'
+import { createManualClock } from '../../src/core/clock/index.ts'
+import { createSilentLog } from '../../src/core/log/index.ts'
+import { createMetrics } from '../../src/core/metrics/index.ts'
+import { watchBackends } from '../../src/core/node/watch-backends.ts'
+import { createRandom } from '../../src/core/random/index.ts'
+import { backendOf } from '../instance-feed/cluster.ts'
+
+/** Follows engines that count what they are asked. */
+function follow () {
+  const clock = createManualClock()
+  const asked = new Map<string, number>()
+  let listed: readonly Backend[] = []
+  const engines = new Map<string, EngineClient>()
+
+  function engineOf (id: Backend['id']): EngineClient | undefined {
+    if (listed.every(backend => backend.id !== id)) return undefined
+    const known = engines.get(id) ?? {
+      load: async () => {
+        asked.set(id, (asked.get(id) ?? 0) + 1)
+        return ok({ backend: id, reportedAtMs: clock.wallMs(), running: 0, waiting: 0, cacheUsage: 0 })
+      },
+      cacheEvents: async () => ok([])
+    } as unknown as EngineClient
+    engines.set(id, known)
+    return known
+  }
+
+  const table = { all: () => listed, engineOf, update: (next: readonly Backend[]) => { listed = next } } as BackendTable
+  const router = { onLoad: () => {}, onCacheEvents: () => {} }
+  const watch = watchBackends({ clock, log: createSilentLog(), metrics: createMetrics(), table, router, cloud: undefined, random: createRandom(4) })
+  return { clock, asked, watch }
+}
+
+test('each followed engine is asked at once and then about every ten seconds, not in step', async t => {
+  const { clock, asked, watch } = follow()
+  watch.update(Array.from({ length: 8 }, (_, index) => backendOf(index)))
+  await clock.advance(120_000)
+  for (const count of asked.values()) t.true(count >= 9 && count <= 17)
+  t.is(asked.size, 8)
+  await watch.close()
+})
+
+test('when a followed engine is gone, one beyond the bound is followed without another change of the list', async t => {
+  const { clock, asked, watch } = follow()
+  const all = Array.from({ length: 33 }, (_, index) => backendOf(index))
+  watch.update(all)
+  await clock.advance(60_000)
+  t.is(asked.size, 32)
+  watch.update(all.slice(1))
+  await clock.advance(60_000)
+  t.is(asked.size, 33)
+  await watch.close()
+})
