--- a/test/instance-feed/instance-feed.test.ts
+++ b/test/instance-feed/instance-feed.test.ts
@@ -134,3 +134,28 @@
   // Counts in the messages are longer by a few bytes, the entries themselves are not sent.
   t.true(many.bytes < few.bytes * 1.05)
 })
+
+test('a node that does not watch gets the entry nodes from a watcher, whole only when they changed', async t => {
+  const cluster = createFeedCluster(9, 5, range(4).map(index => backendOf(index)))
+  await cluster.clock.advance(20_000)
+  const asking = cluster.feeds.find(({ feed }) => !feed.isWatching())!
+  const readsBefore = asking.reads
+
+  async function ask (): Promise<{ nodes: number, bytes: number }> {
+    const before = asking.node.network.traffic().receivedBytes
+    const answer = asking.feed.readNodes(cluster.clock.wallMs() + 1_000)
+    await cluster.clock.advance(10)
+    const nodes = await answer
+    return { nodes: nodes.isOk ? nodes.value.length : 0, bytes: asking.node.network.traffic().receivedBytes - before }
+  }
+
+  const first = await ask()
+  const again = await ask()
+  cluster.listed.pop()
+  await cluster.clock.advance(5_000)
+  const changed = await ask()
+  t.deepEqual([first.nodes, again.nodes, changed.nodes], [9, 9, 8])
+  t.true(again.bytes < first.bytes / 2)
+  t.is(asking.reads, readsBefore)
+  await cluster.close()
+})
