--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -12,6 +12,7 @@
 import type { Readiness, RunCall } from '../http/index.ts'
 import { toId } from '../ids/index.ts'
 import type { BackendId, TeamId } from '../ids/index.ts'
+import { createInstanceFeed } from '../instance-feed/index.ts'
 import { createDuties } from '../leases/index.ts'
 import { createMembership } from '../membership/index.ts'
 import { createMetrics } from '../metrics/index.ts'
@@ -61,7 +62,13 @@
     log,
     metrics
   })
-  const listed = createListedCheck({ node: settings.node, clock, readNodes: instanceList.readNodes })
+  // Membership reads the list itself until the feed runs, which needs the membership.
+  const nodeList = { read: instanceList.readNodes }
+  const listed = createListedCheck({
+    node: settings.node,
+    clock,
+    readNodes: deadlineAtMs => nodeList.read(deadlineAtMs)
+  })
   const self = { ...network.address, host: settings.peers.advertisedHost ?? settings.peers.host }
   const membership = createMembership({
     self,
@@ -163,9 +170,11 @@
       findTeam: moves.inForce,
       onChange: configuration.onChange
     })
-  const backendWatch = watchBackends({ clock, log, metrics, table, router, instanceList, cloud })
+  const backendWatch = watchBackends({ clock, log, metrics, table, router, cloud, random })
+  const instanceFeed = createInstanceFeed({ instanceList, network, membership, clock, metrics, random, onChange: backendWatch.update })
+  nodeList.read = instanceFeed.readNodes
   let listWasRead = false
-  backendWatch.firstList.then(() => { listWasRead = true }, () => {})
+  instanceFeed.firstState.then(() => { listWasRead = true }, () => {})
 
   function readiness (): Readiness {
     const configured = configuration.ready()
@@ -223,6 +232,7 @@
     await duties.close()
     await drafts.close()
     await calls.close()
+    await instanceFeed.close()
     await backendWatch.close()
     await configuration.close()
     await membership.close()
--- a/src/core/node/watch-backends.ts
+++ b/src/core/node/watch-backends.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps the table of backend servers and the router's knowledge of them fresh:
- * one task reads the instance list, one the cloud's notices, and one for each
- * engine of this node's subset its load and cache events.
+ * the instance feed brings what the list shows, one task reads the cloud's
+ * notices, and one for each engine of this node's subset its load and cache events.
  */
 import type { BackendTable } from '../backends/table.ts'
 import type { Backend, EngineClient } from '../backends/types.ts'
@@ -10,12 +10,11 @@
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { Cloud } from '../platform/cloud/index.ts'
-import type { InstanceList } from '../platform/instance-list/index.ts'
 import type { Router } from '../routing/index.ts'
 
-const listIntervalMs = 1_000
 const noticeIntervalMs = 500
-const engineIntervalMs = 500
+/** Mean time between two questions to one engine; in between, the router corrects its load by this node's own attempts. */
+const engineIntervalMs = 10_000
 /** Longest wait for one answer. */
 const answerMs = 2_000
 /** Most engines that one node follows; requests to others rely on what their answers show. */
@@ -27,16 +26,17 @@
   log: Log
   metrics: Metrics
   table: BackendTable
-  router: Router
-  instanceList: InstanceList
+  router: Pick<Router, 'onLoad' | 'onCacheEvents'>
   /** Left out where no cloud is configured; notices then come from the list and the servers. */
   cloud: Cloud | undefined
+  /** Numbers from 0 to 1, which spread the questions over time. */
+  random: () => number
 }
 
 /** The running tasks. */
 export interface BackendWatch {
-  /** Resolves once the list was read for the first time. */
-  firstList: Promise<void>
+  /** Takes in all backend servers that the list shows now. */
+  update: (listed: readonly Backend[]) => void
   close: () => Promise<void>
 }
 
@@ -45,21 +45,10 @@
   const { clock, table } = options
   const stop = new AbortController()
   const followed = new Map<BackendId, Promise<void>>()
-  let resolveFirst = (): void => {}
-  const firstList = new Promise<void>(resolve => { resolveFirst = resolve })
 
-  async function readList (): Promise<void> {
-    while (!stop.signal.aborted) {
-      const listing = await options.instanceList.read(clock.wallMs() + answerMs)
-      if (listing.isOk && !stop.signal.aborted) {
-        table.update(listing.value.backends)
-        followEngines()
-        resolveFirst()
-      } else {
-        options.metrics.count('instance_list_failures_total')
-      }
-      await clock.sleep(listIntervalMs, stop.signal)
-    }
+  function update (listed: readonly Backend[]): void {
+    table.update(listed)
+    followEngines()
   }
 
   async function readNotices (cloud: Cloud): Promise<void> {
@@ -79,10 +68,16 @@
     for (const backend of table.all()) {
       const engine = table.engineOf(backend.id)
       if (engine === undefined || followed.has(backend.id) || followed.size >= maxFollowedEngines) continue
-      followed.set(backend.id, followEngine(backend, engine).finally(() => followed.delete(backend.id)))
+      followed.set(backend.id, followEngine(backend, engine).finally(() => followAnother(backend.id)))
     }
   }
 
+  /** An engine beyond the bound is followed once another one is gone, without waiting for a change of the list. */
+  function followAnother (ended: BackendId): void {
+    followed.delete(ended)
+    if (!stop.signal.aborted) followEngines()
+  }
+
   async function followEngine (backend: Backend, engine: EngineClient): Promise<void> {
     let sequence = 0
     while (!stop.signal.aborted && table.engineOf(backend.id) === engine) {
@@ -93,14 +88,14 @@
         sequence = events.value.at(-1)?.sequence ?? sequence
         options.router.onCacheEvents(backend.id, events.value)
       }
-      await clock.sleep(engineIntervalMs, stop.signal)
+      await clock.sleep(engineIntervalMs * (0.75 + options.random() / 2), stop.signal)
     }
   }
 
-  const tasks = [readList(), ...(options.cloud === undefined ? [] : [readNotices(options.cloud)])]
+  const tasks = options.cloud === undefined ? [] : [readNotices(options.cloud)]
 
   return {
-    firstList,
+    update,
     close: async () => {
       stop.abort()
       await Promise.all([...tasks, ...followed.values()])
