--- a/src/core/node/watch-backends.ts
+++ b/src/core/node/watch-backends.ts
@@ -3,6 +3,7 @@
  * the instance feed brings what the list shows, one task reads the cloud's
  * notices, and one for each engine of this node's subset its load and cache events.
  */
+import { setMaxListeners } from 'node:events'
 import type { BackendTable } from '../backends/table.ts'
 import type { Backend, EngineClient } from '../backends/types.ts'
 import type { Clock } from '../clock/index.ts'
@@ -44,6 +45,8 @@
 export function watchBackends (options: WatchBackendsOptions): BackendWatch {
   const { clock, table } = options
   const stop = new AbortController()
+  // One task for each followed engine waits on this signal, which is no leak.
+  setMaxListeners(0, stop.signal)
   const followed = new Map<BackendId, Promise<void>>()
 
   function update (listed: readonly Backend[]): void {
