Refuse broken requests with a typed reason, and measure a node's own time of refusals

A request that ended before its body or was no HTTP got the parser's bare 400. It now gets problem details with a reason and run 'not-run'; the whole-path test sends both over a raw connection.

--- a/bench/refusals/index.ts
+++ b/bench/refusals/index.ts
@@ -1,6 +1,7 @@
 /**
- * Measures how long a node takes to refuse bad requests. The time is taken at
- * the caller, so it holds the node's own time and the way there and back.
+ * Measures how long a node takes to refuse bad requests: at the caller, which
+ * holds the way there and back, and by the node's own histogram `refusal_ms`,
+ * from the end of a request's headers to its refusal.
  * Exit status 0 only if every refusal had its reason and nothing ran.
  */
 import { mkdtempSync } from 'node:fs'
@@ -57,6 +58,13 @@
   return { request: bad.name, reason: bad.reason, times, wrong, p50Ms: at(50), p99Ms: at(99) }
 }
 
+/** The node's own time over all refusals so far, in milliseconds by quantile. */
+async function readOwnTimes (url: string): Promise<Record<string, number>> {
+  const response = await request(`${url}/metrics`)
+  const lines = (await response.body.text()).matchAll(/^cyclamenshunt_refusal_ms\{quantile="([\d.]+)"\} ([\d.]+)$/gm)
+  return Object.fromEntries([...lines].map(([, quantile = '', value]) => [quantile, Number(value)]))
+}
+
 const platform = await startPlatform()
 const nodes: DemoNode[] = []
 try {
@@ -70,11 +78,13 @@
   const measured: Measured[] = []
   for (const bad of badRequests) measured.push(await measure(node.url, bad))
   const ran = platform.services.reduce((sum, service) => sum + service.stats().ran, 0)
+  const ownMs = await readOwnTimes(node.url)
   if (options.json) {
+    process.stdout.write(`${JSON.stringify({ request: 'all, the node\'s own time', ownMs })}\n`)
     for (const line of measured) process.stdout.write(`${JSON.stringify(line)}\n`)
   } else {
     const rows = measured.map(({ request, reason, times, wrong, p50Ms, p99Ms }) => [request, reason, String(times), String(wrong), p50Ms.toFixed(2), p99Ms.toFixed(2)])
-    process.stdout.write(`${renderTable(['request', 'reason', 'times', 'wrong', 'p50 ms', 'p99 ms'], rows)}\n\ncalls that ran at a service: ${ran}\n`)
+    process.stdout.write(`${renderTable(['request', 'reason', 'times', 'wrong', 'p50 ms', 'p99 ms'], rows)}\n\ncalls that ran at a service: ${ran}\nthe node's own time by quantile, in ms: ${JSON.stringify(ownMs)}\n`)
   }
   process.exitCode = ran === 0 && measured.every(({ wrong }) => wrong === 0) ? 0 : 1
 } finally {
--- /dev/null
+++ b/src/core/http/broken-requests.ts
@@ -0,0 +1,42 @@
+/**
+ * Requests that the HTTP parser gives up on: cut short, too slow or malformed.
+ * They get a typed refusal as well, because their callers have to know that
+ * nothing ran.
+ */
+import type { Server } from 'node:http'
+import type { Duplex } from 'node:stream'
+import type { RefusalReason } from '../outcomes/index.ts'
+import { toProblem } from './problem.ts'
+import type { CallerServerOptions } from './types.ts'
+
+interface ParserError extends Error {
+  code?: string
+}
+
+function refusalOf ({ code }: ParserError): { reason: RefusalReason, detail: string } {
+  if (code === 'HPE_INVALID_EOF_STATE') return { reason: 'body-truncated', detail: 'The request ended early; send it whole.' }
+  if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return { reason: 'body-truncated', detail: 'The request did not arrive in time; send it faster.' }
+  return { reason: 'bad-request', detail: 'The request is no HTTP that this node can read; check the caller.' }
+}
+
+/** Answers such requests in the form of all refusals, then closes their connections. */
+export function answerBrokenRequests (server: Server, options: Pick<CallerServerOptions, 'metrics' | 'log'>): void {
+  server.on('clientError', (error: ParserError, socket: Duplex) => {
+    if (!socket.writable || error.code === 'ECONNRESET') {
+      socket.destroy()
+      return
+    }
+    const { reason, detail } = refusalOf(error)
+    options.metrics.refused(reason)
+    options.log('requestRefused', { reason, run: 'not-run' })
+    const problem = toProblem({ reason, run: 'not-run', detail })
+    const body = JSON.stringify(problem)
+    const head = [
+      `HTTP/1.1 ${problem.status} ${problem.title}`,
+      'Content-Type: application/problem+json; charset=utf-8',
+      `Content-Length: ${Buffer.byteLength(body)}`,
+      'Connection: close'
+    ]
+    socket.end(`${head.join('\r\n')}\r\n\r\n${body}`)
+  })
+}
--- a/src/core/http/index.ts
+++ b/src/core/http/index.ts
@@ -8,6 +8,7 @@
 import express from 'express'
 import type { NextFunction, Request, Response } from 'express'
 import { bearerToken, hasDigest } from './authenticate.ts'
+import { answerBrokenRequests } from './broken-requests.ts'
 import { createCallHandler } from './call-handler.ts'
 import { identifyCaller } from './caller-context.ts'
 import { readChatBody, readDraftBody } from './draft-body.ts'
@@ -32,6 +33,7 @@
 export async function createCallerServer (options: CallerServerOptions): Promise<CallerServer> {
   const server = createServer({ requestTimeout: options.maxBodyMs, headersTimeout: options.maxHeaderMs }, createApp(options))
   server.maxConnections = options.maxConnections
+  answerBrokenRequests(server, options)
   server.listen(options.port, options.host)
   await once(server, 'listening')
   const { port } = server.address() as AddressInfo
@@ -59,6 +61,7 @@
   app.disable('etag')
   // A balancer keeps its connections open; a node that leaves has to end them without cutting one.
   app.use((_request, response, next) => {
+    response.locals.arrivedAtMs = options.clock.monotonicMs()
     if (options.isLeaving()) response.set('Connection', 'close')
     next()
   })
--- a/src/core/http/refuse.ts
+++ b/src/core/http/refuse.ts
@@ -16,4 +16,5 @@
   options.log('requestRefused', { reason, run: 'not-run' })
   const refusal: Refusal = { reason, run: 'not-run', detail, ...(retryAtMs === undefined ? {} : { retryAtMs }) }
   sendProblem(response, refusal, options.clock.wallMs())
+  options.metrics.observe('refusal_ms', options.clock.monotonicMs() - Number(response.locals.arrivedAtMs))
 }
--- a/test/node/whole-path.test.ts
+++ b/test/node/whole-path.test.ts
@@ -1,4 +1,5 @@
 /** Requests from end to end: callers, nodes, backend servers, in one process over real connections. */
+import { connect } from 'node:net'
 import test from 'ava'
 import { generatedAnswer } from '../../src/stand-ins/index.ts'
 import { callerToken, operatorToken, startDeployment, waitUntil } from './deployment.ts'
@@ -17,6 +18,15 @@
   })
 }
 
+/** Sends a text as it is, ends the sending side, and reads to the end. */
+async function rawRequest (port: number, text: string): Promise<string> {
+  const socket = connect({ host: '127.0.0.1', port, allowHalfOpen: true })
+  socket.end(text)
+  let answer = ''
+  for await (const chunk of socket) answer += String(chunk)
+  return answer
+}
+
 test('drafts and calls go from callers to backend servers and back, through any node', async t => {
   const deployment = await startDeployment()
   t.teardown(deployment.close)
@@ -67,6 +77,14 @@
     t.is(problem.run, 'not-run', name)
     t.is(response.headers.get('content-type'), 'application/problem+json; charset=utf-8', name)
   }
+  for (const [name, text, reason] of [
+    ['truncated', `POST /v1/teams/registry/calls/registrations HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer ${callerToken}\r\nIdempotency-Key: key-3\r\nContent-Length: 100\r\n\r\ndebtor`, 'body-truncated'],
+    ['no HTTP', 'debtor 9\r\n\r\n', 'bad-request']
+  ] as const) {
+    const answer = await rawRequest(deployment.nodes[0]?.callerPort ?? 0, text)
+    t.regex(answer, /^HTTP\/1\.1 400 /, name)
+    t.true(answer.includes(`"reason":"${reason}","run":"not-run"`), `${name}: ${answer}`)
+  }
   t.is(deployment.service.stats().ran, 0)
 })
 
