Begin the learned limits at one batch of an engine

Cause: a fresh node before four idle engines refused 86 of 150 drafts that came together: the limits began at 16 a server, and since drafts have a latest start (arrival + 475 ms) what waits for them is refused. Ruled out: the engines, which take 64 each.

--- a/src/core/node/work.ts
+++ b/src/core/node/work.ts
@@ -22,6 +22,9 @@
 import { createCallLookUp, createCallSender } from './send-call.ts'
 import { watchBackends } from './watch-backends.ts'
 
+/** Requests that a backend server takes from this node before its latency has taught anything: one batch of an engine. */
+const initialConcurrency = 64
+
 /** What one node works with. */
 export type NodeWork = Awaited<ReturnType<typeof createWork>>
 
@@ -32,7 +35,7 @@
   const retryBudget = createRetryBudget({ clock })
   // Calls choose anew for each attempt, so their retries are counted for the team instead of a backend server.
   const callRetries = createRetryBudget({ clock })
-  const limits = createConcurrencyLimits({ clock, initial: 16, min: 2, max: 512 })
+  const limits = createConcurrencyLimits({ clock, initial: initialConcurrency, min: 2, max: 512 })
   const admission = createAdmission({ clock, metrics, random, maxConcurrent: settings.limits.maxInFlight })
   const hasher = await createPromptHasher()
   const router = createRouter({
