--- a/src/core/configuration/feed/exchange.ts
+++ b/src/core/configuration/feed/exchange.ts
@@ -1,30 +1,15 @@
 /** Comparison with peers: revision and hash, then what is missing. */
 import { sample } from '../../membership/index.ts'
-import type { Clock } from '../../clock/index.ts'
-import type { Log } from '../../log/index.ts'
-import type { Metrics } from '../../metrics/index.ts'
 import type { Membership, PeerAddress, PeerNetwork } from '../../peers/types.ts'
-import type { FeedBounds } from './bounds.ts'
 import type { Contact } from './contact.ts'
-import type { FeedTable } from './table.ts'
-import type { FeedDelta, FeedDigest, FeedSnapshot, FeedStatus } from './types.ts'
+import type { FeedDelta, FeedDigest, FeedSnapshot } from './types.ts'
+import type { FeedSideOptions } from './side-options.ts'
 
 /** Options of an exchange. */
-export interface ExchangeOptions {
-  prefix: string
-  table: FeedTable
+export interface ExchangeOptions extends FeedSideOptions {
   contact: Contact
   network: PeerNetwork
   membership: Membership
-  clock: Clock
-  log: Log
-  metrics: Metrics
-  bounds: FeedBounds
-  random: () => number
-  /** Notes a revision that a peer has. */
-  heard: (revision: number) => void
-  /** Notes that a state came from a peer. */
-  taken: (source: FeedStatus['source']) => void
 }
 
 /** The comparing side of one feed. */
--- a/src/core/configuration/feed/service.ts
+++ b/src/core/configuration/feed/service.ts
@@ -1,24 +1,10 @@
 /** The feed's calls of the key-value service: one read, and the watch of the nodes chosen for it. */
-import type { Clock } from '../../clock/index.ts'
-import type { Log } from '../../log/index.ts'
-import type { Metrics } from '../../metrics/index.ts'
 import type { KeyValueStore } from '../../platform/key-value/types.ts'
-import type { FeedBounds } from './bounds.ts'
-import type { FeedTable } from './table.ts'
-import type { FeedStatus } from './types.ts'
+import type { FeedSideOptions } from './side-options.ts'
 
 /** Options of the service side. */
-export interface ServiceSideOptions {
-  prefix: string
+export interface ServiceSideOptions extends FeedSideOptions {
   store: KeyValueStore
-  table: FeedTable
-  clock: Clock
-  log: Log
-  metrics: Metrics
-  bounds: FeedBounds
-  random: () => number
-  heard: (revision: number) => void
-  taken: (source: FeedStatus['source']) => void
 }
 
 /** The service side of one feed. */
