--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist', 'reports', '.cache'] }),
+  ...neostandard({ ts: true, ignores: ['dist', 'target', 'reports', '.cache'] }),
   {
     files: ['**/*.ts'],
     rules: {
--- a/src/core/connections/index.ts
+++ b/src/core/connections/index.ts
@@ -26,6 +26,8 @@
 /** Idle connections are dropped soon, before something between the ends forgets them. */
 const idleConnectionMs = 4_000
 
+const firstErrorStatus = 400
+
 /** Codes of errors that come before a connection exists. */
 const connectErrorCodes = new Set([
   'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'EAI_AGAIN', 'UND_ERR_CONNECT_TIMEOUT'
@@ -104,6 +106,17 @@
   }
 }
 
+/** A body in JSON. Refusals may come with a body in another format, and their status says enough. */
+function parseBody (text: string, status: number): unknown {
+  if (text === '') return undefined
+  try {
+    return JSON.parse(text) as unknown
+  } catch (error) {
+    if (status >= firstErrorStatus) return undefined
+    throw error
+  }
+}
+
 /** Sends a request and reads its answer as JSON; throws a `JsonRequestError`. */
 export async function requestJson (connections: Connections, clock: Clock, request: JsonRequest): Promise<JsonAnswer> {
   const remainingMs = request.deadlineAtMs - clock.wallMs()
@@ -119,7 +132,7 @@
       signal
     })
     const text = await body.text()
-    return { status: statusCode, body: text === '' ? undefined : JSON.parse(text) as unknown }
+    return { status: statusCode, body: parseBody(text, statusCode) }
   } catch (error) {
     if (!signal.aborted) throw new JsonRequestError(causeOf(error), !isConnectError(error))
     connections.renew(used)
--- a/src/core/errors/platform.ts
+++ b/src/core/errors/platform.ts
@@ -27,6 +27,16 @@
     message: ({ duty }) => `The lease for "${duty}" is no longer held by this node.`,
     hint: 'Another node takes the duty over; no action is needed unless this repeats.'
   }),
+  PlatformSettingInvalid: entry<{ path: string, field: string, cause: string }>({
+    title: 'Invalid platform setting',
+    message: ({ path, field, cause }) => `Setting "${field}" of ${path} can't be used: ${cause}.`,
+    hint: 'Correct the file that the platform writes for this process and start it again.'
+  }),
+  PlatformValueUnreadable: entry<{ key: string, cause: string }>({
+    title: 'Unreadable value of the platform',
+    message: ({ key, cause }) => `The value of "${key}" can't be read: ${cause}.`,
+    hint: 'The last value that could be read stays in force; correct what was written.'
+  }),
   PlatformCallFailed: entry<{ service: string, operation: string, cause: string }>({
     title: 'Platform call failed',
     message: ({ service, operation, cause }) => `The ${service} failed "${operation}": ${cause}.`,
--- /dev/null
+++ b/src/core/gateway/route-table.ts
@@ -0,0 +1,44 @@
+/** Finds the route of a request: by host, then by the longest path prefix. */
+import type { GatewayConfiguration, GatewayRoute, GatewayTeam } from './types.ts'
+
+/** The lookups of one configuration. */
+export interface RouteTable {
+  readonly configuration: GatewayConfiguration
+  /** `target` is the request's path with its query, as it came. */
+  route: (host: string, target: string) => GatewayRoute | undefined
+  team: (key: string) => GatewayTeam | undefined
+}
+
+/** The path of a target, without its query. */
+function pathOf (target: string): string {
+  const at = target.indexOf('?')
+  return at === -1 ? target : target.slice(0, at)
+}
+
+/** Builds the lookups. */
+export function createRouteTable (configuration: GatewayConfiguration): RouteTable {
+  const byHost = new Map<string, Map<string, GatewayRoute>>()
+  const byKey = new Map<string, GatewayTeam>()
+  for (const route of configuration.routes) {
+    const prefixes = byHost.get(route.host) ?? new Map<string, GatewayRoute>()
+    prefixes.set(route.pathPrefix, route)
+    byHost.set(route.host, prefixes)
+  }
+  for (const team of configuration.teams ?? []) {
+    for (const key of team.keys) byKey.set(key, team)
+  }
+
+  function find (host: string, target: string): GatewayRoute | undefined {
+    const portAt = host.lastIndexOf(':')
+    const prefixes = byHost.get((portAt === -1 ? host : host.slice(0, portAt)).toLowerCase())
+    if (prefixes === undefined) return undefined
+    const path = pathOf(target)
+    for (let end = path.lastIndexOf('/'); end !== -1; end = end === 0 ? -1 : path.lastIndexOf('/', end - 1)) {
+      const route = prefixes.get(path.slice(0, end + 1))
+      if (route !== undefined) return route
+    }
+    return undefined
+  }
+
+  return { configuration, route: find, team: key => byKey.get(key) }
+}
--- a/src/core/log/events/agreement.ts
+++ b/src/core/log/events/agreement.ts
@@ -11,5 +11,9 @@
   instanceListFailed: { number: 406, level: 'warn', text: 'The instance list could not be read.', remedy: 'Check the instance list; the nodes go on by their own contact.' },
   feedWatchLost: { number: 407, level: 'warn', text: 'The watch of the key-value service was lost.', remedy: 'none; it is opened anew. If it lasts, check the service.' },
   feedDiverged: { number: 408, level: 'error', text: 'Two nodes hold different content at the same revision.', remedy: 'Check whether the key-value service was restored from a backup; then restart the nodes.' },
-  declarationUnreadable: { number: 409, level: 'error', text: 'A declaration in the key-value service could not be read; the one before it stays in force.', remedy: 'Apply the team again with this version of the command line.' }
+  declarationUnreadable: { number: 409, level: 'error', text: 'A declaration in the key-value service could not be read; the one before it stays in force.', remedy: 'Apply the team again with this version of the command line.' },
+  nodeHeard: { number: 410, level: 'info', text: 'Another node reports again, or for the first time.', remedy: 'none' },
+  nodeSilent: { number: 411, level: 'warn', text: 'Another node sent no report for a while.', remedy: 'Check that node and the network between both.' },
+  nodeReportUnreadable: { number: 412, level: 'warn', text: 'A report of another node could not be taken in.', remedy: 'Check that all nodes run the same version.' },
+  viewFromPeer: { number: 413, level: 'info', text: 'What the key-value service holds was learned from another node.', remedy: 'none; check the service if it lasts.' }
 } satisfies Record<string, EventEntry>
--- a/src/core/log/events/index.ts
+++ b/src/core/log/events/index.ts
@@ -5,6 +5,7 @@
 import { agreementEvents } from './agreement.ts'
 import { moveEvents } from './moves.ts'
 import { platformEvents } from './platform.ts'
+import { gatewayEvents } from './gateway.ts'
 
 export type { EventEntry } from './types.ts'
 
@@ -14,7 +15,8 @@
   ...callEvents,
   ...agreementEvents,
   ...moveEvents,
-  ...platformEvents
+  ...platformEvents,
+  ...gatewayEvents
 } as const
 
 /** The name of a log event. */
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -17,7 +17,7 @@
 import { blockTokens } from '../backends/prompt-blocks.ts'
 import { createRendezvous, homeKey } from './rendezvous.ts'
 import { drawVersion, eligibleVersions } from './version-draw.ts'
-import type { RouteChoice, RouteOutcome, RouteRequest, Router, RouterOptions } from './types.ts'
+import type { PromptBlocks, RouteChoice, RouteOutcome, RouteRequest, Router, RouterOptions } from './types.ts'
 
 export type * from './types.ts'
 export { blockTokens } from '../backends/prompt-blocks.ts'
@@ -28,6 +28,12 @@
 /** When to come back if no backend server is live. */
 const noBackendRetryMs = 2000
 
+/** Tokens of a prompt's first blocks. */
+function tokensOfBlocks (prompt: PromptBlocks | undefined, count: number): number {
+  if (prompt?.blockTokens === undefined) return count * blockTokens
+  return prompt.blockTokens.slice(0, count).reduce((sum, tokens) => sum + tokens, 0)
+}
+
 /** A choice with what it is compared by. */
 interface Candidate {
   choice: RouteChoice
@@ -73,9 +79,9 @@
 
   function evaluate (request: RouteRequest, backend: Backend, heldBlocks: number, homeRank: number): Candidate {
     const promptTokens = request.prompt?.tokens ?? 0
-    const wholeTokens = (request.prompt?.hashes.length ?? 0) * blockTokens
+    const wholeTokens = tokensOfBlocks(request.prompt, request.prompt?.hashes.length ?? 0)
     const guessed = homeRank === -1 ? 0 : homeHits.ratio(request.team, homeRank) * wholeTokens
-    const heldTokens = heldBlocks * blockTokens
+    const heldTokens = tokensOfBlocks(request.prompt, heldBlocks)
     const expectedCachedTokens = Math.round(Math.max(heldTokens, guessed))
     const load = loads.read(backend.id, clock.wallMs())
     const profile = profileOf(backend.machineClass)
@@ -98,7 +104,8 @@
     const homes = homesOf(request, live)
     const held = request.prompt === undefined ? new Map<BackendId, number>() : index.held(request.prompt.hashes)
     const holders = held.size === 0 ? [] : live.filter(backend => held.has(backend.id))
-    const considered = new Set([...homes, ...holders, ...twoPicks(live)])
+    const others = request.considersAll === true ? live : twoPicks(live)
+    const considered = new Set([...homes, ...holders, ...others])
     return best([...considered].map(backend => {
       return evaluate(request, backend, held.get(backend.id) ?? 0, homes.indexOf(backend))
     }))
@@ -124,8 +131,8 @@
       const chosen = bestOf(request, live)
       if (chosen === undefined) continue
       const { choice, homeRank } = chosen
-      const remainingMs = request.deadlineAtMs - clock.wallMs()
-      if (choice.expectedFirstTokenMs > remainingMs) return refuse('deadline-unreachable', choice.expectedFirstTokenMs)
+      const remainingMs = Math.min(request.deadlineAtMs, request.firstTokenByAtMs ?? Infinity) - clock.wallMs()
+      if (choice.expectedFirstTokenMs > remainingMs) return refuse('deadline-unreachable', choice.expectedFirstTokenMs - remainingMs)
       metrics.count('routed_total', { reason: choice.reason })
       expectations.set(choice, { request, homeRank })
       return ok(choice)
@@ -161,6 +168,8 @@
     firstToken: attempt => loads.firstToken(attempt),
     ended,
     onLoad: report => loads.report(report),
+    onPeerLoad: loads.peer,
+    ownLoads: loads.own,
     onCacheEvents: (backend, events) => {
       if (!index.apply(backend, events)) metrics.count('cache_event_gaps_total')
     },
--- a/src/core/routing/load-book.ts
+++ b/src/core/routing/load-book.ts
@@ -3,7 +3,8 @@
  * and saw ended since then.
  */
 import type { LoadReport } from '../backends/types.ts'
-import type { AttemptId, BackendId } from '../ids/index.ts'
+import type { AttemptId, BackendId, NodeId } from '../ids/index.ts'
+import type { PeerLoad } from './types.ts'
 
 /** Weight of the newest service time in the moving average. */
 const newestShare = 0.1
@@ -38,7 +39,7 @@
   requests: number
   /** Requests of this node in flight there. */
   own: number
-  /** Prompt tokens sent by this node that are yet to be computed. */
+  /** Prompt tokens sent by this node, and by others as they told, that are yet to be computed. */
   pendingTokens: number
   /** Measured time that a request holds its slot, if any ended. */
   serviceMs: number | undefined
@@ -53,6 +54,8 @@
   firstToken: (attempt: AttemptId) => void
   ended: (attempt: AttemptId, failed: boolean, nowMs: number) => void
   report: (report: LoadReport) => void
+  peer: (from: NodeId, loads: ReadonlyMap<BackendId, PeerLoad>) => void
+  own: () => Map<BackendId, PeerLoad>
   forget: (backend: BackendId) => void
 }
 
@@ -60,6 +63,31 @@
 export function createLoadBook (): LoadBook {
   const accounts = new Map<BackendId, Account>()
   const attempts = new Map<AttemptId, OpenAttempt>()
+  const peers = new Map<NodeId, ReadonlyMap<BackendId, PeerLoad>>()
+
+  function peerLoad (backend: BackendId): PeerLoad {
+    const sum = { requests: 0, pendingTokens: 0 }
+    for (const loads of peers.values()) {
+      const load = loads.get(backend)
+      sum.requests += load?.requests ?? 0
+      sum.pendingTokens += load?.pendingTokens ?? 0
+    }
+    return sum
+  }
+
+  function pendingTokensOf ({ open }: Account): number {
+    let sum = 0
+    for (const attempt of open) sum += attempt.pendingTokens
+    return sum
+  }
+
+  function own (): Map<BackendId, PeerLoad> {
+    const loads = new Map<BackendId, PeerLoad>()
+    for (const [backend, account] of accounts) {
+      if (account.open.size > 0) loads.set(backend, { requests: account.open.size, pendingTokens: pendingTokensOf(account) })
+    }
+    return loads
+  }
 
   function accountOf (backend: BackendId): Account {
     const known = accounts.get(backend)
@@ -83,11 +111,16 @@
 
   function read (backend: BackendId, nowMs: number): Load {
     const account = accounts.get(backend)
-    if (account === undefined) return { requests: 0, own: 0, pendingTokens: 0, serviceMs: undefined, failureShare: 0 }
-    let pendingTokens = 0
-    for (const attempt of account.open) pendingTokens += attempt.pendingTokens
+    const others = peerLoad(backend)
+    if (account === undefined) return { ...others, own: 0, serviceMs: undefined, failureShare: 0 }
     const failureShare = failureShareAt(account, nowMs)
-    return { requests: requestsAt(account), own: account.open.size, pendingTokens, serviceMs: account.serviceMs, failureShare }
+    return {
+      requests: requestsAt(account) + others.requests,
+      own: account.open.size,
+      pendingTokens: pendingTokensOf(account) + others.pendingTokens,
+      serviceMs: account.serviceMs,
+      failureShare
+    }
   }
 
   function sent (attempt: AttemptId, backend: BackendId, pendingTokens: number, nowMs: number): void {
@@ -130,5 +163,10 @@
     account.ended = account.ended.filter(({ endedAtMs }) => endedAtMs > report.reportedAtMs)
   }
 
-  return { read, sent, firstToken, ended, report, forget: backend => { accounts.delete(backend) } }
+  function peer (from: NodeId, loads: ReadonlyMap<BackendId, PeerLoad>): void {
+    if (loads.size === 0) peers.delete(from)
+    else peers.set(from, loads)
+  }
+
+  return { read, sent, firstToken, ended, report, peer, own, forget: backend => { accounts.delete(backend) } }
 }
--- a/src/core/routing/naive.ts
+++ b/src/core/routing/naive.ts
@@ -54,6 +54,8 @@
     firstToken: () => {},
     ended: () => {},
     onLoad: report => { reports.set(report.backend, report) },
+    onPeerLoad: () => {},
+    ownLoads: () => new Map(),
     onCacheEvents: () => {},
     forget: backend => { reports.delete(backend) },
     close: () => reports.clear()
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -16,6 +16,10 @@
   hashes: string[]
   /** Estimated tokens of the whole prompt. */
   tokens: number
+  /** Tokens of each block where blocks differ in size; all are of one size when left out. */
+  blockTokens?: number[]
+  /** What requests for the same home share; derived from the hashes when left out. */
+  homeKey?: string
 }
 
 /** Cuts prompts into blocks and hashes text; made once a process by `createPromptHasher`. */
@@ -36,12 +40,23 @@
   prompt?: PromptBlocks
   priority: Priority
   deadlineAtMs: number
+  /** Wall time from which the first token is of no use; the deadline when left out. */
+  firstTokenByAtMs?: number
+  /** Compares all backend servers instead of two random ones, where loads of other nodes are known. */
+  considersAll?: boolean
   /** Backend servers that failed earlier attempts of this request. */
   excluded: ReadonlySet<BackendId>
   /** Only this version may be chosen, such as for the rest of an answer that has begun. */
   wantedVersion?: VersionId
 }
 
+/** What one node has open at one backend server. */
+export interface PeerLoad {
+  requests: number
+  /** Prompt tokens that are yet to be computed. */
+  pendingTokens: number
+}
+
 /** Why a backend server was preferred. */
 export type RouteReason = 'prefix-held' | 'prefix-home' | 'least-cost'
 
@@ -76,6 +91,10 @@
   firstToken: (attempt: AttemptId) => void
   ended: (attempt: AttemptId, outcome: RouteOutcome) => void
   onLoad: (report: LoadReport) => void
+  /** Takes in what another node has open, by backend server; replaces what it told before. */
+  onPeerLoad: (from: NodeId, loads: ReadonlyMap<BackendId, PeerLoad>) => void
+  /** What this node has open, by backend server, for the other nodes. */
+  ownLoads: () => Map<BackendId, PeerLoad>
   onCacheEvents: (backend: BackendId, events: readonly CacheEvent[]) => void
   /** Drops all that is known of a backend server that is gone. */
   forget: (backend: BackendId) => void
--- /dev/null
+++ b/src/core/store-view/types.ts
@@ -0,0 +1,53 @@
+/** A copy of the key-value service's content, as this node knows it. */
+import type { KeyValueStore } from '../platform/key-value/types.ts'
+import type { Clock } from '../clock/index.ts'
+import type { Log } from '../log/index.ts'
+
+/** One key as it is known here. */
+export interface ViewEntry {
+  value: string
+  modRevision: number
+}
+
+/** The whole content at one revision. */
+export interface Snapshot {
+  revision: number
+  entries: ReadonlyMap<string, ViewEntry>
+}
+
+/** A change of one key; `value` is undefined when the key is gone. */
+export interface ViewChange {
+  key: string
+  value: string | undefined
+  modRevision: number
+}
+
+/** Where the view's latest content came from. */
+export type ViewSource = 'none' | 'store' | 'peer'
+
+/** A view that follows the service. */
+export interface StoreView {
+  get: (key: string) => ViewEntry | undefined
+  /** All keys with a prefix. */
+  list: (prefix: string) => Array<ViewEntry & { key: string }>
+  snapshot: () => Snapshot
+  source: () => ViewSource
+  /** Monotonic time since which the service has answered without a break; undefined while it doesn't. */
+  reachableSinceMs: () => number | undefined
+  /** Monotonic time of the last content from the service or a peer. */
+  heardAtMs: () => number
+  /** Called after each change, with all changes that came together. */
+  onChanges: (listener: (changes: readonly ViewChange[]) => void) => void
+  /** Starts to follow; resolves when the first content is there. */
+  start: () => Promise<void>
+  close: () => void
+}
+
+/** Options of a view. */
+export interface StoreViewOptions {
+  store: KeyValueStore
+  clock: Clock
+  log: Log
+  /** Asks other nodes for what they know when the service doesn't answer; undefined when none knows more. */
+  askPeers: (afterRevision: number) => Promise<Snapshot | undefined>
+}
--- /dev/null
+++ b/src/core/usage/index.ts
@@ -0,0 +1,79 @@
+/**
+ * Requests that began to run, by team and window of the wall clock, over all
+ * nodes and all lives of their processes.
+ */
+import type { Clock } from '../clock/index.ts'
+import type { NodeId, TeamId } from '../ids/index.ts'
+
+/** Counts of one window. */
+export type WindowCounts = Map<TeamId, number>
+
+/** Options of the counts. */
+export interface UsageOptions {
+  clock: Clock
+  windowMs: number
+}
+
+/** Counts as one node knows them. */
+export interface Usage {
+  /** A request of a team began to run now. */
+  began: (team: TeamId) => void
+  /** Number of the window that a wall time falls into; window 0 began in 1970. */
+  windowOf: (wallMs: number) => number
+  /** This node's own counts of the latest windows. */
+  own: () => Map<number, WindowCounts>
+  /** Takes in what another node counted; replaces what it told in the same life. */
+  peer: (from: NodeId, life: string, windows: ReadonlyMap<number, ReadonlyMap<TeamId, number>>) => void
+  /** The sum over all nodes. */
+  total: (window: number) => WindowCounts
+}
+
+/** Windows that are kept and told, so that a new reporter can catch up. */
+const keptWindows = 5
+
+/** Creates empty counts. */
+export function createUsage ({ clock, windowMs }: UsageOptions): Usage {
+  const own = new Map<number, WindowCounts>()
+  const peers = new Map<string, Map<number, ReadonlyMap<TeamId, number>>>()
+
+  function windowOf (wallMs: number): number {
+    return Math.floor(wallMs / windowMs)
+  }
+
+  function dropOld (windows: Map<number, unknown>): void {
+    const oldest = windowOf(clock.wallMs()) - keptWindows
+    for (const window of windows.keys()) if (window < oldest) windows.delete(window)
+  }
+
+  function began (team: TeamId): void {
+    const window = windowOf(clock.wallMs())
+    const counts = own.get(window) ?? new Map<TeamId, number>()
+    counts.set(team, (counts.get(team) ?? 0) + 1)
+    if (!own.has(window)) {
+      own.set(window, counts)
+      dropOld(own)
+    }
+  }
+
+  function peer (from: NodeId, life: string, windows: ReadonlyMap<number, ReadonlyMap<TeamId, number>>): void {
+    const key = `${from}/${life}`
+    const known = peers.get(key) ?? new Map<number, ReadonlyMap<TeamId, number>>()
+    for (const [window, counts] of windows) known.set(window, counts)
+    dropOld(known)
+    peers.set(key, known)
+    for (const [other, otherWindows] of peers) {
+      dropOld(otherWindows)
+      if (otherWindows.size === 0 && other !== key) peers.delete(other)
+    }
+  }
+
+  function total (window: number): WindowCounts {
+    const sum: WindowCounts = new Map()
+    for (const windows of [own, ...peers.values()]) {
+      for (const [team, count] of windows.get(window) ?? []) sum.set(team, (sum.get(team) ?? 0) + count)
+    }
+    return sum
+  }
+
+  return { began, windowOf, own: () => own, peer, total }
+}
