--- a/src/core/fleet/index.ts
+++ b/src/core/fleet/index.ts
@@ -14,6 +14,12 @@
 
 export type * from './types.ts'
 export { planFleet } from './plan.ts'
+export { planCounts } from './counts.ts'
+export { createCountOrders } from './count-orders.ts'
+export { createWorkDemand } from './work-demand.ts'
+export type { CountKey, CountsInput, DomainCount } from './counts.ts'
+export type { CountedService, CountOrders, OrderAnswer } from './count-orders.ts'
+export type { WorkDemand } from './work-demand.ts'
 export { createLoadTickets } from './load-tickets.ts'
 
 const roundMs = 5000
--- a/src/core/gateway/serve-request.ts
+++ b/src/core/gateway/serve-request.ts
@@ -52,6 +52,8 @@
   trialShare: (service: string) => number
   /** A backend server began to work on a request of a team. */
   onBegan: (team: TeamId) => void
+  /** A request was sent that keeps a backend server of the service busy for about so long. */
+  onSent: (service: string, workMs: number) => void
   onAttempt: (report: AttemptReport) => void
   isDraining: () => boolean
   /** An even draw from 0 to 1 that is the same for the same text. */
@@ -329,6 +331,7 @@
     })
     served.attempt = attempt
     router.sent(attemptId, choice)
+    options.onSent(served.service, choice.ownWorkMs)
     if (served.sent === 0) options.retryBudget.deposit(choice.backend.id)
     const end = await attempt.ended
     served.attempt = undefined
--- a/src/core/node-reports/types.ts
+++ b/src/core/node-reports/types.ts
@@ -18,6 +18,8 @@
   loads: Map<BackendId, PeerLoad>
   /** Requests that began to run, by usage window and team. */
   usage: Map<number, Map<TeamId, number>>
+  /** Work sent to backend servers since its start, by service, in milliseconds of one backend server. */
+  workMs: Map<string, number>
   /** Attempts by version on trial and not, as the judge of moves counts them. */
   evidence: unknown
 }
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -94,6 +94,7 @@
       promptTokens,
       expectedCachedTokens,
       expectedFirstTokenMs: firstTokenMs,
+      ownWorkMs: (promptTokens - expectedCachedTokens) * profile.prefillMsPerToken,
       prompt: request.prompt
     }
     const costMs = candidateCostMs(load, profile, firstTokenMs, promptTokens - expectedCachedTokens)
--- a/src/core/routing/naive.ts
+++ b/src/core/routing/naive.ts
@@ -44,6 +44,7 @@
       promptTokens: request.prompt?.tokens ?? 0,
       expectedCachedTokens: 0,
       expectedFirstTokenMs: 0,
+      ownWorkMs: 0,
       prompt: request.prompt
     })
   }
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -69,6 +69,8 @@
   expectedCachedTokens: number
   /** Expected time from sending to the first token or answer. */
   expectedFirstTokenMs: number
+  /** Part of that time that the request's own prompt takes. */
+  ownWorkMs: number
   prompt: PromptBlocks | undefined
 }
 
--- a/src/core/store-view/index.ts
+++ b/src/core/store-view/index.ts
@@ -24,6 +24,8 @@
   let heardAtMs = -Infinity
   let reachableSinceMs: number | undefined
   let watch: Watch | undefined
+  let hasContent: () => void = () => {}
+  const firstContent = new Promise<void>(resolve => { hasContent = resolve })
 
   function tell (changes: readonly ViewChange[]): void {
     if (changes.length === 0) return
@@ -37,6 +39,7 @@
       log('keyValueUp', { revision })
     }
     source = from
+    hasContent()
   }
 
   function lost (error: KeyValueError): void {
@@ -117,9 +120,9 @@
     reachableSinceMs: () => reachableSinceMs,
     heardAtMs: () => heardAtMs,
     onChanges: listener => { listeners.push(listener) },
-    start: async () => {
+    start: () => {
       run()
-      while (source === 'none' && !closed.signal.aborted) await clock.sleep(firstContentPollMs, closed.signal)
+      return firstContent
     },
     close: () => {
       closed.abort()
@@ -127,6 +130,3 @@
     }
   }
 }
-
-/** Interval at which `start` looks for the first content. */
-const firstContentPollMs = 20
--- a/src/core/usage/index.ts
+++ b/src/core/usage/index.ts
@@ -5,6 +5,9 @@
 import type { Clock } from '../clock/index.ts'
 import type { NodeId, TeamId } from '../ids/index.ts'
 
+export { createUsageReporter } from './reporter.ts'
+export type { UsageAnswer, UsageReporter } from './reporter.ts'
+
 /** Counts of one window. */
 export type WindowCounts = Map<TeamId, number>
 
