--- a/src/core/fleet/count-orders.ts
+++ b/src/core/fleet/count-orders.ts
@@ -40,7 +40,7 @@
 }
 
 const callMs = 1_200
-/** Time for which an offer that had none left is not asked again. */
+/** Time after which an offer that had none left is asked again. */
 const refusedMs = 2_000
 /** Time beyond a backend server's start after which an order that shows no effect is given again. */
 const effectSlackMs = 3_000
@@ -96,8 +96,9 @@
       present: presentCount(service, wanted),
       ...(answer.isErr ? { cause: answer.error.message } : {})
     })
-    given.set(key, { count: wanted.count, atMs, isAnswered: answer.isOk })
+    given.set(key, { count: wanted.count, atMs, isAnswered: result === 'taken' })
     if (result === 'none-left') refusedUntilMs.set(key, atMs + refusedMs)
+    else refusedUntilMs.delete(key)
     if (result === 'fenced') fencedNumber = fencingNumber
   }
 
@@ -111,7 +112,7 @@
         refusedUntilMs.clear()
       }
       for (const service of options.services()) {
-        const isRefused = (key: CountKey): boolean => clock.monotonicMs() < (refusedUntilMs.get(keyOf(service.service, key)) ?? 0)
+        const isRefused = (key: CountKey): boolean => refusedUntilMs.has(keyOf(service.service, key))
         for (const wanted of planCounts({ ...service, isRefused })) {
           if (duty.fencingNumber() !== fencingNumber) return
           if (isDue(service, wanted)) await give(service, wanted, fencingNumber)
--- a/src/core/fleet/counts.ts
+++ b/src/core/fleet/counts.ts
@@ -24,53 +24,51 @@
   maxPerDomain: number
   /** Whether reclaimable backend servers are offered. */
   offersReclaimable: boolean
-  /** Backend servers that carry the load when none is lost. */
+  /** Backend servers that carry the load with room for bursts. */
   needed: number
+  /** Backend servers that carry the load closely. */
+  neededAtLeast: number
   /** Backend servers that serve and aren't about to leave. */
   serving: DomainCount[]
   /** Whether the cloud could not fill such an order lately. */
   isRefused: (key: CountKey) => boolean
 }
 
-/** Backend servers that can't be reclaimed and are kept in any case, so that no reclaim takes all. */
-const firmBase = 1
-
 function countIn (counts: readonly DomainCount[], { domain, purchase }: CountKey): number {
   return counts.filter(other => other.domain === domain && other.purchase === purchase).reduce((sum, { count }) => sum + count, 0)
 }
 
-/** Reclaimable ones in each domain: the other domains carry the load when one loses all of them. */
-function reclaimablePerDomain ({ offersReclaimable, needed, domains, maxPerDomain }: CountsInput): number {
-  if (!offersReclaimable) return 0
-  return Math.min(maxPerDomain, Math.ceil(needed / Math.max(1, domains.length - 1)))
-}
-
 /**
- * Plans reclaimable backend servers over all domains, and on demand what they
- * don't carry at the moment: where such run already first, then where they are
- * cheapest.
+ * Plans on demand what carries the load closely, so that reclaims in all
+ * domains cost no answers, and reclaimable ones as the room for bursts, spread
+ * so that the loss of one domain leaves it. On-demand ones stay where they run;
+ * new ones go where they are cheapest, to several domains.
  */
 export function planCounts (input: CountsInput): DomainCount[] {
-  const { domains, needed, maxPerDomain, minPerDomain, serving } = input
-  const perDomain = reclaimablePerDomain(input)
-  const carried = domains.reduce((sum, { domain }) => sum + Math.min(perDomain, countIn(serving, { domain, purchase: 'reclaimable' })), 0)
-  let missing = Math.max(firmBase, needed - carried)
+  const { domains, needed, neededAtLeast, maxPerDomain, minPerDomain, serving } = input
   const firm = new Map<DomainId, number>()
   const byPrice = [...domains].sort((a, b) => a.price - b.price)
+  const mostFirm = Math.ceil(neededAtLeast / Math.max(1, domains.length - 1))
+  let missing = neededAtLeast
 
   function place (domain: DomainId, most: number): void {
     const has = firm.get(domain) ?? 0
-    const count = Math.max(0, Math.min(missing, most - has, maxPerDomain - perDomain - has))
+    const count = Math.max(0, Math.min(missing, most - has, maxPerDomain - has))
     firm.set(domain, has + count)
     missing -= count
   }
 
   for (const { domain } of byPrice) place(domain, countIn(serving, { domain, purchase: 'on-demand' }))
   for (const { domain } of byPrice) {
-    if (!input.isRefused({ domain, purchase: 'on-demand' })) place(domain, maxPerDomain)
+    if (!input.isRefused({ domain, purchase: 'on-demand' })) place(domain, mostFirm)
   }
-  return domains.flatMap(({ domain }) => [
-    { domain, purchase: 'reclaimable' as const, count: perDomain },
-    { domain, purchase: 'on-demand' as const, count: Math.max(firm.get(domain) ?? 0, minPerDomain - perDomain) }
-  ])
+  const room = input.offersReclaimable ? Math.ceil(Math.max(0, needed - neededAtLeast) / Math.max(1, domains.length - 1)) : 0
+  return domains.flatMap(({ domain }) => {
+    const onDemand = firm.get(domain) ?? 0
+    const reclaimable = Math.min(room, maxPerDomain - onDemand)
+    return [
+      { domain, purchase: 'on-demand' as const, count: Math.max(onDemand, minPerDomain - reclaimable) },
+      { domain, purchase: 'reclaimable' as const, count: reclaimable }
+    ]
+  })
 }
--- a/src/core/gateway/serve-request.ts
+++ b/src/core/gateway/serve-request.ts
@@ -155,7 +155,7 @@
   }
 
   function quotaTokens ({ team, head }: Pick<Served, 'team' | 'head'>): number {
-    if (team === undefined || !team.countsTokens) return 1
+    if (team?.quota?.countsTokens !== true) return 1
     return head.tokens === undefined ? team.tokensWithoutCount : head.tokens.prompt + head.tokens.answer
   }
 
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import type { BackendId, DomainId, RequestId, TeamId, VersionId } from '../ids/index.ts'
+import type { QuotaLimit } from '../quota/index.ts'
 import type { PromptBlocks } from '../routing/index.ts'
 
 /** What may be repeated: `repeatable` at will, `at-most-once` never, `stream` only where the route can resume it. */
@@ -65,12 +66,10 @@
   keys: string[]
   /** Goes before the route's rank when set. */
   rank?: number
-  /** Whether the quota counts tokens; otherwise it counts requests. */
-  countsTokens: boolean
   /** What a request without a count of its own counts as. */
   tokensWithoutCount: number
   /** Over all nodes together; undefined without a limit. */
-  quota?: { perSecond: number, burst: number }
+  quota?: QuotaLimit
 }
 
 /** The whole configuration at one version. */
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -52,13 +52,13 @@
 const silentIntervals = 7
 
 /** Wire form: short arrays, because a report should fit one datagram. */
-type Encoded = [string, string, number, 0 | 1, number, 0 | 1, Array<[string, number]>, Array<[string, number, number]>, Array<[number, Array<[string, number]>]>, Array<[string, number]>, unknown]
+type Encoded = [string, string, number, 0 | 1, number, 0 | 1, Array<[string, number, number]>, Array<[string, number, number]>, Array<[number, Array<[string, number]>]>, Array<[string, number]>, unknown]
 
 function encodeReport (report: NodeReport): Buffer {
   const { node, life, sequence, isDraining, revision, reachesStore, quotaTaken, loads, usage, workMs, evidence } = report
   const message: Encoded = [
     node, life, sequence, isDraining ? 1 : 0, revision, reachesStore ? 1 : 0,
-    [...quotaTaken],
+    [...quotaTaken].map(([team, { quota, tolerance }]) => [team, quota, tolerance]),
     [...loads].map(([backend, load]) => [backend, load.requests, Math.round(load.pendingTokens)]),
     [...usage].map(([window, counts]) => [window, [...counts]]),
     [...workMs].map(([service, sumMs]) => [service, Math.round(sumMs)]),
@@ -76,7 +76,7 @@
     isDraining: draining === 1,
     revision,
     reachesStore: reaches === 1,
-    quotaTaken: new Map(quotaTaken.map(([team, tokens]) => [toId<TeamId>(team), tokens])),
+    quotaTaken: new Map(quotaTaken.map(([team, quota, tolerance]) => [toId<TeamId>(team), { quota, tolerance }])),
     loads: new Map(loads.map(([backend, requests, pendingTokens]) => [toId<BackendId>(backend), { requests, pendingTokens }])),
     usage: new Map(usage.map(([window, counts]) => [window, new Map(counts.map(([team, count]) => [toId<TeamId>(team), count]))])),
     workMs: new Map(workMs),
--- a/src/core/node-reports/types.ts
+++ b/src/core/node-reports/types.ts
@@ -1,5 +1,6 @@
 /** What nodes tell one another several times a second; each report replaces the one before. */
 import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
+import type { QuotaTaken } from '../quota/index.ts'
 import type { PeerLoad } from '../routing/index.ts'
 
 /** One node's report about itself. */
@@ -14,7 +15,7 @@
   revision: number
   reachesStore: boolean
   /** Tokens or requests let in since its start, by team. */
-  quotaTaken: Map<TeamId, number>
+  quotaTaken: Map<TeamId, QuotaTaken>
   loads: Map<BackendId, PeerLoad>
   /** Requests that began to run, by usage window and team. */
   usage: Map<number, Map<TeamId, number>>
--- a/src/core/quota/index.ts
+++ b/src/core/quota/index.ts
@@ -10,11 +10,18 @@
 export interface QuotaLimit {
   perSecond: number
   burst: number
+  /** Whether it counts tokens; otherwise it counts requests. */
+  countsTokens: boolean
 }
 
 /** Options of the quotas of one node. */
 export interface QuotaOptions {
   clock: Clock
+  /**
+   * How far a quota may be passed in any window: by a share of what the window allows, and by a
+   * number besides. Nodes learn late of one another, and callers needn't pay for that.
+   */
+  tolerance?: { windowMs: number, share: number, extra: number }
   /** Share of the rate that nodes may use which this node hears, itself included: 1 when it hears all. */
   heardShare: () => number
 }
@@ -23,67 +30,97 @@
 export interface Quotas {
   /** Takes tokens; 0 when they were taken, else the time after which they may be there. */
   take: (team: TeamId, limit: QuotaLimit, tokens: number) => number
-  /** Tokens that this node has taken in its life, by team. */
-  taken: () => ReadonlyMap<TeamId, number>
+  /** What this node has taken in its life, by team. */
+  taken: () => ReadonlyMap<TeamId, QuotaTaken>
   /** What another node has taken in a life of its own. */
-  peerTaken: (from: NodeId, life: string, taken: ReadonlyMap<TeamId, number>) => void
+  peerTaken: (from: NodeId, life: string, taken: ReadonlyMap<TeamId, QuotaTaken>) => void
   /** What a refusal rests on. */
   explain: (team: TeamId) => Record<string, unknown>
 }
 
+/** What is left of a team's quota, and of the tolerance beyond it. */
 interface Bucket {
   level: number
+  toleranceLevel: number
   updatedAtMs: number
   limit: QuotaLimit
 }
 
+/** Tokens taken in a node's life from the quota itself and from the tolerance. */
+export interface QuotaTaken {
+  quota: number
+  tolerance: number
+}
+
 const secondMs = 1_000
+/** Parts of the tolerance that may be used at once and over a window; the rest is left for reports on their way. */
+const toleranceAtOnce = 0.15
+const toleranceOverWindow = 0.45
 
 /** Creates full buckets when they are first needed. */
-export function createQuotas ({ clock, heardShare }: QuotaOptions): Quotas {
+export function createQuotas ({ clock, heardShare, tolerance = { windowMs: secondMs, share: 0, extra: 0 } }: QuotaOptions): Quotas {
   const buckets = new Map<TeamId, Bucket>()
-  const own = new Map<TeamId, number>()
-  const peers = new Map<NodeId, { life: string, taken: ReadonlyMap<TeamId, number> }>()
+  const own = new Map<TeamId, QuotaTaken>()
+  const peers = new Map<NodeId, { life: string, taken: ReadonlyMap<TeamId, QuotaTaken> }>()
+
+  /** What may be taken beyond a quota in one window. */
+  function toleranceOf ({ perSecond, burst }: QuotaLimit): number {
+    return (perSecond * tolerance.windowMs / secondMs + burst) * tolerance.share + tolerance.extra
+  }
 
   function refresh (bucket: Bucket): void {
     const nowMs = clock.monotonicMs()
-    const grown = bucket.limit.perSecond * heardShare() * (nowMs - bucket.updatedAtMs) / secondMs
+    const sinceMs = (nowMs - bucket.updatedAtMs) * heardShare()
+    const grown = bucket.limit.perSecond * sinceMs / secondMs
+    const extra = toleranceOf(bucket.limit)
     bucket.level = Math.min(bucket.limit.burst, bucket.level + grown)
+    bucket.toleranceLevel = Math.min(extra * toleranceAtOnce, bucket.toleranceLevel + extra * toleranceOverWindow * sinceMs / tolerance.windowMs)
     bucket.updatedAtMs = nowMs
   }
 
   function bucketOf (team: TeamId, limit: QuotaLimit): Bucket {
     const known = buckets.get(team)
     if (known === undefined) {
-      const made = { level: limit.burst, updatedAtMs: clock.monotonicMs(), limit }
+      const made = { level: limit.burst, toleranceLevel: toleranceOf(limit) * toleranceAtOnce, updatedAtMs: clock.monotonicMs(), limit }
       buckets.set(team, made)
       return made
     }
-    refresh(known)
     known.limit = limit
-    known.level = Math.min(known.level, limit.burst)
+    refresh(known)
     return known
   }
 
+  function count (team: TeamId, kind: keyof QuotaTaken, tokens: number): void {
+    const taken = own.get(team) ?? { quota: 0, tolerance: 0 }
+    taken[kind] += tokens
+    own.set(team, taken)
+  }
+
   function take (team: TeamId, limit: QuotaLimit, tokens: number): number {
     const bucket = bucketOf(team, limit)
-    // A request larger than the burst passes when the bucket is full, and leaves a debt.
-    const needed = Math.min(tokens, limit.burst)
-    if (bucket.level < needed) return (needed - bucket.level) / limit.perSecond * secondMs
-    bucket.level -= tokens
-    own.set(team, (own.get(team) ?? 0) + tokens)
-    return 0
+    if (bucket.level >= tokens) {
+      bucket.level -= tokens
+      count(team, 'quota', tokens)
+      return 0
+    }
+    // Other nodes' reports are late, so a bucket may look emptier or fuller than it is.
+    if (bucket.toleranceLevel >= tokens) {
+      bucket.toleranceLevel -= tokens
+      count(team, 'tolerance', tokens)
+      return 0
+    }
+    return (Math.min(tokens, limit.burst) - Math.min(bucket.level, 0)) / limit.perSecond * secondMs
   }
 
-  function peerTaken (from: NodeId, life: string, taken: ReadonlyMap<TeamId, number>): void {
+  function peerTaken (from: NodeId, life: string, taken: ReadonlyMap<TeamId, QuotaTaken>): void {
     const before = peers.get(from)
-    const isSameLife = before?.life === life
-    for (const [team, tokens] of taken) {
-      const added = tokens - (isSameLife ? before?.taken.get(team) ?? 0 : 0)
+    for (const [team, { quota, tolerance }] of taken) {
+      const known = before?.life === life ? before.taken.get(team) : undefined
       const bucket = buckets.get(team)
-      if (bucket === undefined || added <= 0) continue
+      if (bucket === undefined) continue
       refresh(bucket)
-      bucket.level -= added
+      bucket.level -= quota - (known?.quota ?? 0)
+      bucket.toleranceLevel -= tolerance - (known?.tolerance ?? 0)
     }
     peers.set(from, { life, taken })
   }
@@ -94,7 +131,13 @@
     peerTaken,
     explain: team => {
       const bucket = buckets.get(team)
-      return bucket === undefined ? {} : { quotaLevel: Math.round(bucket.level), quotaPerSecond: bucket.limit.perSecond, heardShare: heardShare() }
+      if (bucket === undefined) return {}
+      return {
+        quotaLevel: Math.round(bucket.level),
+        toleranceLevel: Math.round(bucket.toleranceLevel),
+        quotaPerSecond: bucket.limit.perSecond,
+        heardShare: heardShare()
+      }
     }
   }
 }
--- a/src/core/routing/cost.ts
+++ b/src/core/routing/cost.ts
@@ -12,10 +12,11 @@
   return excess * serviceMs / profile.slots
 }
 
-/** Expected time from sending to the first token. */
+/** Expected time from sending to the first token, or to the answer of a plain service. */
 export function expectedFirstTokenMs (load: Load, profile: EngineProfile, uncachedTokens: number): number {
   const prefillTokens = load.pendingTokens + uncachedTokens
-  return slotWaitMs(load, profile) + prefillTokens * profile.prefillMsPerToken
+  const answerMs = profile.answersWhole === true ? profile.serviceMs : 0
+  return (slotWaitMs(load, profile) + prefillTokens * profile.prefillMsPerToken + answerMs) * load.pace
 }
 
 /**
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -34,6 +34,12 @@
   return prompt.blockTokens.slice(0, count).reduce((sum, tokens) => sum + tokens, 0)
 }
 
+/** Tokens that a prompt may share with others: all whole blocks, or all but the last where that is the request's own. */
+function sharedTokens (prompt: PromptBlocks | undefined): number {
+  if (prompt === undefined) return 0
+  return tokensOfBlocks(prompt, prompt.homeKey === undefined ? prompt.hashes.length : prompt.hashes.length - 1)
+}
+
 /** A choice with what it is compared by. */
 interface Candidate {
   choice: RouteChoice
@@ -53,7 +59,7 @@
   const { serves = servesOwnTeam } = options
   const { subsetSize = defaultSubsetSize, maxIndexEntries = defaultMaxIndexEntries } = options
   const loads = createLoadBook()
-  const index = createPrefixIndex(maxIndexEntries)
+  const index = createPrefixIndex(maxIndexEntries, { heldForMs: options.heldForMs ?? Infinity, nowMs: clock.wallMs })
   const homeHits = createHomeHits()
   const rendezvous = createRendezvous(hasher)
   const expectations = new WeakMap<RouteChoice, Expectation>()
@@ -79,8 +85,7 @@
 
   function evaluate (request: RouteRequest, backend: Backend, heldBlocks: number, homeRank: number): Candidate {
     const promptTokens = request.prompt?.tokens ?? 0
-    const wholeTokens = tokensOfBlocks(request.prompt, request.prompt?.hashes.length ?? 0)
-    const guessed = homeRank === -1 ? 0 : homeHits.ratio(request.team, homeRank) * wholeTokens
+    const guessed = homeRank === -1 ? 0 : homeHits.ratio(request.team, homeRank) * sharedTokens(request.prompt)
     const heldTokens = tokensOfBlocks(request.prompt, heldBlocks)
     const expectedCachedTokens = Math.round(Math.max(heldTokens, guessed))
     const load = loads.read(backend.id, clock.wallMs())
@@ -143,7 +148,7 @@
 
   function sent (attempt: AttemptId, choice: RouteChoice): void {
     const uncachedTokens = choice.promptTokens - choice.expectedCachedTokens
-    loads.sent(attempt, choice.backend.id, uncachedTokens, clock.wallMs())
+    loads.sent(attempt, choice.backend.id, uncachedTokens, choice.expectedFirstTokenMs, clock.wallMs())
     open.set(attempt, { choice, expectation: expectations.get(choice) })
     if (choice.prompt !== undefined) index.record(choice.backend.id, choice.prompt.hashes)
   }
@@ -166,7 +171,7 @@
   return {
     choose,
     sent,
-    firstToken: attempt => loads.firstToken(attempt),
+    firstToken: attempt => loads.firstToken(attempt, clock.wallMs()),
     ended,
     onLoad: report => loads.report(report),
     onPeerLoad: loads.peer,
--- a/src/core/routing/load-book.ts
+++ b/src/core/routing/load-book.ts
@@ -14,9 +14,21 @@
 /** Time after which a failure counts half, so that a backend server is tried again. */
 const failureHalfLifeMs = 5000
 
+/** Weight of the newest attempt in a backend server's pace. */
+const newestPaceShare = 0.3
+/** Time after which half of what a pace differs from the usual is forgotten, so that a slow backend server is tried again. */
+const paceHalfLifeMs = 4_000
+/** Expectations shorter than this say nothing about a pace; a lost packet would outweigh them. */
+const minPaceExpectationMs = 20
+/** Bounds of one reading of a pace. */
+const minPace = 0.5
+const maxPace = 8
+
 /** One attempt of this node that hasn't ended. */
 export interface OpenAttempt {
   backend: BackendId
+  /** Expected time to its first token when it was sent. */
+  expectedMs: number
   sentAtMs: number
   /** Prompt tokens that the engine has yet to compute; 0 once the first token came. */
   pendingTokens: number
@@ -31,6 +43,9 @@
   serviceMs: number | undefined
   failureShare: number
   failureAtMs: number
+  /** Times as long as expected that first tokens take lately. */
+  pace: number
+  paceAtMs: number
 }
 
 /** Load of one backend server as far as this node can tell. */
@@ -45,13 +60,15 @@
   serviceMs: number | undefined
   /** Share of this node's attempts there that failed lately, 0 to 1. */
   failureShare: number
+  /** Times as long as expected that first tokens take lately; 1 is usual. */
+  pace: number
 }
 
 /** The load of all backend servers that this node deals with. Times are wall times, because reports carry them. */
 export interface LoadBook {
   read: (backend: BackendId, nowMs: number) => Load
-  sent: (attempt: AttemptId, backend: BackendId, pendingTokens: number, nowMs: number) => void
-  firstToken: (attempt: AttemptId) => void
+  sent: (attempt: AttemptId, backend: BackendId, pendingTokens: number, expectedMs: number, nowMs: number) => void
+  firstToken: (attempt: AttemptId, nowMs: number) => void
   ended: (attempt: AttemptId, failed: boolean, nowMs: number) => void
   report: (report: LoadReport) => void
   peer: (from: NodeId, loads: ReadonlyMap<BackendId, PeerLoad>) => void
@@ -92,7 +109,7 @@
   function accountOf (backend: BackendId): Account {
     const known = accounts.get(backend)
     if (known !== undefined) return known
-    const made: Account = { report: undefined, open: new Set(), ended: [], serviceMs: undefined, failureShare: 0, failureAtMs: 0 }
+    const made: Account = { report: undefined, open: new Set(), ended: [], serviceMs: undefined, failureShare: 0, failureAtMs: 0, pace: 1, paceAtMs: 0 }
     accounts.set(backend, made)
     return made
   }
@@ -112,26 +129,43 @@
   function read (backend: BackendId, nowMs: number): Load {
     const account = accounts.get(backend)
     const others = peerLoad(backend)
-    if (account === undefined) return { ...others, own: 0, serviceMs: undefined, failureShare: 0 }
+    if (account === undefined) return { ...others, own: 0, serviceMs: undefined, failureShare: 0, pace: 1 }
     const failureShare = failureShareAt(account, nowMs)
     return {
       requests: requestsAt(account) + others.requests,
       own: account.open.size,
       pendingTokens: pendingTokensOf(account) + others.pendingTokens,
       serviceMs: account.serviceMs,
-      failureShare
+      failureShare,
+      pace: paceAt(account, nowMs)
     }
   }
 
-  function sent (attempt: AttemptId, backend: BackendId, pendingTokens: number, nowMs: number): void {
-    const opened = { backend, sentAtMs: nowMs, pendingTokens }
+  function paceAt (account: Account, nowMs: number): number {
+    return 1 + (account.pace - 1) * 0.5 ** ((nowMs - account.paceAtMs) / paceHalfLifeMs)
+  }
+
+  function learnPace (account: Account, { expectedMs, sentAtMs }: OpenAttempt, nowMs: number): void {
+    if (expectedMs < minPaceExpectationMs) return
+    const before = paceAt(account, nowMs)
+    const reading = Math.min(maxPace, Math.max(minPace, (nowMs - sentAtMs) / expectedMs))
+    account.pace = before + newestPaceShare * (reading * before - before)
+    account.pace = Math.min(maxPace, Math.max(minPace, account.pace))
+    account.paceAtMs = nowMs
+  }
+
+  function sent (attempt: AttemptId, backend: BackendId, pendingTokens: number, expectedMs: number, nowMs: number): void {
+    const opened = { backend, sentAtMs: nowMs, pendingTokens, expectedMs }
     attempts.set(attempt, opened)
     accountOf(backend).open.add(opened)
   }
 
-  function firstToken (attempt: AttemptId): void {
+  function firstToken (attempt: AttemptId, nowMs: number): void {
     const opened = attempts.get(attempt)
-    if (opened !== undefined) opened.pendingTokens = 0
+    if (opened === undefined) return
+    opened.pendingTokens = 0
+    const account = accounts.get(opened.backend)
+    if (account !== undefined) learnPace(account, opened, nowMs)
   }
 
   function countOutcome (account: Account, failed: boolean, nowMs: number): void {
--- a/src/core/routing/prefix-index.ts
+++ b/src/core/routing/prefix-index.ts
@@ -25,9 +25,21 @@
   readonly backend: BackendId
 }
 
-/** An empty index of at most `maxEntries` block hashes. */
-export function createPrefixIndex (maxEntries: number): PrefixIndex {
-  const entries = new Map<string, Generation[]>()
+/** A block at a backend server, with the time of its last use there. */
+interface Holder {
+  generation: Generation
+  usedAtMs: number
+}
+
+/** When entries stop to count because they weren't used. */
+export interface IndexExpiry {
+  heldForMs: number
+  nowMs: () => number
+}
+
+/** An empty index of at most `maxEntries` block hashes, whose entries count until they are pushed out, or expire. */
+export function createPrefixIndex (maxEntries: number, expiry: IndexExpiry = { heldForMs: Infinity, nowMs: () => 0 }): PrefixIndex {
+  const entries = new Map<string, Holder[]>()
   const generations = new Map<BackendId, Generation>()
   const sequences = new Map<BackendId, number>()
 
@@ -44,12 +56,13 @@
   }
 
   function held (hashes: readonly string[]): Map<BackendId, number> {
+    const oldestUseMs = expiry.nowMs() - expiry.heldForMs
     const counts = new Map<BackendId, number>()
     for (const [index, hash] of hashes.entries()) {
       let continued = false
-      for (const generation of entries.get(hash) ?? []) {
+      for (const { generation, usedAtMs } of entries.get(hash) ?? []) {
         const before = counts.get(generation.backend) ?? 0
-        if (before !== index || !isCurrent(generation)) continue
+        if (before !== index || !isCurrent(generation) || usedAtMs < oldestUseMs) continue
         counts.set(generation.backend, index + 1)
         continued = true
       }
@@ -67,19 +80,20 @@
 
   // The last block goes in first, so that the oldest entries are the ends of prefixes and not their beginnings.
   function record (backend: BackendId, hashes: readonly string[]): void {
+    const usedAtMs = expiry.nowMs()
     const generation = generationOf(backend)
     for (let index = hashes.length - 1; index >= 0; index -= 1) {
       const hash = hashes[index] as string
-      const others = (entries.get(hash) ?? []).filter(other => other !== generation && isCurrent(other))
+      const others = (entries.get(hash) ?? []).filter(other => other.generation !== generation && isCurrent(other.generation))
       entries.delete(hash)
-      entries.set(hash, [...others, generation].slice(-maxHoldersPerBlock))
+      entries.set(hash, [...others, { generation, usedAtMs }].slice(-maxHoldersPerBlock))
     }
     evict()
   }
 
   function remove (backend: BackendId, hashes: readonly string[]): void {
     for (const hash of hashes) {
-      const rest = (entries.get(hash) ?? []).filter(other => other.backend !== backend)
+      const rest = (entries.get(hash) ?? []).filter(other => other.generation.backend !== backend)
       if (rest.length > 0) entries.set(hash, rest)
       else entries.delete(hash)
     }
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -111,6 +111,8 @@
   slots: number
   /** Time that one request holds its slot. */
   serviceMs: number
+  /** Whether the answer comes at the end of that time, as plain services give it. */
+  answersWhole?: boolean
 }
 
 /** Options of a router. */
@@ -126,6 +128,8 @@
   serves?: (backend: Backend, team: TeamId) => boolean
   /** Most backend servers of a version that two-choice picks draw from. */
   subsetSize?: number
+  /** Time after its last use for which a prefix is taken to be cached; without it until it is pushed out of the index. */
+  heldForMs?: number
   /** Most block hashes that the prefix index holds. */
   maxIndexEntries?: number
 }
