--- a/src/core/fleet/work-demand.ts
+++ b/src/core/fleet/work-demand.ts
@@ -1,6 +1,6 @@
 /**
- * Backend servers that a service's work keeps busy, from the time that all
- * nodes' requests need, by the rate over a while and its highest value lately.
+ * Backend servers that a service's work keeps busy: the rate of what all nodes
+ * sent over a while, and its highest value lately.
  */
 import type { Clock } from '../clock/index.ts'
 
@@ -11,8 +11,10 @@
 
 /** The demand of one service. */
 export interface WorkDemand {
-  /** Takes in the work of all nodes since their starts, in milliseconds of one backend server; it may fall when a node starts anew. */
-  record: (totalWorkMs: number) => void
+  /** Takes in the work that one life of a node has sent so far, in milliseconds of one backend server. */
+  record: (life: string, sumMs: number) => void
+  /** Closes a reading, once all nodes' work is taken in. */
+  measure: () => void
   /** Backend servers kept busy at the busiest recent time; undefined before enough was seen. */
   busy: () => number | undefined
 }
@@ -21,28 +23,39 @@
 const rateMs = 4_000
 /** Time for which the highest rate is kept, so that counts don't follow every dip. */
 const keepMs = 20_000
+/** Lives that are remembered; more than run at once and right before. */
+const maxLives = 1_024
 
 /** Creates the demand; nothing is known yet. */
 export function createWorkDemand ({ clock }: WorkDemandOptions): WorkDemand {
-  let readings: Array<{ atMs: number, totalWorkMs: number }> = []
+  const sums = new Map<string, number>()
+  let totalMs = 0
+  let readings: Array<{ atMs: number, totalMs: number }> = []
   let rates: Array<{ atMs: number, busy: number }> = []
 
-  function record (totalWorkMs: number): void {
+  // What a life has sent is added by its growth, so that a node that falls silent and comes back counts once.
+  function record (life: string, sumMs: number): void {
+    totalMs += Math.max(0, sumMs - (sums.get(life) ?? 0))
+    sums.delete(life)
+    sums.set(life, sumMs)
+    const [oldest] = sums.keys()
+    if (sums.size > maxLives && oldest !== undefined) sums.delete(oldest)
+  }
+
+  function measure (): void {
     const atMs = clock.monotonicMs()
-    const last = readings.at(-1)
-    if (last !== undefined && totalWorkMs < last.totalWorkMs) readings = []
-    readings.push({ atMs, totalWorkMs })
-    const before = readings.find(reading => reading.atMs >= atMs - rateMs)
     readings = readings.filter(reading => reading.atMs >= atMs - rateMs)
-    if (before !== undefined && atMs - before.atMs >= rateMs / 2 && totalWorkMs > 0) {
-      const busy = (totalWorkMs - before.totalWorkMs) / (atMs - before.atMs)
-      rates = rates.filter(rate => rate.atMs >= atMs - keepMs && rate.busy > busy)
-      rates.push({ atMs, busy })
-    }
+    const before = readings[0]
+    readings.push({ atMs, totalMs })
+    if (before === undefined || atMs - before.atMs < rateMs / 2 || totalMs === 0) return
+    const busy = (totalMs - before.totalMs) / (atMs - before.atMs)
+    rates = rates.filter(rate => rate.atMs >= atMs - keepMs && rate.busy > busy)
+    rates.push({ atMs, busy })
   }
 
   return {
     record,
+    measure,
     busy: () => {
       const oldestAtMs = clock.monotonicMs() - keepMs
       return rates.find(({ atMs }) => atMs >= oldestAtMs)?.busy
--- a/src/core/gateway/serve-request.ts
+++ b/src/core/gateway/serve-request.ts
@@ -258,6 +258,7 @@
       chosenFor: choice?.reason,
       expectedMs: choice === undefined ? undefined : Math.round(choice.expectedFirstTokenMs),
       cachedTokens: choice?.expectedCachedTokens,
+      fetchFrom: choice?.fetchFrom?.id,
       promptTokens: choice?.promptTokens,
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       tookMs: Math.round(clock.wallMs() - arrivedAtMs)
@@ -309,7 +310,8 @@
       team: team?.team,
       deadlineAtMs: served.deadlineAtMs,
       rank: team?.rank ?? route.rank,
-      lastEventId
+      lastEventId,
+      fetchFrom: choice.fetchFrom === undefined ? undefined : backends.get(choice.fetchFrom.id)?.entry.address
     }, served.body?.length ?? 0, nowMs)
     let firstByteMs: number | undefined
     const attempt = startAttempt({
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -55,8 +55,8 @@
   name: string
   /** Connections that one backend server takes from all nodes together. */
   maxConnections: number
-  /** Set for model engines: requests in a batch, and tokens in memory. */
-  engine?: { slots: number, cacheTokens: number }
+  /** Set for model engines: requests in a batch, tokens in memory, and the time to take one token's from another engine. */
+  engine?: { slots: number, cacheTokens: number, fetchMsPerToken?: number }
   scaling?: ServiceScaling
 }
 
@@ -119,6 +119,8 @@
   deadlineAtMs: number
   rank: number
   lastEventId: string | undefined
+  /** Backend server to take the prompt's cached part from. */
+  fetchFrom: { host: string, port: number } | undefined
 }
 
 /** What an answer's headers say. */
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -52,23 +52,24 @@
 const silentIntervals = 7
 
 /** Wire form: short arrays, because a report should fit one datagram. */
-type Encoded = [string, string, number, 0 | 1, number, 0 | 1, Array<[string, number, number]>, Array<[string, number, number]>, Array<[number, Array<[string, number]>]>, Array<[string, number]>, unknown]
+type Encoded = [string, string, number, 0 | 1, number, 0 | 1, Array<[string, number, number]>, Array<[string, number, number]>, Array<[number, Array<[string, number]>]>, Array<[string, number]>, Array<[string, string[]]>, unknown]
 
 function encodeReport (report: NodeReport): Buffer {
-  const { node, life, sequence, isDraining, revision, reachesStore, quotaTaken, loads, usage, workMs, evidence } = report
+  const { node, life, sequence, isDraining, revision, reachesStore, quotaTaken, loads, usage, workMs, prefixes, evidence } = report
   const message: Encoded = [
     node, life, sequence, isDraining ? 1 : 0, revision, reachesStore ? 1 : 0,
     [...quotaTaken].map(([team, { quota, tolerance }]) => [team, quota, tolerance]),
     [...loads].map(([backend, load]) => [backend, load.requests, Math.round(load.pendingTokens)]),
     [...usage].map(([window, counts]) => [window, [...counts]]),
     [...workMs].map(([service, sumMs]) => [service, Math.round(sumMs)]),
+    prefixes.map(({ backend, hashes }) => [backend, hashes]),
     evidence
   ]
   return encode(message)
 }
 
 function decodeReport (bytes: Buffer): NodeReport {
-  const [node, life, sequence, draining, revision, reaches, quotaTaken, loads, usage, workMs, evidence] = decode(bytes) as Encoded
+  const [node, life, sequence, draining, revision, reaches, quotaTaken, loads, usage, workMs, prefixes, evidence] = decode(bytes) as Encoded
   return {
     node: toId<NodeId>(node),
     life,
@@ -80,6 +81,7 @@
     loads: new Map(loads.map(([backend, requests, pendingTokens]) => [toId<BackendId>(backend), { requests, pendingTokens }])),
     usage: new Map(usage.map(([window, counts]) => [window, new Map(counts.map(([team, count]) => [toId<TeamId>(team), count]))])),
     workMs: new Map(workMs),
+    prefixes: prefixes.map(([backend, hashes]) => ({ backend: toId<BackendId>(backend), hashes })),
     evidence
   }
 }
--- a/src/core/node-reports/types.ts
+++ b/src/core/node-reports/types.ts
@@ -1,7 +1,7 @@
 /** What nodes tell one another several times a second; each report replaces the one before. */
 import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
 import type { QuotaTaken } from '../quota/index.ts'
-import type { PeerLoad } from '../routing/index.ts'
+import type { PeerLoad, PrefixUse } from '../routing/index.ts'
 
 /** One node's report about itself. */
 export interface NodeReport {
@@ -17,6 +17,8 @@
   /** Tokens or requests let in since its start, by team. */
   quotaTaken: Map<TeamId, QuotaTaken>
   loads: Map<BackendId, PeerLoad>
+  /** Prefixes sent to backend servers lately. */
+  prefixes: PrefixUse[]
   /** Requests that began to run, by usage window and team. */
   usage: Map<number, Map<TeamId, number>>
   /** Work sent to backend servers since its start, by service, in milliseconds of one backend server. */
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -17,7 +17,7 @@
 import { blockTokens } from '../backends/prompt-blocks.ts'
 import { createRendezvous, homeKey } from './rendezvous.ts'
 import { drawVersion, eligibleVersions } from './version-draw.ts'
-import type { PromptBlocks, RouteChoice, RouteOutcome, RouteRequest, Router, RouterOptions } from './types.ts'
+import type { EngineProfile, PrefixUse, PromptBlocks, RouteChoice, RouteOutcome, RouteRequest, Router, RouterOptions } from './types.ts'
 
 export type * from './types.ts'
 export { blockTokens } from '../backends/prompt-blocks.ts'
@@ -25,6 +25,14 @@
 
 const defaultSubsetSize = 32
 const defaultMaxIndexEntries = 65_536
+/** Fewest tokens that are taken from another engine; fewer are read again as quickly as a transfer is set up. */
+const minFetchTokens = 256
+/** Weight of a transfer's time beside its own, for the links that it uses. */
+const fetchPriceFactor = 1
+/** Prefixes told to other nodes: those sent within this time, so that each is in several reports. */
+const toldPrefixesMs = 700
+/** Most prefixes told at once, so that a report stays within a datagram. */
+const maxToldPrefixes = 24
 /** When to come back if no backend server is live. */
 const noBackendRetryMs = 2000
 
@@ -40,6 +48,12 @@
   return tokensOfBlocks(prompt, prompt.homeKey === undefined ? prompt.hashes.length : prompt.hashes.length - 1)
 }
 
+/** A backend server that holds part of a prompt. */
+interface Source {
+  backend: Backend
+  tokens: number
+}
+
 /** A choice with what it is compared by. */
 interface Candidate {
   choice: RouteChoice
@@ -63,6 +77,7 @@
   const homeHits = createHomeHits()
   const rendezvous = createRendezvous(hasher)
   const expectations = new WeakMap<RouteChoice, Expectation>()
+  let told: Array<PrefixUse & { sentAtMs: number }> = []
   const open = new Map<AttemptId, { choice: RouteChoice, expectation: Expectation | undefined }>()
 
   function versionsOf (request: RouteRequest): VersionId[] {
@@ -83,38 +98,60 @@
     return [subset[first], subset[second]].filter(backend => backend !== undefined)
   }
 
-  function evaluate (request: RouteRequest, backend: Backend, heldBlocks: number, homeRank: number): Candidate {
-    const promptTokens = request.prompt?.tokens ?? 0
-    const guessed = homeRank === -1 ? 0 : homeHits.ratio(request.team, homeRank) * sharedTokens(request.prompt)
-    const heldTokens = tokensOfBlocks(request.prompt, heldBlocks)
-    const expectedCachedTokens = Math.round(Math.max(heldTokens, guessed))
+  function evaluate (request: RouteRequest, backend: Backend, held: ReadonlyMap<BackendId, number>, homeRank: number, source: Source | undefined): Candidate {
+    const { prompt } = request
+    const promptTokens = prompt?.tokens ?? 0
+    const guessed = homeRank === -1 ? 0 : homeHits.ratio(request.team, homeRank) * sharedTokens(prompt)
+    const heldTokens = tokensOfBlocks(prompt, held.get(backend.id) ?? 0)
+    const localTokens = Math.round(Math.max(heldTokens, guessed))
     const load = loads.read(backend.id, clock.wallMs())
     const profile = profileOf(backend.machineClass)
-    const firstTokenMs = expectedFirstTokenMs(load, profile, promptTokens - expectedCachedTokens)
+    const fetched = fetchable(source, backend, heldTokens, profile)
+    const expectedCachedTokens = fetched === undefined ? localTokens : fetched.tokens
+    const uncachedTokens = promptTokens - expectedCachedTokens
+    const firstTokenMs = expectedFirstTokenMs(load, profile, uncachedTokens) + (fetched?.tookMs ?? 0)
     const reason = heldTokens > guessed ? 'prefix-held' : homeRank === -1 ? 'least-cost' : 'prefix-home'
     const choice: RouteChoice = {
       backend,
       version: backend.version,
-      reason,
+      reason: fetched === undefined ? reason : 'prefix-fetched',
       promptTokens,
       expectedCachedTokens,
+      fetchFrom: fetched === undefined ? undefined : source?.backend,
       expectedFirstTokenMs: firstTokenMs,
-      ownWorkMs: (promptTokens - expectedCachedTokens) * profile.prefillMsPerToken,
-      prompt: request.prompt
+      ownWorkMs: uncachedTokens * profile.prefillMsPerToken,
+      prompt
     }
-    const costMs = candidateCostMs(load, profile, firstTokenMs, promptTokens - expectedCachedTokens)
+    const costMs = candidateCostMs(load, profile, firstTokenMs, uncachedTokens) + (fetched?.tookMs ?? 0) * fetchPriceFactor
     return { choice, costMs, homeRank }
   }
 
+  /** What a backend server would take from the source, where that is worth its set-up. */
+  function fetchable (source: Source | undefined, backend: Backend, heldTokens: number, { fetch }: EngineProfile): { tokens: number, tookMs: number } | undefined {
+    if (source === undefined || fetch === undefined || source.backend.id === backend.id) return undefined
+    const lacking = source.tokens - heldTokens
+    if (lacking < minFetchTokens) return undefined
+    return { tokens: source.tokens, tookMs: fetch.setUpMs + lacking * fetch.msPerToken }
+  }
+
+  /** The backend server that holds most of a prompt. */
+  function sourceOf (request: RouteRequest, live: readonly Backend[], held: ReadonlyMap<BackendId, number>): Source | undefined {
+    let best: Source | undefined
+    for (const backend of live) {
+      const tokens = tokensOfBlocks(request.prompt, held.get(backend.id) ?? 0)
+      if (tokens > (best?.tokens ?? 0)) best = { backend, tokens }
+    }
+    return best
+  }
+
   function bestOf (request: RouteRequest, live: readonly Backend[]): Candidate | undefined {
     const homes = homesOf(request, live)
     const held = request.prompt === undefined ? new Map<BackendId, number>() : index.held(request.prompt.hashes)
     const holders = held.size === 0 ? [] : live.filter(backend => held.has(backend.id))
     const others = request.considersAll === true ? live : twoPicks(live)
     const considered = new Set([...homes, ...holders, ...others])
-    return best([...considered].map(backend => {
-      return evaluate(request, backend, held.get(backend.id) ?? 0, homes.indexOf(backend))
-    }))
+    const source = sourceOf(request, holders, held)
+    return best([...considered].map(backend => evaluate(request, backend, held, homes.indexOf(backend), source)))
   }
 
   function best (all: readonly Candidate[]): Candidate | undefined {
@@ -150,7 +187,18 @@
     const uncachedTokens = choice.promptTokens - choice.expectedCachedTokens
     loads.sent(attempt, choice.backend.id, uncachedTokens, choice.expectedFirstTokenMs, clock.wallMs())
     open.set(attempt, { choice, expectation: expectations.get(choice) })
-    if (choice.prompt !== undefined) index.record(choice.backend.id, choice.prompt.hashes)
+    if (choice.prompt === undefined) return
+    index.record(choice.backend.id, choice.prompt.hashes)
+    if (choice.prompt.homeKey !== undefined && choice.prompt.hashes.length > 1) {
+      const hashes = choice.prompt.hashes.slice(0, -1)
+      told = [...told, { backend: choice.backend.id, hashes, sentAtMs: clock.monotonicMs() }].slice(-maxToldPrefixes)
+    }
+  }
+
+  function ownPrefixes (): PrefixUse[] {
+    const oldestAtMs = clock.monotonicMs() - toldPrefixesMs
+    told = told.filter(({ sentAtMs }) => sentAtMs >= oldestAtMs)
+    return told.map(({ backend, hashes }) => ({ backend, hashes }))
   }
 
   function ended (attempt: AttemptId, outcome: RouteOutcome): void {
@@ -176,6 +224,10 @@
     onLoad: report => loads.report(report),
     onPeerLoad: loads.peer,
     ownLoads: loads.own,
+    ownPrefixes,
+    onPeerPrefixes: uses => {
+      for (const { backend, hashes } of uses) index.record(backend, hashes)
+    },
     onCacheEvents: (backend, events) => {
       if (!index.apply(backend, events)) metrics.count('cache_event_gaps_total')
     },
--- a/src/core/routing/naive.ts
+++ b/src/core/routing/naive.ts
@@ -43,6 +43,7 @@
       reason: 'least-cost',
       promptTokens: request.prompt?.tokens ?? 0,
       expectedCachedTokens: 0,
+      fetchFrom: undefined,
       expectedFirstTokenMs: 0,
       ownWorkMs: 0,
       prompt: request.prompt
@@ -57,6 +58,8 @@
     onLoad: report => { reports.set(report.backend, report) },
     onPeerLoad: () => {},
     ownLoads: () => new Map(),
+    ownPrefixes: () => [],
+    onPeerPrefixes: () => {},
     onCacheEvents: () => {},
     forget: backend => { reports.delete(backend) },
     close: () => reports.clear()
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -57,8 +57,14 @@
   pendingTokens: number
 }
 
+/** A prompt's shared blocks, sent to a backend server that then holds them. */
+export interface PrefixUse {
+  backend: BackendId
+  hashes: string[]
+}
+
 /** Why a backend server was preferred. */
-export type RouteReason = 'prefix-held' | 'prefix-home' | 'least-cost'
+export type RouteReason = 'prefix-held' | 'prefix-fetched' | 'prefix-home' | 'least-cost'
 
 /** The backend server for one attempt. */
 export interface RouteChoice {
@@ -67,6 +73,8 @@
   reason: RouteReason
   promptTokens: number
   expectedCachedTokens: number
+  /** Another backend server that holds more of the prompt and is to be asked for it. */
+  fetchFrom: Backend | undefined
   /** Expected time from sending to the first token or answer. */
   expectedFirstTokenMs: number
   /** Part of that time that the request's own prompt takes. */
@@ -97,6 +105,10 @@
   onPeerLoad: (from: NodeId, loads: ReadonlyMap<BackendId, PeerLoad>) => void
   /** What this node has open, by backend server, for the other nodes. */
   ownLoads: () => Map<BackendId, PeerLoad>
+  /** Prefixes that this node sent lately, for the other nodes; each is told a few times. */
+  ownPrefixes: () => PrefixUse[]
+  /** Takes in prefixes that another node sent. */
+  onPeerPrefixes: (uses: readonly PrefixUse[]) => void
   onCacheEvents: (backend: BackendId, events: readonly CacheEvent[]) => void
   /** Drops all that is known of a backend server that is gone. */
   forget: (backend: BackendId) => void
@@ -111,6 +123,8 @@
   slots: number
   /** Time that one request holds its slot. */
   serviceMs: number
+  /** Set when an engine can take what it lacks of a prompt from another one. */
+  fetch?: { setUpMs: number, msPerToken: number }
   /** Whether the answer comes at the end of that time, as plain services give it. */
   answersWhole?: boolean
 }
