Start the node from compiled code

Cause: after a loss of power every node compiled 1.5 MB of libraries before it served. Ruled out: a heap bound among the flags, under which V8 refuses the compiled code. Also: a service that was never reached is now told in the log; a slim bundle without its prototype function once served nothing and said nothing.

--- a/scripts/build-platform.ts
+++ b/scripts/build-platform.ts
@@ -1,9 +1,33 @@
-/** Builds target/cyclamenshunt.cjs, the node on the platform in one file. */
+/**
+ * Builds the node on the platform: target/cyclamenshunt.cjs, one file with
+ * only what it uses, and beside it the compiled code, so that a restart
+ * doesn't compile it again.
+ */
+import { execFileSync } from 'node:child_process'
 import { build } from 'esbuild'
+import type { BuildOptions, Plugin } from 'esbuild'
 
-await build({
-  entryPoints: ['platform/main.ts'],
-  outfile: 'target/cyclamenshunt.cjs',
+const bundle = 'target/node.cjs'
+const starter = 'target/cyclamenshunt.cjs'
+
+/** Leaves out what a library's entry exports beside the parts that the node uses. */
+const slimLibraries: Plugin = {
+  name: 'slim-libraries',
+  setup: builder => {
+    builder.onResolve({ filter: /^undici$/ }, () => ({ path: 'undici', namespace: 'slim' }))
+    builder.onLoad({ filter: /^undici$/, namespace: 'slim' }, () => ({
+      contents: `
+        require('undici/lib/dispatcher/dispatcher.js').prototype.request = require('undici/lib/api/api-request.js')
+        exports.Client = require('undici/lib/dispatcher/client.js')
+        exports.Pool = require('undici/lib/dispatcher/pool.js')`,
+      resolveDir: process.cwd()
+    }))
+    // Only English messages are shown, and they don't come by this table.
+    builder.onLoad({ filter: /zod\/v4\/locales\/index\.js$/ }, () => ({ contents: 'export {}' }))
+  }
+}
+
+const options: BuildOptions = {
   bundle: true,
   minify: true,
   keepNames: true,
@@ -13,4 +37,9 @@
   external: ['cbor-extract'],
   define: { 'process.env.CBOR_NATIVE_ACCELERATION_DISABLED': '"true"' },
   logLevel: 'error'
-})
+}
+
+await build({ ...options, entryPoints: ['platform/main.ts'], outfile: bundle, plugins: [slimLibraries] })
+await build({ ...options, entryPoints: ['platform/start.ts'], outfile: starter })
+// V8 takes compiled code only under the flags that it was compiled with: none, as in deploy/system.toml.
+execFileSync(process.execPath, [starter, 'compile'], { stdio: 'inherit' })
--- a/src/core/store-view/index.ts
+++ b/src/core/store-view/index.ts
@@ -23,6 +23,7 @@
   let source: ViewSource = 'none'
   let heardAtMs = -Infinity
   let reachableSinceMs: number | undefined
+  let hasFailed = false
   let watch: Watch | undefined
   let hasContent: () => void = () => {}
   const firstContent = new Promise<void>(resolve => { hasContent = resolve })
@@ -43,7 +44,9 @@
   }
 
   function lost (error: KeyValueError): void {
-    if (reachableSinceMs !== undefined) log('keyValueDown', { kind: error.kind, cause: error.message, revision })
+    const isNews = reachableSinceMs !== undefined || !hasFailed
+    hasFailed = true
+    if (isNews) log('keyValueDown', { kind: error.kind, cause: error.message, revision })
     reachableSinceMs = undefined
   }
 
