--- a/src/core/gateway/ingress.ts
+++ b/src/core/gateway/ingress.ts
@@ -33,6 +33,8 @@
 /** A listener. */
 export interface Ingress {
   listen: () => Promise<void>
+  /** Where it listens. */
+  address: () => ReturnType<Server['address']>
   /** Applies a configuration's bounds to connections from now on. */
   setLimits: (limits: GatewayConfiguration['limits']) => void
   /** Requests that have no whole answer yet. */
@@ -90,6 +92,7 @@
       server.once('error', reject)
       server.listen({ host: options.host, port: options.port, backlog }, resolve)
     }),
+    address: () => server.address(),
     setLimits,
     inFlight: () => inFlight,
     stopAccepting: () => {
--- /dev/null
+++ b/test/gateway/deployment.ts
@@ -0,0 +1,175 @@
+/** A gateway on loopback before stand-ins of backend servers, with headers of the tests' own. */
+import { createAdmission, createRetryBudget } from '../../src/core/admission/index.ts'
+import { createSystemClock } from '../../src/core/clock/index.ts'
+import { createBackendTable, createIngress, createRouteTable, createServeRequest, isConnectionHeader } from '../../src/core/gateway/index.ts'
+import { toId } from '../../src/core/ids/index.ts'
+import { createMetrics } from '../../src/core/metrics/index.ts'
+import { createQuotas } from '../../src/core/quota/index.ts'
+import { createRandom } from '../../src/core/random/index.ts'
+import { createPromptHasher, createRouter } from '../../src/core/routing/index.ts'
+import { answerText, startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
+import type { AddressInfo } from 'node:net'
+import type { ExecutionContext } from 'ava'
+import type { BackendEntry, GatewayConfiguration, GatewayRoute, HeaderCodec } from '../../src/core/gateway/index.ts'
+import type { BackendId, DomainId, NodeId, RequestId, TeamId, VersionId } from '../../src/core/ids/index.ts'
+import type { RawAnswer, RawBackend } from '../../src/stand-ins/raw-backend/index.ts'
+
+const hasher = await createPromptHasher()
+const clock = createSystemClock()
+
+/** Headers of an answer that a backend server signed. */
+export function signed (request: string): Record<string, string> {
+  return { 'x-request': request, 'x-seal': `seal of ${request}` }
+}
+
+/** An answer that is whole and signed. */
+export const answerOk: RawAnswer = ({ headers }, socket) => {
+  socket.write(answerText(200, signed(headers['x-request'] ?? ''), 'whole'))
+}
+
+/** An answer by which a backend server says that it did not run the request. */
+export const answerNotRun: RawAnswer = ({ headers }, socket) => {
+  socket.write(answerText(503, { 'x-request': headers['x-request'] ?? '', 'x-not-run': '1' }, ''))
+}
+
+const codec: HeaderCodec = {
+  readRequest: headers => ({
+    request: toId<RequestId>(String(headers['x-request'] ?? '')),
+    waitsMs: headers['x-waits-ms'] === undefined ? undefined : Number(headers['x-waits-ms']),
+    key: headers.authorization?.replace('Bearer ', ''),
+    tokens: headers['x-tokens'] === undefined ? undefined : { prompt: Number(headers['x-tokens']), answer: 0 },
+    prompt: undefined,
+    lastEventId: undefined
+  }),
+  sendingHeaders: (request, { backend, deadlineAtMs, lastEventId }, bodyBytes, nowMs) => {
+    const headers = Object.entries(request.headers).flatMap(([name, value]) => isConnectionHeader(name) || name === 'content-length' || name === 'authorization' ? [] : [name, String(value)])
+    headers.push('x-backend', backend, 'x-left-ms', String(Math.floor(deadlineAtMs - nowMs)))
+    if (bodyBytes > 0) headers.push('content-length', String(bodyBytes))
+    if (lastEventId !== undefined) headers.push('last-event-id', lastEventId)
+    return headers
+  },
+  readAnswer: (status, headers) => ({
+    request: headers['x-request'] as string | undefined,
+    isNotRun: headers['x-not-run'] !== undefined || status === 421,
+    isSealed: headers['x-seal'] !== undefined
+  })
+}
+
+const routeDefaults: Omit<GatewayRoute, 'name' | 'pathPrefix' | 'kind'> = {
+  host: '127.0.0.1',
+  isResumable: false,
+  timeoutMs: 3_000,
+  targetMs: 2_000,
+  rank: 0,
+  services: [{ service: 'service', weight: 1 }],
+  maxBackends: 1,
+  allowsAnonymous: false
+}
+
+/** Routes of all kinds, by path. */
+export const configuration: GatewayConfiguration = {
+  version: 1,
+  routes: [
+    { ...routeDefaults, name: 'register', pathPrefix: '/register/', kind: 'at-most-once' },
+    { ...routeDefaults, name: 'look-up', pathPrefix: '/look-up/', kind: 'repeatable', maxBackends: 2 },
+    { ...routeDefaults, name: 'once', pathPrefix: '/once/', kind: 'stream' },
+    { ...routeDefaults, name: 'resumable', pathPrefix: '/resumable/', kind: 'stream', isResumable: true, maxBackends: 2 },
+    { ...routeDefaults, name: 'quick', pathPrefix: '/quick/', kind: 'at-most-once', timeoutMs: 150 }
+  ],
+  services: [{ name: 'service', maxConnections: 100 }],
+  limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+  teams: [
+    { team: toId<TeamId>('agency'), keys: ['key-1'], tokensWithoutCount: 1 },
+    { team: toId<TeamId>('limited'), keys: ['key-2'], tokensWithoutCount: 1, quota: { perSecond: 10, burst: 20, countsTokens: true } }
+  ]
+}
+
+function entryOf (name: string, port: number): BackendEntry {
+  return {
+    id: toId<BackendId>(name),
+    service: 'service',
+    address: { host: '127.0.0.1', port },
+    domain: toId<DomainId>('domain-a'),
+    version: toId<VersionId>('v1'),
+    slots: 4,
+    isLeaving: false,
+    coldMs: 0,
+    isReclaimable: false
+  }
+}
+
+/** One answer as a caller sees it; `broken` when the connection ended within it. */
+export interface CallerAnswer {
+  status: number
+  headers: Headers
+  body: string
+  broken: boolean
+}
+
+/** Starts a gateway before one stand-in for each given answer. */
+export async function startGateway (t: ExecutionContext, answers: RawAnswer[], changes: Partial<GatewayConfiguration> = {}) {
+  const raw: RawBackend[] = await Promise.all(answers.map(answer => startRawBackend(answer)))
+  const metrics = createMetrics()
+  const events: Array<{ event: string, fields: Record<string, unknown> }> = []
+  const log = (event: string, fields: Record<string, unknown> = {}): void => { events.push({ event, fields }) }
+  const router = createRouter({
+    node: toId<NodeId>('node-1'),
+    clock,
+    metrics,
+    hasher,
+    random: createRandom(1),
+    profileOf: () => ({ prefillMsPerToken: 0.1, slots: 4, serviceMs: 20 })
+  })
+  const backends = createBackendTable({ clock, log, metrics, trialOf: () => undefined, onGone: router.forget })
+  for (const [index, { port }] of raw.entries()) backends.put(entryOf(`b-${index}`, port))
+  const table = createRouteTable({ ...configuration, ...changes })
+  const state = { isDraining: false, table: table as typeof table | undefined }
+  const serve = createServeRequest({
+    clock,
+    log,
+    metrics,
+    codec,
+    router,
+    admission: createAdmission({ clock, metrics, random: createRandom(2), maxConcurrent: 100 }),
+    quotas: createQuotas({ clock, heardShare: () => 1 }),
+    retryBudget: createRetryBudget({ clock, minPerSecond: 10 }),
+    backends,
+    table: () => state.table,
+    trialShare: () => 0,
+    onBegan: () => {},
+    onSent: () => {},
+    onAttempt: () => {},
+    isDraining: () => state.isDraining,
+    draw: hasher.draw,
+    random: createRandom(3)
+  })
+  const ingress = createIngress({ host: '127.0.0.1', port: 0, clock, log, metrics, serve })
+  await ingress.listen()
+  const { port } = ingress.address() as AddressInfo
+  t.teardown(async () => {
+    ingress.stopAccepting()
+    ingress.close()
+    backends.close()
+    await Promise.all(raw.map(backend => backend.close()))
+  })
+
+  async function call (path: string, id: string, options: { headers?: Record<string, string>, body?: string, signal?: AbortSignal } = {}): Promise<CallerAnswer> {
+    const response = await fetch(`http://127.0.0.1:${port}${path}`, {
+      method: options.body === undefined ? 'GET' : 'POST',
+      headers: { 'x-request': id, authorization: 'Bearer key-1', ...options.headers },
+      ...(options.body === undefined ? {} : { body: options.body }),
+      ...(options.signal === undefined ? {} : { signal: options.signal })
+    })
+    const decoder = new TextDecoder()
+    let body = ''
+    let broken = false
+    try {
+      for await (const chunk of response.body ?? []) body += decoder.decode(chunk as Uint8Array, { stream: true })
+    } catch {
+      broken = true
+    }
+    return { status: response.status, headers: response.headers, body, broken }
+  }
+
+  return { raw, call, port, events, state, backends, ingress }
+}
