--- a/src/core/moves/index.ts
+++ b/src/core/moves/index.ts
@@ -35,6 +35,8 @@
 export type { BackendOrders } from './loads.ts'
 export { movesPrefix, parseMoveRecord } from './record.ts'
 export { newShareOf } from './schedule.ts'
+export { createServiceMoves } from './service-moves.ts'
+export type { ServiceMoveOrder, ServiceMoves, ServiceMoveState, ServiceMoveStatus } from './service-moves.ts'
 
 /** Options of a node's moves. */
 export interface MovesOptions {
