--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -82,9 +82,11 @@
 /** Part of a move's time after which a version that showed nothing bad takes over. */
 const trialPart = 0.7
 /** Longest time kept before the deadline for writing the outcome through an outage. */
-const maxMarginMs = 6_000
+const maxMarginMs = 4_000
 /** Attempts that the new version has to have shown before it takes over. */
-const minAttempts = 8
+const minAttempts = 6
+/** Moves that are shorter than this get twice the share, so that enough is seen; few requests come in that time. */
+const shortMoveMs = 20_000
 const callMs = 1_200
 
 const reportSchema = z.array(z.object({
@@ -162,6 +164,10 @@
     return Math.min(options.startedAtMs(order) ?? Infinity, seenAtMs)
   }
 
+  function shareIn ({ order }: Running): number {
+    return options.maxShare * usedShare * (order.durationMs <= shortMoveMs ? 2 : 1)
+  }
+
   function hasTime (move: Running): boolean {
     return clock.wallMs() < startOf(move) + move.order.durationMs
   }
@@ -206,13 +212,13 @@
       const move = moveOf(service)
       if (move === undefined || move.isBad || !hasTime(move)) return 0
       const state = stateOf(move)
-      return state === undefined || state === 'running' ? options.maxShare * usedShare : 0
+      return state === undefined || state === 'running' ? shareIn(move) : 0
     },
     record: (service, isTrial, evidence) => {
       const move = running.get(service)
       if (move === undefined) return
       const version = isTrial ? move.order.target : oldVersion
-      move.trial.attempt({ ...evidence, version, team: service as TeamId }, options.maxShare * usedShare, clock.wallMs())
+      move.trial.attempt({ ...evidence, version, team: service as TeamId }, shareIn(move), clock.wallMs())
     },
     reports: () => [...running.values()].filter(move => stateOf(move) !== 'done').map(({ order, trial, isBad }) => ({
       service: order.service, revision: order.revision, isBad, counts: trial.counts()
