--- /dev/null
+++ b/test/platform-adapter/decode.test.ts
@@ -0,0 +1,106 @@
+/** What the platform writes, decoded into the product's types. */
+import test from 'ava'
+import { decodeBackend, decodeConfiguration } from '../../platform/configuration.ts'
+import { decodePromptParts, headerCodec } from '../../platform/headers.ts'
+import { parseSettings } from '../../platform/settings.ts'
+import { isErrorOf } from '../../src/core/errors/index.ts'
+import { createRouteTable } from '../../src/core/gateway/index.ts'
+import { settingsText } from './settings-text.ts'
+import type { IncomingMessage } from 'node:http'
+import type { BackendId, TeamId } from '../../src/core/ids/index.ts'
+
+const wireConfiguration = {
+  version: 7,
+  routes: [
+    { name: 'r-1', host: 'a.example', path_prefix: '/x/', kind: 'streaming', timeout_ms: 4000, slo_ms: 500, priority: 0, service: 'models', max_attempts: 2, stream_resume: true, gap_slo_ms: 250, session_affinity: true, unknown: 1 },
+    { name: 'r-2', host: 'a.example', path_prefix: '/x/y/', kind: 'non_idempotent', timeout_ms: 2000, slo_ms: 300, traffic_split: [{ service: 'one', weight: 90 }, { service: 'two', weight: 10 }] }
+  ],
+  services: [{ name: 'models', max_connections: 370, engine: { slots: 64, kv_capacity: 1000, kv_token_bytes: 1000, link_mbps: 8000 }, scaling: { min_replicas: 1, max_replicas: 4, boot_time_s: 4, spot_price: 0.2, zone_prices: { a: 0.85 } } }],
+  limits: { max_header_bytes: 16384, max_body_bytes: 100, header_timeout_ms: 3000, idle_timeout_ms: 15000 },
+  tenants: [{ name: 't', api_keys: ['k'], unit: 'token', uncached_tokens: 200, rate_per_s: 10, burst: 20 }]
+}
+
+test('a configuration becomes routes, services and teams with units', t => {
+  const decoded = decodeConfiguration(JSON.stringify(wireConfiguration)).unwrapOr(undefined)
+  t.like(decoded?.routes[0], { kind: 'stream', isResumable: true, timeoutMs: 4000, targetMs: 500, maxBackends: 2, services: [{ service: 'models', weight: 1 }] })
+  t.like(decoded?.routes[1], { kind: 'at-most-once', isResumable: false, services: [{ service: 'one', weight: 90 }, { service: 'two', weight: 10 }] })
+  t.like(decoded?.services[0]?.engine, { slots: 64, cacheTokens: 1000, fetchMsPerToken: 0.001 })
+  t.is(decoded?.services[0]?.scaling?.bootMs, 4000)
+  t.like(decoded?.teams?.[0], { team: 't', keys: ['k'], tokensWithoutCount: 200, quota: { perSecond: 10, burst: 20, countsTokens: true } })
+})
+
+test('the longest prefix of the request\'s host wins', t => {
+  const table = createRouteTable(decodeConfiguration(JSON.stringify(wireConfiguration)).unwrapOr(undefined)!)
+  t.is(table.route('A.example:80', '/x/y/z?q=/x/')?.name, 'r-2')
+  t.is(table.route('a.example', '/x/yy')?.name, 'r-1')
+  t.is(table.route('a.example', '/x')?.name, undefined)
+  t.is(table.route('b.example', '/x/y/')?.name, undefined)
+})
+
+test('a configuration that can\'t be read is refused with what is wrong', t => {
+  for (const text of ['', '{"version":1}', '{"version":"1","routes":[]}']) {
+    t.true(decodeConfiguration(text).isErr)
+  }
+})
+
+test('an entry that names no usable backend server is left out', t => {
+  const entry = { service: 'models', address: '10.0.0.1:80', zone: 'a', version: 'v1', slots: 64, state: 'ready', sequence: 3, born: 5 }
+  t.like(decodeBackend('i-1', JSON.stringify(entry)), { id: 'i-1', service: 'models', address: { host: '10.0.0.1', port: 80 }, isLeaving: false, bornAtMs: 5 })
+  t.true(decodeBackend('i-1', JSON.stringify({ ...entry, state: 'draining' }))?.isLeaving)
+  for (const change of [{ state: 'asleep' }, { address: 'somewhere' }, { service: 7 }, { slots: 'many' }]) {
+    t.is(decodeBackend('i-1', JSON.stringify({ ...entry, ...change })), undefined)
+  }
+  t.is(decodeBackend('i-1', '\u0000\u0001'), undefined)
+})
+
+test('a prompt\'s home is what it shares, without its own last part', t => {
+  const one = decodePromptParts('aa:800,bb:400,cc:200', 1460)
+  const other = decodePromptParts('aa:800,bb:400,dd:90', 1290)
+  t.deepEqual(one?.blockTokens, [800, 400, 200])
+  t.is(one?.tokens, 1460)
+  t.is(one?.homeKey, other?.homeKey)
+  t.not(one?.homeKey, decodePromptParts('aa:800,ee:400,cc:200', 1400)?.homeKey)
+  t.is(decodePromptParts('', 10), undefined)
+})
+
+test('headers that only the system sets never pass from a caller, and the others do', t => {
+  const rawHeaders = [
+    'Host', 'a.example', 'X-Cyclamenshunt-Attempt-Id', 'r-1', 'X-Cyclamenshunt-Deadline-Ms', '6000', 'Authorization', 'Bearer k',
+    'X-Cyclamenshunt-Hold', 'h', 'X-Cyclamenshunt-Pin-Ms', '5', 'X-Cyclamenshunt-Kv-Backup', 'b', 'Kv-From', 'f', 'Kv-Fetch', 'g',
+    'X-Cyclamenshunt-Tenant', 'other', 'X-Cyclamenshunt-Request-Priority', '0', 'X-Cyclamenshunt-Expect-Instance', 'i-9',
+    'Connection', 'keep-alive, X-Hop', 'X-Hop', '1', 'X-Own', 'kept', 'Content-Length', '4'
+  ]
+  const headers: Record<string, string> = {}
+  for (let at = 0; at < rawHeaders.length; at += 2) headers[rawHeaders[at]!.toLowerCase()] = rawHeaders[at + 1]!
+  const request = { rawHeaders, headers } as unknown as IncomingMessage
+  const sent = headerCodec.sendingHeaders(request, {
+    backend: 'i-1' as BackendId, team: 't' as TeamId, deadlineAtMs: 2_500, rank: 2, lastEventId: undefined, fetchFrom: undefined
+  }, 4, 1_000)
+  const map = new Map<string, string>()
+  for (let at = 0; at < sent.length; at += 2) {
+    t.false(map.has(sent[at]!.toLowerCase()), `${sent[at]} stands once`)
+    map.set(sent[at]!.toLowerCase(), sent[at + 1]!)
+  }
+  t.deepEqual(Object.fromEntries(map), {
+    host: 'a.example',
+    'content-length': '4',
+    'x-own': 'kept',
+    'x-cyclamenshunt-attempt-id': 'r-1',
+    'x-cyclamenshunt-deadline-ms': '1500',
+    'x-cyclamenshunt-expect-instance': 'i-1',
+    'x-cyclamenshunt-request-priority': '2',
+    'x-cyclamenshunt-tenant': 't'
+  })
+})
+
+test('settings are read with their units, unknown fields are left alone, and a wrong one is named', t => {
+  const settings = parseSettings(settingsText({ extra: 'x' }), 'node.conf')
+  t.like(settings, { node: 'front-a-1', domain: 'a', isFirstStart: true, duties: { reportsUsage: true, ordersBackends: true } })
+  t.is(settings.bounds.graceMs, 8_000)
+  t.deepEqual(settings.seeds, [{ host: '127.0.0.1', port: 1 }])
+  for (const [field, value] of [['node_name', ''], ['listen.front', 'nowhere'], ['bounds.grace_s', 'soon']] as const) {
+    const error = t.throws(() => parseSettings(settingsText({ [field]: value }), 'node.conf'))
+    t.true(isErrorOf(error, 'PlatformSettingInvalid'))
+    t.true(error.message.includes(field))
+  }
+})
