--- a/src/core/gateway/answer.ts
+++ b/src/core/gateway/answer.ts
@@ -11,6 +11,18 @@
   return connectionHeaders.has(name)
 }
 
+/** Whether an answer says where its body ends; otherwise it ends with its connection. */
+export function isFramed (status: number, headers: Record<string, string | string[] | undefined>): boolean {
+  const hasNoBody = status === 204 || status === 304
+  return hasNoBody || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
+/** Ends the answer with the connection, because the backend server told no other end of it. */
+export function endWithConnection (response: ServerResponse): void {
+  response.shouldKeepAlive = false
+  response.useChunkedEncodingByDefault = false
+}
+
 /** Headers of a backend server's answer as they go on to the caller. */
 export function passedOnHeaders (headers: Record<string, string | string[] | undefined>, keepsLength: boolean): Record<string, string | string[]> {
   const passed: Record<string, string | string[]> = {}
--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -3,7 +3,7 @@
  * request did not run, that it may have, or a whole answer.
  */
 import { createEventCutter } from './event-stream.ts'
-import { passedOnHeaders } from './answer.ts'
+import { endWithConnection, isFramed, passedOnHeaders } from './answer.ts'
 import type { ServerResponse } from 'node:http'
 import type { BackendConnections, Sending, SendingRequest } from './backend-connections.ts'
 import type { EventCutter } from './event-stream.ts'
@@ -121,6 +121,7 @@
     options.onFirst()
     response.statusCode = status
     for (const [name, value] of Object.entries(passedOnHeaders(headers, false))) response.setHeader(name, value)
+    if (!isFramed(status, headers)) endWithConnection(response)
     if (options.closesConnection()) response.setHeader('connection', 'close')
   }
 
--- a/src/core/gateway/serve-request.ts
+++ b/src/core/gateway/serve-request.ts
@@ -4,7 +4,7 @@
  * can be told truthfully.
  */
 import { toId } from '../ids/index.ts'
-import { passedOnHeaders, sendOwnAnswer } from './answer.ts'
+import { endWithConnection, isFramed, passedOnHeaders, sendOwnAnswer } from './answer.ts'
 import { createStreamProgress, startAttempt } from './attempt.ts'
 import { readBody } from './read-body.ts'
 import { servingVersion, trialVersion } from './backend-table.ts'
@@ -430,7 +430,8 @@
     response.statusCode = answer.status
     const isHead = request.method === 'HEAD'
     for (const [name, value] of Object.entries(passedOnHeaders(answer.headers, isHead))) response.setHeader(name, value)
-    if (!isHead) response.setHeader('content-length', answer.body.length)
+    if (!isFramed(answer.status, answer.headers)) endWithConnection(response)
+    else if (!isHead) response.setHeader('content-length', answer.body.length)
     if (options.isDraining()) response.setHeader('connection', 'close')
     response.end(answer.body)
     answered(served, answer.status)
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -137,7 +137,22 @@
     const names = Object.entries(signed(headers['x-request'] ?? '')).map(([name, value]) => `${name}: ${value}`)
     socket.end(['HTTP/1.1 200 OK', ...names, 'connection: close', '', 'whole'].join('\r\n'))
   }])
-  t.like(await call('/register/', 'r-1', { body: 'b' }), { status: 200, body: 'whole' })
+  const answer = await call('/register/', 'r-1', { body: 'b' })
+  t.like(answer, { status: 200, body: 'whole' })
+  // What the backend server didn't frame isn't framed here either, as if its end were known.
+  t.is(answer.headers.get('content-length'), null)
+  t.is(answer.headers.get('transfer-encoding'), null)
+  t.is(answer.headers.get('connection'), 'close')
+})
+
+test('a stream without an end of its own ends with the connection for the caller, too', async t => {
+  const { call } = await startGateway(t, [({ headers }, socket) => {
+    const names = Object.entries(signed(headers['x-request'] ?? '')).map(([name, value]) => `${name}: ${value}`)
+    socket.end(['HTTP/1.1 200 OK', ...names, 'connection: close', '', event(1)].join('\r\n'))
+  }])
+  const answer = await call('/once/', 'r-1', { body: 'b' })
+  t.like(answer, { status: 200, body: event(1), broken: false })
+  t.is(answer.headers.get('transfer-encoding'), null)
 })
 
 test('events are passed on as they come, and only whole ones', async t => {
