End a move only after the new version was tried enough

A last step that is kept up lapsed between two rounds of its holder; the good version then missed its deadline (seen once with 20 attempts asked and no shortest lapse).

--- a/src/core/moves/conduct.ts
+++ b/src/core/moves/conduct.ts
@@ -18,6 +18,8 @@
 
 /** Attempts of a route that have to be expected of the new version before their absence holds a step back. */
 const minExpectedAttempts = 8
+/** Attempts of a route that the new version has to have had before it takes over, where the route has traffic for them. */
+const minShownAttempts = 12
 /** Interval of looks at the backend servers once the new version is loaded. */
 const loadsIntervalMs = 10_000
 
@@ -120,6 +122,16 @@
     })
   }
 
+  /** Whether each route that has traffic for it has tried the new version enough to end the move with it. */
+  function isShown (declaration: TeamDeclaration, record: MoveRecord): boolean {
+    const trial = options.trialOf(record)
+    if (trial === undefined) return false
+    return declaration.routes.every(({ name }) => {
+      const { newTotal, total } = trial.seen(name)
+      return newTotal >= minShownAttempts || total < minShownAttempts * 2
+    })
+  }
+
   async function shift (declaration: TeamDeclaration, record: MoveRecord, duty: Duty): Promise<void> {
     if (clock.monotonicMs() >= (nextLoadsAtMs.get(record.team) ?? 0)) {
       const ready = await look(declaration, record, duty)
@@ -128,6 +140,8 @@
     }
     if (clock.wallMs() < nextStepAtMs(record) || !isSeen(declaration, record)) return
     if (record.step < lastStep) return await change(record, duty, { step: record.step + 1, stepAtMs: clock.wallMs() })
+    // The last step is kept up until enough was seen; without it the deadline takes the move back.
+    if (!isShown(declaration, record)) return await change(record, duty, { stepAtMs: clock.wallMs() })
     await change(record, duty, { end: endOf('done', 'moved', `All traffic is on "${record.toVersion}".`) })
   }
 
--- a/src/core/moves/schedule.ts
+++ b/src/core/moves/schedule.ts
@@ -28,6 +28,8 @@
 const maxMarginMs = 120_000
 /** A step that no later one follows lapses after this many times its length. */
 const maxStepLengths = 1.25
+/** Shortest time until a step lapses: the holder's rounds come every second, and a write takes its time. */
+const minLapseMs = 1_500
 /** A late step lasts at least this part of its length before the next. */
 const minStepPart = 0.5
 
@@ -62,7 +64,7 @@
 export function newShareOf (record: MoveRecord, nowMs: number): number {
   if (record.end !== undefined) return record.end.word === 'done' ? 1 : 0
   if (record.trafficAtMs === undefined || nowMs >= record.deadlineAtMs) return 0
-  const lapsesAtMs = record.stepAtMs + maxStepLengths * lengthMs(record, record.step)
+  const lapsesAtMs = record.stepAtMs + Math.max(minLapseMs, maxStepLengths * lengthMs(record, record.step))
   const hasLapsed = record.step > 0 && nowMs > lapsesAtMs
   return stepOf(hasLapsed ? 0 : record.step).share
 }
