--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -127,6 +127,7 @@
 
   function onData (chunk: Buffer): boolean {
     if (isSettled) return true
+    options.onHeard()
     if (!isStream()) {
       chunks.push(chunk)
       return true
--- a/src/core/gateway/backend-table.ts
+++ b/src/core/gateway/backend-table.ts
@@ -134,12 +134,16 @@
   function usable (service: string): Backend[] {
     const nowMs = clock.monotonicMs()
     const trial = options.trialOf(service)
-    const backends: Backend[] = []
+    const sound: Backend[] = []
+    const suspected: Backend[] = []
     for (const { entry, backend, suspectUntilMs, isMistaken } of known.values()) {
-      if (entry.service !== service || isMistaken || suspectUntilMs > nowMs) continue
-      backends.push(trial !== undefined && entry.version === trial ? { ...backend, version: trialVersion } : backend)
+      if (entry.service !== service || isMistaken) continue
+      const labelled = trial !== undefined && entry.version === trial ? { ...backend, version: trialVersion } : backend
+      if (suspectUntilMs > nowMs) suspected.push(labelled)
+      else sound.push(labelled)
     }
-    return backends
+    // A suspicion is a guess; with nothing else to send to, it is tried all the same.
+    return sound.some(({ state }) => state === 'live') ? sound : [...sound, ...suspected]
   }
 
   function suspect (id: BackendId, cause: string): void {
--- a/src/core/gateway/serve-request.ts
+++ b/src/core/gateway/serve-request.ts
@@ -66,6 +66,10 @@
 const notReadyRetryMs = 500
 /** When callers come back after no backend server could be reached. */
 const noBackendRetryMs = 1_000
+/** Time without a byte from a backend server, beyond what its answer was expected to take, after which it is suspected. */
+const minSilenceMs = 250
+/** Times the expected wait that is granted besides; estimates of queues are rough. */
+const silencePerExpected = 3
 /** Sendings that were provably not taken and don't count as sent, such as refused connections. */
 const maxUnreached = 3
 /** Requests of one team that one node has in flight at once; bounds its memory. */
@@ -332,10 +336,15 @@
       }
     })
     served.attempt = attempt
+    const sentAtMs = clock.monotonicMs()
+    const silence = setTimeout(() => {
+      if (known.heardAtMs < sentAtMs) backends.suspect(choice.backend.id, 'nothing came from it since a request was sent')
+    }, minSilenceMs + silencePerExpected * choice.expectedFirstTokenMs)
     router.sent(attemptId, choice)
     options.onSent(served.service, choice.ownWorkMs)
     if (served.sent === 0) options.retryBudget.deposit(choice.backend.id)
     const end = await attempt.ended
+    clearTimeout(silence)
     served.attempt = undefined
     const isServerError = end.kind === 'whole' && end.answer.status >= 500
     const ok = (end.kind === 'passed-on' || end.kind === 'whole') && !isServerError
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -232,6 +232,21 @@
   t.is(raw[1]!.requests.length, 4)
 })
 
+test('a backend server that falls silent is left before its requests time out, and taken back once it answers', async t => {
+  const { call, raw, backends, events } = await startGateway(t, [() => {}, answerOk])
+  const held = new AbortController()
+  const open = ['r-1', 'r-2', 'r-3', 'r-4', 'r-5', 'r-6'].map(id => call('/register/', id, { signal: held.signal }).catch(() => undefined))
+  await until(() => events.some(({ event }) => event === 'backendSuspected'))
+  t.deepEqual(backends.usable('service').map(({ id }) => id as string), ['b-1'])
+  held.abort()
+  await Promise.all(open)
+  // With nothing else left it is tried all the same, and its answer clears it.
+  backends.remove(backends.usable('service')[0]!.id, 'test')
+  raw[0]!.answer(answerOk)
+  t.is((await call('/register/', 'r-7')).status, 200)
+  t.deepEqual(backends.usable('service').map(({ id }) => id as string), ['b-0'])
+})
+
 test('while the node is about to stop, answers tell callers to leave the connection', async t => {
   const { call, state } = await startGateway(t, [answerOk])
   state.isDraining = true
