Report windows that ended before the holder's life began

Also: the first round of the duties ran before the node was put together and failed, told by a dutyStepFailed line in the tests' output; the node test now fails on that event.

--- a/src/core/usage/reporter.ts
+++ b/src/core/usage/reporter.ts
@@ -29,6 +29,8 @@
   duty: Duty
   /** Time after its end by which a window has to be reported. */
   dueMs: number
+  /** Whether the whole system starts for the first time, so that no earlier window had any usage. */
+  isFirstStart: boolean
   send: (window: number, counts: WindowCounts, fencingNumber: number, deadlineAtMs: number) => Promise<Result<UsageAnswer, CyclamenError>>
 }
 
@@ -52,6 +54,7 @@
   const sent = new Set<number>()
   const fixed = new Map<number, WindowCounts>()
   let firstWindow: number | undefined
+  let startedAtMs: number | undefined
   let holderOf: number | undefined
   /** Fencing number that another holder has overtaken; nothing more is sent with it. */
   let fencedNumber: number | undefined
@@ -68,7 +71,7 @@
   function dueWindows (): number[] {
     const nowMs = clock.wallMs()
     const last = usage.windowOf(nowMs - settleMs) - 1
-    const first = Math.max(firstWindow ?? last, usage.windowOf(nowMs - dueMs) - 1)
+    const first = Math.max(firstWindow ?? 0, usage.windowOf(nowMs - dueMs) - 1)
     return Array.from({ length: Math.max(0, last - first + 1) }, (_, index) => first + index).filter(window => !sent.has(window))
   }
 
@@ -118,7 +121,10 @@
 
   return {
     step: async () => {
-      firstWindow ??= usage.windowOf(clock.wallMs())
+      startedAtMs ??= clock.monotonicMs()
+      if (options.isFirstStart) firstWindow ??= usage.windowOf(clock.wallMs())
+      // The others' counts of earlier windows come with their next reports.
+      if (clock.monotonicMs() < startedAtMs + settleMs) return
       const fencingNumber = duty.fencingNumber()
       if (fencingNumber === undefined || fencingNumber === fencedNumber) return
       if (holderOf !== fencingNumber) {
--- a/test/platform-adapter/node.test.ts
+++ b/test/platform-adapter/node.test.ts
@@ -44,7 +44,8 @@
     'bounds.grace_s': '8',
     'bounds.report_window_s': '1'
   }), 'node.conf')
-  const node: PlatformNode = await startNode(settings)
+  const events: string[] = []
+  const node: PlatformNode = await startNode(settings, { log: event => { events.push(event) } })
   let stopped = false
   const stop = async (): Promise<void> => {
     if (!stopped) await node.stop()
@@ -55,7 +56,7 @@
     headers: { 'x-cyclamenshunt-attempt-id': id, authorization: 'Bearer key-1' }
   })
   const isReady = async (): Promise<boolean> => (await fetch(`http://127.0.0.1:${port + 1}/cyclamenshunt/ready`)).status === 200
-  return { call, isReady, stop, control: `127.0.0.1:${port + 2}` }
+  return { call, isReady, stop, events, control: `127.0.0.1:${port + 2}` }
 }
 
 async function setUp (t: ExecutionContext) {
@@ -91,6 +92,7 @@
   await until(() => counted() === backend.requests.length)
   const windows = platform.apiCalls.map(({ body }) => body['window_id'])
   t.is(new Set(windows).size, windows.length)
+  t.false(node.events.includes('dutyStepFailed'))
   t.true(platform.apiCalls.every(({ holder, fence }) => holder === 'front-a-1' && fence > 0))
 })
 
--- a/test/usage/usage.test.ts
+++ b/test/usage/usage.test.ts
@@ -32,7 +32,7 @@
   const clock = createManualClock(1_700_000_000_000)
   const service = createMemoryKeyValue({ clock })
   const sent: Array<{ holder: number, window: number, counts: Record<string, number> }> = []
-  async function holderOf (holder: number, counted: number) {
+  async function holderOf (holder: number, counted: number, isFirstStart = true) {
     const store = service.connect(`holder-${holder}`)
     const view = createStoreView({ store, clock, log: createSilentLog(), askPeers: async () => undefined })
     await view.start()
@@ -53,6 +53,7 @@
       usage,
       duty,
       dueMs: 10_000,
+      isFirstStart,
       send: async (window: number, counts: WindowCounts) => {
         sent.push({ holder, window, counts: Object.fromEntries(counts) })
         const result = answer()
@@ -94,6 +95,17 @@
   ])
 })
 
+test('a holder whose life began after a window ended reports it from what the others told', async t => {
+  const { clock, sent, holderOf } = await setUp(() => 'taken')
+  const window = Math.floor(clock.wallMs() / windowMs)
+  await clock.advance(windowMs + 1_600)
+  const { reporter, usage } = await holderOf(1, 0, false)
+  usage.peer(toId<NodeId>('peer'), 'life', new Map([[window, new Map([[team, 6]])]]))
+  await clock.advance(1_600)
+  await reporter.step()
+  t.deepEqual(sent.filter(report => report.window === window).map(({ counts }) => counts), [{ agency: 6 }])
+})
+
 test('a holder that was overtaken sends nothing more with its number', async t => {
   const { clock, sent, holderOf } = await setUp(() => 'fenced')
   const { reporter } = await holderOf(1, 4)
