--- a/src/core/gateway/ingress.ts
+++ b/src/core/gateway/ingress.ts
@@ -53,6 +53,7 @@
 export function createIngress (options: IngressOptions): Ingress {
   const { log, metrics, serve } = options
   let inFlight = 0
+  let isStopping = false
 
   const server: Server = createServer({
     maxHeaderSize: defaultLimits.maxHeaderBytes,
@@ -62,6 +63,8 @@
   }, (request, response) => {
     inFlight += 1
     response.on('close', () => { inFlight -= 1 })
+    // An answer that began before the stop could not tell its caller to leave the connection.
+    response.on('finish', () => { if (isStopping) request.socket.end() })
     serve(request, response).catch((error: unknown) => {
       log('gatewayFailed', { path: request.url, cause: (error as Error).stack })
       metrics.count('gateway_failures_total')
@@ -96,6 +99,7 @@
     setLimits,
     inFlight: () => inFlight,
     stopAccepting: () => {
+      isStopping = true
       server.close()
       server.closeIdleConnections()
     },
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -1,4 +1,5 @@
 /** What callers get through the gateway when backend servers answer well, badly or not at all. */
+import { connect } from 'node:net'
 import test from 'ava'
 import { answerText, chunkText } from '../../src/stand-ins/raw-backend/index.ts'
 import { answerNotRun, answerOk, configuration, signed, startGateway } from './deployment.ts'
@@ -255,6 +256,26 @@
   t.is(answer.headers.get('connection'), 'close')
 })
 
+test('once a node takes nothing new, a connection ends with the answer that was open on it', async t => {
+  let finish = (): void => {}
+  const { port, ingress, raw } = await startGateway(t, [({ headers }, socket) => {
+    socket.write(streamHead(headers['x-request'] ?? '') + chunkText(event(1)))
+    finish = () => { socket.write(chunkText(event(2)) + endOfChunks) }
+  }])
+  const socket = connect(port, '127.0.0.1')
+  let text = ''
+  let hasEnded = false
+  socket.setEncoding('latin1').on('data', (chunk: string) => { text += chunk })
+  socket.on('end', () => { hasEnded = true })
+  socket.write('POST /once/ HTTP/1.1\r\nhost: 127.0.0.1\r\nauthorization: Bearer key-1\r\nx-request: r-1\r\ncontent-length: 1\r\n\r\nb')
+  await until(() => raw[0]!.requests.length === 1 && text.includes('piece 1'))
+  ingress.stopAccepting()
+  finish()
+  await until(() => hasEnded)
+  t.true(text.includes('piece 2'))
+  t.true(text.endsWith(endOfChunks))
+})
+
 test('each request leaves one line with what decided it', async t => {
   const { call, events } = await startGateway(t, [answerOk])
   await call('/register/', 'r-1')
