Let a few collectors sum up the reports of a large fleet

Cause: in the grown fleets every node reported to every other and watched the store itself. Ruled out: the longer interval of large fleets (12 ms a node) bounds what a node takes in, but not what all send, and makes loads a second old.

From 17 nodes on, reports go to one collector, whose sums come back, and every second one to a second collector and to the holder of the duties. Digests also tell what changed in the store, so that only collectors watch it. Fleets of up to 16 nodes work as before.

--- a/src/core/leases/duty.ts
+++ b/src/core/leases/duty.ts
@@ -47,6 +47,20 @@
 const callTimeoutMs = 2_000
 
 /** Starts to seek a duty. */
+function readValue (value: string): Partial<DutyValue> {
+  try {
+    return JSON.parse(value) as DutyValue
+  } catch {
+    // Another program's key holds nothing that this one knows.
+    return {}
+  }
+}
+
+/** The node that a duty's key names as its holder. */
+export function readDutyHolder (value: string): NodeId | undefined {
+  return readValue(value).holder
+}
+
 export function createDuty (options: DutyOptions): Duty {
   const { name, key, store, lease, clock } = options
   const closed = new AbortController()
@@ -70,14 +84,6 @@
     return { fencingNumber: number, deadlineAtMs: Math.min(lease.sureUntilMs(), clock.wallMs() + options.maxOrderMs) }
   }
 
-  function readValue (value: string): Partial<DutyValue> {
-    try {
-      return JSON.parse(value) as DutyValue
-    } catch {
-      return {}
-    }
-  }
-
   function isOwn ({ value }: Pick<KeyValueEntry, 'value'>): boolean {
     const { writeId } = readValue(value)
     return writeId !== undefined && ownWrites.has(writeId)
--- a/src/core/leases/index.ts
+++ b/src/core/leases/index.ts
@@ -12,6 +12,7 @@
 import type { KeyValueStore } from '../platform/key-value/types.ts'
 import type { Duties, Duty, DutyChange, DutyEvents } from './types.ts'
 
+export { readDutyHolder } from './duty.ts'
 export type * from './types.ts'
 
 /** Options of a node's duties. */
--- a/src/core/log/events/agreement.ts
+++ b/src/core/log/events/agreement.ts
@@ -15,5 +15,6 @@
   nodeHeard: { number: 410, level: 'info', text: 'Another node reports again, or for the first time.', remedy: 'none' },
   nodeSilent: { number: 411, level: 'warn', text: 'Another node sent no report for a while.', remedy: 'Check that node and the network between both.' },
   nodeReportUnreadable: { number: 412, level: 'warn', text: 'A report of another node could not be taken in.', remedy: 'Check that all nodes run the same version.' },
-  viewFromPeer: { number: 413, level: 'info', text: 'What the key-value service holds was learned from another node.', remedy: 'none; check the service if it lasts.' }
+  viewFromPeer: { number: 413, level: 'info', text: 'What the key-value service holds was learned from another node.', remedy: 'none; check the service if it lasts.' },
+  collectorChosen: { number: 414, level: 'info', text: 'This node goes by the sums of another collector of reports, or collects them itself.', remedy: 'none; if it repeats, check the network between both nodes.' }
 } satisfies Record<string, EventEntry>
--- /dev/null
+++ b/src/core/node-reports/codec.ts
@@ -0,0 +1,89 @@
+/** Datagrams of the exchange: short CBOR arrays, because each should fit one packet. */
+import { decode, encode } from 'cbor-x'
+import { toId } from '../ids/index.ts'
+import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
+import type { Activity, NodeDigest, NodeReport } from './types.ts'
+
+type WireActivity = [quota: Array<[string, number, number]>, loads: Array<[string, number, number]>, prefixes: Array<[string, string[]]>]
+type WireChange = [key: string, value: string | null | 0, modRevision: number]
+type WireReport = ['report', string, string, number, boolean, boolean, number, WireActivity, Array<[number, Array<[string, number]>]>, Array<[string, number]>, unknown]
+type WireDigest = ['digest', string, string, boolean, number, number, number, WireChange[] | null, WireActivity]
+
+/** Value of a change whose own value is too large for a datagram. */
+const leftOut = 0
+/** Reachability of a collector that the key-value service doesn't answer. */
+const unreachable = -1
+
+function encodeActivity ({ quotaTaken, loads, prefixes }: Activity): WireActivity {
+  return [
+    [...quotaTaken].map(([team, { quota, tolerance }]) => [team, quota, tolerance]),
+    [...loads].map(([backend, load]) => [backend, load.requests, Math.round(load.pendingTokens)]),
+    prefixes.map(({ backend, hashes }) => [backend, hashes])
+  ]
+}
+
+function decodeActivity ([quota, loads, prefixes]: WireActivity): Activity {
+  return {
+    quotaTaken: new Map(quota.map(([team, fromQuota, tolerance]) => [toId<TeamId>(team), { quota: fromQuota, tolerance }])),
+    loads: new Map(loads.map(([backend, requests, pendingTokens]) => [toId<BackendId>(backend), { requests, pendingTokens }])),
+    prefixes: prefixes.map(([backend, hashes]) => ({ backend: toId<BackendId>(backend), hashes }))
+  }
+}
+
+export function encodeReport (report: NodeReport): Buffer {
+  const { node, life, sequence, isDraining, wantsDigest, revision, usage, workMs, evidence } = report
+  const message: WireReport = [
+    'report', node, life, sequence, isDraining, wantsDigest, revision, encodeActivity(report),
+    [...usage].map(([window, counts]) => [window, [...counts]]),
+    [...workMs].map(([service, sumMs]) => [service, Math.round(sumMs)]),
+    evidence
+  ]
+  return encode(message)
+}
+
+export function encodeDigest (digest: NodeDigest): Buffer {
+  const { node, life, isDraining, nodes, word } = digest
+  const changes = word.changes?.map(({ key, value, isLeftOut, modRevision }): WireChange => [key, isLeftOut === true ? leftOut : value ?? null, modRevision])
+  const message: WireDigest = ['digest', node, life, isDraining, nodes, word.revision, word.reachableForMs ?? unreachable, changes ?? null, encodeActivity(digest)]
+  return encode(message)
+}
+
+function decodeReport ([, node, life, sequence, isDraining, wantsDigest, revision, activity, usage, workMs, evidence]: WireReport): NodeReport {
+  return {
+    node: toId<NodeId>(node),
+    life,
+    sequence,
+    isDraining,
+    wantsDigest,
+    revision,
+    ...decodeActivity(activity),
+    usage: new Map(usage.map(([window, counts]) => [window, new Map(counts.map(([team, count]) => [toId<TeamId>(team), count]))])),
+    workMs: new Map(workMs),
+    evidence
+  }
+}
+
+function decodeDigest ([, node, life, isDraining, nodes, revision, reachableForMs, changes, activity]: WireDigest): NodeDigest {
+  return {
+    node: toId<NodeId>(node),
+    life,
+    isDraining,
+    nodes,
+    word: {
+      revision,
+      reachableForMs: reachableForMs === unreachable ? undefined : reachableForMs,
+      changes: changes?.map(([key, value, modRevision]) => ({
+        key, value: typeof value === 'string' ? value : undefined, modRevision, ...(value === leftOut ? { isLeftOut: true } : {})
+      }))
+    },
+    ...decodeActivity(activity)
+  }
+}
+
+/** Decodes a datagram; throws on one that is neither a report nor a digest. */
+export function decodeMessage (bytes: Buffer): { report: NodeReport } | { digest: NodeDigest } {
+  const message = decode(bytes) as WireReport | WireDigest
+  if (message[0] === 'report') return { report: decodeReport(message) }
+  if (message[0] === 'digest') return { digest: decodeDigest(message) }
+  throw new Error('neither a report nor a digest')
+}
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -1,17 +1,24 @@
 /**
  * Reports between nodes over UDP. Each report stands by itself, so a lost one
- * costs nothing but its age, and no connection can go silent.
+ * costs nothing but its age, and no connection can go silent. In a large fleet
+ * reports go to collectors, which answer with digests.
  */
 import { createSocket } from 'node:dgram'
-import { decode, encode } from 'cbor-x'
-import { toId } from '../ids/index.ts'
+import { createCollectors } from './collectors.ts'
+import { decodeMessage, encodeDigest, encodeReport } from './codec.ts'
+import { createSums } from './sums.ts'
+import type { RemoteInfo } from 'node:dgram'
 import type { Clock } from '../clock/index.ts'
-import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
+import type { NodeId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
-import type { NodeAddress, NodeReport } from './types.ts'
+import type { ViewWord } from '../store-view/index.ts'
+import type { CollectorChoice } from './collectors.ts'
+import type { Activity, NodeAddress, NodeDigest, NodeReport } from './types.ts'
 
 export type * from './types.ts'
+export { createCollectors } from './collectors.ts'
+export { createSums } from './sums.ts'
 export { askViews, serveView } from './view-server.ts'
 
 /** Options of the exchange. */
@@ -22,69 +29,52 @@
   clock: Clock
   log: Log
   metrics: Metrics
+  /** A number in [0, 1) for a text, the same in every node. */
+  draw: (text: string) => number
   /** The other nodes as registered. */
   peers: () => NodeAddress[]
+  /** The node whose duties need every report. */
+  dutyHolder: () => NodeId | undefined
   /** This node's report, without its numbering. */
-  collect: () => Omit<NodeReport, 'node' | 'life' | 'sequence'>
+  collect: () => Omit<NodeReport, 'node' | 'life' | 'sequence' | 'wantsDigest'>
+  /** What another node said of itself. */
   onReport: (report: NodeReport) => void
-  /** No report came from a node for `silentAfterMs`. */
-  onSilent: (node: NodeId) => void
+  /** What others do: one node by its own word, or all other nodes by a collector's; `isFirst` when its totals hold what was counted before. */
+  onActivity: (source: NodeId, life: string, activity: Activity, isFirst: boolean) => void
+  /** A source of activity is no longer heard or followed. */
+  onSilent: (source: NodeId) => void
+  /** What a collector tells of the key-value service to a node that knows it up to a revision. */
+  wordAfter: (revision: number) => ViewWord
+  onWord: (word: ViewWord) => void
   life: string
 }
 
 /** A running exchange. */
 export interface NodeReports {
   start: () => Promise<void>
-  /** Nodes that were heard lately. */
+  /** Nodes that report to this one. */
   heard: () => NodeId[]
+  /** Nodes whose activity is known here, this one left out. */
+  heardCount: () => number
   /** The last report of a node that was heard lately. */
   last: (node: NodeId) => NodeReport | undefined
+  /** Whether this node hears all others, as far as they can be heard. */
+  isCollector: () => boolean
+  /** Whether a collector that the key-value service answers has told lately what it holds. */
+  isTold: () => boolean
   /** Sends a report now, such as before a stop. */
   tell: () => void
   close: () => void
 }
 
 /** Interval between reports in a small fleet; bounds the age of what others know. */
-const minIntervalMs = 200
-/** Interval added for each node, so that the reports that one node takes in stay bounded. */
-const intervalPerNodeMs = 12
+const allPairsIntervalMs = 200
+/** Interval between reports to collectors, so that one with a third of a core keeps up with hundreds of nodes. */
+const collectedIntervalMs = 300
 /** Intervals without a report after which a node counts as silent; some datagrams are lost. */
 const silentIntervals = 7
-
-/** Wire form: short arrays, because a report should fit one datagram. */
-type Encoded = [string, string, number, 0 | 1, number, 0 | 1, Array<[string, number, number]>, Array<[string, number, number]>, Array<[number, Array<[string, number]>]>, Array<[string, number]>, Array<[string, string[]]>, unknown]
-
-function encodeReport (report: NodeReport): Buffer {
-  const { node, life, sequence, isDraining, revision, reachesStore, quotaTaken, loads, usage, workMs, prefixes, evidence } = report
-  const message: Encoded = [
-    node, life, sequence, isDraining ? 1 : 0, revision, reachesStore ? 1 : 0,
-    [...quotaTaken].map(([team, { quota, tolerance }]) => [team, quota, tolerance]),
-    [...loads].map(([backend, load]) => [backend, load.requests, Math.round(load.pendingTokens)]),
-    [...usage].map(([window, counts]) => [window, [...counts]]),
-    [...workMs].map(([service, sumMs]) => [service, Math.round(sumMs)]),
-    prefixes.map(({ backend, hashes }) => [backend, hashes]),
-    evidence
-  ]
-  return encode(message)
-}
-
-function decodeReport (bytes: Buffer): NodeReport {
-  const [node, life, sequence, draining, revision, reaches, quotaTaken, loads, usage, workMs, prefixes, evidence] = decode(bytes) as Encoded
-  return {
-    node: toId<NodeId>(node),
-    life,
-    sequence,
-    isDraining: draining === 1,
-    revision,
-    reachesStore: reaches === 1,
-    quotaTaken: new Map(quotaTaken.map(([team, quota, tolerance]) => [toId<TeamId>(team), { quota, tolerance }])),
-    loads: new Map(loads.map(([backend, requests, pendingTokens]) => [toId<BackendId>(backend), { requests, pendingTokens }])),
-    usage: new Map(usage.map(([window, counts]) => [window, new Map(counts.map(([team, count]) => [toId<TeamId>(team), count]))])),
-    workMs: new Map(workMs),
-    prefixes: prefixes.map(([backend, hashes]) => ({ backend: toId<BackendId>(backend), hashes })),
-    evidence
-  }
-}
+/** Age up to which a collector's word of the key-value service spares a watch of one's own; some of its intervals. */
+const maxWordAgeMs = 2_000
 
 /** Creates the exchange; `start` binds its port. */
 export function createNodeReports (options: NodeReportsOptions): NodeReports {
@@ -92,38 +82,98 @@
   const socket = createSocket('udp4')
   const closed = new AbortController()
   const known = new Map<NodeId, { report: NodeReport, heardAtMs: number }>()
+  const collectors = createCollectors({ node, clock, draw: options.draw })
+  const sums = createSums(clock)
+  let choice: CollectorChoice = collectors.choose([], undefined)
+  let digest: { nodes: number, heardAtMs: number } | undefined
+  let wordAtMs = -Infinity
+  /** Sources whose totals were taken in since the choice changed. */
+  const counted = new Set<NodeId>()
   let sequence = 0
-  let intervalMs = minIntervalMs
+  let intervalMs = allPairsIntervalMs
+
+  function send (bytes: Buffer, port: number, host: string): void {
+    socket.send(bytes, port, host, error => {
+      if (error !== null) metrics.count('node_reports_unsent_total')
+    })
+  }
+
+  /** Activity that was known by the former choice no longer counts. */
+  function follow (next: CollectorChoice): void {
+    const before = choice.followed
+    choice = next
+    if (before === next.followed) return
+    log('collectorChosen', { collector: next.followed ?? node, before: before ?? node, heard: known.size })
+    digest = undefined
+    counted.clear()
+    for (const source of before === undefined ? known.keys() : [before]) options.onSilent(source)
+  }
 
   function tell (): void {
     const peers = options.peers()
-    intervalMs = Math.max(minIntervalMs, intervalPerNodeMs * peers.length)
+    const holder = options.dutyHolder()
+    follow(collectors.choose(peers.map(peer => peer.node), holder === node ? undefined : holder))
+    intervalMs = choice.isLarge ? collectedIntervalMs : allPairsIntervalMs
     sequence += 1
-    const bytes = encodeReport({ ...options.collect(), node, life, sequence })
-    for (const { host, reportPort } of peers) {
-      socket.send(bytes, reportPort, host, error => {
-        if (error !== null) metrics.count('node_reports_unsent_total')
-      })
+    const report: NodeReport = { ...options.collect(), node, life, sequence, wantsDigest: choice.isLarge }
+    const targets = new Set([...choice.always, ...(sequence % 2 === 0 ? choice.sometimes : [])])
+    if (choice.isLarge) sums.record(node, life, report)
+    if (targets.size === 0) return
+    const bytes = encodeReport(report)
+    for (const { node: peer, host, reportPort } of peers) {
+      if (!targets.has(peer)) continue
+      if (choice.isLarge) collectors.asked(peer)
+      send(bytes, reportPort, host)
     }
   }
 
+  function takeActivity (source: NodeId, sourceLife: string, activity: Activity): void {
+    const isFirst = choice.isLarge && !counted.has(source)
+    counted.add(source)
+    options.onActivity(source, sourceLife, activity, isFirst)
+  }
+
   function isStale (report: NodeReport): boolean {
     const before = known.get(report.node)?.report
     return before !== undefined && before.life === report.life && before.sequence >= report.sequence
   }
 
-  function receive (bytes: Buffer): void {
-    let report: NodeReport
-    try {
-      report = decodeReport(bytes)
-    } catch (error) {
-      metrics.count('node_reports_unreadable_total')
-      return log('nodeReportUnreadable', { cause: (error as Error).message, sizeBytes: bytes.length })
-    }
+  function takeReport (report: NodeReport, from: RemoteInfo): void {
     if (report.node === node || isStale(report)) return
     if (!known.has(report.node)) log('nodeHeard', { peer: report.node, life: report.life })
     known.set(report.node, { report, heardAtMs: clock.monotonicMs() })
     options.onReport(report)
+    if (choice.followed === undefined) takeActivity(report.node, report.life, report)
+    if (!report.wantsDigest) return
+    sums.record(report.node, report.life, report)
+    send(encodeDigest({
+      node,
+      life,
+      isDraining: options.collect().isDraining,
+      nodes: sums.countOthers(report.node),
+      word: options.wordAfter(report.revision),
+      ...sums.others(report.node)
+    }), from.port, from.address)
+  }
+
+  function takeDigest (received: NodeDigest): void {
+    collectors.answered(received.node, received.isDraining)
+    if (received.word.reachableForMs !== undefined) wordAtMs = clock.monotonicMs()
+    options.onWord(received.word)
+    if (received.node !== choice.followed) return
+    digest = { nodes: received.nodes, heardAtMs: clock.monotonicMs() }
+    takeActivity(received.node, received.life, received)
+  }
+
+  function receive (bytes: Buffer, from: RemoteInfo): void {
+    try {
+      const message = decodeMessage(bytes)
+      if ('report' in message) takeReport(message.report, from)
+      else takeDigest(message.digest)
+    } catch (error) {
+      metrics.count('node_reports_unreadable_total')
+      log('nodeReportUnreadable', { cause: (error as Error).message, sizeBytes: bytes.length })
+    }
   }
 
   function dropSilent (): void {
@@ -131,9 +181,11 @@
     for (const [peer, { heardAtMs }] of known) {
       if (heardAtMs >= oldestAtMs) continue
       known.delete(peer)
+      sums.forget(peer)
       log('nodeSilent', { peer, silentMs: Math.round(clock.monotonicMs() - heardAtMs) })
-      options.onSilent(peer)
+      if (choice.followed === undefined) options.onSilent(peer)
     }
+    if (digest !== undefined && digest.heardAtMs < oldestAtMs) digest = undefined
   }
 
   async function run (): Promise<void> {
@@ -156,7 +208,10 @@
       })
     }),
     heard: () => [...known.keys()],
+    heardCount: () => choice.followed === undefined ? known.size : digest?.nodes ?? 0,
     last: peer => known.get(peer)?.report,
+    isCollector: () => choice.isCollector,
+    isTold: () => choice.isLarge && !choice.isCollector && clock.monotonicMs() - wordAtMs <= maxWordAgeMs,
     tell,
     close: () => {
       closed.abort()
--- a/src/core/quota/index.ts
+++ b/src/core/quota/index.ts
@@ -34,6 +34,8 @@
   taken: () => ReadonlyMap<TeamId, QuotaTaken>
   /** What another node has taken in a life of its own. */
   peerTaken: (from: NodeId, life: string, taken: ReadonlyMap<TeamId, QuotaTaken>) => void
+  /** What another node, or several together, took before they were first heard of here; it isn't counted. */
+  peerTakenBefore: (from: NodeId, life: string, taken: ReadonlyMap<TeamId, QuotaTaken>) => void
   /** What a refusal rests on. */
   explain: (team: TeamId) => Record<string, unknown>
 }
@@ -114,6 +116,7 @@
 
   function peerTaken (from: NodeId, life: string, taken: ReadonlyMap<TeamId, QuotaTaken>): void {
     const before = peers.get(from)
+    peers.set(from, { life, taken })
     for (const [team, { quota, tolerance }] of taken) {
       const known = before?.life === life ? before.taken.get(team) : undefined
       const bucket = buckets.get(team)
@@ -122,13 +125,13 @@
       bucket.level -= quota - (known?.quota ?? 0)
       bucket.toleranceLevel -= tolerance - (known?.tolerance ?? 0)
     }
-    peers.set(from, { life, taken })
   }
 
   return {
     take,
     taken: () => own,
     peerTaken,
+    peerTakenBefore: (from, life, taken) => { peers.set(from, { life, taken }) },
     explain: team => {
       const bucket = buckets.get(team)
       if (bucket === undefined) return {}
--- a/src/core/store-view/index.ts
+++ b/src/core/store-view/index.ts
@@ -1,21 +1,27 @@
 /**
- * Follows the key-value service by one list and then a watch. While the
- * service doesn't answer this node, other nodes are asked for what they know.
- * The view's revision never goes back.
+ * Follows the key-value service by one list and then a watch, or by the word of
+ * other nodes that watch it. While the service doesn't answer this node, other
+ * nodes are asked for what they know. The view's revision never goes back.
  */
 import type { KeyValueChange, KeyValueError, Watch } from '../platform/key-value/types.ts'
-import type { Snapshot, StoreView, StoreViewOptions, ViewChange, ViewEntry, ViewSource } from './types.ts'
+import { createHistory } from './history.ts'
+import type { Snapshot, StoreView, StoreViewOptions, ToldChange, ViewChange, ViewEntry, ViewSource, ViewWord } from './types.ts'
 
 export type * from './types.ts'
 
 /** Longest time of one list; several times a usual answer of a service that is slow. */
 const listTimeoutMs = 1_500
 /** Pause before the service is asked again after a failure. */
-const retryPauseMs = 250
+const defaultRetryPauseMs = 250
+/** Pause between looks whether other nodes still tell what changes. */
+const toldPollMs = 100
+/** Longest time of one read of a value that was left out. */
+const readTimeoutMs = 800
 
 /** Creates a view; nothing is asked before `start`. */
 export function createStoreView (options: StoreViewOptions): StoreView {
-  const { store, clock, log } = options
+  const { store, clock, log, isTold = () => false } = options
+  const history = createHistory()
   const closed = new AbortController()
   const listeners: Array<(changes: readonly ViewChange[]) => void> = []
   let entries = new Map<string, ViewEntry>()
@@ -25,6 +31,11 @@
   let reachableSinceMs: number | undefined
   let hasFailed = false
   let watch: Watch | undefined
+  let isReading = false
+  /** Whether the service itself is followed now, not other nodes. */
+  let isWatching = false
+  /** Whether changes alone don't suffice: nothing is known yet, or some of them were missed. */
+  let mustList = true
   let hasContent: () => void = () => {}
   const firstContent = new Promise<void>(resolve => { hasContent = resolve })
 
@@ -33,13 +44,16 @@
     for (const listener of listeners) listener(changes)
   }
 
+  function reached (forMs: number): void {
+    if (reachableSinceMs !== undefined) return
+    reachableSinceMs = clock.monotonicMs() - forMs
+    log('keyValueUp', { revision, from: source })
+  }
+
   function heard (from: ViewSource): void {
     heardAtMs = clock.monotonicMs()
-    if (from === 'store' && reachableSinceMs === undefined) {
-      reachableSinceMs = heardAtMs
-      log('keyValueUp', { revision })
-    }
     source = from
+    if (from === 'store') reached(0)
     hasContent()
   }
 
@@ -61,32 +75,92 @@
     }
     entries = new Map(snapshot.entries)
     revision = snapshot.revision
+    history.restart(revision)
+    mustList = false
     heard(from)
     tell(changes)
   }
 
-  function apply (changes: readonly KeyValueChange[], newRevision: number): void {
-    const newer = changes.filter(change => change.modRevision > (entries.get(change.key)?.modRevision ?? 0))
+  function apply (changes: readonly KeyValueChange[], newRevision: number, from: ViewSource): void {
+    // What others told may be ahead of the watch, and a watch may be ahead of what others tell.
+    const newer = changes.filter(change => change.modRevision > revision && change.modRevision > (entries.get(change.key)?.modRevision ?? 0))
     for (const { key, value, modRevision } of newer) {
       if (value === undefined) entries.delete(key)
       else entries.set(key, { value, modRevision })
     }
     revision = Math.max(revision, newRevision)
-    heard('store')
+    history.add(newer)
+    heard(from)
     tell(newer)
   }
 
-  /** Watches until the watch is lost; resolves with the reason. */
-  function follow (): Promise<KeyValueError> {
-    return new Promise(resolve => {
-      watch = store.watch('', revision, { onChanges: apply, onLost: resolve })
-    })
+  /** Watches until the watch is lost; resolves with the reason, or with nothing once others tell what changes. */
+  function follow (): Promise<KeyValueError | undefined> {
+    isWatching = true
+    return new Promise<KeyValueError | undefined>(resolve => {
+      const opened = store.watch('', revision, {
+        onChanges: (changes, newRevision) => {
+          apply(changes, newRevision, 'store')
+          if (!isTold()) return
+          opened.close()
+          resolve(undefined)
+        },
+        onLost: resolve
+      })
+      watch = opened
+    }).finally(() => { isWatching = false })
+  }
+
+  /** Reads the values that were left out; undefined when one can't be read. */
+  async function complete (changes: readonly ToldChange[]): Promise<ViewChange[] | undefined> {
+    const whole: ViewChange[] = []
+    for (const change of changes) {
+      if (change.isLeftOut !== true) {
+        whole.push(change)
+        continue
+      }
+      const read = await store.get(change.key, { deadlineAtMs: clock.wallMs() + readTimeoutMs })
+      if (read.isErr) return undefined
+      const { entry } = read.value
+      whole.push({ key: change.key, value: entry?.value, modRevision: entry?.modRevision ?? change.modRevision })
+    }
+    return whole
+  }
+
+  async function takeLargeWord ({ changes = [], revision: newRevision }: ViewWord): Promise<void> {
+    if (isReading) return
+    isReading = true
+    const whole = await complete(changes)
+    if (whole !== undefined) apply(whole, newRevision, 'peer')
+    else await askPeers()
+    isReading = false
+  }
+
+  function takeWord (word: ViewWord): void {
+    const isComplete = !mustList && word.changes !== undefined
+    if (word.revision > revision && isComplete) {
+      if (word.changes?.some(({ isLeftOut }) => isLeftOut) === true) takeLargeWord(word)
+      else apply(word.changes ?? [], word.revision, 'peer')
+    }
+    if (word.revision > revision && word.changes === undefined && !isWatching) mustList = true
+    if (word.reachableForMs === undefined || mustList) return
+    reached(word.reachableForMs)
+    heardAtMs = clock.monotonicMs()
+  }
+
+  function wordAfter (known: number): ViewWord {
+    return {
+      revision,
+      reachableForMs: isWatching && reachableSinceMs !== undefined ? clock.monotonicMs() - reachableSinceMs : undefined,
+      changes: known >= revision ? [] : history.after(known)
+    }
   }
 
   async function listAll (): Promise<KeyValueError | undefined> {
     const listed = await store.list('', { deadlineAtMs: clock.wallMs() + listTimeoutMs })
     if (listed.isErr) return listed.error
     // A list that is older than what a peer told says nothing new.
+    mustList = false
     if (listed.value.revision < revision) return undefined
     const listedEntries = new Map(listed.value.entries.map(({ key, value, modRevision }) => [key, { value, modRevision }]))
     replace({ revision: listed.value.revision, entries: listedEntries }, 'store')
@@ -99,19 +173,23 @@
   }
 
   async function run (): Promise<void> {
-    let mustList = true
     while (!closed.signal.aborted) {
-      const failure: KeyValueError = (mustList ? await listAll() : undefined) ?? await follow()
+      if (!mustList && isTold()) {
+        await clock.sleep(toldPollMs, closed.signal)
+        continue
+      }
+      const failure = (mustList ? await listAll() : undefined) ?? await follow()
       if (closed.signal.aborted) return
+      if (failure === undefined) continue
       // Only a history that is gone needs a new list; a broken connection is taken up where it ended.
-      mustList = mustList || failure.kind === 'KeyValueRejected' || reachableSinceMs === undefined
       if (failure.kind === 'KeyValueRejected') {
+        mustList = true
         log('storeHistoryLost', { revision, cause: failure.message })
         continue
       }
       lost(failure)
       await askPeers()
-      await clock.sleep(retryPauseMs, closed.signal)
+      await clock.sleep(options.retryPauseMs?.() ?? defaultRetryPauseMs, closed.signal)
     }
   }
 
@@ -122,6 +200,8 @@
     source: () => source,
     reachableSinceMs: () => reachableSinceMs,
     heardAtMs: () => heardAtMs,
+    wordAfter,
+    takeWord,
     onChanges: listener => { listeners.push(listener) },
     start: () => {
       run()
--- a/src/core/store-view/types.ts
+++ b/src/core/store-view/types.ts
@@ -22,6 +22,20 @@
   modRevision: number
 }
 
+/** A change as another node tells it; a large value is left out and has to be read at the service. */
+export interface ToldChange extends ViewChange {
+  isLeftOut?: true
+}
+
+/** What another node tells of the service. */
+export interface ViewWord {
+  revision: number
+  /** Time for which the service has answered that node without a break; undefined while it doesn't. */
+  reachableForMs: number | undefined
+  /** What changed since the revision that was asked about; undefined when that is no longer known. */
+  changes: ToldChange[] | undefined
+}
+
 /** Where the view's latest content came from. */
 export type ViewSource = 'none' | 'store' | 'peer'
 
@@ -36,6 +50,10 @@
   reachableSinceMs: () => number | undefined
   /** Monotonic time of the last content from the service or a peer. */
   heardAtMs: () => number
+  /** What this node tells of the service to one that knows it up to a revision. */
+  wordAfter: (revision: number) => ViewWord
+  /** Takes in what another node tells. */
+  takeWord: (word: ViewWord) => void
   /** Called after each change, with all changes that came together. */
   onChanges: (listener: (changes: readonly ViewChange[]) => void) => void
   /** Starts to follow; resolves when the first content is there. */
@@ -50,4 +68,8 @@
   log: Log
   /** Asks other nodes for what they know when the service doesn't answer; undefined when none knows more. */
   askPeers: (afterRevision: number) => Promise<Snapshot | undefined>
+  /** Whether other nodes tell what changes often enough that this one needn't watch the service itself. */
+  isTold?: () => boolean
+  /** Pause before the service is asked again after a failure, in milliseconds. */
+  retryPauseMs?: () => number
 }
--- /dev/null
+++ b/test/node-reports/exchange.test.ts
@@ -0,0 +1,102 @@
+/** The exchange over UDP on loopback, with enough nodes that a few collect for all. */
+import test from 'ava'
+import { createSystemClock } from '../../src/core/clock/index.ts'
+import { toId } from '../../src/core/ids/index.ts'
+import { createMetrics } from '../../src/core/metrics/index.ts'
+import { createNodeReports } from '../../src/core/node-reports/index.ts'
+import type { ExecutionContext } from 'ava'
+import type { BackendId, NodeId, TeamId } from '../../src/core/ids/index.ts'
+import type { NodeReports } from '../../src/core/node-reports/index.ts'
+import type { ViewWord } from '../../src/core/store-view/index.ts'
+
+const clock = createSystemClock()
+const team = toId<TeamId>('agency')
+const engine = toId<BackendId>('i-1')
+const firstPort = 19_300
+const revision = 12
+const change = { key: 'servers/i-1', value: 'entry', modRevision: revision }
+
+interface Node {
+  id: NodeId
+  reports: NodeReports
+  /** What others have open at the one backend server, by source. */
+  open: Map<NodeId, number>
+  words: ViewWord[]
+}
+
+async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await clock.sleep(20)
+}
+
+async function startFleet (t: ExecutionContext, count: number): Promise<Node[]> {
+  const addresses = Array.from({ length: count }, (_, index) => ({
+    node: toId<NodeId>(`node-${String(index).padStart(2, '0')}`), host: '127.0.0.1', reportPort: firstPort + index, viewPort: 1
+  }))
+  const nodes: Node[] = addresses.map(({ node: id, reportPort }, index) => {
+    const open = new Map<NodeId, number>()
+    const words: ViewWord[] = []
+    let tokens = 0
+    const reports = createNodeReports({
+      host: '127.0.0.1',
+      port: reportPort,
+      node: id,
+      life: `life-${index}`,
+      clock,
+      log: () => {},
+      metrics: createMetrics(),
+      draw: text => Number(text.slice(-2)) / 100,
+      peers: () => addresses.filter(({ node }) => node !== id),
+      dutyHolder: () => undefined,
+      collect: () => {
+        tokens += 10
+        return {
+          isDraining: false,
+          revision: 10,
+          quotaTaken: new Map([[team, { quota: tokens, tolerance: 0 }]]),
+          loads: new Map([[engine, { requests: 1, pendingTokens: 50 }]]),
+          prefixes: [],
+          usage: new Map(),
+          workMs: new Map(),
+          evidence: undefined
+        }
+      },
+      onReport: () => {},
+      onActivity: (source, _life, { loads }) => { open.set(source, loads.get(engine)?.requests ?? 0) },
+      onSilent: source => { open.delete(source) },
+      wordAfter: () => ({ revision, reachableForMs: 5_000, changes: [change] }),
+      onWord: word => { words.push(word) }
+    })
+    return { id, reports, open, words }
+  })
+  await Promise.all(nodes.map(({ reports }) => reports.start()))
+  t.teardown(() => nodes.forEach(({ reports }) => reports.close()))
+  return nodes
+}
+
+const openElsewhere = ({ open }: Node): number => [...open.values()].reduce((sum, requests) => sum + requests, 0)
+
+test.serial('each node learns what all others do from one collector, and what the store holds', async t => {
+  const nodes = await startFleet(t, 24)
+  await until(() => nodes.every(node => openElsewhere(node) === 23))
+  t.deepEqual(nodes.map(({ reports }) => reports.isCollector()), nodes.map((_, index) => index < 2))
+  t.true(nodes.every(({ reports }) => reports.heardCount() === 23))
+  t.true(nodes.slice(2).every(({ open }) => open.size === 1))
+  t.deepEqual(nodes[9]?.words[0], { revision, reachableForMs: 5_000, changes: [change] })
+  t.true(nodes.slice(2).every(({ reports }) => reports.isTold()))
+  t.false(nodes[0]?.reports.isTold())
+})
+
+test.serial('when both collectors are gone, the others agree on new ones', async t => {
+  const nodes = await startFleet(t, 24)
+  await until(() => nodes.every(node => openElsewhere(node) === 23))
+  for (const { reports } of nodes.splice(0, 2)) reports.close()
+  await until(() => nodes.every(node => openElsewhere(node) === 21))
+  t.deepEqual(nodes.map(({ reports }) => reports.isCollector()), nodes.map((_, index) => index < 2))
+})
+
+test.serial('a small fleet needs no collector', async t => {
+  const nodes = await startFleet(t, 5)
+  await until(() => nodes.every(node => openElsewhere(node) === 4))
+  t.true(nodes.every(({ open, reports }) => open.size === 4 && reports.isCollector() && !reports.isTold()))
+  t.true(nodes.every(({ words }) => words.length === 0))
+})
--- a/test/store-view/store-view.test.ts
+++ b/test/store-view/store-view.test.ts
@@ -81,3 +81,56 @@
   t.deepEqual(await askViews([nowhere, here], 3, clock), snapshot)
   t.is(await askViews([nowhere, here], 5, clock), undefined)
 })
+
+/** A view that goes by another one's word for as long as `told` says so. */
+async function setUpTold (valueLength: number) {
+  const service = createMemoryKeyValue({ clock })
+  const writer = service.connect('writer')
+  const viewOf = (name: string, isTold: () => boolean) => {
+    const store = service.connect(name)
+    return { store, view: createStoreView({ store, clock, log: () => {}, askPeers: async () => undefined, isTold }) }
+  }
+  const collector = viewOf('collector', () => false)
+  const state = { isTold: true }
+  const follower = viewOf('follower', () => state.isTold)
+  await Promise.all([collector.view.start(), follower.view.start()])
+  const put = (key: string, value: string) => writer.transact({ compares: [], puts: [{ key, value: value.padEnd(valueLength, '.') }], deletes: [] }, generous())
+  const tell = () => follower.view.takeWord(collector.view.wordAfter(follower.view.snapshot().revision))
+  return { collector, follower, state, put, tell }
+}
+
+for (const [name, length] of [['a change', 1], ['a large change', 5_000]] as const) {
+  test(`${name} that another node tells is known without a watch`, async t => {
+    const { collector, follower, put, tell } = await setUpTold(length)
+    t.teardown(() => [collector, follower].forEach(({ view }) => view.close()))
+    await put('a', '1')
+    await until(() => collector.view.get('a') !== undefined)
+    tell()
+    await until(() => follower.view.get('a') !== undefined)
+    t.is(follower.view.get('a')?.value, collector.view.get('a')?.value)
+    t.is(follower.view.snapshot().revision, collector.view.snapshot().revision)
+  })
+}
+
+test('a view that is no longer told watches again and misses nothing', async t => {
+  const { collector, follower, state, put, tell } = await setUpTold(1)
+  t.teardown(() => [collector, follower].forEach(({ view }) => view.close()))
+  await put('a', '1')
+  await until(() => collector.view.get('a') !== undefined)
+  tell()
+  state.isTold = false
+  await put('b', '2')
+  await until(() => follower.view.get('b') !== undefined)
+  t.is(follower.view.get('a')?.value, '1')
+})
+
+test('a node that missed more than others still know lists the content', async t => {
+  const { collector, follower, state, put } = await setUpTold(1)
+  t.teardown(() => [collector, follower].forEach(({ view }) => view.close()))
+  await put('a', '1')
+  state.isTold = false
+  await until(() => collector.view.get('a') !== undefined)
+  follower.view.takeWord({ revision: collector.view.snapshot().revision, reachableForMs: 1, changes: undefined })
+  await until(() => follower.view.get('a') !== undefined)
+  t.pass()
+})
