--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -61,6 +61,8 @@
   nodes: () => number
   /** Largest share of a service's requests that a version on trial may get, 0 to 1. */
   maxShare: number
+  /** Requests beyond that share that it may get, over all nodes. */
+  shareSlack: number
 }
 
 /** The moves as one node lives them. */
@@ -79,6 +81,8 @@
 
 /** Part of the allowed share that is used; nodes draw by chance, and repeats add to it. */
 const usedShare = 0.7
+/** Part of the slack that nodes use; the rest is for attempts that are under way. */
+const usedSlack = 0.6
 /** Part of a move's time after which a version that showed nothing bad takes over. */
 const trialPart = 0.7
 /** Longest time kept before the deadline for writing the outcome through an outage. */
@@ -109,6 +113,9 @@
   trial: Trial
   seenAtMs: number
   isBad: boolean
+  /** Attempts of this node at the service since the move was seen, and those at the version on trial among them. */
+  attempts: number
+  trialAttempts: number
 }
 
 /** Creates the moves of a node. */
@@ -140,7 +147,7 @@
       onBrake: evidence => foundBad(order.service, evidence, node)
     })
     log('serviceMoveSeen', { service: order.service, target: order.target, durationMs: order.durationMs, revision: order.revision })
-    return { order, trial, seenAtMs: nowMs, isBad: false }
+    return { order, trial, seenAtMs: nowMs, isBad: false, attempts: 0, trialAttempts: 0 }
   }
 
   /** The move of a service's latest order. */
@@ -168,6 +175,12 @@
     return options.maxShare * usedShare * (order.durationMs <= shortMoveMs ? 2 : 1)
   }
 
+  /** Whether this node's part of what the version on trial may get is used up; draws alone may pass it by chance. */
+  function isUsedUp ({ attempts, trialAttempts }: Running): boolean {
+    const slack = options.shareSlack * usedSlack / Math.max(1, options.nodes())
+    return trialAttempts >= attempts * options.maxShare + slack
+  }
+
   function hasTime (move: Running): boolean {
     return clock.wallMs() < startOf(move) + move.order.durationMs
   }
@@ -202,13 +215,15 @@
     },
     shareOf: service => {
       const move = moveOf(service)
-      if (move === undefined || move.isBad || !hasTime(move)) return 0
+      if (move === undefined || move.isBad || !hasTime(move) || isUsedUp(move)) return 0
       const state = stateOf(move)
       return state === undefined || state === 'running' ? shareIn(move) : 0
     },
     record: (service, isTrial, evidence) => {
       const move = running.get(service)
       if (move === undefined) return
+      move.attempts += 1
+      if (isTrial) move.trialAttempts += 1
       const version = isTrial ? move.order.target : oldVersion
       move.trial.attempt({ ...evidence, version, team: service as TeamId }, shareIn(move), clock.wallMs())
     },
