Doubt a version only at ten times the old rate

The hold of the last change took 3 of 49 good moves past their deadline (`npm run moves --`: good done in time 49 before, 46 with it): three slow attempts among fifty at four times a rate of one in a hundred happen by chance. Four bad ones at ten times the rate are asked for now. Same command after: 49 of 49 good ones in time, 49 of 49 bad ones taken back, 2.8 % of the traffic at most before the badness showed (bound 5 %).

--- a/src/core/moves/judge.ts
+++ b/src/core/moves/judge.ts
@@ -7,9 +7,9 @@
 
 const kindsOfBadness = 3
 /** Bad attempts of the new version from which their rate is looked at. */
-const minDoubtfulBad = 3
-/** Times the old version's rate from which a version is doubtful; the least ratio that the tests look for. */
-const doubtfulRatio = 4
+const minDoubtfulBad = 4
+/** Times the old version's rate from which a version is doubtful: rare by chance among the few attempts of a move's end. */
+const doubtfulRatio = 10
 /** Epochs at which badness may begin, over the time of a move. */
 const epochsOfMove = 128
 
