Let nodes with a large link collect, and tell prefixes by what it carries

Ruled out: older loads (all pairs told each node once a second), fewer engines (about the same number). Links come from the settings; nodes are ranked by them first. A collector tells up to 64 prefixes, within a fifth of its link.

--- a/src/core/node-reports/collectors.ts
+++ b/src/core/node-reports/collectors.ts
@@ -7,10 +7,10 @@
  */
 import type { Clock } from '../clock/index.ts'
 import type { NodeId } from '../ids/index.ts'
+import type { RankedNode } from './types.ts'
 
 /** Options of the choice. */
-export interface CollectorsOptions {
-  node: NodeId
+export interface CollectorsOptions extends RankedNode {
   clock: Clock
   /** A number in [0, 1) for a text, the same in every node. */
   draw: (text: string) => number
@@ -33,7 +33,7 @@
 /** The choice over time. */
 export interface Collectors {
   /** Chooses among the other nodes; `duty` is the node whose duties need all reports, if known. */
-  choose: (others: readonly NodeId[], duty: NodeId | undefined) => CollectorChoice
+  choose: (others: readonly RankedNode[], duty: NodeId | undefined) => CollectorChoice
   /** A report that wants a digest went to a node. */
   asked: (node: NodeId) => void
   answered: (node: NodeId, isDraining: boolean) => void
@@ -43,6 +43,8 @@
 const maxAllPairs = 16
 /** Collectors: one whose sums count and one that stands by. */
 const collectorCount = 2
+/** Link from which more counts for nothing; several times what the digests of some hundred nodes take. */
+const enoughLinkMbps = 100
 /** Reports without an answer after which a collector counts as gone; one or two datagrams may be lost. */
 const maxUnanswered = 3
 /** Pause before a collector that didn't answer is tried again; the time in which a node restarts. */
@@ -55,7 +57,7 @@
 }
 
 /** Creates the choice; every node counts as answering until it fails to. */
-export function createCollectors ({ node, clock, draw }: CollectorsOptions): Collectors {
+export function createCollectors ({ node, linkMbps, clock, draw }: CollectorsOptions): Collectors {
   const known = new Map<NodeId, Answering>()
   const ranks = new Map<NodeId, number>()
 
@@ -65,6 +67,10 @@
     return rank
   }
 
+  function enoughOf (ranked: RankedNode): number {
+    return Math.min(enoughLinkMbps, ranked.linkMbps)
+  }
+
   function isAnswering (other: NodeId): boolean {
     const state = known.get(other)
     return state === undefined || (state.unanswered < maxUnanswered && !state.isDraining)
@@ -74,12 +80,12 @@
     return clock.monotonicMs() - (known.get(other)?.askedAtMs ?? -Infinity) >= retryPauseMs
   }
 
-  function choose (others: readonly NodeId[], duty: NodeId | undefined): CollectorChoice {
-    if (others.length < maxAllPairs) return { always: [...others], sometimes: [], followed: undefined, isCollector: true, isLarge: false }
-    const ranked = [node, ...others].sort((a, b) => rankOf(a) - rankOf(b))
+  function choose (others: readonly RankedNode[], duty: NodeId | undefined): CollectorChoice {
+    if (others.length < maxAllPairs) return { always: others.map(other => other.node), sometimes: [], followed: undefined, isCollector: true, isLarge: false }
+    const ranked = [{ node, linkMbps }, ...others].sort((a, b) => enoughOf(b) - enoughOf(a) || rankOf(a.node) - rankOf(b.node))
     const collectors: NodeId[] = []
     const sometimes: NodeId[] = []
-    for (const candidate of ranked) {
+    for (const { node: candidate } of ranked) {
       if (collectors.length === collectorCount) break
       if (candidate === node || isAnswering(candidate)) collectors.push(candidate)
       else if (isDueForRetry(candidate)) sometimes.push(candidate)
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -26,6 +26,8 @@
   host: string
   port: number
   node: NodeId
+  /** What this node's network link carries, in Mbit/s. */
+  linkMbps: number
   clock: Clock
   log: Log
   metrics: Metrics
@@ -76,14 +78,28 @@
 /** Age up to which a collector's word of the key-value service spares a watch of one's own; some of its intervals. */
 const maxWordAgeMs = 2_000
 
+/** Part of a collector's link that prefixes in digests may take; the rest is for callers. */
+const prefixLinkShare = 0.2
+/** Size of a prefix in a digest: an id and two hashes. */
+const prefixBytes = 75
+/** Most prefixes in one digest, so that it stays within a few packets. */
+const maxPrefixes = 64
+
+/** How many prefixes a collector may tell in each digest. */
+function maxPrefixesOf (linkMbps: number, nodes: number): number {
+  const bytesPerSecond = linkMbps * 1e6 / 8 * prefixLinkShare
+  const digestsPerSecond = Math.max(1, nodes) * 1_000 / collectedIntervalMs
+  return Math.min(maxPrefixes, Math.floor(bytesPerSecond / digestsPerSecond / prefixBytes))
+}
+
 /** Creates the exchange; `start` binds its port. */
 export function createNodeReports (options: NodeReportsOptions): NodeReports {
   const { clock, log, metrics, node, life } = options
   const socket = createSocket('udp4')
   const closed = new AbortController()
   const known = new Map<NodeId, { report: NodeReport, heardAtMs: number }>()
-  const collectors = createCollectors({ node, clock, draw: options.draw })
-  const sums = createSums(clock)
+  const collectors = createCollectors({ node, linkMbps: options.linkMbps, clock, draw: options.draw })
+  const sums = createSums({ clock, maxPrefixes: () => maxPrefixesOf(options.linkMbps, known.size) })
   let choice: CollectorChoice = collectors.choose([], undefined)
   let digest: { nodes: number, heardAtMs: number } | undefined
   let wordAtMs = -Infinity
@@ -112,7 +128,7 @@
   function tell (): void {
     const peers = options.peers()
     const holder = options.dutyHolder()
-    follow(collectors.choose(peers.map(peer => peer.node), holder === node ? undefined : holder))
+    follow(collectors.choose(peers, holder === node ? undefined : holder))
     intervalMs = choice.isLarge ? collectedIntervalMs : allPairsIntervalMs
     sequence += 1
     const report: NodeReport = { ...options.collect(), node, life, sequence, wantsDigest: choice.isLarge }
--- a/src/core/node-reports/sums.ts
+++ b/src/core/node-reports/sums.ts
@@ -19,10 +19,15 @@
 
 /** Time after which a prefix that is sent to the same backend server again is told again; half the time engines keep it. */
 const retoldPrefixMs = 10_000
-/** Most prefixes in one digest, so that it stays within a few packets. */
-const maxPrefixes = 24
 /** Prefixes that are kept for digests; those of several intervals. */
-const maxKeptPrefixes = 256
+const maxKeptPrefixes = 512
+
+/** Options of the sums. */
+export interface SumsOptions {
+  clock: Clock
+  /** Most prefixes in one answer. */
+  maxPrefixes: () => number
+}
 
 interface Reported {
   life: string
@@ -42,7 +47,7 @@
 }
 
 /** Creates empty sums. */
-export function createSums (clock: Clock): Sums {
+export function createSums ({ clock, maxPrefixes }: SumsOptions): Sums {
   const reported = new Map<NodeId, Reported>()
   const totalLoads = new Map<BackendId, PeerLoad>()
   const totalTaken = new Map<TeamId, QuotaTaken>()
@@ -116,7 +121,7 @@
     }
     const given = givenUpTo.get(node) ?? 0
     givenUpTo.set(node, prefixNumber)
-    const news = prefixes.filter(({ from, number }) => number > given && from !== node).slice(-maxPrefixes)
+    const news = prefixes.filter(({ from, number }) => number > given && from !== node).slice(-Math.max(1, maxPrefixes()))
     return { quotaTaken, loads, prefixes: news.map(({ backend, hashes }) => ({ backend, hashes })) }
   }
 
--- a/src/core/node-reports/types.ts
+++ b/src/core/node-reports/types.ts
@@ -45,9 +45,14 @@
   word: ViewWord
 }
 
-/** Where a node is reached. */
-export interface NodeAddress {
+/** A node and what its own network link carries, in Mbit/s. */
+export interface RankedNode {
   node: NodeId
+  linkMbps: number
+}
+
+/** Where a node is reached. */
+export interface NodeAddress extends RankedNode {
   host: string
   /** UDP port for reports. */
   reportPort: number
--- a/test/node-reports/collectors.test.ts
+++ b/test/node-reports/collectors.test.ts
@@ -7,7 +7,8 @@
 import type { Activity } from '../../src/core/node-reports/index.ts'
 
 const idOf = (index: number) => toId<NodeId>(`node-${String(index).padStart(2, '0')}`)
-const fleetOf = (count: number) => Array.from({ length: count }, (_, index) => idOf(index))
+const linkMbps = 10
+const fleetOf = (count: number) => Array.from({ length: count }, (_, index) => ({ node: idOf(index), linkMbps }))
 const drawByNumber = (text: string) => Number(text.slice(-2)) / 100
 const team = toId<TeamId>('agency')
 const engine = toId<BackendId>('i-1')
@@ -15,8 +16,8 @@
 function collectorsOf (index: number, count: number) {
   const clock = createManualClock()
   const node = idOf(index)
-  const others = fleetOf(count).filter(other => other !== node)
-  return { clock, others, collectors: createCollectors({ node, clock, draw: drawByNumber }) }
+  const others = fleetOf(count).filter(other => other.node !== node)
+  return { clock, others, collectors: createCollectors({ node, linkMbps, clock, draw: drawByNumber }) }
 }
 
 function activityOf (quota: number, requests: number, hashes: string[] = []): Activity {
@@ -30,7 +31,7 @@
 test('in a small fleet each node reports to every other', t => {
   const { others, collectors } = collectorsOf(3, 9)
   const choice = collectors.choose(others, undefined)
-  t.deepEqual(choice.always, others)
+  t.deepEqual(choice.always, others.map(({ node }) => node))
   t.is(choice.followed, undefined)
   t.true(choice.isCollector)
 })
@@ -47,6 +48,12 @@
   t.is(collectorsOf(0, 60).collectors.choose(fleetOf(60).slice(1), undefined).followed, undefined)
 })
 
+test('nodes with a large link collect before those with a small one', t => {
+  const { others, collectors } = collectorsOf(9, 60)
+  const mixed = others.map(({ node }, index) => ({ node, linkMbps: index >= 50 ? 140 : linkMbps }))
+  t.is(collectors.choose(mixed, undefined).followed, mixed[50]?.node)
+})
+
 test('a collector that does not answer is passed over, and tried again later', async t => {
   const { clock, others, collectors } = collectorsOf(9, 60)
   for (let count = 0; count < 3; count += 1) collectors.asked(idOf(0))
@@ -66,7 +73,7 @@
 })
 
 test('a node hears of all others but itself, whatever restarts and falls silent', t => {
-  const sums = createSums(createManualClock())
+  const sums = createSums({ clock: createManualClock(), maxPrefixes: () => 24 })
   for (const index of [0, 1, 2]) sums.record(idOf(index), 'first', activityOf(1_000, index))
   sums.record(idOf(1), 'first', activityOf(1_300, 1))
   sums.record(idOf(2), 'first', activityOf(1_050, 2))
@@ -85,7 +92,7 @@
 
 test('a prefix is told once to each node until it is old, and never to the one that sent it', async t => {
   const clock = createManualClock()
-  const sums = createSums(clock)
+  const sums = createSums({ clock, maxPrefixes: () => 24 })
   sums.record(idOf(1), 'first', activityOf(0, 1, ['a', 'b']))
   sums.record(idOf(1), 'first', activityOf(0, 1, ['a', 'b']))
   t.deepEqual(sums.others(idOf(2)).prefixes, [{ backend: engine, hashes: ['a', 'b'] }])
--- a/test/node-reports/exchange.test.ts
+++ b/test/node-reports/exchange.test.ts
@@ -30,7 +30,7 @@
 
 async function startFleet (t: ExecutionContext, count: number): Promise<Node[]> {
   const addresses = Array.from({ length: count }, (_, index) => ({
-    node: toId<NodeId>(`node-${String(index).padStart(2, '0')}`), host: '127.0.0.1', reportPort: firstPort + index, viewPort: 1
+    node: toId<NodeId>(`node-${String(index).padStart(2, '0')}`), linkMbps: 100, host: '127.0.0.1', reportPort: firstPort + index, viewPort: 1
   }))
   const nodes: Node[] = addresses.map(({ node: id, reportPort }, index) => {
     const open = new Map<NodeId, number>()
@@ -40,6 +40,7 @@
       host: '127.0.0.1',
       port: reportPort,
       node: id,
+      linkMbps: 100,
       life: `life-${index}`,
       clock,
       log: () => {},
