Order backend servers by a room that grows with the root of the load

Ruled out: scaling by the same share with a later target (bursts of the small fleets need their room); an estimate that is too high alone (it is, by about two after cold starts, but also where it is right 27 engines got 69). The room is now 3 roots of the load, closely 1.33, which gives the small fleets what they had at a load of 4.

--- a/test/fleet/counts.test.ts
+++ b/test/fleet/counts.test.ts
@@ -4,7 +4,7 @@
 import { ok, err } from 'true-myth/result'
 import { createManualClock } from '../../src/core/clock/index.ts'
 import { createError } from '../../src/core/errors/index.ts'
-import { createCountOrders, createWorkDemand, planCounts } from '../../src/core/fleet/index.ts'
+import { createCountOrders, createWorkDemand, planCounts, staffingOf } from '../../src/core/fleet/index.ts'
 import { toId } from '../../src/core/ids/index.ts'
 import { createSilentLog } from '../../src/core/log/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
@@ -139,3 +139,10 @@
   t.true((demand.busy() ?? 0) <= 2.8)
   t.true((demand.busy() ?? 0) >= 1.5)
 })
+
+test('the room for bursts grows slower than the load', t => {
+  t.is(staffingOf(0, 3), 0)
+  t.is(staffingOf(4, 3), 10)
+  t.is(staffingOf(36, 3), 54)
+  t.true(staffingOf(100, 3) < 10 * staffingOf(10, 3))
+})
