Add a fault soak of real node processes

Checked while it runs: own answers, "not run", at most once, planned stops, an end for every request, no older configuration, recovery within 15 s. Clocks of single processes aren't moved; Node.js offers no way from outside without a preload.

--- /dev/null
+++ b/bench/soak/checks.ts
@@ -0,0 +1,86 @@
+/** The promises, checked while the soak runs, from what callers and backend servers see. */
+
+/** How a caller's request ended. */
+export type CallEnd =
+  | { kind: 'answer', status: number, isFromBackend: boolean, body: string }
+  | { kind: 'refused' }
+  | { kind: 'cut', afterMs: number, hadBytes: boolean }
+  | { kind: 'no-end' }
+
+/** One request as its caller saw it. */
+export interface Call {
+  id: string
+  isRepeatable: boolean
+  /** Node and life of its process that it was sent to. */
+  node: string
+  life: number
+  /** Whether the node was killed or paused while the request was open. */
+  wasDisturbed: boolean
+  end: CallEnd
+}
+
+/** A promise that was broken. */
+export interface Broken {
+  promise: 'own-answer' | 'not-run' | 'at-most-once' | 'planned-stop' | 'an-end' | 'newest-configuration' | 'recovery'
+  detail: string
+}
+
+/** The checks of one run. */
+export interface Checks {
+  /** A backend server runs a request. */
+  onRun: (id: string) => void
+  onCall: (call: Call) => void
+  /** A node in one of its lives serves, or no longer knows, the route of a configuration. */
+  onConfiguration: (node: string, life: number, version: number, isServed: boolean) => void
+  onBroken: (broken: Broken) => void
+  /** Checks what is only known at the end. */
+  finish: () => { broken: Broken[], calls: Record<string, number> }
+}
+
+/** Time that a request was open before its connection ended without an answer, from which a planned stop has lost it. */
+const lostAfterMs = 100
+
+/** Creates the checks of one run. */
+export function createChecks (): Checks {
+  const runs = new Map<string, number>()
+  const broken: Broken[] = []
+  const calls: Record<string, number> = {}
+  const once = new Set<string>()
+  const saidNotRun = new Set<string>()
+  const newest = new Map<string, number>()
+
+  function judge ({ id, isRepeatable, node, wasDisturbed, end }: Call): void {
+    if (!isRepeatable) once.add(id)
+    if (end.kind === 'answer') {
+      if (end.isFromBackend && end.status === 200 && end.body !== id) broken.push({ promise: 'own-answer', detail: `${id} got "${end.body.slice(0, 80)}" from ${node}` })
+      if (!end.isFromBackend && end.status === 503) saidNotRun.add(id)
+    }
+    if (wasDisturbed) return
+    if (end.kind === 'cut' && !end.hadBytes && end.afterMs >= lostAfterMs) broken.push({ promise: 'planned-stop', detail: `${id} was lost by ${node} after ${end.afterMs} ms` })
+    if (end.kind === 'no-end') broken.push({ promise: 'an-end', detail: `${id} had no end at ${node}` })
+  }
+
+  return {
+    onRun: id => { runs.set(id, (runs.get(id) ?? 0) + 1) },
+    onCall: call => {
+      const label = call.end.kind === 'answer' ? String(call.end.status) : call.end.kind
+      calls[label] = (calls[label] ?? 0) + 1
+      judge(call)
+    },
+    onConfiguration: (node, life, version, isServed) => {
+      const key = `${node}/${life}`
+      const known = newest.get(key) ?? 0
+      if (isServed && version < known) broken.push({ promise: 'newest-configuration', detail: `${node} served version ${version} after ${known}` })
+      if (isServed) newest.set(key, Math.max(known, version))
+    },
+    onBroken: found => { broken.push(found) },
+    finish: () => {
+      for (const id of once) {
+        const count = runs.get(id) ?? 0
+        if (count > 1) broken.push({ promise: 'at-most-once', detail: `${id} ran ${count} times` })
+      }
+      for (const id of saidNotRun) if (runs.has(id)) broken.push({ promise: 'not-run', detail: `${id} ran, though its caller was told that it had not` })
+      return { broken, calls }
+    }
+  }
+}
