--- a/bench/measure/slopes/fit.ts
+++ b/bench/measure/slopes/fit.ts
@@ -6,6 +6,15 @@
   y: number
 }
 
+/** One measured dependence. */
+export interface Slope {
+  name: string
+  /** What grows. */
+  over: string
+  unit: string
+  points: Point[]
+}
+
 /** A line with how well it describes its points, 1 being exactly. */
 export interface Line {
   slope: number
--- a/bench/measure/slopes/in-process.ts
+++ b/bench/measure/slopes/in-process.ts
@@ -10,7 +10,7 @@
 import type { PromptHasher, Router } from '../../../src/core/routing/index.ts'
 import { createPrefixIndex } from '../../../src/core/routing/prefix-index.ts'
 import { cpuMicroseconds, retainedBytes } from './probe.ts'
-import type { Slope } from './index.ts'
+import type { Slope } from './fit.ts'
 
 const version = toId<VersionId>('v1')
 const team = toId<TeamId>('team-0')
--- a/bench/measure/slopes/index.ts
+++ b/bench/measure/slopes/index.ts
@@ -1,19 +1,9 @@
 /** What control costs as the sizes grow, each with its least-squares line. */
 import { mkdir, writeFile } from 'node:fs/promises'
 import { fitLine } from './fit.ts'
-import type { Point } from './fit.ts'
 import { inProcessSlopes } from './in-process.ts'
 import { nodeSlopes } from './node-process.ts'
 
-/** One measured dependence. */
-export interface Slope {
-  name: string
-  /** What grows. */
-  over: string
-  unit: string
-  points: Point[]
-}
-
 /** Options of the measurement. */
 export interface SlopeOptions {
   seed: number
--- a/bench/measure/slopes/node-process.ts
+++ b/bench/measure/slopes/node-process.ts
@@ -1,7 +1,7 @@
 /** Slopes of a real node's processor time and memory, read from its process. */
 import { createSystemClock } from '../../../src/core/clock/index.ts'
 import { createRandom } from '../../../src/core/random/index.ts'
-import type { Slope } from './index.ts'
+import type { Slope } from './fit.ts'
 import { startNodeDeployment } from './node-deployment.ts'
 import type { NodeDeployment } from './node-deployment.ts'
 
--- a/bench/measure/summary.ts
+++ b/bench/measure/summary.ts
@@ -3,7 +3,7 @@
 import type { RefusalReason, RetryReason } from '../../src/core/outcomes/index.ts'
 import { target } from './node.ts'
 import type { RequestRecord } from './node.ts'
-import type { TrialOptions } from './trial.ts'
+import type { TrialOptions } from './types.ts'
 
 /** Quantiles of a latency, in milliseconds. */
 export interface Quantiles {
--- a/bench/measure/sweep.ts
+++ b/bench/measure/sweep.ts
@@ -1,6 +1,6 @@
 /** The highest load at which a version meets the latency target, and what a request costs there. */
 import { runTrial } from './trial.ts'
-import type { TrialOptions } from './trial.ts'
+import type { TrialOptions } from './types.ts'
 import type { TrialSummary } from './summary.ts'
 
 /** Steps of the load, as multiples of the workload's base rate; each is a quarter above the one before. */
--- a/bench/soak/index.ts
+++ b/bench/soak/index.ts
@@ -48,6 +48,8 @@
   return minutes === undefined ? done < wholeNumber('seeds', values.seeds) : Date.now() < startAtMs + minutes * minuteMs
 }
 
+for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(1))
+
 for (let seed = firstSeed; goesOn(seed - firstSeed); seed += 1) {
   const { logs, ...result } = await runSoak({ seed, durationMs, nodeCount })
   const text = values.json ? JSON.stringify(result) : `seed ${seed}: ${result.faults.length} faults, ${JSON.stringify(result.calls)}, broken: ${JSON.stringify(result.broken)}`
--- a/src/core/settings/document.ts
+++ b/src/core/settings/document.ts
@@ -10,37 +10,7 @@
 import { createError } from '../errors/index.ts'
 import type { CyclamenError } from '../errors/index.ts'
 import { describeIssue } from './issues.ts'
-
-/** Where a field stands: keys and indexes from the root. */
-export type FieldPath = ReadonlyArray<string | number>
-
-/** One thing that is wrong with a file. */
-export interface Problem {
-  line: number
-  column: number
-  /** Field such as `peers.seeds[0].port`; empty for the whole file. */
-  field: string
-  /** What is wrong and what to write instead. */
-  text: string
-}
-
-/** A parsed file that can tell where its fields stand. */
-export interface SettingsDocument {
-  /** The file's value, or undefined when it isn't YAML. */
-  value: unknown
-  /** Problems of the YAML itself. */
-  problems: Problem[]
-  /** Line and column of a field's value, or of its key with `key`. */
-  position: (path: FieldPath, part?: 'key' | 'value') => { line: number, column: number }
-}
-
-/** Renders a path in the form that messages use. */
-export function fieldName (path: FieldPath): string {
-  return path
-    .map(part => typeof part === 'number' ? `[${part}]` : `.${part}`)
-    .join('')
-    .replace(/^\./, '')
-}
+import type { FieldPath, Problem, SettingsDocument } from './fields.ts'
 
 /** Offset of the nearest node of the file that holds the path. */
 function offsetOf (document: Document, path: FieldPath, part: 'key' | 'value'): number {
--- a/src/core/settings/issues.ts
+++ b/src/core/settings/issues.ts
@@ -1,8 +1,8 @@
 /** Turns what the schema library found into problems that name their remedy. */
 import { z } from 'zod'
 import { nearest } from '../nearest/index.ts'
-import { fieldName } from './document.ts'
-import type { FieldPath, Problem, SettingsDocument } from './document.ts'
+import { fieldName } from './fields.ts'
+import type { FieldPath, Problem, SettingsDocument } from './fields.ts'
 
 type Issue = z.core.$ZodIssue
 
--- a/src/core/settings/peer-key.ts
+++ b/src/core/settings/peer-key.ts
@@ -3,7 +3,7 @@
 import { dirname, resolve } from 'node:path'
 import { err, ok } from 'true-myth/result'
 import type { Result } from 'true-myth'
-import type { FieldPath } from './document.ts'
+import type { FieldPath } from './fields.ts'
 import { minPeerKeyLength } from './schema.ts'
 
 /** Name of the environment variable that holds the peer key; it goes before the file. */
--- a/src/core/usage/index.ts
+++ b/src/core/usage/index.ts
@@ -4,33 +4,18 @@
  */
 import type { Clock } from '../clock/index.ts'
 import type { NodeId, TeamId } from '../ids/index.ts'
+import type { Usage, WindowCounts } from './types.ts'
 
+export type * from './types.ts'
 export { createUsageReporter } from './reporter.ts'
 export type { UsageAnswer, UsageReporter } from './reporter.ts'
 
-/** Counts of one window. */
-export type WindowCounts = Map<TeamId, number>
-
 /** Options of the counts. */
 export interface UsageOptions {
   clock: Clock
   windowMs: number
 }
 
-/** Counts as one node knows them. */
-export interface Usage {
-  /** A request of a team began to run now. */
-  began: (team: TeamId) => void
-  /** Number of the window that a wall time falls into; window 0 began in 1970. */
-  windowOf: (wallMs: number) => number
-  /** This node's own counts of the latest windows. */
-  own: () => Map<number, WindowCounts>
-  /** Takes in what another node counted; replaces what it told in the same life. */
-  peer: (from: NodeId, life: string, windows: ReadonlyMap<number, ReadonlyMap<TeamId, number>>) => void
-  /** The sum over all nodes. */
-  total: (window: number) => WindowCounts
-}
-
 /** Windows that are kept and told, so that a new reporter can catch up. */
 const keptWindows = 5
 
--- a/src/core/usage/reporter.ts
+++ b/src/core/usage/reporter.ts
@@ -13,7 +13,7 @@
 import type { Metrics } from '../metrics/index.ts'
 import type { KeyValueStore } from '../platform/key-value/types.ts'
 import type { StoreView } from '../store-view/index.ts'
-import type { Usage, WindowCounts } from './index.ts'
+import type { Usage, WindowCounts } from './types.ts'
 
 /** What became of a sent report: taken, or refused because another holds the duty. */
 export type UsageAnswer = 'taken' | 'fenced'
