--- a/bench/soak/node-process.ts
+++ b/bench/soak/node-process.ts
@@ -48,9 +48,6 @@
   let isPaused = false
   let log: string[] = []
 
-  // A run that is broken off leaves no process behind.
-  process.on('exit', () => child?.kill('SIGKILL'))
-
   function signal (kind: NodeJS.Signals): void {
     child?.kill(kind)
   }
--- a/bench/soak/world.ts
+++ b/bench/soak/world.ts
@@ -91,6 +91,9 @@
       name, folder, callersPort: callers, readinessPort: readiness, settings: isFirstLife => nodeSettings(name, first, storeProxies[index]!.port, seeds, isFirstLife)
     })
   })
+  const killAll = (): void => nodes.forEach(node => node.kill())
+  // A run that is broken off leaves no process behind.
+  process.on('exit', killAll)
   for (const node of nodes) node.start()
   return {
     nodes,
@@ -100,7 +103,8 @@
     version: () => version,
     nextVersion,
     close: async () => {
-      for (const node of nodes) node.kill()
+      killAll()
+      process.off('exit', killAll)
       for (const close of [...closing, ...storeProxies.map(proxy => proxy.close), platform.close]) await close()
       rmSync(folder, { recursive: true, force: true })
     }
