Name what collectors pass on of the store by the usual terms

A delta of the view, applied by nodes that have missed it. No behaviour changes; test/node-reports, test/store-view and test/platform-adapter pass.

--- a/src/core/node-reports/codec.ts
+++ b/src/core/node-reports/codec.ts
@@ -42,9 +42,9 @@
 }
 
 export function encodeDigest (digest: NodeDigest): Buffer {
-  const { node, life, isDraining, nodes, word } = digest
-  const changes = word.changes?.map(({ key, value, isLeftOut, modRevision }): WireChange => [key, isLeftOut === true ? leftOut : value ?? null, modRevision])
-  const message: WireDigest = ['digest', node, life, isDraining, nodes, word.revision, word.reachableForMs ?? unreachable, changes ?? null, encodeActivity(digest)]
+  const { node, life, isDraining, nodes, delta } = digest
+  const changes = delta.changes?.map(({ key, value, isLeftOut, modRevision }): WireChange => [key, isLeftOut === true ? leftOut : value ?? null, modRevision])
+  const message: WireDigest = ['digest', node, life, isDraining, nodes, delta.revision, delta.reachableForMs ?? unreachable, changes ?? null, encodeActivity(digest)]
   return encode(message)
 }
 
@@ -69,7 +69,7 @@
     life,
     isDraining,
     nodes,
-    word: {
+    delta: {
       revision,
       reachableForMs: reachableForMs === unreachable ? undefined : reachableForMs,
       changes: changes?.map(([key, value, modRevision]) => ({
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -12,7 +12,7 @@
 import type { NodeId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
-import type { ViewWord } from '../store-view/index.ts'
+import type { ViewDelta } from '../store-view/index.ts'
 import type { CollectorChoice } from './collectors.ts'
 import type { Activity, NodeAddress, NodeDigest, NodeReport } from './types.ts'
 
@@ -41,13 +41,13 @@
   collect: () => Omit<NodeReport, 'node' | 'life' | 'sequence' | 'wantsDigest'>
   /** What another node said of itself. */
   onReport: (report: NodeReport) => void
-  /** What others do: one node by its own word, or all other nodes by a collector's; `isFirst` when its totals hold what was counted before. */
+  /** What others do: one node as it reports itself, or all other nodes as a collector sums them up; `isFirst` when its totals hold what was counted before. */
   onActivity: (source: NodeId, life: string, activity: Activity, isFirst: boolean) => void
   /** A source of activity is no longer heard or followed. */
   onSilent: (source: NodeId) => void
-  /** What a collector tells of the key-value service to a node that knows it up to a revision. */
-  wordAfter: (revision: number) => ViewWord
-  onWord: (word: ViewWord) => void
+  /** What a node that knows the key-value service up to a revision has missed. */
+  deltaAfter: (revision: number) => ViewDelta
+  onDelta: (delta: ViewDelta) => void
   life: string
 }
 
@@ -62,8 +62,8 @@
   last: (node: NodeId) => NodeReport | undefined
   /** Whether this node hears all others, as far as they can be heard. */
   isCollector: () => boolean
-  /** Whether a collector that the key-value service answers has told lately what it holds. */
-  isTold: () => boolean
+  /** Whether a collector that the key-value service answers has sent a digest lately. */
+  hasPeerUpdates: () => boolean
   /** Sends a report now, such as before a stop. */
   tell: () => void
   close: () => void
@@ -75,8 +75,8 @@
 const collectedIntervalMs = 300
 /** Intervals without a report after which a node counts as silent; some datagrams are lost. */
 const silentIntervals = 7
-/** Age up to which a collector's word of the key-value service spares a watch of one's own; some of its intervals. */
-const maxWordAgeMs = 2_000
+/** Age up to which a collector's digest stands in for a watch of one's own; some of its intervals. */
+const maxDeltaAgeMs = 2_000
 
 /** Part of a collector's link that prefixes in digests may take; the rest is for callers. */
 const prefixLinkShare = 0.2
@@ -102,7 +102,7 @@
   const sums = createSums({ clock, maxPrefixes: () => maxPrefixesOf(options.linkMbps, known.size) })
   let choice: CollectorChoice = collectors.choose([], undefined)
   let digest: { nodes: number, heardAtMs: number } | undefined
-  let wordAtMs = -Infinity
+  let deltaAtMs = -Infinity
   /** Sources whose totals were taken in since the choice changed. */
   const counted = new Set<NodeId>()
   let sequence = 0
@@ -167,15 +167,15 @@
       life,
       isDraining: options.collect().isDraining,
       nodes: sums.countOthers(report.node),
-      word: options.wordAfter(report.revision),
+      delta: options.deltaAfter(report.revision),
       ...sums.others(report.node)
     }), from.port, from.address)
   }
 
   function takeDigest (received: NodeDigest): void {
     collectors.answered(received.node, received.isDraining)
-    if (received.word.reachableForMs !== undefined) wordAtMs = clock.monotonicMs()
-    options.onWord(received.word)
+    if (received.delta.reachableForMs !== undefined) deltaAtMs = clock.monotonicMs()
+    options.onDelta(received.delta)
     if (received.node !== choice.followed) return
     digest = { nodes: received.nodes, heardAtMs: clock.monotonicMs() }
     takeActivity(received.node, received.life, received)
@@ -227,7 +227,7 @@
     heardCount: () => choice.followed === undefined ? known.size : digest?.nodes ?? 0,
     last: peer => known.get(peer)?.report,
     isCollector: () => choice.isCollector,
-    isTold: () => choice.isLarge && !choice.isCollector && clock.monotonicMs() - wordAtMs <= maxWordAgeMs,
+    hasPeerUpdates: () => choice.isLarge && !choice.isCollector && clock.monotonicMs() - deltaAtMs <= maxDeltaAgeMs,
     tell,
     close: () => {
       closed.abort()
--- a/src/core/node-reports/types.ts
+++ b/src/core/node-reports/types.ts
@@ -2,7 +2,7 @@
 import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
 import type { QuotaTaken } from '../quota/index.ts'
 import type { PeerLoad, PrefixUse } from '../routing/index.ts'
-import type { ViewWord } from '../store-view/index.ts'
+import type { ViewDelta } from '../store-view/index.ts'
 
 /** What one node, or several together, let in and have open at backend servers. */
 export interface Activity {
@@ -42,7 +42,7 @@
   /** Nodes that the sums hold, the collector included and the receiver left out. */
   nodes: number
   /** What changed in the key-value service since the revision that was reported. */
-  word: ViewWord
+  delta: ViewDelta
 }
 
 /** A node and what its own network link carries, in Mbit/s. */
--- a/src/core/store-view/history.ts
+++ b/src/core/store-view/history.ts
@@ -1,5 +1,5 @@
 /** The latest changes of a view, told to nodes that know an earlier revision. */
-import type { ToldChange, ViewChange } from './types.ts'
+import type { DeltaChange, ViewChange } from './types.ts'
 
 /** Changes as they came. */
 export interface History {
@@ -7,33 +7,33 @@
   /** Forgets all changes; the content was taken over whole at a revision. */
   restart: (revision: number) => void
   /** Changes after a revision, each key once; undefined when some of them are no longer kept. */
-  after: (revision: number) => ToldChange[] | undefined
+  after: (revision: number) => DeltaChange[] | undefined
 }
 
 /** Changes that are kept; those of some seconds in which all backend servers change. */
 const maxKept = 500
 /** Longest value that is told; a longer one costs a collector's link more than a read costs the service. */
-const maxToldChars = 700
+const maxInlineChars = 700
 /** Most characters told at once, so that a digest stays within a few packets. */
-const maxWordChars = 4_000
+const maxDeltaChars = 4_000
 
 /** Creates an empty history. */
 export function createHistory (): History {
   let changes: ViewChange[] = []
   let completeAfter = 0
 
-  function after (revision: number): ToldChange[] | undefined {
+  function after (revision: number): DeltaChange[] | undefined {
     if (revision < completeAfter) return undefined
-    const latest = new Map<string, ToldChange>()
+    const latest = new Map<string, DeltaChange>()
     let chars = 0
     for (const { key, value, modRevision } of changes) {
       if (modRevision <= revision) continue
-      const isLeftOut = (value?.length ?? 0) > maxToldChars
+      const isLeftOut = (value?.length ?? 0) > maxInlineChars
       chars += key.length + (isLeftOut ? 0 : value?.length ?? 0)
       latest.delete(key)
       latest.set(key, isLeftOut ? { key, value: undefined, modRevision, isLeftOut } : { key, value, modRevision })
     }
-    return chars > maxWordChars ? undefined : [...latest.values()]
+    return chars > maxDeltaChars ? undefined : [...latest.values()]
   }
 
   return {
--- a/src/core/store-view/index.ts
+++ b/src/core/store-view/index.ts
@@ -1,11 +1,11 @@
 /**
- * Follows the key-value service by one list and then a watch, or by the word of
- * other nodes that watch it. While the service doesn't answer this node, other
+ * Follows the key-value service by one list and then a watch, or by what
+ * other nodes that watch it report. While the service doesn't answer this node, other
  * nodes are asked for what they know. The view's revision never goes back.
  */
 import type { KeyValueChange, KeyValueError, Watch } from '../platform/key-value/types.ts'
 import { createHistory } from './history.ts'
-import type { Snapshot, StoreView, StoreViewOptions, ToldChange, ViewChange, ViewEntry, ViewSource, ViewWord } from './types.ts'
+import type { Snapshot, StoreView, StoreViewOptions, DeltaChange, ViewChange, ViewEntry, ViewSource, ViewDelta } from './types.ts'
 
 export type * from './types.ts'
 
@@ -14,13 +14,13 @@
 /** Pause before the service is asked again after a failure. */
 const defaultRetryPauseMs = 250
 /** Pause between looks whether other nodes still tell what changes. */
-const toldPollMs = 100
+const peerPollMs = 100
 /** Longest time of one read of a value that was left out. */
 const readTimeoutMs = 800
 
 /** Creates a view; nothing is asked before `start`. */
 export function createStoreView (options: StoreViewOptions): StoreView {
-  const { store, clock, log, isTold = () => false } = options
+  const { store, clock, log, hasPeerUpdates = () => false } = options
   const history = createHistory()
   const closed = new AbortController()
   const listeners: Array<(changes: readonly ViewChange[]) => void> = []
@@ -101,7 +101,7 @@
       const opened = store.watch('', revision, {
         onChanges: (changes, newRevision) => {
           apply(changes, newRevision, 'store')
-          if (!isTold()) return
+          if (!hasPeerUpdates()) return
           opened.close()
           resolve(undefined)
         },
@@ -112,7 +112,7 @@
   }
 
   /** Reads the values that were left out; undefined when one can't be read. */
-  async function complete (changes: readonly ToldChange[]): Promise<ViewChange[] | undefined> {
+  async function complete (changes: readonly DeltaChange[]): Promise<ViewChange[] | undefined> {
     const whole: ViewChange[] = []
     for (const change of changes) {
       if (change.isLeftOut !== true) {
@@ -127,7 +127,7 @@
     return whole
   }
 
-  async function takeLargeWord ({ changes = [], revision: newRevision }: ViewWord): Promise<void> {
+  async function applyLargeDelta ({ changes = [], revision: newRevision }: ViewDelta): Promise<void> {
     if (isReading) return
     isReading = true
     const whole = await complete(changes)
@@ -136,19 +136,19 @@
     isReading = false
   }
 
-  function takeWord (word: ViewWord): void {
-    const isComplete = !mustList && word.changes !== undefined
-    if (word.revision > revision && isComplete) {
-      if (word.changes?.some(({ isLeftOut }) => isLeftOut) === true) takeLargeWord(word)
-      else apply(word.changes ?? [], word.revision, 'peer')
+  function applyDelta (delta: ViewDelta): void {
+    const isComplete = !mustList && delta.changes !== undefined
+    if (delta.revision > revision && isComplete) {
+      if (delta.changes?.some(({ isLeftOut }) => isLeftOut) === true) applyLargeDelta(delta)
+      else apply(delta.changes ?? [], delta.revision, 'peer')
     }
-    if (word.revision > revision && word.changes === undefined && !isWatching) mustList = true
-    if (word.reachableForMs === undefined || mustList) return
-    reached(word.reachableForMs)
+    if (delta.revision > revision && delta.changes === undefined && !isWatching) mustList = true
+    if (delta.reachableForMs === undefined || mustList) return
+    reached(delta.reachableForMs)
     heardAtMs = clock.monotonicMs()
   }
 
-  function wordAfter (known: number): ViewWord {
+  function deltaAfter (known: number): ViewDelta {
     return {
       revision,
       reachableForMs: isWatching && reachableSinceMs !== undefined ? clock.monotonicMs() - reachableSinceMs : undefined,
@@ -174,8 +174,8 @@
 
   async function run (): Promise<void> {
     while (!closed.signal.aborted) {
-      if (!mustList && isTold()) {
-        await clock.sleep(toldPollMs, closed.signal)
+      if (!mustList && hasPeerUpdates()) {
+        await clock.sleep(peerPollMs, closed.signal)
         continue
       }
       const failure = (mustList ? await listAll() : undefined) ?? await follow()
@@ -200,8 +200,8 @@
     source: () => source,
     reachableSinceMs: () => reachableSinceMs,
     heardAtMs: () => heardAtMs,
-    wordAfter,
-    takeWord,
+    deltaAfter,
+    applyDelta,
     onChanges: listener => { listeners.push(listener) },
     start: () => {
       run()
--- a/src/core/store-view/types.ts
+++ b/src/core/store-view/types.ts
@@ -22,18 +22,18 @@
   modRevision: number
 }
 
-/** A change as another node tells it; a large value is left out and has to be read at the service. */
-export interface ToldChange extends ViewChange {
+/** A change as another node reports it; a large value is left out and has to be read at the service. */
+export interface DeltaChange extends ViewChange {
   isLeftOut?: true
 }
 
-/** What another node tells of the service. */
-export interface ViewWord {
+/** What changed at the service since a revision, as another node reports it. */
+export interface ViewDelta {
   revision: number
-  /** Time for which the service has answered that node without a break; undefined while it doesn't. */
+  /** Time for which the service has answered that node without a break, as clocks of nodes differ; undefined while it doesn't. */
   reachableForMs: number | undefined
   /** What changed since the revision that was asked about; undefined when that is no longer known. */
-  changes: ToldChange[] | undefined
+  changes: DeltaChange[] | undefined
 }
 
 /** Where the view's latest content came from. */
@@ -50,10 +50,10 @@
   reachableSinceMs: () => number | undefined
   /** Monotonic time of the last content from the service or a peer. */
   heardAtMs: () => number
-  /** What this node tells of the service to one that knows it up to a revision. */
-  wordAfter: (revision: number) => ViewWord
-  /** Takes in what another node tells. */
-  takeWord: (word: ViewWord) => void
+  /** What a node that knows the service up to a revision has missed. */
+  deltaAfter: (revision: number) => ViewDelta
+  /** Applies what another node reports. */
+  applyDelta: (delta: ViewDelta) => void
   /** Called after each change, with all changes that came together. */
   onChanges: (listener: (changes: readonly ViewChange[]) => void) => void
   /** Starts to follow; resolves when the first content is there. */
@@ -69,7 +69,7 @@
   /** Asks other nodes for what they know when the service doesn't answer; undefined when none knows more. */
   askPeers: (afterRevision: number) => Promise<Snapshot | undefined>
   /** Whether other nodes tell what changes often enough that this one needn't watch the service itself. */
-  isTold?: () => boolean
+  hasPeerUpdates?: () => boolean
   /** Pause before the service is asked again after a failure, in milliseconds. */
   retryPauseMs?: () => number
 }
--- a/test/node-reports/exchange.test.ts
+++ b/test/node-reports/exchange.test.ts
@@ -7,7 +7,7 @@
 import type { ExecutionContext } from 'ava'
 import type { BackendId, NodeId, TeamId } from '../../src/core/ids/index.ts'
 import type { NodeReports } from '../../src/core/node-reports/index.ts'
-import type { ViewWord } from '../../src/core/store-view/index.ts'
+import type { ViewDelta } from '../../src/core/store-view/index.ts'
 
 const clock = createSystemClock()
 const team = toId<TeamId>('agency')
@@ -21,7 +21,7 @@
   reports: NodeReports
   /** What others have open at the one backend server, by source. */
   open: Map<NodeId, number>
-  words: ViewWord[]
+  deltas: ViewDelta[]
 }
 
 async function until (condition: () => boolean): Promise<void> {
@@ -34,7 +34,7 @@
   }))
   const nodes: Node[] = addresses.map(({ node: id, reportPort }, index) => {
     const open = new Map<NodeId, number>()
-    const words: ViewWord[] = []
+    const deltas: ViewDelta[] = []
     let tokens = 0
     const reports = createNodeReports({
       host: '127.0.0.1',
@@ -64,10 +64,10 @@
       onReport: () => {},
       onActivity: (source, _life, { loads }) => { open.set(source, loads.get(engine)?.requests ?? 0) },
       onSilent: source => { open.delete(source) },
-      wordAfter: () => ({ revision, reachableForMs: 5_000, changes: [change] }),
-      onWord: word => { words.push(word) }
+      deltaAfter: () => ({ revision, reachableForMs: 5_000, changes: [change] }),
+      onDelta: delta => { deltas.push(delta) }
     })
-    return { id, reports, open, words }
+    return { id, reports, open, deltas }
   })
   await Promise.all(nodes.map(({ reports }) => reports.start()))
   t.teardown(() => nodes.forEach(({ reports }) => reports.close()))
@@ -82,9 +82,9 @@
   t.deepEqual(nodes.map(({ reports }) => reports.isCollector()), nodes.map((_, index) => index < 2))
   t.true(nodes.every(({ reports }) => reports.heardCount() === 23))
   t.true(nodes.slice(2).every(({ open }) => open.size === 1))
-  t.deepEqual(nodes[9]?.words[0], { revision, reachableForMs: 5_000, changes: [change] })
-  t.true(nodes.slice(2).every(({ reports }) => reports.isTold()))
-  t.false(nodes[0]?.reports.isTold())
+  t.deepEqual(nodes[9]?.deltas[0], { revision, reachableForMs: 5_000, changes: [change] })
+  t.true(nodes.slice(2).every(({ reports }) => reports.hasPeerUpdates()))
+  t.false(nodes[0]?.reports.hasPeerUpdates())
 })
 
 test.serial('when both collectors are gone, the others agree on new ones', async t => {
@@ -98,6 +98,6 @@
 test.serial('a small fleet needs no collector', async t => {
   const nodes = await startFleet(t, 5)
   await until(() => nodes.every(node => openElsewhere(node) === 4))
-  t.true(nodes.every(({ open, reports }) => open.size === 4 && reports.isCollector() && !reports.isTold()))
-  t.true(nodes.every(({ words }) => words.length === 0))
+  t.true(nodes.every(({ open, reports }) => open.size === 4 && reports.isCollector() && !reports.hasPeerUpdates()))
+  t.true(nodes.every(({ deltas }) => deltas.length === 0))
 })
--- a/test/store-view/store-view.test.ts
+++ b/test/store-view/store-view.test.ts
@@ -82,20 +82,20 @@
   t.is(await askViews([nowhere, here], 5, clock), undefined)
 })
 
-/** A view that goes by another one's word for as long as `told` says so. */
+/** A view that is kept up to date by another one for as long as `hasPeerUpdates` is set. */
 async function setUpTold (valueLength: number) {
   const service = createMemoryKeyValue({ clock })
   const writer = service.connect('writer')
-  const viewOf = (name: string, isTold: () => boolean) => {
+  const viewOf = (name: string, hasPeerUpdates: () => boolean) => {
     const store = service.connect(name)
-    return { store, view: createStoreView({ store, clock, log: () => {}, askPeers: async () => undefined, isTold }) }
+    return { store, view: createStoreView({ store, clock, log: () => {}, askPeers: async () => undefined, hasPeerUpdates }) }
   }
   const collector = viewOf('collector', () => false)
-  const state = { isTold: true }
-  const follower = viewOf('follower', () => state.isTold)
+  const state = { hasPeerUpdates: true }
+  const follower = viewOf('follower', () => state.hasPeerUpdates)
   await Promise.all([collector.view.start(), follower.view.start()])
   const put = (key: string, value: string) => writer.transact({ compares: [], puts: [{ key, value: value.padEnd(valueLength, '.') }], deletes: [] }, generous())
-  const tell = () => follower.view.takeWord(collector.view.wordAfter(follower.view.snapshot().revision))
+  const tell = () => follower.view.applyDelta(collector.view.deltaAfter(follower.view.snapshot().revision))
   return { collector, follower, state, put, tell }
 }
 
@@ -118,7 +118,7 @@
   await put('a', '1')
   await until(() => collector.view.get('a') !== undefined)
   tell()
-  state.isTold = false
+  state.hasPeerUpdates = false
   await put('b', '2')
   await until(() => follower.view.get('b') !== undefined)
   t.is(follower.view.get('a')?.value, '1')
@@ -128,9 +128,9 @@
   const { collector, follower, state, put } = await setUpTold(1)
   t.teardown(() => [collector, follower].forEach(({ view }) => view.close()))
   await put('a', '1')
-  state.isTold = false
+  state.hasPeerUpdates = false
   await until(() => collector.view.get('a') !== undefined)
-  follower.view.takeWord({ revision: collector.view.snapshot().revision, reachableForMs: 1, changes: undefined })
+  follower.view.applyDelta({ revision: collector.view.snapshot().revision, reachableForMs: 1, changes: undefined })
   await until(() => follower.view.get('a') !== undefined)
   t.pass()
 })
