Share the options of both bundles

The two build scripts held the same ten option lines. The built node is the same byte for byte (sha256 of target/node.cjs and its starter before and after), and dist/cyclamenshunt builds.

--- a/scripts/build-platform.ts
+++ b/scripts/build-platform.ts
@@ -5,7 +5,8 @@
  */
 import { execFileSync } from 'node:child_process'
 import { build } from 'esbuild'
-import type { BuildOptions, Plugin } from 'esbuild'
+import { bundleOptions } from './bundle-options.ts'
+import type { Plugin } from 'esbuild'
 
 const bundle = 'target/node.cjs'
 const starter = 'target/cyclamenshunt.cjs'
@@ -28,19 +29,7 @@
   }
 }
 
-const options: BuildOptions = {
-  bundle: true,
-  minify: true,
-  keepNames: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  external: ['cbor-extract'],
-  define: { 'process.env.CBOR_NATIVE_ACCELERATION_DISABLED': '"true"' },
-  logLevel: 'error'
-}
-
-await build({ ...options, entryPoints: ['platform/main.ts'], outfile: bundle, plugins: [slimLibraries] })
-await build({ ...options, entryPoints: ['platform/start.ts'], outfile: starter })
+await build({ ...bundleOptions, entryPoints: ['platform/main.ts'], outfile: bundle, plugins: [slimLibraries] })
+await build({ ...bundleOptions, entryPoints: ['platform/start.ts'], outfile: starter })
 // V8 takes compiled code only under the flags that it was compiled with: none, as in deploy/system.toml.
 execFileSync(process.execPath, [starter, 'compile'], { stdio: 'inherit' })
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -5,6 +5,7 @@
 import { chmodSync, copyFileSync, mkdirSync, mkdtempSync, renameSync, rmSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { build } from 'esbuild'
+import { bundleOptions } from './bundle-options.ts'
 
 const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
 
@@ -24,22 +25,11 @@
 await build({
   entryPoints: ['src/main.ts'],
   outfile: bundle,
-  bundle: true,
-  minify: true,
-  keepNames: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  external: ['typescript', 'ts-node', 'cbor-extract'],
-  // The executable can't load modules from disk, and Node.js warns when a
-  // library tries to: oclif reads its own package.json for a check of the
-  // Node.js version, which the executable brings along, and cbor-x looks for
-  // an optional native module. Each library's own switch turns that off.
-  define: {
-    'process.env.OCLIF_DISABLE_ENGINE_WARNING': '"1"',
-    'process.env.CBOR_NATIVE_ACCELERATION_DISABLED': '"true"'
-  },
-  logLevel: 'error'
+  ...bundleOptions,
+  external: [...bundleOptions.external ?? [], 'typescript', 'ts-node'],
+  // oclif reads its own package.json for a check of the Node.js version, which
+  // the executable brings along; its own switch keeps it from warning there.
+  define: { ...bundleOptions.define, 'process.env.OCLIF_DISABLE_ENGINE_WARNING': '"1"' }
 })
 writeFileSync(configuration, JSON.stringify({
   main: bundle,
