--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -33,5 +33,10 @@
 
 /** Words under which several commands stand. */
 export const topics: Record<string, string> = {
-  moves: 'Show and follow version moves.'
+  moves: [
+    'Show and follow version moves.',
+    'For example:',
+    '  $ cyclamenshunt moves list --json',
+    '  $ cyclamenshunt moves watch attica-utilities'
+  ].join('\n')
 }
--- a/test/cli/command-line.test.ts
+++ b/test/cli/command-line.test.ts
@@ -44,3 +44,9 @@
   t.like(JSON.parse(result.stdout), { text: 'one two three', restarts: 0, summary: { events: 3 } })
   await node.close()
 })
+
+test('the help of a group of commands shows how they are called', async t => {
+  const { code, stdout } = await runCli(['moves', '--help'])
+  t.is(code, 0)
+  t.regex(stdout, /\$ cyclamenshunt moves watch \S+/)
+})
