Build the platform's program apart for each test file

Two test files that run it built it into target at once, and a process of one could have started from a file that the other was writing. Seen in reading, not in a run. Each builds into a folder of its own now; the build script takes the folder. The node's sources are unchanged.

--- a/bench/soak/index.ts
+++ b/bench/soak/index.ts
@@ -14,6 +14,7 @@
 import { runSoak } from './run.ts'
 import { maxNodes } from './world.ts'
 
+const program = 'target/cyclamenshunt.cjs'
 const logFolder = '.cache/soak'
 const secondMs = 1_000
 const minuteMs = 60_000
@@ -51,7 +52,7 @@
 for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(1))
 
 for (let seed = firstSeed; goesOn(seed - firstSeed); seed += 1) {
-  const { logs, ...result } = await runSoak({ seed, durationMs, nodeCount })
+  const { logs, ...result } = await runSoak({ seed, durationMs, nodeCount, program })
   const text = values.json ? JSON.stringify(result) : `seed ${seed}: ${result.faults.length} faults, ${JSON.stringify(result.calls)}, broken: ${JSON.stringify(result.broken)}`
   process.stdout.write(`${text}\n`)
   if (result.broken.length === 0) continue
--- a/bench/soak/node-process.ts
+++ b/bench/soak/node-process.ts
@@ -4,7 +4,6 @@
 import { join } from 'node:path'
 import type { ChildProcess } from 'node:child_process'
 
-const program = 'target/cyclamenshunt.cjs'
 const settingsVariable = 'CYCLAMENSHUNT_SETTINGS'
 const maxLogLines = 2_000
 
@@ -31,6 +30,8 @@
 /** What a node is started with. */
 export interface NodeProcessOptions {
   name: string
+  /** Path of the built program. */
+  program: string
   folder: string
   callersPort: number
   readinessPort: number
@@ -40,7 +41,7 @@
 
 /** Creates the node; `start` runs its first process. */
 export function createNodeProcess (options: NodeProcessOptions): NodeProcess {
-  const { name, folder } = options
+  const { name, folder, program } = options
   const path = join(folder, `${name}.conf`)
   let child: ChildProcess | undefined
   let life = 0
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -19,6 +19,8 @@
   durationMs: number
   /** Nodes; from 17 on, collectors tell the others what they know. */
   nodeCount: number
+  /** Path of the built program that the nodes run. */
+  program: string
 }
 
 /** What a run showed. */
@@ -69,12 +71,12 @@
 }
 
 /** Runs one seed. */
-export async function runSoak ({ seed, durationMs, nodeCount }: SoakOptions): Promise<SoakResult> {
+export async function runSoak ({ seed, durationMs, nodeCount, program }: SoakOptions): Promise<SoakResult> {
   const random = createRandom(seed)
   // Callers draw apart from the faults, so that these are the same in each run of a seed.
   const callRandom = createRandom(seed + 1)
   const checks = createChecks()
-  const world = await startWorld({ nodeCount, onRun: checks.onRun, random: callRandom })
+  const world = await startWorld({ nodeCount, program, onRun: checks.onRun, random: callRandom })
   const faults: string[] = []
   const loaded = new AbortController()
   let numberOfCall = 0
--- a/bench/soak/world.ts
+++ b/bench/soak/world.ts
@@ -48,13 +48,15 @@
 /** What a deployment is made from. */
 export interface WorldOptions {
   nodeCount: number
+  /** Path of the built program that the nodes run. */
+  program: string
   /** Hears of every request that a backend server runs. */
   onRun: (id: string) => void
   random: () => number
 }
 
 /** Starts the deployment. */
-export async function startWorld ({ nodeCount, onRun, random }: WorldOptions): Promise<World> {
+export async function startWorld ({ nodeCount, program, onRun, random }: WorldOptions): Promise<World> {
   const folder = mkdtempSync(join(tmpdir(), 'soak-'))
   const platform = await startPlatform()
   let version = 0
@@ -88,7 +90,7 @@
     const first = firstPort + index * portsPerNode
     const { callers, readiness } = portsOf(first)
     return createNodeProcess({
-      name, folder, callersPort: callers, readinessPort: readiness, settings: isFirstLife => nodeSettings(name, first, storeProxies[index]!.port, seeds, isFirstLife)
+      name, program, folder, callersPort: callers, readinessPort: readiness, settings: isFirstLife => nodeSettings(name, first, storeProxies[index]!.port, seeds, isFirstLife)
     })
   })
   const killAll = (): void => nodes.forEach(node => node.kill())
--- a/scripts/build-platform.ts
+++ b/scripts/build-platform.ts
@@ -1,15 +1,17 @@
 /**
  * Builds the node on the platform: target/cyclamenshunt.cjs, one file with
  * only what it uses, and beside it the compiled code, so that a restart
- * doesn't compile it again.
+ * doesn't compile it again. Another folder may be named.
  */
 import { execFileSync } from 'node:child_process'
+import { join } from 'node:path'
 import { build } from 'esbuild'
 import { bundleOptions } from './bundle-options.ts'
 import type { Plugin } from 'esbuild'
 
-const bundle = 'target/node.cjs'
-const starter = 'target/cyclamenshunt.cjs'
+const folder = process.argv[2] ?? 'target'
+const bundle = join(folder, 'node.cjs')
+const starter = join(folder, 'cyclamenshunt.cjs')
 
 /** Leaves out what a library's entry exports beside the parts that the node uses. */
 const slimLibraries: Plugin = {
--- a/test/platform-adapter/signals.test.ts
+++ b/test/platform-adapter/signals.test.ts
@@ -1,22 +1,23 @@
 /** The built program as a process of its own, and the signals that it gets. */
-import { execFileSync } from 'node:child_process'
 import test from 'ava'
 import { createSystemClock } from '../../src/core/clock/index.ts'
 import { createCaller } from '../../bench/soak/callers.ts'
 import { startWorld } from '../../bench/soak/world.ts'
+import { buildProgram } from './build-program.ts'
 
 const clock = createSystemClock()
 /** Draw of the world that makes a backend server work for 900 ms. */
 const slowDraw = 15
 
+let program = ''
 test.before(() => {
-  execFileSync(process.execPath, ['--import=tsx', 'scripts/build-platform.ts'], { stdio: 'inherit' })
+  program = buildProgram()
 })
 
 test('a stop that is asked for twice, and a reload in between, still finish what is open', async t => {
   // Found by `npm run soak -- --seed 712`, where two stops of a node overlapped.
   const ran: string[] = []
-  const world = await startWorld({ nodeCount: 1, onRun: id => { ran.push(id) }, random: () => slowDraw })
+  const world = await startWorld({ nodeCount: 1, program, onRun: id => { ran.push(id) }, random: () => slowDraw })
   const caller = createCaller()
   t.teardown(async () => {
     caller.close()
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,21 +1,22 @@
 /** A short seeded run of the fault soak, its regression seeds, and the checks themselves. */
-import { execFileSync } from 'node:child_process'
 import test from 'ava'
 import { createChecks } from '../../bench/soak/checks.ts'
 import { runSoak } from '../../bench/soak/run.ts'
+import { buildProgram } from '../platform-adapter/build-program.ts'
 import type { Call, CallEnd } from '../../bench/soak/checks.ts'
 
 const durationMs = 8_000
 /** Both show a repeat of an at-most-once call and a stop that drops open requests, when these are built in. */
 const seeds = [1, 4]
 
+let program = ''
 test.before(() => {
-  execFileSync(process.execPath, ['--import=tsx', 'scripts/build-platform.ts'], { stdio: 'inherit' })
+  program = buildProgram()
 })
 
 for (const seed of seeds) {
   test.serial(`all promises hold with the faults of seed ${seed}`, async t => {
-    const { broken, calls, faults, logs } = await runSoak({ seed, durationMs, nodeCount: 3 })
+    const { broken, calls, faults, logs } = await runSoak({ seed, durationMs, nodeCount: 3, program })
     if (broken.length > 0) t.log(faults, logs)
     t.deepEqual(broken, [])
     t.true((calls['200'] ?? 0) > 0)
