Cut what nodes of a large fleet cost, and keep quotas among them

Every heartbeat of every backend server was passed on to all nodes. With 83 of them a delta exceeded its 4,000 characters, so that nodes got none and listed the store. Heartbeats that change nothing else are now dropped by the collector, a delta may have 24,000 characters (170 registrations at once). Standby collectors sent totals that nobody used. Each node parsed all registrations and sorted all nodes three times a second, and woke up 24 times a second for checks. Quotas: with hundreds of nodes each admits all that was refilled since the last report, and a node's bucket began full at its own first request, however much others had reported. The platform of Rennes checks no fencing numbers, and calls were sent with a deadline that outlived the lease, right after a takeover.

--- a/src/core/fleet/count-orders.ts
+++ b/src/core/fleet/count-orders.ts
@@ -7,7 +7,7 @@
 import type { Result } from 'true-myth'
 import type { Clock } from '../clock/index.ts'
 import type { CyclamenError } from '../errors/index.ts'
-import type { Duty } from '../leases/index.ts'
+import type { Duty, OrderWindow } from '../leases/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { CountKey, CountPlanInput, DomainCount } from './counts.ts'
@@ -30,6 +30,8 @@
   log: Log
   metrics: Metrics
   duty: Duty
+  /** Whether the cloud rejects orders with an outdated fencing number; otherwise no order may overlap with those of the previous holder. */
+  checksFencing: boolean
   /** The services to order for; empty while too little is known. */
   services: () => ScaledService[]
   order: (service: string, wanted: DomainCount, fencingNumber: number, deadlineAtMs: number) => Promise<Result<CountOrderResult, CyclamenError>>
@@ -58,7 +60,7 @@
 
 /** Creates the count orders of a node. */
 export function createCountOrders (options: CountOrdersOptions): CountOrders {
-  const { clock, log, metrics, duty } = options
+  const { clock, log, metrics, duty, checksFencing } = options
   const sentOrders = new Map<string, SentOrder>()
   const refusedUntilMs = new Map<string, number>()
   let currentFencingNumber: number | undefined
@@ -84,10 +86,10 @@
     return presentCount(service, wanted) !== wanted.count && nowMs >= last.atMs + service.bootMs + effectTimeoutMs
   }
 
-  async function sendOrder (service: ScaledService, wanted: DomainCount, fencingNumber: number): Promise<void> {
+  async function sendOrder (service: ScaledService, wanted: DomainCount, { fencingNumber, deadlineAtMs }: OrderWindow): Promise<void> {
     const key = keyOf(service.service, wanted)
     const atMs = clock.monotonicMs()
-    const response = await options.order(service.service, wanted, fencingNumber, clock.wallMs() + callTimeoutMs)
+    const response = await options.order(service.service, wanted, fencingNumber, Math.min(deadlineAtMs, clock.wallMs() + callTimeoutMs))
     const result = response.isOk ? response.value : 'failed'
     metrics.count('fleet_count_orders_total', { result })
     log('countOrdered', {
@@ -107,7 +109,7 @@
 
   return {
     reconcile: async () => {
-      const fencingNumber = duty.fencingNumber()
+      const fencingNumber = duty.orderWindow(checksFencing)?.fencingNumber
       if (fencingNumber === undefined || fencingNumber === overtakenFencingNumber) return
       if (currentFencingNumber !== fencingNumber) {
         currentFencingNumber = fencingNumber
@@ -117,8 +119,9 @@
       for (const service of options.services()) {
         const isRefused = (key: CountKey): boolean => refusedUntilMs.has(keyOf(service.service, key))
         for (const wanted of planCounts({ ...service, isRefused })) {
-          if (duty.fencingNumber() !== fencingNumber) return
-          if (isDue(service, wanted)) await sendOrder(service, wanted, fencingNumber)
+          const window = duty.orderWindow(checksFencing)
+          if (window?.fencingNumber !== fencingNumber) return
+          if (isDue(service, wanted)) await sendOrder(service, wanted, window)
         }
       }
     }
--- a/src/core/gateway/route-table.ts
+++ b/src/core/gateway/route-table.ts
@@ -1,4 +1,6 @@
 /** Finds the route of a request: by host, then by the longest path prefix. */
+import type { TeamId } from '../ids/index.ts'
+import type { QuotaLimit } from '../quota/index.ts'
 import type { GatewayConfiguration, GatewayRoute, GatewayTeam } from './types.ts'
 
 /** Lookups of routes and teams in one configuration. */
@@ -8,6 +10,8 @@
   route: (host: string, target: string) => GatewayRoute | undefined
   /** The team that an API key belongs to. */
   team: (key: string) => GatewayTeam | undefined
+  /** The quota of a team; undefined for an unlimited or unknown one. */
+  quotaOf: (team: TeamId) => QuotaLimit | undefined
 }
 
 /** Path of a request target, without the query. */
@@ -20,6 +24,7 @@
 export function createRouteTable (configuration: GatewayConfiguration): RouteTable {
   const byHost = new Map<string, Map<string, GatewayRoute>>()
   const byKey = new Map<string, GatewayTeam>()
+  const quotas = new Map<TeamId, QuotaLimit>()
   for (const route of configuration.routes) {
     const prefixes = byHost.get(route.host) ?? new Map<string, GatewayRoute>()
     prefixes.set(route.pathPrefix, route)
@@ -27,6 +32,7 @@
   }
   for (const team of configuration.teams ?? []) {
     for (const key of team.keys) byKey.set(key, team)
+    if (team.quota !== undefined) quotas.set(team.team, team.quota)
   }
 
   function find (host: string, target: string): GatewayRoute | undefined {
@@ -41,5 +47,5 @@
     return undefined
   }
 
-  return { configuration, route: find, team: key => byKey.get(key) }
+  return { configuration, route: find, team: key => byKey.get(key), quotaOf: team => quotas.get(team) }
 }
--- a/src/core/leases/index.ts
+++ b/src/core/leases/index.ts
@@ -40,8 +40,9 @@
   maxOrderMs: 5_000
 } as const
 
-/** Interval at which the due time of the renewal is checked. */
+/** Interval at which the due time of the renewal is checked while a duty is held, and at which a new duty is noticed. */
 const renewCheckIntervalMs = 500
+const idleCheckIntervalMs = 1_000
 const dutyPrefix = 'duties/'
 const barrierPrefix = 'barriers/duties/'
 
@@ -65,7 +66,7 @@
   /** Renews the lease while a duty is held; without one the lease expires. */
   async function renewLease (): Promise<void> {
     while (!closed.signal.aborted) {
-      await clock.sleep(renewCheckIntervalMs, closed.signal)
+      await clock.sleep(held().length > 0 ? renewCheckIntervalMs : idleCheckIntervalMs, closed.signal)
       if (held().length > 0) await lease.renew()
     }
   }
--- a/src/core/node-reports/activity-totals.ts
+++ b/src/core/node-reports/activity-totals.ts
@@ -41,9 +41,15 @@
   totals.set(backend, { requests: total.requests + sign * load.requests, pendingTokens: total.pendingTokens + sign * load.pendingTokens })
 }
 
-function addQuotaUsage (totals: Map<TeamId, QuotaUsage>, team: TeamId, quota: number, tolerance: number): void {
-  const total = totals.get(team) ?? { quota: 0, tolerance: 0 }
-  totals.set(team, { quota: total.quota + quota, tolerance: total.tolerance + tolerance })
+const noUsage: QuotaUsage = { quota: 0, tolerance: 0, asked: 0 }
+
+/** Adds a usage (`sign` 1) or subtracts it (`sign` -1). */
+function sumUsage (a: QuotaUsage, b: QuotaUsage, sign: 1 | -1): QuotaUsage {
+  return { quota: a.quota + sign * b.quota, tolerance: a.tolerance + sign * b.tolerance, asked: a.asked + sign * b.asked }
+}
+
+function addQuotaUsage (totals: Map<TeamId, QuotaUsage>, team: TeamId, added: QuotaUsage): void {
+  totals.set(team, sumUsage(totals.get(team) ?? noUsage, added, 1))
 }
 
 /** Creates empty totals. */
@@ -63,13 +69,12 @@
     if (before === undefined) return
     const nodeUsage = usageByNode.get(node) ?? new Map<TeamId, QuotaUsage>()
     usageByNode.set(node, nodeUsage)
-    for (const [team, { quota, tolerance }] of quotaUsage) {
+    for (const [team, reported] of quotaUsage) {
       const previous = before.bootId === bootId ? before.quotaUsage.get(team) : undefined
-      const newQuota = quota - (previous?.quota ?? 0)
-      const newTolerance = tolerance - (previous?.tolerance ?? 0)
-      if (newQuota === 0 && newTolerance === 0) continue
-      addQuotaUsage(totalUsage, team, newQuota, newTolerance)
-      addQuotaUsage(nodeUsage, team, newQuota, newTolerance)
+      const added = sumUsage(reported, previous ?? noUsage, -1)
+      if (added.asked === 0) continue
+      addQuotaUsage(totalUsage, team, added)
+      addQuotaUsage(nodeUsage, team, added)
     }
   }
 
@@ -109,10 +114,7 @@
   function totalsExcept (node: NodeId): Activity {
     const own = reportedByNode.get(node)
     const ownUsage = usageByNode.get(node)
-    const quotaUsage = new Map([...totalUsage].map(([team, { quota, tolerance }]) => {
-      const { quota: ownQuota, tolerance: ownTolerance } = ownUsage?.get(team) ?? { quota: 0, tolerance: 0 }
-      return [team, { quota: quota - ownQuota, tolerance: tolerance - ownTolerance }]
-    }))
+    const quotaUsage = new Map([...totalUsage].map(([team, total]) => [team, sumUsage(total, ownUsage?.get(team) ?? noUsage, -1)]))
     const loads = new Map<BackendId, PeerLoad>()
     for (const [backend, load] of totalLoads) {
       const ownLoad = own?.loads.get(backend)
--- a/src/core/node-reports/codec.ts
+++ b/src/core/node-reports/codec.ts
@@ -4,10 +4,10 @@
 import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
 import type { Activity, NodeDigest, NodeReport } from './types.ts'
 
-type WireActivity = [quota: Array<[string, number, number]>, loads: Array<[string, number, number]>, prefixes: Array<[string, string[]]>]
+type WireActivity = [quota: Array<[team: string, quota: number, tolerance: number, asked?: number]>, loads: Array<[string, number, number]>, prefixes: Array<[string, string[]]>]
 type WireChange = [key: string, value: string | null | 0, modRevision: number]
-type WireReport = ['report', string, string, number, boolean, boolean, number, WireActivity, Array<[number, Array<[string, number]>]>, Array<[string, number]>, unknown]
-type WireDigest = ['digest', string, string, boolean, number, number, number, WireChange[] | null, WireActivity]
+type WireReport = ['report', string, string, number, boolean, boolean, number, WireActivity, Array<[number, Array<[string, number]>]>, Array<[string, number]>, unknown, (string | null)?]
+type WireDigest = ['digest', string, string, boolean, number, number, number, WireChange[] | null, WireActivity | null]
 
 /** Placeholder for the value of a change that is too large for a datagram. */
 const omittedValue = 0
@@ -16,7 +16,7 @@
 
 function encodeActivity ({ quotaUsage, loads, prefixes }: Activity): WireActivity {
   return [
-    [...quotaUsage].map(([team, { quota, tolerance }]) => [team, quota, tolerance]),
+    [...quotaUsage].map(([team, { quota, tolerance, asked }]) => [team, Math.round(quota), Math.round(tolerance), asked]),
     [...loads].map(([backend, load]) => [backend, load.requests, Math.round(load.pendingTokens)]),
     prefixes.map(({ backend, hashes }) => [backend, hashes])
   ]
@@ -24,7 +24,7 @@
 
 function decodeActivity ([quota, loads, prefixes]: WireActivity): Activity {
   return {
-    quotaUsage: new Map(quota.map(([team, fromQuota, tolerance]) => [toId<TeamId>(team), { quota: fromQuota, tolerance }])),
+    quotaUsage: new Map(quota.map(([team, fromQuota, tolerance, asked = fromQuota + tolerance]) => [toId<TeamId>(team), { quota: fromQuota, tolerance, asked }])),
     loads: new Map(loads.map(([backend, requests, pendingTokens]) => [toId<BackendId>(backend), { requests, pendingTokens }])),
     prefixes: prefixes.map(([backend, hashes]) => ({ backend: toId<BackendId>(backend), hashes }))
   }
@@ -36,25 +36,27 @@
     'report', node, bootId, sequence, isDraining, wantsDigest, revision, encodeActivity(report),
     [...usage].map(([window, counts]) => [window, [...counts]]),
     [...workMs].map(([service, sumMs]) => [service, Math.round(sumMs)]),
-    evidence
+    evidence,
+    report.digestSource ?? null
   ]
   return encode(message)
 }
 
 export function encodeDigest (digest: NodeDigest): Buffer {
-  const { node, bootId, isDraining, nodes, delta } = digest
+  const { node, bootId, isDraining, nodes, delta, activity } = digest
   const changes = delta.changes?.map(({ key, value, isValueOmitted, modRevision }): WireChange => [key, isValueOmitted === true ? omittedValue : value ?? null, modRevision])
-  const message: WireDigest = ['digest', node, bootId, isDraining, nodes, delta.revision, delta.reachableForMs ?? unreachable, changes ?? null, encodeActivity(digest)]
+  const message: WireDigest = ['digest', node, bootId, isDraining, nodes, delta.revision, delta.reachableForMs ?? unreachable, changes ?? null, activity === undefined ? null : encodeActivity(activity)]
   return encode(message)
 }
 
-function decodeReport ([, node, bootId, sequence, isDraining, wantsDigest, revision, activity, usage, workMs, evidence]: WireReport): NodeReport {
+function decodeReport ([, node, bootId, sequence, isDraining, wantsDigest, revision, activity, usage, workMs, evidence, digestSource]: WireReport): NodeReport {
   return {
     node: toId<NodeId>(node),
     bootId,
     sequence,
     isDraining,
     wantsDigest,
+    digestSource: digestSource === null || digestSource === undefined ? undefined : toId<NodeId>(digestSource),
     revision,
     ...decodeActivity(activity),
     usage: new Map(usage.map(([window, counts]) => [window, new Map(counts.map(([team, count]) => [toId<TeamId>(team), count]))])),
@@ -76,7 +78,7 @@
         key, value: typeof value === 'string' ? value : undefined, modRevision, ...(value === omittedValue ? { isValueOmitted: true } : {})
       }))
     },
-    ...decodeActivity(activity)
+    activity: activity === null ? undefined : decodeActivity(activity)
   }
 }
 
--- a/src/core/node-reports/collectors.ts
+++ b/src/core/node-reports/collectors.ts
@@ -32,7 +32,7 @@
 
 /** Chooses collectors and tracks which of them respond. */
 export interface Collectors {
-  /** Chooses among the other nodes; `dutyHolder` is the node whose duties need all reports, if states. */
+  /** Chooses among the other nodes, which are ranked anew only when `others` is another array; `dutyHolder` is the node whose duties need all reports, if states. */
   choose: (others: readonly RankedNode[], dutyHolder: NodeId | undefined) => CollectorChoice
   /** Must be called when a report that wants a digest is sent to a node. */
   onReportSent: (node: NodeId) => void
@@ -60,12 +60,16 @@
 /** Creates the collector choice; every node counts as responding until it fails to respond. */
 export function createCollectors ({ node, linkMbps, clock, draw }: CollectorsOptions): Collectors {
   const states = new Map<NodeId, CollectorState>()
-  const ranks = new Map<NodeId, number>()
+  let rankedOthers: readonly RankedNode[] = []
+  let ranked: RankedNode[] = []
 
-  function rankOf (other: NodeId): number {
-    const rank = ranks.get(other) ?? draw(other)
-    ranks.set(other, rank)
-    return rank
+  /** All nodes in the order in which they become collectors; sorted again only for another array. */
+  function rankNodes (others: readonly RankedNode[]): RankedNode[] {
+    if (others === rankedOthers) return ranked
+    const draws = new Map([{ node, linkMbps }, ...others].map(other => [other.node, draw(other.node)]))
+    rankedOthers = others
+    ranked = [{ node, linkMbps }, ...others].sort((a, b) => cappedLinkMbps(b) - cappedLinkMbps(a) || (draws.get(a.node) ?? 0) - (draws.get(b.node) ?? 0))
+    return ranked
   }
 
   function cappedLinkMbps (ranked: RankedNode): number {
@@ -83,10 +87,9 @@
 
   function choose (others: readonly RankedNode[], dutyHolder: NodeId | undefined): CollectorChoice {
     if (others.length < maxAllPairsNodes) return { everyReport: others.map(other => other.node), everySecondReport: [], digestSource: undefined, isCollector: true, usesCollectors: false }
-    const ranked = [{ node, linkMbps }, ...others].sort((a, b) => cappedLinkMbps(b) - cappedLinkMbps(a) || rankOf(a.node) - rankOf(b.node))
     const collectors: NodeId[] = []
     const everySecondReport: NodeId[] = []
-    for (const { node: candidate } of ranked) {
+    for (const { node: candidate } of rankNodes(others)) {
       if (collectors.length === collectorCount) break
       if (candidate === node || isResponding(candidate)) collectors.push(candidate)
       else if (isDueForRetry(candidate)) everySecondReport.push(candidate)
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -38,7 +38,7 @@
   /** The node whose duties need all reports. */
   dutyHolder: () => NodeId | undefined
   /** Collects the content of this node's report. */
-  collectReport: () => Omit<NodeReport, 'node' | 'bootId' | 'sequence' | 'wantsDigest'>
+  collectReport: () => Omit<NodeReport, 'node' | 'bootId' | 'sequence' | 'wantsDigest' | 'digestSource'>
   /** Called with each report of another node. */
   onReport: (report: NodeReport) => void
   /**
@@ -115,7 +115,9 @@
   let sequence = 0
   let intervalMs = allPairsIntervalMs
 
-  function sendDatagram (bytes: Buffer, port: number, host: string): void {
+  function sendDatagram (kind: 'report' | 'digest', bytes: Buffer, port: number, host: string): void {
+    metrics.count('node_reports_sent_total', { kind })
+    metrics.count('node_reports_sent_bytes_total', { kind }, bytes.length)
     socket.send(bytes, port, host, error => {
       if (error !== null) metrics.count('node_reports_unsent_total')
     })
@@ -138,7 +140,7 @@
     applyChoice(collectors.choose(peers, holder === node ? undefined : holder))
     intervalMs = choice.usesCollectors ? collectorIntervalMs : allPairsIntervalMs
     sequence += 1
-    const report: NodeReport = { ...options.collectReport(), node, bootId, sequence, wantsDigest: choice.usesCollectors }
+    const report: NodeReport = { ...options.collectReport(), node, bootId, sequence, wantsDigest: choice.usesCollectors, digestSource: choice.digestSource ?? node }
     const targets = new Set([...choice.everyReport, ...(sequence % 2 === 0 ? choice.everySecondReport : [])])
     if (choice.usesCollectors) totals.record(node, bootId, report)
     if (targets.size === 0) return
@@ -146,7 +148,7 @@
     for (const { node: peer, host, reportPort } of peers) {
       if (!targets.has(peer)) continue
       if (choice.usesCollectors) collectors.onReportSent(peer)
-      sendDatagram(bytes, reportPort, host)
+      sendDatagram('report', bytes, reportPort, host)
     }
   }
 
@@ -169,13 +171,13 @@
     if (choice.digestSource === undefined) applyActivity(report.node, report.bootId, report)
     if (!report.wantsDigest) return
     totals.record(report.node, report.bootId, report)
-    sendDatagram(encodeDigest({
+    sendDatagram('digest', encodeDigest({
       node,
       bootId,
       isDraining: options.collectReport().isDraining,
       nodes: totals.nodeCountExcept(report.node),
       delta: options.deltaAfter(report.revision),
-      ...totals.totalsExcept(report.node)
+      activity: report.digestSource === undefined || report.digestSource === node ? totals.totalsExcept(report.node) : undefined
     }), from.port, from.address)
   }
 
@@ -183,9 +185,9 @@
     collectors.onDigestReceived(received.node, received.isDraining)
     if (received.delta.reachableForMs !== undefined) lastDeltaAtMs = clock.monotonicMs()
     options.onDelta(received.delta)
-    if (received.node !== choice.digestSource) return
+    if (received.node !== choice.digestSource || received.activity === undefined) return
     digest = { nodes: received.nodes, receivedAtMs: clock.monotonicMs() }
-    applyActivity(received.node, received.bootId, received)
+    applyActivity(received.node, received.bootId, received.activity)
   }
 
   function receive (bytes: Buffer, from: RemoteInfo): void {
--- a/src/core/node-reports/types.ts
+++ b/src/core/node-reports/types.ts
@@ -23,6 +23,8 @@
   isDraining: boolean
   /** Whether the receiver must respond with a digest. */
   wantsDigest: boolean
+  /** The collector whose totals the node uses; only that one includes them in its digest. Undefined in reports of earlier versions. */
+  digestSource: NodeId | undefined
   /** Revision of the key-value service up to which the node knows the content. */
   revision: number
   /** Number of requests started, by usage window and team. */
@@ -33,14 +35,16 @@
   evidence: unknown
 }
 
-/** A collector's response to a report: the total activity of all nodes except the one that reported. */
-export interface NodeDigest extends Activity {
+/** A collector's response to a report. */
+export interface NodeDigest {
   /** The collector. */
   node: NodeId
   bootId: string
   isDraining: boolean
   /** Number of nodes in the totals, with the collector and without the receiver. */
   nodes: number
+  /** The total activity of all nodes except the one that reported; undefined for a node that uses another collector's totals. */
+  activity: Activity | undefined
   /** Changes at the key-value service since the reported revision. */
   delta: ViewDelta
 }
--- a/src/core/quota/index.ts
+++ b/src/core/quota/index.ts
@@ -1,7 +1,11 @@
 /**
  * Team quotas across all nodes, as replicated token buckets. Each node keeps the
  * team's whole bucket and subtracts what it admits itself and what the other nodes report
- * that they admitted. The rate that belongs to nodes without current reports is left to them.
+ * that they admitted. Reports arrive late, so between them every node could admit all that
+ * is available. While the other nodes are asked for more than that, each node therefore
+ * admits a random part of its own requests, so that all of them together use up the
+ * bucket and no more. The rate that belongs to nodes without current reports is left to
+ * them.
  */
 import type { Clock } from '../clock/index.ts'
 import type { NodeId, TeamId } from '../ids/index.ts'
@@ -17,6 +21,8 @@
 /** Options of the quotas of one node. */
 export interface QuotaOptions {
   clock: Clock
+  /** Random number in [0, 1). */
+  random: () => number
   /**
    * How far a quota may be exceeded in any window: by a ratio (`share`) of what the window allows,
    * plus a fixed amount (`extra`). Nodes learn of each other's admissions with a delay, and
@@ -25,6 +31,8 @@
   tolerance?: { windowMs: number, share: number, extra: number }
   /** Returns the share of all nodes from which this node receives reports, itself included; 1 when it receives all reports. */
   reachableShare: () => number
+  /** A team's quota in the configuration, for usage that others report before this node gets a request of the team. */
+  limitOf?: (team: TeamId) => QuotaLimit | undefined
 }
 
 /** The quotas of one node. */
@@ -50,22 +58,46 @@
   limit: QuotaLimit
 }
 
-/** Tokens that a node has taken since its process started, from the quota itself and from the tolerance. */
+/** Tokens that a node has taken since its process started, from the quota itself and from the tolerance, and all that it was asked for. */
 export interface QuotaUsage {
   quota: number
   tolerance: number
+  asked: number
 }
 
 const secondMs = 1_000
-/** Parts of the tolerance that may be used at once and over one window. The rest covers admissions in reports that haven't arrived yet. */
-const toleranceBurstRatio = 0.15
+/** Parts of the tolerance that may be used at once and over one window. The rest covers admissions that other nodes haven't reported yet. */
+const toleranceBurstRatio = 0.2
 const toleranceRefillRatio = 0.45
+/** Fewest tokens that a refused request waits for; one that was refused by chance would otherwise be told to retry at once. */
+const minMissingTokens = 1
+/** Time constant of the moving average of what nodes are asked for. */
+const askedTimeConstantMs = 1_000
+/** Age from which a report no longer tells what its source is asked for; several report intervals. */
+const maxReportAgeMs = 1_500
+/** Time over which all nodes together use up what is available; three times the age of reports, below which the admissions would oscillate. */
+const spendingHorizonMs = 1_000
 
-/** Creates the quotas of one node. A team's bucket is created full on first use. */
-export function createQuotas ({ clock, reachableShare, tolerance = { windowMs: secondMs, share: 0, extra: 0 } }: QuotaOptions): Quotas {
+/** A team's usage in the last report of a source. */
+interface PeerTeamUsage extends QuotaUsage {
+  /** Moving average of the tokens that the source is asked for. */
+  askedPerSecond: number
+}
+
+/** The last report of one source: a node, or a collector with the totals of several. */
+interface PeerReport {
+  bootId: string
+  /** Monotonic time. */
+  receivedAtMs: number
+  teams: Map<TeamId, PeerTeamUsage>
+}
+
+/** Creates the quotas of one node. A team's bucket is created full, at its first request or the first report of one. */
+export function createQuotas (options: QuotaOptions): Quotas {
+  const { clock, random, reachableShare, tolerance = { windowMs: secondMs, share: 0, extra: 0 }, limitOf = () => undefined } = options
   const buckets = new Map<TeamId, Bucket>()
   const usage = new Map<TeamId, QuotaUsage>()
-  const peerUsage = new Map<NodeId, { bootId: string, taken: ReadonlyMap<TeamId, QuotaUsage> }>()
+  const peerReports = new Map<NodeId, PeerReport>()
 
   /** Returns how many tokens may be taken beyond a quota in one window. */
   function toleranceOf ({ perSecond, burst }: QuotaLimit): number {
@@ -94,36 +126,76 @@
     return existing
   }
 
-  function recordUsage (team: TeamId, kind: keyof QuotaUsage, tokens: number): void {
-    const taken = usage.get(team) ?? { quota: 0, tolerance: 0 }
-    taken[kind] += tokens
-    usage.set(team, taken)
+  function recordUsage (team: TeamId, quota: number, tolerance: number, asked: number): void {
+    const before = usage.get(team) ?? { quota: 0, tolerance: 0, asked: 0 }
+    usage.set(team, { quota: before.quota + quota, tolerance: before.tolerance + tolerance, asked: before.asked + asked })
+  }
+
+  function askedPerSecondElsewhere (team: TeamId): number {
+    const oldestAtMs = clock.monotonicMs() - maxReportAgeMs
+    let perSecond = 0
+    for (const { teams, receivedAtMs } of peerReports.values()) {
+      if (receivedAtMs >= oldestAtMs) perSecond += teams.get(team)?.askedPerSecond ?? 0
+    }
+    return perSecond
+  }
+
+  /** Rate at which quota and tolerance are refilled together. */
+  function refillPerSecond (limit: QuotaLimit): number {
+    return limit.perSecond + toleranceOf(limit) * toleranceRefillRatio * secondMs / tolerance.windowMs
+  }
+
+  /** Part of its own requests that this node may admit, so that all nodes use up what is available over the horizon; 1 or more while there is enough for all. */
+  function admissibleRatio (team: TeamId, limit: QuotaLimit, availableTokens: number): number {
+    const horizonSeconds = spendingHorizonMs / secondMs
+    const askedTokens = askedPerSecondElsewhere(team) * horizonSeconds
+    return askedTokens === 0 ? 1 : (availableTokens + refillPerSecond(limit) * horizonSeconds) / askedTokens
   }
 
   function take (team: TeamId, limit: QuotaLimit, tokens: number): number {
     const bucket = bucketOf(team, limit)
-    if (bucket.level >= tokens) {
-      bucket.level -= tokens
-      recordUsage(team, 'quota', tokens)
+    const availableTokens = bucket.level + bucket.toleranceLevel
+    // A request larger than the burst needs both parts.
+    const isAdmitted = availableTokens >= tokens && random() < admissibleRatio(team, limit, availableTokens)
+    if (isAdmitted) {
+      const fromQuota = Math.max(0, Math.min(tokens, bucket.level))
+      bucket.level -= fromQuota
+      bucket.toleranceLevel -= tokens - fromQuota
+      recordUsage(team, fromQuota, tokens - fromQuota, tokens)
       return 0
     }
-    // Reports of other nodes arrive late, so the actual level may differ from the local one; the tolerance covers this.
-    if (bucket.toleranceLevel >= tokens) {
-      bucket.toleranceLevel -= tokens
-      recordUsage(team, 'tolerance', tokens)
-      return 0
+    recordUsage(team, 0, 0, tokens)
+    const largestTokens = limit.burst + toleranceOf(limit) * toleranceBurstRatio
+    const missingTokens = Math.max(Math.min(tokens, largestTokens) - availableTokens, minMissingTokens)
+    // The tolerance may already be at its maximum, so only the quota is certain to be refilled.
+    return Math.ceil(missingTokens / limit.perSecond * secondMs)
+  }
+
+  /** Replaces the report of a source and returns the one before, if it was of the same process. */
+  function replaceReport (node: NodeId, bootId: string, taken: ReadonlyMap<TeamId, QuotaUsage>): PeerReport | undefined {
+    const nowMs = clock.monotonicMs()
+    const known = peerReports.get(node)
+    const previous = known?.bootId === bootId ? known : undefined
+    const intervalMs = previous === undefined ? 0 : nowMs - previous.receivedAtMs
+    const weight = 1 - Math.exp(-intervalMs / askedTimeConstantMs)
+    const teams = new Map<TeamId, PeerTeamUsage>()
+    for (const [team, { quota, tolerance, asked }] of taken) {
+      const before = previous?.teams.get(team)
+      const averagePerSecond = before?.askedPerSecond ?? 0
+      const latestPerSecond = intervalMs === 0 ? averagePerSecond : (asked - (before?.asked ?? asked)) / intervalMs * secondMs
+      teams.set(team, { quota, tolerance, asked, askedPerSecond: averagePerSecond + weight * (latestPerSecond - averagePerSecond) })
     }
-    return (Math.min(tokens, limit.burst) - Math.min(bucket.level, 0)) / limit.perSecond * secondMs
+    peerReports.set(node, { bootId, receivedAtMs: nowMs, teams })
+    return previous
   }
 
   function onPeerUsage (node: NodeId, bootId: string, taken: ReadonlyMap<TeamId, QuotaUsage>): void {
-    const previous = peerUsage.get(node)
-    peerUsage.set(node, { bootId, taken })
+    const previous = replaceReport(node, bootId, taken)
     for (const [team, { quota, tolerance }] of taken) {
-      const existing = previous?.bootId === bootId ? previous.taken.get(team) : undefined
-      const bucket = buckets.get(team)
-      if (bucket === undefined) continue
-      refresh(bucket)
+      const existing = previous?.teams.get(team)
+      const limit = limitOf(team) ?? buckets.get(team)?.limit
+      if (limit === undefined) continue
+      const bucket = bucketOf(team, limit)
       bucket.level -= quota - (existing?.quota ?? 0)
       bucket.toleranceLevel -= tolerance - (existing?.tolerance ?? 0)
     }
@@ -133,13 +205,14 @@
     take,
     localUsage: () => usage,
     onPeerUsage,
-    setPeerBaseline: (node, bootId, taken) => { peerUsage.set(node, { bootId, taken }) },
+    setPeerBaseline: (node, bootId, taken) => { replaceReport(node, bootId, taken) },
     explain: team => {
       const bucket = buckets.get(team)
       if (bucket === undefined) return {}
       return {
         quotaLevel: Math.round(bucket.level),
         toleranceLevel: Math.round(bucket.toleranceLevel),
+        askedElsewherePerSecond: Math.round(askedPerSecondElsewhere(team)),
         quotaPerSecond: bucket.limit.perSecond,
         heardShare: reachableShare()
       }
--- a/src/core/store-view/history.ts
+++ b/src/core/store-view/history.ts
@@ -14,8 +14,12 @@
 const maxStoredChanges = 500
 /** Maximum length of a value that is included; sending a longer one costs a collector's link more than a read costs the service. */
 const maxInlineValueChars = 700
-/** Maximum number of characters in one delta, so that a digest fits into a few packets. */
-const maxDeltaChars = 4_000
+/**
+ * Maximum number of characters in one delta. A node that gets none lists the whole
+ * content at the service, which costs more than this; with loads and prefixes beside
+ * it, a digest stays below the 64 KiB of a datagram.
+ */
+const maxDeltaChars = 24_000
 
 /** Creates an empty history. */
 export function createHistory (): History {
--- a/src/core/store-view/index.ts
+++ b/src/core/store-view/index.ts
@@ -13,14 +13,14 @@
 const listTimeoutMs = 1_500
 /** Delay before the next request to the service after a failure. */
 const defaultRetryPauseMs = 250
-/** Interval at which to check whether other nodes still report changes. */
-const peerCheckIntervalMs = 100
+/** Interval at which to check whether other nodes still report changes; a fraction of the time after which they count as silent. */
+const peerCheckIntervalMs = 400
 /** Timeout of a read of an omitted value. */
 const readTimeoutMs = 800
 
 /** Creates a view; sends no request before `start` is called. */
 export function createStoreView (options: StoreViewOptions): StoreView {
-  const { store, clock, log, hasPeerUpdates = () => false } = options
+  const { store, clock, log, hasPeerUpdates = () => false, isSameContent = () => false } = options
   const history = createHistory()
   const closed = new AbortController()
   const listeners: Array<(changes: readonly ViewChange[]) => void> = []
@@ -84,14 +84,18 @@
   function apply (changes: readonly KeyValueChange[], newRevision: number, from: ViewSource): void {
     // Changes from peers may be ahead of the watch, and the watch may be ahead of the peers.
     const newer = changes.filter(change => change.modRevision > revision && change.modRevision > (entries.get(change.key)?.modRevision ?? 0))
-    for (const { key, value, modRevision } of newer) {
+    const relevant: ViewChange[] = []
+    for (const change of newer) {
+      const { key, value, modRevision } = change
+      const before = entries.get(key)?.value
       if (value === undefined) entries.delete(key)
       else entries.set(key, { value, modRevision })
+      if (value === undefined || before === undefined || !isSameContent(key, before, value)) relevant.push(change)
     }
     revision = Math.max(revision, newRevision)
-    history.add(newer)
+    history.add(relevant)
     markUpdated(from)
-    notifyListeners(newer)
+    notifyListeners(relevant)
   }
 
   /** Watches the service. Resolves with the error when the watch is lost, or with undefined once other nodes report changes. */
--- a/src/core/store-view/types.ts
+++ b/src/core/store-view/types.ts
@@ -72,4 +72,10 @@
   hasPeerUpdates?: () => boolean
   /** Delay before the next request to the service after a failure, in milliseconds. */
   retryPauseMs?: () => number
+  /**
+   * Whether a new value of a key means the same as the one before, like that of a
+   * periodic heartbeat. Such a change is stored, but neither passed to listeners nor
+   * reported to other nodes. By default every change counts.
+   */
+  isSameContent?: (key: string, before: string, after: string) => boolean
 }
--- a/src/core/usage/reporter.ts
+++ b/src/core/usage/reporter.ts
@@ -27,6 +27,8 @@
   view: StoreView
   usage: Usage
   duty: Duty
+  /** Whether the receiver rejects calls with an outdated fencing number; otherwise no call may overlap with those of the previous holder. */
+  checksFencing: boolean
   /** Time after the end of a window by which it must be reported. */
   dueMs: number
   /** Whether the system starts for the first time, so that earlier windows have no usage. */
@@ -50,7 +52,7 @@
 
 /** Creates the reporter. */
 export function createUsageReporter (options: UsageReporterOptions): UsageReporter {
-  const { clock, log, metrics, store, view, usage, duty, dueMs } = options
+  const { clock, log, metrics, store, view, usage, duty, checksFencing, dueMs } = options
   const sentWindows = new Set<number>()
   const agreedCounts = new Map<number, WindowCounts>()
   let firstWindow: number | undefined
@@ -106,10 +108,11 @@
 
   async function report (window: number): Promise<void> {
     const counts = await agreeOnCounts(window)
-    const fencingNumber = duty.fencingNumber()
-    if (counts === undefined || fencingNumber === undefined) return
+    const orderWindow = duty.orderWindow(checksFencing)
+    if (counts === undefined || orderWindow === undefined) return
+    const { fencingNumber, deadlineAtMs } = orderWindow
     agreedCounts.set(window, counts)
-    const response = await options.send(window, counts, fencingNumber, clock.wallMs() + callTimeoutMs)
+    const response = await options.send(window, counts, fencingNumber, Math.min(deadlineAtMs, clock.wallMs() + callTimeoutMs))
     const result = response.isOk ? response.value : 'failed'
     metrics.count('usage_reports_total', { result })
     log('usageReported', { window, result, fencingNumber, ...(response.isErr ? { cause: response.error.message } : {}) })
@@ -125,7 +128,7 @@
       if (options.isFirstStart) firstWindow ??= usage.windowAt(clock.wallMs())
       // The counts of other nodes for earlier windows arrive with their next reports.
       if (clock.monotonicMs() < startedAtMs + settleMs) return
-      const fencingNumber = duty.fencingNumber()
+      const fencingNumber = duty.orderWindow(checksFencing)?.fencingNumber
       if (fencingNumber === undefined || fencingNumber === overtakenFencingNumber) return
       if (currentFencingNumber !== fencingNumber) {
         // It is not known what the previous holder has sent; sending a window again has no effect.
--- a/test/fleet/counts.test.ts
+++ b/test/fleet/counts.test.ts
@@ -68,7 +68,8 @@
     clock,
     log: createSilentLog(),
     metrics: createMetrics(),
-    duty: { name: 'd', fencingNumber: () => fencingNumber, guard: () => undefined, orderWindow: () => undefined, close: async () => {} },
+    duty: { name: 'd', fencingNumber: () => fencingNumber, guard: () => undefined, orderWindow: () => fencingNumber === undefined ? undefined : { fencingNumber, deadlineAtMs: Infinity }, close: async () => {} },
+    checksFencing: true,
     services: () => [service()],
     order: async (_service, wanted) => {
       sentOrders.push(wanted)
--- a/test/node-reports/collectors.test.ts
+++ b/test/node-reports/collectors.test.ts
@@ -22,7 +22,7 @@
 
 function activityOf (quota: number, requests: number, hashes: string[] = []): Activity {
   return {
-    quotaUsage: new Map([[team, { quota, tolerance: 0 }]]),
+    quotaUsage: new Map([[team, { quota, tolerance: 0, asked: quota }]]),
     loads: requests === 0 ? new Map() : new Map([[engine, { requests, pendingTokens: requests * 100 }]]),
     prefixes: hashes.length === 0 ? [] : [{ backend: engine, hashes }]
   }
--- a/test/node-reports/exchange.test.ts
+++ b/test/node-reports/exchange.test.ts
@@ -6,12 +6,15 @@
 import { createNodeReports } from '../../src/core/node-reports/index.ts'
 import type { ExecutionContext } from 'ava'
 import type { BackendId, NodeId, TeamId } from '../../src/core/ids/index.ts'
+import type { Metrics } from '../../src/core/metrics/index.ts'
 import type { NodeReports } from '../../src/core/node-reports/index.ts'
 import type { ViewDelta } from '../../src/core/store-view/index.ts'
 
 const clock = createSystemClock()
 const team = toId<TeamId>('agency')
 const engine = toId<BackendId>('i-1')
+/** As many backend servers as a large fleet has, so that the totals are the largest part of a digest. */
+const backends = Array.from({ length: 60 }, (_, index) => toId<BackendId>(`i-${index + 1}`))
 const firstPort = 19_300
 const revision = 12
 const change = { key: 'servers/i-1', value: 'entry', modRevision: revision }
@@ -22,6 +25,7 @@
   /** Open requests of other nodes at the only backend server, by source. */
   openBySource: Map<NodeId, number>
   deltas: ViewDelta[]
+  metrics: Metrics
 }
 
 async function until (condition: () => boolean): Promise<void> {
@@ -35,6 +39,7 @@
   const nodes: Node[] = addresses.map(({ node: id, reportPort }, index) => {
     const openBySource = new Map<NodeId, number>()
     const deltas: ViewDelta[] = []
+    const metrics = createMetrics()
     let tokens = 0
     const reports = createNodeReports({
       host: '127.0.0.1',
@@ -44,7 +49,7 @@
       bootId: `boot-${index}`,
       clock,
       log: () => {},
-      metrics: createMetrics(),
+      metrics,
       draw: text => Number(text.slice(-2)) / 100,
       peers: () => addresses.filter(({ node }) => node !== id),
       dutyHolder: () => undefined,
@@ -53,8 +58,8 @@
         return {
           isDraining: false,
           revision: 10,
-          quotaUsage: new Map([[team, { quota: tokens, tolerance: 0 }]]),
-          loads: new Map([[engine, { requests: 1, pendingTokens: 50 }]]),
+          quotaUsage: new Map([[team, { quota: tokens, tolerance: 0, asked: tokens }]]),
+          loads: new Map(backends.map(backend => [backend, { requests: 1, pendingTokens: 50 }])),
           prefixes: [],
           usage: new Map(),
           workMs: new Map(),
@@ -67,7 +72,7 @@
       deltaAfter: () => ({ revision, reachableForMs: 5_000, changes: [change] }),
       onDelta: delta => { deltas.push(delta) }
     })
-    return { id, reports, openBySource, deltas }
+    return { id, reports, openBySource, deltas, metrics }
   })
   await Promise.all(nodes.map(({ reports }) => reports.start()))
   t.teardown(() => nodes.forEach(({ reports }) => reports.close()))
@@ -87,6 +92,18 @@
   t.false(nodes[0]?.reports.hasPeerUpdates())
 })
 
+test.serial('only the collector whose totals a node uses sends them; the standby sends changes alone', async t => {
+  const nodes = await startCluster(t, 24)
+  const standby = nodes[1]?.metrics
+  await until(() => nodes.every(node => openRequests(node) === 23))
+  while (await standby?.counterValue('node_reports_sent_total', { kind: 'digest' }) === 0) await clock.sleep(20)
+  const [chosenBytes = 0, standbyBytes = 0] = await Promise.all(nodes.slice(0, 2).map(async ({ metrics }) => {
+    return await metrics.counterValue('node_reports_sent_bytes_total', { kind: 'digest' }) / await metrics.counterValue('node_reports_sent_total', { kind: 'digest' })
+  }))
+  t.true(chosenBytes > 60 * 'i-10'.length, `${chosenBytes} bytes`)
+  t.true(standbyBytes < 200, `${standbyBytes} bytes`)
+})
+
 test.serial('when both collectors are gone, the other nodes agree on new ones', async t => {
   const nodes = await startCluster(t, 24)
   await until(() => nodes.every(node => openRequests(node) === 23))
--- a/test/platform-adapter/decode.test.ts
+++ b/test/platform-adapter/decode.test.ts
@@ -1,6 +1,6 @@
 /** Decoding of the platform's configuration, backend server entries, headers and settings. */
 import test from 'ava'
-import { decodeBackend, decodeConfiguration } from '../../platform/configuration.ts'
+import { decodeBackend, decodeConfiguration, isSameBackend } from '../../platform/configuration.ts'
 import { decodePromptParts, headerCodec } from '../../platform/headers.ts'
 import { parseSettings } from '../../platform/settings.ts'
 import { isErrorOf } from '../../src/core/errors/index.ts'
@@ -105,3 +105,10 @@
     t.true(error.message.includes(field))
   }
 })
+
+test('two values of an entry are the same backend server if they differ only in the heartbeat', t => {
+  const entry = { service: 'models', address: '10.0.0.1:80', zone: 'a', version: 'v1', slots: 4, state: 'ready', sequence: 1, born: 1_000 }
+  const isSame = (changed: object) => isSameBackend('i-1', JSON.stringify(entry), JSON.stringify({ ...entry, ...changed }))
+  t.true(isSame({ sequence: 2 }))
+  for (const changed of [{ state: 'draining' }, { address: '10.0.0.2:80' }, { born: 2_000 }, { version: 'v2' }, { state: 'unknown' }]) t.false(isSame(changed), JSON.stringify(changed))
+})
--- a/test/store-view/store-view.test.ts
+++ b/test/store-view/store-view.test.ts
@@ -83,12 +83,12 @@
 })
 
 /** Creates two views; `sendDelta` updates the follower from the collector, and the follower doesn't watch while `hasPeerUpdates` is set. */
-async function setUpFollower (valueLength: number) {
+async function setUpFollower (valueLength: number, isSameContent?: (key: string, before: string, after: string) => boolean) {
   const service = createMemoryKeyValue({ clock })
   const writer = service.connect('writer')
   const viewOf = (name: string, hasPeerUpdates: () => boolean) => {
     const store = service.connect(name)
-    return { store, view: createStoreView({ store, clock, log: () => {}, fetchFromPeers: async () => undefined, hasPeerUpdates }) }
+    return { store, view: createStoreView({ store, clock, log: () => {}, fetchFromPeers: async () => undefined, hasPeerUpdates, ...(isSameContent === undefined ? {} : { isSameContent }) }) }
   }
   const collector = viewOf('collector', () => false)
   const state = { hasPeerUpdates: true }
@@ -134,3 +134,35 @@
   await until(() => follower.view.get('a') !== undefined)
   t.pass()
 })
+
+// Each of several hundred backend servers writes a heartbeat every second; nodes that got no delta for them all listed the content again and again.
+test('heartbeats that change nothing else are stored, but neither announced nor reported to other nodes', async t => {
+  const isSameContent = (key: string, before: string, after: string) => key.startsWith('servers/') && before.slice(0, 5) === after.slice(0, 5)
+  const { collector, follower, put, sendDelta } = await setUpFollower(1, isSameContent)
+  t.teardown(() => [collector, follower].forEach(({ view }) => view.close()))
+  await put('servers/a', 'ready 1')
+  await until(() => collector.view.get('servers/a') !== undefined)
+  sendDelta()
+  const announced: string[] = []
+  collector.view.onChanges(changes => announced.push(...changes.map(({ value }) => value ?? '')))
+  const knownRevision = follower.view.snapshot().revision
+  for (let sequence = 2; sequence <= 600; sequence += 1) await put('servers/a', `ready ${sequence}`)
+  await until(() => collector.view.get('servers/a')?.value === 'ready 600')
+  t.deepEqual(collector.view.deltaAfter(knownRevision).changes, [])
+  t.deepEqual(announced, [])
+  await put('servers/a', 'leaving 601')
+  await until(() => announced.length === 1)
+  sendDelta()
+  await until(() => follower.view.get('servers/a')?.value === 'leaving 601')
+  t.is(follower.view.snapshot().revision, collector.view.snapshot().revision)
+})
+
+test('several hundred registrations at once reach other nodes in one delta', async t => {
+  const { collector, follower, put, sendDelta } = await setUpFollower(1)
+  t.teardown(() => [collector, follower].forEach(({ view }) => view.close()))
+  const value = JSON.stringify({ node: 'front-attica-a-10', linkMbps: 20, host: '10.1.0.10', reportPort: 7600, viewPort: 7600 })
+  for (let index = 0; index < 170; index += 1) await put(`nodes/${index}`, value)
+  await until(() => collector.view.list('nodes/').length === 170)
+  sendDelta()
+  t.is(follower.view.list('nodes/').length, 170)
+})
--- a/test/usage/usage.test.ts
+++ b/test/usage/usage.test.ts
@@ -10,6 +10,7 @@
 import { createStoreView } from '../../src/core/store-view/index.ts'
 import { createUsage, createUsageReporter } from '../../src/core/usage/index.ts'
 import type { NodeId, TeamId } from '../../src/core/ids/index.ts'
+import type { OrderWindow } from '../../src/core/leases/index.ts'
 import type { UsageReportResult, WindowCounts } from '../../src/core/usage/index.ts'
 
 const team = toId<TeamId>('agency')
@@ -28,7 +29,7 @@
 })
 
 /** Creates reporters of several duty holders that share one key-value service. */
-async function setUp (answer: () => UsageReportResult | 'lost') {
+async function setUp (answer: () => UsageReportResult | 'lost', orderWindow: (holder: number) => OrderWindow | undefined = holder => ({ fencingNumber: holder, deadlineAtMs: Infinity })) {
   const clock = createManualClock(1_700_000_000_000)
   const service = createMemoryKeyValue({ clock })
   const sent: Array<{ holder: number, window: number, counts: Record<string, number> }> = []
@@ -41,7 +42,7 @@
       name: 'd',
       fencingNumber: () => holder,
       guard: () => ({ key: 'duties/d', modRevision: 0 }),
-      orderWindow: () => undefined,
+      orderWindow: () => orderWindow(holder),
       close: async () => {}
     }
     const reporter = createUsageReporter({
@@ -52,6 +53,7 @@
       view,
       usage,
       duty,
+      checksFencing: true,
       dueMs: 10_000,
       isFirstStart,
       send: async (window: number, counts: WindowCounts) => {
