Place, order and retry by what hundreds of nodes can know

From 17 nodes on two random engines and two holders of the prefix are compared.

Reclaimable servers for the whole load, on-demand ones for what two reclaims would leave. The first load is estimated only after four seconds of traffic: on-demand servers were given up 2.3 s into it and ordered again.

Nodes now share the slack of the settings.

A prompt that takes longer than its target by itself was refused at every attempt with servers free (the largest tenth of the dossiers); it is now served late. Quota refusals by chance told callers to come back in 2 ms; they now get the time that works off the excess, and the horizon follows the age of the reports.

--- a/bench/measure/index.ts
+++ b/bench/measure/index.ts
@@ -1,11 +1,14 @@
 /**
  * `npm run measure`: the current version beside the naive one on the workloads
  * of both deployments; `npm run measure -- slopes`: what control costs as the
- * sizes grow.
+ * sizes grow; `npm run measure -- ordering`: orders of backend servers while
+ * the cloud reclaims them; `npm run measure -- placement`: prompts of many nodes.
  */
 import { parseArgs } from 'node:util'
 import { createPromptHasher } from '../../src/core/routing/index.ts'
 import { compare } from './compare.ts'
+import { measureOrdering } from './ordering/index.ts'
+import { measurePlacement } from './placement/index.ts'
 import { verdictTable, writeReport } from './report.ts'
 import { measureSlopes } from './slopes/index.ts'
 import { association, bennani } from './workloads.ts'
@@ -52,6 +55,8 @@
     return
   }
   if (positionals[0] === 'slopes') await measureSlopes({ seed, json: values.json })
+  else if (positionals[0] === 'ordering') console.log(await measureOrdering(reportFolder))
+  else if (positionals[0] === 'placement') console.log(await measurePlacement(reportFolder, { seconds, seed }))
   else await measureVersions()
 }
 
--- a/src/core/admission/retry-budget.ts
+++ b/src/core/admission/retry-budget.ts
@@ -23,8 +23,8 @@
   clock: Clock
   /** Retries per request, 0 to 1. */
   retryRatio?: number
-  /** Retries per second that are allowed regardless of the traffic. */
-  minRetriesPerSecond?: number
+  /** Retries per second that are allowed regardless of the traffic; this node's share when several nodes have a common budget. */
+  minRetriesPerSecond?: () => number
 }
 
 interface BudgetState {
@@ -36,12 +36,12 @@
 
 /** Creates the retry budget of one node. */
 export function createRetryBudget (options: RetryBudgetOptions): RetryBudget {
-  const { clock, retryRatio = defaultRetryRatio, minRetriesPerSecond = defaultMinRetriesPerSecond } = options
+  const { clock, retryRatio = defaultRetryRatio, minRetriesPerSecond = () => defaultMinRetriesPerSecond } = options
   const overallBudget = createBudget()
   const backendBudgets = new Map<BackendId, BudgetState>()
 
   function createBudget (): BudgetState {
-    const balanceRetries = Math.max(1, minRetriesPerSecond * accumulationMs / 1000)
+    const balanceRetries = Math.max(1, minRetriesPerSecond() * accumulationMs / 1000)
     return { balanceRetries, requestsPerSecond: 0, updatedAtMs: clock.monotonicMs() }
   }
 
@@ -57,9 +57,9 @@
     const nowMs = clock.monotonicMs()
     const elapsedMs = nowMs - budget.updatedAtMs
     budget.requestsPerSecond *= Math.exp(-elapsedMs / accumulationMs)
-    const retriesPerSecond = Math.max(minRetriesPerSecond, retryRatio * budget.requestsPerSecond)
+    const retriesPerSecond = Math.max(minRetriesPerSecond(), retryRatio * budget.requestsPerSecond)
     const maxBalance = Math.max(1, retriesPerSecond * accumulationMs / 1000)
-    budget.balanceRetries = Math.min(maxBalance, budget.balanceRetries + minRetriesPerSecond * elapsedMs / 1000)
+    budget.balanceRetries = Math.min(maxBalance, budget.balanceRetries + minRetriesPerSecond() * elapsedMs / 1000)
     budget.updatedAtMs = nowMs
   }
 
--- a/src/core/fleet/count-orders.ts
+++ b/src/core/fleet/count-orders.ts
@@ -16,7 +16,7 @@
 export type CountOrderResult = 'taken' | 'none-left' | 'fenced'
 
 /** A service with the input of its plan. */
-export interface ScaledService extends Omit<CountPlanInput, 'isRefused'> {
+export interface ScaledService extends Omit<CountPlanInput, 'isRefused' | 'starting'> {
   service: string
   /** Time from the order of a backend server until it serves. */
   bootMs: number
@@ -32,6 +32,8 @@
   duty: Duty
   /** Whether the cloud rejects orders with an outdated fencing number; otherwise no order may overlap with those of the previous holder. */
   checksFencing: boolean
+  /** Plans the counts of a service; `planCounts` by default. */
+  plan?: (input: CountPlanInput) => DomainCount[]
   /** The services to order for; empty while too little is known. */
   services: () => ScaledService[]
   order: (service: string, wanted: DomainCount, fencingNumber: number, deadlineAtMs: number) => Promise<Result<CountOrderResult, CyclamenError>>
@@ -49,18 +51,22 @@
 const refusalBackOffMs = 2_000
 /** Time, on top of the boot time of a backend server, after which an order without visible effect is sent again. */
 const effectTimeoutMs = 3_000
+/** Time, on top of the boot time, within which an accepted order must have had its effect, registration included. */
+const startMarginMs = 1_500
 /** Pause after an order without a response. */
 const retryMs = 1_000
 
 interface SentOrder {
   count: number
+  /** Most backend servers that served since it was sent. */
+  servingCount: number
   atMs: number
   isAccepted: boolean
 }
 
 /** Creates the count orders of a node. */
 export function createCountOrders (options: CountOrdersOptions): CountOrders {
-  const { clock, log, metrics, duty, checksFencing } = options
+  const { clock, log, metrics, duty, checksFencing, plan = planCounts } = options
   const sentOrders = new Map<string, SentOrder>()
   const refusedUntilMs = new Map<string, number>()
   let currentFencingNumber: number | undefined
@@ -74,6 +80,10 @@
     return present.find(({ domain, purchase }) => domain === wanted.domain && purchase === wanted.purchase)?.count ?? 0
   }
 
+  function servingCount ({ serving }: ScaledService, key: CountKey): number {
+    return serving.find(({ domain, purchase }) => domain === key.domain && purchase === key.purchase)?.count ?? 0
+  }
+
   function isDue (service: ScaledService, wanted: DomainCount): boolean {
     const key = keyOf(service.service, wanted)
     const nowMs = clock.monotonicMs()
@@ -82,10 +92,26 @@
     if (last === undefined) return wanted.count !== presentCount(service, wanted)
     if (last.count !== wanted.count) return true
     if (!last.isAccepted) return nowMs >= last.atMs + retryMs
+    // After a reclaim, only the cloud can tell whether others will start.
+    const serving = servingCount(service, wanted)
+    if (wanted.purchase === 'reclaimable' && serving < Math.min(wanted.count, last.servingCount)) return true
+    last.servingCount = Math.max(last.servingCount, serving)
     // The count was not reached in time: an older order overrode this one, or this one was lost.
     return presentCount(service, wanted) !== wanted.count && nowMs >= last.atMs + service.bootMs + effectTimeoutMs
   }
 
+  /** Reclaimable backend servers that are booting: accepted orders beyond what serves. */
+  function startingCounts (service: ScaledService): DomainCount[] {
+    return service.domains.flatMap(({ domain }) => {
+      const key: CountKey = { domain, purchase: 'reclaimable' }
+      const last = sentOrders.get(keyOf(service.service, key))
+      if (last?.isAccepted !== true || clock.monotonicMs() >= last.atMs + service.bootMs + startMarginMs) return []
+      // Those that served and were reclaimed since don't start again.
+      const count = last.count - Math.max(last.servingCount, servingCount(service, key))
+      return count > 0 ? [{ ...key, count }] : []
+    })
+  }
+
   async function sendOrder (service: ScaledService, wanted: DomainCount, { fencingNumber, deadlineAtMs }: OrderWindow): Promise<void> {
     const key = keyOf(service.service, wanted)
     const atMs = clock.monotonicMs()
@@ -101,7 +127,7 @@
       present: presentCount(service, wanted),
       ...(response.isErr ? { cause: response.error.message } : {})
     })
-    sentOrders.set(key, { count: wanted.count, atMs, isAccepted: result === 'taken' })
+    sentOrders.set(key, { count: wanted.count, servingCount: servingCount(service, wanted), atMs, isAccepted: result === 'taken' })
     if (result === 'none-left') refusedUntilMs.set(key, atMs + refusalBackOffMs)
     else refusedUntilMs.delete(key)
     if (result === 'fenced') overtakenFencingNumber = fencingNumber
@@ -118,7 +144,7 @@
       }
       for (const service of options.services()) {
         const isRefused = (key: CountKey): boolean => refusedUntilMs.has(keyOf(service.service, key))
-        for (const wanted of planCounts({ ...service, isRefused })) {
+        for (const wanted of plan({ ...service, starting: startingCounts(service), isRefused })) {
           const window = duty.orderWindow(checksFencing)
           if (window?.fencingNumber !== fencingNumber) return
           if (isDue(service, wanted)) await sendOrder(service, wanted, window)
--- a/src/core/fleet/counts.ts
+++ b/src/core/fleet/counts.ts
@@ -1,8 +1,8 @@
 /**
  * Plans how many backend servers of a service to order in each failure domain,
- * for a cloud that takes wanted counts. The plan still serves the load when all
- * reclaimable backend servers of a domain leave at once and the cloud has no
- * replacements.
+ * for a cloud that takes wanted counts. Load it answers: a steady load while the
+ * cloud reclaims all reclaimable backend servers of a domain at once, again and
+ * again, and may have no replacements.
  */
 import type { DomainId } from '../ids/index.ts'
 import type { Purchase } from './types.ts'
@@ -32,6 +32,8 @@
   neededWithoutHeadroom: number
   /** Backend servers that serve and are not leaving. */
   serving: DomainCount[]
+  /** Reclaimable backend servers that were ordered and are certain to serve within their boot time. */
+  starting: DomainCount[]
   /** Whether the cloud recently refused such an order because it had none left. */
   isRefused: (key: CountKey) => boolean
 }
@@ -40,37 +42,61 @@
   return counts.filter(other => other.domain === domain && other.purchase === purchase).reduce((sum, { count }) => sum + count, 0)
 }
 
+/** Reclaims, each of another domain, that may follow so closely that nothing ordered after the first one serves in time. */
+const survivedReclaims = 2
+
+/** Number of reclaimable backend servers that remain after the reclaims of the domains that have most of them. */
+function countAfterReclaims (reclaimable: readonly number[]): number {
+  return [...reclaimable].sort((a, b) => b - a).slice(survivedReclaims).reduce((sum, count) => sum + count, 0)
+}
+
 /**
- * Orders on-demand backend servers for the load alone, so that reclaims in all
- * domains lose no responses, and reclaimable ones as headroom, distributed so
- * that the headroom survives the loss of one domain. Running on-demand ones stay
- * where they are; new ones go to the cheapest domains, but to several of them.
+ * Plans reclaimable backend servers for the whole load with its headroom, so many
+ * in each domain that the loss of one domain leaves enough, and on-demand ones for
+ * the part of the load that the loss of two domains would leave without a server.
+ * With five domains that is almost nothing, with three less than half of the load.
+ * After a reclaim without replacements, on-demand ones take over before the next one.
  */
 export function planCounts (input: CountPlanInput): DomainCount[] {
-  const { domains, needed, neededWithoutHeadroom, maxPerDomain, minPerDomain, serving } = input
-  const onDemandByDomain = new Map<DomainId, number>()
+  const { domains, needed, neededWithoutHeadroom, maxPerDomain, minPerDomain, serving, starting } = input
+  const reclaimablePerDomain = input.offersReclaimable && domains.length > 1 ? Math.ceil(needed / (domains.length - 1)) : 0
+  const servingOf = (domain: DomainId, purchase: Purchase): number => countIn(serving, { domain, purchase })
+  const servingReclaimable = domains.map(({ domain }) => Math.min(reclaimablePerDomain, servingOf(domain, 'reclaimable')))
+  const expectedReclaimable = domains.map(({ domain }, index) => Math.min(reclaimablePerDomain, (servingReclaimable[index] ?? 0) + countIn(starting, { domain, purchase: 'reclaimable' })))
+  // Starting servers are a reason to order no more, but not to give up those that serve.
+  const fewestOnDemand = Math.max(0, neededWithoutHeadroom - countAfterReclaims(expectedReclaimable))
+  const mostOnDemand = Math.max(0, neededWithoutHeadroom - countAfterReclaims(servingReclaimable))
+  const servingOnDemand = domains.reduce((sum, { domain }) => sum + servingOf(domain, 'on-demand'), 0)
+  const onDemand = placeOnDemand(input, Math.min(mostOnDemand, Math.max(fewestOnDemand, servingOnDemand)))
+  return domains.flatMap(({ domain }) => {
+    const count = onDemand.get(domain) ?? 0
+    // Both purchase options share the bound of a domain, and those that are given up still count until they have left.
+    const reclaimable = Math.max(0, Math.min(reclaimablePerDomain, maxPerDomain - Math.max(count, servingOf(domain, 'on-demand'))))
+    return [
+      { domain, purchase: 'on-demand' as const, count: Math.max(count, minPerDomain - reclaimable) },
+      { domain, purchase: 'reclaimable' as const, count: reclaimable }
+    ]
+  })
+}
+
+/** Places on-demand backend servers: running ones stay where they are, new ones go to the cheapest domains, but to several of them. */
+function placeOnDemand ({ domains, maxPerDomain, serving, isRefused }: CountPlanInput, wanted: number): Map<DomainId, number> {
+  const countByDomain = new Map<DomainId, number>()
   const byPrice = [...domains].sort((a, b) => a.price - b.price)
-  const maxNewPerDomain = Math.ceil(neededWithoutHeadroom / Math.max(1, domains.length - 1))
-  let missing = neededWithoutHeadroom
+  const maxNewPerDomain = Math.ceil(wanted / Math.max(1, domains.length - 1))
+  let missing = wanted
 
   function place (domain: DomainId, limit: number): void {
-    const placed = onDemandByDomain.get(domain) ?? 0
-    const count = Math.max(0, Math.min(missing, limit - placed, maxPerDomain - placed))
-    onDemandByDomain.set(domain, placed + count)
+    const placed = countByDomain.get(domain) ?? 0
+    const reclaimable = countIn(serving, { domain, purchase: 'reclaimable' })
+    const count = Math.max(0, Math.min(missing, limit - placed, maxPerDomain - reclaimable - placed))
+    countByDomain.set(domain, placed + count)
     missing -= count
   }
 
   for (const { domain } of byPrice) place(domain, countIn(serving, { domain, purchase: 'on-demand' }))
   for (const { domain } of byPrice) {
-    if (!input.isRefused({ domain, purchase: 'on-demand' })) place(domain, maxNewPerDomain)
+    if (!isRefused({ domain, purchase: 'on-demand' })) place(domain, maxNewPerDomain)
   }
-  const headroomPerDomain = input.offersReclaimable ? Math.ceil(Math.max(0, needed - neededWithoutHeadroom) / Math.max(1, domains.length - 1)) : 0
-  return domains.flatMap(({ domain }) => {
-    const onDemand = onDemandByDomain.get(domain) ?? 0
-    const reclaimable = Math.min(headroomPerDomain, maxPerDomain - onDemand)
-    return [
-      { domain, purchase: 'on-demand' as const, count: Math.max(onDemand, minPerDomain - reclaimable) },
-      { domain, purchase: 'reclaimable' as const, count: reclaimable }
-    ]
-  })
+  return countByDomain
 }
--- a/src/core/fleet/work-demand.ts
+++ b/src/core/fleet/work-demand.ts
@@ -15,7 +15,7 @@
   record: (bootId: string, totalWorkMs: number) => void
   /** Takes a sample of the total; called after the work of all nodes is recorded. */
   sample: () => void
-  /** Highest recent number of busy backend servers; undefined before there are enough samples. */
+  /** Highest recent number of busy backend servers; undefined until work was recorded for a whole period. */
   busyServers: () => number | undefined
 }
 
@@ -44,10 +44,13 @@
 
   function sample (): void {
     const atMs = clock.monotonicMs()
-    samples = samples.filter(sample => sample.atMs >= atMs - ratePeriodMs)
+    // Before the first work only the latest sample counts, so that the rate is not averaged over time without traffic.
+    if (allWorkMs === 0) samples = []
+    const oldestAtMs = atMs - ratePeriodMs
+    samples = samples.filter((sample, index) => sample.atMs >= oldestAtMs || (samples[index + 1]?.atMs ?? atMs) > oldestAtMs)
     const previous = samples[0]
     samples.push({ atMs, allWorkMs })
-    if (previous === undefined || atMs - previous.atMs < ratePeriodMs / 2 || allWorkMs === 0) return
+    if (previous === undefined || atMs - previous.atMs < ratePeriodMs) return
     const busy = (allWorkMs - previous.allWorkMs) / (atMs - previous.atMs)
     rates = rates.filter(rate => rate.atMs >= atMs - maxRatePeriodMs && rate.busy > busy)
     rates.push({ atMs, busy })
--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -47,6 +47,8 @@
   onSent: (service: string, workMs: number) => void
   onAttempt: (report: AttemptReport) => void
   isDraining: () => boolean
+  /** Whether this node learns of the others' load soon enough to compare all backend servers without many nodes choosing the same one. */
+  hasRecentLoads: () => boolean
   /** A uniformly distributed number from 0 to 1, the same for the same text. */
   draw: (text: string) => number
   /** Random number from 0 to 1 for the jitter of retry times. */
--- a/src/core/gateway/backend-table.ts
+++ b/src/core/gateway/backend-table.ts
@@ -6,10 +6,11 @@
 import { toId } from '../ids/index.ts'
 import type { Backend } from '../backends/types.ts'
 import type { Clock } from '../clock/index.ts'
-import type { BackendId, InstanceId, TeamId, VersionId } from '../ids/index.ts'
+import type { BackendId, InstanceId, NodeId, TeamId, VersionId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { BackendConnections } from './backend-connections.ts'
+import type { SuspectCounts } from '../node-reports/types.ts'
 import type { BackendEntry } from './types.ts'
 
 /** Version label of all backend servers that don't run the canary version. */
@@ -22,6 +23,17 @@
 /** That time after the first failure; doubles with each consecutive failure. */
 const minSuspectMs = 250
 
+/** Number of other nodes that must suspect a backend server before this node does; the connection of a single node may be the cause. */
+const minSuspectingNodes = 2
+/** Time after a failure for which this node reports its suspicion, unless it hears from the backend server; a suspicion itself may end before the next report. */
+const reportSuspicionMs = 5_000
+/** Share of the choices for which a backend server that only others suspect stays usable, so that its recovery is found. */
+const retrySuspectRatio = 1 / 16
+/** Age up to which the suspicions of other nodes count; several of their report intervals. */
+const maxPeerSuspectAgeMs = 1_500
+/** Time after the last sign of life for which this node trusts its own connection more than the suspicions of others. */
+const ownActivityMs = 1_000
+
 /** Options of the table. */
 export interface BackendTableOptions {
   clock: Clock
@@ -29,6 +41,8 @@
   metrics: Metrics
   /** Canary version of a service; undefined when no move is running. */
   canaryVersionOf: (service: string) => VersionId | undefined
+  /** Random number in [0, 1). */
+  random: () => number
   /** Called when a backend server is removed from the table. */
   onRemoved: (backend: BackendId) => void
 }
@@ -40,8 +54,9 @@
   connections: BackendConnections
   /** Monotonic time until which it gets no new requests. */
   suspectUntilMs: number
-  /** Consecutive failures to reach it. */
+  /** Consecutive failures to reach it, and the monotonic time of the last one. */
   consecutiveFailures: number
+  lastFailureAtMs: number
   /** Monotonic time at which this node last received anything from it. */
   lastActivityAtMs: number
   /** Set when another backend server was found at its address. */
@@ -62,6 +77,10 @@
   list: () => KnownBackend[]
   /** Reports that it could not be reached or stopped responding. */
   markSuspect: (id: BackendId, cause: string) => void
+  /** The backend servers that this node's own recent attempts could not reach, and those that others suspect and this node hears from. */
+  suspects: () => Map<BackendId, SuspectCounts>
+  /** Replaces what another node, or a collector for several, reports of suspected backend servers. */
+  setPeerSuspects: (source: NodeId, suspects: ReadonlyMap<BackendId, SuspectCounts>) => void
   /** Reports that something was received from it; clears a suspicion. */
   recordActivity: (id: BackendId) => void
   /** Reports that another backend server uses its address now; it gets no more requests. */
@@ -73,6 +92,7 @@
 export function createBackendTable (options: BackendTableOptions): BackendTable {
   const { clock, log, metrics } = options
   const known = new Map<BackendId, KnownBackend>()
+  const peerSuspects = new Map<NodeId, { suspects: ReadonlyMap<BackendId, SuspectCounts>, receivedAtMs: number }>()
 
   function toBackend (entry: BackendEntry): Backend {
     return {
@@ -117,6 +137,7 @@
       connections: connect(entry),
       suspectUntilMs: -Infinity,
       consecutiveFailures: 0,
+      lastFailureAtMs: -Infinity,
       lastActivityAtMs: clock.monotonicMs(),
       isMisdirected: false
     })
@@ -131,15 +152,34 @@
     log('backendRemoved', { backend: id, service: gone.entry.service, cause })
   }
 
+  /** The backend servers that other nodes suspect. */
+  function countPeerSuspects (nowMs: number): Map<BackendId, SuspectCounts> {
+    const counts = new Map<BackendId, SuspectCounts>()
+    for (const { suspects, receivedAtMs } of peerSuspects.values()) {
+      if (receivedAtMs < nowMs - maxPeerSuspectAgeMs) continue
+      for (const [id, { suspecting, hearing }] of suspects) {
+        const sum = counts.get(id) ?? { suspecting: 0, hearing: 0 }
+        counts.set(id, { suspecting: sum.suspecting + suspecting, hearing: sum.hearing + hearing })
+      }
+    }
+    return counts
+  }
+
   function usable (service: string): Backend[] {
     const nowMs = clock.monotonicMs()
+    const peerCounts = countPeerSuspects(nowMs)
+    const retriesSuspects = peerCounts.size > 0 && options.random() < retrySuspectRatio
     const canary = options.canaryVersionOf(service)
     const healthy: Backend[] = []
     const suspected: Backend[] = []
-    for (const { entry, backend, suspectUntilMs, isMisdirected } of known.values()) {
+    for (const { entry, backend, suspectUntilMs, isMisdirected, lastActivityAtMs, consecutiveFailures } of known.values()) {
       if (entry.service !== service || isMisdirected) continue
+      // A node that found out by itself goes on to try; the others wait until it succeeds.
+      const counts = peerCounts.get(entry.id)
+      const isSuspectedByPeers = counts !== undefined && counts.suspecting >= minSuspectingNodes && counts.hearing === 0 &&
+        consecutiveFailures === 0 && lastActivityAtMs < nowMs - ownActivityMs && !retriesSuspects
       const labelled = canary !== undefined && entry.version === canary ? { ...backend, version: canaryLabel } : backend
-      if (suspectUntilMs > nowMs) suspected.push(labelled)
+      if (suspectUntilMs > nowMs || isSuspectedByPeers) suspected.push(labelled)
       else healthy.push(labelled)
     }
     // A suspicion may be wrong, so suspected backend servers are used when no other is live.
@@ -152,6 +192,7 @@
     const nowMs = clock.monotonicMs()
     if (backend.suspectUntilMs > nowMs) return
     backend.consecutiveFailures += 1
+    backend.lastFailureAtMs = nowMs
     const forMs = Math.min(maxSuspectMs, minSuspectMs * 2 ** (backend.consecutiveFailures - 1))
     backend.suspectUntilMs = nowMs + forMs
     log('backendSuspected', { backend: id, service: backend.entry.service, cause, forMs, silentMs: Math.round(nowMs - backend.lastActivityAtMs) })
@@ -173,6 +214,18 @@
     get: id => known.get(id),
     list: () => [...known.values()],
     markSuspect,
+    suspects: () => {
+      const nowMs = clock.monotonicMs()
+      const peerCounts = countPeerSuspects(nowMs)
+      return new Map([...known.values()].flatMap(({ entry: { id }, consecutiveFailures, lastFailureAtMs, lastActivityAtMs }): Array<[BackendId, SuspectCounts]> => {
+        if (consecutiveFailures > 0) return lastFailureAtMs >= nowMs - reportSuspicionMs ? [[id, { suspecting: 1, hearing: 0 }]] : []
+        return peerCounts.has(id) && lastActivityAtMs >= nowMs - ownActivityMs ? [[id, { suspecting: 0, hearing: 1 }]] : []
+      }))
+    },
+    setPeerSuspects: (source, suspects) => {
+      if (suspects.size === 0) peerSuspects.delete(source)
+      else peerSuspects.set(source, { suspects, receivedAtMs: clock.monotonicMs() })
+    },
     recordActivity,
     markMisdirected: id => {
       const backend = known.get(id)
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -173,7 +173,7 @@
       priority: 'normal',
       deadlineAtMs,
       ...(isFirstAttempt && route.kind === 'stream' ? { firstTokenDeadlineAtMs: arrivedAtMs + route.latencyTargetMs } : {}),
-      compareAllBackends: true,
+      compareAllBackends: options.hasRecentLoads(),
       excluded
     }
   }
--- a/src/core/node-reports/activity-totals.ts
+++ b/src/core/node-reports/activity-totals.ts
@@ -3,7 +3,7 @@
 import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
 import type { QuotaUsage } from '../quota/index.ts'
 import type { PeerLoad, PrefixPlacement } from '../routing/index.ts'
-import type { Activity } from './types.ts'
+import type { Activity, SuspectCounts } from './types.ts'
 
 /** The totals at one collector. */
 export interface ActivityTotals {
@@ -33,6 +33,7 @@
   bootId: string
   quotaUsage: Map<TeamId, QuotaUsage>
   loads: Map<BackendId, PeerLoad>
+  suspects: ReadonlyMap<BackendId, SuspectCounts>
 }
 
 /** Adds a load to the totals (`sign` 1) or subtracts it (`sign` -1). */
@@ -107,10 +108,22 @@
     recordUsage(node, bootId, activity.quotaUsage, before)
     subtractLoads(node)
     for (const [backend, load] of activity.loads) addLoad(totalLoads, backend, load, 1)
-    reportedByNode.set(node, { bootId, quotaUsage: new Map(activity.quotaUsage), loads: new Map(activity.loads) })
+    reportedByNode.set(node, { bootId, quotaUsage: new Map(activity.quotaUsage), loads: new Map(activity.loads), suspects: activity.suspects })
     recordPrefixes(node, activity.prefixes)
   }
 
+  function suspectsExcept (node: NodeId): Map<BackendId, SuspectCounts> {
+    const suspects = new Map<BackendId, SuspectCounts>()
+    for (const [other, reported] of reportedByNode) {
+      if (other === node) continue
+      for (const [backend, { suspecting, hearing }] of reported.suspects) {
+        const counts = suspects.get(backend) ?? { suspecting: 0, hearing: 0 }
+        suspects.set(backend, { suspecting: counts.suspecting + suspecting, hearing: counts.hearing + hearing })
+      }
+    }
+    return suspects
+  }
+
   function totalsExcept (node: NodeId): Activity {
     const own = reportedByNode.get(node)
     const ownUsage = usageByNode.get(node)
@@ -124,7 +137,7 @@
     const lastSent = lastSentNumbers.get(node) ?? 0
     lastSentNumbers.set(node, prefixNumber)
     const newPrefixes = prefixes.filter(({ from, number }) => number > lastSent && from !== node).slice(-Math.max(1, maxPrefixes()))
-    return { quotaUsage, loads, prefixes: newPrefixes.map(({ backend, hashes }) => ({ backend, hashes })) }
+    return { quotaUsage, loads, prefixes: newPrefixes.map(({ backend, hashes }) => ({ backend, hashes })), suspects: suspectsExcept(node) }
   }
 
   return {
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -71,6 +71,10 @@
   isCollector: () => boolean
   /** Whether a collector that can reach the key-value service has sent a digest recently. */
   hasPeerUpdates: () => boolean
+  /** Whether nodes report to collectors, so that each learns of the others' activity late. */
+  usesCollectors: () => boolean
+  /** Mean age in ms of the other nodes' activity as this node knows it. */
+  activityAgeMs: () => number
   /** Sends a report immediately, for example before the node stops. */
   sendReport: () => void
   close: () => void
@@ -237,6 +241,9 @@
     lastReport: peer => reportsByNode.get(peer)?.report,
     isCollector: () => choice.isCollector,
     hasPeerUpdates: () => choice.usesCollectors && !choice.isCollector && clock.monotonicMs() - lastDeltaAtMs <= maxDeltaAgeMs,
+    usesCollectors: () => choice.usesCollectors,
+    // With a collector, a report waits for half an interval there and its digest for half an interval here.
+    activityAgeMs: () => choice.usesCollectors ? intervalMs : intervalMs / 2,
     sendReport,
     close: () => {
       closed.abort()
--- a/src/core/node-reports/types.ts
+++ b/src/core/node-reports/types.ts
@@ -11,6 +11,16 @@
   loads: Map<BackendId, PeerLoad>
   /** Prompt prefixes recently sent to backend servers. */
   prefixes: PrefixPlacement[]
+  /** Backend servers that nodes find unreachable or silent. */
+  suspects: ReadonlyMap<BackendId, SuspectCounts>
+}
+
+/** What nodes say of a backend server that some of them suspect. */
+export interface SuspectCounts {
+  /** Number of nodes whose recent attempts could not reach it, or got no response. */
+  suspecting: number
+  /** Number of nodes that recently received something from it. */
+  hearing: number
 }
 
 /** One node's report about itself. */
--- a/src/core/quota/index.ts
+++ b/src/core/quota/index.ts
@@ -31,6 +31,8 @@
   tolerance?: { windowMs: number, share: number, extra: number }
   /** Returns the share of all nodes from which this node receives reports, itself included; 1 when it receives all reports. */
   reachableShare: () => number
+  /** Mean age in ms of what this node knows of the others' admissions. */
+  reportAgeMs: () => number
   /** A team's quota in the configuration, for usage that others report before this node gets a request of the team. */
   limitOf?: (team: TeamId) => QuotaLimit | undefined
 }
@@ -69,14 +71,14 @@
 /** Parts of the tolerance that may be used at once and over one window. The rest covers admissions that other nodes haven't reported yet. */
 const toleranceBurstRatio = 0.2
 const toleranceRefillRatio = 0.45
-/** Fewest tokens that a refused request waits for; one that was refused by chance would otherwise be told to retry at once. */
-const minMissingTokens = 1
 /** Time constant of the moving average of what nodes are asked for. */
 const askedTimeConstantMs = 1_000
 /** Age from which a report no longer tells what its source is asked for; several report intervals. */
 const maxReportAgeMs = 1_500
-/** Time over which all nodes together use up what is available; three times the age of reports, below which the admissions would oscillate. */
-const spendingHorizonMs = 1_000
+/** Time over which all nodes together use up what is available, in ages of their reports; below three the admissions would oscillate. */
+const spendingHorizonAges = 3
+/** Longest delay for a request that was refused although tokens were left. */
+const maxExcessDelayMs = 4_000
 
 /** A team's usage in the last report of a source. */
 interface PeerTeamUsage extends QuotaUsage {
@@ -94,7 +96,7 @@
 
 /** Creates the quotas of one node. A team's bucket is created full, at its first request or the first report of one. */
 export function createQuotas (options: QuotaOptions): Quotas {
-  const { clock, random, reachableShare, tolerance = { windowMs: secondMs, share: 0, extra: 0 }, limitOf = () => undefined } = options
+  const { clock, random, reachableShare, reportAgeMs, tolerance = { windowMs: secondMs, share: 0, extra: 0 }, limitOf = () => undefined } = options
   const buckets = new Map<TeamId, Bucket>()
   const usage = new Map<TeamId, QuotaUsage>()
   const peerReports = new Map<NodeId, PeerReport>()
@@ -147,7 +149,7 @@
 
   /** Part of its own requests that this node may admit, so that all nodes use up what is available over the horizon; 1 or more while there is enough for all. */
   function admissibleRatio (team: TeamId, limit: QuotaLimit, availableTokens: number): number {
-    const horizonSeconds = spendingHorizonMs / secondMs
+    const horizonSeconds = spendingHorizonAges * reportAgeMs() / secondMs
     const askedTokens = askedPerSecondElsewhere(team) * horizonSeconds
     return askedTokens === 0 ? 1 : (availableTokens + refillPerSecond(limit) * horizonSeconds) / askedTokens
   }
@@ -156,8 +158,8 @@
     const bucket = bucketOf(team, limit)
     const availableTokens = bucket.level + bucket.toleranceLevel
     // A request larger than the burst needs both parts.
-    const isAdmitted = availableTokens >= tokens && random() < admissibleRatio(team, limit, availableTokens)
-    if (isAdmitted) {
+    const admissible = admissibleRatio(team, limit, availableTokens)
+    if (availableTokens >= tokens && random() < admissible) {
       const fromQuota = Math.max(0, Math.min(tokens, bucket.level))
       bucket.level -= fromQuota
       bucket.toleranceLevel -= tokens - fromQuota
@@ -166,9 +168,12 @@
     }
     recordUsage(team, 0, 0, tokens)
     const largestTokens = limit.burst + toleranceOf(limit) * toleranceBurstRatio
-    const missingTokens = Math.max(Math.min(tokens, largestTokens) - availableTokens, minMissingTokens)
+    const missingTokens = Math.max(0, Math.min(tokens, largestTokens) - availableTokens)
     // The tolerance may already be at its maximum, so only the quota is certain to be refilled.
-    return Math.ceil(missingTokens / limit.perSecond * secondMs)
+    const refillMs = missingTokens / limit.perSecond * secondMs
+    // What is asked for beyond the quota in one second needs this time, and more than that of a sustained excess can't be served anyway.
+    const excessMs = admissible < 1 ? Math.min(maxExcessDelayMs, (1 / Math.max(admissible, Number.EPSILON) - 1) * secondMs) : 0
+    return Math.ceil(Math.max(refillMs, excessMs, 1))
   }
 
   /** Replaces the report of a source and returns the one before, if it was of the same process. */
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -1,9 +1,13 @@
 /**
  * Chooses a backend server for each attempt. The request's version is drawn from
- * its id, weighted by the versions' shares. The candidates are the live backend
- * servers of that version that are affinity backend servers of the prompt or known
- * to have its prefix cached, and two random ones. The one with the lowest cost,
- * mostly the expected time to the first token, is chosen.
+ * its id, weighted by the versions' shares. The candidates are two random ones of the
+ * live backend servers of that version, and two random ones of those known to have the
+ * longest prefix of the prompt cached, or its affinity backend servers when there are
+ * none. The one with the lowest cost, mostly the expected time to the first token, is
+ * chosen. What a node knows of the others' load is late; if all nodes compared all
+ * backend servers, they would choose the same ones until they learn of it. Load it
+ * answers: many nodes whose requests together move the load of a backend server faster
+ * than they learn of it.
  */
 import type { Result } from 'true-myth'
 import { err, ok } from 'true-myth/result'
@@ -25,6 +29,8 @@
 export { createPromptHasher } from './prompt-hasher.ts'
 
 const defaultSubsetSize = 32
+/** Number of backend servers with the cached prefix that are compared; more would let all nodes choose the same one. */
+const maxComparedHolders = 2
 const defaultMaxIndexEntries = 65_536
 /** Fewest tokens worth fetching from another engine; computing fewer takes no longer than setting up the transfer. */
 const minFetchTokens = 256
@@ -93,11 +99,19 @@
     return key === undefined ? [] : rendezvous.rank(key, live, affinityBackendCount)
   }
 
-  function pickTwoRandom (live: readonly Backend[]): Backend[] {
-    const subset = rendezvous.subset(node, live, subsetSize)
-    const first = Math.floor(random() * subset.length)
-    const second = (first + 1 + Math.floor(random() * (subset.length - 1))) % subset.length
-    return [subset[first], subset[second]].filter(backend => backend !== undefined)
+  function pickTwoRandom (backends: readonly Backend[]): Backend[] {
+    const first = Math.floor(random() * backends.length)
+    const second = (first + 1 + Math.floor(random() * (backends.length - 1))) % backends.length
+    return [backends[first], backends[second]].filter(backend => backend !== undefined)
+  }
+
+  /** The backend servers to compare: all of them, or few that differ from node to node. */
+  function pickCandidates (request: RouteRequest, live: readonly Backend[], holders: readonly Backend[], cachedBlocks: ReadonlyMap<BackendId, number>, affinityBackends: readonly Backend[]): Set<Backend> {
+    if (request.compareAllBackends === true) return new Set([...affinityBackends, ...live])
+    const mostBlocks = Math.max(0, ...cachedBlocks.values())
+    const bestHolders = holders.filter(({ id }) => cachedBlocks.get(id) === mostBlocks)
+    const prefixBackends = bestHolders.length === 0 ? affinityBackends : bestHolders.length <= maxComparedHolders ? bestHolders : pickTwoRandom(bestHolders)
+    return new Set([...prefixBackends, ...pickTwoRandom(rendezvous.subset(node, live, subsetSize))])
   }
 
   function evaluateCandidate (request: RouteRequest, backend: Backend, cachedBlocks: ReadonlyMap<BackendId, number>, affinityRank: number, source: PrefixSource | undefined): Candidate {
@@ -150,8 +164,7 @@
     const affinityBackends = affinityBackendsOf(request, live)
     const cachedBlocks = request.prompt === undefined ? new Map<BackendId, number>() : index.cachedBlocks(request.prompt.hashes)
     const holders = cachedBlocks.size === 0 ? [] : live.filter(backend => cachedBlocks.has(backend.id))
-    const alternatives = request.compareAllBackends === true ? live : pickTwoRandom(live)
-    const considered = new Set([...affinityBackends, ...holders, ...alternatives])
+    const considered = pickCandidates(request, live, holders, cachedBlocks, affinityBackends)
     const source = findPrefixSource(request, holders, cachedBlocks)
     return cheapestOf([...considered].map(backend => evaluateCandidate(request, backend, cachedBlocks, affinityBackends.indexOf(backend), source)))
   }
@@ -170,13 +183,22 @@
     return err({ reason, run: 'not-run', retryAtMs: clock.wallMs() + Math.ceil(waitMs), detail })
   }
 
+  /**
+   * A request that would meet its target on an idle backend server is refused while
+   * others keep it from that. One whose own prompt takes longer than the target
+   * would be refused whenever it comes back, so it is served late.
+   */
+  function latestFirstTokenAtMs ({ deadlineAtMs, firstTokenDeadlineAtMs = deadlineAtMs }: RouteRequest, { prefillMs }: RouteChoice): number {
+    return clock.wallMs() + prefillMs > firstTokenDeadlineAtMs ? deadlineAtMs : Math.min(deadlineAtMs, firstTokenDeadlineAtMs)
+  }
+
   function choose (request: RouteRequest, backends: readonly Backend[]): Result<RouteChoice, Refusal> {
     for (const version of versionsOf(request)) {
       const live = candidatesOf(request, version, backends, mayServe)
       const chosen = chooseCheapest(request, live)
       if (chosen === undefined) continue
       const { choice, affinityRank } = chosen
-      const remainingMs = Math.min(request.deadlineAtMs, request.firstTokenDeadlineAtMs ?? Infinity) - clock.wallMs()
+      const remainingMs = latestFirstTokenAtMs(request, choice) - clock.wallMs()
       if (choice.expectedFirstTokenMs > remainingMs) return refuse('deadline-unreachable', choice.expectedFirstTokenMs - remainingMs)
       metrics.count('routed_total', { reason: choice.reason })
       openRequests.set(choice, { request, affinityRank })
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -45,7 +45,7 @@
   deadlineAtMs: number
   /** Wall time by which the first token must arrive; defaults to `deadlineAtMs`. */
   firstTokenDeadlineAtMs?: number
-  /** Compares all live backend servers instead of two random ones; useful when the load from other nodes is known. */
+  /** Compares all live backend servers instead of a few; useful when the load from other nodes is known without delay. */
   compareAllBackends?: boolean
   /** Backend servers where earlier attempts of this request failed. */
   excluded: ReadonlySet<BackendId>
--- a/test/node-reports/exchange.test.ts
+++ b/test/node-reports/exchange.test.ts
@@ -61,6 +61,7 @@
           quotaUsage: new Map([[team, { quota: tokens, tolerance: 0, asked: tokens }]]),
           loads: new Map(backends.map(backend => [backend, { requests: 1, pendingTokens: 50 }])),
           prefixes: [],
+          suspects: new Map(),
           usage: new Map(),
           workMs: new Map(),
           evidence: undefined
--- a/test/routing/router.test.ts
+++ b/test/routing/router.test.ts
@@ -132,3 +132,26 @@
   const result = router.choose(createRequest('r-1', clock.wallMs(), { deadlineAtMs: clock.wallMs() + 1000 }), backend === undefined ? [] : [backend])
   t.true(result.isErr && result.error.reason === 'deadline-unreachable' && result.error.run === 'not-run')
 })
+
+// A long prompt without cached parts was refused at every attempt of its caller, with free backend servers.
+test('a request whose own prompt takes longer than its target is served late, and refused only for its deadline', t => {
+  const { clock, router } = setUp()
+  const nowMs = clock.wallMs()
+  const backends = createBackends(4)
+  const prompt = hasher.blocks(createLongPrompt(1))
+  const expectedMs = unwrapChoice(router.choose(createRequest('r-0', nowMs, { prompt }), backends)).prefillMs
+  const chosen = router.choose(createRequest('r-1', nowMs, { prompt, firstTokenDeadlineAtMs: nowMs + expectedMs / 2 }), backends)
+  t.true(chosen.isOk)
+  const hopeless = router.choose(createRequest('r-2', nowMs, { prompt, firstTokenDeadlineAtMs: nowMs + expectedMs / 2, deadlineAtMs: nowMs + expectedMs / 2 }), backends)
+  t.true(hopeless.isErr && hopeless.error.reason === 'deadline-unreachable')
+})
+
+test('a request that others keep from meeting its target is refused with the time to retry', t => {
+  const { clock, router } = setUp()
+  const nowMs = clock.wallMs()
+  const [backend] = createBackends(1)
+  const first = unwrapChoice(router.choose(createRequest('r-0', nowMs, { prompt: hasher.blocks(createLongPrompt(1)) }), [backend!]))
+  router.onAttemptSent(attemptId(0), first)
+  const refused = router.choose(createRequest('r-1', nowMs, { prompt: hasher.blocks(createLongPrompt(2)), firstTokenDeadlineAtMs: nowMs + first.prefillMs * 1.5 }), [backend!])
+  t.true(refused.isErr && refused.error.reason === 'deadline-unreachable' && (refused.error.retryAtMs ?? 0) > nowMs)
+})
