Open fewer watches while hundreds of nodes start

Ruled out for now: the first list from the seeds (they have no content yet when all start together) and stale reads (the page does not say which revision they belong to).

test/store-view: 'a node that expects changes from others waits for them before it watches the service', failing before.

--- a/src/core/store-view/index.ts
+++ b/src/core/store-view/index.ts
@@ -15,12 +15,15 @@
 const defaultRetryPauseMs = 250
 /** Interval at which to check whether other nodes still report changes; a fraction of the time after which they count as silent. */
 const peerCheckIntervalMs = 400
+/** Longest time after a list for which a node waits for the first changes from others before it watches the service itself; two of their report intervals. */
+const firstPeerUpdateMs = 600
+const firstPeerUpdateCheckMs = 50
 /** Timeout of a read of an omitted value. */
 const readTimeoutMs = 800
 
 /** Creates a view; sends no request before `start` is called. */
 export function createStoreView (options: StoreViewOptions): StoreView {
-  const { store, clock, log, hasPeerUpdates = () => false, isSameContent = () => false } = options
+  const { store, clock, log, hasPeerUpdates = () => false, expectsPeerUpdates = () => false, isSameContent = () => false } = options
   const history = createHistory()
   const closed = new AbortController()
   const listeners: Array<(changes: readonly ViewChange[]) => void> = []
@@ -176,13 +179,27 @@
     if (snapshot !== undefined && snapshot.revision > revision) replace(snapshot, 'peer')
   }
 
+  /** Lists the content if necessary, and then gives other nodes the time to report changes. */
+  async function listIfNeeded (): Promise<KeyValueError | undefined> {
+    if (!needsList) return undefined
+    const failure = await listContent()
+    if (failure !== undefined) return failure
+    const deadlineMs = clock.monotonicMs() + firstPeerUpdateMs
+    while (!closed.signal.aborted && expectsPeerUpdates() && !hasPeerUpdates() && clock.monotonicMs() < deadlineMs) {
+      await clock.sleep(firstPeerUpdateCheckMs, closed.signal)
+    }
+    return undefined
+  }
+
   async function run (): Promise<void> {
     while (!closed.signal.aborted) {
       if (!needsList && hasPeerUpdates()) {
         await clock.sleep(peerCheckIntervalMs, closed.signal)
         continue
       }
-      const failure = (needsList ? await listContent() : undefined) ?? await watchUntilLost()
+      const listFailure = await listIfNeeded()
+      if (listFailure === undefined && hasPeerUpdates()) continue
+      const failure = listFailure ?? await watchUntilLost()
       if (closed.signal.aborted) return
       if (failure === undefined) continue
       // A new list is needed only if the service no longer has the history. After a broken connection, the watch resumes at the last revision.
--- a/src/core/store-view/types.ts
+++ b/src/core/store-view/types.ts
@@ -70,6 +70,8 @@
   fetchFromPeers: (afterRevision: number) => Promise<Snapshot | undefined>
   /** Whether other nodes report changes frequently enough that this node doesn't need a watch of its own. */
   hasPeerUpdates?: () => boolean
+  /** Whether other nodes are about to report changes, so that it is worth waiting for them before a watch of its own. */
+  expectsPeerUpdates?: () => boolean
   /** Delay before the next request to the service after a failure, in milliseconds. */
   retryPauseMs?: () => number
   /**
--- a/test/platform-adapter/store.test.ts
+++ b/test/platform-adapter/store.test.ts
@@ -12,7 +12,7 @@
 
 async function setUp (t: ExecutionContext, options: { pageSize?: number } = {}) {
   const platform = await startPlatform(options)
-  const store = createStore({ origin: platform.origin, clock, watchBatchDelayMs: 10 })
+  const store = createStore({ origin: platform.origin, clock, watchBatchDelayMs: () => 10 })
   t.teardown(async () => {
     await store.close()
     await platform.close()
--- a/test/store-view/store-view.test.ts
+++ b/test/store-view/store-view.test.ts
@@ -166,3 +166,27 @@
   sendDelta()
   t.is(follower.view.list('nodes/').length, 170)
 })
+
+// Hundreds of nodes that restart at once each opened a watch until the first digest arrived.
+test('a node that expects changes from others waits for them before it watches the service', async t => {
+  const service = createMemoryKeyValue({ clock })
+  const store = service.connect('node')
+  const state = { hasPeerUpdates: false }
+  const view = createStoreView({
+    store,
+    clock,
+    log: () => {},
+    fetchFromPeers: async () => undefined,
+    expectsPeerUpdates: () => true,
+    hasPeerUpdates: () => state.hasPeerUpdates
+  })
+  t.teardown(view.close)
+  await view.start()
+  await clock.sleep(100)
+  state.hasPeerUpdates = true
+  await clock.sleep(700)
+  t.is(service.calls().byOperation.watch ?? 0, 0)
+  state.hasPeerUpdates = false
+  await until(() => (service.calls().byOperation.watch ?? 0) > 0)
+  t.pass()
+})
