Compare all backend servers before a request is refused; log what others' reports change

Cause: with few candidates a request was refused when four backend servers were behind, although a fifth was free. Now all are compared before a refusal. test/routing 'no request is refused while any backend server is free, although few are compared' fails without it.

A node that avoids a backend server because of other nodes' reports says so (event 713), and so when it no longer does.

--- a/src/core/gateway/backend-table.ts
+++ b/src/core/gateway/backend-table.ts
@@ -92,6 +92,8 @@
 export function createBackendTable (options: BackendTableOptions): BackendTable {
   const { clock, log, metrics } = options
   const known = new Map<BackendId, KnownBackend>()
+  /** Backend servers that other nodes suspect, as last logged. */
+  const avoided = new Set<BackendId>()
   const peerSuspects = new Map<NodeId, { suspects: ReadonlyMap<BackendId, SuspectCounts>, receivedAtMs: number }>()
 
   function toBackend (entry: BackendEntry): Backend {
@@ -165,6 +167,26 @@
     return counts
   }
 
+  function isSuspectedByPeers (counts: SuspectCounts | undefined): boolean {
+    return counts !== undefined && counts.suspecting >= minSuspectingNodes && counts.hearing === 0
+  }
+
+  function logAvoidedChanges (): void {
+    const counts = countPeerSuspects(clock.monotonicMs())
+    for (const [id, count] of counts) {
+      const service = known.get(id)?.entry.service
+      if (service === undefined || avoided.has(id) || !isSuspectedByPeers(count)) continue
+      avoided.add(id)
+      log('backendAvoided', { backend: id, service, avoided: true, ...count })
+    }
+    for (const id of avoided) {
+      const count = counts.get(id)
+      if (isSuspectedByPeers(count)) continue
+      avoided.delete(id)
+      log('backendAvoided', { backend: id, service: known.get(id)?.entry.service, avoided: false, ...count })
+    }
+  }
+
   function usable (service: string): Backend[] {
     const nowMs = clock.monotonicMs()
     const peerCounts = countPeerSuspects(nowMs)
@@ -175,11 +197,9 @@
     for (const { entry, backend, suspectUntilMs, isMisdirected, lastActivityAtMs, consecutiveFailures } of known.values()) {
       if (entry.service !== service || isMisdirected) continue
       // A node that found out by itself goes on to try; the others wait until it succeeds.
-      const counts = peerCounts.get(entry.id)
-      const isSuspectedByPeers = counts !== undefined && counts.suspecting >= minSuspectingNodes && counts.hearing === 0 &&
-        consecutiveFailures === 0 && lastActivityAtMs < nowMs - ownActivityMs && !retriesSuspects
+      const isAvoided = isSuspectedByPeers(peerCounts.get(entry.id)) && consecutiveFailures === 0 && lastActivityAtMs < nowMs - ownActivityMs && !retriesSuspects
       const labelled = canary !== undefined && entry.version === canary ? { ...backend, version: canaryLabel } : backend
-      if (suspectUntilMs > nowMs || isSuspectedByPeers) suspected.push(labelled)
+      if (suspectUntilMs > nowMs || isAvoided) suspected.push(labelled)
       else healthy.push(labelled)
     }
     // A suspicion may be wrong, so suspected backend servers are used when no other is live.
@@ -225,6 +245,7 @@
     setPeerSuspects: (source, suspects) => {
       if (suspects.size === 0) peerSuspects.delete(source)
       else peerSuspects.set(source, { suspects, receivedAtMs: clock.monotonicMs() })
+      logAvoidedChanges()
     },
     recordActivity,
     markMisdirected: id => {
--- a/src/core/log/events/gateway.ts
+++ b/src/core/log/events/gateway.ts
@@ -11,6 +11,7 @@
   backendChanged: { number: 710, level: 'info', text: 'A backend server registered or changed its state.', remedy: 'none' },
   backendRemoved: { number: 711, level: 'info', text: 'A backend server is no longer registered.', remedy: 'none' },
   backendSuspected: { number: 712, level: 'warn', text: 'A backend server is suspected to have failed and gets no new requests for a while.', remedy: 'Check the backend server if it remains suspected.' },
+  backendAvoided: { number: 713, level: 'warn', text: 'Other nodes can not reach a backend server, so this node avoids it, or no longer does.', remedy: 'Check the backend server if it remains avoided.' },
   configurationTaken: { number: 720, level: 'info', text: 'A new configuration is in effect on this node.', remedy: 'none' },
   configurationUnreadable: { number: 721, level: 'error', text: 'A configuration is invalid and was ignored.', remedy: 'The previous configuration stays in effect; correct the stored one.' },
   storeHistoryLost: { number: 722, level: 'warn', text: 'The key-value service no longer has the history that a watch needs; all keys are listed again.', remedy: 'none' },
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -192,14 +192,26 @@
     return clock.wallMs() + prefillMs > firstTokenDeadlineAtMs ? deadlineAtMs : Math.min(deadlineAtMs, firstTokenDeadlineAtMs)
   }
 
+  /** Time by which the choice would miss the latest acceptable first token; 0 or less if it is in time. */
+  function latenessMs (request: RouteRequest, choice: RouteChoice): number {
+    return clock.wallMs() + choice.expectedFirstTokenMs - latestFirstTokenAtMs(request, choice)
+  }
+
+  /** Chooses the cheapest candidate. When none of a few is in time, all backend servers are compared, so that no request is refused while one is free. */
+  function chooseInTime (request: RouteRequest, live: readonly Backend[]): Candidate | undefined {
+    const chosen = chooseCheapest(request, live)
+    const isFinal = chosen === undefined || request.compareAllBackends === true || latenessMs(request, chosen.choice) <= 0
+    return isFinal ? chosen : chooseCheapest({ ...request, compareAllBackends: true }, live)
+  }
+
   function choose (request: RouteRequest, backends: readonly Backend[]): Result<RouteChoice, Refusal> {
     for (const version of versionsOf(request)) {
       const live = candidatesOf(request, version, backends, mayServe)
-      const chosen = chooseCheapest(request, live)
+      const chosen = chooseInTime(request, live)
       if (chosen === undefined) continue
       const { choice, affinityRank } = chosen
-      const remainingMs = latestFirstTokenAtMs(request, choice) - clock.wallMs()
-      if (choice.expectedFirstTokenMs > remainingMs) return refuse('deadline-unreachable', choice.expectedFirstTokenMs - remainingMs)
+      const lateMs = latenessMs(request, choice)
+      if (lateMs > 0) return refuse('deadline-unreachable', lateMs)
       metrics.count('routed_total', { reason: choice.reason })
       openRequests.set(choice, { request, affinityRank })
       return ok(choice)
--- a/test/routing/router.test.ts
+++ b/test/routing/router.test.ts
@@ -155,3 +155,15 @@
   const refused = router.choose(createRequest('r-1', nowMs, { prompt: hasher.blocks(createLongPrompt(2)), firstTokenDeadlineAtMs: nowMs + first.prefillMs * 1.5 }), [backend!])
   t.true(refused.isErr && refused.error.reason === 'deadline-unreachable' && (refused.error.retryAtMs ?? 0) > nowMs)
 })
+
+test('no request is refused while any backend server is free, although few are compared', t => {
+  const { clock, router } = setUp(createRouter, { random: createRandom(3) })
+  const nowMs = clock.wallMs()
+  const backends = createBackends(20)
+  const busy = new Map(backends.slice(1).map(({ id }) => [id, { requests: 1, pendingTokens: 1e6 }]))
+  router.onPeerLoad(toId<NodeId>('peer'), busy)
+  for (let index = 0; index < 20; index += 1) {
+    const choice = unwrapChoice(router.choose(createRequest(`r-${index}`, nowMs, { prompt: hasher.blocks(createLongPrompt(index)), firstTokenDeadlineAtMs: nowMs + 2_000 }), backends))
+    t.is(choice.backend.id, backends[0]!.id)
+  }
+})
