--- a/bench/measure/placement/index.ts
+++ b/bench/measure/placement/index.ts
@@ -11,8 +11,8 @@
 /** Sizes of a fleet; the load is relative to that of the users' largest one. */
 const fleets = [
   { name: '9 nodes, 8 engines', nodes: 9, engines: 8, reportIntervalMs: 200, loadRatio: 0.145 },
-  { name: '84 nodes, 42 engines', nodes: 84, engines: 42, reportIntervalMs: 300, loadRatio: 0.76 },
-  { name: '195 nodes, 55 engines', nodes: 195, engines: 55, reportIntervalMs: 300, loadRatio: 1 }
+  { name: '84 nodes, 42 engines', nodes: 84, engines: 42, reportIntervalMs: 200, loadRatio: 0.76 },
+  { name: '195 nodes, 55 engines', nodes: 195, engines: 55, reportIntervalMs: 200, loadRatio: 1 }
 ] as const
 
 const loads = [0.7, 1, 1.3] as const
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -80,10 +80,8 @@
   close: () => void
 }
 
-/** Interval between reports in a small cluster; limits the age of what other nodes know. */
-const allPairsIntervalMs = 200
-/** Interval between reports to collectors; a collector with a third of a CPU core can process those of hundreds of nodes. */
-const collectorIntervalMs = 300
+/** Interval between reports; limits the age of what other nodes know. A collector with a third of a CPU core can process those of hundreds of nodes. */
+const reportIntervalMs = 200
 /** Number of intervals without a report after which a node counts as silent; some datagrams are lost. */
 const maxMissedIntervals = 7
 /** Maximum age of a collector's last delta for which this node needs no watch of its own; several report intervals. */
@@ -99,7 +97,7 @@
 /** Number of prefixes that a collector may include in each digest. */
 function maxPrefixesOf (linkMbps: number, nodes: number): number {
   const bytesPerSecond = linkMbps * 1e6 / 8 * prefixLinkRatio
-  const digestsPerSecond = Math.max(1, nodes) * 1_000 / collectorIntervalMs
+  const digestsPerSecond = Math.max(1, nodes) * 1_000 / reportIntervalMs
   return Math.min(maxPrefixes, Math.floor(bytesPerSecond / digestsPerSecond / prefixBytes))
 }
 
@@ -117,7 +115,6 @@
   /** Sources whose activity was applied since the digest source last changed. */
   const countedSources = new Set<NodeId>()
   let sequence = 0
-  let intervalMs = allPairsIntervalMs
 
   function sendDatagram (kind: 'report' | 'digest', bytes: Buffer, port: number, host: string): void {
     metrics.count('node_reports_sent_total', { kind })
@@ -142,7 +139,6 @@
     const peers = options.peers()
     const holder = options.dutyHolder()
     applyChoice(collectors.choose(peers, holder === node ? undefined : holder))
-    intervalMs = choice.usesCollectors ? collectorIntervalMs : allPairsIntervalMs
     sequence += 1
     const report: NodeReport = { ...options.collectReport(), node, bootId, sequence, wantsDigest: choice.usesCollectors, digestSource: choice.digestSource ?? node }
     const targets = new Set([...choice.everyReport, ...(sequence % 2 === 0 ? choice.everySecondReport : [])])
@@ -206,7 +202,7 @@
   }
 
   function removeSilentNodes (): void {
-    const oldestAtMs = clock.monotonicMs() - maxMissedIntervals * intervalMs
+    const oldestAtMs = clock.monotonicMs() - maxMissedIntervals * reportIntervalMs
     for (const [peer, { receivedAtMs }] of reportsByNode) {
       if (receivedAtMs >= oldestAtMs) continue
       reportsByNode.delete(peer)
@@ -221,7 +217,7 @@
     while (!closed.signal.aborted) {
       sendReport()
       removeSilentNodes()
-      await clock.sleep(intervalMs, closed.signal)
+      await clock.sleep(reportIntervalMs, closed.signal)
     }
   }
 
@@ -243,7 +239,7 @@
     hasPeerUpdates: () => choice.usesCollectors && !choice.isCollector && clock.monotonicMs() - lastDeltaAtMs <= maxDeltaAgeMs,
     usesCollectors: () => choice.usesCollectors,
     // With a collector, a report waits for half an interval there and its digest for half an interval here.
-    activityAgeMs: () => choice.usesCollectors ? intervalMs : intervalMs / 2,
+    activityAgeMs: () => choice.usesCollectors ? reportIntervalMs : reportIntervalMs / 2,
     sendReport,
     close: () => {
       closed.abort()
