--- a/test/node/deployment.ts
+++ b/test/node/deployment.ts
@@ -11,13 +11,13 @@
 import { parseNodeSettings } from '../../src/core/settings/index.ts'
 import type { TeamDeclaration } from '../../src/core/teams/index.ts'
 import { immediateEngineTimings } from '../../src/stand-ins/timings.ts'
+import { findFreePorts } from '../free-ports.ts'
 import { createEngineStandIn, createInstanceListStandIn, createKeyValueStandIn, createServiceStandIn } from '../../src/stand-ins/index.ts'
 
 export const callerToken = 'token-of-the-agency'
 export const operatorToken = 'token-of-an-operator'
 const domains = ['a', 'b', 'c']
 const defaultMaxWaitMs = 20_000
-let deployments = 0
 
 const sha256Hex = (token: string): string => createHash('sha256').update(token).digest('hex')
 
@@ -108,7 +108,7 @@
     .map(declaration => ({ ...declaration, ...options.declaration }))
   await declareTeams(declarations)
 
-  const firstPort = 20_000 + 200 * (process.pid % 60) + 10 * (deployments++)
+  const firstPort = await findFreePorts(2 * nodeCount)
   const nodePlacements = Array.from({ length: nodeCount }, (_, index) => ({
     name: `node-${index}`,
     domain: domains[index % domains.length] ?? 'a',
