Keep headroom where there are only one or two failure domains

Found by reading; test/fleet plays one and two domains (the first failed with 0 reclaimable servers instead of 4).

--- a/src/core/fleet/counts.ts
+++ b/src/core/fleet/counts.ts
@@ -50,6 +50,12 @@
   return [...reclaimable].sort((a, b) => b - a).slice(survivedReclaims).reduce((sum, count) => sum + count, 0)
 }
 
+/** Reclaimable backend servers in each domain. With up to two domains on-demand ones carry the load, because nothing remains of two reclaims. */
+function reclaimablePerDomainOf ({ domains, needed, neededWithoutHeadroom }: CountPlanInput): number {
+  if (domains.length <= survivedReclaims) return Math.max(0, needed - neededWithoutHeadroom)
+  return Math.ceil(needed / (domains.length - 1))
+}
+
 /**
  * Plans reclaimable backend servers for the whole load with its headroom, so many
  * in each domain that the loss of one domain leaves enough, and on-demand ones for
@@ -58,8 +64,8 @@
  * After a reclaim without replacements, on-demand ones take over before the next one.
  */
 export function planCounts (input: CountPlanInput): DomainCount[] {
-  const { domains, needed, neededWithoutHeadroom, maxPerDomain, minPerDomain, serving, starting } = input
-  const reclaimablePerDomain = input.offersReclaimable && domains.length > 1 ? Math.ceil(needed / (domains.length - 1)) : 0
+  const { domains, neededWithoutHeadroom, maxPerDomain, minPerDomain, serving, starting } = input
+  const reclaimablePerDomain = input.offersReclaimable ? reclaimablePerDomainOf(input) : 0
   const servingOf = (domain: DomainId, purchase: Purchase): number => countIn(serving, { domain, purchase })
   const servingReclaimable = domains.map(({ domain }) => Math.min(reclaimablePerDomain, servingOf(domain, 'reclaimable')))
   const expectedReclaimable = domains.map(({ domain }, index) => Math.min(reclaimablePerDomain, (servingReclaimable[index] ?? 0) + countIn(starting, { domain, purchase: 'reclaimable' })))
--- a/test/fleet/counts.test.ts
+++ b/test/fleet/counts.test.ts
@@ -45,6 +45,14 @@
   t.pass()
 })
 
+for (const count of [1, 2]) {
+  test(`carries the load on on-demand backend servers, and the headroom on reclaimable ones, with ${count} failure domains`, t => {
+    const plan = planCounts({ ...base, domains: domains.slice(0, count), maxPerDomain: 20 })
+    t.is(sumOf(plan, 'on-demand'), base.neededWithoutHeadroom)
+    t.is(sumOf(plan, 'reclaimable'), count * (base.needed - base.neededWithoutHeadroom))
+  })
+}
+
 test('keeps on-demand backend servers in the domain where they run', t => {
   const serving: DomainCount[] = [{ domain: toId<DomainId>('c'), purchase: 'on-demand', count: 3 }]
   const plan = planCounts({ ...base, neededWithoutHeadroom: 3, serving })
