Admit a request that is larger than a full bucket of its team

Cause: such a request was refused at every attempt, although the window of a quota allows several of it; found by reading.

--- a/src/core/fleet/counts.ts
+++ b/src/core/fleet/counts.ts
@@ -32,7 +32,7 @@
   neededWithoutHeadroom: number
   /** Backend servers that serve and are not leaving. */
   serving: DomainCount[]
-  /** Reclaimable backend servers that were ordered and are certain to serve within their boot time. */
+  /** Reclaimable backend servers that the cloud accepted an order for and that are booting. */
   starting: DomainCount[]
   /** Whether the cloud recently refused such an order because it had none left. */
   isRefused: (key: CountKey) => boolean
--- a/src/core/quota/index.ts
+++ b/src/core/quota/index.ts
@@ -157,9 +157,11 @@
   function take (team: TeamId, limit: QuotaLimit, tokens: number): number {
     const bucket = bucketOf(team, limit)
     const availableTokens = bucket.level + bucket.toleranceLevel
-    // A request larger than the burst needs both parts.
+    const largestTokens = limit.burst + toleranceOf(limit) * toleranceBurstRatio
+    // A request larger than the burst needs both parts, and one larger than both a full bucket, which it leaves in debt.
+    const requiredTokens = Math.min(tokens, largestTokens)
     const admissible = admissibleRatio(team, limit, availableTokens)
-    if (availableTokens >= tokens && random() < admissible) {
+    if (availableTokens >= requiredTokens && random() < admissible) {
       const fromQuota = Math.max(0, Math.min(tokens, bucket.level))
       bucket.level -= fromQuota
       bucket.toleranceLevel -= tokens - fromQuota
@@ -167,8 +169,7 @@
       return 0
     }
     recordUsage(team, 0, 0, tokens)
-    const largestTokens = limit.burst + toleranceOf(limit) * toleranceBurstRatio
-    const missingTokens = Math.max(0, Math.min(tokens, largestTokens) - availableTokens)
+    const missingTokens = Math.max(0, requiredTokens - availableTokens)
     // The tolerance may already be at its maximum, so only the quota is certain to be refilled.
     const refillMs = missingTokens / limit.perSecond * secondMs
     // What is asked for beyond the quota in one second needs this time, and more than that of a sustained excess can't be served anyway.
--- a/test/quota/quota.test.ts
+++ b/test/quota/quota.test.ts
@@ -149,3 +149,11 @@
   await clock.advance(waitMs)
   t.is(node!.take(team, limit, tokens), 0)
 })
+
+test('a request that is larger than a full bucket is admitted from one, and its debt is repaid before the next', async t => {
+  const { clock, nodes: [node] } = createNodes(1)
+  t.is(node!.take(team, limit, 3_000), 0)
+  t.true(node!.take(team, limit, 100) > 1_000)
+  await clock.advance(30_000)
+  t.is(node!.take(team, limit, 3_000), 0)
+})
