Send large changes of the store in parts instead of listing all of it again

A collector now keeps 5,000 changes and sends as many as fit, complete up to a revision; the rest follows with the next digest.

test/store-view 'thousands of registrations reach other nodes in several deltas, without another list' failed before (no delta). Open besides: 300 nodes listing 66 pages each at the start.

--- a/src/core/store-view/history.ts
+++ b/src/core/store-view/history.ts
@@ -1,48 +1,74 @@
 /** The latest changes of a view, for nodes that know an earlier revision. */
 import type { DeltaChange, ViewChange } from './types.ts'
 
-/** Changes in the order in which they were received. */
+/** Consecutive changes after a revision. */
+export interface HistoryPart {
+  /** With the latest change of each key. */
+  changes: DeltaChange[]
+  /** Revision up to which they are complete; undefined if they are all that is stored. */
+  upToRevision: number | undefined
+}
+
+/** Changes in the order of their revisions. */
 export interface History {
   add: (changes: readonly ViewChange[]) => void
   /** Deletes all changes, after the whole content was replaced at a revision. */
   reset: (revision: number) => void
-  /** The changes after a revision, with the latest one of each key; undefined if they are no longer complete or too large. */
-  after: (revision: number) => DeltaChange[] | undefined
+  /** The changes after a revision, or the first part of them; undefined if they are no longer complete. */
+  after: (revision: number) => HistoryPart | undefined
 }
 
-/** Maximum number of stored changes; enough for several seconds in which all backend servers change. */
-const maxStoredChanges = 500
+/** Maximum number of stored changes; enough for the registrations of several thousand backend servers at once. */
+const maxStoredChanges = 5_000
 /** Maximum length of a value that is included; sending a longer one costs a collector's link more than a read costs the service. */
 const maxInlineValueChars = 700
-/**
- * Maximum number of characters in one delta. A node that gets none lists the whole
- * content at the service, which costs more than this; with loads and prefixes beside
- * it, a digest stays below the 64 KiB of a datagram.
- */
-const maxDeltaChars = 24_000
+/** Maximum number of characters in one part; with loads and prefixes beside it, a digest stays below the 64 KiB of a datagram. */
+const maxPartChars = 24_000
 
 /** Creates an empty history. */
 export function createHistory (): History {
   let changes: ViewChange[] = []
   let completeSinceRevision = 0
 
-  function after (revision: number): DeltaChange[] | undefined {
+  /** Index of the first change after a revision. */
+  function firstIndexAfter (revision: number): number {
+    let low = 0
+    let high = changes.length
+    while (low < high) {
+      const middle = (low + high) >> 1
+      if ((changes[middle]?.modRevision ?? Infinity) > revision) high = middle
+      else low = middle + 1
+    }
+    return low
+  }
+
+  function after (revision: number): HistoryPart | undefined {
     if (revision < completeSinceRevision) return undefined
     const latest = new Map<string, DeltaChange>()
     let chars = 0
-    for (const { key, value, modRevision } of changes) {
-      if (modRevision <= revision) continue
+    let lastRevision = revision
+    for (let index = firstIndexAfter(revision); index < changes.length; index += 1) {
+      const { key, value, modRevision } = changes[index] as ViewChange
       const isValueOmitted = (value?.length ?? 0) > maxInlineValueChars
       chars += key.length + (isValueOmitted ? 0 : value?.length ?? 0)
+      // Changes of one transaction have the same revision and stay together.
+      if (chars > maxPartChars && modRevision > lastRevision && latest.size > 0) return { changes: [...latest.values()], upToRevision: lastRevision }
       latest.delete(key)
       latest.set(key, isValueOmitted ? { key, value: undefined, modRevision, isValueOmitted } : { key, value, modRevision })
+      lastRevision = modRevision
     }
-    return chars > maxDeltaChars ? undefined : [...latest.values()]
+    return { changes: [...latest.values()], upToRevision: undefined }
   }
 
   return {
     add: added => {
-      changes.push(...added)
+      let isInOrder = true
+      for (const change of added) {
+        isInOrder &&= change.modRevision >= (changes.at(-1)?.modRevision ?? 0)
+        changes.push(change)
+      }
+      // Values that were read later carry later revisions.
+      if (!isInOrder) changes.sort((a, b) => a.modRevision - b.modRevision)
       if (changes.length <= maxStoredChanges) return
       completeSinceRevision = changes[changes.length - maxStoredChanges - 1]?.modRevision ?? completeSinceRevision
       changes = changes.slice(-maxStoredChanges)
--- a/src/core/store-view/index.ts
+++ b/src/core/store-view/index.ts
@@ -156,10 +156,11 @@
   }
 
   function deltaAfter (knownRevision: number): ViewDelta {
+    const part = knownRevision >= revision ? { changes: [], upToRevision: undefined } : history.after(knownRevision)
     return {
-      revision,
+      revision: part?.upToRevision ?? revision,
       reachableForMs: isWatching && reachableSinceMs !== undefined ? clock.monotonicMs() - reachableSinceMs : undefined,
-      changes: knownRevision >= revision ? [] : history.after(knownRevision)
+      changes: part?.changes
     }
   }
 
--- a/src/core/store-view/types.ts
+++ b/src/core/store-view/types.ts
@@ -29,6 +29,7 @@
 
 /** The changes at the service since a revision, as another node reports them. */
 export interface ViewDelta {
+  /** Revision up to which the changes are complete; the rest of a large delta follows with the next one. */
   revision: number
   /** Time for which that node has reached the service without interruption; undefined while it can't. A duration, because the clocks of nodes differ. */
   reachableForMs: number | undefined
--- a/test/store-view/store-view.test.ts
+++ b/test/store-view/store-view.test.ts
@@ -190,3 +190,20 @@
   await until(() => (service.calls().byOperation.watch ?? 0) > 0)
   t.pass()
 })
+
+// At 300 nodes and 3,000 backend servers, deltas were too large to be sent, and every node listed all content again and again.
+test('thousands of registrations reach other nodes in several deltas, without another list', async t => {
+  const { collector, follower, put, sendDelta } = await setUpFollower(200)
+  t.teardown(() => [collector, follower].forEach(({ view }) => view.close()))
+  for (let index = 0; index < 3_000; index += 1) await put(`servers/${index}`, String(index))
+  await until(() => collector.view.list('servers/').length === 3_000)
+  let deltaCount = 0
+  while (follower.view.list('servers/').length < 3_000) {
+    const before = follower.view.snapshot().revision
+    sendDelta()
+    deltaCount += 1
+    t.true(follower.view.snapshot().revision > before)
+  }
+  t.true(deltaCount > 10 && deltaCount < 40, `${deltaCount} deltas`)
+  t.deepEqual(follower.view.list('servers/').map(({ value }) => value), collector.view.list('servers/').map(({ value }) => value))
+})
