Say plainly what the new decisions are designed for

Comments only, from reading the diff as a newcomer; the number of report intervals in one of them followed an interval that had changed since.

--- a/src/core/fleet/counts.ts
+++ b/src/core/fleet/counts.ts
@@ -1,8 +1,8 @@
 /**
  * Plans how many backend servers of a service to order in each failure domain,
- * for a cloud that takes wanted counts. Load it answers: a steady load while the
- * cloud reclaims all reclaimable backend servers of a domain at once, again and
- * again, and may have no replacements.
+ * for a cloud that takes wanted counts. Designed for a steady load while the cloud
+ * reclaims all reclaimable backend servers of a domain at once, several times in a
+ * row, and may have no replacements.
  */
 import type { DomainId } from '../ids/index.ts'
 import type { Purchase } from './types.ts'
--- a/src/core/node-reports/collectors.ts
+++ b/src/core/node-reports/collectors.ts
@@ -32,7 +32,7 @@
 
 /** Chooses collectors and tracks which of them respond. */
 export interface Collectors {
-  /** Chooses among the other nodes, which are ranked anew only when `others` is another array; `dutyHolder` is the node whose duties need all reports, if states. */
+  /** Chooses among the other nodes, which are ranked anew only when `others` is another array; `dutyHolder` is the node whose duties need all reports, if known. */
   choose: (others: readonly RankedNode[], dutyHolder: NodeId | undefined) => CollectorChoice
   /** Must be called when a report that wants a digest is sent to a node. */
   onReportSent: (node: NodeId) => void
--- a/src/core/quota/index.ts
+++ b/src/core/quota/index.ts
@@ -172,7 +172,7 @@
     const missingTokens = Math.max(0, requiredTokens - availableTokens)
     // The tolerance may already be at its maximum, so only the quota is certain to be refilled.
     const refillMs = missingTokens / limit.perSecond * secondMs
-    // What is asked for beyond the quota in one second needs this time, and more than that of a sustained excess can't be served anyway.
+    // Time in which the excess of one second is worked off.
     const excessMs = admissible < 1 ? Math.min(maxExcessDelayMs, (1 / Math.max(admissible, Number.EPSILON) - 1) * secondMs) : 0
     return Math.ceil(Math.max(refillMs, excessMs, 1))
   }
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -5,9 +5,9 @@
  * longest prefix of the prompt cached, or its affinity backend servers when there are
  * none. The one with the lowest cost, mostly the expected time to the first token, is
  * chosen. What a node knows of the others' load is late; if all nodes compared all
- * backend servers, they would choose the same ones until they learn of it. Load it
- * answers: many nodes whose requests together move the load of a backend server faster
- * than they learn of it.
+ * backend servers, they would choose the same ones until they learn of it. Designed for
+ * many nodes whose requests together change the load of a backend server faster than
+ * they learn of it.
  */
 import type { Result } from 'true-myth'
 import { err, ok } from 'true-myth/result'
--- a/src/core/store-view/index.ts
+++ b/src/core/store-view/index.ts
@@ -15,7 +15,7 @@
 const defaultRetryPauseMs = 250
 /** Interval at which to check whether other nodes still report changes; a fraction of the time after which they count as silent. */
 const peerCheckIntervalMs = 400
-/** Longest time after a list for which a node waits for the first changes from others before it watches the service itself; two of their report intervals. */
+/** Longest time after a list for which a node waits for the first changes from others before it watches the service itself; three of their report intervals. */
 const firstPeerUpdateMs = 600
 const firstPeerUpdateCheckMs = 50
 /** Timeout of a read of an omitted value. */
