Check the whole repetition of an overridden order again, and say why its test changed

Under the new plan no on-demand servers are left after the reclaimable ones serve, and an override of a reclaimable order also orders on-demand ones that take over. Since only the reclaimable order was checked; now all orders that follow are: one repetition, on-demand ones for the load in two domains, three orders in all.

--- a/test/fleet/counts.test.ts
+++ b/test/fleet/counts.test.ts
@@ -117,8 +117,11 @@
   present.set('a/reclaimable', 0)
   await clock.advance(10_000)
   await orders.reconcile()
-  // The on-demand ones that take over until then are ordered, too.
-  t.deepEqual(sentOrders.slice(first).filter(({ purchase }) => purchase === 'reclaimable'), [{ domain: toId<DomainId>('a'), purchase: 'reclaimable', count: 4 }])
+  const repeated = sentOrders.slice(first)
+  t.deepEqual(repeated.filter(({ purchase }) => purchase === 'reclaimable'), [{ domain: toId<DomainId>('a'), purchase: 'reclaimable', count: 4 }])
+  // On-demand ones for the whole load take over until then, each ordered once and in no more domains than needed.
+  t.is(sumOf(repeated, 'on-demand'), base.neededWithoutHeadroom)
+  t.is(repeated.length, 3)
   t.is(present.get('a/reclaimable'), 4)
 })
 
