Keep a team's quota over restarts, losses of power and cuts between nodes

Cause, one class of fault: state that is shared among the nodes began anew in each process as if nobody had used it. 1. A bucket was created full. When all nodes lose power, or restart in turn, the burst was admitted again. 2. Nodes that are cut off from one another each spent the whole level. 3. Without collectors a node counted the usage that the others had reported since their start, at its own start. A fleet that has run for an hour would have refused a team for an hour at a node that restarts.

The fix: nodes that have just started get the levels of the others' buckets (in reports and digests for two seconds, 20 bytes a team); while nobody knows them, buckets begin empty and a node keeps to its own share for 600 ms. Burst and tolerance are bounded by the share of the nodes that are heard, as the refill was; a node notices a cut after 0.6 s instead of 1.4 s (1 s with collectors). The average of what a source is asked for begins at its first rate.

--- a/src/core/log/events/agreement.ts
+++ b/src/core/log/events/agreement.ts
@@ -16,5 +16,6 @@
   nodeSilent: { number: 411, level: 'warn', text: 'No report of another node arrived for some time.', remedy: 'Check that node and the network between both nodes.' },
   nodeReportUnreadable: { number: 412, level: 'warn', text: 'A report of another node could not be decoded.', remedy: 'Check that all nodes run the same version.' },
   viewFromPeer: { number: 413, level: 'info', text: 'The content of the key-value service was copied from another node.', remedy: 'none; check the service if this persists.' },
-  collectorChosen: { number: 414, level: 'info', text: 'This node now uses the totals of another collector of reports, or collects the reports itself.', remedy: 'none; if this happens repeatedly, check the network between both nodes.' }
+  collectorChosen: { number: 414, level: 'info', text: 'This node now uses the totals of another collector of reports, or collects the reports itself.', remedy: 'none; if this happens repeatedly, check the network between both nodes.' },
+  quotaBegan: { number: 415, level: 'info', text: 'The bucket of a team\'s quota began on this node: full, with the level of another node, or empty because no node knows what was admitted.', remedy: 'none; refusals by quota within seconds after an empty one follow from the restart of all nodes.' }
 } satisfies Record<string, LogEventDefinition>
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -43,8 +43,8 @@
   onReport: (report: NodeReport) => void
   /**
    * Called with the activity of one other node, or with a collector's totals of all
-   * other nodes. With `isFirst` the totals include usage that was already counted from
-   * another source.
+   * other nodes. With `isFirst` this node has no earlier activity of the source, so its
+   * usage may have been counted from another source, or before this node started.
    */
   onActivity: (source: NodeId, bootId: string, activity: Activity, isFirst: boolean) => void
   /** Called when a source of activity stops reporting or is no longer used. */
@@ -65,6 +65,8 @@
   reportingNodes: () => NodeId[]
   /** Number of other nodes whose activity is known here. */
   knownNodeCount: () => number
+  /** Number of other nodes whose activity is as recent as a lost report or two allow. */
+  currentNodeCount: () => number
   /** The last report of a node, if it reported recently. */
   lastReport: (node: NodeId) => NodeReport | undefined
   /** Whether this node receives the reports of all reachable nodes. */
@@ -84,6 +86,12 @@
 const reportIntervalMs = 200
 /** Number of intervals without a report after which a node counts as silent; some datagrams are lost. */
 const maxMissedIntervals = 7
+/** Age up to which activity is current: a node that was cut off notices it after so long. Through a collector, a lost report and a lost digest both delay it. */
+const maxCurrentAgeMs = 3 * reportIntervalMs
+const maxCurrentDigestAgeMs = 5 * reportIntervalMs
+/** Number of reports of a node since its start, and time after a collector's first digest, for which quota levels are sent to it. */
+const reportsWithLevels = 10
+const levelsAfterNewSourceMs = reportsWithLevels * reportIntervalMs
 /** Maximum age of a collector's last delta for which this node needs no watch of its own; several report intervals. */
 const maxDeltaAgeMs = 2_000
 
@@ -114,6 +122,10 @@
   let lastDeltaAtMs = -Infinity
   /** Sources whose activity was applied since the digest source last changed. */
   const countedSources = new Set<NodeId>()
+  const collectorBoots = new Map<NodeId, string>()
+  /** Monotonic time until which reports include quota levels, because a receiver may have just started. */
+  let levelsUntilMs = 0
+  let ownReport: NodeReport | undefined
   let sequence = 0
 
   function sendDatagram (kind: 'report' | 'digest', bytes: Buffer, port: number, host: string): void {
@@ -141,10 +153,11 @@
     applyChoice(collectors.choose(peers, holder === node ? undefined : holder))
     sequence += 1
     const report: NodeReport = { ...options.collectReport(), node, bootId, sequence, wantsDigest: choice.usesCollectors, digestSource: choice.digestSource ?? node }
+    ownReport = report
     const targets = new Set([...choice.everyReport, ...(sequence % 2 === 0 ? choice.everySecondReport : [])])
     if (choice.usesCollectors) totals.record(node, bootId, report)
     if (targets.size === 0) return
-    const bytes = encodeReport(report)
+    const bytes = encodeReport(clock.monotonicMs() < levelsUntilMs ? report : { ...report, quotaLevels: undefined })
     for (const { node: peer, host, reportPort } of peers) {
       if (!targets.has(peer)) continue
       if (choice.usesCollectors) collectors.onReportSent(peer)
@@ -153,7 +166,7 @@
   }
 
   function applyActivity (source: NodeId, sourceBootId: string, activity: Activity): void {
-    const isFirst = choice.usesCollectors && !countedSources.has(source)
+    const isFirst = !countedSources.has(source)
     countedSources.add(source)
     options.onActivity(source, sourceBootId, activity, isFirst)
   }
@@ -165,23 +178,33 @@
 
   function handleReport (report: NodeReport, from: RemoteInfo): void {
     if (report.node === node || isStale(report)) return
-    if (!reportsByNode.has(report.node)) log('nodeHeard', { peer: report.node, life: report.bootId })
+    const before = reportsByNode.get(report.node)?.report
+    if (before === undefined) log('nodeHeard', { peer: report.node, life: report.bootId })
+    if (report.sequence <= reportsWithLevels) expectNewReceiver()
     reportsByNode.set(report.node, { report, receivedAtMs: clock.monotonicMs() })
     options.onReport(report)
     if (choice.digestSource === undefined) applyActivity(report.node, report.bootId, report)
     if (!report.wantsDigest) return
     totals.record(report.node, report.bootId, report)
+    const usesTotals = report.digestSource === undefined || report.digestSource === node
+    const needsLevels = report.sequence <= reportsWithLevels || before?.digestSource !== report.digestSource
     sendDatagram('digest', encodeDigest({
       node,
       bootId,
-      isDraining: options.collectReport().isDraining,
+      isDraining: ownReport?.isDraining ?? false,
       nodes: totals.nodeCountExcept(report.node),
       delta: options.deltaAfter(report.revision),
-      activity: report.digestSource === undefined || report.digestSource === node ? totals.totalsExcept(report.node) : undefined
+      activity: usesTotals ? { ...totals.totalsExcept(report.node), quotaLevels: needsLevels ? ownReport?.quotaLevels : undefined } : undefined
     }), from.port, from.address)
   }
 
+  function expectNewReceiver (): void {
+    levelsUntilMs = clock.monotonicMs() + levelsAfterNewSourceMs
+  }
+
   function handleDigest (received: NodeDigest): void {
+    if (collectorBoots.get(received.node) !== received.bootId) expectNewReceiver()
+    collectorBoots.set(received.node, received.bootId)
     collectors.onDigestReceived(received.node, received.isDraining)
     if (received.delta.reachableForMs !== undefined) lastDeltaAtMs = clock.monotonicMs()
     options.onDelta(received.delta)
@@ -234,6 +257,11 @@
     }),
     reportingNodes: () => [...reportsByNode.keys()],
     knownNodeCount: () => choice.digestSource === undefined ? reportsByNode.size : digest?.nodes ?? 0,
+    currentNodeCount: () => {
+      const nowMs = clock.monotonicMs()
+      if (choice.digestSource !== undefined) return digest !== undefined && digest.receivedAtMs >= nowMs - maxCurrentDigestAgeMs ? digest.nodes : 0
+      return [...reportsByNode.values()].filter(({ receivedAtMs }) => receivedAtMs >= nowMs - maxCurrentAgeMs).length
+    },
     lastReport: peer => reportsByNode.get(peer)?.report,
     isCollector: () => choice.isCollector,
     hasPeerUpdates: () => choice.usesCollectors && !choice.isCollector && clock.monotonicMs() - lastDeltaAtMs <= maxDeltaAgeMs,
--- a/src/core/node-reports/types.ts
+++ b/src/core/node-reports/types.ts
@@ -1,6 +1,6 @@
 /** Types of the reports that nodes exchange several times a second; each report replaces the previous one. */
 import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
-import type { QuotaUsage } from '../quota/index.ts'
+import type { QuotaLevels, QuotaUsage } from '../quota/index.ts'
 import type { PeerLoad, PrefixPlacement } from '../routing/index.ts'
 import type { ViewDelta } from '../store-view/index.ts'
 
@@ -13,6 +13,8 @@
   prefixes: PrefixPlacement[]
   /** Backend servers that nodes find unreachable or silent. */
   suspects: ReadonlyMap<BackendId, SuspectCounts>
+  /** The levels of the sender's quota buckets; only for receivers that may not know them, and undefined while the sender itself doesn't. */
+  quotaLevels?: ReadonlyMap<TeamId, QuotaLevels> | undefined
 }
 
 /** What nodes say of a backend server that some of them suspect. */
--- a/src/core/quota/index.ts
+++ b/src/core/quota/index.ts
@@ -4,8 +4,9 @@
  * that they admitted. Reports arrive late, so between them every node could admit all that
  * is available. While the other nodes are asked for more than that, each node therefore
  * admits a random part of its own requests, so that all of them together use up the
- * bucket and no more. The rate that belongs to nodes without current reports is left to
- * them.
+ * bucket and no more. The part of rate and burst that belongs to nodes without current
+ * reports is left to them. A node that restarts continues with the levels that the others
+ * know; while nobody knows them, its buckets begin empty.
  */
 import type { Clock } from '../clock/index.ts'
 import type { NodeId, TeamId } from '../ids/index.ts'
@@ -31,10 +32,25 @@
   tolerance?: { windowMs: number, share: number, extra: number }
   /** Returns the share of all nodes from which this node receives reports, itself included; 1 when it receives all reports. */
   reachableShare: () => number
+  /** Returns the share of this node alone. */
+  ownShare: () => number
+  /** Whether no node has admitted anything yet, so that buckets begin full: at the first start of the whole system. */
+  hasFullBuckets: boolean
   /** Mean age in ms of what this node knows of the others' admissions. */
   reportAgeMs: () => number
   /** A team's quota in the configuration, for usage that others report before this node gets a request of the team. */
   limitOf?: (team: TeamId) => QuotaLimit | undefined
+  onBucketCreated?: (created: BucketCreated) => void
+}
+
+/** How a team's bucket began on this node. */
+export interface BucketCreated {
+  team: TeamId
+  level: number
+  /** Whether the level is that of another node. */
+  isFromPeer: boolean
+  /** Whether this node knew what all nodes had admitted; otherwise the bucket began empty. */
+  knowsUsage: boolean
 }
 
 /** The quotas of one node. */
@@ -43,10 +59,10 @@
   take: (team: TeamId, limit: QuotaLimit, tokens: number) => number
   /** Returns what this node has taken since its process started, by team. */
   localUsage: () => ReadonlyMap<TeamId, QuotaUsage>
-  /** Subtracts what another node has taken since its last report. `bootId` identifies a start of that node's process; its counters restart with it. */
-  onPeerUsage: (node: NodeId, bootId: string, taken: ReadonlyMap<TeamId, QuotaUsage>) => void
-  /** Records, without subtracting it, what one node or several took before this node received their first report. */
-  setPeerBaseline: (node: NodeId, bootId: string, taken: ReadonlyMap<TeamId, QuotaUsage>) => void
+  /** The levels of this node's buckets, for nodes that have just started; undefined while this node doesn't know what the others admitted. */
+  levels: () => Map<TeamId, QuotaLevels> | undefined
+  /** Subtracts what the source of a report has admitted since its previous one. */
+  onPeerReport: (report: QuotaReport) => void
   /** Returns the values behind a refusal, such as the level of the team's bucket. */
   explain: (team: TeamId) => Record<string, unknown>
 }
@@ -67,6 +83,23 @@
   asked: number
 }
 
+/** Available tokens of a team's quota and of the tolerance beyond it; negative after nodes admitted more than was left. */
+export interface QuotaLevels {
+  quota: number
+  tolerance: number
+}
+
+/** What another node reports, or a collector for several. */
+export interface QuotaReport {
+  source: NodeId
+  /** Identifies a start of the source's process; its usage restarts with it. */
+  bootId: string
+  usage: ReadonlyMap<TeamId, QuotaUsage>
+  levels: ReadonlyMap<TeamId, QuotaLevels> | undefined
+  /** Whether it is the first report of this source. Its usage is then not subtracted, because it is unknown when it occurred. */
+  isFirst: boolean
+}
+
 const secondMs = 1_000
 /** Parts of the tolerance that may be used at once and over one window. The rest covers admissions that other nodes haven't reported yet. */
 const toleranceBurstRatio = 0.2
@@ -77,6 +110,8 @@
 const maxReportAgeMs = 1_500
 /** Time over which all nodes together use up what is available, in ages of their reports; below three the admissions would oscillate. */
 const spendingHorizonAges = 3
+/** Time after a start without knowledge of others for which a node uses only its own share, until the others' reports tell what they are asked for. */
+const settleMs = 600
 /** Longest delay for a request that was refused although tokens were left. */
 const maxExcessDelayMs = 4_000
 
@@ -89,17 +124,23 @@
 /** The last report of one source: a node, or a collector with the totals of several. */
 interface PeerReport {
   bootId: string
-  /** Monotonic time. */
+  /** Monotonic times of the first report of this boot and of this one. */
+  firstReceivedAtMs: number
   receivedAtMs: number
   teams: Map<TeamId, PeerTeamUsage>
 }
 
-/** Creates the quotas of one node. A team's bucket is created full, at its first request or the first report of one. */
+/** Creates the quotas of one node. A team's bucket is created at its first request or the first report of one. */
 export function createQuotas (options: QuotaOptions): Quotas {
   const { clock, random, reachableShare, reportAgeMs, tolerance = { windowMs: secondMs, share: 0, extra: 0 }, limitOf = () => undefined } = options
   const buckets = new Map<TeamId, Bucket>()
   const usage = new Map<TeamId, QuotaUsage>()
   const peerReports = new Map<NodeId, PeerReport>()
+  /** Levels that others reported before this node had the bucket. */
+  const reportedLevels = new Map<TeamId, QuotaLevels & { receivedAtMs: number }>()
+  let isInformed = options.hasFullBuckets
+  const startedAtMs = clock.monotonicMs()
+  const informedAtMs = startedAtMs + tolerance.windowMs
 
   /** Returns how many tokens may be taken beyond a quota in one window. */
   function toleranceOf ({ perSecond, burst }: QuotaLimit): number {
@@ -108,21 +149,48 @@
 
   function refresh (bucket: Bucket): void {
     const nowMs = clock.monotonicMs()
-    const effectiveElapsedMs = (nowMs - bucket.updatedAtMs) * reachableShare()
+    const effectiveElapsedMs = (nowMs - bucket.updatedAtMs) * usableShare()
     const refilledTokens = bucket.limit.perSecond * effectiveElapsedMs / secondMs
     const toleranceTokens = toleranceOf(bucket.limit)
-    bucket.level = Math.min(bucket.limit.burst, bucket.level + refilledTokens)
-    bucket.toleranceLevel = Math.min(toleranceTokens * toleranceBurstRatio, bucket.toleranceLevel + toleranceTokens * toleranceRefillRatio * effectiveElapsedMs / tolerance.windowMs)
+    const capacity = capacityOf(bucket.limit)
+    bucket.level = Math.min(capacity.quota, bucket.level + refilledTokens)
+    bucket.toleranceLevel = Math.min(capacity.tolerance, bucket.toleranceLevel + toleranceTokens * toleranceRefillRatio * effectiveElapsedMs / tolerance.windowMs)
     bucket.updatedAtMs = nowMs
   }
 
+  function usableShare (): number {
+    const isSettling = !isInformed && clock.monotonicMs() < startedAtMs + settleMs
+    return isSettling ? options.ownShare() : reachableShare()
+  }
+
+  /** This node and those it hears use no more than their part of the burst, as the others may use theirs. */
+  function capacityOf (limit: QuotaLimit): QuotaLevels {
+    const share = usableShare()
+    return { quota: limit.burst * share, tolerance: toleranceOf(limit) * toleranceBurstRatio * share }
+  }
+
+  /** Whether this node knows what all nodes admitted in the last window, from others or because it has run for so long. */
+  function knowsUsage (): boolean {
+    return isInformed || clock.monotonicMs() >= informedAtMs
+  }
+
+  function createBucket (team: TeamId, limit: QuotaLimit): Bucket {
+    const nowMs = clock.monotonicMs()
+    const capacity = capacityOf(limit)
+    const reported = reportedLevels.get(team)
+    reportedLevels.delete(team)
+    const bucket = reported === undefined
+      ? { level: knowsUsage() ? capacity.quota : 0, toleranceLevel: capacity.tolerance, updatedAtMs: nowMs, limit }
+      : { level: reported.quota, toleranceLevel: reported.tolerance, updatedAtMs: reported.receivedAtMs, limit }
+    refresh(bucket)
+    buckets.set(team, bucket)
+    options.onBucketCreated?.({ team, level: bucket.level, isFromPeer: reported !== undefined, knowsUsage: knowsUsage() })
+    return bucket
+  }
+
   function bucketOf (team: TeamId, limit: QuotaLimit): Bucket {
     const existing = buckets.get(team)
-    if (existing === undefined) {
-      const created = { level: limit.burst, toleranceLevel: toleranceOf(limit) * toleranceBurstRatio, updatedAtMs: clock.monotonicMs(), limit }
-      buckets.set(team, created)
-      return created
-    }
+    if (existing === undefined) return createBucket(team, limit)
     existing.limit = limit
     refresh(existing)
     return existing
@@ -157,7 +225,8 @@
   function take (team: TeamId, limit: QuotaLimit, tokens: number): number {
     const bucket = bucketOf(team, limit)
     const availableTokens = bucket.level + bucket.toleranceLevel
-    const largestTokens = limit.burst + toleranceOf(limit) * toleranceBurstRatio
+    const capacity = capacityOf(limit)
+    const largestTokens = capacity.quota + capacity.tolerance
     // A request larger than the burst needs both parts, and one larger than both a full bucket, which it leaves in debt.
     const requiredTokens = Math.min(tokens, largestTokens)
     const admissible = admissibleRatio(team, limit, availableTokens)
@@ -183,7 +252,9 @@
     const known = peerReports.get(node)
     const previous = known?.bootId === bootId ? known : undefined
     const intervalMs = previous === undefined ? 0 : nowMs - previous.receivedAtMs
-    const weight = 1 - Math.exp(-intervalMs / askedTimeConstantMs)
+    const firstReceivedAtMs = previous?.firstReceivedAtMs ?? nowMs
+    // The first reports of a source have a larger weight, or the average would begin far too low.
+    const weight = Math.max(1 - Math.exp(-intervalMs / askedTimeConstantMs), intervalMs / Math.max(1, nowMs - firstReceivedAtMs))
     const teams = new Map<TeamId, PeerTeamUsage>()
     for (const [team, { quota, tolerance, asked }] of taken) {
       const before = previous?.teams.get(team)
@@ -191,12 +262,41 @@
       const latestPerSecond = intervalMs === 0 ? averagePerSecond : (asked - (before?.asked ?? asked)) / intervalMs * secondMs
       teams.set(team, { quota, tolerance, asked, askedPerSecond: averagePerSecond + weight * (latestPerSecond - averagePerSecond) })
     }
-    peerReports.set(node, { bootId, receivedAtMs: nowMs, teams })
+    peerReports.set(node, { bootId, firstReceivedAtMs, receivedAtMs: nowMs, teams })
     return previous
   }
 
-  function onPeerUsage (node: NodeId, bootId: string, taken: ReadonlyMap<TeamId, QuotaUsage>): void {
-    const previous = replaceReport(node, bootId, taken)
+  /** Sets the levels to those of a source that has heard of all usage, less what this node has admitted since its start. */
+  function takeOverLevels (levels: ReadonlyMap<TeamId, QuotaLevels>): void {
+    const receivedAtMs = clock.monotonicMs()
+    for (const [team, reported] of levels) if (!buckets.has(team)) reportedLevels.set(team, { ...reported, receivedAtMs })
+    for (const [team, bucket] of buckets) {
+      const capacity = capacityOf(bucket.limit)
+      const { quota, tolerance } = levels.get(team) ?? capacity
+      const own = usage.get(team) ?? { quota: 0, tolerance: 0 }
+      bucket.level = quota - own.quota
+      bucket.toleranceLevel = tolerance - own.tolerance
+      bucket.updatedAtMs = receivedAtMs
+    }
+    isInformed = true
+  }
+
+  /** Lowers levels to those of a new source, which may have heard of usage that this node hasn't. */
+  function lowerLevels (levels: ReadonlyMap<TeamId, QuotaLevels>): void {
+    for (const [team, { quota, tolerance }] of levels) {
+      const bucket = buckets.get(team)
+      if (bucket === undefined) continue
+      refresh(bucket)
+      bucket.level = Math.min(bucket.level, quota)
+      bucket.toleranceLevel = Math.min(bucket.toleranceLevel, tolerance)
+    }
+  }
+
+  function onPeerReport ({ source, bootId, usage: taken, levels, isFirst }: QuotaReport): void {
+    const previous = replaceReport(source, bootId, taken)
+    if (levels !== undefined && !knowsUsage()) takeOverLevels(levels)
+    else if (levels !== undefined && isFirst) lowerLevels(levels)
+    if (isFirst) return
     for (const [team, { quota, tolerance }] of taken) {
       const existing = previous?.teams.get(team)
       const limit = limitOf(team) ?? buckets.get(team)?.limit
@@ -210,8 +310,14 @@
   return {
     take,
     localUsage: () => usage,
-    onPeerUsage,
-    setPeerBaseline: (node, bootId, taken) => { replaceReport(node, bootId, taken) },
+    levels: () => {
+      if (!knowsUsage()) return undefined
+      return new Map([...buckets].map(([team, bucket]) => {
+        refresh(bucket)
+        return [team, { quota: bucket.level, tolerance: bucket.toleranceLevel }]
+      }))
+    },
+    onPeerReport,
     explain: team => {
       const bucket = buckets.get(team)
       if (bucket === undefined) return {}
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -134,7 +134,7 @@
     codec,
     router,
     admission: createAdmission({ clock, metrics, random: createRandom(2), maxConcurrent: 100 }),
-    quotas: createQuotas({ clock, random: () => 0, reportAgeMs: () => 0, reachableShare: () => 1 }),
+    quotas: createQuotas({ clock, random: () => 0, hasFullBuckets: true, ownShare: () => 1, reportAgeMs: () => 0, reachableShare: () => 1 }),
     retryBudget: createRetryBudget({ clock, minRetriesPerSecond: () => 10 }),
     backends,
     routeTable: () => state.table,
--- a/test/node-reports/exchange.test.ts
+++ b/test/node-reports/exchange.test.ts
@@ -26,6 +26,11 @@
   openBySource: Map<NodeId, number>
   deltas: ViewDelta[]
   metrics: Metrics
+  /** Sources whose first report was marked as such, and quota levels that arrived, by source. */
+  firstSources: NodeId[]
+  levelsBySource: Map<NodeId, number>
+  /** Replaces the node by one that starts anew at the same address. */
+  restart: () => Promise<void>
 }
 
 async function until (condition: () => boolean): Promise<void> {
@@ -36,7 +41,10 @@
   const addresses = Array.from({ length: count }, (_, index) => ({
     node: toId<NodeId>(`node-${String(index).padStart(2, '0')}`), linkMbps: 100, host: '127.0.0.1', reportPort: firstPort + index, viewPort: 1
   }))
-  const nodes: Node[] = addresses.map(({ node: id, reportPort }, index) => {
+  function createNode (index: number, boot: number): Node {
+    const { node: id, reportPort } = addresses[index]!
+    const firstSources: NodeId[] = []
+    const levelsBySource = new Map<NodeId, number>()
     const openBySource = new Map<NodeId, number>()
     const deltas: ViewDelta[] = []
     const metrics = createMetrics()
@@ -46,7 +54,7 @@
       port: reportPort,
       node: id,
       linkMbps: 100,
-      bootId: `boot-${index}`,
+      bootId: `boot-${index}-${boot}`,
       clock,
       log: () => {},
       metrics,
@@ -59,6 +67,7 @@
           isDraining: false,
           revision: 10,
           quotaUsage: new Map([[team, { quota: tokens, tolerance: 0, asked: tokens }]]),
+          quotaLevels: boot === 0 ? new Map([[team, { quota: 70 + index, tolerance: 5 }]]) : undefined,
           loads: new Map(backends.map(backend => [backend, { requests: 1, pendingTokens: 50 }])),
           prefixes: [],
           suspects: new Map(),
@@ -68,13 +77,25 @@
         }
       },
       onReport: () => {},
-      onActivity: (source, _life, { loads }) => { openBySource.set(source, loads.get(engine)?.requests ?? 0) },
+      onActivity: (source, _life, { loads, quotaLevels }, isFirst) => {
+        openBySource.set(source, loads.get(engine)?.requests ?? 0)
+        if (isFirst) firstSources.push(source)
+        const level = quotaLevels?.get(team)?.quota
+        if (level !== undefined) levelsBySource.set(source, level)
+      },
       onSilent: source => { openBySource.delete(source) },
       deltaAfter: () => ({ revision, reachableForMs: 5_000, changes: [change] }),
       onDelta: delta => { deltas.push(delta) }
     })
-    return { id, reports, openBySource, deltas, metrics }
-  })
+    async function restart (): Promise<void> {
+      reports.close()
+      const restarted = createNode(index, boot + 1)
+      nodes[index] = restarted
+      await restarted.reports.start()
+    }
+    return { id, reports, openBySource, deltas, metrics, firstSources, levelsBySource, restart }
+  }
+  const nodes: Node[] = addresses.map((_, index) => createNode(index, 0))
   await Promise.all(nodes.map(({ reports }) => reports.start()))
   t.teardown(() => nodes.forEach(({ reports }) => reports.close()))
   return nodes
@@ -119,3 +140,23 @@
   t.true(nodes.every(({ openBySource, reports }) => openBySource.size === 4 && reports.isCollector() && !reports.hasPeerUpdates()))
   t.true(nodes.every(({ deltas }) => deltas.length === 0))
 })
+
+test.serial('a restarted node of a small cluster gets the quota levels of the others, and knows that it can\'t count their usage', async t => {
+  const nodes = await startCluster(t, 5)
+  await until(() => nodes.every(node => openRequests(node) === 4))
+  await nodes[2]?.restart()
+  await until(() => nodes[2]?.levelsBySource.size === 4)
+  t.deepEqual(nodes[2]?.levelsBySource.get(toId<NodeId>('node-04')), 74)
+  t.deepEqual(nodes[2]?.firstSources.toSorted(), ['node-00', 'node-01', 'node-03', 'node-04'].map(name => toId<NodeId>(name)))
+  t.is(nodes[0]?.firstSources.length, 4, 'the usage of a node that restarted is counted from its start')
+})
+
+test.serial('a restarted node of a large cluster gets the quota levels of its collector, and a restarted collector those of the nodes', async t => {
+  const nodes = await startCluster(t, 24)
+  await until(() => nodes.every(node => openRequests(node) === 23))
+  await nodes[9]?.restart()
+  await until(() => nodes[9]?.levelsBySource.size === 1)
+  await nodes[0]?.restart()
+  await until(() => (nodes[0]?.levelsBySource.size ?? 0) > 0)
+  t.pass()
+})
--- a/test/quota/quota.test.ts
+++ b/test/quota/quota.test.ts
@@ -20,11 +20,11 @@
   const clock = createManualClock()
   const { reachableShare = 1 } = options
   const random = createRandom(30)
-  const nodes = Array.from({ length: count }, () => createQuotas({ clock, random, tolerance, reportAgeMs: () => 100, reachableShare: () => reachableShare }))
+  const nodes = Array.from({ length: count }, () => createQuotas({ clock, random, tolerance, hasFullBuckets: true, ownShare: () => 1 / count, reportAgeMs: () => 100, reachableShare: () => reachableShare }))
   function exchangeReports (): void {
     for (const [from, sender] of nodes.entries()) {
       const taken = new Map([...sender.localUsage()].map(([key, value]) => [key, { ...value }]))
-      for (const receiver of nodes) if (receiver !== sender) receiver.onPeerUsage(toId<NodeId>(`node-${from}`), 'life', taken)
+      for (const receiver of nodes) if (receiver !== sender) receiver.onPeerReport({ source: toId<NodeId>(`node-${from}`), bootId: 'life', usage: taken, levels: undefined, isFirst: false })
     }
   }
   return { clock, nodes, exchangeReports }
@@ -79,9 +79,9 @@
 test('what a node took before a restart isn\'t counted again after it', t => {
   const { nodes: [node] } = createNodes(1)
   node!.take(team, limit, 0)
-  const peer = toId<NodeId>('peer')
-  node!.onPeerUsage(peer, 'first', new Map([[team, { quota: 400, tolerance: 0, asked: 400 }]]))
-  node!.onPeerUsage(peer, 'second', new Map([[team, { quota: 100, tolerance: 0, asked: 100 }]]))
+  const report = { source: toId<NodeId>('peer'), levels: undefined, isFirst: false }
+  node!.onPeerReport({ ...report, bootId: 'first', usage: new Map([[team, { quota: 400, tolerance: 0, asked: 400 }]]) })
+  node!.onPeerReport({ ...report, bootId: 'second', usage: new Map([[team, { quota: 100, tolerance: 0, asked: 100 }]]) })
   t.is(node!.explain(team)['quotaLevel'], 500)
 })
 
@@ -96,7 +96,7 @@
   const targets = fc.sample(fc.nat({ max: nodeCount - 1 }), { numRuns: limit.perSecond * demandRatio / tokens * seconds, seed: 31 })
   const totals = createActivityTotals({ clock, maxPrefixes: () => 0 })
   const ids = Array.from({ length: nodeCount }, (_, index) => toId<NodeId>(`node-${index}`))
-  const nodes = ids.map(() => createQuotas({ clock, random, tolerance: largeFleetTolerance, reachableShare: () => 1, reportAgeMs: () => reportIntervalMs, limitOf: () => limit }))
+  const nodes = ids.map(() => createQuotas({ clock, random, tolerance: largeFleetTolerance, hasFullBuckets: true, ownShare: () => 1 / nodeCount, reachableShare: () => 1, reportAgeMs: () => reportIntervalMs, limitOf: () => limit }))
   const heard = new Set<number>()
   const admitted: Array<{ atMs: number, tokens: number }> = []
   function report (index: number): void {
@@ -105,8 +105,7 @@
     const quotaUsage = new Map([...quotas.localUsage()].map(([key, value]) => [key, { ...value }]))
     totals.record(id, 'boot', { quotaUsage, loads: new Map(), prefixes: [], suspects: new Map() })
     const others = totals.totalsExcept(id).quotaUsage
-    if (heard.has(index)) quotas.onPeerUsage(toId<NodeId>('collector'), 'boot', others)
-    else quotas.setPeerBaseline(toId<NodeId>('collector'), 'boot', others)
+    quotas.onPeerReport({ source: toId<NodeId>('collector'), bootId: 'boot', usage: others, levels: undefined, isFirst: !heard.has(index) })
     heard.add(index)
   }
   for (let index = 0; index < nodeCount; index += 1) report(index)
