Recognize a version that answers several times slower before its move ends

An attempt counted only when it ended, its latencies only when it was complete, and not at all when its caller left or its deadline passed; a slow version's slowest attempts end last or never. Its first tokens took 350 to 1,990 ms where the old version's median was 37 to 198 ms. The time between events wasn't observed on the platform at all, and a node compared with its own last 20 latencies of a route, which a node of 9 sees after 8 s and one of 195 never within the move. Six attempts that showed nothing were taken as good.

Fix: latencies are recorded when the first byte and the eighth event arrive, for aborted attempts as lower bounds; nodes report counts by latency bucket, which are compared where they are summed, with the latest 200 latencies before the move; a version takes over only if six of its attempts were compared. Counts of an ended move are no longer sent.

Ruled out: too little traffic at the new version (38 attempts, 0.07 of all), the threshold of the sequential test (not reached since 20 counts were missing).

--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -23,7 +23,17 @@
   isCanary: boolean
   /** Whether the response was complete and its status below 500. */
   ok: boolean
-  firstByteMs: number | undefined
+}
+
+/** A latency of one attempt: until the first byte, or on average between two events of a stream. */
+export interface LatencyReport {
+  service: string
+  route: string
+  isCanary: boolean
+  kind: 'first-byte' | 'between-events'
+  latencyMs: number
+  /** Whether the attempt was aborted before the latency was complete. */
+  isLowerBound: boolean
 }
 
 /** Dependencies and callbacks of the request handler. */
@@ -46,6 +56,8 @@
   /** Called when a request is sent; `workMs` estimates how long it occupies a backend server of the service. */
   onSent: (service: string, workMs: number) => void
   onAttempt: (report: AttemptReport) => void
+  /** Called when a latency of an attempt is known, which may be long before the attempt ends. */
+  onLatency: (report: LatencyReport) => void
   isDraining: () => boolean
   /** Whether this node learns of the others' load soon enough to compare all backend servers without many nodes choosing the same one. */
   hasRecentLoads: () => boolean
--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -59,6 +59,8 @@
   onActivity: () => void
   /** Called when the backend server begins to respond: at a stream's first event, otherwise at the headers. */
   onFirstByte: () => void
+  /** Called when complete events of a stream have been received, with their number in this attempt. */
+  onEvents: (count: number) => void
 }
 
 /** An attempt in progress. */
@@ -79,6 +81,7 @@
 export function startAttempt (options: AttemptOptions): Attempt {
   const { codec, response, progress, kind } = options
   const chunks: Buffer[] = []
+  const eventsBefore = progress.eventBuffer.eventCount()
   let status = 0
   let headers: Headers = {}
   let head: ResponseHead | undefined
@@ -137,6 +140,7 @@
     if (forwardedBytes === 0 && progress.areHeadersSent) options.onFirstByte()
     sendHeaders()
     forwardedBytes += events.length
+    options.onEvents(progress.eventBuffer.eventCount() - eventsBefore)
     const hasRoom = response.write(events)
     if (!hasRoom) response.once('drain', exchange.resume)
     return hasRoom
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -7,6 +7,7 @@
 import { readBody } from './read-body.ts'
 import { servingLabel, canaryLabel } from './backend-table.ts'
 import { createAttemptEndHandler } from './attempt-end-handler.ts'
+import { createLatencyObserver } from './latency-observer.ts'
 import { createRefusals } from './refusals.ts'
 import { requestLogFields } from './active-request.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
@@ -209,7 +210,9 @@
       lastEventId,
       fetchFrom: choice.fetchFrom === undefined ? undefined : backends.get(choice.fetchFrom.id)?.entry.address
     }, active.body?.length ?? 0, nowMs)
-    let firstByteMs: number | undefined
+    const isCanary = choice.version === canaryLabel
+    const sentAtMs = clock.monotonicMs()
+    const latencies = createLatencyObserver(sentAtMs, latency => options.onLatency({ service: active.service, route: route.name, isCanary, ...latency }))
     const attempt = startAttempt({
       connections: known.connections,
       request: { method: request.method ?? 'GET', target: request.url ?? '/', headers, body: active.body },
@@ -221,14 +224,14 @@
       shouldCloseConnection: options.isDraining,
       onActivity: () => backends.recordActivity(choice.backend.id),
       onFirstByte: () => {
-        firstByteMs = clock.wallMs() - nowMs
+        latencies.onFirstByte(clock.monotonicMs())
         active.firstByteMs ??= clock.wallMs() - active.arrivedAtMs
         router.onFirstToken(attemptId)
         if (team !== undefined) options.onStarted(team.team)
-      }
+      },
+      onEvents: count => latencies.onEvents(count, clock.monotonicMs())
     })
     active.attempt = attempt
-    const sentAtMs = clock.monotonicMs()
     const responseTimer = setTimeout(() => {
       if (known.lastActivityAtMs < sentAtMs) backends.markSuspect(choice.backend.id, 'no byte was received since a request was sent')
     }, baseResponseTimeoutMs + expectedWaitFactor * choice.expectedFirstTokenMs)
@@ -241,9 +244,9 @@
     const isServerError = end.kind === 'complete' && end.response.status >= 500
     const ok = (end.kind === 'passed-on' || end.kind === 'complete') && !isServerError
     router.onAttemptEnded(attemptId, { ok, attributedToBackend: end.kind !== 'aborted' && !(end.kind === 'not-run' && !end.isUnreachable) })
+    if (end.kind !== 'not-run') latencies.onEnded(end.kind !== 'passed-on' && end.kind !== 'complete', clock.monotonicMs())
     if (end.kind !== 'aborted' && end.kind !== 'not-run') {
-      const isCanary = choice.version === canaryLabel
-      options.onAttempt({ team: team?.team, service: active.service, route: route.name, request: id, backend: choice.backend.id, isCanary, ok, firstByteMs })
+      options.onAttempt({ team: team?.team, service: active.service, route: route.name, request: id, backend: choice.backend.id, isCanary, ok })
     }
     return end
   }
--- a/src/core/moves/attempt-counts.ts
+++ b/src/core/moves/attempt-counts.ts
@@ -1,13 +1,32 @@
 /** Counts of attempts by route, kind of regression and traffic share, as reported between nodes. */
+import { z } from 'zod'
 import type { RegressionKind, VersionCounts } from './types.ts'
 
-/** Counts for one route and kind of regression, of attempts drawn at one share of the new version. */
+/** Counts for one route and kind of regression, of attempts drawn at one share of the new version. Latencies are only classified as bad where they are added up. */
 export interface AttemptCounts extends VersionCounts {
   route: string
   kind: RegressionKind
+  /** 0 for attempts before the move. */
   share: number
+  /** Bucket of the latencies; undefined for failures. */
+  latencyBucket?: number | undefined
+  /** Whether the attempts ended before the latency was complete, because the caller left, for example. */
+  isLowerBound?: boolean | undefined
 }
 
+/** Schema of counts that another node reports. */
+export const attemptCountsSchema = z.object({
+  route: z.string(),
+  kind: z.enum(['failing', 'first-token-slow', 'between-tokens-slow']),
+  share: z.number(),
+  latencyBucket: z.number().optional(),
+  isLowerBound: z.boolean().optional(),
+  newBad: z.number(),
+  oldBad: z.number(),
+  newTotal: z.number(),
+  oldTotal: z.number()
+})
+
 /** Counts that only grow, so that the next report makes up for a lost one. */
 export interface AttemptCountsTable {
   add: (delta: AttemptCounts) => void
@@ -16,8 +35,8 @@
   mergeReport: (later: readonly AttemptCounts[]) => AttemptCounts[]
 }
 
-function keyOf ({ route, kind, share }: AttemptCounts): string {
-  return `${share}/${kind}/${route}`
+function keyOf ({ route, kind, share, latencyBucket, isLowerBound }: AttemptCounts): string {
+  return `${share}/${kind}/${latencyBucket ?? ''}/${isLowerBound ?? false}/${route}`
 }
 
 /** Creates an empty table. */
--- a/src/core/moves/canary-analysis.ts
+++ b/src/core/moves/canary-analysis.ts
@@ -4,14 +4,15 @@
  * which is permanent for the move.
  */
 import { createAttemptCountsTable } from './attempt-counts.ts'
+import { latencyBucketOf } from './latency-buckets.ts'
+import { createLatencyClassifier } from './latency-classifier.ts'
 import { createRegressionDetector } from './regression-detector.ts'
-import { createLatencyBaseline } from './latency-baseline.ts'
 import type { AttemptObservation } from './attempt-observation.ts'
-import type { NodeId } from '../ids/index.ts'
+import type { NodeId, VersionId } from '../ids/index.ts'
 import type { AttemptCounts, AttemptCountsTable } from './attempt-counts.ts'
 import type { RegressionDetector } from './regression-detector.ts'
-import type { LatencyBaseline } from './latency-baseline.ts'
-import type { RegressionEvidence, RegressionKind, MoveRecord } from './types.ts'
+import type { LatencyClassifier } from './latency-classifier.ts'
+import type { LatencyKind, RegressionEvidence, MoveRecord } from './types.ts'
 
 /** Number of failed requests that are remembered, so that the retries of one request count once. */
 const maxFailedRequests = 5_000
@@ -27,6 +28,18 @@
   nodes: number
   routes: number
   onBrake: (evidence: RegressionEvidence) => void
+  /** Latencies from before the move. */
+  history?: readonly AttemptCounts[]
+}
+
+/** A latency of one attempt, recorded as soon as it is known. */
+export interface LatencyObservation {
+  route: string
+  version: VersionId
+  kind: LatencyKind
+  latencyMs: number
+  /** Whether the attempt ended before the latency was complete. */
+  isLowerBound: boolean
 }
 
 /** The evaluation of one move on one node. */
@@ -34,17 +47,26 @@
   readonly record: MoveRecord
   /** Records an attempt that ended while the new version had the given share of the traffic. */
   recordAttempt: (observation: AttemptObservation, share: number, nowMs: number) => void
+  /** Records a latency of an attempt that may still be running; `recordAttempt` then gets no latencies. */
+  recordLatency: (observation: LatencyObservation, share: number, nowMs: number) => void
   /** Counts of this node's own attempts. */
   counts: () => AttemptCounts[]
   /** Adds the latest counts of a peer, or of this node, to the sum. */
   addReport: (from: NodeId, counts: readonly AttemptCounts[], nowMs: number) => void
   attemptsOn: RegressionDetector['attemptsOn']
   canaryAttempts: RegressionDetector['canaryAttempts']
+  comparedCanaryAttempts: RegressionDetector['comparedCanaryAttempts']
   isDoubtful: RegressionDetector['isDoubtful']
   brake: () => RegressionEvidence | undefined
   applyBrake: (evidence: RegressionEvidence) => void
 }
 
+/** Counts that are evaluated together: those of this node, or the sum over all nodes. */
+interface Evaluation {
+  detector: RegressionDetector
+  classifier: LatencyClassifier
+}
+
 /** Creates the analysis of a move whose new version has traffic. */
 export function createCanaryAnalysis (options: CanaryAnalysisOptions): CanaryAnalysis {
   const { record, node } = options
@@ -55,11 +77,10 @@
     trafficAtMs: record.trafficAtMs ?? record.startedAtMs,
     deadlineAtMs: record.deadlineAtMs
   }
-  const ownDetector = createRegressionDetector(detectorOptions)
-  const sumDetector = createRegressionDetector(detectorOptions)
+  const own: Evaluation = { detector: createRegressionDetector(detectorOptions), classifier: createLatencyClassifier() }
+  const sum: Evaluation = { detector: createRegressionDetector(detectorOptions), classifier: createLatencyClassifier() }
   const counts = createAttemptCountsTable()
   const reported = new Map<NodeId, AttemptCountsTable>()
-  const baselines = new Map<string, LatencyBaseline>()
   const failedRequests = new Set<string>()
   let largestShare = { share: 0, atMs: 0 }
   let brake: RegressionEvidence | undefined
@@ -84,58 +105,67 @@
     return true
   }
 
-  function baselineOf (route: string, kind: RegressionKind): LatencyBaseline {
-    const key = `${kind}/${route}`
-    const known = baselines.get(key) ?? createLatencyBaseline()
-    baselines.set(key, known)
-    return known
-  }
-
-  function recordAttempt (observation: AttemptObservation, share: number, nowMs: number): void {
-    const isNew = observation.version === record.toVersion
-    if (!isNew && observation.version !== record.fromVersion) return
-    if (!isCounted(observation)) return
-    const drawnAtShare = drawnShare(share, nowMs)
-    const { route } = observation
-
-    function count (kind: RegressionKind, isBad: boolean): void {
-      const bad = isBad ? 1 : 0
-      const delta = {
-        route,
-        kind,
-        share: drawnAtShare,
-        newBad: isNew ? bad : 0,
-        oldBad: isNew ? 0 : bad,
-        newTotal: isNew ? 1 : 0,
-        oldTotal: isNew ? 0 : 1
-      }
-      counts.add(delta)
-      const regression = ownDetector.add(delta, nowMs)
+  function evaluate ({ detector, classifier }: Evaluation, delta: AttemptCounts, nowMs: number): void {
+    const classified = delta.latencyBucket === undefined ? [delta] : classifier.add(delta)
+    for (const counted of classified) {
+      const regression = detector.add(counted, nowMs)
       if (regression !== undefined) applyBrake(regression)
     }
+  }
 
-    function countLatency (kind: RegressionKind, latencyMs: number | undefined): void {
-      if (latencyMs === undefined) return
-      const known = baselineOf(route, kind)
-      const isSlow = known.isSlow(latencyMs)
-      if (isSlow !== undefined) count(kind, isSlow)
-      if (!isNew) known.addSample(latencyMs)
-    }
+  function count (delta: AttemptCounts, nowMs: number): void {
+    counts.add(delta)
+    evaluate(own, delta, nowMs)
+  }
+
+  function isNewVersion (version: VersionId): boolean | undefined {
+    if (version === record.toVersion) return true
+    return version === record.fromVersion ? false : undefined
+  }
 
-    count('failing', !observation.ok)
-    if (!observation.ok) return
-    countLatency('first-token-slow', observation.firstTokenMs)
-    countLatency('between-tokens-slow', observation.betweenTokensMs)
+  function recordLatency ({ route, version, kind, latencyMs, isLowerBound }: LatencyObservation, share: number, nowMs: number): void {
+    const isNew = isNewVersion(version)
+    if (isNew === undefined) return
+    count({
+      route,
+      kind,
+      share: drawnShare(share, nowMs),
+      latencyBucket: latencyBucketOf(latencyMs),
+      ...(isLowerBound ? { isLowerBound } : {}),
+      newBad: 0,
+      oldBad: 0,
+      newTotal: isNew ? 1 : 0,
+      oldTotal: isNew ? 0 : 1
+    }, nowMs)
+  }
+
+  function recordAttempt (observation: AttemptObservation, share: number, nowMs: number): void {
+    const { route, version, ok, firstTokenMs, betweenTokensMs } = observation
+    const isNew = isNewVersion(version)
+    if (isNew === undefined || !isCounted(observation)) return
+    const bad = ok ? 0 : 1
+    count({
+      route,
+      kind: 'failing',
+      share: drawnShare(share, nowMs),
+      newBad: isNew ? bad : 0,
+      oldBad: isNew ? 0 : bad,
+      newTotal: isNew ? 1 : 0,
+      oldTotal: isNew ? 0 : 1
+    }, nowMs)
+    if (!ok) return
+    if (firstTokenMs !== undefined) recordLatency({ route, version, kind: 'first-token-slow', latencyMs: firstTokenMs, isLowerBound: false }, share, nowMs)
+    if (betweenTokensMs !== undefined) recordLatency({ route, version, kind: 'between-tokens-slow', latencyMs: betweenTokensMs, isLowerBound: false }, share, nowMs)
   }
 
   function addReport (from: NodeId, later: readonly AttemptCounts[], nowMs: number): void {
     const table = reported.get(from) ?? createAttemptCountsTable()
     reported.set(from, table)
-    for (const delta of table.mergeReport(later)) {
-      const regression = sumDetector.add(delta, nowMs)
-      if (regression !== undefined) applyBrake(regression)
-    }
+    for (const delta of table.mergeReport(later)) evaluate(sum, delta, nowMs)
   }
 
-  return { record, recordAttempt, counts: counts.all, addReport, attemptsOn: sumDetector.attemptsOn, canaryAttempts: sumDetector.canaryAttempts, isDoubtful: sumDetector.isDoubtful, brake: () => brake, applyBrake }
+  for (const delta of options.history ?? []) count(delta, record.startedAtMs)
+
+  const { attemptsOn, canaryAttempts, comparedCanaryAttempts, isDoubtful } = sum.detector
+  return { record, recordAttempt, recordLatency, counts: counts.all, addReport, attemptsOn, canaryAttempts, comparedCanaryAttempts, isDoubtful, brake: () => brake, applyBrake }
 }
--- a/src/core/moves/messages.ts
+++ b/src/core/moves/messages.ts
@@ -1,6 +1,7 @@
 /** Messages between nodes about moves: reports of attempt counts to the summing nodes, and brakes to all nodes. */
 import { z } from 'zod'
 import { toId } from '../ids/index.ts'
+import { attemptCountsSchema } from './attempt-counts.ts'
 import type { MoveId, NodeId, TeamId } from '../ids/index.ts'
 import type { AttemptCounts } from './attempt-counts.ts'
 import type { RegressionEvidence } from './types.ts'
@@ -39,7 +40,7 @@
 }
 const reportSchema = z.object({
   ...moveIdentity,
-  counts: z.array(z.object({ route: z.string(), kind: regressionKind, share: z.number(), ...versionCounts })),
+  counts: z.array(attemptCountsSchema),
   brake: brake.optional()
 })
 const brakeSchema = z.object({ ...moveIdentity, brake })
--- a/src/core/moves/regression-detector.ts
+++ b/src/core/moves/regression-detector.ts
@@ -3,7 +3,7 @@
 import type { NodeId } from '../ids/index.ts'
 import type { AttemptCounts } from './attempt-counts.ts'
 import type { SequentialTest } from './sequential-test.ts'
-import type { RegressionEvidence, VersionCounts } from './types.ts'
+import type { RegressionEvidence, RegressionKind, VersionCounts } from './types.ts'
 
 const regressionKindCount = 3
 /** Bad attempts that make the new version doubtful if their rate is high, too. */
@@ -33,6 +33,8 @@
   attemptsOn: (route: string) => { newTotal: number, total: number }
   /** Attempts of the new version on all routes. */
   canaryAttempts: () => number
+  /** Attempts of the new version whose first token was compared with those of the old one. */
+  comparedCanaryAttempts: () => number
   /** Whether the new version looks worse on some route, although the test has not shown a regression yet. */
   isDoubtful: () => boolean
 }
@@ -74,13 +76,18 @@
     return { route, kind, node, atMs: nowMs, newBad, oldBad, newTotal, oldTotal }
   }
 
+  function countCanaryAttempts (kind: RegressionKind): number {
+    return [...tests].reduce((sum, [key, { newTotal }]) => sum + (key.startsWith(`${kind}/`) ? newTotal : 0), 0)
+  }
+
   return {
     add,
     attemptsOn: route => {
       const { newTotal, oldTotal } = testOf(`failing/${route}`)
       return { newTotal, total: newTotal + oldTotal }
     },
-    canaryAttempts: () => [...tests].reduce((sum, [key, { newTotal }]) => sum + (key.startsWith('failing/') ? newTotal : 0), 0),
+    canaryAttempts: () => countCanaryAttempts('failing'),
+    comparedCanaryAttempts: () => countCanaryAttempts('first-token-slow'),
     // At a large share a bad attempt is weak evidence, so a late move could finish before the test detects a regression.
     isDoubtful: () => [...tests.values()].some(({ newBad, newTotal, oldBad, oldTotal }) =>
       newBad >= minDoubtfulBad && newBad / newTotal > doubtfulRatio * Math.max(1, oldBad) / Math.max(1, oldTotal))
--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -4,6 +4,8 @@
  * it; the holder of the duty writes the result before the deadline.
  */
 import { z } from 'zod'
+import { attemptCountsSchema } from './attempt-counts.ts'
+import { createLatencyHistory } from './latency-history.ts'
 import { createCanaryAnalysis } from './canary-analysis.ts'
 import type { Clock } from '../clock/index.ts'
 import type { NodeId, TeamId, VersionId } from '../ids/index.ts'
@@ -12,7 +14,8 @@
 import type { KeyValueStore, Transaction } from '../platform/key-value/types.ts'
 import type { AttemptObservation } from './attempt-observation.ts'
 import type { AttemptCounts } from './attempt-counts.ts'
-import type { CanaryAnalysis } from './canary-analysis.ts'
+import type { CanaryAnalysis, LatencyObservation } from './canary-analysis.ts'
+import type { LatencyHistory } from './latency-history.ts'
 import type { RegressionEvidence, MoveRecord } from './types.ts'
 
 /** An operator's order to move a service to a new version within `durationMs`. */
@@ -65,14 +68,19 @@
   shareSlack: number
 }
 
+/** The result of an attempt at a service. */
+export type AttemptResult = Omit<AttemptObservation, 'version' | 'team' | 'firstTokenMs' | 'betweenTokensMs'>
+
 /** The service moves of one node. */
 export interface ServiceMoves {
   /** Canary version of a service, also after its move was taken back; undefined when all versions may serve. */
   canaryVersionOf: (service: string) => VersionId | undefined
   /** Current share of a service's requests for its canary version, 0 to 1. */
   canaryShareOf: (service: string) => number
-  /** Records the result of an attempt at a service. */
-  recordAttempt: (service: string, isCanary: boolean, evidence: Omit<AttemptObservation, 'version' | 'team'>) => void
+  /** Records the result of an attempt at a service, without its latencies. */
+  recordAttempt: (service: string, isCanary: boolean, evidence: AttemptResult) => void
+  /** Records a latency of an attempt as soon as it is known, also while no move is running. */
+  recordLatency: (service: string, isCanary: boolean, observation: Omit<LatencyObservation, 'version'>) => void
   /** Reports of this node for the other nodes. */
   reports: () => ServiceMoveReport[]
   /** Adds the reports of another node; invalid ones are ignored. */
@@ -100,15 +108,7 @@
   service: z.string(),
   revision: z.number(),
   isBad: z.boolean(),
-  counts: z.array(z.object({
-    route: z.string(),
-    kind: z.enum(['failing', 'first-token-slow', 'between-tokens-slow']),
-    share: z.number(),
-    newBad: z.number(),
-    oldBad: z.number(),
-    newTotal: z.number(),
-    oldTotal: z.number()
-  }))
+  counts: z.array(attemptCountsSchema)
 }))
 
 interface RunningMove {
@@ -125,6 +125,13 @@
 export function createServiceMoves (options: ServiceMovesOptions): ServiceMoves {
   const { node, clock, log, store, duty } = options
   const running = new Map<string, RunningMove>()
+  const histories = new Map<string, LatencyHistory>()
+
+  function historyOf (service: string): LatencyHistory {
+    const known = histories.get(service) ?? createLatencyHistory()
+    histories.set(service, known)
+    return known
+  }
 
   function markBad (service: string, evidence: RegressionEvidence | undefined, from: NodeId): void {
     const move = running.get(service)
@@ -147,6 +154,7 @@
       record,
       nodes: options.nodes(),
       routes: options.routes(order.service),
+      history: historyOf(order.service).counts(),
       onBrake: evidence => markBad(order.service, evidence, node)
     })
     log('serviceMoveSeen', { service: order.service, target: order.target, durationMs: order.durationMs, revision: order.revision })
@@ -170,6 +178,11 @@
     return status !== undefined && status.target === order.target && status.revision > order.revision ? status.state : undefined
   }
 
+  function isEnded (move: RunningMove): boolean {
+    const state = stateOf(move)
+    return state === 'done' || state === 'taken-back'
+  }
+
   function startOf ({ order, seenAtMs }: RunningMove): number {
     return Math.min(options.startedAtMs(order) ?? Infinity, seenAtMs)
   }
@@ -199,13 +212,14 @@
 
   async function reconcileMove (move: RunningMove): Promise<void> {
     const state = stateOf(move)
-    if (state === 'done' || state === 'taken-back') return
+    if (isEnded(move)) return
     if (move.isBad) return await write(move, 'taken-back')
     if (state === undefined) return await write(move, 'running')
     const { durationMs } = move.order
     const decideAtMs = startOf(move) + Math.max(durationMs * evaluationRatio, durationMs - maxMarginMs)
     if (clock.wallMs() < decideAtMs) return
-    const hasEnoughAttempts = move.analysis.canaryAttempts() >= minAttempts
+    const { analysis } = move
+    const hasEnoughAttempts = Math.min(analysis.canaryAttempts(), analysis.comparedCanaryAttempts()) >= minAttempts
     if (hasEnoughAttempts && !move.analysis.isDoubtful()) return await write(move, 'done')
     // A version with too few attempts does not take over; it is taken back when the time is up.
     if (clock.wallMs() > startOf(move) + durationMs - callTimeoutMs) await write(move, 'taken-back')
@@ -228,10 +242,16 @@
       move.attempts += 1
       if (isCanary) move.canaryAttempts += 1
       const version = isCanary ? move.order.target : oldVersionLabel
-      move.analysis.recordAttempt({ ...evidence, version, team: service as TeamId }, usedShareOf(move), clock.wallMs())
+      move.analysis.recordAttempt({ ...evidence, version, team: service as TeamId, firstTokenMs: undefined, betweenTokensMs: undefined }, usedShareOf(move), clock.wallMs())
+    },
+    recordLatency: (service, isCanary, observation) => {
+      const move = running.get(service)
+      const version = isCanary ? move?.order.target : oldVersionLabel
+      if (move !== undefined && version !== undefined && !isEnded(move)) move.analysis.recordLatency({ ...observation, version }, usedShareOf(move), clock.wallMs())
+      if (!isCanary && !observation.isLowerBound) historyOf(service).add(observation.route, observation.kind, observation.latencyMs)
     },
-    reports: () => [...running.values()].filter(move => stateOf(move) !== 'done').map(({ order, analysis, isBad }) => ({
-      service: order.service, revision: order.revision, isBad, counts: analysis.counts()
+    reports: () => [...running.values()].filter(move => stateOf(move) !== 'done').map(move => ({
+      service: move.order.service, revision: move.order.revision, isBad: move.isBad, counts: isEnded(move) ? [] : move.analysis.counts()
     })),
     mergeReports: (from, reports) => {
       const parsed = reportSchema.safeParse(reports)
--- a/src/core/moves/types.ts
+++ b/src/core/moves/types.ts
@@ -5,7 +5,10 @@
 import type { TeamDeclaration, VersionShares } from '../teams/types.ts'
 
 /** In what way a new version is worse than the old one. */
-export type RegressionKind = 'failing' | 'first-token-slow' | 'between-tokens-slow'
+export type RegressionKind = 'failing' | LatencyKind
+
+/** Regressions that show in latencies: of the first token, and between two tokens. */
+export type LatencyKind = 'first-token-slow' | 'between-tokens-slow'
 
 /** Attempts of both versions over the same time, on one route and for one kind of regression; "bad" ones show it. */
 export interface VersionCounts {
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -141,6 +141,7 @@
     canaryShare: () => 0,
     onStarted: () => {},
     onSent: () => {},
+    onLatency: () => {},
     onAttempt: () => {},
     hasRecentLoads: () => true,
     isDraining: () => state.isDraining,
--- a/test/moves/service-moves.test.ts
+++ b/test/moves/service-moves.test.ts
@@ -7,7 +7,7 @@
 import { createRandom } from '../../src/core/random/index.ts'
 import type { BackendId, NodeId, RequestId, VersionId } from '../../src/core/ids/index.ts'
 import type { Duty } from '../../src/core/leases/index.ts'
-import type { ServiceMoveOrder, ServiceMoveState, ServiceMoveStatus } from '../../src/core/moves/service-moves.ts'
+import type { AttemptResult, ServiceMoveOrder, ServiceMoves, ServiceMoveState, ServiceMoveStatus } from '../../src/core/moves/service-moves.ts'
 
 const service = 'registry'
 const target = toId<VersionId>('v2')
@@ -23,8 +23,15 @@
   durationMs: number
   /** Probability that an attempt fails, by version, route and elapsed fraction of the move's time. */
   failure: (isCanary: boolean, route: string, elapsedRatio: number) => number
+  /** Times to the first token and to the end of an attempt; `draw` is a random number in [0, 1). 60 ms for both by default. */
+  latency?: (isCanary: boolean, draw: number) => { firstTokenMs: number, totalMs: number }
+  /** Traffic before the order, which only the old version serves. */
+  earlierMs?: number
 }
 
+/** Time after which callers that got no token leave. */
+const patienceMs = 2_000
+
 interface SimulationResult {
   states: ServiceMoveState[]
   /** Requests until the move ended, and requests to the canary version. */
@@ -35,7 +42,7 @@
   endedAtRatio: number | undefined
 }
 
-async function simulate (seed: number, { nodes: count, requestsPerSecond, durationMs, failure }: Scenario): Promise<SimulationResult> {
+async function simulate (seed: number, { nodes: count, requestsPerSecond, durationMs, failure, latency = () => ({ firstTokenMs: 60, totalMs: 60 }), earlierMs = 0 }: Scenario): Promise<SimulationResult> {
   const random = createRandom(seed)
   const clock = createManualClock()
   const kv = createMemoryKeyValue({ clock })
@@ -47,6 +54,7 @@
     name: 'moves', fencingNumber: () => fencingNumber, guard: () => ({ key: dutyKey, modRevision: fencingNumber }), orderWindow: () => undefined, close: async () => {}
   }
   const order: ServiceMoveOrder = { service, target, durationMs, revision: fencingNumber }
+  let isOrdered = false
   let status: ServiceMoveStatus | undefined
   let startedAtMs: number | undefined
   const states: ServiceMoveState[] = []
@@ -63,7 +71,7 @@
       },
       store,
       duty,
-      orders: () => [order],
+      orders: () => isOrdered ? [order] : [],
       status: () => status,
       startedAtMs: () => startedAtMs,
       encode: (_order, state, atMs) => {
@@ -76,24 +84,44 @@
       shareSlack
     })
   }))
-  const startAtMs = clock.wallMs()
+  const startAtMs = clock.wallMs() + earlierMs
+  const due: Array<{ atMs: number, run: () => void }> = []
   let total = 0
   let canaryRequests = 0
   let failed = 0
   let endedAtRatio: number | undefined
-  for (let elapsedRatio = 0; elapsedRatio < 1; elapsedRatio = (clock.wallMs() - startAtMs) / durationMs) {
+
+  /** Schedules what a node observes of an attempt: its first token, its end, or that the caller left before. */
+  function scheduleAttempt (moves: ServiceMoves, isCanary: boolean, result: AttemptResult): void {
+    const nowMs = clock.wallMs()
+    const { route } = result
+    const { firstTokenMs, totalMs } = latency(isCanary, random())
+    const observation = { route, kind: 'first-token-slow' as const }
+    if (firstTokenMs > patienceMs) {
+      due.push({ atMs: nowMs + patienceMs, run: () => moves.recordLatency(service, isCanary, { ...observation, latencyMs: patienceMs, isLowerBound: true }) })
+      return
+    }
+    due.push({ atMs: nowMs + firstTokenMs, run: () => moves.recordLatency(service, isCanary, { ...observation, latencyMs: firstTokenMs, isLowerBound: false }) })
+    due.push({ atMs: nowMs + totalMs, run: () => moves.recordAttempt(service, isCanary, result) })
+  }
+
+  for (let elapsedRatio = -earlierMs / durationMs; elapsedRatio < 1; elapsedRatio = (clock.wallMs() - startAtMs) / durationMs) {
+    isOrdered = elapsedRatio >= 0
     const arrivals = Math.floor(requestsPerSecond * tickMs / 1_000 + random())
     for (let arrival = 0; arrival < arrivals; arrival += 1) {
       const { moves } = nodes[Math.floor(random() * count)]!
       const isCanary = moves.canaryVersionOf(service) !== undefined && random() < moves.canaryShareOf(service)
       const route = random() < 0.8 ? 'register' : 'status'
       const ok = random() >= failure(isCanary, route, elapsedRatio)
-      if (endedAtRatio === undefined) total += 1
+      if (endedAtRatio === undefined && isOrdered) total += 1
       if (isCanary) canaryRequests += 1
       if (isCanary && !ok) failed += 1
-      moves.recordAttempt(service, isCanary, { request: toId<RequestId>(`r-${clock.wallMs()}-${arrival}`), route, backend: toId<BackendId>('i-1'), ok, firstTokenMs: 60, betweenTokensMs: undefined })
+      scheduleAttempt(moves, isCanary, { request: toId<RequestId>(`r-${clock.wallMs()}-${arrival}`), route, backend: toId<BackendId>('i-1'), ok })
     }
-    for (const from of nodes) for (const to of nodes) if (from !== to) to.moves.mergeReports(from.id, JSON.parse(JSON.stringify(from.moves.reports())))
+    for (const { run } of due.filter(({ atMs }) => atMs <= clock.wallMs())) run()
+    due.splice(0, due.length, ...due.filter(({ atMs }) => atMs > clock.wallMs()))
+    // In a large cluster only the holder of the duty, the first node, gets the reports.
+    for (const from of nodes) for (const to of count > 16 ? nodes.slice(0, 1) : nodes) if (from !== to) to.moves.mergeReports(from.id, JSON.parse(JSON.stringify(from.moves.reports())))
     await nodes[0]!.moves.reconcile()
     if (endedAtRatio === undefined && (states.includes('done') || states.includes('taken-back'))) endedAtRatio = elapsedRatio
     await clock.advance(tickMs)
@@ -133,3 +161,32 @@
   const { states } = await simulate(3, { ...usual, requestsPerSecond: 1, failure: () => 0 })
   t.deepEqual(states, ['running', 'taken-back'])
 })
+
+/** Latencies as of long streams: most attempts of a slow version end after its move, and some callers leave before. */
+function streamLatency (slowRatio: number) {
+  return (isCanary: boolean, draw: number): { firstTokenMs: number, totalMs: number } => {
+    const isSlow = isCanary && draw < slowRatio
+    const firstTokenMs = (isSlow ? 900 : 100) * (0.5 + 2 * draw)
+    return { firstTokenMs, totalMs: firstTokenMs * 12 }
+  }
+}
+
+const fast = { ...usual, nodes: 9, requestsPerSecond: 64, durationMs: 15_000, failure: () => 0 }
+
+for (const [nodes, requestsPerSecond, earlierMs] of [[9, 64, 4_000], [9, 64, 0], [195, 400, 4_000]] as const) {
+  test(`takes back a version that answers several times slower, at ${nodes} nodes ${earlierMs} ms after the first request`, async t => {
+    for (let seed = 1; seed <= 6; seed += 1) {
+      const { states, endedAtRatio, canaryRequests, total } = await simulate(seed, { ...fast, nodes, requestsPerSecond, earlierMs, latency: streamLatency(0.8) })
+      t.deepEqual(states, ['running', 'taken-back'], `seed ${seed}`)
+      t.true((endedAtRatio ?? 1) <= 0.7, `at ${endedAtRatio} with seed ${seed}`)
+      t.true(canaryRequests <= maxShare * total + shareSlack, `${canaryRequests} of ${total} with seed ${seed}`)
+    }
+  })
+}
+
+test('a good version whose streams are long takes over in time', async t => {
+  for (let seed = 1; seed <= 6; seed += 1) {
+    const { states } = await simulate(seed, { ...fast, earlierMs: 4_000, latency: streamLatency(0) })
+    t.deepEqual(states, ['running', 'done'], `seed ${seed}`)
+  }
+})
