Keep revisions, leases and duties apart between the eras of a restored store, and leave servers that leave or pause alone

The store may come back from a copy some seconds old: revisions and leases are given out again. What each place did with it before, by reading, and what it does now: - store client: a watch went on at a revision that another write has now, and a compare or a lease id could match another one by chance. Without the era in which it was taken a duty isn't held; fencing numbers rise. - usage: a new holder would have counted windows again that were reported. Fixed counts are remembered from the view and written again; windows of which nobody knows whether they were reported are skipped. - version moves: an order written again would have begun a new move, and a lost order would have given the bad version its traffic. The durable writer's barrier also passes the revisions that were given out before. Orders for servers have no record in the store.

Server-Leaving: from the first answer on, head of a stream included, the node sends that start of the server nothing, the others learn it from reports, and ordering counts it as leaving. One function decides (gateway/eligibility.ts).

--- a/bench/prove/simulation/node.ts
+++ b/bench/prove/simulation/node.ts
@@ -27,6 +27,8 @@
     keepAlive: wrap(store.keepAlive),
     revokeLease: wrap(store.revokeLease),
     watch: store.watch,
+    era: store.era,
+    observeEra: store.observeEra,
     close: store.close
   }
 }
--- a/src/core/connections/index.ts
+++ b/src/core/connections/index.ts
@@ -84,6 +84,7 @@
 /** A response with a JSON body; `body` is undefined when the body is empty or an error response isn't JSON. */
 export interface JsonResponse {
   status: number
+  headers: Record<string, string | string[] | undefined>
   body: unknown
 }
 
@@ -129,7 +130,7 @@
   const used = connections.currentPool()
   const signal = AbortSignal.timeout(Math.ceil(remainingMs))
   try {
-    const { statusCode, body } = await used.request({
+    const { statusCode, headers, body } = await used.request({
       method: request.method,
       path: request.path,
       headers: { 'content-type': 'application/json', ...request.headers },
@@ -137,7 +138,7 @@
       signal
     })
     const text = await body.text()
-    return { status: statusCode, body: parseJsonBody(text, statusCode) }
+    return { status: statusCode, headers, body: parseJsonBody(text, statusCode) }
   } catch (error) {
     if (!signal.aborted) throw new JsonRequestError(describeError(error), !isConnectError(error))
     connections.replacePool(used)
--- a/src/core/gateway/attempt-end-handler.ts
+++ b/src/core/gateway/attempt-end-handler.ts
@@ -4,6 +4,8 @@
  */
 import { delimitByConnectionClose, isSelfDelimited, forwardedResponseHeaders } from './gateway-response.ts'
 import { requestLogFields } from './active-request.ts'
+import { parseRetryAfterMs } from './eligibility.ts'
+import type { BackendId } from '../ids/index.ts'
 import type { RouteChoice } from '../routing/index.ts'
 import type { AttemptEnd, CompleteResponse } from './attempt.ts'
 import type { Refusals } from './refusals.ts'
@@ -14,6 +16,14 @@
 /** Undelivered attempts of one request, such as refused connections, after which it fails; they don't count as sent. */
 const maxUndelivered = 3
 
+const unavailableStatus = 503
+const maxLoggedChars = 40
+
+function retryAfterOf ({ headers }: CompleteResponse): string | undefined {
+  const value = headers['retry-after']
+  return Array.isArray(value) ? value[0] : value
+}
+
 /** Continues or ends a request after an attempt. */
 export interface AttemptEndHandler {
   /** Processes the end of an attempt; returns whether the request is finished. */
@@ -34,6 +44,7 @@
 
   function handleAttemptEnd (active: ActiveRequest, choice: RouteChoice, end: AttemptEnd): boolean {
     const { id: backend } = choice.backend
+    pauseIfAsked(backend, end)
     if (end.kind === 'passed-on') {
       recordResponse(active, end.status)
       return true
@@ -63,6 +74,16 @@
     return !retryOrFail(active, choice, end.cause)
   }
 
+  /** A pause is no sign of a fault: it affects neither the suspicion of the backend server nor its reputation. */
+  function pauseIfAsked (backend: BackendId, end: AttemptEnd): void {
+    if (end.kind !== 'not-run' && end.kind !== 'complete') return
+    const { status, retryAfter } = end.kind === 'not-run' ? end : { status: end.response.status, retryAfter: retryAfterOf(end.response) }
+    if (status !== unavailableStatus || retryAfter === undefined) return
+    const forMs = parseRetryAfterMs(retryAfter)
+    if (forMs === undefined) log('backendPauseInvalid', { backend, retryAfter: retryAfter.slice(0, maxLoggedChars) })
+    else if (forMs > 0) backends.pause(backend, forMs)
+  }
+
   /** Returns whether another attempt follows; if not, ends the request. */
   function retryOrFail (active: ActiveRequest, choice: RouteChoice, cause: string): boolean {
     const { route, excluded } = active
--- /dev/null
+++ b/src/core/gateway/eligibility.ts
@@ -0,0 +1,56 @@
+/** Decides whether a backend server may get a request from this node now, and why not. */
+
+/** Why a backend server gets no requests, or fewer ones. */
+export type IneligibleReason =
+  /** It is about to stop, by its registration, its own responses or those that other nodes got. */
+  | 'leaving'
+  /** It asked this node for a pause. */
+  | 'paused'
+  /** Its pause has ended, and its load returns gradually. */
+  | 'resuming'
+  /** Another backend server was found at its address. */
+  | 'misdirected'
+  /** Its registration reappeared when the key-value service was restored, after it had been removed. */
+  | 'unconfirmed'
+  /** This node's latest attempts could not reach it. */
+  | 'suspected'
+  /** Other nodes can't reach it. */
+  | 'avoided'
+
+/** What a node knows of a backend server. Times are monotonic, in ms. */
+export interface EligibilityInput {
+  isLeaving: boolean
+  isMisdirected: boolean
+  unconfirmedUntilMs: number
+  pausedUntilMs: number
+  suspectUntilMs: number
+  isAvoided: boolean
+}
+
+/** Time over which the load of a backend server returns after its pause. */
+export const resumeMs = 2_000
+
+/** Returns why a backend server should get no request, the strongest reason first; undefined if it may get one. `draw` is a random number in [0, 1). */
+export function ineligibleReason (input: EligibilityInput, nowMs: number, draw: number): IneligibleReason | undefined {
+  if (input.isMisdirected) return 'misdirected'
+  if (input.isLeaving) return 'leaving'
+  if (nowMs < input.pausedUntilMs) return 'paused'
+  if (nowMs < input.unconfirmedUntilMs) return 'unconfirmed'
+  if (nowMs < input.suspectUntilMs) return 'suspected'
+  if (input.isAvoided) return 'avoided'
+  return nowMs < input.pausedUntilMs + resumeMs && draw >= (nowMs - input.pausedUntilMs) / resumeMs ? 'resuming' : undefined
+}
+
+/** Whether a backend server with this reason may still be used when no other is eligible: the reason may be wrong, or isn't binding. */
+export function isLastResort (reason: IneligibleReason): boolean {
+  return reason === 'suspected' || reason === 'avoided' || reason === 'resuming'
+}
+
+const msPerSecond = 1_000
+
+/** Parses a `Retry-After` in seconds, with fractions, to ms; undefined if it isn't a number of seconds. */
+export function parseRetryAfterMs (text: string | undefined): number | undefined {
+  if (text === undefined || text.trim() === '') return undefined
+  const seconds = Number(text)
+  return Number.isFinite(seconds) && seconds >= 0 ? seconds * msPerSecond : undefined
+}
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -7,6 +7,7 @@
 import { readBody } from './read-body.ts'
 import { servingLabel, canaryLabel } from './backend-table.ts'
 import { createAttemptEndHandler } from './attempt-end-handler.ts'
+import { resumeMs } from './eligibility.ts'
 import { createLatencyObserver } from './latency-observer.ts'
 import { createRefusals } from './refusals.ts'
 import { requestLogFields } from './active-request.ts'
@@ -186,6 +187,8 @@
       if (active.isTimedOut) return timeOutRequest(active)
       const chosen = router.choose(routeRequest(active), backends.usable(active.service))
       if (chosen.isErr) {
+        const pausedForMs = backends.allPausedForMs(active.service)
+        if (pausedForMs !== undefined) return failRequest(active, 'backends-paused', 'All backend servers of the service asked for a pause.', pausedForMs + options.random() * resumeMs)
         const { reason, detail, retryAtMs } = chosen.error
         return failRequest(active, reason, detail, Math.max(0, (retryAtMs ?? 0) - clock.wallMs()))
       }
@@ -223,6 +226,7 @@
       progress: active.progress,
       shouldCloseConnection: options.isDraining,
       onActivity: () => backends.recordActivity(choice.backend.id),
+      onLeaving: () => backends.markLeaving(choice.backend.id),
       onFirstByte: () => {
         latencies.onFirstByte(clock.monotonicMs())
         active.firstByteMs ??= clock.wallMs() - active.arrivedAtMs
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -134,6 +134,8 @@
   isNotRun: boolean
   /** Whether it carries the signature of a backend server. */
   isSigned: boolean
+  /** Whether the backend server is about to leave. */
+  isLeaving: boolean
 }
 
 /** Reads and writes the headers of callers and backend servers, so that the gateway doesn't depend on their names. */
--- a/src/core/leases/duty.ts
+++ b/src/core/leases/duty.ts
@@ -1,8 +1,10 @@
 /**
  * A duty is a key under the lease of its holder. The revision of the write that
- * created the key is the fencing number, so it increases with every holder.
+ * created the key is the fencing number, so it increases with every holder, also
+ * when the service was restored from an older copy: a revision contains its era.
  */
 import { createId } from '../ids/index.ts'
+import { eraOf } from '../platform/key-value/revision.ts'
 import type { Clock } from '../clock/index.ts'
 import type { LeaseId, NodeId, WriteId } from '../ids/index.ts'
 import type { DurableWriter } from '../platform/durable-write/index.ts'
@@ -67,6 +69,7 @@
   const closed = new AbortController()
   const ownWrites = new Set<WriteId>()
   let held: Held | undefined
+  let lastHeldEra = 0
   /** Revision of the key that this node still has to delete after it resigned. */
   let resignedRevision: number | undefined
   let nextCampaignAtMs = clock.monotonicMs()
@@ -74,7 +77,7 @@
   const running = run()
 
   function fencingNumber (): number | undefined {
-    return held !== undefined && lease.current() === held.leaseId ? held.revision : undefined
+    return held !== undefined && lease.current() === held.leaseId && eraOf(held.revision) === store.era() ? held.revision : undefined
   }
 
   function orderWindow (checksFencing: boolean): OrderWindow | undefined {
@@ -92,6 +95,7 @@
 
   function hold (revision: number, leaseId: LeaseId): void {
     held = { revision, leaseId, takenAtMs: clock.monotonicMs() }
+    lastHeldEra = eraOf(revision)
     shouldNotHoldSinceMs = undefined
     if (fencingNumber() === undefined) held = undefined
     else options.onTaken({ duty: name, fencingNumber: revision })
@@ -111,13 +115,17 @@
     const read = await store.get(key, { deadlineAtMs: clock.wallMs() + callTimeoutMs })
     if (read.isErr) return
     const { entry } = read.value
-    if (entry === undefined) return await acquire()
-    // An own write whose outcome was unknown has succeeded.
+    if (entry === undefined) return await acquire(0)
+    if (!isOwn(entry)) return
     const leaseId = lease.current()
-    if (leaseId !== undefined && entry.leaseId === leaseId && isOwn(entry)) hold(entry.modRevision, leaseId)
+    // An own write whose outcome was unknown has succeeded.
+    if (leaseId !== undefined && entry.leaseId === leaseId) hold(entry.modRevision, leaseId)
+    // The key was restored from an older copy of the service, with a lease that this node no longer relies on.
+    else if (eraOf(entry.modRevision) > lastHeldEra) await acquire(entry.modRevision)
   }
 
-  async function acquire (): Promise<void> {
+  /** Writes the key under the lease, with a new fencing number. */
+  async function acquire (expectedRevision: number): Promise<void> {
     const leaseId = await lease.acquire()
     if (leaseId === undefined) return
     const writeId = createId<WriteId>('duty', clock.wallMs())
@@ -125,7 +133,7 @@
     const value: DutyValue = { holder: options.node, writeId }
     const outcome = await options.writer.write({
       key,
-      expectedRevision: 0,
+      expectedRevision,
       value: JSON.stringify(value),
       isOwn: text => parseValue(text).writeId === writeId,
       leaseId,
--- a/src/core/leases/node-lease.ts
+++ b/src/core/leases/node-lease.ts
@@ -36,11 +36,19 @@
 
 interface Held {
   leaseId: LeaseId
+  /** Era of the service that granted it; a restore may have undone the grant. */
+  era: number
   validUntilMonotonicMs: number
   validUntilWallMs: number
   renewAtMonotonicMs: number
 }
 
+interface Moment {
+  monotonicMs: number
+  wallMs: number
+  era: number
+}
+
 const callTimeoutMs = 2_000
 /** Time between a failed renewal and the next one. */
 const renewRetryIntervalMs = 1_000
@@ -53,24 +61,25 @@
   /** The monotonic clock may stop while the machine is suspended, and the wall clock may jump, so both must confirm the lease. */
   function current (): LeaseId | undefined {
     if (held === undefined) return undefined
-    const isValid = clock.monotonicMs() < held.validUntilMonotonicMs && clock.wallMs() < held.validUntilWallMs
-    // Once a lease may have expired, it is never used again.
+    const isValid = clock.monotonicMs() < held.validUntilMonotonicMs && clock.wallMs() < held.validUntilWallMs && store.era() === held.era
+    // Once a lease may have ended, it is never used again.
     if (!isValid) held = undefined
     return held?.leaseId
   }
 
-  function hold (leaseId: LeaseId, requestedAt: { monotonicMs: number, wallMs: number }): void {
+  function hold (leaseId: LeaseId, requestedAt: Moment): void {
     const validMs = options.ttlMs - options.marginMs
     held = {
       leaseId,
+      era: requestedAt.era,
       validUntilMonotonicMs: requestedAt.monotonicMs + validMs,
       validUntilWallMs: requestedAt.wallMs + validMs,
       renewAtMonotonicMs: requestedAt.monotonicMs + options.renewIntervalMs
     }
   }
 
-  function readClocks (): { monotonicMs: number, wallMs: number } {
-    return { monotonicMs: clock.monotonicMs(), wallMs: clock.wallMs() }
+  function readClocks (): Moment {
+    return { monotonicMs: clock.monotonicMs(), wallMs: clock.wallMs(), era: store.era() }
   }
 
   async function acquire (): Promise<LeaseId | undefined> {
--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -5,6 +5,7 @@
  */
 import { z } from 'zod'
 import { attemptCountsSchema } from './attempt-counts.ts'
+import { eraOf } from '../platform/key-value/revision.ts'
 import { createLatencyHistory } from './latency-history.ts'
 import { createCanaryAnalysis } from './canary-analysis.ts'
 import type { Clock } from '../clock/index.ts'
@@ -116,6 +117,8 @@
   analysis: CanaryAnalysis
   seenAtMs: number
   isBad: boolean
+  /** The result once it was written, also if the key-value service loses it in a restore. */
+  result: 'done' | 'taken-back' | undefined
   /** Attempts of this node at the service since it saw the order, and how many of them were at the canary version. */
   attempts: number
   canaryAttempts: number
@@ -158,26 +161,46 @@
       onBrake: evidence => markBad(order.service, evidence, node)
     })
     log('serviceMoveSeen', { service: order.service, target: order.target, durationMs: order.durationMs, revision: order.revision })
-    return { order, analysis, seenAtMs: nowMs, isBad: false, attempts: 0, canaryAttempts: 0 }
+    return { order, analysis, seenAtMs: nowMs, isBad: false, result: undefined, attempts: 0, canaryAttempts: 0 }
   }
 
   /** The move of a service's latest order; created when this node first sees the order. */
   function currentMove (service: string): RunningMove | undefined {
     const order = options.orders().find(other => other.service === service)
-    if (order === undefined) return undefined
     const known = running.get(service)
-    if (known !== undefined && known.order.revision === order.revision) return known
+    if (order === undefined) return known !== undefined && isLost(known.order) ? known : undefined
+    if (known !== undefined && (known.order.revision === order.revision || isSameAfterRestore(known.order, order))) {
+      known.order = order
+      return known
+    }
     const created = begin(order)
     running.set(service, created)
     return created
   }
 
-  /** The state that was written for this order; states of earlier orders are ignored. */
-  function stateOf ({ order }: RunningMove): ServiceMoveState | undefined {
+  /** Whether an order is missing because the key-value service was restored from an older copy; its operator writes it again. */
+  function isLost ({ revision }: ServiceMoveOrder): boolean {
+    return eraOf(revision) < store.era()
+  }
+
+  /** Whether an order is the one from before a restore, from the older copy or written again. */
+  function isSameAfterRestore (before: ServiceMoveOrder, after: ServiceMoveOrder): boolean {
+    return eraOf(after.revision) > eraOf(before.revision) && after.target === before.target && after.durationMs === before.durationMs
+  }
+
+  /** The state that is stored for this order; states of earlier orders are ignored. */
+  function storedStateOf ({ order }: RunningMove): ServiceMoveState | undefined {
     const status = options.status(order.service)
     return status !== undefined && status.target === order.target && status.revision > order.revision ? status.state : undefined
   }
 
+  /** The state of a move. A result is final, even if the key-value service has lost it. */
+  function stateOf (move: RunningMove): ServiceMoveState | undefined {
+    const stored = storedStateOf(move)
+    if (stored === 'done' || stored === 'taken-back') move.result ??= stored
+    return move.result ?? stored
+  }
+
   function isEnded (move: RunningMove): boolean {
     const state = stateOf(move)
     return state === 'done' || state === 'taken-back'
@@ -207,11 +230,13 @@
     const { compares, puts } = options.encode(move.order, state, startOf(move))
     const written = await store.transact({ compares: [guard, ...compares], puts, deletes: [] }, { deadlineAtMs: clock.wallMs() + callTimeoutMs })
     const result = written.isErr ? written.error.kind : written.value.applied ? 'written' : 'overtaken'
+    if (written.isOk && written.value.applied && state !== 'running') move.result = state
     log('serviceMoveState', { service: move.order.service, target: move.order.target, state, result, attempts: move.analysis.canaryAttempts(), isDoubtful: move.analysis.isDoubtful() })
   }
 
   async function reconcileMove (move: RunningMove): Promise<void> {
     const state = stateOf(move)
+    if (move.result !== undefined && storedStateOf(move) !== move.result) return await write(move, move.result)
     if (isEnded(move)) return
     if (move.isBad) return await write(move, 'taken-back')
     if (state === undefined) return await write(move, 'running')
--- a/src/core/node-reports/activity-totals.ts
+++ b/src/core/node-reports/activity-totals.ts
@@ -34,6 +34,7 @@
   quotaUsage: Map<TeamId, QuotaUsage>
   loads: Map<BackendId, PeerLoad>
   suspects: ReadonlyMap<BackendId, SuspectCounts>
+  leaving: ReadonlyMap<BackendId, number | undefined>
 }
 
 /** Adds a load to the totals (`sign` 1) or subtracts it (`sign` -1). */
@@ -108,7 +109,7 @@
     recordUsage(node, bootId, activity.quotaUsage, before)
     subtractLoads(node)
     for (const [backend, load] of activity.loads) addLoad(totalLoads, backend, load, 1)
-    reportedByNode.set(node, { bootId, quotaUsage: new Map(activity.quotaUsage), loads: new Map(activity.loads), suspects: activity.suspects })
+    reportedByNode.set(node, { bootId, quotaUsage: new Map(activity.quotaUsage), loads: new Map(activity.loads), suspects: activity.suspects, leaving: activity.leaving ?? new Map() })
     recordPrefixes(node, activity.prefixes)
   }
 
@@ -124,6 +125,10 @@
     return suspects
   }
 
+  function leavingExcept (node: NodeId): Map<BackendId, number | undefined> {
+    return new Map([...reportedByNode].flatMap(([other, { leaving }]) => other === node ? [] : [...leaving]))
+  }
+
   function totalsExcept (node: NodeId): Activity {
     const own = reportedByNode.get(node)
     const ownUsage = usageByNode.get(node)
@@ -137,7 +142,7 @@
     const lastSent = lastSentNumbers.get(node) ?? 0
     lastSentNumbers.set(node, prefixNumber)
     const newPrefixes = prefixes.filter(({ from, number }) => number > lastSent && from !== node).slice(-Math.max(1, maxPrefixes()))
-    return { quotaUsage, loads, prefixes: newPrefixes.map(({ backend, hashes }) => ({ backend, hashes })), suspects: suspectsExcept(node) }
+    return { quotaUsage, loads, prefixes: newPrefixes.map(({ backend, hashes }) => ({ backend, hashes })), suspects: suspectsExcept(node), leaving: leavingExcept(node) }
   }
 
   return {
--- a/src/core/node-reports/codec.ts
+++ b/src/core/node-reports/codec.ts
@@ -4,8 +4,8 @@
 import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
 import type { Activity, NodeDigest, NodeReport } from './types.ts'
 
-type WireActivity = [quota: Array<[team: string, quota: number, tolerance: number, asked?: number]>, loads: Array<[string, number, number]>, prefixes: Array<[string, string[]]>, suspects?: Array<[backend: string, suspecting: number, hearing: number]>, levels?: Array<[team: string, quota: number, tolerance: number]> | null]
-type WireChange = [key: string, value: string | null | 0, modRevision: number]
+type WireActivity = [quota: Array<[team: string, quota: number, tolerance: number, asked?: number]>, loads: Array<[string, number, number]>, prefixes: Array<[string, string[]]>, suspects?: Array<[backend: string, suspecting: number, hearing: number]>, levels?: Array<[team: string, quota: number, tolerance: number]> | null, leaving?: Array<[backend: string, startedAtMs: number | null]>]
+type WireChange = [key: string, value: string | null | 0, modRevision: number, isByRestore?: 1]
 type WireReport = ['report', string, string, number, boolean, boolean, number, WireActivity, Array<[number, Array<[string, number]>]>, Array<[string, number]>, unknown, (string | null)?]
 type WireDigest = ['digest', string, string, boolean, number, number, number, WireChange[] | null, WireActivity | null]
 
@@ -14,22 +14,24 @@
 /** Placeholder for `reachableForMs` while the key-value service doesn't respond to the collector. */
 const unreachable = -1
 
-function encodeActivity ({ quotaUsage, loads, prefixes, suspects, quotaLevels }: Activity): WireActivity {
+function encodeActivity ({ quotaUsage, loads, prefixes, suspects, quotaLevels, leaving = new Map() }: Activity): WireActivity {
   return [
     [...quotaUsage].map(([team, { quota, tolerance, asked }]) => [team, Math.round(quota), Math.round(tolerance), asked]),
     [...loads].map(([backend, load]) => [backend, load.requests, Math.round(load.pendingTokens)]),
     prefixes.map(({ backend, hashes }) => [backend, hashes]),
     [...suspects].map(([backend, { suspecting, hearing }]) => [backend, suspecting, hearing]),
-    quotaLevels === undefined ? null : [...quotaLevels].map(([team, { quota, tolerance }]) => [team, Math.round(quota), Math.round(tolerance)])
+    quotaLevels === undefined ? null : [...quotaLevels].map(([team, { quota, tolerance }]) => [team, Math.round(quota), Math.round(tolerance)]),
+    [...leaving].map(([backend, startedAtMs]) => [backend, startedAtMs ?? null])
   ]
 }
 
-function decodeActivity ([quota, loads, prefixes, suspects = [], levels]: WireActivity): Activity {
+function decodeActivity ([quota, loads, prefixes, suspects = [], levels, leaving = []]: WireActivity): Activity {
   return {
     quotaUsage: new Map(quota.map(([team, fromQuota, tolerance, asked = fromQuota + tolerance]) => [toId<TeamId>(team), { quota: fromQuota, tolerance, asked }])),
     loads: new Map(loads.map(([backend, requests, pendingTokens]) => [toId<BackendId>(backend), { requests, pendingTokens }])),
     prefixes: prefixes.map(([backend, hashes]) => ({ backend: toId<BackendId>(backend), hashes })),
     suspects: new Map(suspects.map(([backend, suspecting, hearing]) => [toId<BackendId>(backend), { suspecting, hearing }])),
+    leaving: new Map(leaving.map(([backend, startedAtMs]) => [toId<BackendId>(backend), startedAtMs ?? undefined])),
     quotaLevels: levels === undefined || levels === null ? undefined : new Map(levels.map(([team, quota, tolerance]) => [toId<TeamId>(team), { quota, tolerance }]))
   }
 }
@@ -48,7 +50,10 @@
 
 export function encodeDigest (digest: NodeDigest): Buffer {
   const { node, bootId, isDraining, nodes, delta, activity } = digest
-  const changes = delta.changes?.map(({ key, value, isValueOmitted, modRevision }): WireChange => [key, isValueOmitted === true ? omittedValue : value ?? null, modRevision])
+  const changes = delta.changes?.map(({ key, value, isValueOmitted, modRevision, isByRestore }): WireChange => {
+    const sentValue = isValueOmitted === true ? omittedValue : value ?? null
+    return isByRestore === true ? [key, sentValue, modRevision, 1] : [key, sentValue, modRevision]
+  })
   const message: WireDigest = ['digest', node, bootId, isDraining, nodes, delta.revision, delta.reachableForMs ?? unreachable, changes ?? null, activity === undefined ? null : encodeActivity(activity)]
   return encode(message)
 }
@@ -78,8 +83,12 @@
     delta: {
       revision,
       reachableForMs: reachableForMs === unreachable ? undefined : reachableForMs,
-      changes: changes?.map(([key, value, modRevision]) => ({
-        key, value: typeof value === 'string' ? value : undefined, modRevision, ...(value === omittedValue ? { isValueOmitted: true } : {})
+      changes: changes?.map(([key, value, modRevision, isByRestore]) => ({
+        key,
+        value: typeof value === 'string' ? value : undefined,
+        modRevision,
+        ...(value === omittedValue ? { isValueOmitted: true } : {}),
+        ...(isByRestore === 1 ? { isByRestore: true } : {})
       }))
     },
     activity: activity === null ? undefined : decodeActivity(activity)
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -69,6 +69,8 @@
   currentNodeCount: () => number
   /** The last report of a node, if it reported recently. */
   lastReport: (node: NodeId) => NodeReport | undefined
+  /** The collectors to which this node reports. */
+  collectors: () => NodeId[]
   /** Whether this node receives the reports of all reachable nodes. */
   isCollector: () => boolean
   /** Whether a collector that can reach the key-value service has sent a digest recently. */
@@ -263,6 +265,7 @@
       return [...reportsByNode.values()].filter(({ receivedAtMs }) => receivedAtMs >= nowMs - maxCurrentAgeMs).length
     },
     lastReport: peer => reportsByNode.get(peer)?.report,
+    collectors: () => choice.usesCollectors ? [...choice.everyReport] : [],
     isCollector: () => choice.isCollector,
     hasPeerUpdates: () => choice.usesCollectors && !choice.isCollector && clock.monotonicMs() - lastDeltaAtMs <= maxDeltaAgeMs,
     usesCollectors: () => choice.usesCollectors,
--- a/src/core/node-reports/types.ts
+++ b/src/core/node-reports/types.ts
@@ -13,6 +13,8 @@
   prefixes: PrefixPlacement[]
   /** Backend servers that nodes find unreachable or silent. */
   suspects: ReadonlyMap<BackendId, SuspectCounts>
+  /** Backend servers that said to a node that they are about to leave, by id, with the start of their process if known. */
+  leaving?: ReadonlyMap<BackendId, number | undefined> | undefined
   /** The levels of the sender's quota buckets; only for receivers that may not know them, and undefined while the sender itself doesn't. */
   quotaLevels?: ReadonlyMap<TeamId, QuotaLevels> | undefined
 }
--- a/src/core/platform/durable-write/index.ts
+++ b/src/core/platform/durable-write/index.ts
@@ -6,6 +6,7 @@
  * is still delayed in the network fails its compare and can't take effect later.
  */
 import { createId } from '../../ids/index.ts'
+import { revisionInEra } from '../key-value/revision.ts'
 import type { Clock } from '../../clock/index.ts'
 import type { LeaseId, WriteId } from '../../ids/index.ts'
 import type { KeyValueEntry, KeyValueStore } from '../key-value/types.ts'
@@ -55,7 +56,8 @@
   }
 
   /**
-   * Changes the barrier key until its revision is above the given one. A delayed
+   * Changes the barrier key until its revision is above the given one, also as the
+   * service itself counts it after it was restored from an older copy. A delayed
    * change of the barrier key is harmless: it only makes a later write fail its
    * compare, and that write is then sent again with the new revision.
    */
@@ -67,7 +69,7 @@
       const response = await store.transact({ compares: [], puts: [put], deletes: [] }, callDeadline(deadlineAtMs))
       if (response.isOk) barrierRevision = response.value.revision
       else barrierRevision = (await store.get(barrierKey, callDeadline(deadlineAtMs))).unwrapOr(undefined)?.entry?.modRevision
-      if (barrierRevision !== undefined && barrierRevision > currentRevision) return true
+      if (barrierRevision !== undefined && barrierRevision > currentRevision && revisionInEra(barrierRevision) > revisionInEra(currentRevision)) return true
     } while (await waitToRetry(deadlineAtMs))
     barrierRevision = undefined
     return false
--- a/src/core/platform/key-value/http/index.ts
+++ b/src/core/platform/key-value/http/index.ts
@@ -140,6 +140,8 @@
       text => Number((JSON.parse(text) as { result: { TTL?: string } }).result.TTL ?? 0) > 0),
     revokeLease: (leaseId, callOptions) => call('revokeLease', true, gatewayPaths.leaseRevoke, { ID: leaseId }, callOptions, () => undefined),
     watch,
+    era: () => 0,
+    observeEra: () => {},
     close: async () => {
       for (const open of [...watches]) open.close()
       await Promise.all(endpoints.map(endpoint => endpoint.close()))
--- a/src/core/platform/key-value/memory/client.ts
+++ b/src/core/platform/key-value/memory/client.ts
@@ -77,6 +77,8 @@
       watches.add(watch)
       return watch
     },
+    era: () => 0,
+    observeEra: () => {},
     close: async () => {
       for (const watch of [...watches]) watch.close()
     }
--- a/src/core/platform/key-value/memory/history.ts
+++ b/src/core/platform/key-value/memory/history.ts
@@ -15,6 +15,8 @@
   /** Calls the listener with the kept changes after a revision, then with each new change; returns a function that unsubscribes it. */
   subscribe: (prefix: string, afterRevision: number, listener: HistoryListener) => () => void
   compact: (revision: number) => void
+  /** Forgets the changes after a revision and ends all subscriptions, when the data is restored from a copy of that revision. */
+  rewind: (revision: number) => void
   /** Last revision whose changes were dropped; 0 if none was. */
   compactedRevision: () => number
 }
@@ -51,5 +53,10 @@
     return () => { subscriptions.delete(subscription) }
   }
 
-  return { append, subscribe, compact, compactedRevision: () => compacted }
+  function rewind (revision: number): void {
+    kept = kept.filter(item => item.revision <= revision)
+    subscriptions.clear()
+  }
+
+  return { append, subscribe, compact, rewind, compactedRevision: () => compacted }
 }
--- a/src/core/platform/key-value/memory/state.ts
+++ b/src/core/platform/key-value/memory/state.ts
@@ -29,6 +29,14 @@
   expiresAtMs: number
 }
 
+/** A copy of the data, to restore it later. */
+export interface KeyValueCopy {
+  revision: number
+  entries: KeyValueEntry[]
+  leases: Array<[LeaseId, { ttlMs: number }]>
+  lastLease: number
+}
+
 /** The data of one service. */
 export interface KeyValueState {
   revision: () => number
@@ -49,6 +57,9 @@
   compact: (revision: number) => void
   /** Last revision whose changes were dropped; 0 if none was. */
   compactedRevision: () => number
+  copy: () => KeyValueCopy
+  /** Replaces the data by a copy, as after the loss of all later writes: revisions and leases are given out again. */
+  restore: (copy: KeyValueCopy) => void
 }
 
 /** Validates a transaction: the sizes of its values, and that no key is empty or changed twice. */
@@ -165,6 +176,16 @@
     expireLeases,
     subscribe,
     compact: until => history.compact(until),
-    compactedRevision: history.compactedRevision
+    compactedRevision: history.compactedRevision,
+    copy: () => ({ revision, entries: [...entries.values()], leases: [...leases].map(([id, { ttlMs }]) => [id, { ttlMs }]), lastLease }),
+    restore: copy => {
+      revision = copy.revision
+      lastLease = copy.lastLease
+      entries.clear()
+      for (const entry of copy.entries) entries.set(entry.key, entry)
+      leases.clear()
+      for (const [id, { ttlMs }] of copy.leases) leases.set(id, { ttlMs, expiresAtMs: options.nowMs() + ttlMs })
+      history.rewind(copy.revision)
+    }
   }
 }
--- a/src/core/platform/key-value/types.ts
+++ b/src/core/platform/key-value/types.ts
@@ -13,7 +13,7 @@
 export interface KeyValueEntry {
   key: string
   value: string
-  /** Revision of the store at the key's last change. The store's revision grows with every write to any key. */
+  /** Revision of the store at the key's last change, with its era (see `revision.ts`). The store's revision grows with every write to any key. */
   modRevision: number
   /** Lease that the key is attached to, if any. */
   leaseId?: LeaseId
@@ -90,5 +90,9 @@
   revokeLease: (leaseId: LeaseId, options: CallOptions) => Promise<Result<void, KeyValueError>>
   /** Watches a prefix for changes after the given revision. */
   watch: (prefix: string, afterRevision: number, handlers: WatchHandlers) => Watch
+  /** The latest known era of the service; 0 before its first response, and always if it has none. Leases and compares of an earlier era are no longer valid. */
+  era: () => number
+  /** Records an era that another node has seen. */
+  observeEra: (era: number) => void
   close: () => Promise<void>
 }
--- a/src/core/store-view/index.ts
+++ b/src/core/store-view/index.ts
@@ -1,9 +1,11 @@
 /**
  * A local copy of the key-value service's content, kept up to date by one list request
  * and a watch, or by the changes that watching nodes report. While the service is
- * unreachable, content is fetched from other nodes. The view's revision never decreases.
+ * unreachable, content is fetched from other nodes. The view's revision never decreases,
+ * also when the service is restored from an older copy: it contains the service's era.
  */
-import type { KeyValueChange, KeyValueError, Watch } from '../platform/key-value/types.ts'
+import type { KeyValueError, Watch } from '../platform/key-value/types.ts'
+import { createRevision, eraOf, revisionInEra } from '../platform/key-value/revision.ts'
 import { createHistory } from './history.ts'
 import type { Snapshot, StoreView, StoreViewOptions, DeltaChange, ViewChange, ViewEntry, ViewSource, ViewDelta } from './types.ts'
 
@@ -27,6 +29,7 @@
   const history = createHistory()
   const closed = new AbortController()
   const listeners: Array<(changes: readonly ViewChange[]) => void> = []
+  const restoreListeners: Array<() => void> = []
   let entries = new Map<string, ViewEntry>()
   let revision = 0
   let source: ViewSource = 'none'
@@ -39,6 +42,7 @@
   let isWatching = false
   /** Whether the content must be listed, because there is none yet or changes were missed. */
   let needsList = true
+  let prefersPeerContent = false
   let resolveFirstContent: () => void = () => {}
   const firstContent = new Promise<void>(resolve => { resolveFirstContent = resolve })
 
@@ -67,26 +71,53 @@
     reachableSinceMs = undefined
   }
 
+  /** Whether a revision is of a later era than the view, which therefore has content that the service lost. */
+  function isAfterRestore (newRevision: number): boolean {
+    return revision > 0 && eraOf(newRevision) > eraOf(revision)
+  }
+
+  /** Treats entries as if the service had just become reachable: their writers may write them again. */
+  function markRestored (newRevision: number, changeCount: number): void {
+    log('storeRestored', { era: eraOf(newRevision), revision: revisionInEra(newRevision), before: revisionInEra(revision), changes: changeCount, from: source })
+    store.observeEra(eraOf(newRevision))
+    reachableSinceMs = clock.monotonicMs()
+  }
+
+  function isChanged (key: string, after: ViewEntry, isRestored: boolean): boolean {
+    const before = entries.get(key)
+    if (before === undefined) return true
+    if (!isRestored) return before.modRevision !== after.modRevision
+    if (before.value !== after.value) return !isSameContent(key, before.value, after.value)
+    return revisionInEra(before.modRevision) !== revisionInEra(after.modRevision)
+  }
+
   /** Replaces the content by a snapshot, which must not be older than the view. */
   function replace (snapshot: Snapshot, from: ViewSource): void {
+    const isRestored = isAfterRestore(snapshot.revision)
     const changes: ViewChange[] = []
     for (const [key, entry] of snapshot.entries) {
-      if (entries.get(key)?.modRevision !== entry.modRevision) changes.push({ key, ...entry })
+      if (isChanged(key, entry, isRestored)) changes.push({ key, ...entry, ...(isRestored ? { isByRestore: true } : {}) })
     }
     for (const key of entries.keys()) {
-      if (!snapshot.entries.has(key)) changes.push({ key, value: undefined, modRevision: snapshot.revision })
+      if (!snapshot.entries.has(key)) changes.push({ key, value: undefined, modRevision: snapshot.revision, ...(isRestored ? { isByRestore: true } : {}) })
     }
     entries = new Map(snapshot.entries)
-    revision = snapshot.revision
-    history.reset(revision)
+    // Other nodes get what a restore changed as a delta, so that they don't all list the content.
+    if (isRestored) history.addRestore(changes, revision)
+    else history.reset(snapshot.revision)
     needsList = false
     markUpdated(from)
+    if (isRestored) markRestored(snapshot.revision, changes.length)
+    revision = snapshot.revision
     notifyListeners(changes)
+    if (isRestored) notifyRestored()
   }
 
-  function apply (changes: readonly KeyValueChange[], newRevision: number, from: ViewSource): void {
+  function apply (changes: readonly ViewChange[], newRevision: number, from: ViewSource): void {
     // Changes from peers may be ahead of the watch, and the watch may be ahead of the peers.
     const newer = changes.filter(change => change.modRevision > revision && change.modRevision > (entries.get(change.key)?.modRevision ?? 0))
+    const isRestored = isAfterRestore(newRevision)
+    const previousRevision = revision
     const relevant: ViewChange[] = []
     for (const change of newer) {
       const { key, value, modRevision } = change
@@ -95,10 +126,26 @@
       else entries.set(key, { value, modRevision })
       if (value === undefined || before === undefined || !isSameContent(key, before, value)) relevant.push(change)
     }
-    revision = Math.max(revision, newRevision)
-    history.add(relevant)
     markUpdated(from)
+    if (isRestored) {
+      keepUnchangedEntries(eraOf(newRevision))
+      markRestored(newRevision, relevant.length)
+      history.addRestore(relevant, previousRevision)
+    } else history.add(relevant)
+    revision = Math.max(revision, newRevision)
     notifyListeners(relevant)
+    if (isRestored) notifyRestored()
+  }
+
+  function notifyRestored (): void {
+    for (const listener of restoreListeners) listener()
+  }
+
+  /** Entries that a restore didn't change have the same revision in the new era. */
+  function keepUnchangedEntries (era: number): void {
+    for (const [key, { value, modRevision }] of entries) {
+      if (eraOf(modRevision) < era) entries.set(key, { value, modRevision: createRevision(era, revisionInEra(modRevision)) })
+    }
   }
 
   /** Watches the service. Resolves with the error when the watch is lost, or with undefined once other nodes report changes. */
@@ -129,7 +176,7 @@
       const read = await store.get(change.key, { deadlineAtMs: clock.wallMs() + readTimeoutMs })
       if (read.isErr) return undefined
       const { entry } = read.value
-      complete.push({ key: change.key, value: entry?.value, modRevision: entry?.modRevision ?? change.modRevision })
+      complete.push({ ...change, value: entry?.value, modRevision: entry?.modRevision ?? change.modRevision })
     }
     return complete
   }
@@ -149,7 +196,11 @@
       if (delta.changes?.some(({ isValueOmitted }) => isValueOmitted) === true) applyLargeDelta(delta)
       else apply(delta.changes ?? [], delta.revision, 'peer')
     }
-    if (delta.revision > revision && delta.changes === undefined && !isWatching) needsList = true
+    if (delta.revision > revision && delta.changes === undefined && !isWatching) {
+      needsList = true
+      // Nodes that can't apply the changes of a restore get the whole content from others, which have read it already.
+      if (isAfterRestore(delta.revision)) prefersPeerContent = true
+    }
     if (delta.reachableForMs === undefined || needsList) return
     markReachable(delta.reachableForMs)
     lastUpdateAtMs = clock.monotonicMs()
@@ -175,14 +226,19 @@
     return undefined
   }
 
-  async function updateFromPeers (): Promise<void> {
-    const snapshot = await options.fetchFromPeers(revision)
+  async function updateFromPeers (isAfterRestore = false): Promise<void> {
+    const snapshot = await options.fetchFromPeers(revision, isAfterRestore)
     if (snapshot !== undefined && snapshot.revision > revision) replace(snapshot, 'peer')
   }
 
   /** Lists the content if necessary, and then gives other nodes the time to report changes. */
   async function listIfNeeded (): Promise<KeyValueError | undefined> {
     if (!needsList) return undefined
+    if (prefersPeerContent) {
+      prefersPeerContent = false
+      await updateFromPeers(true)
+      if (!needsList) return undefined
+    }
     const failure = await listContent()
     if (failure !== undefined) return failure
     const deadlineMs = clock.monotonicMs() + firstPeerUpdateMs
@@ -225,6 +281,7 @@
     deltaAfter,
     applyDelta,
     onChanges: listener => { listeners.push(listener) },
+    onRestored: listener => { restoreListeners.push(listener) },
     start: () => {
       run()
       return firstContent
--- a/src/core/store-view/types.ts
+++ b/src/core/store-view/types.ts
@@ -20,6 +20,8 @@
   key: string
   value: string | undefined
   modRevision: number
+  /** Set if the service was restored from an older copy: the key has its earlier value, or is missing until its writer writes it again. */
+  isByRestore?: true
 }
 
 /** A change as another node reports it. A large value is omitted and must be read from the service. */
@@ -57,6 +59,8 @@
   applyDelta: (delta: ViewDelta) => void
   /** Adds a listener that is called after each update with all its changes. */
   onChanges: (listener: (changes: readonly ViewChange[]) => void) => void
+  /** Adds a listener that is called after the service was restored from an older copy, also if that changed nothing in the view. */
+  onRestored: (listener: () => void) => void
   /** Starts to keep the view up to date; resolves when the first content is available. */
   start: () => Promise<void>
   close: () => void
@@ -67,8 +71,8 @@
   store: KeyValueStore
   clock: Clock
   log: Log
-  /** Fetches newer content from other nodes when the service is unreachable; undefined if none has any. */
-  fetchFromPeers: (afterRevision: number) => Promise<Snapshot | undefined>
+  /** Fetches newer content from other nodes when the service is unreachable, or was restored; undefined if none has any. */
+  fetchFromPeers: (afterRevision: number, isAfterRestore: boolean) => Promise<Snapshot | undefined>
   /** Whether other nodes report changes frequently enough that this node doesn't need a watch of its own. */
   hasPeerUpdates?: () => boolean
   /** Whether other nodes are about to report changes, so that it is worth waiting for them before a watch of its own. */
--- a/src/core/usage/reporter.ts
+++ b/src/core/usage/reporter.ts
@@ -12,7 +12,7 @@
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { KeyValueStore } from '../platform/key-value/types.ts'
-import type { StoreView } from '../store-view/index.ts'
+import type { StoreView, ViewChange } from '../store-view/index.ts'
 import type { Usage, WindowCounts } from './types.ts'
 
 /** Result of a report: accepted, or rejected because another node holds the duty. */
@@ -47,6 +47,8 @@
 const settleMs = 1_500
 /** Timeout of one call. */
 const callTimeoutMs = 1_200
+/** Time for which a node counts as the last holder of the duty; several rounds. */
+const recentlyHeldMs = 1_500
 /** Number of windows whose stored counts are kept for a later holder of the duty. */
 const keptWindows = 6
 
@@ -58,6 +60,11 @@
   let firstWindow: number | undefined
   let startedAtMs: number | undefined
   let currentFencingNumber: number | undefined
+  let era: number | undefined
+  let lastHeldAtMs = -Infinity
+  /** Wall time at which this node learned that the key-value service was restored while another node held the duty. */
+  let restoredAtMs = -Infinity
+  view.onChanges(rememberAgreedCounts)
   /** Fencing number that was rejected because of a later holder; nothing more is sent with it. */
   let overtakenFencingNumber: number | undefined
 
@@ -77,13 +84,45 @@
     return Array.from({ length: Math.max(0, last - first + 1) }, (_, index) => first + index).filter(window => !sentWindows.has(window))
   }
 
+  /** Remembers the counts that are fixed for windows, because the key-value service may be restored from a copy without them. */
+  function rememberAgreedCounts (changes: readonly ViewChange[]): void {
+    for (const { key, value } of changes) {
+      if (value === undefined || !key.startsWith(usagePrefix)) continue
+      const window = Number(key.slice(usagePrefix.length))
+      if (!agreedCounts.has(window)) agreedCounts.set(window, parseCounts(value))
+    }
+    for (const oldWindow of agreedCounts.keys()) if (oldWindow < usage.windowAt(clock.wallMs()) - 2 * keptWindows) agreedCounts.delete(oldWindow)
+  }
+
+  /** Windows whose counts the previous holder may have fixed and sent before a restore that undid the record; other counts must not be sent for them. */
+  function mayHaveBeenReported (window: number): boolean {
+    return !agreedCounts.has(window) && window < usage.windowAt(restoredAtMs - settleMs)
+  }
+
+  function skipUncertainWindows (): void {
+    for (const window of dueWindows()) {
+      if (!mayHaveBeenReported(window)) continue
+      sentWindows.add(window)
+      log('usageSkipped', { window })
+    }
+  }
+
+  function checkEra (): void {
+    const latest = store.era()
+    const wasHolding = clock.wallMs() - lastHeldAtMs < recentlyHeldMs
+    if (era !== undefined && latest > era && !wasHolding) restoredAtMs = clock.wallMs()
+    era = latest
+    if (duty.fencingNumber() !== undefined) lastHeldAtMs = clock.wallMs()
+  }
+
   /** The counts that all holders send for a window; undefined when the key-value service is not available. */
   async function agreeOnCounts (window: number): Promise<WindowCounts | undefined> {
-    const known = agreedCounts.get(window) ?? readAgreedCounts(window)
-    if (known !== undefined) return known
+    const stored = readAgreedCounts(window)
+    const known = agreedCounts.get(window) ?? stored
+    if (known !== undefined && stored !== undefined) return known
     const guard = duty.guard()
     if (guard === undefined) return undefined
-    const counts = usage.totalOf(window)
+    const counts = known ?? usage.totalOf(window)
     const key = keyOf(window)
     const oldKey = keyOf(window - keptWindows)
     const written = await store.transact({
@@ -95,6 +134,7 @@
       log('usageFixed', { window, counts: Object.fromEntries(counts), revision: written.value.revision })
       return counts
     }
+    if (known !== undefined) return known
     // After a lost response or a conflict, the stored value decides.
     const read = await store.get(key, { deadlineAtMs: clock.wallMs() + callTimeoutMs })
     if (read.isErr || read.value.entry === undefined) return undefined
@@ -118,13 +158,13 @@
     log('usageReported', { window, result, fencingNumber, ...(response.isErr ? { cause: response.error.message } : {}) })
     if (result === 'taken') sentWindows.add(window)
     if (result === 'fenced') overtakenFencingNumber = fencingNumber
-    for (const oldWindow of agreedCounts.keys()) if (oldWindow < window - keptWindows) agreedCounts.delete(oldWindow)
     for (const oldWindow of sentWindows) if (oldWindow < window - keptWindows) sentWindows.delete(oldWindow)
   }
 
   return {
     reportDueWindows: async () => {
       startedAtMs ??= clock.monotonicMs()
+      checkEra()
       if (options.isFirstStart) firstWindow ??= usage.windowAt(clock.wallMs())
       // The counts of other nodes for earlier windows arrive with their next reports.
       if (clock.monotonicMs() < startedAtMs + settleMs) return
@@ -134,6 +174,7 @@
         // It is not known what the previous holder has sent; sending a window again has no effect.
         currentFencingNumber = fencingNumber
         sentWindows.clear()
+        skipUncertainWindows()
       }
       for (const window of dueWindows()) await report(window)
     }
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -299,3 +299,44 @@
   t.like(answered?.fields, { request: 'r-1', route: 'register', version: configuration.version, backend: 'b-0', status: 200 })
   t.like(events.find(({ event }) => event === 'gatewayRefused')?.fields, { request: 'r-2', reason: 'unknown-route', status: 404 })
 })
+
+/** Responds that it did not run the request and wants no other one for a time. */
+const respondPaused: RawRequestHandler = ({ headers }, socket) => {
+  socket.write(formatResponse(503, { 'x-request': headers['x-request'] ?? '', 'x-not-run': '1', 'retry-after': '1.5' }, ''))
+}
+
+test('a backend server that asks for a pause gets no request, retry included, until the pause ends', async t => {
+  const { servers, call, backends } = await startGateway(t, [respondPaused, respondOk])
+  while (servers[0]?.requests.length === 0) t.true([200, 503].includes((await call('/look-up/a', `r-${Math.random()}`)).status))
+  const before = servers[0]?.requests.length
+  for (let index = 0; index < 20; index += 1) t.is((await call('/look-up/a', `after-${index}`)).status, 200)
+  t.is(servers[0]?.requests.length, before)
+  t.is(backends.suspects().size, 0)
+})
+
+test('a request is rejected at once with the earliest end when all backend servers asked for a pause', async t => {
+  const { servers, call } = await startGateway(t, [respondPaused])
+  await call('/look-up/a', 'r-1')
+  const rejected = await call('/look-up/a', 'r-2')
+  t.is(rejected.status, 503)
+  const retryAfterSeconds = Number(rejected.headers.get('retry-after'))
+  t.true(retryAfterSeconds > 1 && retryAfterSeconds < 5, `${retryAfterSeconds} s`)
+  t.is(servers[0]?.requests.length, 1)
+})
+
+test('a backend server that says in a response that it is leaving finishes open requests and gets no new ones', async t => {
+  let finish = (): void => {}
+  const leaving: RawRequestHandler = ({ headers }, socket) => {
+    const head = { 'x-request': headers['x-request'] ?? '', 'x-seal': 's', 'x-leaving': '1' }
+    if (headers['x-request'] === 'slow') finish = () => socket.write(formatResponse(200, head, 'late'))
+    else socket.write(formatResponse(200, head, 'whole'))
+  }
+  const { servers, call } = await startGateway(t, [leaving])
+  const slow = call('/look-up/a', 'slow')
+  while (servers[0]?.requests.length === 0) await new Promise(resolve => setTimeout(resolve, 10))
+  t.is((await call('/look-up/a', 'quick')).status, 200)
+  t.is((await call('/look-up/a', 'next')).status, 503)
+  finish()
+  t.is((await slow).body, 'late')
+  t.is(servers[0]?.requests.length, 2)
+})
--- a/test/moves/service-moves.test.ts
+++ b/test/moves/service-moves.test.ts
@@ -3,7 +3,7 @@
 import { createManualClock } from '../../src/core/clock/index.ts'
 import { toId } from '../../src/core/ids/index.ts'
 import { createServiceMoves } from '../../src/core/moves/service-moves.ts'
-import { createMemoryKeyValue } from '../../src/core/platform/key-value/index.ts'
+import { createMemoryKeyValue, createRevision } from '../../src/core/platform/key-value/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
 import type { BackendId, NodeId, RequestId, VersionId } from '../../src/core/ids/index.ts'
 import type { Duty } from '../../src/core/leases/index.ts'
@@ -190,3 +190,55 @@
     t.deepEqual(states, ['running', 'done'], `seed ${seed}`)
   }
 })
+
+test('a restore of the key-value service neither begins a move again nor undoes its result', async t => {
+  const clock = createManualClock()
+  const kv = createMemoryKeyValue({ clock })
+  let era = 1
+  const store = { ...kv.connect('holder'), era: () => era }
+  const duty: Duty = { name: 'moves', fencingNumber: () => 1, guard: () => ({ key: dutyKey, modRevision: 0 }), orderWindow: () => undefined, close: async () => {} }
+  const written: ServiceMoveState[] = []
+  let orders: ServiceMoveOrder[] = [{ service, target, durationMs: 15_000, revision: createRevision(1, 50) }]
+  let status: ServiceMoveStatus | undefined
+  const moves = createServiceMoves({
+    node: toId<NodeId>('node-a'),
+    clock,
+    log: () => {},
+    store,
+    duty,
+    orders: () => orders,
+    status: () => status,
+    startedAtMs: () => undefined,
+    encode: (_order, state) => {
+      written.push(state)
+      return { compares: [], puts: [{ key: `moves/${service}`, value: state }] }
+    },
+    routes: () => 1,
+    nodes: () => 1,
+    maxShare,
+    shareSlack
+  })
+  await moves.reconcile()
+  moves.mergeReports(toId<NodeId>('node-b'), [{ service, revision: createRevision(1, 50), isBad: true, counts: [] }])
+  await moves.reconcile()
+  status = { state: 'taken-back', target, revision: createRevision(1, 60) }
+  t.deepEqual(written, ['running', 'taken-back'])
+  // The copy is older than the order.
+  era = 2
+  const [before] = orders
+  orders = []
+  status = undefined
+  t.is(moves.canaryVersionOf(service), target, 'the bad version stays apart from the others')
+  t.is(moves.canaryShareOf(service), 0)
+  // The operator writes the order again, at a revision that was given out before.
+  orders = [{ ...before!, revision: createRevision(2, 45) }]
+  await moves.reconcile()
+  t.deepEqual(written, ['running', 'taken-back', 'taken-back'])
+  t.is(moves.canaryShareOf(service), 0)
+  status = { state: 'taken-back', target, revision: createRevision(2, 48) }
+  await moves.reconcile()
+  t.is(written.length, 3)
+  // A later order in the same era is a new one.
+  orders = [{ ...before!, revision: createRevision(2, 90) }]
+  t.true(moves.canaryShareOf(service) > 0)
+})
