Keep the servers of a version that is evaluated when the counts are ordered

What callers saw: after a good version was completed, most requests of two to four seconds were refused or late.

Cause, from the log: the cloud counts the servers of all versions together, and the plan counted those of the new version as capacity. When the move was done and the old ones were stopped, hardly any was left until others had booted.

Now servers of a version under evaluation are added to every order and aren't counted as capacity; replaced ones neither count nor get requests for the 4 s within which their registrations expire.

Ruled out: deciding too early (34 attempts were compared, none slow).

--- a/bench/measure/ordering/cases.ts
+++ b/bench/measure/ordering/cases.ts
@@ -40,6 +40,13 @@
   seconds
 })))
 
+/** A move to a new version that half as many servers as at the start run. */
+export const moveCases: OrderingCase[] = fleets.map(fleet => ({
+  ...orderingCases.find(({ name }) => name === `${fleet.name}: no reclaim`) as OrderingCase,
+  name: `${fleet.name}: version move`,
+  move: { atMs: 20_000, doneAtMs: 31_000, newPerDomain: Math.ceil(fleet.initialPerDomain / 2) }
+}))
+
 /** The naive plan: on-demand backend servers for the whole load with its headroom, spread evenly. */
 export function planOnDemand ({ domains, needed, maxPerDomain }: CountPlanInput): DomainCount[] {
   const perDomain = Math.min(maxPerDomain, Math.ceil(needed / domains.length))
--- a/bench/measure/ordering/cloud.ts
+++ b/bench/measure/ordering/cloud.ts
@@ -4,9 +4,10 @@
  * may be had.
  */
 import { ok } from 'true-myth/result'
+import { toId } from '../../../src/core/ids/index.ts'
 import type { Clock } from '../../../src/core/clock/index.ts'
-import type { CountKey, CountOrderResult, DomainCount, Purchase } from '../../../src/core/fleet/index.ts'
-import type { DomainId } from '../../../src/core/ids/index.ts'
+import type { CountedServer, CountKey, CountOrderResult, DomainCount, Purchase } from '../../../src/core/fleet/index.ts'
+import type { DomainId, VersionId } from '../../../src/core/ids/index.ts'
 
 /** The reclaim of all reclaimable backend servers of a domain. */
 export interface Reclaim {
@@ -20,6 +21,13 @@
   isEverywhere: boolean
 }
 
+/** A version move: servers of the new version start beside the others, which are all stopped when it is done. */
+export interface ModelMove {
+  atMs: number
+  doneAtMs: number
+  newPerDomain: number
+}
+
 /** Options of the cloud. */
 export interface ModelCloudOptions {
   clock: Clock
@@ -30,13 +38,14 @@
   /** On-demand backend servers that run at the start, in each domain. */
   initialPerDomain: number
   reclaims: readonly Reclaim[]
+  move?: ModelMove
 }
 
 /** The cloud with its backend servers. */
 export interface ModelCloud {
   order: (wanted: DomainCount) => ReturnType<typeof ok<CountOrderResult, never>>
-  /** Backend servers that serve and have no notice. */
-  serving: () => DomainCount[]
+  /** Backend servers that serve, with those that have been given notice. */
+  servers: () => CountedServer[]
   /** Number of backend servers that can serve now, with those that have been given notice. */
   capacity: () => number
   /** Price of what runs now, in on-demand servers of a domain with price 1. */
@@ -46,18 +55,24 @@
 }
 
 interface Server extends CountKey {
+  version: VersionId
   servesAtMs: number
   /** Infinity without a notice. */
   goneAtMs: number
 }
 
+export const oldVersion = toId<VersionId>('v1')
+export const newVersion = toId<VersionId>('v2')
+
 /** Creates the cloud at the current time of the clock. */
-export function createModelCloud ({ clock, domains, reclaimablePriceRatio, bootMs, initialPerDomain, reclaims }: ModelCloudOptions): ModelCloud {
+export function createModelCloud ({ clock, domains, reclaimablePriceRatio, bootMs, initialPerDomain, reclaims, move }: ModelCloudOptions): ModelCloud {
   const startedAtMs = clock.monotonicMs()
   const nowMs = (): number => clock.monotonicMs() - startedAtMs
   const pending = [...reclaims].sort((a, b) => a.atMs - b.atMs)
   const scarceUntilMs = new Map<DomainId, number>()
-  let servers: Server[] = domains.flatMap(({ domain }) => Array.from({ length: initialPerDomain }, (): Server => ({ domain, purchase: 'on-demand', servesAtMs: 0, goneAtMs: Infinity })))
+  let servers: Server[] = domains.flatMap(({ domain }) => Array.from({ length: initialPerDomain }, (): Server => ({ domain, purchase: 'on-demand', version: oldVersion, servesAtMs: 0, goneAtMs: Infinity })))
+  let startedVersion = oldVersion
+  let isMoveStarted = false
 
   function runningOf (domain: DomainId, purchase: Purchase): Server[] {
     return servers.filter(server => server.domain === domain && server.purchase === purchase && server.goneAtMs === Infinity)
@@ -69,7 +84,7 @@
     const missing = count - running.length
     if (missing <= 0) return ok<CountOrderResult, never>('taken')
     if (purchase === 'reclaimable' && nowMs() < (scarceUntilMs.get(domain) ?? 0)) return ok<CountOrderResult, never>('none-left')
-    for (let index = 0; index < missing; index += 1) servers.push({ domain, purchase, servesAtMs: nowMs() + bootMs, goneAtMs: Infinity })
+    for (let index = 0; index < missing; index += 1) servers.push({ domain, purchase, version: startedVersion, servesAtMs: nowMs() + bootMs, goneAtMs: Infinity })
     return ok<CountOrderResult, never>('taken')
   }
 
@@ -83,15 +98,28 @@
         scarceUntilMs.set(domain, Math.max(scarceUntilMs.get(domain) ?? 0, atMs + scarceMs))
       }
     }
+    if (move !== undefined) advanceMove(move)
     servers = servers.filter(({ goneAtMs }) => goneAtMs > nowMs())
   }
 
+  function advanceMove ({ atMs, doneAtMs, newPerDomain }: ModelMove): void {
+    if (!isMoveStarted && nowMs() >= atMs) {
+      isMoveStarted = true
+      for (const { domain } of domains) {
+        for (let index = 0; index < newPerDomain; index += 1) servers.push({ domain, purchase: 'on-demand', version: newVersion, servesAtMs: nowMs(), goneAtMs: Infinity })
+      }
+    }
+    if (nowMs() < doneAtMs || startedVersion === newVersion) return
+    startedVersion = newVersion
+    for (const server of servers) if (server.version === oldVersion) server.goneAtMs = nowMs()
+  }
+
   return {
     order,
     advance,
-    serving: () => domains.flatMap(({ domain }) => (['on-demand', 'reclaimable'] as const).map(purchase => ({
-      domain, purchase, count: runningOf(domain, purchase).filter(({ servesAtMs }) => servesAtMs <= nowMs()).length
-    }))),
+    servers: () => servers.filter(({ servesAtMs }) => servesAtMs <= nowMs()).map(({ domain, purchase, version, goneAtMs }) => ({
+      domain, version, isReclaimable: purchase === 'reclaimable', isLeaving: goneAtMs !== Infinity
+    })),
     capacity: () => servers.filter(({ servesAtMs, goneAtMs }) => servesAtMs <= nowMs() && goneAtMs > nowMs()).length,
     pricePerSecond: () => servers.reduce((sum, { domain, purchase }) => {
       const price = domains.find(other => other.domain === domain)?.price ?? 1
--- a/bench/measure/ordering/play.ts
+++ b/bench/measure/ordering/play.ts
@@ -1,13 +1,14 @@
 /** Plays a load and reclaims through the real count orders on the virtual clock. */
 import { createSilentLog } from '../../../src/core/log/index.ts'
-import { createCountOrders, planCounts, squareRootStaffing } from '../../../src/core/fleet/index.ts'
+import { countServers, createCountOrders, planCounts, squareRootStaffing } from '../../../src/core/fleet/index.ts'
 import { toId } from '../../../src/core/ids/index.ts'
 import { createMetrics } from '../../../src/core/metrics/index.ts'
 import { createVirtualClock } from '../virtual-clock.ts'
-import { createModelCloud } from './cloud.ts'
+import { createModelCloud, newVersion } from './cloud.ts'
 import type { CountPlanInput, DomainCount } from '../../../src/core/fleet/index.ts'
-import type { DomainId } from '../../../src/core/ids/index.ts'
-import type { Reclaim } from './cloud.ts'
+import type { DomainId, VersionId } from '../../../src/core/ids/index.ts'
+import type { VersionRole } from '../../../src/core/moves/index.ts'
+import type { ModelMove, Reclaim } from './cloud.ts'
 
 /** A plan of counts, as `planCounts`. */
 export type PlanCounts = (input: CountPlanInput) => DomainCount[]
@@ -23,6 +24,7 @@
   /** Backend servers that the load keeps busy at a time after the start. */
   busyAt: (atMs: number) => number
   reclaims: readonly Reclaim[]
+  move?: ModelMove
   seconds: number
 }
 
@@ -49,8 +51,18 @@
 const targetHeadroom = 3
 const minHeadroom = 1.33
 
+/** Roles of the versions while the case's move is evaluated and after it. */
+function rolesAt ({ move }: OrderingCase, atMs: number): (version: VersionId) => VersionRole {
+  if (move === undefined || atMs < move.atMs) return () => 'serving'
+  const isDone = atMs >= move.doneAtMs
+  return version => version === newVersion ? (isDone ? 'serving' : 'evaluated') : isDone ? 'replaced' : 'serving'
+}
+
+/** The naive roles: all versions serve alike. */
+export const sameRoles = (): ((version: VersionId) => VersionRole) => () => 'serving'
+
 /** Plays one case. */
-export async function playOrdering (ordering: OrderingCase, plan: PlanCounts = planCounts): Promise<OrderingResult> {
+export async function playOrdering (ordering: OrderingCase, plan: PlanCounts = planCounts, rolesOf: typeof rolesAt = rolesAt): Promise<OrderingResult> {
   const clock = createVirtualClock()
   const domains = ordering.domainPrices.map((price, index) => ({ domain: toId<DomainId>(`domain-${index}`), price }))
   const cloud = createModelCloud({ ...ordering, clock, domains })
@@ -64,7 +76,8 @@
     checksFencing: true,
     plan,
     services: () => {
-      const busy = ordering.busyAt(clock.monotonicMs() - startedAtMs)
+      const atMs = clock.monotonicMs() - startedAtMs
+      const busy = ordering.busyAt(atMs)
       return [{
         service: 'engines',
         bootMs: ordering.bootMs,
@@ -74,8 +87,7 @@
         offersReclaimable: true,
         needed: squareRootStaffing(busy, targetHeadroom),
         neededWithoutHeadroom: squareRootStaffing(busy, minHeadroom),
-        serving: cloud.serving(),
-        present: cloud.serving()
+        ...countServers(cloud.servers(), rolesOf(ordering, atMs))
       }]
     },
     order: async (_service, wanted) => cloud.order(wanted)
--- a/src/core/fleet/count-orders.ts
+++ b/src/core/fleet/count-orders.ts
@@ -20,8 +20,8 @@
   service: string
   /** Time from the order of a backend server until it serves. */
   bootMs: number
-  /** All registered backend servers, including leaving ones. */
-  present: DomainCount[]
+  /** Backend servers of a version under evaluation; orders leave them in place. */
+  evaluated: DomainCount[]
 }
 
 /** Options of the count orders. */
@@ -76,12 +76,17 @@
     return `${service}/${domain}/${purchase}`
   }
 
-  function presentCount ({ present }: ScaledService, wanted: DomainCount): number {
-    return present.find(({ domain, purchase }) => domain === wanted.domain && purchase === wanted.purchase)?.count ?? 0
+  function countOf (counts: readonly DomainCount[], key: CountKey): number {
+    return counts.find(({ domain, purchase }) => domain === key.domain && purchase === key.purchase)?.count ?? 0
   }
 
-  function servingCount ({ serving }: ScaledService, key: CountKey): number {
-    return serving.find(({ domain, purchase }) => domain === key.domain && purchase === key.purchase)?.count ?? 0
+  /** The cloud counts the backend servers of all versions together. */
+  function presentCount ({ serving, evaluated }: ScaledService, key: CountKey): number {
+    return countOf(serving, key) + countOf(evaluated, key)
+  }
+
+  function withEvaluated ({ evaluated }: ScaledService, planned: DomainCount): DomainCount {
+    return { ...planned, count: planned.count + countOf(evaluated, planned) }
   }
 
   function isDue (service: ScaledService, wanted: DomainCount): boolean {
@@ -93,7 +98,7 @@
     if (last.count !== wanted.count) return true
     if (!last.isAccepted) return nowMs >= last.atMs + retryMs
     // After a reclaim, only the cloud can tell whether others will start.
-    const serving = servingCount(service, wanted)
+    const serving = presentCount(service, wanted)
     if (wanted.purchase === 'reclaimable' && serving < Math.min(wanted.count, last.servingCount)) return true
     last.servingCount = Math.max(last.servingCount, serving)
     // The count was not reached in time: an older order overrode this one, or this one was lost.
@@ -107,7 +112,7 @@
       const last = sentOrders.get(keyOf(service.service, key))
       if (last?.isAccepted !== true || clock.monotonicMs() >= last.atMs + service.bootMs + startMarginMs) return []
       // Those that served and were reclaimed since don't start again.
-      const count = last.count - Math.max(last.servingCount, servingCount(service, key))
+      const count = last.count - Math.max(last.servingCount, presentCount(service, key))
       return count > 0 ? [{ ...key, count }] : []
     })
   }
@@ -127,7 +132,7 @@
       present: presentCount(service, wanted),
       ...(response.isErr ? { cause: response.error.message } : {})
     })
-    sentOrders.set(key, { count: wanted.count, servingCount: servingCount(service, wanted), atMs, isAccepted: result === 'taken' })
+    sentOrders.set(key, { count: wanted.count, servingCount: presentCount(service, wanted), atMs, isAccepted: result === 'taken' })
     if (result === 'none-left') refusedUntilMs.set(key, atMs + refusalBackOffMs)
     else refusedUntilMs.delete(key)
     if (result === 'fenced') overtakenFencingNumber = fencingNumber
@@ -144,7 +149,8 @@
       }
       for (const service of options.services()) {
         const isRefused = (key: CountKey): boolean => refusedUntilMs.has(keyOf(service.service, key))
-        for (const wanted of plan({ ...service, starting: startingCounts(service), isRefused })) {
+        for (const planned of plan({ ...service, starting: startingCounts(service), isRefused })) {
+          const wanted = withEvaluated(service, planned)
           const window = duty.orderWindow(checksFencing)
           if (window?.fencingNumber !== fencingNumber) return
           if (isDue(service, wanted)) await sendOrder(service, wanted, window)
--- a/src/core/gateway/backend-table.ts
+++ b/src/core/gateway/backend-table.ts
@@ -10,6 +10,7 @@
 import type { BackendId, InstanceId, NodeId, TeamId, VersionId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
+import type { VersionRole } from '../moves/types.ts'
 import type { BackendConnections } from './backend-connections.ts'
 import type { IneligibleReason } from './eligibility.ts'
 import type { SuspectCounts } from '../node-reports/types.ts'
@@ -46,8 +47,8 @@
   clock: Clock
   log: Log
   metrics: Metrics
-  /** Canary version of a service; undefined when no move is running. */
-  canaryVersionOf: (service: string) => VersionId | undefined
+  /** The roles of a service's versions. */
+  versionRolesOf: (service: string) => (version: VersionId) => VersionRole
   /** Random number in [0, 1). */
   random: () => number
   /** Longest pause that a backend server may ask for. */
@@ -251,15 +252,16 @@
     const nowMs = clock.monotonicMs()
     const peerCounts = countPeerSuspects(nowMs)
     const retriesSuspects = peerCounts.size > 0 && options.random() < retrySuspectRatio
-    const canary = options.canaryVersionOf(service)
+    const roleOf = options.versionRolesOf(service)
     const eligible: Backend[] = []
     const lastResorts: Backend[] = []
     for (const candidate of known.values()) {
       const { entry, backend } = candidate
       if (entry.service !== service) continue
-      const reason = reasonOf(candidate, nowMs, peerCounts, retriesSuspects)
+      const role = roleOf(entry.version)
+      const reason = role === 'replaced' ? 'replaced' : reasonOf(candidate, nowMs, peerCounts, retriesSuspects)
       if (reason !== undefined && !isLastResort(reason)) continue
-      const labelled = canary !== undefined && entry.version === canary ? { ...backend, version: canaryLabel } : backend
+      const labelled = role === 'evaluated' ? { ...backend, version: canaryLabel } : backend
       if (reason === undefined) eligible.push(labelled)
       else lastResorts.push(labelled)
     }
--- a/src/core/gateway/eligibility.ts
+++ b/src/core/gateway/eligibility.ts
@@ -10,6 +10,8 @@
   | 'resuming'
   /** Another backend server was found at its address. */
   | 'misdirected'
+  /** A move to another version has ended, and it is being stopped. */
+  | 'replaced'
   /** Its registration reappeared when the key-value service was restored, after it had been removed. */
   | 'unconfirmed'
   /** This node's latest attempts could not reach it. */
@@ -43,7 +45,7 @@
 
 /** Whether a backend server with this reason may still be used when no other is eligible: the reason may be wrong, or isn't binding. */
 export function isLastResort (reason: IneligibleReason): boolean {
-  return reason === 'suspected' || reason === 'avoided' || reason === 'resuming'
+  return reason === 'suspected' || reason === 'avoided' || reason === 'resuming' || reason === 'replaced'
 }
 
 const msPerSecond = 1_000
--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -17,7 +17,7 @@
 import type { AttemptCounts } from './attempt-counts.ts'
 import type { CanaryAnalysis, LatencyObservation } from './canary-analysis.ts'
 import type { LatencyHistory } from './latency-history.ts'
-import type { RegressionEvidence, MoveRecord } from './types.ts'
+import type { RegressionEvidence, MoveRecord, VersionRole } from './types.ts'
 
 /** An operator's order to move a service to a new version within `durationMs`. */
 export interface ServiceMoveOrder {
@@ -74,8 +74,8 @@
 
 /** The service moves of one node. */
 export interface ServiceMoves {
-  /** Canary version of a service, also after its move was taken back; undefined when all versions may serve. */
-  canaryVersionOf: (service: string) => VersionId | undefined
+  /** The roles of a service's versions now. The new version stays apart after its move was taken back. */
+  versionRolesOf: (service: string) => (version: VersionId) => VersionRole
   /** Current share of a service's requests for its canary version, 0 to 1. */
   canaryShareOf: (service: string) => number
   /** Records the result of an attempt at a service, without its latencies. */
@@ -102,6 +102,8 @@
 const minAttempts = 6
 /** Moves up to this duration get twice the share, because few requests arrive in that time. */
 const shortMoveMs = 20_000
+/** Time after a move within which the old version's backend servers are stopped and their registrations expire: three heartbeats. */
+const replacedMs = 4_000
 /** Longest time for one write. */
 const callTimeoutMs = 1_200
 
@@ -119,6 +121,8 @@
   isBad: boolean
   /** The result once it was written, also if the key-value service loses it in a restore. */
   result: 'done' | 'taken-back' | undefined
+  /** Monotonic time at which this node learned the result. */
+  resultAtMs: number
   /** Attempts of this node at the service since it saw the order, and how many of them were at the canary version. */
   attempts: number
   canaryAttempts: number
@@ -161,7 +165,7 @@
       onBrake: evidence => markBad(order.service, evidence, node)
     })
     log('serviceMoveSeen', { service: order.service, target: order.target, durationMs: order.durationMs, revision: order.revision })
-    return { order, analysis, seenAtMs: nowMs, isBad: false, result: undefined, attempts: 0, canaryAttempts: 0 }
+    return { order, analysis, seenAtMs: nowMs, isBad: false, result: undefined, resultAtMs: -Infinity, attempts: 0, canaryAttempts: 0 }
   }
 
   /** The move of a service's latest order; created when this node first sees the order. */
@@ -197,10 +201,16 @@
   /** The state of a move. A result is final, even if the key-value service has lost it. */
   function stateOf (move: RunningMove): ServiceMoveState | undefined {
     const stored = storedStateOf(move)
-    if (stored === 'done' || stored === 'taken-back') move.result ??= stored
+    if (stored === 'done' || stored === 'taken-back') setResult(move, stored)
     return move.result ?? stored
   }
 
+  function setResult (move: RunningMove, result: 'done' | 'taken-back'): void {
+    if (move.result !== undefined) return
+    move.result = result
+    move.resultAtMs = clock.monotonicMs()
+  }
+
   function isEnded (move: RunningMove): boolean {
     const state = stateOf(move)
     return state === 'done' || state === 'taken-back'
@@ -230,7 +240,7 @@
     const { compares, puts } = options.encode(move.order, state, startOf(move))
     const written = await store.transact({ compares: [guard, ...compares], puts, deletes: [] }, { deadlineAtMs: clock.wallMs() + callTimeoutMs })
     const result = written.isErr ? written.error.kind : written.value.applied ? 'written' : 'overtaken'
-    if (written.isOk && written.value.applied && state !== 'running') move.result = state
+    if (written.isOk && written.value.applied && state !== 'running') setResult(move, state)
     log('serviceMoveState', { service: move.order.service, target: move.order.target, state, result, attempts: move.analysis.canaryAttempts(), isDoubtful: move.analysis.isDoubtful() })
   }
 
@@ -251,9 +261,12 @@
   }
 
   return {
-    canaryVersionOf: service => {
+    versionRolesOf: service => {
       const move = currentMove(service)
-      return move === undefined || stateOf(move) === 'done' ? undefined : move.order.target
+      if (move === undefined) return () => 'serving'
+      if (stateOf(move) !== 'done') return version => version === move.order.target ? 'evaluated' : 'serving'
+      const isReplacing = clock.monotonicMs() < move.resultAtMs + replacedMs
+      return version => isReplacing && version !== move.order.target ? 'replaced' : 'serving'
     },
     canaryShareOf: service => {
       const move = currentMove(service)
--- a/src/core/moves/types.ts
+++ b/src/core/moves/types.ts
@@ -7,6 +7,9 @@
 /** In what way a new version is worse than the old one. */
 export type RegressionKind = 'failing' | LatencyKind
 
+/** Part that a version plays in a service: it serves, is evaluated beside the serving one, or was just replaced and is being stopped. */
+export type VersionRole = 'serving' | 'evaluated' | 'replaced'
+
 /** Regressions that show in latencies: of the first token, and between two tokens. */
 export type LatencyKind = 'first-token-slow' | 'between-tokens-slow'
 
--- a/test/fleet/counts.test.ts
+++ b/test/fleet/counts.test.ts
@@ -66,7 +66,7 @@
   const present = new Map<string, number>()
   let fencingNumber: number | undefined = 7
   const counts = () => domains.flatMap(({ domain }) => (['on-demand', 'reclaimable'] as const).map(purchase => ({ domain, purchase, count: present.get(`${domain}/${purchase}`) ?? 0 })))
-  const service = (): ScaledService => ({ ...base, service: 'engines', bootMs: 1_000, serving: counts(), present: counts() })
+  const service = (): ScaledService => ({ ...base, service: 'engines', bootMs: 1_000, serving: counts(), evaluated: [] })
   const orders = createCountOrders({
     clock,
     log: createSilentLog(),
--- a/test/gateway/backend-table.test.ts
+++ b/test/gateway/backend-table.test.ts
@@ -16,7 +16,7 @@
 const idOf = (index: number) => toId<BackendId>(`engine-${index}`)
 
 function createTable (clock: ManualClock, backendCount: number, random = () => 0.5): BackendTable {
-  const table = createBackendTable({ clock, log: createSilentLog(), metrics: createMetrics(), random, canaryVersionOf: () => undefined, maxPauseMs: 30_000, onRemoved: () => {} })
+  const table = createBackendTable({ clock, log: createSilentLog(), metrics: createMetrics(), random, versionRolesOf: () => () => 'serving', maxPauseMs: 30_000, onRemoved: () => {} })
   for (let index = 0; index < backendCount; index += 1) {
     table.put(entryOf(index))
   }
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -124,7 +124,7 @@
     random: createRandom(1),
     profileOf: () => ({ prefillMsPerToken: 0.1, slots: 4, slotMs: 20 })
   })
-  const backends = createBackendTable({ clock, log, metrics, random: () => 0.5, canaryVersionOf: () => undefined, maxPauseMs: 30_000, onRemoved: router.removeBackend })
+  const backends = createBackendTable({ clock, log, metrics, random: () => 0.5, versionRolesOf: () => () => 'serving', maxPauseMs: 30_000, onRemoved: router.removeBackend })
   for (const [index, { port }] of servers.entries()) backends.put(entryOf(`b-${index}`, port))
   const table = createRouteTable({ ...configuration, ...changes })
   const state = { isDraining: false, table: table as typeof table | undefined }
--- a/test/leases/late-calls.test.ts
+++ b/test/leases/late-calls.test.ts
@@ -51,7 +51,7 @@
     duty: duties.campaign('platform'),
     checksFencing,
     services: (): ScaledService[] => [{
-      service: 'engines', bootMs: 1_000, domains: [{ domain, price: 1 }], minPerDomain: 0, maxPerDomain: 100, offersReclaimable: false, needed, neededWithoutHeadroom: needed, serving: [], present: []
+      service: 'engines', bootMs: 1_000, domains: [{ domain, price: 1 }], minPerDomain: 0, maxPerDomain: 100, offersReclaimable: false, needed, neededWithoutHeadroom: needed, serving: [], evaluated: []
     }],
     order: async (_service, _wanted, fencingNumber) => {
       calls.push({ fencingNumber, sentAtMs: clock.wallMs(), executedByMs: clock.wallMs() + leaseMs })
--- a/test/moves/service-moves.test.ts
+++ b/test/moves/service-moves.test.ts
@@ -110,7 +110,7 @@
     const arrivals = Math.floor(requestsPerSecond * tickMs / 1_000 + random())
     for (let arrival = 0; arrival < arrivals; arrival += 1) {
       const { moves } = nodes[Math.floor(random() * count)]!
-      const isCanary = moves.canaryVersionOf(service) !== undefined && random() < moves.canaryShareOf(service)
+      const isCanary = moves.versionRolesOf(service)(target) === 'evaluated' && random() < moves.canaryShareOf(service)
       const route = random() < 0.8 ? 'register' : 'status'
       const ok = random() >= failure(isCanary, route, elapsedRatio)
       if (endedAtRatio === undefined && isOrdered) total += 1
@@ -228,7 +228,7 @@
   const [before] = orders
   orders = []
   status = undefined
-  t.is(moves.canaryVersionOf(service), target, 'the bad version stays apart from the others')
+  t.is(moves.versionRolesOf(service)(target), 'evaluated', 'the bad version stays apart from the others')
   t.is(moves.canaryShareOf(service), 0)
   // The operator writes the order again, at a revision that was given out before.
   orders = [{ ...before!, revision: createRevision(2, 45) }]
