Play restores of the store, leaving servers and pauses in the fault soak

New: the store goes away and comes back from a copy that is up to four seconds old, after which operator and backend servers write again within 0.7 s; a backend server says in all responses that it is leaving, then starts anew; a backend server turns requests away with Retry-After. Two new checks: no request later than 2 s after a node passed on a response of a leaving server (the rule's drain_ms), at most two requests in a pause from 0.5 s on. Restarts and pauses of the node and disturbed connections excuse.

--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -2,7 +2,7 @@
 
 /** How a caller's request ended. */
 export type CallResult =
-  | { kind: 'answer', status: number, isFromBackend: boolean, body: string }
+  | { kind: 'answer', status: number, isFromBackend: boolean, leavingBackend?: string | undefined, body: string }
   | { kind: 'refused' }
   | { kind: 'cut', elapsedMs: number, receivedBytes: boolean }
   | { kind: 'no-end' }
@@ -21,14 +21,37 @@
 
 /** One violation of a promise. */
 export interface BrokenPromise {
-  promise: 'own-answer' | 'not-run' | 'at-most-once' | 'planned-stop' | 'an-end' | 'newest-configuration' | 'recovery'
+  promise: 'leaving-left-alone' | 'pause-kept' | 'own-answer' | 'not-run' | 'at-most-once' | 'planned-stop' | 'an-end' | 'newest-configuration' | 'recovery'
   detail: string
 }
 
+/** A request that reached one start of a backend server. */
+export interface Arrival {
+  request: string
+  backend: string
+  startedAtMs: number
+  /** Pause that the backend server asked for in its response. */
+  pauseSeconds: number | undefined
+  /** Whether the connections to the backend server were disturbed shortly before. */
+  isDisturbed: boolean
+  atMs: number
+}
+
+/** A request as it was sent to a node. */
+export interface SentRequest {
+  id: string
+  node: string
+  startCount: number
+  interruptionCount: number
+  atMs: number
+}
+
 /** Collects the observations of one run. */
 export interface Checks {
   /** Called each time that a backend server runs a request. */
   onRun: (id: string) => void
+  onSent: (sent: SentRequest) => void
+  onArrival: (arrival: Arrival) => void
   onCall: (call: CompletedCall) => void
   /** Newest configuration version that a node is known to have used since the given start of its process; 0 if none. */
   newestVersionOf: (node: string, startCount: number) => number
@@ -42,6 +65,12 @@
   finish: () => { broken: BrokenPromise[], calls: Record<string, number> }
 }
 
+/** Time within which a node that passed on a response of a leaving backend server must stop sending to it. */
+const drainMs = 2_000
+/** Time after a response with a pause from which the backend server must get no more than `maxPausedRequests`. */
+const pauseNoticeMs = 500
+const maxPausedRequests = 2
+
 /** A request counts as lost in a planned stop if it was open at least this long when its connection closed without a response. */
 const minLostRequestMs = 100
 
@@ -52,6 +81,36 @@
   const nonIdempotentIds = new Set<string>()
   const reportedNotRunIds = new Set<string>()
   const newestVersions = new Map<string, number>()
+  const sentRequests = new Map<string, SentRequest>()
+  const arrivals: Arrival[] = []
+  /** Time at which a node first passed on a response of a leaving start of a backend server. */
+  const leavingPassedOn = new Map<string, number>()
+
+  /** The node that a request was sent to, as long as its process wasn't restarted, paused or resumed. */
+  function senderOf (request: string): (SentRequest & { key: string }) | undefined {
+    const sent = sentRequests.get(request)
+    return sent === undefined ? undefined : { ...sent, key: `${sent.node}/${sent.startCount}/${sent.interruptionCount}` }
+  }
+
+  function checkLeaving (): void {
+    for (const { request, backend, startedAtMs } of arrivals) {
+      const sender = senderOf(request)
+      const passedOnAtMs = sender === undefined ? undefined : leavingPassedOn.get(`${sender.key}/${backend}/${startedAtMs}`)
+      if (sender === undefined || passedOnAtMs === undefined || sender.atMs <= passedOnAtMs + drainMs) continue
+      broken.push({ promise: 'leaving-left-alone', detail: `${request} reached ${backend} from ${sender.node} ${Math.round(sender.atMs - passedOnAtMs)} ms after a response that said it was leaving` })
+    }
+  }
+
+  function checkPauses (): void {
+    for (const { request, backend, startedAtMs, pauseSeconds, atMs } of arrivals) {
+      const sender = senderOf(request)
+      if (pauseSeconds === undefined || sender === undefined) continue
+      const late = arrivals.filter(other => other.backend === backend && other.startedAtMs === startedAtMs &&
+        other.atMs > atMs + pauseNoticeMs && other.atMs < atMs + pauseSeconds * 1_000 &&
+        senderOf(other.request)?.key === sender.key && !other.isDisturbed)
+      if (late.length > maxPausedRequests) broken.push({ promise: 'pause-kept', detail: `${late.length} requests reached ${backend} from ${sender.node} in its pause of ${pauseSeconds} s` })
+    }
+  }
 
   function checkCall ({ id, isIdempotent, node, wasInterrupted, result }: CompletedCall): void {
     if (!isIdempotent) nonIdempotentIds.add(id)
@@ -64,9 +123,21 @@
     if (result.kind === 'no-end') broken.push({ promise: 'an-end', detail: `${id} got no response and no error from ${node}` })
   }
 
+  function recordLeaving ({ id, result }: CompletedCall): void {
+    if (result.kind !== 'answer' || result.leavingBackend === undefined) return
+    const sender = senderOf(id)
+    const arrival = arrivals.findLast(({ request, backend }) => request === id && backend === result.leavingBackend)
+    if (sender === undefined || arrival === undefined) return
+    const key = `${sender.key}/${arrival.backend}/${arrival.startedAtMs}`
+    if (!leavingPassedOn.has(key)) leavingPassedOn.set(key, performance.now())
+  }
+
   return {
     onRun: id => { runCounts.set(id, (runCounts.get(id) ?? 0) + 1) },
+    onSent: sent => { sentRequests.set(sent.id, sent) },
+    onArrival: arrival => { arrivals.push(arrival) },
     onCall: call => {
+      recordLeaving(call)
       const label = call.result.kind === 'answer' ? String(call.result.status) : call.result.kind
       calls[label] = (calls[label] ?? 0) + 1
       checkCall(call)
@@ -79,6 +150,8 @@
     },
     onBrokenPromise: brokenPromise => { broken.push(brokenPromise) },
     finish: () => {
+      checkLeaving()
+      checkPauses()
       for (const id of nonIdempotentIds) {
         const count = runCounts.get(id) ?? 0
         if (count > 1) broken.push({ promise: 'at-most-once', detail: `${id} ran ${count} times` })
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -8,10 +8,19 @@
 } from '../../test/platform-adapter/soak-deployment.ts'
 import { createNodeProcess } from './node-process.ts'
 import { startProxy } from './proxy.ts'
+import type { BackendMode } from '../../test/platform-adapter/soak-deployment.ts'
+import type { Arrival } from './checks.ts'
 import type { NodeProcess } from './node-process.ts'
 import type { Proxy } from './proxy.ts'
 
 const backendCount = 3
+/** Copies of the store; the oldest is some seconds old. */
+const copyCount = 4
+const copyIntervalMs = 1_000
+/** Time after a disturbance of the connections for which the arrival of a request is no evidence. */
+const disturbanceMs = 3_000
+/** Time after a restore within which the operator and the backend servers write again. */
+const writeAgainMs = 700
 const portsPerNode = 20
 /** Below the ephemeral port range; each process has its own block of ports, so that parallel runs don't collide. */
 const basePort = 20_000 + process.pid % 10 * 1_000
@@ -29,6 +38,10 @@
   register: (isDraining: boolean) => Promise<void>
   /** Deletes the entry, as if it had expired. */
   removeEntry: () => Promise<void>
+  /** What it says in its responses from now on. */
+  mode: BackendMode
+  /** Registers a new start of the backend server, which is neither leaving nor paused. */
+  restart: () => Promise<void>
 }
 
 export interface SoakDeployment {
@@ -41,6 +54,8 @@
   configurationVersion: () => number
   /** Writes the configuration with the next version. */
   publishNextConfiguration: () => Promise<void>
+  /** Restores the store from the oldest copy, some seconds old; the operator and the backend servers then write again. */
+  restoreStore: () => Promise<void>
   close: () => Promise<void>
 }
 
@@ -50,13 +65,21 @@
   program: string
   /** Called with the id of every request that a backend server runs. */
   onRun: (id: string) => void
+  /** Called for each request that reaches a start of a backend server. */
+  onArrival: (arrival: Omit<Arrival, 'atMs'>) => void
   random: () => number
 }
 
 /** Starts the deployment and the processes of its nodes; they may not be ready yet. */
-export async function startSoakDeployment ({ nodeCount, program, onRun, random }: SoakDeploymentOptions): Promise<SoakDeployment> {
+export async function startSoakDeployment ({ nodeCount, program, onRun, onArrival, random }: SoakDeploymentOptions): Promise<SoakDeployment> {
   const folder = mkdtempSync(join(tmpdir(), 'soak-'))
   const platform = await startPlatform()
+  platform.setEra(1)
+  const copies = [platform.copy()]
+  const copying = setInterval(() => {
+    copies.push(platform.copy())
+    if (copies.length > copyCount) copies.shift()
+  }, copyIntervalMs)
   let version = 0
   const publishNextConfiguration = async (): Promise<void> => {
     version += 1
@@ -68,15 +91,23 @@
   const backends: SoakBackend[] = []
   for (let index = 1; index <= backendCount; index += 1) {
     const id = `i-${index}`
-    const server = await startRawBackend(createBackendHandler(id, onRun, () => random() * (random() < slowRatio ? maxSlowProcessingMs : maxProcessingMs)))
+    const mode: BackendMode = { isLeaving: false, pauseSeconds: undefined }
+    let startedAtMs = Date.now()
+    const handleArrival = (request: string, pauseSeconds: number | undefined): void => onArrival({ request, backend: id, startedAtMs, pauseSeconds, isDisturbed: proxy.lastDisturbedAtMs() >= performance.now() - disturbanceMs })
+    const server = await startRawBackend(createBackendHandler(id, mode, handleArrival, onRun, () => random() * (random() < slowRatio ? maxSlowProcessingMs : maxProcessingMs)))
     const proxy = await startProxy(server.port)
     let sequence = 0
     const register = async (isDraining: boolean): Promise<void> => {
       sequence += 1
-      await platform.put(backendEntryKey(id), createBackendEntry(proxy.port, isDraining ? 'draining' : 'ready', sequence))
+      await platform.put(backendEntryKey(id), createBackendEntry(proxy.port, isDraining ? 'draining' : 'ready', sequence, startedAtMs))
     }
     await register(false)
-    backends.push({ proxy, register, removeEntry: () => platform.remove(backendEntryKey(id)) })
+    const restart = async (): Promise<void> => {
+      startedAtMs = Date.now()
+      Object.assign(mode, { isLeaving: false, pauseSeconds: undefined })
+      await register(false)
+    }
+    backends.push({ proxy, register, restart, mode, removeEntry: () => platform.remove(backendEntryKey(id)) })
     closeFunctions.push(proxy.close, server.close)
   }
 
@@ -102,7 +133,15 @@
     setStoreFault: platform.setFault,
     configurationVersion: () => version,
     publishNextConfiguration,
+    restoreStore: async () => {
+      platform.restore(copies[0]!)
+      copies.length = 1
+      await new Promise(resolve => setTimeout(resolve, writeAgainMs))
+      await platform.put(configurationKey, createConfiguration(version))
+      for (const { register } of backends) await register(false)
+    },
     close: async () => {
+      clearInterval(copying)
       killAllNodes()
       process.off('exit', killAllNodes)
       for (const close of [...closeFunctions, ...storeProxies.map(proxy => proxy.close), platform.close]) await close()
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -78,6 +78,26 @@
     await backend.removeEntry()
     return { name: 'the entry of a backend server is removed', end: () => backend.register(false) }
   },
+  async ({ setStoreFault, restoreStore }, random) => {
+    setStoreFault(pick(['busy', 'silent'] as const, random))
+    return {
+      name: 'the store comes back from an older copy',
+      end: async () => {
+        setStoreFault('none')
+        await restoreStore()
+      }
+    }
+  },
+  ({ backends }, random) => {
+    const backend = pick(backends, random)
+    backend.mode.isLeaving = true
+    return { name: 'a backend server says that it is leaving', end: backend.restart }
+  },
+  ({ backends }, random) => {
+    const { mode } = pick(backends, random)
+    mode.pauseSeconds = 0.6 + Math.round(random() * 20) / 10
+    return { name: `a backend server asks for pauses of ${mode.pauseSeconds} s`, end: async () => { mode.pauseSeconds = undefined } }
+  },
   async deployment => {
     await deployment.publishNextConfiguration()
     return { name: `configuration ${deployment.configurationVersion()}`, end: async () => {} }
--- a/bench/soak/proxy.ts
+++ b/bench/soak/proxy.ts
@@ -8,6 +8,8 @@
 export interface Proxy {
   readonly port: number
   setMode: (mode: ProxyMode) => void
+  /** Monotonic time at which it last did not pass all bytes at once; the current time while it doesn't. */
+  lastDisturbedAtMs: () => number
   close: () => Promise<void>
 }
 
@@ -16,6 +18,7 @@
 /** Starts a proxy on a free loopback port that connects to the target port on 127.0.0.1. */
 export async function startProxy (targetPort: number): Promise<Proxy> {
   let mode: ProxyMode = 'pass'
+  let disturbedUntilMs = -Infinity
   const sockets = new Set<Socket>()
 
   function forwardBytes (from: Socket, to: Socket, isResponseDirection: boolean): void {
@@ -47,11 +50,13 @@
   return {
     port: (server.address() as AddressInfo).port,
     setMode: newMode => {
+      if (mode !== 'pass') disturbedUntilMs = performance.now()
       const wasDroppingBytes = mode === 'silent' || mode === 'one-way'
       mode = newMode
       // A connection that lost bytes can't be used again, because its peers would wait for the missing bytes.
       if (newMode === 'reset' || (wasDroppingBytes && newMode === 'pass')) for (const socket of sockets) socket.resetAndDestroy()
     },
+    lastDisturbedAtMs: () => mode === 'pass' ? disturbedUntilMs : performance.now(),
     close: async () => {
       for (const socket of sockets) socket.destroy()
       await new Promise(resolve => server.close(resolve))
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -73,7 +73,9 @@
   // Callers have their own generator, because their timing varies and the faults must be the same in each run of a seed.
   const callRandom = createRandom(seed + 1)
   const checks = createChecks()
-  const deployment = await startSoakDeployment({ nodeCount, program, onRun: checks.onRun, random: callRandom })
+  const deployment = await startSoakDeployment({
+    nodeCount, program, onRun: checks.onRun, onArrival: arrival => checks.onArrival({ ...arrival, atMs: performance.now() }), random: callRandom
+  })
   const faults: string[] = []
   const loadStopController = new AbortController()
   let callCount = 0
@@ -85,6 +87,7 @@
     const wasPaused = node.isPaused()
     callCount += 1
     const id = `r-${seed}-${callCount}`
+    checks.onSent({ id, node: node.name, startCount, interruptionCount, atMs: performance.now() })
     const routeDraw = callRandom()
     if (routeDraw < probeRatio) {
       const version = Math.max(1, deployment.configurationVersion() - Math.floor(callRandom() * 2))
--- a/test/platform-adapter/soak-deployment.ts
+++ b/test/platform-adapter/soak-deployment.ts
@@ -7,6 +7,7 @@
 
 const requestIdHeader = 'x-cyclamenshunt-attempt-id'
 const signatureHeader = 'x-cyclamenshunt-response-seal'
+const leavingHeader = 'server-leaving'
 const misdirectedStatus = 421
 const service = 'registry'
 
@@ -33,8 +34,8 @@
   return `servers/${backend}`
 }
 
-export function createBackendEntry (port: number, state: 'ready' | 'draining', sequence: number) {
-  return { service, address: `127.0.0.1:${port}`, zone: 'a', version: 'v1', slots: 16, state, sequence }
+export function createBackendEntry (port: number, state: 'ready' | 'draining', sequence: number, startedAtMs: number) {
+  return { service, address: `127.0.0.1:${port}`, zone: 'a', version: 'v1', slots: 16, state, sequence, born: startedAtMs }
 }
 
 export function requestHeaders (id: string): Record<string, string> {
@@ -45,15 +46,40 @@
   return headers[signatureHeader] !== undefined
 }
 
-/** Creates the handler of a backend server that calls `onExecuted` for each request and responds with its id after `workMs`. */
-export function createBackendHandler (backend: string, onExecuted: (id: string) => void, workMs: () => number): RawRequestHandler {
+/** Whether a response says that its backend server is leaving. */
+export function isLeaving (headers: Record<string, unknown>): boolean {
+  return headers[leavingHeader] === '1'
+}
+
+/** The backend server that sent a response. */
+export function backendOf (headers: Record<string, unknown>): string {
+  return String(headers[signatureHeader] ?? '')
+}
+
+/** What a backend server says beside its responses. */
+export interface BackendMode {
+  isLeaving: boolean
+  /** Pause in seconds that it asks for instead of running requests; undefined if it runs them. */
+  pauseSeconds: number | undefined
+}
+
+/** Called for each request that reaches a backend server, with the pause that it asked for. */
+export type OnArrival = (id: string, pauseSeconds: number | undefined) => void
+
+/** Creates the handler of a backend server that calls `onExecuted` for each request that it runs and responds with its id after `workMs`. */
+export function createBackendHandler (backend: string, mode: BackendMode, onArrival: OnArrival, onExecuted: (id: string) => void, workMs: () => number): RawRequestHandler {
   return ({ headers }, socket) => {
     const id = headers[requestIdHeader] ?? ''
-    const answerHeaders = { [requestIdHeader]: id, [signatureHeader]: backend }
+    const answerHeaders = { [requestIdHeader]: id, [signatureHeader]: backend, ...(mode.isLeaving ? { [leavingHeader]: '1' } : {}) }
     if (headers['x-cyclamenshunt-expect-instance'] !== backend) {
       socket.write(formatResponse(misdirectedStatus, answerHeaders, ''))
       return
     }
+    onArrival(id, mode.pauseSeconds)
+    if (mode.pauseSeconds !== undefined) {
+      socket.write(formatResponse(503, { ...answerHeaders, 'x-cyclamenshunt-not-executed': '1', 'retry-after': String(mode.pauseSeconds) }, ''))
+      return
+    }
     onExecuted(id)
     setTimeout(() => { if (socket.writable) socket.write(formatResponse(200, answerHeaders, id)) }, workMs())
   }
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -54,6 +54,26 @@
   }), ['newest-configuration'])
 })
 
+test('requests to a backend server that said it was leaving, or that asked for a pause, are detected', t => {
+  const arrival = { backend: 'i-1', startedAtMs: 5, pauseSeconds: undefined, isDisturbed: false }
+  const sent = { node: 'front-a-1', startCount: 1, interruptionCount: 0 }
+  t.deepEqual(brokenPromisesOf(checks => {
+    checks.onSent({ ...sent, id: 'r-1', atMs: 0 })
+    checks.onArrival({ ...arrival, request: 'r-1', atMs: 1 })
+    checks.onCall(createCall({ kind: 'answer', status: 200, isFromBackend: true, leavingBackend: 'i-1', body: 'r-1' }))
+    checks.onSent({ ...sent, id: 'r-2', atMs: performance.now() + 2_500 })
+    checks.onArrival({ ...arrival, request: 'r-2', atMs: 2_600 })
+    checks.onSent({ ...sent, id: 'r-3', startCount: 2, atMs: performance.now() + 2_500 })
+    checks.onArrival({ ...arrival, request: 'r-3', atMs: 2_600 })
+  }), ['leaving-left-alone'])
+  t.deepEqual(brokenPromisesOf(checks => {
+    for (const [index, atMs] of [0, 600, 700, 800, 1_900].entries()) {
+      checks.onSent({ ...sent, id: `r-${index}`, atMs })
+      checks.onArrival({ ...arrival, request: `r-${index}`, pauseSeconds: index === 0 ? 1.5 : undefined, atMs })
+    }
+  }), ['pause-kept'])
+})
+
 test('a request cut by a kill, one admitted before a configuration change and a repeated idempotent request break no promise', t => {
   t.deepEqual(brokenPromisesOf(checks => {
     checks.onCall(createCall({ kind: 'cut', elapsedMs: 300, receivedBytes: false }, { wasInterrupted: true }))
