Keep low quota levels in the store, so that teams within their quota aren't refused after a loss of power

Cause: since buckets begin empty when nobody knows what was admitted.

The holder of the duty now stores the levels of teams that have used more than 0.3 of the tolerance, twice a second and only while there are any; a team without a stored level begins with a full bucket. What may be used again is then within the tolerance: 0.3 before, at most 0.65 in the window.

Not covered: a team whose load rises within 0.5 s before all nodes stop and goes on after it; while the store is away nothing is stored, and a start without the store begins empty, as before.

--- a/src/core/quota/index.ts
+++ b/src/core/quota/index.ts
@@ -6,66 +6,14 @@
  * admits a random part of its own requests, so that all of them together use up the
  * bucket and no more. The part of rate and burst that belongs to nodes without current
  * reports is left to them. A node that restarts continues with the levels that the others
- * know; while nobody knows them, its buckets begin empty.
+ * know or have stored; while there are none, its buckets begin empty.
  */
-import type { Clock } from '../clock/index.ts'
 import type { NodeId, TeamId } from '../ids/index.ts'
+import type { QuotaLevels, QuotaLimit, QuotaOptions, QuotaReport, Quotas, QuotaUsage } from './types.ts'
 
-/** A team's quota: the rate and the capacity of its token bucket. */
-export interface QuotaLimit {
-  perSecond: number
-  burst: number
-  /** Whether the quota counts tokens; otherwise it counts requests. */
-  countsTokens: boolean
-}
-
-/** Options of the quotas of one node. */
-export interface QuotaOptions {
-  clock: Clock
-  /** Random number in [0, 1). */
-  random: () => number
-  /**
-   * How far a quota may be exceeded in any window: by a ratio (`share`) of what the window allows,
-   * plus a fixed amount (`extra`). Nodes learn of each other's admissions with a delay, and
-   * callers shouldn't be refused because of it.
-   */
-  tolerance?: { windowMs: number, share: number, extra: number }
-  /** Returns the share of all nodes from which this node receives reports, itself included; 1 when it receives all reports. */
-  reachableShare: () => number
-  /** Returns the share of this node alone. */
-  ownShare: () => number
-  /** Whether no node has admitted anything yet, so that buckets begin full: at the first start of the whole system. */
-  hasFullBuckets: boolean
-  /** Mean age in ms of what this node knows of the others' admissions. */
-  reportAgeMs: () => number
-  /** A team's quota in the configuration, for usage that others report before this node gets a request of the team. */
-  limitOf?: (team: TeamId) => QuotaLimit | undefined
-  onBucketCreated?: (created: BucketCreated) => void
-}
-
-/** How a team's bucket began on this node. */
-export interface BucketCreated {
-  team: TeamId
-  level: number
-  /** Whether the level is that of another node. */
-  isFromPeer: boolean
-  /** Whether this node knew what all nodes had admitted; otherwise the bucket began empty. */
-  knowsUsage: boolean
-}
-
-/** The quotas of one node. */
-export interface Quotas {
-  /** Takes tokens. Returns 0 on success, otherwise the delay in milliseconds after which they may be available. */
-  take: (team: TeamId, limit: QuotaLimit, tokens: number) => number
-  /** Returns what this node has taken since its process started, by team. */
-  localUsage: () => ReadonlyMap<TeamId, QuotaUsage>
-  /** The levels of this node's buckets, for nodes that have just started; undefined while this node doesn't know what the others admitted. */
-  levels: () => Map<TeamId, QuotaLevels> | undefined
-  /** Subtracts what the source of a report has admitted since its previous one. */
-  onPeerReport: (report: QuotaReport) => void
-  /** Returns the values behind a refusal, such as the level of the team's bucket. */
-  explain: (team: TeamId) => Record<string, unknown>
-}
+export type * from './types.ts'
+export { createStoredLevels } from './stored-levels.ts'
+export type { StoredLevels } from './stored-levels.ts'
 
 /** Token bucket of a team's quota and of the tolerance beyond it. */
 interface Bucket {
@@ -74,36 +22,16 @@
   toleranceLevel: number
   updatedAtMs: number
   limit: QuotaLimit
-}
-
-/** Tokens that a node has taken since its process started, from the quota itself and from the tolerance, and all that it was asked for. */
-export interface QuotaUsage {
-  quota: number
-  tolerance: number
-  asked: number
-}
-
-/** Available tokens of a team's quota and of the tolerance beyond it; negative after nodes admitted more than was left. */
-export interface QuotaLevels {
-  quota: number
-  tolerance: number
-}
-
-/** What another node reports, or a collector for several. */
-export interface QuotaReport {
-  source: NodeId
-  /** Identifies a start of the source's process; its usage restarts with it. */
-  bootId: string
-  usage: ReadonlyMap<TeamId, QuotaUsage>
-  levels: ReadonlyMap<TeamId, QuotaLevels> | undefined
-  /** Whether it is the first report of this source. Its usage is then not subtracted, because it is unknown when it occurred. */
-  isFirst: boolean
+  /** Whether other nodes know the level, too, so that they subtract what this one admits. */
+  isKnownByAll: boolean
 }
 
 const secondMs = 1_000
 /** Parts of the tolerance that may be used at once and over one window. The rest covers admissions that other nodes haven't reported yet. */
 const toleranceBurstRatio = 0.2
 const toleranceRefillRatio = 0.45
+/** Part of the tolerance that may be used again after all nodes have forgotten it. */
+const forgettableRatio = 0.3
 /** Time constant of the moving average of what nodes are asked for. */
 const askedTimeConstantMs = 1_000
 /** Age from which a report no longer tells what its source is asked for; several report intervals. */
@@ -137,7 +65,7 @@
   const usage = new Map<TeamId, QuotaUsage>()
   const peerReports = new Map<NodeId, PeerReport>()
   /** Levels that others reported before this node had the bucket. */
-  const reportedLevels = new Map<TeamId, QuotaLevels & { receivedAtMs: number }>()
+  const reportedLevels = new Map<TeamId, QuotaLevels & { receivedAtMs: number, isKnownByAll: boolean }>()
   let isInformed = options.hasFullBuckets
   const startedAtMs = clock.monotonicMs()
   const informedAtMs = startedAtMs + tolerance.windowMs
@@ -149,23 +77,24 @@
 
   function refresh (bucket: Bucket): void {
     const nowMs = clock.monotonicMs()
-    const effectiveElapsedMs = (nowMs - bucket.updatedAtMs) * usableShare()
+    const share = usableShare(bucket)
+    const effectiveElapsedMs = (nowMs - bucket.updatedAtMs) * share
     const refilledTokens = bucket.limit.perSecond * effectiveElapsedMs / secondMs
     const toleranceTokens = toleranceOf(bucket.limit)
-    const capacity = capacityOf(bucket.limit)
+    const capacity = capacityOf(bucket.limit, share)
     bucket.level = Math.min(capacity.quota, bucket.level + refilledTokens)
     bucket.toleranceLevel = Math.min(capacity.tolerance, bucket.toleranceLevel + toleranceTokens * toleranceRefillRatio * effectiveElapsedMs / tolerance.windowMs)
     bucket.updatedAtMs = nowMs
   }
 
-  function usableShare (): number {
-    const isSettling = !isInformed && clock.monotonicMs() < startedAtMs + settleMs
+  /** After a start of all nodes a low level is left to each node in part, until the others' reports tell what they are asked for. */
+  function usableShare ({ isKnownByAll }: Pick<Bucket, 'isKnownByAll'>): number {
+    const isSettling = !isKnownByAll && clock.monotonicMs() < startedAtMs + settleMs
     return isSettling ? options.ownShare() : reachableShare()
   }
 
   /** This node and those it hears use no more than their part of the burst, as the others may use theirs. */
-  function capacityOf (limit: QuotaLimit): QuotaLevels {
-    const share = usableShare()
+  function capacityOf (limit: QuotaLimit, share = reachableShare()): QuotaLevels {
     return { quota: limit.burst * share, tolerance: toleranceOf(limit) * toleranceBurstRatio * share }
   }
 
@@ -179,9 +108,9 @@
     const capacity = capacityOf(limit)
     const reported = reportedLevels.get(team)
     reportedLevels.delete(team)
-    const bucket = reported === undefined
-      ? { level: knowsUsage() ? capacity.quota : 0, toleranceLevel: capacity.tolerance, updatedAtMs: nowMs, limit }
-      : { level: reported.quota, toleranceLevel: reported.tolerance, updatedAtMs: reported.receivedAtMs, limit }
+    const bucket: Bucket = reported === undefined
+      ? { level: knowsUsage() ? capacity.quota : 0, toleranceLevel: capacity.tolerance, updatedAtMs: nowMs, limit, isKnownByAll: knowsUsage() }
+      : { level: reported.quota, toleranceLevel: reported.tolerance, updatedAtMs: reported.receivedAtMs, limit, isKnownByAll: reported.isKnownByAll }
     refresh(bucket)
     buckets.set(team, bucket)
     options.onBucketCreated?.({ team, level: bucket.level, isFromPeer: reported !== undefined, knowsUsage: knowsUsage() })
@@ -225,7 +154,7 @@
   function take (team: TeamId, limit: QuotaLimit, tokens: number): number {
     const bucket = bucketOf(team, limit)
     const availableTokens = bucket.level + bucket.toleranceLevel
-    const capacity = capacityOf(limit)
+    const capacity = capacityOf(limit, usableShare(bucket))
     const largestTokens = capacity.quota + capacity.tolerance
     // A request larger than the burst needs both parts, and one larger than both a full bucket, which it leaves in debt.
     const requiredTokens = Math.min(tokens, largestTokens)
@@ -267,9 +196,8 @@
   }
 
   /** Sets the levels to those of a source that has heard of all usage, less what this node has admitted since its start. */
-  function takeOverLevels (levels: ReadonlyMap<TeamId, QuotaLevels>): void {
-    const receivedAtMs = clock.monotonicMs()
-    for (const [team, reported] of levels) if (!buckets.has(team)) reportedLevels.set(team, { ...reported, receivedAtMs })
+  function takeOverLevels (levels: ReadonlyMap<TeamId, QuotaLevels>, receivedAtMs: number, isKnownByAll: boolean): void {
+    for (const [team, reported] of levels) if (!buckets.has(team)) reportedLevels.set(team, { ...reported, receivedAtMs, isKnownByAll })
     for (const [team, bucket] of buckets) {
       const capacity = capacityOf(bucket.limit)
       const { quota, tolerance } = levels.get(team) ?? capacity
@@ -277,10 +205,27 @@
       bucket.level = quota - own.quota
       bucket.toleranceLevel = tolerance - own.tolerance
       bucket.updatedAtMs = receivedAtMs
+      bucket.isKnownByAll = isKnownByAll || !levels.has(team)
     }
     isInformed = true
   }
 
+  function lowLevels (): Map<TeamId, QuotaLevels> | undefined {
+    if (!knowsUsage()) return undefined
+    const low = new Map<TeamId, QuotaLevels>()
+    for (const [team, bucket] of buckets) {
+      refresh(bucket)
+      const missingTokens = capacityOf(bucket.limit).quota - bucket.level
+      if (missingTokens > toleranceOf(bucket.limit) * forgettableRatio) low.set(team, { quota: Math.round(bucket.level), tolerance: Math.round(bucket.toleranceLevel) })
+    }
+    return low
+  }
+
+  function onStoredLevels (levels: ReadonlyMap<TeamId, QuotaLevels>, ageMs: number): void {
+    if (knowsUsage()) return
+    takeOverLevels(levels, clock.monotonicMs() - Math.min(ageMs, tolerance.windowMs), false)
+  }
+
   /** Lowers levels to those of a new source, which may have heard of usage that this node hasn't. */
   function lowerLevels (levels: ReadonlyMap<TeamId, QuotaLevels>): void {
     for (const [team, { quota, tolerance }] of levels) {
@@ -294,7 +239,7 @@
 
   function onPeerReport ({ source, bootId, usage: taken, levels, isFirst }: QuotaReport): void {
     const previous = replaceReport(source, bootId, taken)
-    if (levels !== undefined && !knowsUsage()) takeOverLevels(levels)
+    if (levels !== undefined && !knowsUsage()) takeOverLevels(levels, clock.monotonicMs(), true)
     else if (levels !== undefined && isFirst) lowerLevels(levels)
     if (isFirst) return
     for (const [team, { quota, tolerance }] of taken) {
@@ -317,6 +262,8 @@
         return [team, { quota: bucket.level, tolerance: bucket.toleranceLevel }]
       }))
     },
+    lowLevels,
+    onStoredLevels,
     onPeerReport,
     explain: team => {
       const bucket = buckets.get(team)
--- /dev/null
+++ b/src/core/quota/stored-levels.ts
@@ -0,0 +1,79 @@
+/**
+ * Keeps low levels of quota buckets in the key-value service, for a start of all
+ * nodes at once: nobody else knows then what a team has used. A team without a
+ * stored level has used so little that the tolerance covers it, so that nothing is
+ * written while teams stay within their quotas.
+ */
+import { z } from 'zod'
+import { toId } from '../ids/index.ts'
+import type { Clock } from '../clock/index.ts'
+import type { TeamId } from '../ids/index.ts'
+import type { Duty } from '../leases/index.ts'
+import type { Log } from '../log/index.ts'
+import type { KeyValueStore } from '../platform/key-value/types.ts'
+import type { QuotaLevels, Quotas } from './types.ts'
+
+/** Options of the stored levels. */
+export interface StoredLevelsOptions {
+  store: KeyValueStore
+  clock: Clock
+  log: Log
+  quotas: Pick<Quotas, 'lowLevels' | 'onStoredLevels'>
+  /** The holder of this duty writes. */
+  duty: Duty
+}
+
+/** The stored levels as one node reads and writes them. */
+export interface StoredLevels {
+  /** Key of the record in the key-value service. */
+  readonly key: string
+  /** Passes the record, or its absence, on to the quotas when the content of the key-value service was read. */
+  onContent: (value: string | undefined) => void
+  /** Writes the low levels if they changed; does nothing without the duty. */
+  reconcile: () => Promise<void>
+}
+
+const recordKey = 'cyclamenshunt/quota-levels'
+/** Interval between two writes while a team's level is low; bounds what is forgotten when all nodes stop. */
+const writeIntervalMs = 500
+const callTimeoutMs = 800
+
+const recordSchema = z.object({ atMs: z.number(), levels: z.record(z.string(), z.object({ quota: z.number(), tolerance: z.number() })) })
+
+/** Creates the stored levels; nothing is written before `reconcile`. */
+export function createStoredLevels ({ store, clock, log, quotas, duty }: StoredLevelsOptions): StoredLevels {
+  let nextWriteAtMs = -Infinity
+  /** Whether the record may contain levels, so that it must be cleared. */
+  let mayContainLevels = true
+
+  function onContent (value: string | undefined): void {
+    if (value === undefined) return quotas.onStoredLevels(new Map(), 0)
+    const record = recordSchema.safeParse(parseJson(value))
+    // An unreadable record tells nothing, so buckets begin empty.
+    if (!record.success) return log('quotaLevelsUnreadable', { cause: record.error.message })
+    const levels = new Map(Object.entries(record.data.levels).map(([team, level]): [TeamId, QuotaLevels] => [toId<TeamId>(team), level]))
+    quotas.onStoredLevels(levels, Math.max(0, clock.wallMs() - record.data.atMs))
+  }
+
+  async function reconcile (): Promise<void> {
+    const guard = duty.guard()
+    const levels = quotas.lowLevels()
+    const nowMs = clock.monotonicMs()
+    if (guard === undefined || levels === undefined || nowMs < nextWriteAtMs || (levels.size === 0 && !mayContainLevels)) return
+    nextWriteAtMs = nowMs + writeIntervalMs
+    const value = JSON.stringify({ atMs: clock.wallMs(), levels: Object.fromEntries(levels) })
+    const written = await store.transact({ compares: [guard], puts: [{ key: recordKey, value }], deletes: [] }, { deadlineAtMs: clock.wallMs() + callTimeoutMs })
+    if (written.isOk && written.value.applied) mayContainLevels = levels.size > 0
+  }
+
+  return { key: recordKey, onContent, reconcile }
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown
+  } catch {
+    // The schema rejects undefined.
+    return undefined
+  }
+}
--- a/test/quota/cluster.ts
+++ b/test/quota/cluster.ts
@@ -4,7 +4,7 @@
 import { createQuotas } from '../../src/core/quota/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
 import type { NodeId, TeamId } from '../../src/core/ids/index.ts'
-import type { QuotaLimit, Quotas } from '../../src/core/quota/index.ts'
+import type { QuotaLevels, QuotaLimit, Quotas } from '../../src/core/quota/index.ts'
 
 export const team = toId<TeamId>('agency')
 export const limit: QuotaLimit = { perSecond: 1_000, burst: 2_000, countsTokens: true }
@@ -28,6 +28,8 @@
   events: ClusterEvent[]
   forMs: number
   seed: number
+  /** Whether the first node stores low levels for the others to read at their start; true by default. */
+  storesLevels?: boolean
 }
 
 /** What the callers of the team got. */
@@ -42,6 +44,8 @@
 /** Time after which a silent node counts as unreachable. */
 const silentMs = 600
 const stepMs = 20
+/** Interval at which levels are stored, and a time to write them. */
+const storeIntervalMs = 600
 
 /** Most tokens that a team may be given in one window. */
 export function allowedTokens (): number {
@@ -56,13 +60,14 @@
 }
 
 /** Plays a load; requests go to random nodes. */
-export async function playCluster ({ nodeCount, demandPerSecond, tokensPerRequest, events, forMs, seed }: ClusterLoad): Promise<ClusterResult> {
+export async function playCluster ({ nodeCount, demandPerSecond, tokensPerRequest, events, forMs, seed, storesLevels = true }: ClusterLoad): Promise<ClusterResult> {
   const clock = createManualClock()
   const random = createRandom(seed)
   const admitted: ClusterResult['admitted'] = []
   const refused: ClusterResult['refused'] = []
   let cut = new Set<number>()
   let debtTokens = 0
+  let stored: { levels: Map<TeamId, QuotaLevels>, atMs: number } | undefined
 
   function start (index: number, boot: number): Node {
     const heardAtMs = new Map<number, number>()
@@ -76,6 +81,7 @@
       reachableShare: () => ([...heardAtMs.values()].filter(atMs => atMs >= clock.monotonicMs() - silentMs).length + 1) / nodeCount,
       limitOf: () => limit
     })
+    if (storesLevels && boot > 0) quotas.onStoredLevels(stored?.levels ?? new Map(), clock.monotonicMs() - (stored?.atMs ?? 0))
     return { id: toId<NodeId>(`node-${index}`), boot, quotas, heardAtMs }
   }
 
@@ -98,6 +104,8 @@
       if (event.cut !== undefined) cut = new Set(event.cut)
     }
     for (const index of nodes.keys()) if ((atMs + index * stepMs) % reportIntervalMs === 0) sendReport(index)
+    const levels = atMs % storeIntervalMs === 0 ? nodes[0]?.quotas.lowLevels() : undefined
+    if (levels !== undefined) stored = { levels, atMs: clock.monotonicMs() }
     debtTokens += demandPerSecond(atMs) * stepMs / 1_000
     for (; debtTokens >= tokensPerRequest; debtTokens -= tokensPerRequest) {
       const node = nodes[Math.floor(random() * nodeCount)] as Node
--- a/test/quota/restarts.test.ts
+++ b/test/quota/restarts.test.ts
@@ -24,11 +24,20 @@
   }
 })
 
-test('a team that asks for more than its quota doesn\'t get its burst again when all nodes lose power', async t => {
+for (const storesLevels of [true, false]) {
+  test(`a team that asks for more than its quota doesn't get its burst again when all nodes lose power, ${storesLevels ? 'with' : 'without'} stored levels`, async t => {
+    for (const seed of seeds) {
+      const events = [{ atMs: 5_000, restart: allNodes }, { atMs: 6_000, restart: allNodes }, { atMs: 9_000, restart: allNodes }]
+      const { largestWindow } = await playCluster({ nodeCount, demandPerSecond: surgeAfter(3_000, 7.5), tokensPerRequest: 50, events, forMs: 20_000, seed, storesLevels })
+      t.true(largestWindow <= allowedTokens(), `${largestWindow} of ${allowedTokens()} with seed ${seed}`)
+    }
+  })
+}
+
+test('a team within its quota is not refused after all nodes lost power', async t => {
   for (const seed of seeds) {
-    const events = [{ atMs: 5_000, restart: allNodes }, { atMs: 6_000, restart: allNodes }, { atMs: 9_000, restart: allNodes }]
-    const { largestWindow } = await playCluster({ nodeCount, demandPerSecond: surgeAfter(3_000, 7.5), tokensPerRequest: 50, events, forMs: 20_000, seed })
-    t.true(largestWindow <= allowedTokens(), `${largestWindow} of ${allowedTokens()} with seed ${seed}`)
+    const { refused } = await playCluster({ nodeCount, demandPerSecond: () => limit.perSecond * 0.8, tokensPerRequest: 50, events: [{ atMs: 20_000, restart: allNodes }], forMs: 40_000, seed })
+    t.deepEqual(refused, [], `seed ${seed}`)
   }
 })
 
@@ -39,9 +48,9 @@
   }
 })
 
-test('a team within its quota is refused for at most two seconds after all nodes lost power', async t => {
+test('a team within its quota is refused for at most two seconds after all nodes lost power without stored levels', async t => {
   for (const seed of seeds) {
-    const { refused } = await playCluster({ nodeCount, demandPerSecond: () => limit.perSecond * 0.8, tokensPerRequest: 50, events: [{ atMs: 20_000, restart: allNodes }], forMs: 40_000, seed })
+    const { refused } = await playCluster({ nodeCount, demandPerSecond: () => limit.perSecond * 0.8, tokensPerRequest: 50, events: [{ atMs: 20_000, restart: allNodes }], forMs: 40_000, seed, storesLevels: false })
     t.deepEqual(refused.filter(({ atMs }) => atMs >= 22_000), [], `seed ${seed}`)
     t.true(tokensBetween(refused, 20_000, 22_000) <= limit.perSecond, `seed ${seed}`)
   }
--- /dev/null
+++ b/test/quota/stored-levels.test.ts
@@ -0,0 +1,64 @@
+/** Low quota levels in the key-value service. */
+import test from 'ava'
+import { createManualClock } from '../../src/core/clock/index.ts'
+import { toId } from '../../src/core/ids/index.ts'
+import { createMemoryKeyValue } from '../../src/core/platform/key-value/index.ts'
+import { createStoredLevels } from '../../src/core/quota/index.ts'
+import type { TeamId } from '../../src/core/ids/index.ts'
+import type { Duty } from '../../src/core/leases/index.ts'
+import type { QuotaLevels } from '../../src/core/quota/index.ts'
+
+const team = toId<TeamId>('agency')
+
+function setUp () {
+  const clock = createManualClock(1_700_000_000_000)
+  const kv = createMemoryKeyValue({ clock })
+  const events: string[] = []
+  const received: Array<{ levels: Array<[string, QuotaLevels]>, ageMs: number }> = []
+  const state = { low: new Map<TeamId, QuotaLevels>() as Map<TeamId, QuotaLevels> | undefined, isHolder: true }
+  const duty: Duty = {
+    name: 'd', fencingNumber: () => 1, guard: () => state.isHolder ? { key: 'duties/d', modRevision: 0 } : undefined, orderWindow: () => undefined, close: async () => {}
+  }
+  const stored = createStoredLevels({
+    store: kv.connect('node'),
+    clock,
+    log: event => { events.push(event) },
+    duty,
+    quotas: { lowLevels: () => state.low, onStoredLevels: (levels, ageMs) => { received.push({ levels: [...levels], ageMs }) } }
+  })
+  return { clock, kv, events, received, state, stored }
+}
+
+test('the holder writes low levels twice a second, clears them once, and then writes nothing', async t => {
+  const { clock, kv, state, stored } = setUp()
+  const writes = () => kv.state.revision()
+  await stored.reconcile()
+  const cleared = writes()
+  for (let round = 0; round < 20; round += 1) {
+    await clock.advance(250)
+    await stored.reconcile()
+  }
+  t.is(writes(), cleared, 'nothing is written while no level is low')
+  state.low = new Map([[team, { quota: 10, tolerance: 2 }]])
+  for (let round = 0; round < 8; round += 1) {
+    await clock.advance(250)
+    await stored.reconcile()
+  }
+  t.is(writes(), cleared + 4)
+  state.isHolder = false
+  await clock.advance(1_000)
+  await stored.reconcile()
+  t.is(writes(), cleared + 4)
+})
+
+test('a start reads the levels with their age, full buckets without a record, and nothing from an unreadable one', async t => {
+  const { clock, kv, events, received, state, stored } = setUp()
+  state.low = new Map([[team, { quota: 10, tolerance: 2 }]])
+  await stored.reconcile()
+  await clock.advance(1_500)
+  stored.onContent(kv.state.get(stored.key)?.value)
+  stored.onContent(undefined)
+  stored.onContent('{"levels":3}')
+  t.deepEqual(received, [{ levels: [['agency', { quota: 10, tolerance: 2 }]], ageMs: 1_500 }, { levels: [], ageMs: 0 }])
+  t.deepEqual(events, ['quotaLevelsUnreadable'])
+})
