--- a/test/store-view/restore.test.ts
+++ b/test/store-view/restore.test.ts
@@ -113,10 +113,16 @@
     service.resetLists()
     service.restore(copy)
     await service.put('servers/2', 'third')
+    const restoredAtMs = clock.monotonicMs()
+    let agreedAfterMs: number | undefined
     for (let round = 0; round < 6; round += 1) {
       await exchange()
       t.true(views.every(view => view.list('servers/').length >= 29))
+      const contents = new Set(views.map(view => JSON.stringify(contentOf(view))))
+      if (contents.size === 1 && eraOf(views[0]!.snapshot().revision) === 2) agreedAfterMs ??= clock.monotonicMs() - restoredAtMs
     }
+    t.log(count, 'nodes:', service.lists(), 'lists,', agreedAfterMs, 'ms until all views are the same')
+    t.true((agreedAfterMs ?? Infinity) <= 2_000)
     const expected = contentOf(views[0]!)
     t.deepEqual(expected.find(([key]) => key === 'servers/0'), ['servers/0', 'first', 2])
     for (const view of views) t.deepEqual(contentOf(view), expected)
