--- a/bench/measure/index.ts
+++ b/bench/measure/index.ts
@@ -2,14 +2,18 @@
  * `npm run measure`: the current version beside the naive one on the workloads
  * of both deployments; `npm run measure -- slopes`: what control costs as the
  * sizes grow; `npm run measure -- ordering`: orders of backend servers while
- * the cloud reclaims them; `npm run measure -- placement`: prompts of many nodes.
+ * the cloud reclaims them; `npm run measure -- placement`: prompts of many nodes;
+ * `npm run measure -- quotas`: a team's quota while nodes restart or are cut off;
+ * `npm run measure -- restores`: views while the key-value service is restored.
  */
 import { parseArgs } from 'node:util'
 import { createPromptHasher } from '../../src/core/routing/index.ts'
 import { compare } from './compare.ts'
 import { measureOrdering } from './ordering/index.ts'
 import { measurePlacement } from './placement/index.ts'
+import { measureQuotas } from './quotas/index.ts'
 import { verdictTable, writeReport } from './report.ts'
+import { measureRestores } from './restores/index.ts'
 import { measureSlopes } from './slopes/index.ts'
 import { association, bennani } from './workloads.ts'
 
@@ -57,6 +61,8 @@
   if (positionals[0] === 'slopes') await measureSlopes({ seed, json: values.json })
   else if (positionals[0] === 'ordering') console.log(await measureOrdering(reportFolder))
   else if (positionals[0] === 'placement') console.log(await measurePlacement(reportFolder, { seconds, seed }))
+  else if (positionals[0] === 'quotas') console.log(await measureQuotas(reportFolder, seed))
+  else if (positionals[0] === 'restores') console.log(await measureRestores())
   else await measureVersions()
 }
 
--- a/test/quota/cluster.ts
+++ b/bench/measure/quotas/play.ts
@@ -1,10 +1,10 @@
 /** Nodes that share a team's quota on a manual clock, with restarts, losses of power and cuts between nodes. */
-import { createManualClock } from '../../src/core/clock/index.ts'
-import { toId } from '../../src/core/ids/index.ts'
-import { createQuotas } from '../../src/core/quota/index.ts'
-import { createRandom } from '../../src/core/random/index.ts'
-import type { NodeId, TeamId } from '../../src/core/ids/index.ts'
-import type { QuotaLevels, QuotaLimit, Quotas } from '../../src/core/quota/index.ts'
+import { createManualClock } from '../../../src/core/clock/index.ts'
+import { toId } from '../../../src/core/ids/index.ts'
+import { createQuotas } from '../../../src/core/quota/index.ts'
+import { createRandom } from '../../../src/core/random/index.ts'
+import type { NodeId, TeamId } from '../../../src/core/ids/index.ts'
+import type { QuotaLevels, QuotaLimit, Quotas } from '../../../src/core/quota/index.ts'
 
 export const team = toId<TeamId>('agency')
 export const limit: QuotaLimit = { perSecond: 1_000, burst: 2_000, countsTokens: true }
--- /dev/null
+++ b/src/core/gateway/backend-table-types.ts
@@ -0,0 +1,94 @@
+/** Types of the table of backend servers. */
+import type { Backend } from '../backends/types.ts'
+import type { Clock } from '../clock/index.ts'
+import type { BackendId, NodeId, VersionId } from '../ids/index.ts'
+import type { Log } from '../log/index.ts'
+import type { Metrics } from '../metrics/index.ts'
+import type { VersionRole } from '../moves/types.ts'
+import type { SuspectCounts } from '../node-reports/types.ts'
+import type { BackendConnections } from './backend-connections.ts'
+import type { IneligibleReason } from './eligibility.ts'
+import type { BackendEntry } from './types.ts'
+
+/** Options of the table. */
+export interface BackendTableOptions {
+  clock: Clock
+  log: Log
+  metrics: Metrics
+  /** The roles of a service's versions. */
+  versionRolesOf: (service: string) => (version: VersionId) => VersionRole
+  /** Random number in [0, 1). */
+  random: () => number
+  /** Longest pause that a backend server may ask for. */
+  maxPauseMs: number
+  /** Called when a backend server is removed from the table. */
+  onRemoved: (backend: BackendId) => void
+}
+
+/** A registered backend server with its connections and health. */
+export interface KnownBackend {
+  entry: BackendEntry
+  backend: Backend
+  connections: BackendConnections
+  /** Monotonic time until which it gets no new requests. */
+  suspectUntilMs: number
+  /** Consecutive failures to reach it, and the monotonic time of the last one. */
+  consecutiveFailures: number
+  lastFailureAtMs: number
+  /** Monotonic time at which this node last received anything from it. */
+  lastActivityAtMs: number
+  /** Set when another backend server was found at its address. */
+  isMisdirected: boolean
+  /** Monotonic time since which it is known to be leaving from responses; undefined if it isn't. */
+  leavingSinceMs: number | undefined
+  /** Whether this node itself got such a response. */
+  isLeavingHeard: boolean
+  /** Monotonic time until which it wants no requests from this node. */
+  pausedUntilMs: number
+  /** Monotonic time until which its registration, restored from an older copy, isn't trusted. */
+  unconfirmedUntilMs: number
+}
+
+/** A backend server that left: one start of its process. */
+export interface Departure {
+  backend: BackendId
+  /** Wall time of the start of its process, if it reported one. */
+  startedAtMs: number | undefined
+}
+
+/** The registered backend servers by id. */
+export interface BackendTable {
+  /** Adds or updates an entry. An entry with another start time, service or address replaces the old one. `isByRestore` marks one from an older copy of the key-value service. */
+  put: (entry: BackendEntry, isByRestore?: boolean) => void
+  /** Removes an entry; requests in flight may finish. */
+  remove: (id: BackendId, cause: string) => void
+  /** Backend servers of a service that may be chosen now; suspected ones only if no other is live. */
+  usable: (service: string) => Backend[]
+  /** All entries of a service. */
+  entries: (service: string) => BackendEntry[]
+  get: (id: BackendId) => KnownBackend | undefined
+  list: () => KnownBackend[]
+  /** Reports that it could not be reached or stopped responding. */
+  markSuspect: (id: BackendId, cause: string) => void
+  /** The backend servers that this node's own recent attempts could not reach, and those that others suspect and this node hears from. */
+  suspects: () => Map<BackendId, SuspectCounts>
+  /** Replaces what another node, or a collector for several, reports of suspected backend servers. */
+  setPeerSuspects: (source: NodeId, suspects: ReadonlyMap<BackendId, SuspectCounts>) => void
+  /** Reports that something was received from it; clears a suspicion. */
+  recordActivity: (id: BackendId) => void
+  /** Reports that another backend server uses its address now; it gets no more requests. */
+  markMisdirected: (id: BackendId) => void
+  /** Reports a response that says that it is leaving. Only a new start of its process ends that. */
+  markLeaving: (id: BackendId) => void
+  /** Backend servers that said so to this node. */
+  heardLeaving: () => Departure[]
+  /** Records those that said so to other nodes. */
+  setPeerLeaving: (departures: readonly Departure[]) => void
+  /** Reports that it wants no requests from this node for a time. */
+  pause: (id: BackendId, forMs: number) => void
+  /** Time until the first of a service's paused backend servers resumes; undefined unless all that are live are paused. */
+  allPausedForMs: (service: string) => number | undefined
+  /** How many backend servers of each service get no requests, by reason. */
+  ineligibleCounts: () => Map<string, Map<IneligibleReason, number>>
+  close: () => void
+}
--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -8,87 +8,13 @@
 import { eraOf } from '../platform/key-value/revision.ts'
 import { createLatencyHistory } from './latency-history.ts'
 import { createCanaryAnalysis } from './canary-analysis.ts'
-import type { Clock } from '../clock/index.ts'
 import type { NodeId, TeamId, VersionId } from '../ids/index.ts'
-import type { Duty } from '../leases/index.ts'
-import type { Log } from '../log/index.ts'
-import type { KeyValueStore, Transaction } from '../platform/key-value/types.ts'
-import type { AttemptObservation } from './attempt-observation.ts'
-import type { AttemptCounts } from './attempt-counts.ts'
-import type { CanaryAnalysis, LatencyObservation } from './canary-analysis.ts'
+import type { CanaryAnalysis } from './canary-analysis.ts'
 import type { LatencyHistory } from './latency-history.ts'
-import type { RegressionEvidence, MoveRecord, VersionRole } from './types.ts'
+import type { RegressionEvidence, MoveRecord } from './types.ts'
+import type { ServiceMoveOrder, ServiceMoves, ServiceMovesOptions, ServiceMoveState } from './service-move-types.ts'
 
-/** An operator's order to move a service to a new version within `durationMs`. */
-export interface ServiceMoveOrder {
-  service: string
-  target: VersionId
-  durationMs: number
-  /** Store revision of the order; later orders have larger ones. */
-  revision: number
-}
-
-/** State of a move as shown to operators. */
-export type ServiceMoveState = 'running' | 'done' | 'taken-back'
-
-/** The last written state of a move. */
-export interface ServiceMoveStatus {
-  state: ServiceMoveState
-  target: VersionId
-  revision: number
-}
-
-/** Report of one node about one move to the other nodes. */
-export interface ServiceMoveReport {
-  service: string
-  revision: number
-  /** Whether the node knows of a regression of the new version. */
-  isBad: boolean
-  counts: AttemptCounts[]
-}
-
-/** Options of the service moves of one node. */
-export interface ServiceMovesOptions {
-  node: NodeId
-  clock: Clock
-  log: Log
-  store: KeyValueStore
-  duty: Duty
-  orders: () => ServiceMoveOrder[]
-  status: (service: string) => ServiceMoveStatus | undefined
-  /** Wall time at which the move began, as written by a holder of the duty. */
-  startedAtMs: (order: ServiceMoveOrder) => number | undefined
-  /** The writes for a state and the compares that they require, in addition to the duty's guard. */
-  encode: (order: ServiceMoveOrder, state: ServiceMoveState, startedAtMs: number) => Pick<Transaction, 'compares' | 'puts'>
-  /** Number of routes to a service, and number of serving nodes. */
-  routes: (service: string) => number
-  nodes: () => number
-  /** Largest share of a service's requests that a canary version may get, 0 to 1. */
-  maxShare: number
-  /** Number of requests that it may get beyond that share, over all nodes. */
-  shareSlack: number
-}
-
-/** The result of an attempt at a service. */
-export type AttemptResult = Omit<AttemptObservation, 'version' | 'team' | 'firstTokenMs' | 'betweenTokensMs'>
-
-/** The service moves of one node. */
-export interface ServiceMoves {
-  /** The roles of a service's versions now. The new version stays apart after its move was taken back. */
-  versionRolesOf: (service: string) => (version: VersionId) => VersionRole
-  /** Current share of a service's requests for its canary version, 0 to 1. */
-  canaryShareOf: (service: string) => number
-  /** Records the result of an attempt at a service, without its latencies. */
-  recordAttempt: (service: string, isCanary: boolean, evidence: AttemptResult) => void
-  /** Records a latency of an attempt as soon as it is known, also while no move is running. */
-  recordLatency: (service: string, isCanary: boolean, observation: Omit<LatencyObservation, 'version'>) => void
-  /** Reports of this node for the other nodes. */
-  reports: () => ServiceMoveReport[]
-  /** Adds the reports of another node; invalid ones are ignored. */
-  mergeReports: (from: NodeId, reports: unknown) => void
-  /** Evaluates the summed reports, and begins and ends moves if this node holds the duty. */
-  reconcile: () => Promise<void>
-}
+export type * from './service-move-types.ts'
 
 /** Fraction of the allowed share that is used; random draws vary, and retries add to them. */
 const usedShareRatio = 0.7
--- a/test/quota/restarts.test.ts
+++ b/test/quota/restarts.test.ts
@@ -1,19 +1,11 @@
 /** A team's quota while nodes restart or are cut off from one another. */
 import test from 'ava'
-import { allowedTokens, limit, playCluster, tokensBetween } from './cluster.ts'
-import type { ClusterEvent } from './cluster.ts'
+import { lossesOfPower, restartsInTurn, surgeAfter } from '../../bench/measure/quotas/cases.ts'
+import { allowedTokens, limit, playCluster, tokensBetween } from '../../bench/measure/quotas/play.ts'
 
 const nodeCount = 9
-const allNodes = Array.from({ length: nodeCount }, (_, index) => index)
 const seeds = [1, 2, 3, 4, 5, 6]
-
-/** A team that asks for several times its quota from a time on, and for half of it before. */
-function surgeAfter (surgeAtMs: number, ratio: number) {
-  return (atMs: number): number => atMs < surgeAtMs ? limit.perSecond / 2 : limit.perSecond * ratio
-}
-
-const restartsInTurn: ClusterEvent[] = allNodes.map(index => ({ atMs: 6_000 + index * 400, restart: [index] }))
-const repeatedRestarts: ClusterEvent[] = [...restartsInTurn, ...allNodes.map(index => ({ atMs: 10_000 + index * 400, restart: [index] }))]
+const repeatedRestarts = [...restartsInTurn(nodeCount, 6_000, 400), ...restartsInTurn(nodeCount, 10_000, 400)]
 
 test('a team that asks for more than its quota doesn\'t get its burst again from nodes that restart in turn', async t => {
   for (const seed of seeds) {
@@ -27,7 +19,7 @@
 for (const storesLevels of [true, false]) {
   test(`a team that asks for more than its quota doesn't get its burst again when all nodes lose power, ${storesLevels ? 'with' : 'without'} stored levels`, async t => {
     for (const seed of seeds) {
-      const events = [{ atMs: 5_000, restart: allNodes }, { atMs: 6_000, restart: allNodes }, { atMs: 9_000, restart: allNodes }]
+      const events = lossesOfPower(nodeCount, 5_000, 6_000, 9_000)
       const { largestWindow } = await playCluster({ nodeCount, demandPerSecond: surgeAfter(3_000, 7.5), tokensPerRequest: 50, events, forMs: 20_000, seed, storesLevels })
       t.true(largestWindow <= allowedTokens(), `${largestWindow} of ${allowedTokens()} with seed ${seed}`)
     }
@@ -36,7 +28,7 @@
 
 test('a team within its quota is not refused after all nodes lost power', async t => {
   for (const seed of seeds) {
-    const { refused } = await playCluster({ nodeCount, demandPerSecond: () => limit.perSecond * 0.8, tokensPerRequest: 50, events: [{ atMs: 20_000, restart: allNodes }], forMs: 40_000, seed })
+    const { refused } = await playCluster({ nodeCount, demandPerSecond: () => limit.perSecond * 0.8, tokensPerRequest: 50, events: lossesOfPower(nodeCount, 20_000), forMs: 40_000, seed })
     t.deepEqual(refused, [], `seed ${seed}`)
   }
 })
@@ -50,7 +42,7 @@
 
 test('a team within its quota is refused for at most two seconds after all nodes lost power without stored levels', async t => {
   for (const seed of seeds) {
-    const { refused } = await playCluster({ nodeCount, demandPerSecond: () => limit.perSecond * 0.8, tokensPerRequest: 50, events: [{ atMs: 20_000, restart: allNodes }], forMs: 40_000, seed, storesLevels: false })
+    const { refused } = await playCluster({ nodeCount, demandPerSecond: () => limit.perSecond * 0.8, tokensPerRequest: 50, events: lossesOfPower(nodeCount, 20_000), forMs: 40_000, seed, storesLevels: false })
     t.deepEqual(refused.filter(({ atMs }) => atMs >= 22_000), [], `seed ${seed}`)
     t.true(tokensBetween(refused, 20_000, 22_000) <= limit.perSecond, `seed ${seed}`)
   }
