Take over another node's quota level before a team's first request here

Found while reading the change: a node that starts and finds no stored level, and gets the levels of others before its own first request of a team, ignored them and began with a full bucket. The added test fails on the code before (100 of 60 tokens admitted). The levels are kept until the bucket is created.

--- a/src/core/quota/index.ts
+++ b/src/core/quota/index.ts
@@ -228,12 +228,16 @@
 
   /** Lowers levels to those of a new source, which may have heard of usage that this node hasn't. */
   function lowerLevels (levels: ReadonlyMap<TeamId, QuotaLevels>): void {
-    for (const [team, { quota, tolerance }] of levels) {
+    for (const [team, reported] of levels) {
       const bucket = buckets.get(team)
-      if (bucket === undefined) continue
+      if (bucket === undefined) {
+        const known = reportedLevels.get(team)
+        if (known === undefined || reported.quota < known.quota) reportedLevels.set(team, { ...reported, receivedAtMs: clock.monotonicMs(), isKnownByAll: true })
+        continue
+      }
       refresh(bucket)
-      bucket.level = Math.min(bucket.level, quota)
-      bucket.toleranceLevel = Math.min(bucket.toleranceLevel, tolerance)
+      bucket.level = Math.min(bucket.level, reported.quota)
+      bucket.toleranceLevel = Math.min(bucket.toleranceLevel, reported.tolerance)
     }
   }
 
--- a/test/quota/quota.test.ts
+++ b/test/quota/quota.test.ts
@@ -156,3 +156,12 @@
   await clock.advance(30_000)
   t.is(node!.take(team, limit, 3_000), 0)
 })
+
+test('a node that read no stored level takes over the lower one of another node, also before its own first request', t => {
+  const clock = createManualClock()
+  const node = createQuotas({ clock, random: () => 0, tolerance, hasFullBuckets: false, ownShare: () => 0.5, reportAgeMs: () => 100, reachableShare: () => 1 })
+  node.onStoredLevels(new Map(), 0)
+  node.onPeerReport({ source: toId<NodeId>('peer'), bootId: 'boot', usage: new Map(), levels: new Map([[team, { quota: 60, tolerance: 0 }]]), isFirst: true })
+  t.true(node.take(team, limit, 100) > 0)
+  t.is(node.take(team, limit, 50), 0)
+})
