Don't take the first era that a node learns for a restore

Found while reading the change: the reporter sampled the era before the store's first response, so that a store whose era isn't 0 looked restored at each start of a node, and a new holder skipped windows that it knew. The added test fails on the code before (no window sent).

--- a/src/core/usage/reporter.ts
+++ b/src/core/usage/reporter.ts
@@ -108,6 +108,8 @@
   }
 
   function checkEra (): void {
+    // Before the first response the era isn't known; the first one is no restore.
+    if (era === undefined && view.reachableSinceMs() === undefined) return
     const latest = store.era()
     const wasHolding = clock.wallMs() - lastHeldAtMs < recentlyHeldMs
     if (era !== undefined && latest > era && !wasHolding) restoredAtMs = clock.wallMs()
--- a/test/usage/usage.test.ts
+++ b/test/usage/usage.test.ts
@@ -34,12 +34,12 @@
   const service = createMemoryKeyValue({ clock })
   const sent: Array<{ holder: number, window: number, counts: Record<string, number> }> = []
   const restores = { count: 0 }
-  async function createHolder (holder: number, counted: number, isFirstStart = true) {
+  async function createHolder (holder: number, counted: number, isFirstStart = true, reachableSinceMs: (() => number | undefined) | undefined = undefined) {
     const store = { ...service.connect(`holder-${holder}`), era: () => restores.count }
     const watched = createStoreView({ store, clock, log: createSilentLog(), fetchFromPeers: async () => undefined })
     await watched.start()
     // The view follows the revisions of one era, so what a restore changed is read from the service.
-    const view = { ...watched, get: (key: string) => restores.count > 0 ? service.state.get(key) : watched.get(key) }
+    const view = { ...watched, ...(reachableSinceMs === undefined ? {} : { reachableSinceMs }), get: (key: string) => restores.count > 0 ? service.state.get(key) : watched.get(key) }
     const usage = createUsage({ clock, windowMs })
     const duty = {
       name: 'd',
@@ -151,3 +151,12 @@
   await holder.reporter.reportDueWindows()
   t.is(sent.length, 1, 'later windows are reported')
 })
+
+test('a reporter that learns the era with the first response of the key-value service skips nothing', async t => {
+  const { clock, sent, createHolder, restores } = await setUp(() => 'taken')
+  const holder = await createHolder(1, 3, false, () => restores.count === 0 ? undefined : 0)
+  await clock.advance(windowMs + 2_000)
+  restores.count = 4
+  await holder.reporter.reportDueWindows()
+  t.is(sent.length, 1)
+})
