--- a/test/usage/usage.test.ts
+++ b/test/usage/usage.test.ts
@@ -154,7 +154,7 @@
 
 test('a reporter that learns the era with the first response of the key-value service skips nothing', async t => {
   const { clock, sent, createHolder, restores } = await setUp(() => 'taken')
-  const holder = await createHolder(1, 3, false, () => restores.count === 0 ? undefined : 0)
+  const holder = await createHolder(1, 3, true, () => restores.count === 0 ? undefined : 0)
   await clock.advance(windowMs + 2_000)
   restores.count = 4
   await holder.reporter.reportDueWindows()
