--- a/src/core/gateway/backend-table.ts
+++ b/src/core/gateway/backend-table.ts
@@ -26,16 +26,15 @@
 const maxSuspectMs = 4_000
 /** That time after the first failure; doubles with each consecutive failure. */
 const minSuspectMs = 250
-
 /** Time after a failure for which this node reports its suspicion, unless it hears from the backend server; a suspicion itself may end before the next report. */
 const reportSuspicionMs = 5_000
 /** Share of the choices for which a backend server that only others suspect stays usable, so that its recovery is found. */
 const retrySuspectRatio = 1 / 16
 /** Time after the last sign of life for which this node trusts its own connection more than the suspicions of others. */
 const ownActivityMs = 1_000
-
 /** Time after a restore of the key-value service within which removed registrations that reappeared expire, unless their backend servers write them again: three of their heartbeats. */
 const restoreConfirmationMs = 4_000
+
 /** Whether a backend server is about to stop, by its registration or by a response. */
 function isLeaving ({ entry, leavingSinceMs }: KnownBackend): boolean {
   return entry.isLeaving || leavingSinceMs !== undefined
