Report the counts of a version move packed and less often

What grew by reading: since a node reports counts by latency bucket, tens of rows with nine named fields, five times a second through the collectors, which check each; and since a collector went through all reports again for each digest to list leaving servers.

Now rows are short lists, sent every 600 ms, and leaving servers are collected ten times a second at most.

--- a/src/core/moves/attempt-counts.ts
+++ b/src/core/moves/attempt-counts.ts
@@ -27,6 +27,33 @@
   oldTotal: z.number()
 })
 
+const kinds = ['failing', 'first-token-slow', 'between-tokens-slow'] as const
+const noBucket = -1
+
+/** Counts as a short list of values, because hundreds of nodes send them several times a minute. */
+export type PackedCounts = [route: string, kind: number, share: number, bucket: number, isLowerBound: number, newBad: number, oldBad: number, newTotal: number, oldTotal: number]
+
+/** Schema of packed counts that another node reports. */
+export const packedCountsSchema = z.tuple([z.string(), z.number().int().min(0).max(kinds.length - 1), z.number(), z.number(), z.number(), z.number(), z.number(), z.number(), z.number()])
+
+export function packCounts ({ route, kind, share, latencyBucket = noBucket, isLowerBound = false, newBad, oldBad, newTotal, oldTotal }: AttemptCounts): PackedCounts {
+  return [route, kinds.indexOf(kind), share, latencyBucket, isLowerBound ? 1 : 0, newBad, oldBad, newTotal, oldTotal]
+}
+
+export function unpackCounts ([route, kind, share, bucket, isLowerBound, newBad, oldBad, newTotal, oldTotal]: PackedCounts): AttemptCounts {
+  return {
+    route,
+    kind: kinds[kind] ?? 'failing',
+    share,
+    ...(bucket === noBucket ? {} : { latencyBucket: bucket }),
+    ...(isLowerBound === 1 ? { isLowerBound: true } : {}),
+    newBad,
+    oldBad,
+    newTotal,
+    oldTotal
+  }
+}
+
 /** Counts that only grow, so that the next report makes up for a lost one. */
 export interface AttemptCountsTable {
   add: (delta: AttemptCounts) => void
--- a/src/core/moves/service-move-types.ts
+++ b/src/core/moves/service-move-types.ts
@@ -4,7 +4,7 @@
 import type { Duty } from '../leases/index.ts'
 import type { Log } from '../log/index.ts'
 import type { KeyValueStore, Transaction } from '../platform/key-value/types.ts'
-import type { AttemptCounts } from './attempt-counts.ts'
+import type { PackedCounts } from './attempt-counts.ts'
 import type { AttemptObservation } from './attempt-observation.ts'
 import type { LatencyObservation } from './canary-analysis.ts'
 import type { VersionRole } from './types.ts'
@@ -34,7 +34,8 @@
   revision: number
   /** Whether the node knows of a regression of the new version. */
   isBad: boolean
-  counts: AttemptCounts[]
+  /** Empty in most reports; the next ones make up for it. */
+  counts: PackedCounts[]
 }
 
 /** Options of the service moves of one node. */
--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -4,11 +4,12 @@
  * it; the holder of the duty writes the result before the deadline.
  */
 import { z } from 'zod'
-import { attemptCountsSchema } from './attempt-counts.ts'
+import { packCounts, packedCountsSchema, unpackCounts } from './attempt-counts.ts'
 import { eraOf } from '../platform/key-value/revision.ts'
 import { createLatencyHistory } from './latency-history.ts'
 import { createCanaryAnalysis } from './canary-analysis.ts'
 import type { NodeId, TeamId, VersionId } from '../ids/index.ts'
+import type { PackedCounts } from './attempt-counts.ts'
 import type { CanaryAnalysis } from './canary-analysis.ts'
 import type { LatencyHistory } from './latency-history.ts'
 import type { RegressionEvidence, MoveRecord } from './types.ts'
@@ -28,6 +29,8 @@
 const minAttempts = 6
 /** Moves up to this duration get twice the share, because few requests arrive in that time. */
 const shortMoveMs = 20_000
+/** Interval between two reports of counts; those in between only tell whether the version is bad. */
+const countsIntervalMs = 600
 /** Time after a move within which the old version's backend servers are stopped and their registrations expire: three heartbeats. */
 const replacedMs = 4_000
 /** Longest time for one write. */
@@ -37,7 +40,7 @@
   service: z.string(),
   revision: z.number(),
   isBad: z.boolean(),
-  counts: z.array(attemptCountsSchema)
+  counts: z.array(packedCountsSchema)
 }))
 
 interface RunningMove {
@@ -47,6 +50,8 @@
   isBad: boolean
   /** The result once it was written, also if the key-value service loses it in a restore. */
   result: 'done' | 'taken-back' | undefined
+  /** Monotonic time from which the counts are included in a report again. */
+  countsDueAtMs: number
   /** Monotonic time at which this node learned the result. */
   resultAtMs: number
   /** Attempts of this node at the service since it saw the order, and how many of them were at the canary version. */
@@ -91,7 +96,15 @@
       onBrake: evidence => markBad(order.service, evidence, node)
     })
     log('serviceMoveSeen', { service: order.service, target: order.target, durationMs: order.durationMs, revision: order.revision })
-    return { order, analysis, seenAtMs: nowMs, isBad: false, result: undefined, resultAtMs: -Infinity, attempts: 0, canaryAttempts: 0 }
+    return { order, analysis, seenAtMs: nowMs, isBad: false, result: undefined, countsDueAtMs: -Infinity, resultAtMs: -Infinity, attempts: 0, canaryAttempts: 0 }
+  }
+
+  /** The counts of a running move, if they are due again. */
+  function dueCounts (move: RunningMove): PackedCounts[] {
+    const nowMs = clock.monotonicMs()
+    if (isEnded(move) || nowMs < move.countsDueAtMs) return []
+    move.countsDueAtMs = nowMs + countsIntervalMs
+    return move.analysis.counts().map(packCounts)
   }
 
   /** The move of a service's latest order; created when this node first sees the order. */
@@ -215,7 +228,7 @@
       if (!isCanary && !observation.isLowerBound) historyOf(service).add(observation.route, observation.kind, observation.latencyMs)
     },
     reports: () => [...running.values()].filter(move => stateOf(move) !== 'done').map(move => ({
-      service: move.order.service, revision: move.order.revision, isBad: move.isBad, counts: isEnded(move) ? [] : move.analysis.counts()
+      service: move.order.service, revision: move.order.revision, isBad: move.isBad, counts: dueCounts(move)
     })),
     mergeReports: (from, reports) => {
       const parsed = reportSchema.safeParse(reports)
@@ -223,7 +236,7 @@
       for (const { service, revision, isBad, counts } of parsed.data) {
         const move = currentMove(service)
         if (move === undefined || move.order.revision !== revision) continue
-        move.analysis.addReport(from, counts, clock.wallMs())
+        move.analysis.addReport(from, counts.map(unpackCounts), clock.wallMs())
         if (isBad) markBad(service, undefined, from)
       }
     },
--- a/src/core/node-reports/activity-totals.ts
+++ b/src/core/node-reports/activity-totals.ts
@@ -19,6 +19,8 @@
 
 /** Time after which a prefix that is sent to the same backend server again is added again; half the time for which engines cache it. */
 const prefixRepeatIntervalMs = 10_000
+/** Time for which the backend servers that are leaving are not collected again; half a report interval. */
+const leavingCacheMs = 100
 /** Maximum number of prefixes stored for digests; enough for several report intervals. */
 const maxStoredPrefixes = 512
 
@@ -65,6 +67,8 @@
   let prefixes: Array<PrefixPlacement & { from: NodeId, number: number }> = []
   let prefixNumber = 0
   const lastSentNumbers = new Map<NodeId, number>()
+  let leavingBackends = new Map<BackendId, number | undefined>()
+  let leavingUntilMs = -Infinity
 
   function recordUsage (node: NodeId, bootId: string, quotaUsage: Map<TeamId, QuotaUsage>, before: ReportedActivity | undefined): void {
     // It is unknown when the usage in a node's first report occurred, so it isn't added.
@@ -125,8 +129,13 @@
     return suspects
   }
 
-  function leavingExcept (node: NodeId): Map<BackendId, number | undefined> {
-    return new Map([...reportedByNode].flatMap(([other, { leaving }]) => other === node ? [] : [...leaving]))
+  /** The same for all nodes, so that a collector of hundreds doesn't go through all reports for each digest. */
+  function allLeaving (): Map<BackendId, number | undefined> {
+    const nowMs = clock.monotonicMs()
+    if (nowMs < leavingUntilMs) return leavingBackends
+    leavingUntilMs = nowMs + leavingCacheMs
+    leavingBackends = new Map([...reportedByNode.values()].flatMap(({ leaving }) => [...leaving]))
+    return leavingBackends
   }
 
   function totalsExcept (node: NodeId): Activity {
@@ -142,7 +151,7 @@
     const lastSent = lastSentNumbers.get(node) ?? 0
     lastSentNumbers.set(node, prefixNumber)
     const newPrefixes = prefixes.filter(({ from, number }) => number > lastSent && from !== node).slice(-Math.max(1, maxPrefixes()))
-    return { quotaUsage, loads, prefixes: newPrefixes.map(({ backend, hashes }) => ({ backend, hashes })), suspects: suspectsExcept(node), leaving: leavingExcept(node) }
+    return { quotaUsage, loads, prefixes: newPrefixes.map(({ backend, hashes }) => ({ backend, hashes })), suspects: suspectsExcept(node), leaving: allLeaving() }
   }
 
   return {
