--- a/src/core/moves/canary-analysis.ts
+++ b/src/core/moves/canary-analysis.ts
@@ -57,6 +57,7 @@
   canaryAttempts: RegressionDetector['canaryAttempts']
   comparedCanaryAttempts: RegressionDetector['comparedCanaryAttempts']
   isDoubtful: RegressionDetector['isDoubtful']
+  totals: RegressionDetector['totals']
   brake: () => RegressionEvidence | undefined
   applyBrake: (evidence: RegressionEvidence) => void
 }
@@ -166,6 +167,6 @@
 
   for (const delta of options.history ?? []) count(delta, record.startedAtMs)
 
-  const { attemptsOn, canaryAttempts, comparedCanaryAttempts, isDoubtful } = sum.detector
-  return { record, recordAttempt, recordLatency, counts: counts.all, addReport, attemptsOn, canaryAttempts, comparedCanaryAttempts, isDoubtful, brake: () => brake, applyBrake }
+  const { attemptsOn, canaryAttempts, comparedCanaryAttempts, isDoubtful, totals } = sum.detector
+  return { record, recordAttempt, recordLatency, counts: counts.all, addReport, attemptsOn, canaryAttempts, comparedCanaryAttempts, isDoubtful, totals, brake: () => brake, applyBrake }
 }
--- a/src/core/moves/regression-detector.ts
+++ b/src/core/moves/regression-detector.ts
@@ -35,6 +35,8 @@
   canaryAttempts: () => number
   /** Attempts of the new version whose first token was compared with those of the old one. */
   comparedCanaryAttempts: () => number
+  /** Sums over all routes, by kind, for the log. */
+  totals: () => Partial<Record<RegressionKind, VersionCounts>>
   /** Whether the new version looks worse on some route, although the test has not shown a regression yet. */
   isDoubtful: () => boolean
 }
@@ -80,8 +82,19 @@
     return [...tests].reduce((sum, [key, { newTotal }]) => sum + (key.startsWith(`${kind}/`) ? newTotal : 0), 0)
   }
 
+  function totals (): Partial<Record<RegressionKind, VersionCounts>> {
+    const sums: Partial<Record<RegressionKind, VersionCounts>> = {}
+    for (const [key, { newBad, newTotal, oldBad, oldTotal }] of tests) {
+      const kind = key.slice(0, key.indexOf('/')) as RegressionKind
+      const sum = sums[kind] ?? { newBad: 0, newTotal: 0, oldBad: 0, oldTotal: 0 }
+      sums[kind] = { newBad: sum.newBad + newBad, newTotal: sum.newTotal + newTotal, oldBad: sum.oldBad + oldBad, oldTotal: sum.oldTotal + oldTotal }
+    }
+    return sums
+  }
+
   return {
     add,
+    totals,
     attemptsOn: route => {
       const { newTotal, oldTotal } = testOf(`failing/${route}`)
       return { newTotal, total: newTotal + oldTotal }
--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -180,7 +180,7 @@
     const written = await store.transact({ compares: [guard, ...compares], puts, deletes: [] }, { deadlineAtMs: clock.wallMs() + callTimeoutMs })
     const result = written.isErr ? written.error.kind : written.value.applied ? 'written' : 'overtaken'
     if (written.isOk && written.value.applied && state !== 'running') setResult(move, state)
-    log('serviceMoveState', { service: move.order.service, target: move.order.target, state, result, attempts: move.analysis.canaryAttempts(), isDoubtful: move.analysis.isDoubtful() })
+    log('serviceMoveState', { service: move.order.service, target: move.order.target, state, result, attempts: move.analysis.canaryAttempts(), isDoubtful: move.analysis.isDoubtful(), ...move.analysis.totals() })
   }
 
   async function reconcileMove (move: RunningMove): Promise<void> {
