Complete a version move only when the new version was shown to be good

Cause: a version took over after six attempts without a shown regression, and a regression was looked for only in comparison with the old version at the same moment. Neither missing evidence nor evidence from a service in trouble says anything, and both counted for the version.

Now one-sided tests have to reject that the version is worse than the reference by a margin: over all attempts, over the last third and on each route, for failures and latencies. The margin shrinks with the number of attempts. The reference is the old version in the periods in which it did no worse than before the order; others are left out, so that an evaluation waits for a calm stretch. What can't be shown ends as taken back, before the deadline; a move was also completed after its deadline if the store had been away until then. A version that gave 25 bad answers beyond the usual ones is taken back whatever the old one does. The requests that are allowed beyond the share are spread over the evaluation, because a small service has too few attempts without them; that replaces the doubled share of short moves.

A posterior over several kinds of bad versions was considered and not built, as its prior is harder to explain than a margin.

--- a/bench/measure/version-moves/play.ts
+++ b/bench/measure/version-moves/play.ts
@@ -27,6 +27,10 @@
   latency?: (isCanary: boolean, draw: number, elapsedRatio: number) => { firstTokenMs: number, totalMs: number }
   /** Traffic before the order, which only the old version serves. */
   earlierMs?: number
+  /** Whether the key-value service can't be reached, by the elapsed fraction of the move's time. */
+  isStoreDown?: (elapsedRatio: number) => boolean
+  /** Fraction of the move's time at which the play ends; 1 by default. */
+  untilRatio?: number
 }
 
 /** Time after which callers that got no token leave. */
@@ -44,7 +48,7 @@
 }
 
 /** Plays one move until its deadline. */
-export async function playMove (seed: number, { nodes: count, requestsPerSecond, durationMs, failure, latency = () => ({ firstTokenMs: 60, totalMs: 60 }), earlierMs = 0 }: MoveScenario): Promise<MoveResult> {
+export async function playMove (seed: number, { nodes: count, requestsPerSecond, durationMs, failure, latency = () => ({ firstTokenMs: 60, totalMs: 60 }), earlierMs = 0, isStoreDown = () => false, untilRatio = 1 }: MoveScenario): Promise<MoveResult> {
   const random = createRandom(seed)
   const clock = createManualClock()
   const kv = createMemoryKeyValue({ clock })
@@ -107,8 +111,9 @@
     due.push({ atMs: nowMs + totalMs, run: () => moves.recordAttempt(service, isCanary, result) })
   }
 
-  for (let elapsedRatio = -earlierMs / durationMs; elapsedRatio < 1; elapsedRatio = (clock.wallMs() - startAtMs) / durationMs) {
+  for (let elapsedRatio = -earlierMs / durationMs; elapsedRatio < untilRatio; elapsedRatio = (clock.wallMs() - startAtMs) / durationMs) {
     isOrdered = elapsedRatio >= 0
+    store.setFaults(isStoreDown(elapsedRatio) ? { down: true } : undefined)
     const arrivals = Math.floor(requestsPerSecond * tickMs / 1_000 + random())
     for (let arrival = 0; arrival < arrivals; arrival += 1) {
       const { moves } = nodes[Math.floor(random() * count)]!
--- a/src/core/log/events/moves.ts
+++ b/src/core/log/events/moves.ts
@@ -6,5 +6,6 @@
   moveBraked: { number: 501, level: 'warn', text: 'The new version of a move performs worse than the old one and gets no new requests.', remedy: 'none; the move is rolled back. Check the route and the counts before you try the version again.' },
   serviceMoveSeen: { number: 502, level: 'info', text: 'A version move of a service was ordered; the new version runs beside the old one.', remedy: 'none' },
   serviceMoveBad: { number: 503, level: 'warn', text: 'The new version of a service performs worse than the old one and gets no new requests.', remedy: 'none; the move is rolled back. Check the route and the counts before you try the version again.' },
-  serviceMoveState: { number: 504, level: 'info', text: 'The state of a service\'s version move was written to the key-value service.', remedy: 'none; a write that was not applied is repeated.' }
+  serviceMoveState: { number: 504, level: 'info', text: 'The state of a service\'s version move was written to the key-value service.', remedy: 'none; a write that was not applied is repeated.' },
+  serviceMoveHeld: { number: 505, level: 'info', text: 'A version move is not completed yet, because the new version has not been shown to be as good as the old one.', remedy: 'none; it is rolled back at its deadline unless that is shown in time. Repeat the move when the service is calm, or with a longer deadline if there were too few attempts.' }
 } satisfies Record<string, LogEventDefinition>
--- a/src/core/moves/canary-analysis.ts
+++ b/src/core/moves/canary-analysis.ts
@@ -6,10 +6,12 @@
 import { createAttemptCountsTable } from './attempt-counts.ts'
 import { latencyBucketOf } from './latency-buckets.ts'
 import { createLatencyClassifier } from './latency-classifier.ts'
+import { createPromotionAnalysis } from './promotion.ts'
 import { createRegressionDetector } from './regression-detector.ts'
 import type { AttemptObservation } from './attempt-observation.ts'
 import type { NodeId, VersionId } from '../ids/index.ts'
 import type { AttemptCounts, AttemptCountsTable } from './attempt-counts.ts'
+import type { PromotionAnalysis } from './promotion.ts'
 import type { RegressionDetector } from './regression-detector.ts'
 import type { LatencyClassifier } from './latency-classifier.ts'
 import type { LatencyKind, RegressionEvidence, MoveRecord } from './types.ts'
@@ -28,7 +30,7 @@
   nodes: number
   routes: number
   onBrake: (evidence: RegressionEvidence) => void
-  /** Latencies from before the move. */
+  /** Attempts from before the move. */
   history?: readonly AttemptCounts[]
 }
 
@@ -55,7 +57,10 @@
   addReport: (from: NodeId, counts: readonly AttemptCounts[], nowMs: number) => void
   attemptsOn: RegressionDetector['attemptsOn']
   canaryAttempts: RegressionDetector['canaryAttempts']
-  comparedCanaryAttempts: RegressionDetector['comparedCanaryAttempts']
+  /** Whether the sum over all nodes shows that the new version may take over. */
+  promotionVerdict: PromotionAnalysis['verdict']
+  /** Whether the sum has so many bad answers of the new version that it must not get more, even if the old one does no better. */
+  hasTooManyBad: PromotionAnalysis['hasTooManyBad']
   isDoubtful: RegressionDetector['isDoubtful']
   totals: RegressionDetector['totals']
   brake: () => RegressionEvidence | undefined
@@ -80,6 +85,7 @@
   }
   const own: Evaluation = { detector: createRegressionDetector(detectorOptions), classifier: createLatencyClassifier() }
   const sum: Evaluation = { detector: createRegressionDetector(detectorOptions), classifier: createLatencyClassifier() }
+  const promotion = createPromotionAnalysis({ startAtMs: record.trafficAtMs ?? record.startedAtMs, deadlineAtMs: record.deadlineAtMs })
   const counts = createAttemptCountsTable()
   const reported = new Map<NodeId, AttemptCountsTable>()
   const failedRequests = new Set<string>()
@@ -107,6 +113,8 @@
   }
 
   function evaluate ({ detector, classifier }: Evaluation, delta: AttemptCounts, nowMs: number): void {
+    // Latencies from before the move are part of the comparison; other attempts from before it are not.
+    if (delta.share === 0 && delta.latencyBucket === undefined) return
     const classified = delta.latencyBucket === undefined ? [delta] : classifier.add(delta)
     for (const counted of classified) {
       const regression = detector.add(counted, nowMs)
@@ -162,11 +170,28 @@
   function addReport (from: NodeId, later: readonly AttemptCounts[], nowMs: number): void {
     const table = reported.get(from) ?? createAttemptCountsTable()
     reported.set(from, table)
-    for (const delta of table.mergeReport(later)) evaluate(sum, delta, nowMs)
+    for (const delta of table.mergeReport(later)) {
+      evaluate(sum, delta, nowMs)
+      promotion.add(delta, nowMs)
+    }
   }
 
   for (const delta of options.history ?? []) count(delta, record.startedAtMs)
 
-  const { attemptsOn, canaryAttempts, comparedCanaryAttempts, isDoubtful, totals } = sum.detector
-  return { record, recordAttempt, recordLatency, counts: counts.all, addReport, attemptsOn, canaryAttempts, comparedCanaryAttempts, isDoubtful, totals, brake: () => brake, applyBrake }
+  const { attemptsOn, canaryAttempts, isDoubtful, totals } = sum.detector
+  return {
+    record,
+    recordAttempt,
+    recordLatency,
+    counts: counts.all,
+    addReport,
+    attemptsOn,
+    canaryAttempts,
+    promotionVerdict: promotion.verdict,
+    hasTooManyBad: promotion.hasTooManyBad,
+    isDoubtful,
+    totals,
+    brake: () => brake,
+    applyBrake
+  }
 }
--- /dev/null
+++ b/src/core/moves/promotion.ts
@@ -0,0 +1,313 @@
+/**
+ * Decides whether a new version has been shown to be as good as the old one.
+ * Missing evidence never counts as good evidence: the version takes over only if
+ * one-sided tests reject that it is worse than the reference by a margin, over
+ * the whole evaluation, over its last part and on each route. The reference is
+ * the old version in the same periods, without those in which it did worse than
+ * before the move: then a good version can't be told from a bad one.
+ */
+import { binomialAtLeast, binomialAtMost } from './binomial.ts'
+import { bucketsBetween } from './latency-buckets.ts'
+import type { AttemptCounts } from './attempt-counts.ts'
+import type { RegressionKind } from './types.ts'
+
+/** Number of periods into which the time until the deadline is divided. */
+const periodsPerMove = 24
+/** Part of the evaluation that is tested by itself, because a version may become worse late. */
+const lastPartRatio = 1 / 3
+/** Probability that a version that is worse by the margin passes one test. */
+const maxMissProbability = 0.01
+const maxRouteMissProbability = 0.05
+/** The margin in standard errors of the reference rate, and in attempts. */
+const marginStandardErrors = 4.2
+const marginAttempts = 10
+/** Largest margins: in all attempts, and in the fewer ones of the last part or of one route. */
+const maxMargin = 0.2
+const maxSmallMargin = 0.4
+/** Attempts of the new version on a route that are tested by themselves; routes with fewer are tested together. */
+const minRouteAttempts = 12
+/** Part of the old version's attempts from which routes without enough attempts of the new version prevent a promotion. */
+const minRouteShare = 0.1
+/** Attempts of the old version from which there is a comparison. */
+const minReferenceAttempts = 20
+/** Ratio of bad attempts from which a service is in trouble whatever it did before; no version of it can be evaluated then. */
+const maxReferenceRate = 0.25
+/** Ratio of failed attempts that is expected of a service without earlier traffic. */
+const defaultFailureRate = 0.02
+/** How much worse than before the move the old version may do in a period: a ratio of the rates, and an absolute part. */
+const driftRatio = 1.5
+const driftRate = 0.02
+/** Probability that a period without trouble is left out. */
+const quietProbability = 0.01
+const baselineQuantile = 0.9
+/** Multiple of that quantile from which a latency is slow. */
+const slowRatio = 1.5
+/** Bad attempts of the new version beyond the usual ones after which it gets no more requests, whatever the old one does. */
+const maxExcessBad = 25
+
+/** Whether a version may take over, and why not. */
+export type PromotionResult = 'good' | 'too-few-attempts' | 'old-version-in-trouble' | 'not-shown-good'
+
+/** The result of a decision with the test that decided it, for the log. */
+export interface PromotionVerdict {
+  result: PromotionResult
+  /** Kind and scope of the test that failed. */
+  kind?: RegressionKind
+  scope?: string
+  newBad?: number
+  newTotal?: number
+  /** Rate of bad attempts that the old version has on the same routes. */
+  expectedRate?: number
+}
+
+/** The evidence for a promotion, added up over all nodes. */
+export interface PromotionAnalysis {
+  /** Adds counts; those at a share of 0 are of the time before the move. */
+  add: (delta: AttemptCounts, nowMs: number) => void
+  verdict: (nowMs: number) => PromotionVerdict
+  /** Whether the new version gave so many bad answers that it must not get more, even if the old one does no better. */
+  hasTooManyBad: () => boolean
+}
+
+/** Options of `createPromotionAnalysis`; times are wall times. */
+export interface PromotionOptions {
+  startAtMs: number
+  deadlineAtMs: number
+}
+
+/** Attempts by bucket; failures have the buckets 0 and 1. */
+interface Histogram {
+  newCounts: Map<number, number>
+  oldCounts: Map<number, number>
+  /** Latencies that were not complete. */
+  newBounds: Map<number, number>
+  oldBounds: Map<number, number>
+}
+
+/** Bad attempts and all attempts of both versions under a threshold. */
+interface Tally { newBad: number, newTotal: number, oldBad: number, oldTotal: number }
+
+interface RouteTally extends Tally { route: string, referenceRate: number }
+
+const failedBucket = 1
+
+function createHistogram (): Histogram {
+  return { newCounts: new Map(), oldCounts: new Map(), newBounds: new Map(), oldBounds: new Map() }
+}
+
+function addTo (counts: Map<number, number>, bucket: number, count: number): void {
+  if (count !== 0) counts.set(bucket, (counts.get(bucket) ?? 0) + count)
+}
+
+function totalOf (counts: Map<number, number>): number {
+  let total = 0
+  for (const count of counts.values()) total += count
+  return total
+}
+
+function countAbove (counts: Map<number, number>, lastUsual: number): number {
+  let total = 0
+  for (const [bucket, count] of counts) if (bucket > lastUsual) total += count
+  return total
+}
+
+/** Tallies a histogram; an incomplete latency counts only if it is slow already. */
+function tallyOf ({ newCounts, oldCounts, newBounds, oldBounds }: Histogram, lastUsual: number): Tally {
+  const newLate = countAbove(newBounds, lastUsual)
+  const oldLate = countAbove(oldBounds, lastUsual)
+  return {
+    newBad: countAbove(newCounts, lastUsual) + newLate,
+    newTotal: totalOf(newCounts) + newLate,
+    oldBad: countAbove(oldCounts, lastUsual) + oldLate,
+    oldTotal: totalOf(oldCounts) + oldLate
+  }
+}
+
+function sumTallies (tallies: readonly Tally[]): Tally {
+  const sum = { newBad: 0, newTotal: 0, oldBad: 0, oldTotal: 0 }
+  for (const { newBad, newTotal, oldBad, oldTotal } of tallies) {
+    sum.newBad += newBad
+    sum.newTotal += newTotal
+    sum.oldBad += oldBad
+    sum.oldTotal += oldTotal
+  }
+  return sum
+}
+
+/** The last bucket that isn't slow in comparison with the given latencies; undefined when these are too few. */
+function lastUsualBucket (countsList: ReadonlyArray<Map<number, number>>): number | undefined {
+  const sum = new Map<number, number>()
+  for (const counts of countsList) for (const [bucket, count] of counts) addTo(sum, bucket, count)
+  const total = totalOf(sum)
+  if (total < minReferenceAttempts) return undefined
+  let count = 0
+  for (const [bucket, bucketCount] of [...sum].sort(([a], [b]) => a - b)) {
+    count += bucketCount
+    if (count >= baselineQuantile * total) return bucket + bucketsBetween(slowRatio)
+  }
+  return undefined
+}
+
+/** The margin that this number of attempts can resolve. */
+function marginOf (attempts: number, rate: number, largest: number): number {
+  return Math.min(largest, marginStandardErrors * Math.sqrt(rate * (1 - rate) / attempts) + marginAttempts / attempts)
+}
+
+/** Whether the attempts reject that the new version is worse than the reference by the margin. */
+function isShownGood (newBad: number, newTotal: number, rate: number, largestMargin: number, missProbability: number): boolean {
+  if (newTotal === 0) return false
+  const worseRate = 1 - (1 - rate) * (1 - marginOf(newTotal, rate, largestMargin))
+  return binomialAtMost(newBad, newTotal, worseRate) <= missProbability
+}
+
+/** Creates an analysis without evidence. */
+export function createPromotionAnalysis ({ startAtMs, deadlineAtMs }: PromotionOptions): PromotionAnalysis {
+  const periodMs = Math.max(1, deadlineAtMs - startAtMs) / periodsPerMove
+  /** Histograms of the time before the move, and of each period, by kind and route. */
+  const norms = new Map<RegressionKind, Map<string, Histogram>>()
+  const periods = new Map<RegressionKind, Map<string, Map<number, Histogram>>>()
+
+  function periodAt (nowMs: number): number {
+    return Math.max(0, Math.floor((nowMs - startAtMs) / periodMs))
+  }
+
+  function normOf (kind: RegressionKind, route: string): Histogram {
+    const byRoute = norms.get(kind) ?? new Map<string, Histogram>()
+    norms.set(kind, byRoute)
+    const known = byRoute.get(route) ?? createHistogram()
+    byRoute.set(route, known)
+    return known
+  }
+
+  function routesOf (kind: RegressionKind): Map<string, Map<number, Histogram>> {
+    const byRoute = periods.get(kind) ?? new Map<string, Map<number, Histogram>>()
+    periods.set(kind, byRoute)
+    return byRoute
+  }
+
+  function histogramOf (kind: RegressionKind, route: string, period: number): Histogram {
+    const byRoute = routesOf(kind)
+    const byPeriod = byRoute.get(route) ?? new Map<number, Histogram>()
+    byRoute.set(route, byPeriod)
+    const known = byPeriod.get(period) ?? createHistogram()
+    byPeriod.set(period, known)
+    return known
+  }
+
+  function add (delta: AttemptCounts, nowMs: number): void {
+    const { route, kind, latencyBucket, isLowerBound } = delta
+    const histogram = delta.share > 0 ? histogramOf(kind, route, periodAt(nowMs)) : normOf(kind, route)
+    if (latencyBucket === undefined) {
+      addTo(histogram.newCounts, failedBucket, delta.newBad)
+      addTo(histogram.newCounts, 0, delta.newTotal - delta.newBad)
+      addTo(histogram.oldCounts, failedBucket, delta.oldBad)
+      addTo(histogram.oldCounts, 0, delta.oldTotal - delta.oldBad)
+      return
+    }
+    addTo(isLowerBound === true ? histogram.newBounds : histogram.newCounts, latencyBucket, delta.newTotal)
+    addTo(isLowerBound === true ? histogram.oldBounds : histogram.oldCounts, latencyBucket, delta.oldTotal)
+  }
+
+  /** Threshold by the time before the move, or else by the old version during it; undefined without a comparison. */
+  function thresholdOf (kind: RegressionKind, route: string): number | undefined {
+    if (kind === 'failing') return 0
+    const during = [...routesOf(kind).get(route)?.values() ?? []]
+    return lastUsualBucket([normOf(kind, route).oldCounts]) ?? lastUsualBucket(during.map(({ oldCounts }) => oldCounts))
+  }
+
+  /** Rate of bad attempts before the move. */
+  function normRateOf (kind: RegressionKind, route: string, threshold: number): number {
+    const { oldBad, oldTotal } = tallyOf(normOf(kind, route), threshold)
+    if (oldTotal < minReferenceAttempts) return kind === 'failing' ? defaultFailureRate : 1 - baselineQuantile
+    return Math.min(maxReferenceRate, (oldBad + 0.5) / (oldTotal + 1))
+  }
+
+  /** The periods in which the old version did no worse than before the move, and neither did it in an adjacent one. */
+  function quietPeriods (kind: RegressionKind, lastPeriod: number): Set<number> {
+    const troubled = new Set<number>()
+    for (let period = 0; period <= lastPeriod; period += 1) {
+      let bad = 0
+      let total = 0
+      let expected = 0
+      for (const [route, byPeriod] of routesOf(kind)) {
+        const threshold = thresholdOf(kind, route)
+        const histogram = byPeriod.get(period)
+        if (threshold === undefined || histogram === undefined) continue
+        const { oldBad, oldTotal } = tallyOf(histogram, threshold)
+        bad += oldBad
+        total += oldTotal
+        expected += oldTotal * Math.min(maxReferenceRate, driftRatio * normRateOf(kind, route, threshold) + driftRate)
+      }
+      if (total > 0 && binomialAtLeast(bad, total, expected / total) < quietProbability) troubled.add(period)
+    }
+    const quiet = new Set<number>()
+    for (let period = 0; period <= lastPeriod; period += 1) {
+      if (![period - 1, period, period + 1].some(near => troubled.has(near))) quiet.add(period)
+    }
+    return quiet
+  }
+
+  /** Tallies of each route over some periods, with the old version's rate there over all quiet ones. */
+  function tallyRoutes (kind: RegressionKind, quiet: ReadonlySet<number>, isIncluded: (period: number) => boolean): RouteTally[] {
+    return [...routesOf(kind)].flatMap(([route, byPeriod]) => {
+      const used = [...byPeriod].filter(([period]) => quiet.has(period))
+      const before = thresholdOf(kind, route)
+      // If the service has recovered from a trouble that began before the move, the time since is the stricter comparison.
+      const threshold = kind === 'failing' ? before : Math.min(before ?? Infinity, lastUsualBucket(used.map(([, { oldCounts }]) => oldCounts)) ?? Infinity)
+      if (threshold === undefined || threshold === Infinity) return []
+      const { oldBad, oldTotal } = sumTallies(used.map(([, histogram]) => tallyOf(histogram, threshold)))
+      const referenceRate = oldTotal < minReferenceAttempts ? normRateOf(kind, route, threshold) : Math.min(maxReferenceRate, (oldBad + 0.5) / (oldTotal + 1))
+      const included = sumTallies(used.filter(([period]) => isIncluded(period)).map(([, histogram]) => tallyOf(histogram, threshold)))
+      return [{ route, referenceRate, ...included }]
+    })
+  }
+
+  /** The first test of one kind that doesn't show the new version to be good. */
+  function firstFailure (kind: RegressionKind, nowMs: number): PromotionVerdict | undefined {
+    const lastPeriod = periodAt(nowMs)
+    const quiet = quietPeriods(kind, lastPeriod)
+    const firstLatePeriod = periodAt(nowMs - (nowMs - startAtMs) * lastPartRatio)
+
+    function test (scope: string, tallies: readonly RouteTally[], largestMargin: number, missProbability: number): PromotionVerdict | undefined {
+      const { newBad, newTotal } = sumTallies(tallies)
+      const expectedRate = newTotal === 0 ? 0 : tallies.reduce((sum, { newTotal: attempts, referenceRate }) => sum + attempts * referenceRate, 0) / newTotal
+      if (isShownGood(newBad, newTotal, expectedRate, largestMargin, missProbability)) return undefined
+      const couldPass = newTotal > 0 && isShownGood(0, newTotal, expectedRate, largestMargin, missProbability)
+      const result = couldPass ? 'not-shown-good' : quiet.size <= lastPeriod / 2 ? 'old-version-in-trouble' : 'too-few-attempts'
+      return { result, kind, scope, newBad, newTotal, expectedRate }
+    }
+
+    const all = tallyRoutes(kind, quiet, () => true)
+    const late = tallyRoutes(kind, quiet, period => period >= firstLatePeriod)
+    const oldTotal = all.reduce((sum, tally) => sum + tally.oldTotal, 0)
+    const larger = all.filter(({ newTotal }) => newTotal >= minRouteAttempts)
+    const smaller = all.filter(({ newTotal }) => newTotal < minRouteAttempts)
+    const hasTestableSmaller = sumTallies(smaller).newTotal >= minRouteAttempts || sumTallies(smaller).oldTotal > minRouteShare * oldTotal
+    return test('all', all, maxMargin, maxMissProbability) ??
+      test('last-part', late, maxSmallMargin, maxMissProbability) ??
+      larger.map(tally => test(tally.route, [tally], maxSmallMargin, maxRouteMissProbability)).find(failure => failure !== undefined) ??
+      (hasTestableSmaller ? test('small-routes', smaller, maxSmallMargin, maxRouteMissProbability) : undefined)
+  }
+
+  function excessBadOf (kind: RegressionKind): number {
+    let excess = 0
+    for (const [route, byPeriod] of routesOf(kind)) {
+      const threshold = thresholdOf(kind, route)
+      if (threshold === undefined) continue
+      const { newBad, newTotal } = sumTallies([...byPeriod.values()].map(histogram => tallyOf(histogram, threshold)))
+      excess += newBad - newTotal * (driftRatio * normRateOf(kind, route, threshold) + driftRate)
+    }
+    return excess
+  }
+
+  return {
+    add,
+    verdict: nowMs => {
+      // A service whose responses have no first token, or no second one, has no latencies of that kind.
+      const kinds = [...periods.keys()].filter(kind => kind === 'failing' || tallyRoutes(kind, quietPeriods(kind, periodAt(nowMs)), () => true).length > 0)
+      if (!kinds.includes('failing')) return { result: 'too-few-attempts' }
+      return kinds.map(kind => firstFailure(kind, nowMs)).find(failure => failure !== undefined) ?? { result: 'good' }
+    },
+    hasTooManyBad: () => [...periods.keys()].some(kind => excessBadOf(kind) > maxExcessBad)
+  }
+}
--- a/src/core/moves/regression-detector.ts
+++ b/src/core/moves/regression-detector.ts
@@ -33,8 +33,6 @@
   attemptsOn: (route: string) => { newTotal: number, total: number }
   /** Attempts of the new version on all routes. */
   canaryAttempts: () => number
-  /** Attempts of the new version whose first token was compared with those of the old one. */
-  comparedCanaryAttempts: () => number
   /** Sums over all routes, by kind, for the log. */
   totals: () => Partial<Record<RegressionKind, VersionCounts>>
   /** Whether the new version looks worse on some route, although the test has not shown a regression yet. */
@@ -100,7 +98,6 @@
       return { newTotal, total: newTotal + oldTotal }
     },
     canaryAttempts: () => countCanaryAttempts('failing'),
-    comparedCanaryAttempts: () => countCanaryAttempts('first-token-slow'),
     // At a large share a bad attempt is weak evidence, so a late move could finish before the test detects a regression.
     isDoubtful: () => [...tests.values()].some(({ newBad, newTotal, oldBad, oldTotal }) =>
       newBad >= minDoubtfulBad && newBad / newTotal > doubtfulRatio * Math.max(1, oldBad) / Math.max(1, oldTotal))
--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -6,12 +6,13 @@
 import { z } from 'zod'
 import { packCounts, packedCountsSchema, unpackCounts } from './attempt-counts.ts'
 import { eraOf } from '../platform/key-value/revision.ts'
-import { createLatencyHistory } from './latency-history.ts'
 import { createCanaryAnalysis } from './canary-analysis.ts'
+import { createServiceHistory } from './service-history.ts'
 import type { NodeId, TeamId, VersionId } from '../ids/index.ts'
 import type { PackedCounts } from './attempt-counts.ts'
 import type { CanaryAnalysis } from './canary-analysis.ts'
-import type { LatencyHistory } from './latency-history.ts'
+import type { PromotionResult } from './promotion.ts'
+import type { ServiceHistory } from './service-history.ts'
 import type { RegressionEvidence, MoveRecord } from './types.ts'
 import type { ServiceMoveOrder, ServiceMoves, ServiceMovesOptions, ServiceMoveState } from './service-move-types.ts'
 
@@ -21,14 +22,12 @@
 const usedShareRatio = 0.7
 /** Fraction of the slack that is used; the rest is for attempts in flight. */
 const usedSlackRatio = 0.6
-/** Fraction of a move's time after which a new version without a regression takes over. */
+/** Largest share of the canary version, as a multiple of the allowed one; the slack then lasts for the whole evaluation. */
+const maxShareRatio = 2.5
+/** Fraction of a move's time after which a new version that was shown to be good takes over. */
 const evaluationRatio = 0.7
 /** Longest reserve before the deadline, so that the result can be written despite an outage. */
 const maxMarginMs = 4_000
-/** Attempts that the new version needs before it takes over. */
-const minAttempts = 6
-/** Moves up to this duration get twice the share, because few requests arrive in that time. */
-const shortMoveMs = 20_000
 /** Interval between two reports of counts; those in between only tell whether the version is bad. */
 const countsIntervalMs = 600
 /** Time after a move within which the old version's backend servers are stopped and their registrations expire: three heartbeats. */
@@ -57,16 +56,20 @@
   /** Attempts of this node at the service since it saw the order, and how many of them were at the canary version. */
   attempts: number
   canaryAttempts: number
+  /** Share that this node uses of the requests allowed beyond `maxShare`. */
+  slackShare: number
+  /** Reason for which the move could not be completed so far, to log changes of it. */
+  loggedResult: PromotionResult | undefined
 }
 
 /** Creates the moves of a node. */
 export function createServiceMoves (options: ServiceMovesOptions): ServiceMoves {
   const { node, clock, log, store, duty } = options
   const running = new Map<string, RunningMove>()
-  const histories = new Map<string, LatencyHistory>()
+  const histories = new Map<string, ServiceHistory>()
 
-  function historyOf (service: string): LatencyHistory {
-    const known = histories.get(service) ?? createLatencyHistory()
+  function historyOf (service: string): ServiceHistory {
+    const known = histories.get(service) ?? createServiceHistory()
     histories.set(service, known)
     return known
   }
@@ -96,7 +99,29 @@
       onBrake: evidence => markBad(order.service, evidence, node)
     })
     log('serviceMoveSeen', { service: order.service, target: order.target, durationMs: order.durationMs, revision: order.revision })
-    return { order, analysis, seenAtMs: nowMs, isBad: false, result: undefined, countsDueAtMs: -Infinity, resultAtMs: -Infinity, attempts: 0, canaryAttempts: 0 }
+    return {
+      order,
+      analysis,
+      seenAtMs: nowMs,
+      isBad: false,
+      result: undefined,
+      countsDueAtMs: -Infinity,
+      resultAtMs: -Infinity,
+      attempts: 0,
+      canaryAttempts: 0,
+      slackShare: slackShareOf(order),
+      loggedResult: undefined
+    }
+  }
+
+  /** Spreads the requests that are allowed beyond the share over the evaluation. A node without earlier traffic may have restarted and used its part before. */
+  function slackShareOf ({ service, durationMs }: ServiceMoveOrder): number {
+    const expectedAttempts = historyOf(service).attemptsPerSecond(clock.monotonicMs()) * durationMs * evaluationRatio / 1_000
+    return expectedAttempts === 0 ? 0 : slackPerNode() / expectedAttempts
+  }
+
+  function slackPerNode (): number {
+    return options.shareSlack * usedSlackRatio / Math.max(1, options.nodes())
   }
 
   /** The counts of a running move, if they are due again. */
@@ -159,14 +184,13 @@
     return Math.min(options.startedAtMs(order) ?? Infinity, seenAtMs)
   }
 
-  function usedShareOf ({ order }: RunningMove): number {
-    return options.maxShare * usedShareRatio * (order.durationMs <= shortMoveMs ? 2 : 1)
+  function usedShareOf ({ slackShare }: RunningMove): number {
+    return Math.min(options.maxShare * maxShareRatio, options.maxShare * usedShareRatio + slackShare)
   }
 
   /** Whether the canary version has got this node's part of the allowed requests; random draws alone could exceed it. */
   function isUsedUp ({ attempts, canaryAttempts }: RunningMove): boolean {
-    const slack = options.shareSlack * usedSlackRatio / Math.max(1, options.nodes())
-    return canaryAttempts >= attempts * options.maxShare + slack
+    return canaryAttempts >= attempts * options.maxShare + slackPerNode()
   }
 
   function hasTime (move: RunningMove): boolean {
@@ -187,16 +211,21 @@
     const state = stateOf(move)
     if (move.result !== undefined && storedStateOf(move) !== move.result) return await write(move, move.result)
     if (isEnded(move)) return
-    if (move.isBad) return await write(move, 'taken-back')
+    const deadlineAtMs = startOf(move) + move.order.durationMs
+    if (move.isBad || clock.wallMs() > deadlineAtMs - callTimeoutMs) return await write(move, 'taken-back')
     if (state === undefined) return await write(move, 'running')
     const { durationMs } = move.order
     const decideAtMs = startOf(move) + Math.max(durationMs * evaluationRatio, durationMs - maxMarginMs)
-    if (clock.wallMs() < decideAtMs) return
-    const { analysis } = move
-    const hasEnoughAttempts = Math.min(analysis.canaryAttempts(), analysis.comparedCanaryAttempts()) >= minAttempts
-    if (hasEnoughAttempts && !move.analysis.isDoubtful()) return await write(move, 'done')
-    // A version with too few attempts does not take over; it is taken back when the time is up.
-    if (clock.wallMs() > startOf(move) + durationMs - callTimeoutMs) await write(move, 'taken-back')
+    if (clock.wallMs() >= decideAtMs && isShownGood(move)) await write(move, 'done')
+  }
+
+  /** A version that isn't shown to be good yet may be so later; without that it is taken back shortly before the deadline. */
+  function isShownGood (move: RunningMove): boolean {
+    const { result, ...evidence } = move.analysis.promotionVerdict(clock.wallMs())
+    if (result === 'good') return true
+    if (result !== move.loggedResult) log('serviceMoveHeld', { service: move.order.service, target: move.order.target, reason: result, ...evidence })
+    move.loggedResult = result
+    return false
   }
 
   return {
@@ -215,7 +244,8 @@
     },
     recordAttempt: (service, isCanary, evidence) => {
       const move = running.get(service)
-      if (move === undefined) return
+      if (!isCanary && (move === undefined || isEnded(move))) historyOf(service).addAttempt(evidence.route, evidence.ok, clock.monotonicMs())
+      if (move === undefined || isEnded(move)) return
       move.attempts += 1
       if (isCanary) move.canaryAttempts += 1
       const version = isCanary ? move.order.target : oldVersionLabel
@@ -225,7 +255,7 @@
       const move = running.get(service)
       const version = isCanary ? move?.order.target : oldVersionLabel
       if (move !== undefined && version !== undefined && !isEnded(move)) move.analysis.recordLatency({ ...observation, version }, usedShareOf(move), clock.wallMs())
-      if (!isCanary && !observation.isLowerBound) historyOf(service).add(observation.route, observation.kind, observation.latencyMs)
+      if (!isCanary && !observation.isLowerBound) historyOf(service).addLatency(observation.route, observation.kind, observation.latencyMs)
     },
     reports: () => [...running.values()].filter(move => stateOf(move) !== 'done').map(move => ({
       service: move.order.service, revision: move.order.revision, isBad: move.isBad, counts: dueCounts(move)
@@ -246,6 +276,7 @@
         if (move === undefined) continue
         // The sum over all nodes is evaluated here, where the result is written.
         move.analysis.addReport(node, move.analysis.counts(), clock.wallMs())
+        if (!isEnded(move) && move.analysis.hasTooManyBad()) markBad(service, undefined, node)
         await reconcileMove(move)
       }
     }
--- a/test/moves/service-moves.test.ts
+++ b/test/moves/service-moves.test.ts
@@ -168,3 +168,8 @@
     t.false(states.includes('done'), `seed ${seed}`)
   }
 })
+
+test('a good version is not completed after its deadline, if the key-value service was away until then', async t => {
+  const { states } = await playMove(4, { ...small, requestsPerSecond: 60, failure: () => 0, isStoreDown: elapsedRatio => elapsedRatio > 0.5 && elapsedRatio < 1.1, untilRatio: 1.2 })
+  t.deepEqual(states, ['running', 'taken-back'])
+})
