Add up the counts of a version move by process, not by node

Cause: counts begin at zero in each process, and the holder ignored a report with smaller totals as an outdated one. What a restarted node saw was ignored until it exceeded what the process before had seen, so a version that became bad meanwhile was found late.

The test fails with the node's id as the key (the share stays above 0).

--- a/bench/measure/version-moves/play.ts
+++ b/bench/measure/version-moves/play.ts
@@ -128,7 +128,7 @@
     for (const { run } of due.filter(({ atMs }) => atMs <= clock.wallMs())) run()
     due.splice(0, due.length, ...due.filter(({ atMs }) => atMs > clock.wallMs()))
     // In a large cluster only the holder of the duty, the first node, gets the reports.
-    for (const from of nodes) for (const to of count > 16 ? nodes.slice(0, 1) : nodes) if (from !== to) to.moves.mergeReports(from.id, JSON.parse(JSON.stringify(from.moves.reports())))
+    for (const from of nodes) for (const to of count > 16 ? nodes.slice(0, 1) : nodes) if (from !== to) to.moves.mergeReports(from.id, 'boot-1', JSON.parse(JSON.stringify(from.moves.reports())))
     await nodes[0]!.moves.reconcile()
     if (endedAtRatio === undefined && (states.includes('done') || states.includes('taken-back'))) endedAtRatio = elapsedRatio
     await clock.advance(tickMs)
--- a/src/core/moves/canary-analysis.ts
+++ b/src/core/moves/canary-analysis.ts
@@ -53,8 +53,8 @@
   recordLatency: (observation: LatencyObservation, share: number, nowMs: number) => void
   /** Counts of this node's own attempts. */
   counts: () => AttemptCounts[]
-  /** Adds the latest counts of a peer, or of this node, to the sum. */
-  addReport: (from: NodeId, counts: readonly AttemptCounts[], nowMs: number) => void
+  /** Adds the latest counts of a peer, or of this node, to the sum; `source` names the process, since counts begin anew with it. */
+  addReport: (source: string, counts: readonly AttemptCounts[], nowMs: number) => void
   attemptsOn: RegressionDetector['attemptsOn']
   canaryAttempts: RegressionDetector['canaryAttempts']
   /** Whether the sum over all nodes shows that the new version may take over. */
@@ -87,7 +87,7 @@
   const sum: Evaluation = { detector: createRegressionDetector(detectorOptions), classifier: createLatencyClassifier() }
   const promotion = createPromotionAnalysis({ startAtMs: record.trafficAtMs ?? record.startedAtMs, deadlineAtMs: record.deadlineAtMs })
   const counts = createAttemptCountsTable()
-  const reported = new Map<NodeId, AttemptCountsTable>()
+  const reported = new Map<string, AttemptCountsTable>()
   const failedRequests = new Set<string>()
   let largestShare = { share: 0, atMs: 0 }
   let brake: RegressionEvidence | undefined
@@ -167,9 +167,9 @@
     if (betweenTokensMs !== undefined) recordLatency({ route, version, kind: 'between-tokens-slow', latencyMs: betweenTokensMs, isLowerBound: false }, share, nowMs)
   }
 
-  function addReport (from: NodeId, later: readonly AttemptCounts[], nowMs: number): void {
-    const table = reported.get(from) ?? createAttemptCountsTable()
-    reported.set(from, table)
+  function addReport (source: string, later: readonly AttemptCounts[], nowMs: number): void {
+    const table = reported.get(source) ?? createAttemptCountsTable()
+    reported.set(source, table)
     for (const delta of table.mergeReport(later)) {
       evaluate(sum, delta, nowMs)
       promotion.add(delta, nowMs)
--- a/src/core/moves/service-move-types.ts
+++ b/src/core/moves/service-move-types.ts
@@ -75,8 +75,8 @@
   recordLatency: (service: string, isCanary: boolean, observation: Omit<LatencyObservation, 'version'>) => void
   /** Reports of this node for the other nodes. */
   reports: () => ServiceMoveReport[]
-  /** Adds the reports of another node; invalid ones are ignored. */
-  mergeReports: (from: NodeId, reports: unknown) => void
+  /** Adds the reports of another node's process; invalid ones are ignored. */
+  mergeReports: (from: NodeId, bootId: string, reports: unknown) => void
   /** Evaluates the summed reports, and begins and ends moves if this node holds the duty. */
   reconcile: () => Promise<void>
 }
--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -260,13 +260,13 @@
     reports: () => [...running.values()].filter(move => stateOf(move) !== 'done').map(move => ({
       service: move.order.service, revision: move.order.revision, isBad: move.isBad, counts: dueCounts(move)
     })),
-    mergeReports: (from, reports) => {
+    mergeReports: (from, bootId, reports) => {
       const parsed = reportSchema.safeParse(reports)
       if (!parsed.success) return
       for (const { service, revision, isBad, counts } of parsed.data) {
         const move = currentMove(service)
         if (move === undefined || move.order.revision !== revision) continue
-        move.analysis.addReport(from, counts.map(unpackCounts), clock.wallMs())
+        move.analysis.addReport(`${from}/${bootId}`, counts.map(unpackCounts), clock.wallMs())
         if (isBad) markBad(service, undefined, from)
       }
     },
--- a/test/moves/service-moves.test.ts
+++ b/test/moves/service-moves.test.ts
@@ -3,11 +3,12 @@
 import { dutyKey, maxShare, playMove, service, shareSlack, target } from '../../bench/measure/version-moves/play.ts'
 import { createManualClock } from '../../src/core/clock/index.ts'
 import { toId } from '../../src/core/ids/index.ts'
+import { packCounts } from '../../src/core/moves/attempt-counts.ts'
 import { createServiceMoves } from '../../src/core/moves/service-moves.ts'
 import { createMemoryKeyValue, createRevision } from '../../src/core/platform/key-value/index.ts'
 import type { NodeId } from '../../src/core/ids/index.ts'
 import type { Duty } from '../../src/core/leases/index.ts'
-import type { ServiceMoveOrder, ServiceMoveState, ServiceMoveStatus } from '../../src/core/moves/service-moves.ts'
+import type { ServiceMoveOrder, ServiceMoves, ServiceMovesOptions, ServiceMoveState, ServiceMoveStatus } from '../../src/core/moves/service-moves.ts'
 
 const usual = { nodes: 8, requestsPerSecond: 60, durationMs: 16_000 }
 
@@ -71,35 +72,60 @@
   }
 })
 
+/** The moves of one node that holds the duty. */
+function createTestMoves (options: Partial<ServiceMovesOptions> & Pick<ServiceMovesOptions, 'orders'>): ServiceMoves {
+  const clock = options.clock ?? createManualClock()
+  const duty: Duty = { name: 'moves', fencingNumber: () => 1, guard: () => ({ key: dutyKey, modRevision: 0 }), orderWindow: () => undefined, close: async () => {} }
+  return createServiceMoves({
+    node: toId<NodeId>('node-a'),
+    clock,
+    log: () => {},
+    store: createMemoryKeyValue({ clock }).connect('holder'),
+    duty,
+    status: () => undefined,
+    startedAtMs: () => undefined,
+    encode: (_order, state) => ({ compares: [], puts: [{ key: `moves/${service}`, value: state }] }),
+    routes: () => 1,
+    nodes: () => 1,
+    maxShare,
+    shareSlack,
+    ...options
+  })
+}
+
+const order: ServiceMoveOrder = { service, target, durationMs: 15_000, revision: 50 }
+
+test('counts of a node that has restarted are added to those from before its restart', t => {
+  const moves = createTestMoves({ orders: () => [order] })
+  const report = (newBad: number, newTotal: number, oldTotal: number): unknown => [{
+    service, revision: order.revision, isBad: false, counts: [packCounts({ route: 'register', kind: 'failing', share: maxShare, newBad, newTotal, oldBad: 0, oldTotal })]
+  }]
+  moves.mergeReports(toId<NodeId>('node-b'), 'boot-1', report(0, 30, 300))
+  t.true(moves.canaryShareOf(service) > 0)
+  moves.mergeReports(toId<NodeId>('node-b'), 'boot-2', report(12, 12, 60))
+  t.is(moves.canaryShareOf(service), 0)
+})
+
 test('a restore of the key-value service neither begins a move again nor undoes its result', async t => {
   const clock = createManualClock()
   const kv = createMemoryKeyValue({ clock })
   let era = 1
   const store = { ...kv.connect('holder'), era: () => era }
-  const duty: Duty = { name: 'moves', fencingNumber: () => 1, guard: () => ({ key: dutyKey, modRevision: 0 }), orderWindow: () => undefined, close: async () => {} }
   const written: ServiceMoveState[] = []
-  let orders: ServiceMoveOrder[] = [{ service, target, durationMs: 15_000, revision: createRevision(1, 50) }]
+  let orders: ServiceMoveOrder[] = [{ ...order, revision: createRevision(1, 50) }]
   let status: ServiceMoveStatus | undefined
-  const moves = createServiceMoves({
-    node: toId<NodeId>('node-a'),
+  const moves = createTestMoves({
     clock,
-    log: () => {},
     store,
-    duty,
     orders: () => orders,
     status: () => status,
-    startedAtMs: () => undefined,
     encode: (_order, state) => {
       written.push(state)
       return { compares: [], puts: [{ key: `moves/${service}`, value: state }] }
-    },
-    routes: () => 1,
-    nodes: () => 1,
-    maxShare,
-    shareSlack
+    }
   })
   await moves.reconcile()
-  moves.mergeReports(toId<NodeId>('node-b'), [{ service, revision: createRevision(1, 50), isBad: true, counts: [] }])
+  moves.mergeReports(toId<NodeId>('node-b'), 'boot-1', [{ service, revision: createRevision(1, 50), isBad: true, counts: [] }])
   await moves.reconcile()
   status = { state: 'taken-back', target, revision: createRevision(1, 60) }
   t.deepEqual(written, ['running', 'taken-back'])
