Send a new version nothing from a node that may have missed the end of its move

A node that was cut off from the store, or frozen, went on with the share that it knew until its copy of the store was read anew, although the version could have been found bad and taken back.

--- a/bench/measure/version-moves/play.ts
+++ b/bench/measure/version-moves/play.ts
@@ -86,6 +86,7 @@
       },
       routes: () => 2,
       nodes: () => count,
+      hasCurrentView: () => true,
       maxShare,
       shareSlack
     })
--- a/src/core/moves/service-move-types.ts
+++ b/src/core/moves/service-move-types.ts
@@ -54,6 +54,8 @@
   /** Number of routes to a service, and number of serving nodes. */
   routes: (service: string) => number
   nodes: () => number
+  /** Whether this node would know by now that a move has ended; without that it sends the new version nothing. */
+  hasCurrentView: () => boolean
   /** Largest share of a service's requests that a canary version may get, 0 to 1. */
   maxShare: number
   /** Number of requests that it may get beyond that share, over all nodes. */
--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -238,7 +238,7 @@
     },
     canaryShareOf: service => {
       const move = currentMove(service)
-      if (move === undefined || move.isBad || !hasTime(move) || isUsedUp(move)) return 0
+      if (move === undefined || move.isBad || !options.hasCurrentView() || !hasTime(move) || isUsedUp(move)) return 0
       const state = stateOf(move)
       return state === undefined || state === 'running' ? usedShareOf(move) : 0
     },
--- a/test/moves/service-moves.test.ts
+++ b/test/moves/service-moves.test.ts
@@ -87,6 +87,7 @@
     encode: (_order, state) => ({ compares: [], puts: [{ key: `moves/${service}`, value: state }] }),
     routes: () => 1,
     nodes: () => 1,
+    hasCurrentView: () => true,
     maxShare,
     shareSlack,
     ...options
@@ -95,6 +96,14 @@
 
 const order: ServiceMoveOrder = { service, target, durationMs: 15_000, revision: 50 }
 
+test('a node that may have missed the end of a move sends the new version nothing', t => {
+  let hasCurrentView = false
+  const moves = createTestMoves({ orders: () => [order], hasCurrentView: () => hasCurrentView })
+  t.is(moves.canaryShareOf(service), 0)
+  hasCurrentView = true
+  t.true(moves.canaryShareOf(service) > 0)
+})
+
 test('counts of a node that has restarted are added to those from before its restart', t => {
   const moves = createTestMoves({ orders: () => [order] })
   const report = (newBad: number, newTotal: number, oldTotal: number): unknown => [{
