Count attempts that hang, are turned away or reach no server against a version

Cause: neither attempts that the gateway aborted nor those that were certainly not run were counted. The deadline aborts an attempt, too, so a version that sent nothing, or a head and then nothing, until the route's timeout never failed, nor did one that turned everything away or whose servers accepted no connection.

Now a timeout, a rejection and a refused connection count as failures, and so does a caller that leaves after it waited for longer than the route's target, for the response or for the next event. Callers that leave earlier, and requests that another server received (421), say nothing. Both versions are counted alike.

Also: a period counts as troubled at a probability of 0.001 instead of 0.01 by chance.

--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -21,7 +21,7 @@
   backend: BackendId
   /** Whether it went to the canary version of a running move. */
   isCanary: boolean
-  /** Whether the response was complete and its status below 500. */
+  /** Whether the response was complete, in time and its status below 500. */
   ok: boolean
 }
 
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -4,6 +4,7 @@
  */
 import { toId } from '../ids/index.ts'
 import { createStreamProgress, startAttempt } from './attempt.ts'
+import { isAttemptOk } from './attempt-outcome.ts'
 import { readBody } from './read-body.ts'
 import { servingLabel, canaryLabel } from './backend-table.ts'
 import { createAttemptEndHandler } from './attempt-end-handler.ts'
@@ -215,6 +216,7 @@
     }, active.body?.length ?? 0, nowMs)
     const isCanary = choice.version === canaryLabel
     const sentAtMs = clock.monotonicMs()
+    let lastEventAtMs: number | undefined
     const latencies = createLatencyObserver(sentAtMs, latency => options.onLatency({ service: active.service, route: route.name, isCanary, ...latency }))
     const attempt = startAttempt({
       connections: known.connections,
@@ -233,7 +235,10 @@
         router.onFirstToken(attemptId)
         if (team !== undefined) options.onStarted(team.team)
       },
-      onEvents: count => latencies.onEvents(count, clock.monotonicMs())
+      onEvents: count => {
+        lastEventAtMs = clock.monotonicMs()
+        latencies.onEvents(count, lastEventAtMs)
+      }
     })
     active.attempt = attempt
     const responseTimer = setTimeout(() => {
@@ -249,8 +254,11 @@
     const ok = (end.kind === 'passed-on' || end.kind === 'complete') && !isServerError
     router.onAttemptEnded(attemptId, { ok, attributedToBackend: end.kind !== 'aborted' && !(end.kind === 'not-run' && !end.isUnreachable) })
     if (end.kind !== 'not-run') latencies.onEnded(end.kind !== 'passed-on' && end.kind !== 'complete', clock.monotonicMs())
-    if (end.kind !== 'aborted' && end.kind !== 'not-run') {
-      options.onAttempt({ team: team?.team, service: active.service, route: route.name, request: id, backend: choice.backend.id, isCanary, ok })
+    const targetMs = lastEventAtMs === undefined ? route.latencyTargetMs : route.eventGapTargetMs ?? route.latencyTargetMs
+    const isPastTarget = clock.monotonicMs() - (lastEventAtMs ?? sentAtMs) > targetMs
+    const isVersionOk = isAttemptOk(end, { isTimedOut: active.isTimedOut, isPastTarget })
+    if (isVersionOk !== undefined) {
+      options.onAttempt({ team: team?.team, service: active.service, route: route.name, request: id, backend: choice.backend.id, isCanary, ok: isVersionOk })
     }
     return end
   }
--- a/src/core/moves/promotion.ts
+++ b/src/core/moves/promotion.ts
@@ -38,7 +38,7 @@
 const driftRatio = 1.5
 const driftRate = 0.02
 /** Probability that a period without trouble is left out. */
-const quietProbability = 0.01
+const quietProbability = 0.001
 const baselineQuantile = 0.9
 /** Multiple of that quantile from which a latency is slow. */
 const slowRatio = 1.5
