--- a/bench/measure/version-moves/play.ts
+++ b/bench/measure/version-moves/play.ts
@@ -124,6 +124,7 @@
       if (endedAtRatio === undefined && isOrdered) total += 1
       if (isCanary) canaryRequests += 1
       if (isCanary && !ok) failed += 1
+      moves.recordSent(service, isCanary)
       scheduleAttempt(moves, isCanary, elapsedRatio, { request: toId<RequestId>(`r-${clock.wallMs()}-${arrival}`), route, backend: toId<BackendId>('i-1'), ok })
     }
     for (const { run } of due.filter(({ atMs }) => atMs <= clock.wallMs())) run()
--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -53,8 +53,8 @@
   canaryShare: (service: string) => number
   /** Called when a backend server begins to respond to a request of a team. */
   onStarted: (team: TeamId) => void
-  /** Called when a request is sent; `workMs` estimates how long it occupies a backend server of the service. */
-  onSent: (service: string, workMs: number) => void
+  /** Called when an attempt is sent; `workMs` estimates how long it occupies a backend server of the service. */
+  onSent: (attempt: { service: string, isCanary: boolean, workMs: number }) => void
   onAttempt: (report: AttemptReport) => void
   /** Called when a latency of an attempt is known, which may be long before the attempt ends. */
   onLatency: (report: LatencyReport) => void
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -245,7 +245,7 @@
       if (known.lastActivityAtMs < sentAtMs) backends.markSuspect(choice.backend.id, 'no byte was received since a request was sent')
     }, baseResponseTimeoutMs + expectedWaitFactor * choice.expectedFirstTokenMs)
     router.onAttemptSent(attemptId, choice)
-    options.onSent(active.service, choice.prefillMs)
+    options.onSent({ service: active.service, isCanary, workMs: choice.prefillMs })
     if (active.sentCount === 0) options.retryBudget.deposit(choice.backend.id)
     const end = await attempt.ended
     clearTimeout(responseTimer)
--- a/src/core/moves/service-move-types.ts
+++ b/src/core/moves/service-move-types.ts
@@ -71,6 +71,8 @@
   versionRolesOf: (service: string) => (version: VersionId) => VersionRole
   /** Current share of a service's requests for its canary version, 0 to 1. */
   canaryShareOf: (service: string) => number
+  /** Counts an attempt towards the canary version's share, when it is sent. */
+  recordSent: (service: string, isCanary: boolean) => void
   /** Records the result of an attempt at a service, without its latencies. */
   recordAttempt: (service: string, isCanary: boolean, evidence: AttemptResult) => void
   /** Records a latency of an attempt as soon as it is known, also while no move is running. */
--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -53,7 +53,7 @@
   countsDueAtMs: number
   /** Monotonic time at which this node learned the result. */
   resultAtMs: number
-  /** Attempts of this node at the service since it saw the order, and how many of them were at the canary version. */
+  /** Attempts that this node sent to the service since it saw the order, and how many of them to the canary version. */
   attempts: number
   canaryAttempts: number
   /** Share that this node uses of the requests allowed beyond `maxShare`. */
@@ -242,12 +242,16 @@
       const state = stateOf(move)
       return state === undefined || state === 'running' ? usedShareOf(move) : 0
     },
+    recordSent: (service, isCanary) => {
+      const move = running.get(service)
+      if (move === undefined) return
+      move.attempts += 1
+      if (isCanary) move.canaryAttempts += 1
+    },
     recordAttempt: (service, isCanary, evidence) => {
       const move = running.get(service)
       if (!isCanary && (move === undefined || isEnded(move))) historyOf(service).addAttempt(evidence.route, evidence.ok, clock.monotonicMs())
       if (move === undefined || isEnded(move)) return
-      move.attempts += 1
-      if (isCanary) move.canaryAttempts += 1
       const version = isCanary ? move.order.target : oldVersionLabel
       move.analysis.recordAttempt({ ...evidence, version, team: service as TeamId, firstTokenMs: undefined, betweenTokensMs: undefined }, usedShareOf(move), clock.wallMs())
     },
--- a/test/moves/service-moves.test.ts
+++ b/test/moves/service-moves.test.ts
@@ -104,6 +104,13 @@
   t.true(moves.canaryShareOf(service) > 0)
 })
 
+test('attempts that are still running count towards the share of the new version', t => {
+  const moves = createTestMoves({ orders: () => [order] })
+  t.true(moves.canaryShareOf(service) > 0)
+  for (let sent = 0; sent < shareSlack; sent += 1) moves.recordSent(service, true)
+  t.is(moves.canaryShareOf(service), 0)
+})
+
 test('counts of a node that has restarted are added to those from before its restart', t => {
   const moves = createTestMoves({ orders: () => [order] })
   const report = (newBad: number, newTotal: number, oldTotal: number): unknown => [{
