Bound what a backend server's response may cost the gateway

Cause: only deadlines bounded a response. Now - a collected response may have 16 MiB, all of a node together 64 MiB, beyond which the largest is given up; a declared length above that ends it at the head; - a stream may have 256 KiB without an event; comments are none, they are held back until the first event, so they neither make a silent version look fast nor keep the request from another server; searching for the end of an event no longer reads the held bytes again with each chunk; - at most 16 informational responses may precede a response (heads have undici's limit of 16 KiB already); - the rest of a refusal that says 'not run' is waited for 250 ms.

In each case the connection is closed, the server suspected, the attempt counted against its version, the cause logged, and only what may be repeated is sent to another server.

The simulation of version moves gets its cases for 'npm run measure -- version-moves' here, too.

--- a/bench/measure/index.ts
+++ b/bench/measure/index.ts
@@ -4,6 +4,7 @@
  * sizes grow; `npm run measure -- ordering`: orders of backend servers while
  * the cloud reclaims them; `npm run measure -- placement`: prompts of many nodes;
  * `npm run measure -- quotas`: a team's quota while nodes restart or are cut off;
+ * `npm run measure -- version-moves [REQUESTS-PER-SECOND ...]`: good and bad versions beside an old one in trouble;
  * `npm run measure -- restores`: views while the key-value service is restored.
  */
 import { parseArgs } from 'node:util'
@@ -15,6 +16,7 @@
 import { verdictTable, writeReport } from './report.ts'
 import { measureRestores } from './restores/index.ts'
 import { measureSlopes } from './slopes/index.ts'
+import { measureVersionMoves } from './version-moves/index.ts'
 import { association, bennani } from './workloads.ts'
 
 const defaultSeconds = 60
@@ -62,6 +64,7 @@
   else if (positionals[0] === 'ordering') console.log(await measureOrdering(reportFolder))
   else if (positionals[0] === 'placement') console.log(await measurePlacement(reportFolder, { seconds, seed }))
   else if (positionals[0] === 'quotas') console.log(await measureQuotas(reportFolder, seed))
+  else if (positionals[0] === 'version-moves') console.log(await measureVersionMoves(reportFolder, seed, positionals.slice(1).map(Number)))
   else if (positionals[0] === 'restores') console.log(await measureRestores())
   else await measureVersions()
 }
--- a/bench/measure/version-moves/play.ts
+++ b/bench/measure/version-moves/play.ts
@@ -25,6 +25,8 @@
   failure: (isCanary: boolean, route: string, elapsedRatio: number) => number
   /** Times to the first token and to the end of an attempt; `draw` is a random number in [0, 1). 60 ms for both by default. */
   latency?: (isCanary: boolean, draw: number, elapsedRatio: number) => { firstTokenMs: number, totalMs: number }
+  /** Load as a multiple of `requestsPerSecond`; 1 by default. */
+  loadFactor?: (elapsedRatio: number) => number
   /** Traffic before the order, which only the old version serves. */
   earlierMs?: number
   /** Whether the key-value service can't be reached, by the elapsed fraction of the move's time. */
@@ -48,7 +50,7 @@
 }
 
 /** Plays one move until its deadline. */
-export async function playMove (seed: number, { nodes: count, requestsPerSecond, durationMs, failure, latency = () => ({ firstTokenMs: 60, totalMs: 60 }), earlierMs = 0, isStoreDown = () => false, untilRatio = 1 }: MoveScenario): Promise<MoveResult> {
+export async function playMove (seed: number, { nodes: count, requestsPerSecond, durationMs, failure, latency = () => ({ firstTokenMs: 60, totalMs: 60 }), earlierMs = 0, isStoreDown = () => false, untilRatio = 1, loadFactor = () => 1 }: MoveScenario): Promise<MoveResult> {
   const random = createRandom(seed)
   const clock = createManualClock()
   const kv = createMemoryKeyValue({ clock })
@@ -115,7 +117,7 @@
   for (let elapsedRatio = -earlierMs / durationMs; elapsedRatio < untilRatio; elapsedRatio = (clock.wallMs() - startAtMs) / durationMs) {
     isOrdered = elapsedRatio >= 0
     store.setFaults(isStoreDown(elapsedRatio) ? { down: true } : undefined)
-    const arrivals = Math.floor(requestsPerSecond * tickMs / 1_000 + random())
+    const arrivals = Math.floor(requestsPerSecond * loadFactor(elapsedRatio) * tickMs / 1_000 + random())
     for (let arrival = 0; arrival < arrivals; arrival += 1) {
       const { moves } = nodes[Math.floor(random() * count)]!
       const isCanary = moves.versionRolesOf(service)(target) === 'evaluated' && random() < moves.canaryShareOf(service)
--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -7,6 +7,7 @@
 import type { ServerResponse } from 'node:http'
 import type { BackendConnections, Exchange, OutgoingRequest } from './backend-connections.ts'
 import type { EventBuffer } from './event-stream.ts'
+import type { ResponseBuffers } from './response-buffers.ts'
 import type { ResponseHead, HeaderCodec, RequestKind } from './types.ts'
 
 type Headers = Record<string, string | string[] | undefined>
@@ -54,6 +55,7 @@
   codec: HeaderCodec
   response: ServerResponse
   progress: StreamProgress
+  buffers: ResponseBuffers
   shouldCloseConnection: () => boolean
   /** Called for everything received from the backend server. */
   onActivity: () => void
@@ -73,6 +75,8 @@
 }
 
 const minErrorStatus = 400
+/** Longest wait for the rest of a response whose head states that the request was not run. */
+const notRunBodyTimeoutMs = 250
 const misdirectedStatus = 421
 
 function firstValueOf (value: string | string[] | undefined): string | undefined {
@@ -82,22 +86,44 @@
 /** Starts one attempt. */
 export function startAttempt (options: AttemptOptions): Attempt {
   const { codec, response, progress, kind } = options
-  const chunks: Buffer[] = []
+  const buffer = options.buffers.open(cause => failWithBytes(cause))
   const eventsBefore = progress.eventBuffer.eventCount()
   let status = 0
   let headers: Headers = {}
   let head: ResponseHead | undefined
   let settle: (end: AttemptEnd) => void = () => {}
   let isSettled = false
+  let notRunTimer: NodeJS.Timeout | undefined
   let forwardedBytes = 0
   const ended = new Promise<AttemptEnd>(resolve => { settle = resolve })
 
   function end (result: AttemptEnd): void {
     if (isSettled) return
     isSettled = true
+    clearTimeout(notRunTimer)
+    buffer.close()
     settle(result)
   }
 
+  /** Gives up a response that has too many bytes, and its connection. */
+  function failWithBytes (cause: string): void {
+    exchange.abort()
+    if (head?.isNotRun === true) endAsNotRun()
+    else onBroken(cause)
+  }
+
+  function endAsNotRun (): void {
+    const retryAfter = firstValueOf(headers['retry-after'])
+    end({
+      kind: 'not-run',
+      cause: `the backend server did not run it (status ${status})`,
+      status,
+      ...(retryAfter === undefined ? {} : { retryAfter }),
+      isMisdirected: status === misdirectedStatus,
+      isUnreachable: false
+    })
+  }
+
   function isStream (): boolean {
     return kind === 'stream' && status < 300
   }
@@ -118,7 +144,10 @@
       exchange.abort()
       return end({ kind: 'may-have-run', cause: 'received a response without a signature', isUntrusted: true })
     }
-    if (!isStream() && !head.isNotRun) options.onFirstByte()
+    const declaredBytes = Number(firstValueOf(newHeaders['content-length']) ?? 0)
+    if (!isStream() && declaredBytes > options.buffers.maxResponseBytes) return failWithBytes(`its response has ${declaredBytes} bytes`)
+    if (head.isNotRun) notRunTimer = setTimeout(() => failWithBytes('the rest of the response is missing'), notRunBodyTimeoutMs)
+    else if (!isStream()) options.onFirstByte()
   }
 
   function sendHeaders (): void {
@@ -135,10 +164,14 @@
     if (isSettled) return true
     options.onActivity()
     if (!isStream()) {
-      chunks.push(chunk)
+      buffer.add(chunk)
       return true
     }
     const events = progress.eventBuffer.push(chunk)
+    if (progress.eventBuffer.isOverLimit()) {
+      failWithBytes('its stream has too many bytes without an event')
+      return true
+    }
     if (events.length === 0) return true
     if (forwardedBytes === 0 && progress.areHeadersSent) options.onFirstByte()
     sendHeaders()
@@ -151,21 +184,11 @@
 
   function onEnd (): void {
     if (isSettled || head === undefined) return
-    if (head.isNotRun) {
-      const retryAfter = firstValueOf(headers['retry-after'])
-      return end({
-        kind: 'not-run',
-        cause: `the backend server did not run it (status ${status})`,
-        status,
-        ...(retryAfter === undefined ? {} : { retryAfter }),
-        isMisdirected: status === misdirectedStatus,
-        isUnreachable: false
-      })
-    }
-    if (!isStream()) return end({ kind: 'complete', response: { status, headers, body: Buffer.concat(chunks) } })
+    if (head.isNotRun) return endAsNotRun()
+    if (!isStream()) return end({ kind: 'complete', response: { status, headers, body: buffer.bytes() } })
     if (progress.eventBuffer.hasPartialEvent()) return onBroken('the stream ended in the middle of an event')
     sendHeaders()
-    response.end()
+    response.end(progress.eventBuffer.takeComments())
     end({ kind: 'passed-on', status })
   }
 
--- a/src/core/gateway/backend-connections.ts
+++ b/src/core/gateway/backend-connections.ts
@@ -60,6 +60,9 @@
 /** Longest idle time; after more, a connection may be dead without notice. */
 const maxKeepAliveMs = 20_000
 
+/** Responses with a status below 200 that may precede a response. */
+const maxInformationalResponses = 16
+
 /** Creates the connections to one backend server; they are opened on demand. */
 export function createBackendConnections (options: BackendConnectionsOptions): BackendConnections {
   const clients = new Set<Client>()
@@ -118,6 +121,7 @@
     let hasEnded = false
     let isCloseDelimited = false
     let gotDataInThisTick = false
+    let informationalCount = 0
 
     function fail (cause: string): void {
       if (hasEnded) return
@@ -126,6 +130,11 @@
       handlers.onFailure({ mayHaveRun: isSent, cause })
     }
 
+    function failAndClose (cause: string): void {
+      fail(cause)
+      controller?.abort(new Error(cause))
+    }
+
     // libuv reports a reset that arrives together with data as an end of stream in the same iteration of its event loop;
     // a regular end is read in an iteration of its own.
     function markDataInThisTick (): void {
@@ -149,7 +158,12 @@
         isSent = true
       },
       onResponseStart: (_controller, status, headers) => {
-        if (hasEnded || status < 200) return
+        if (hasEnded) return
+        if (status < 200) {
+          informationalCount += 1
+          if (informationalCount > maxInformationalResponses) failAndClose('it sent too many informational responses')
+          return
+        }
         isCloseDelimited = !isSelfDelimited(status, headers)
         handlers.onHead(status, headers)
       },
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -10,6 +10,7 @@
 import { createAttemptEndHandler } from './attempt-end-handler.ts'
 import { resumeMs } from './eligibility.ts'
 import { createLatencyObserver } from './latency-observer.ts'
+import { createResponseBuffers } from './response-buffers.ts'
 import { createRefusals } from './refusals.ts'
 import { requestLogFields } from './active-request.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
@@ -30,6 +31,10 @@
 /** Maximum queued requests of one team at one node. */
 const maxQueuedRequests = 256
 
+/** Limits of the responses that are collected before they are forwarded, each and together; far above those of the services, and below a node's memory. */
+const maxResponseBytes = 16 * 1024 * 1024
+const maxBufferedBytes = 64 * 1024 * 1024
+
 /** Serves one request; resolves when its response has ended or its caller has disconnected. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>
 
@@ -37,6 +42,7 @@
 export function createRequestHandler (options: RequestHandlerOptions): RequestHandler {
   const { clock, log, codec, router, backends } = options
   const refusals = createRefusals(options)
+  const buffers = createResponseBuffers({ maxResponseBytes, maxTotalBytes: maxBufferedBytes })
   const { refuse, withJitter } = refusals
   const { handleAttemptEnd, failRequest, timeOutRequest } = createAttemptEndHandler(options, refusals)
 
@@ -226,6 +232,7 @@
       codec,
       response,
       progress: active.progress,
+      buffers,
       shouldCloseConnection: options.isDraining,
       onActivity: () => backends.recordActivity(choice.backend.id),
       onLeaving: () => backends.markLeaving(choice.backend.id),
