Bound the bodies that clients of the platform and of backend servers read

Now 32 MiB for JSON (a copy of the store with thousands of backend servers has a few MiB), 16 MiB for the response to a call, 64 KiB of a refusal, 256 KiB of a stream without an event. A write whose response is too long is ambiguous, a call may have run unless its head says that it was not run. The connection is closed.

--- a/src/core/backends/engine-stream.ts
+++ b/src/core/backends/engine-stream.ts
@@ -1,5 +1,5 @@
 /** One stream of an engine's answer, from its request to its end event. */
-import { describeError, isConnectError } from '../connections/index.ts'
+import { createByteCollector, describeError, isConnectError } from '../connections/index.ts'
 import { attemptError, createEventReader } from './engine-events.ts'
 import { createSseParser } from './sse-parser.ts'
 import { toRefusalError } from './refusal.ts'
@@ -25,6 +25,10 @@
   onIdleTimeout: () => void
 }
 
+/** Bytes without an event, comments included, from which a stream counts as broken. */
+const maxBytesWithoutEvent = 256 * 1024
+/** Bytes that are read of a refusal. */
+const maxRefusalBytes = 64 * 1024
 /** Number of unread events above which the connection is paused. */
 const maxUnreadEvents = 256
 
@@ -113,12 +117,19 @@
   const parse = createSseParser(readEvent)
   let status = 0
   let retryAfter: string | undefined
-  const refusalChunks: Buffer[] = []
+  const refusal = createByteCollector(maxRefusalBytes)
+  let bytesWithoutEvent = 0
 
   function onChunk (chunk: Buffer): void {
     watchedStream.lastByteAtMs = clock.monotonicMs()
-    if (status !== 200) refusalChunks.push(chunk)
-    else parse(chunk)
+    if (status !== 200) {
+      if (!refusal.add(chunk)) endAsRefused()
+      return
+    }
+    const eventsBefore = state.events.length
+    parse(chunk)
+    bytesWithoutEvent = state.events.length > eventsBefore ? 0 : bytesWithoutEvent + chunk.length
+    if (bytesWithoutEvent > maxBytesWithoutEvent) throw attemptError('answer-incomplete', `received ${bytesWithoutEvent} bytes without an event`)
     if (state.events.length > maxUnreadEvents && !state.paused) {
       state.paused = true
       state.controller?.pause()
@@ -126,10 +137,16 @@
     state.wake()
   }
 
+  /** The refusal is known from its status; the rest of a body without end is not read. */
+  function endAsRefused (): void {
+    fail(state, toRefusalError(status, retryAfter, refusal.bytes().toString(), clock.wallMs()))
+    abortConnection(state)
+  }
+
   function onEnd (): void {
     options.idleMonitor.remove(watchedStream)
     if (status !== 200) {
-      fail(state, toRefusalError(status, retryAfter, Buffer.concat(refusalChunks).toString(), clock.wallMs()))
+      fail(state, toRefusalError(status, retryAfter, refusal.bytes().toString(), clock.wallMs()))
     } else if (state.events.at(-1)?.kind !== 'end') {
       fail(state, attemptError('answer-incomplete', 'the stream ended without its end marker'))
     }
--- a/src/core/backends/look-up.ts
+++ b/src/core/backends/look-up.ts
@@ -1,6 +1,7 @@
 /** Looks up the response of an earlier call by its idempotency key, without sending the call again. */
 import type { Connections } from '../connections/index.ts'
-import { runStateDone, runStateHeader } from './service-call.ts'
+import { readBoundedBody } from '../connections/index.ts'
+import { maxResponseBytes, runStateDone, runStateHeader } from './service-call.ts'
 import type { ServiceResponse, ServiceRequest } from './types.ts'
 
 /** Timeout of a look-up. It doesn't depend on the call's deadline, which may have passed. */
@@ -22,7 +23,7 @@
       path: `/calls/${encodeURIComponent(idempotencyKey)}`,
       signal: AbortSignal.any([signal, timeout])
     })
-    const bytes = Buffer.from(await body.arrayBuffer())
+    const bytes = await readBoundedBody(body, maxResponseBytes)
     if (statusCode !== okStatus || headers[runStateHeader] !== runStateDone) return undefined
     return { status: statusCode, contentType: String(headers['content-type'] ?? 'application/octet-stream'), body: bytes }
   } catch {
--- a/src/core/backends/service-call.ts
+++ b/src/core/backends/service-call.ts
@@ -3,10 +3,11 @@
  * the moment a byte of it may have been sent.
  */
 import { Result } from 'true-myth'
-import { describeError } from '../connections/index.ts'
+import { createByteCollector, describeError } from '../connections/index.ts'
 import { parseRetryAfter } from './refusal.ts'
 import type { Client, Dispatcher } from 'undici'
 import type { Clock } from '../clock/index.ts'
+import type { ByteCollector } from '../connections/index.ts'
 import type { RetryReason } from '../outcomes/index.ts'
 import type { AttemptFailure, ServiceResponse, ServiceRequest } from './types.ts'
 
@@ -18,12 +19,15 @@
 /** Header value in the response to a look-up: the response is that of the completed call. */
 export const runStateDone = 'done'
 
+/** Longest response of a service. */
+export const maxResponseBytes = 16 * 1024 * 1024
+
 interface Exchange {
   /** Whether a byte of the request may have been sent. */
   sent: boolean
   status: number
   headers: Record<string, string | string[] | undefined>
-  chunks: Buffer[]
+  body: ByteCollector
   controller: Dispatcher.DispatchController | undefined
 }
 
@@ -35,14 +39,14 @@
   return Array.isArray(value) ? value[0] : value
 }
 
-function toResult ({ status, headers, chunks }: Exchange, nowMs: number): Result<ServiceResponse, AttemptFailure> {
+function toResult ({ status, headers, body }: Exchange, nowMs: number): Result<ServiceResponse, AttemptFailure> {
   if (firstHeaderValue(headers[runStateHeader]) === runStateNotRun) {
     const retryAtMs = parseRetryAfter(firstHeaderValue(headers['retry-after']), nowMs)
     const retryTime = retryAtMs === undefined ? {} : { retryAtMs }
     return Result.err({ reason: 'backend-refused', mayHaveRun: false, detail: `the service did not run the call (status ${status})`, ...retryTime })
   }
   const contentType = firstHeaderValue(headers['content-type']) ?? 'application/octet-stream'
-  return Result.ok({ status, contentType, body: Buffer.concat(chunks) })
+  return Result.ok({ status, contentType, body: body.bytes() })
 }
 
 function toDispatchOptions (request: ServiceRequest): Dispatcher.DispatchOptions {
@@ -67,7 +71,7 @@
   request: ServiceRequest,
   signal: AbortSignal
 ): Promise<Result<ServiceResponse, AttemptFailure>> {
-  const exchange: Exchange = { sent: false, status: 0, headers: {}, chunks: [], controller: undefined }
+  const exchange: Exchange = { sent: false, status: 0, headers: {}, body: createByteCollector(maxResponseBytes), controller: undefined }
   const settledController = new AbortController()
   return await new Promise(resolve => {
     let isSettled = false
@@ -83,6 +87,14 @@
       exchange.controller?.abort(new Error(detail))
     }
 
+    /** A service that states in the head that it did not run the call is believed, whatever follows. */
+    function abandonTooLong (): void {
+      const result = toResult(exchange, clock.wallMs())
+      if (result.isErr) settle(result)
+      else abandon('stream-broken', `the response has more than ${maxResponseBytes} bytes`)
+      exchange.controller?.abort(new Error('the response is too long'))
+    }
+
     if (signal.aborted) return abandon('stream-broken', 'the caller disconnected')
     signal.addEventListener('abort', () => abandon('stream-broken', 'the caller disconnected'), { once: true, signal: settledController.signal })
     clock.sleep(request.deadlineAtMs - clock.wallMs(), settledController.signal).then(() => abandon('stream-silent', 'the deadline passed'))
@@ -97,7 +109,9 @@
         exchange.status = status
         exchange.headers = headers
       },
-      onResponseData: (_controller, chunk) => { exchange.chunks.push(Buffer.from(chunk)) },
+      onResponseData: (_controller, chunk) => {
+        if (!exchange.body.add(Buffer.from(chunk))) abandonTooLong()
+      },
       onResponseEnd: () => { if (!isSettled) settle(toResult(exchange, clock.wallMs())) },
       onResponseError: (_controller, error) => abandon('stream-broken', describeError(error))
     })
--- a/src/core/connections/index.ts
+++ b/src/core/connections/index.ts
@@ -4,6 +4,7 @@
  * is replaced by a new one.
  */
 import { Pool } from 'undici'
+import { readBoundedBody } from './bounded-bytes.ts'
 import type { Dispatcher } from 'undici'
 import type { Clock } from '../clock/index.ts'
 
@@ -28,6 +29,8 @@
 const idleTimeoutMs = 4_000
 
 const firstErrorStatus = 400
+/** Longest JSON body; a copy of the whole store of thousands of backend servers has a few MiB. */
+export const maxJsonBytes = 32 * 1024 * 1024
 
 /** Error codes that can only occur before a connection is established. */
 const connectErrorCodes = new Set([
@@ -47,6 +50,9 @@
   return code ?? message ?? String(error)
 }
 
+export { createByteCollector, readBoundedBody } from './bounded-bytes.ts'
+export type { ByteCollector } from './bounded-bytes.ts'
+
 /** Creates the pool of one server; connections are opened on demand. */
 export function createConnections (origin: string, options: ConnectionsOptions = {}): Connections {
   let pool = createPool()
@@ -121,7 +127,7 @@
 
 /**
  * Sends a request and parses the response as JSON. Throws a `JsonRequestError`
- * on a failed connection, an unreadable body or a passed deadline; responses
+ * on a failed connection, an unreadable or too long body or a passed deadline; responses
  * with an error status are returned.
  */
 export async function requestJson (connections: Connections, clock: Clock, request: JsonRequest): Promise<JsonResponse> {
@@ -137,7 +143,7 @@
       body: request.body === undefined ? null : JSON.stringify(request.body),
       signal
     })
-    const text = await body.text()
+    const text = (await readBoundedBody(body, maxJsonBytes)).toString()
     return { status: statusCode, headers, body: parseJsonBody(text, statusCode) }
   } catch (error) {
     if (!signal.aborted) throw new JsonRequestError(describeError(error), !isConnectError(error))
--- a/src/core/platform/key-value/http/endpoint.ts
+++ b/src/core/platform/key-value/http/endpoint.ts
@@ -1,5 +1,5 @@
 /** Sends requests to one endpoint of the service and classifies whether a failed one may have taken effect. */
-import { describeError, createConnections, isConnectError } from '../../../connections/index.ts'
+import { describeError, createConnections, isConnectError, maxJsonBytes, readBoundedBody } from '../../../connections/index.ts'
 import { gatewayCodes } from './gateway.ts'
 import type { GatewayError } from './gateway.ts'
 
@@ -49,7 +49,7 @@
         body: JSON.stringify(payload),
         signal
       })
-      const text = await body.text()
+      const text = (await readBoundedBody(body, maxJsonBytes)).toString()
       return statusCode === 200 ? { kind: 'response', text } : classifyErrorResponse(statusCode, text)
     } catch (error) {
       if (signal.aborted) {
--- a/src/core/platform/key-value/http/watch.ts
+++ b/src/core/platform/key-value/http/watch.ts
@@ -5,7 +5,7 @@
  */
 import { Client } from 'undici'
 import { createError } from '../../../errors/index.ts'
-import { describeError } from '../../../connections/index.ts'
+import { describeError, maxJsonBytes } from '../../../connections/index.ts'
 import { decodeKeyValue, encodePrefix, gatewayPaths } from './gateway.ts'
 import type { Clock } from '../../../clock/index.ts'
 import type { KeyValueChange, KeyValueError, Watch, WatchHandlers } from '../types.ts'
@@ -27,18 +27,23 @@
 const idleChecksPerTimeout = 4
 const newlineByte = 10
 
-/** Splits a stream of bytes into lines; an incomplete last line is dropped. */
+/** Splits a stream of bytes into lines; an incomplete last line is dropped. Throws when a line is longer than a message may be. */
 async function * readLines (chunks: AsyncIterable<Buffer>): AsyncGenerator<string> {
   let pending: Buffer[] = []
+  let pendingBytes = 0
   for await (const chunk of chunks) {
     let startOffset = 0
     for (let end = chunk.indexOf(newlineByte); end !== -1; end = chunk.indexOf(newlineByte, startOffset)) {
       pending.push(chunk.subarray(startOffset, end))
       yield Buffer.concat(pending).toString()
       pending = []
+      pendingBytes = 0
       startOffset = end + 1
     }
-    if (startOffset < chunk.length) pending.push(chunk.subarray(startOffset))
+    if (startOffset === chunk.length) continue
+    pending.push(chunk.subarray(startOffset))
+    pendingBytes += chunk.length - startOffset
+    if (pendingBytes > maxJsonBytes) throw new Error(`a message is longer than ${maxJsonBytes} bytes`)
   }
 }
 
