Let chance take fewer attempts of a good version out of its evaluation

Three causes, by the log: - latencies were compared with the lower one of two thresholds, so that 4 of 35 counted as slow where 2 of 44 were; the lower one is used only when the service has recovered from a trouble that began before the move; - callers that left before the response began counted as failures, which doubled the usual rate (29 of 289 instead of 15 of 277); these are in the latencies already, so only a response that stalls after its beginning counts; - 40 to 51 of the 83 allowed attempts were used; now four fifths of the slack are, and the rest covers a rounded-up request on each node.

--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -222,7 +222,7 @@
     }, active.body?.length ?? 0, nowMs)
     const isCanary = choice.version === canaryLabel
     const sentAtMs = clock.monotonicMs()
-    let lastEventAtMs: number | undefined
+    let lastProgressAtMs: number | undefined
     const latencies = createLatencyObserver(sentAtMs, latency => options.onLatency({ service: active.service, route: route.name, isCanary, ...latency }))
     const attempt = startAttempt({
       connections: known.connections,
@@ -237,14 +237,15 @@
       onActivity: () => backends.recordActivity(choice.backend.id),
       onLeaving: () => backends.markLeaving(choice.backend.id),
       onFirstByte: () => {
-        latencies.onFirstByte(clock.monotonicMs())
+        lastProgressAtMs = clock.monotonicMs()
+        latencies.onFirstByte(lastProgressAtMs)
         active.firstByteMs ??= clock.wallMs() - active.arrivedAtMs
         router.onFirstToken(attemptId)
         if (team !== undefined) options.onStarted(team.team)
       },
       onEvents: count => {
-        lastEventAtMs = clock.monotonicMs()
-        latencies.onEvents(count, lastEventAtMs)
+        lastProgressAtMs = clock.monotonicMs()
+        latencies.onEvents(count, lastProgressAtMs)
       }
     })
     active.attempt = attempt
@@ -261,9 +262,9 @@
     const ok = (end.kind === 'passed-on' || end.kind === 'complete') && !isServerError
     router.onAttemptEnded(attemptId, { ok, attributedToBackend: end.kind !== 'aborted' && !(end.kind === 'not-run' && !end.isUnreachable) })
     if (end.kind !== 'not-run') latencies.onEnded(end.kind !== 'passed-on' && end.kind !== 'complete', clock.monotonicMs())
-    const targetMs = lastEventAtMs === undefined ? route.latencyTargetMs : route.eventGapTargetMs ?? route.latencyTargetMs
-    const isPastTarget = clock.monotonicMs() - (lastEventAtMs ?? sentAtMs) > targetMs
-    const isVersionOk = isAttemptOk(end, { isTimedOut: active.isTimedOut, isPastTarget })
+    const targetMs = route.eventGapTargetMs ?? route.latencyTargetMs
+    const isStalled = lastProgressAtMs !== undefined && clock.monotonicMs() - lastProgressAtMs > targetMs
+    const isVersionOk = isAttemptOk(end, { isTimedOut: active.isTimedOut, isStalled })
     if (isVersionOk !== undefined) {
       options.onAttempt({ team: team?.team, service: active.service, route: route.name, request: id, backend: choice.backend.id, isCanary, ok: isVersionOk })
     }
--- a/src/core/moves/promotion.ts
+++ b/src/core/moves/promotion.ts
@@ -247,14 +247,20 @@
     return quiet
   }
 
+  /** If the service has recovered from a trouble that began before the move, the time since is the comparison. */
+  function strictThresholdOf (kind: RegressionKind, route: string, quiet: readonly Histogram[]): number | undefined {
+    const before = thresholdOf(kind, route)
+    if (kind === 'failing' || before === undefined) return before
+    const during = lastUsualBucket(quiet.map(({ oldCounts }) => oldCounts))
+    return during !== undefined && during < before - bucketsBetween(slowRatio) ? during : before
+  }
+
   /** Tallies of each route over some periods, with the old version's rate there over all quiet ones. */
   function tallyRoutes (kind: RegressionKind, quiet: ReadonlySet<number>, isIncluded: (period: number) => boolean): RouteTally[] {
     return [...routesOf(kind)].flatMap(([route, byPeriod]) => {
       const used = [...byPeriod].filter(([period]) => quiet.has(period))
-      const before = thresholdOf(kind, route)
-      // If the service has recovered from a trouble that began before the move, the time since is the stricter comparison.
-      const threshold = kind === 'failing' ? before : Math.min(before ?? Infinity, lastUsualBucket(used.map(([, { oldCounts }]) => oldCounts)) ?? Infinity)
-      if (threshold === undefined || threshold === Infinity) return []
+      const threshold = strictThresholdOf(kind, route, used.map(([, histogram]) => histogram))
+      if (threshold === undefined) return []
       const { oldBad, oldTotal } = sumTallies(used.map(([, histogram]) => tallyOf(histogram, threshold)))
       const referenceRate = oldTotal < minReferenceAttempts ? normRateOf(kind, route, threshold) : Math.min(maxReferenceRate, (oldBad + 0.5) / (oldTotal + 1))
       const included = sumTallies(used.filter(([period]) => isIncluded(period)).map(([, histogram]) => tallyOf(histogram, threshold)))
--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -20,8 +20,8 @@
 
 /** Fraction of the allowed share that is used; random draws vary, and retries add to them. */
 const usedShareRatio = 0.7
-/** Fraction of the slack that is used; the rest is for attempts in flight. */
-const usedSlackRatio = 0.6
+/** Fraction of the slack that is used; the rest is for rounding on each node. */
+const usedSlackRatio = 0.8
 /** Largest share of the canary version, as a multiple of the allowed one; the slack then lasts for the whole evaluation. */
 const maxShareRatio = 2.5
 /** Fraction of a move's time after which a new version that was shown to be good takes over. */
