Complete a team's move, too, only when the new version was shown to be good

The decision is the same code; attempts from while no move runs are its norm. With too few attempts the last step is renewed as before, and a version that isn't shown to be good returns to the smallest share until the deadline. A team without traffic moves as before, as there is nothing to show.

--- a/bench/moves/outcomes.ts
+++ b/bench/moves/outcomes.ts
@@ -8,6 +8,8 @@
 const usualFailureRatio = 0.004
 /** Failure ratio of a version while its regression shows as failures. */
 const regressionFailureRatio = 0.6
+/** Failure ratio that is added to both versions while the service is in trouble. */
+const troubleFailureRatio = 0.4
 /** Factor on the latency of a version while its regression shows as slowness. */
 const regressionSlowdown = 3
 /** Load, as a multiple of the usual load, from which a version that fails under load does so. */
@@ -50,15 +52,15 @@
   return behavior === 'slow-at-once' || (behavior === 'slow-later' && windowFraction >= regressionStartFraction)
 }
 
-/** Draws one outcome; `conditions` are undefined for the old version. */
-export function drawOutcome (random: () => number, windowFraction: number, conditions: NewVersionConditions | undefined): DrawnOutcome {
+/** Draws one outcome; `conditions` are undefined for the old version. Both versions fail more often while the service is in trouble. */
+export function drawOutcome (random: () => number, windowFraction: number, conditions: NewVersionConditions | undefined, isServiceFailing = false): DrawnOutcome {
   const isFailingNow = conditions !== undefined && isFailing(conditions)
   const isSlow = conditions !== undefined && isSlowToStart(conditions)
   const isSlowBetween = conditions?.behavior === 'slow-between-tokens'
   // Latencies have a long tail, like those of engines that batch requests.
   const tail = (): number => 1 + Math.exp(1.2 * (random() + random() + random() - 1.5))
   return {
-    ok: random() >= (isFailingNow ? regressionFailureRatio : usualFailureRatio),
+    ok: random() < (1 - (isFailingNow ? regressionFailureRatio : usualFailureRatio)) * (isServiceFailing ? 1 - troubleFailureRatio : 1),
     firstTokenMs: 150 * tail() * loadFactorAt(windowFraction) * (isSlow ? regressionSlowdown : 1),
     betweenTokensMs: 12 * tail() * (isSlowBetween ? regressionSlowdown : 1),
     hasRegression: isFailingNow || isSlow || isSlowBetween
--- a/bench/moves/trial.ts
+++ b/bench/moves/trial.ts
@@ -10,6 +10,8 @@
 import type { TrialPlan, TrialResult } from './types.ts'
 
 const tickMs = 100
+/** Fraction of the window after which a service in trouble fails. */
+const troubleStartFraction = 0.02
 const membershipSettleMs = 5_000
 /** Time after the deadline by which the key-value service is back and every node must know the end of the move. */
 const observeAfterDeadlineMs = 90_000
@@ -65,7 +67,7 @@
     const { shares } = node.moves.sharesOf(team) ?? { shares: [] }
     const isNew = random() < (shares.find(({ version }) => version === newVersion)?.share ?? 0)
     const route = random() < routes[0].trafficShare ? routes[0].name : routes[1].name
-    const outcome = drawOutcome(random, windowFraction, isNew ? { behavior: plan.badness, route, windowFraction, regressionStartFraction } : undefined)
+    const outcome = drawOutcome(random, windowFraction, isNew ? { behavior: plan.badness, route, windowFraction, regressionStartFraction } : undefined, plan.isServiceFailing === true && windowFraction > troubleStartFraction)
     counts.requests += 1
     if (isNew && nowMs < deadlineAtMs) {
       counts.newVersionRequests += 1
--- a/bench/moves/types.ts
+++ b/bench/moves/types.ts
@@ -43,6 +43,8 @@
   /** How the new version of this move behaves; `good` means without a regression. */
   badness: VersionBehavior
   fault: Fault
+  /** Whether both versions fail for another reason from shortly after the declaration until the deadline; false by default. */
+  isServiceFailing?: boolean
   /** Requests per second of the team at its usual load. */
   requestsPerSecond: number
   /** Time from the declaration of the move to its deadline. */
--- a/src/core/moves/index.ts
+++ b/src/core/moves/index.ts
@@ -16,6 +16,7 @@
 import { createMoveRecordStore } from './move-record-store.ts'
 import { newVersionShare } from './schedule.ts'
 import { createCanaryAnalysis } from './canary-analysis.ts'
+import { createServiceHistory } from './service-history.ts'
 import { expandVersions, sharesAt, effectiveVersion } from './versions.ts'
 import type { Backend } from '../backends/types.ts'
 import type { Clock } from '../clock/index.ts'
@@ -31,6 +32,7 @@
 import type { BackendOrders } from './load-versions.ts'
 import type { MoveReport } from './messages.ts'
 import type { CanaryAnalysis } from './canary-analysis.ts'
+import type { ServiceHistory } from './service-history.ts'
 import type { RegressionEvidence, MoveRecord, Moves } from './types.ts'
 
 export type * from './types.ts'
@@ -85,6 +87,7 @@
   const records = createMoveRecordStore({ clock, log, feed, writer })
   const duties = new Map<TeamId, Duty>()
   const analyses = new Map<TeamId, CanaryAnalysis>()
+  const histories = new Map<TeamId, ServiceHistory>()
   const withdrawn = new Set<string>()
   const reportedTotals = new Map<TeamId, number>()
 
@@ -103,6 +106,7 @@
       record,
       nodes: membership.peers().length + 1,
       routes: declarationOf(team)?.routes.length ?? 1,
+      history: histories.get(team)?.counts() ?? [],
       onBrake: brake => onBrake(record, brake)
     })
     analyses.set(team, analysis)
@@ -137,9 +141,18 @@
     options.withdrawVersion(team, toVersion)
   }
 
+  /** Records an attempt while no move is running, to compare the next move with. */
+  function recordHistory ({ team, route, ok, firstTokenMs, betweenTokensMs }: AttemptObservation): void {
+    const history = histories.get(team) ?? createServiceHistory()
+    histories.set(team, history)
+    history.addAttempt(route, ok, clock.monotonicMs())
+    if (ok && firstTokenMs !== undefined) history.addLatency(route, 'first-token-slow', firstTokenMs)
+    if (ok && betweenTokensMs !== undefined) history.addLatency(route, 'between-tokens-slow', betweenTokensMs)
+  }
+
   function recordAttempt (observation: AttemptObservation): void {
     const current = records.read(observation.team)
-    if (current === undefined || current.end !== undefined) return
+    if (current === undefined || current.end !== undefined) return recordHistory(observation)
     const nowMs = clock.wallMs()
     const share = newVersionShare(current, nowMs)
     if (share > 0) analysisOf(current)?.recordAttempt(observation, share, nowMs)
--- a/src/core/moves/reconcile-move.ts
+++ b/src/core/moves/reconcile-move.ts
@@ -15,6 +15,7 @@
 import type { LoadVersions } from './load-versions.ts'
 import type { MoveRecordStore } from './move-record-store.ts'
 import type { CanaryAnalysis } from './canary-analysis.ts'
+import type { PromotionResult } from './promotion.ts'
 import type { EndReason, MoveEnd, MoveRecord } from './types.ts'
 
 /** Attempts of the new version on a route that a step requires, if the traffic of the route is enough to expect them. */
@@ -133,6 +134,14 @@
     })
   }
 
+  /** Whether the new version may take over. That of a team without traffic has nothing to show. */
+  function promotionResultOf (declaration: TeamDeclaration, record: MoveRecord): PromotionResult {
+    const analysis = options.analysisOf(record)
+    if (analysis === undefined || !hasEnoughToFinish(declaration, record)) return 'too-few-attempts'
+    const hasTraffic = declaration.routes.some(({ name }) => analysis.attemptsOn(name).total >= minAttemptsToFinish * 2)
+    return hasTraffic ? analysis.promotionVerdict(clock.wallMs()).result : 'good'
+  }
+
   async function advanceStep (declaration: TeamDeclaration, record: MoveRecord, duty: Duty): Promise<void> {
     if (clock.monotonicMs() >= (nextLoadCheckAtMs.get(record.team) ?? 0)) {
       const ready = await checkLoads(declaration, record, duty)
@@ -143,8 +152,11 @@
     // A doubtful version stays at its step, which expires to the smallest share, until more attempts or the deadline decide.
     if (options.analysisOf(record)?.isDoubtful() === true) return
     if (record.step < lastStepIndex) return await change(record, duty, { step: record.step + 1, stepAtMs: clock.wallMs() })
+    const result = promotionResultOf(declaration, record)
     // The last step is renewed until there are enough attempts; if that fails, the move is taken back at the deadline.
-    if (!hasEnoughToFinish(declaration, record)) return await change(record, duty, { stepAtMs: clock.wallMs() })
+    if (result === 'too-few-attempts') return await change(record, duty, { stepAtMs: clock.wallMs() })
+    // A version that isn't shown to be good stays at the last step, too, which expires to the smallest share.
+    if (result !== 'good') return
     await change(record, duty, { end: endOf('done', 'moved', `All traffic is on "${record.toVersion}".`) })
   }
 
--- a/test/moves/moves.test.ts
+++ b/test/moves/moves.test.ts
@@ -41,6 +41,13 @@
   t.is((await runTrial(plan, startSystemMoves)).word, 'taken-back')
 })
 
+test('a failing version is not completed while the old version fails for another reason', async t => {
+  for (let seed = 31; seed <= 34; seed += 1) {
+    const { word } = await runTrial({ ...createPlan('failing-at-once', 'none', seed), isServiceFailing: true }, startSystemMoves)
+    t.is(word, 'taken-back', `seed ${seed}`)
+  }
+})
+
 test('finishes the move of a good version in time despite lost responses or a frozen holder', async t => {
   for (const fault of ['answers-lost', 'holder-frozen'] as const) {
     const { word, agreed } = await runTrial(createPlan('good', fault, 21), startSystemMoves)
