Compare slow attempts with all quiet ones, and leave out routes that always fail

Routes that fail for more than a quarter before and during the move are left out, unless they are most of the service; the rough threshold is doubled and only finds periods of trouble, the usual one is of all latencies in quiet periods. Margins for slow attempts are larger, since new versions begin with empty caches.

--- a/src/core/moves/promotion.ts
+++ b/src/core/moves/promotion.ts
@@ -15,33 +15,37 @@
 const periodsPerMove = 24
 /** Part of the evaluation that is tested by itself, because a version may become worse late. */
 const lastPartRatio = 1 / 3
-/** Probability that a version that is worse by the margin passes one test. */
+/** Probability that a version that is worse by the margin passes the test of all attempts, or one of fewer attempts. */
 const maxMissProbability = 0.01
-const maxRouteMissProbability = 0.05
+const maxSmallMissProbability = 0.05
 /** The margin in standard errors of the reference rate, and in attempts. */
 const marginStandardErrors = 4.2
 const marginAttempts = 10
-/** Largest margins: in all attempts, and in the fewer ones of the last part or of one route. */
-const maxMargin = 0.2
-const maxSmallMargin = 0.4
+/** Largest margins: in all attempts, and in the fewer ones of the last part or of one route. Slow attempts are less serious than failed ones, and a new version begins with empty caches. */
+const maxMargins = { failing: { all: 0.25, part: 0.4 }, slow: { all: 0.4, part: 0.5 } }
 /** Attempts of the new version on a route that are tested by themselves; routes with fewer are tested together. */
 const minRouteAttempts = 12
 /** Part of the old version's attempts from which routes without enough attempts of the new version prevent a promotion. */
 const minRouteShare = 0.1
 /** Attempts of the old version from which there is a comparison. */
 const minReferenceAttempts = 20
-/** Ratio of bad attempts from which a service is in trouble whatever it did before; no version of it can be evaluated then. */
+/** Ratio of bad attempts from which a route can't be evaluated, and a service is in trouble whatever it did before. */
 const maxReferenceRate = 0.25
+/** Attempts, and their ratio of bad ones, from which a route with few of them can't be evaluated either. */
+const minFailingAttempts = 4
+const minFailingRate = 0.5
 /** Ratio of failed attempts that is expected of a service without earlier traffic. */
 const defaultFailureRate = 0.02
 /** How much worse than before the move the old version may do in a period: a ratio of the rates, and an absolute part. */
 const driftRatio = 1.5
-const driftRate = 0.02
+const driftRate = 0.05
 /** Probability that a period without trouble is left out. */
 const quietProbability = 0.001
 const baselineQuantile = 0.9
 /** Multiple of that quantile from which a latency is slow. */
 const slowRatio = 1.5
+/** The same where few latencies give a rough quantile, and only large differences matter. */
+const roughSlowRatio = 2
 /** Bad attempts of the new version beyond the usual ones after which it gets no more requests, whatever the old one does. */
 const maxExcessBad = 25
 
@@ -135,7 +139,7 @@
 }
 
 /** The last bucket that isn't slow in comparison with the given latencies; undefined when these are too few. */
-function lastUsualBucket (countsList: ReadonlyArray<Map<number, number>>): number | undefined {
+function lastUsualBucket (countsList: ReadonlyArray<Map<number, number>>, ratio: number): number | undefined {
   const sum = new Map<number, number>()
   for (const counts of countsList) for (const [bucket, count] of counts) addTo(sum, bucket, count)
   const total = totalOf(sum)
@@ -143,11 +147,15 @@
   let count = 0
   for (const [bucket, bucketCount] of [...sum].sort(([a], [b]) => a - b)) {
     count += bucketCount
-    if (count >= baselineQuantile * total) return bucket + bucketsBetween(slowRatio)
+    if (count >= baselineQuantile * total) return bucket + bucketsBetween(ratio)
   }
   return undefined
 }
 
+function isFailing ({ oldBad, oldTotal }: Tally): boolean {
+  return oldTotal >= minFailingAttempts && oldBad > oldTotal * (oldTotal < minReferenceAttempts ? minFailingRate : maxReferenceRate)
+}
+
 /** The margin that this number of attempts can resolve. */
 function marginOf (attempts: number, rate: number, largest: number): number {
   return Math.min(largest, marginStandardErrors * Math.sqrt(rate * (1 - rate) / attempts) + marginAttempts / attempts)
@@ -208,11 +216,11 @@
     addTo(isLowerBound === true ? histogram.oldBounds : histogram.oldCounts, latencyBucket, delta.oldTotal)
   }
 
-  /** Threshold by the time before the move, or else by the old version during it; undefined without a comparison. */
+  /** Rough threshold by the time before the move, or else by the old version during it; undefined without a comparison. */
   function thresholdOf (kind: RegressionKind, route: string): number | undefined {
     if (kind === 'failing') return 0
     const during = [...routesOf(kind).get(route)?.values() ?? []]
-    return lastUsualBucket([normOf(kind, route).oldCounts]) ?? lastUsualBucket(during.map(({ oldCounts }) => oldCounts))
+    return lastUsualBucket([normOf(kind, route).oldCounts], roughSlowRatio) ?? lastUsualBucket(during.map(({ oldCounts }) => oldCounts), roughSlowRatio)
   }
 
   /** Rate of bad attempts before the move. */
@@ -222,6 +230,27 @@
     return Math.min(maxReferenceRate, (oldBad + 0.5) / (oldTotal + 1))
   }
 
+  /** Whether a route fails so often since before the move, at its timeout for example, that it tells nothing about a version. */
+  function isUnusable (kind: RegressionKind, route: string): boolean {
+    const threshold = thresholdOf(kind, route)
+    if (threshold === undefined) return true
+    const before = tallyOf(normOf(kind, route), threshold)
+    const during = sumTallies([...routesOf(kind).get(route)?.values() ?? []].map(histogram => tallyOf(histogram, threshold)))
+    return isFailing(before) && isFailing(during)
+  }
+
+  /** Whether most attempts are on routes that can't be evaluated. */
+  function isMostlyUnusable (kind: RegressionKind): boolean {
+    let unusable = 0
+    let total = 0
+    for (const [route, byPeriod] of routesOf(kind)) {
+      const attempts = [...byPeriod.values()].reduce((sum, { oldCounts }) => sum + totalOf(oldCounts), 0)
+      total += attempts
+      if (isUnusable(kind, route)) unusable += attempts
+    }
+    return unusable > total / 2
+  }
+
   /** The periods in which the old version did no worse than before the move, and neither did it in an adjacent one. */
   function quietPeriods (kind: RegressionKind, lastPeriod: number): Set<number> {
     const troubled = new Set<number>()
@@ -232,7 +261,7 @@
       for (const [route, byPeriod] of routesOf(kind)) {
         const threshold = thresholdOf(kind, route)
         const histogram = byPeriod.get(period)
-        if (threshold === undefined || histogram === undefined) continue
+        if (threshold === undefined || histogram === undefined || isUnusable(kind, route)) continue
         const { oldBad, oldTotal } = tallyOf(histogram, threshold)
         bad += oldBad
         total += oldTotal
@@ -247,12 +276,18 @@
     return quiet
   }
 
-  /** If the service has recovered from a trouble that began before the move, the time since is the comparison. */
+  /**
+   * Threshold by the time before the move and by quiet periods. If the service has recovered from a trouble that began
+   * before the move, only the time since is the comparison.
+   */
   function strictThresholdOf (kind: RegressionKind, route: string, quiet: readonly Histogram[]): number | undefined {
-    const before = thresholdOf(kind, route)
-    if (kind === 'failing' || before === undefined) return before
-    const during = lastUsualBucket(quiet.map(({ oldCounts }) => oldCounts))
-    return during !== undefined && during < before - bucketsBetween(slowRatio) ? during : before
+    if (kind === 'failing') return 0
+    const { oldCounts: before } = normOf(kind, route)
+    const during = quiet.map(({ oldCounts }) => oldCounts)
+    const usualBefore = lastUsualBucket([before], slowRatio)
+    const usualDuring = lastUsualBucket(during, slowRatio)
+    const hasRecovered = usualBefore !== undefined && usualDuring !== undefined && usualDuring < usualBefore - bucketsBetween(slowRatio)
+    return hasRecovered ? usualDuring : lastUsualBucket([before, ...during], slowRatio)
   }
 
   /** Tallies of each route over some periods, with the old version's rate there over all quiet ones. */
@@ -260,7 +295,7 @@
     return [...routesOf(kind)].flatMap(([route, byPeriod]) => {
       const used = [...byPeriod].filter(([period]) => quiet.has(period))
       const threshold = strictThresholdOf(kind, route, used.map(([, histogram]) => histogram))
-      if (threshold === undefined) return []
+      if (threshold === undefined || isUnusable(kind, route)) return []
       const { oldBad, oldTotal } = sumTallies(used.map(([, histogram]) => tallyOf(histogram, threshold)))
       const referenceRate = oldTotal < minReferenceAttempts ? normRateOf(kind, route, threshold) : Math.min(maxReferenceRate, (oldBad + 0.5) / (oldTotal + 1))
       const included = sumTallies(used.filter(([period]) => isIncluded(period)).map(([, histogram]) => tallyOf(histogram, threshold)))
@@ -283,23 +318,25 @@
       return { result, kind, scope, newBad, newTotal, expectedRate }
     }
 
+    if (isMostlyUnusable(kind)) return { result: 'old-version-in-trouble', kind, scope: 'all' }
+    const margins = kind === 'failing' ? maxMargins.failing : maxMargins.slow
     const all = tallyRoutes(kind, quiet, () => true)
     const late = tallyRoutes(kind, quiet, period => period >= firstLatePeriod)
     const oldTotal = all.reduce((sum, tally) => sum + tally.oldTotal, 0)
     const larger = all.filter(({ newTotal }) => newTotal >= minRouteAttempts)
     const smaller = all.filter(({ newTotal }) => newTotal < minRouteAttempts)
     const hasTestableSmaller = sumTallies(smaller).newTotal >= minRouteAttempts || sumTallies(smaller).oldTotal > minRouteShare * oldTotal
-    return test('all', all, maxMargin, maxMissProbability) ??
-      test('last-part', late, maxSmallMargin, maxMissProbability) ??
-      larger.map(tally => test(tally.route, [tally], maxSmallMargin, maxRouteMissProbability)).find(failure => failure !== undefined) ??
-      (hasTestableSmaller ? test('small-routes', smaller, maxSmallMargin, maxRouteMissProbability) : undefined)
+    return test('all', all, margins.all, maxMissProbability) ??
+      test('last-part', late, margins.part, maxSmallMissProbability) ??
+      larger.map(tally => test(tally.route, [tally], margins.part, maxSmallMissProbability)).find(failure => failure !== undefined) ??
+      (hasTestableSmaller ? test('small-routes', smaller, margins.part, maxSmallMissProbability) : undefined)
   }
 
   function excessBadOf (kind: RegressionKind): number {
     let excess = 0
     for (const [route, byPeriod] of routesOf(kind)) {
       const threshold = thresholdOf(kind, route)
-      if (threshold === undefined) continue
+      if (threshold === undefined || isUnusable(kind, route)) continue
       const { newBad, newTotal } = sumTallies([...byPeriod.values()].map(histogram => tallyOf(histogram, threshold)))
       excess += newBad - newTotal * (driftRatio * normRateOf(kind, route, threshold) + driftRate)
     }
@@ -310,7 +347,7 @@
     add,
     verdict: nowMs => {
       // A service whose responses have no first token, or no second one, has no latencies of that kind.
-      const kinds = [...periods.keys()].filter(kind => kind === 'failing' || tallyRoutes(kind, quietPeriods(kind, periodAt(nowMs)), () => true).length > 0)
+      const kinds = [...periods.keys()].filter(kind => kind === 'failing' || [...routesOf(kind).keys()].some(route => thresholdOf(kind, route) !== undefined))
       if (!kinds.includes('failing')) return { result: 'too-few-attempts' }
       return kinds.map(kind => firstFailure(kind, nowMs)).find(failure => failure !== undefined) ?? { result: 'good' }
     },
--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -23,7 +23,7 @@
 /** Fraction of the slack that is used; the rest is for rounding on each node. */
 const usedSlackRatio = 0.8
 /** Largest share of the canary version, as a multiple of the allowed one; the slack then lasts for the whole evaluation. */
-const maxShareRatio = 2.5
+const maxShareRatio = 4
 /** Fraction of a move's time after which a new version that was shown to be good takes over. */
 const evaluationRatio = 0.7
 /** Longest reserve before the deadline, so that the result can be written despite an outage. */
