--- a/src/core/moves/promotion.ts
+++ b/src/core/moves/promotion.ts
@@ -25,7 +25,7 @@
 const maxMargins = { failing: { all: 0.25, part: 0.4 }, slow: { all: 0.4, part: 0.5 } }
 /** Attempts of the new version on a route that are tested by themselves; routes with fewer are tested together. */
 const minRouteAttempts = 12
-/** Part of the old version's attempts from which routes without enough attempts of the new version prevent a promotion. */
+/** Part of the old version's attempts from which routes without enough attempts of the new version to show failures prevent a promotion. */
 const minRouteShare = 0.1
 /** Attempts of the old version from which there is a comparison. */
 const minReferenceAttempts = 20
@@ -325,7 +325,8 @@
     const oldTotal = all.reduce((sum, tally) => sum + tally.oldTotal, 0)
     const larger = all.filter(({ newTotal }) => newTotal >= minRouteAttempts)
     const smaller = all.filter(({ newTotal }) => newTotal < minRouteAttempts)
-    const hasTestableSmaller = sumTallies(smaller).newTotal >= minRouteAttempts || sumTallies(smaller).oldTotal > minRouteShare * oldTotal
+    const mustTestSmaller = kind === 'failing' && sumTallies(smaller).oldTotal > minRouteShare * oldTotal
+    const hasTestableSmaller = sumTallies(smaller).newTotal >= minRouteAttempts || mustTestSmaller
     return test('all', all, margins.all, maxMissProbability) ??
       test('last-part', late, margins.part, maxSmallMissProbability) ??
       larger.map(tally => test(tally.route, [tally], margins.part, maxSmallMissProbability)).find(failure => failure !== undefined) ??
