--- a/src/core/moves/reconcile-move.ts
+++ b/src/core/moves/reconcile-move.ts
@@ -86,7 +86,12 @@
   function dueEnd (declaration: TeamDeclaration, record: MoveRecord): MoveEnd | undefined {
     const brake = options.analysisOf(record)?.brake()
     if (brake !== undefined) return createRegressionEnd(brake, clock.wallMs())
-    if (clock.wallMs() >= record.deadlineAtMs) return endOf('taken-back', 'deadline-past', 'The result could not be written before the deadline.')
+    if (clock.wallMs() >= record.deadlineAtMs) {
+      if (record.trafficAtMs !== undefined && promotionResultOf(declaration, record) !== 'good') {
+        return endOf('taken-back', 'deadline-past', `"${record.toVersion}" was not shown to be as good as "${record.fromVersion}" before the deadline.`)
+      }
+      return endOf('taken-back', 'deadline-past', 'The result could not be written before the deadline.')
+    }
     if (isStillDeclared(declaration, record)) return undefined
     const { move } = declaration
     if (move === undefined) return endOf('taken-back', 'withdrawn', `The move to "${record.toVersion}" was withdrawn.`)
