--- a/src/core/moves/promotion.ts
+++ b/src/core/moves/promotion.ts
@@ -46,6 +46,8 @@
 const slowRatio = 1.5
 /** The same where few latencies give a rough quantile, and only large differences matter. */
 const roughSlowRatio = 2
+/** How many times faster the old version has become if it has recovered from a trouble that began before the move. */
+const recoveredRatio = 2.5
 /** Bad attempts of the new version beyond the usual ones after which it gets no more requests, whatever the old one does. */
 const maxExcessBad = 25
 
@@ -286,7 +288,7 @@
     const during = quiet.map(({ oldCounts }) => oldCounts)
     const usualBefore = lastUsualBucket([before], slowRatio)
     const usualDuring = lastUsualBucket(during, slowRatio)
-    const hasRecovered = usualBefore !== undefined && usualDuring !== undefined && usualDuring < usualBefore - bucketsBetween(slowRatio)
+    const hasRecovered = usualBefore !== undefined && usualDuring !== undefined && usualDuring < usualBefore - bucketsBetween(recoveredRatio)
     return hasRecovered ? usualDuring : lastUsualBucket([before, ...during], slowRatio)
   }
 
