--- a/src/core/moves/promotion.ts
+++ b/src/core/moves/promotion.ts
@@ -6,10 +6,13 @@
  * the old version in the same periods, without those in which it did worse than
  * before the move: then a good version can't be told from a bad one.
  */
-import { binomialAtLeast, binomialAtMost } from './binomial.ts'
+import { addCounts, createHistogram, lastUsualBucket, sumTallies, tallyOf, totalOf } from './attempt-histogram.ts'
+import { binomialAtLeast } from './binomial.ts'
 import { bucketsBetween } from './latency-buckets.ts'
+import { isShownGood } from './non-inferiority.ts'
 import type { AttemptCounts } from './attempt-counts.ts'
-import type { RegressionKind } from './types.ts'
+import type { Histogram } from './attempt-histogram.ts'
+import type { RegressionKind, VersionCounts } from './types.ts'
 
 /** Number of periods into which the time until the deadline is divided. */
 const periodsPerMove = 24
@@ -18,9 +21,6 @@
 /** Probability that a version that is worse by the margin passes the test of all attempts, or one of fewer attempts. */
 const maxMissProbability = 0.01
 const maxSmallMissProbability = 0.05
-/** The margin in standard errors of the reference rate, and in attempts. */
-const marginStandardErrors = 4.2
-const marginAttempts = 10
 /** Largest margins: in all attempts, and in the fewer ones of the last part or of one route. Slow attempts are less serious than failed ones, and a new version begins with empty caches. */
 const maxMargins = { failing: { all: 0.25, part: 0.4 }, slow: { all: 0.4, part: 0.5 } }
 /** Attempts of the new version on a route that are tested by themselves; routes with fewer are tested together. */
@@ -34,14 +34,14 @@
 /** Attempts, and their ratio of bad ones, from which a route with few of them can't be evaluated either. */
 const minFailingAttempts = 4
 const minFailingRate = 0.5
-/** Ratio of failed attempts that is expected of a service without earlier traffic. */
+/** Ratios of failed and of slow attempts that are expected of a service without earlier traffic. */
 const defaultFailureRate = 0.02
+const defaultSlowRate = 0.1
 /** How much worse than before the move the old version may do in a period: a ratio of the rates, and an absolute part. */
 const driftRatio = 1.5
 const driftRate = 0.05
 /** Probability that a period without trouble is left out. */
 const quietProbability = 0.001
-const baselineQuantile = 0.9
 /** Multiple of that quantile from which a latency is slow. */
 const slowRatio = 1.5
 /** The same where few latencies give a rough quantile, and only large differences matter. */
@@ -81,95 +81,13 @@
   deadlineAtMs: number
 }
 
-/** Attempts by bucket; failures have the buckets 0 and 1. */
-interface Histogram {
-  newCounts: Map<number, number>
-  oldCounts: Map<number, number>
-  /** Latencies that were not complete. */
-  newBounds: Map<number, number>
-  oldBounds: Map<number, number>
-}
-
-/** Bad attempts and all attempts of both versions under a threshold. */
-interface Tally { newBad: number, newTotal: number, oldBad: number, oldTotal: number }
-
-interface RouteTally extends Tally { route: string, referenceRate: number }
-
-const failedBucket = 1
-
-function createHistogram (): Histogram {
-  return { newCounts: new Map(), oldCounts: new Map(), newBounds: new Map(), oldBounds: new Map() }
-}
-
-function addTo (counts: Map<number, number>, bucket: number, count: number): void {
-  if (count !== 0) counts.set(bucket, (counts.get(bucket) ?? 0) + count)
-}
-
-function totalOf (counts: Map<number, number>): number {
-  let total = 0
-  for (const count of counts.values()) total += count
-  return total
-}
+/** Attempts on one route, with the old version's rate of bad ones there. */
+interface RouteTally extends VersionCounts { route: string, referenceRate: number }
 
-function countAbove (counts: Map<number, number>, lastUsual: number): number {
-  let total = 0
-  for (const [bucket, count] of counts) if (bucket > lastUsual) total += count
-  return total
-}
-
-/** Tallies a histogram; an incomplete latency counts only if it is slow already. */
-function tallyOf ({ newCounts, oldCounts, newBounds, oldBounds }: Histogram, lastUsual: number): Tally {
-  const newLate = countAbove(newBounds, lastUsual)
-  const oldLate = countAbove(oldBounds, lastUsual)
-  return {
-    newBad: countAbove(newCounts, lastUsual) + newLate,
-    newTotal: totalOf(newCounts) + newLate,
-    oldBad: countAbove(oldCounts, lastUsual) + oldLate,
-    oldTotal: totalOf(oldCounts) + oldLate
-  }
-}
-
-function sumTallies (tallies: readonly Tally[]): Tally {
-  const sum = { newBad: 0, newTotal: 0, oldBad: 0, oldTotal: 0 }
-  for (const { newBad, newTotal, oldBad, oldTotal } of tallies) {
-    sum.newBad += newBad
-    sum.newTotal += newTotal
-    sum.oldBad += oldBad
-    sum.oldTotal += oldTotal
-  }
-  return sum
-}
-
-/** The last bucket that isn't slow in comparison with the given latencies; undefined when these are too few. */
-function lastUsualBucket (countsList: ReadonlyArray<Map<number, number>>, ratio: number): number | undefined {
-  const sum = new Map<number, number>()
-  for (const counts of countsList) for (const [bucket, count] of counts) addTo(sum, bucket, count)
-  const total = totalOf(sum)
-  if (total < minReferenceAttempts) return undefined
-  let count = 0
-  for (const [bucket, bucketCount] of [...sum].sort(([a], [b]) => a - b)) {
-    count += bucketCount
-    if (count >= baselineQuantile * total) return bucket + bucketsBetween(ratio)
-  }
-  return undefined
-}
-
-function isFailing ({ oldBad, oldTotal }: Tally): boolean {
+function isFailing ({ oldBad, oldTotal }: VersionCounts): boolean {
   return oldTotal >= minFailingAttempts && oldBad > oldTotal * (oldTotal < minReferenceAttempts ? minFailingRate : maxReferenceRate)
 }
 
-/** The margin that this number of attempts can resolve. */
-function marginOf (attempts: number, rate: number, largest: number): number {
-  return Math.min(largest, marginStandardErrors * Math.sqrt(rate * (1 - rate) / attempts) + marginAttempts / attempts)
-}
-
-/** Whether the attempts reject that the new version is worse than the reference by the margin. */
-function isShownGood (newBad: number, newTotal: number, rate: number, largestMargin: number, missProbability: number): boolean {
-  if (newTotal === 0) return false
-  const worseRate = 1 - (1 - rate) * (1 - marginOf(newTotal, rate, largestMargin))
-  return binomialAtMost(newBad, newTotal, worseRate) <= missProbability
-}
-
 /** Creates an analysis without evidence. */
 export function createPromotionAnalysis ({ startAtMs, deadlineAtMs }: PromotionOptions): PromotionAnalysis {
   const periodMs = Math.max(1, deadlineAtMs - startAtMs) / periodsPerMove
@@ -205,17 +123,8 @@
   }
 
   function add (delta: AttemptCounts, nowMs: number): void {
-    const { route, kind, latencyBucket, isLowerBound } = delta
-    const histogram = delta.share > 0 ? histogramOf(kind, route, periodAt(nowMs)) : normOf(kind, route)
-    if (latencyBucket === undefined) {
-      addTo(histogram.newCounts, failedBucket, delta.newBad)
-      addTo(histogram.newCounts, 0, delta.newTotal - delta.newBad)
-      addTo(histogram.oldCounts, failedBucket, delta.oldBad)
-      addTo(histogram.oldCounts, 0, delta.oldTotal - delta.oldBad)
-      return
-    }
-    addTo(isLowerBound === true ? histogram.newBounds : histogram.newCounts, latencyBucket, delta.newTotal)
-    addTo(isLowerBound === true ? histogram.oldBounds : histogram.oldCounts, latencyBucket, delta.oldTotal)
+    const { route, kind, share } = delta
+    addCounts(share > 0 ? histogramOf(kind, route, periodAt(nowMs)) : normOf(kind, route), delta)
   }
 
   /** Rough threshold by the time before the move, or else by the old version during it; undefined without a comparison. */
@@ -228,7 +137,7 @@
   /** Rate of bad attempts before the move. */
   function normRateOf (kind: RegressionKind, route: string, threshold: number): number {
     const { oldBad, oldTotal } = tallyOf(normOf(kind, route), threshold)
-    if (oldTotal < minReferenceAttempts) return kind === 'failing' ? defaultFailureRate : 1 - baselineQuantile
+    if (oldTotal < minReferenceAttempts) return kind === 'failing' ? defaultFailureRate : defaultSlowRate
     return Math.min(maxReferenceRate, (oldBad + 0.5) / (oldTotal + 1))
   }
 
