Run the test of waiting for other nodes' changes on a manual clock

Traced: the view waits 600 ms for the first changes; with a stall of 2.5 s of the test's process between its start and the update, the test as it was fails in the same way, with one of 0.9 s before the wait it passes. The clock of the test now moves only when told; the assertions are the same, and one more says that there is no watch during the wait.

--- a/test/store-view/store-view.test.ts
+++ b/test/store-view/store-view.test.ts
@@ -1,6 +1,6 @@
 /** The store view during outages, after compaction, and with updates from peers. */
 import test from 'ava'
-import { createSystemClock } from '../../src/core/clock/index.ts'
+import { createManualClock, createSystemClock } from '../../src/core/clock/index.ts'
 import { createMemoryKeyValue } from '../../src/core/platform/key-value/index.ts'
 import { createStoreView } from '../../src/core/store-view/index.ts'
 import { fetchNewerView, serveView } from '../../src/core/node-reports/index.ts'
@@ -169,26 +169,29 @@
 
 // Hundreds of nodes that restart at once each opened a watch until the first digest arrived.
 test('a node that expects changes from others waits for them before it watches the service', async t => {
-  const service = createMemoryKeyValue({ clock })
-  const store = service.connect('node')
+  const manualClock = createManualClock()
+  const service = createMemoryKeyValue({ clock: manualClock })
   const state = { hasPeerUpdates: false }
   const view = createStoreView({
-    store,
-    clock,
+    store: service.connect('node'),
+    clock: manualClock,
     log: () => {},
     fetchFromPeers: async () => undefined,
     expectsPeerUpdates: () => true,
     hasPeerUpdates: () => state.hasPeerUpdates
   })
   t.teardown(view.close)
-  await view.start()
-  await clock.sleep(100)
+  const watches = (): number => service.calls().byOperation.watch ?? 0
+  const started = view.start()
+  await manualClock.advance(100)
+  await started
+  t.is(watches(), 0)
   state.hasPeerUpdates = true
-  await clock.sleep(700)
-  t.is(service.calls().byOperation.watch ?? 0, 0)
+  await manualClock.advance(700)
+  t.is(watches(), 0)
   state.hasPeerUpdates = false
-  await until(() => (service.calls().byOperation.watch ?? 0) > 0)
-  t.pass()
+  await manualClock.advance(1_000)
+  t.true(watches() > 0)
 })
 
 // At 300 nodes and 3,000 backend servers, deltas were too large to be sent, and every node listed all content again and again.
