--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -145,7 +145,8 @@
       return end({ kind: 'may-have-run', cause: 'received a response without a signature', isUntrusted: true })
     }
     const declaredBytes = Number(firstValueOf(newHeaders['content-length']) ?? 0)
-    if (!isStream() && declaredBytes > options.buffers.maxResponseBytes) return failWithBytes(`its response has ${declaredBytes} bytes`)
+    const hasBody = options.request.method !== 'HEAD'
+    if (hasBody && !isStream() && declaredBytes > options.buffers.maxResponseBytes) return failWithBytes(`its response has ${declaredBytes} bytes`)
     if (head.isNotRun) notRunTimer = setTimeout(() => failWithBytes('the rest of the response is missing'), notRunBodyTimeoutMs)
     else if (!isStream()) options.onFirstByte()
   }
--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -222,9 +222,10 @@
   /** A version that isn't shown to be good yet may be so later; without that it is taken back shortly before the deadline. */
   function isShownGood (move: RunningMove): boolean {
     const { result, ...evidence } = move.analysis.promotionVerdict(clock.wallMs())
-    if (result === 'good') return true
-    if (result !== move.loggedResult) log('serviceMoveHeld', { service: move.order.service, target: move.order.target, reason: result, ...evidence })
-    move.loggedResult = result
+    if (result === 'good' && !move.analysis.isDoubtful()) return true
+    const reason = result === 'good' ? 'not-shown-good' : result
+    if (reason !== move.loggedResult) log('serviceMoveHeld', { service: move.order.service, target: move.order.target, reason, ...evidence })
+    move.loggedResult = reason
     return false
   }
 
--- a/test/gateway/endless-responses.test.ts
+++ b/test/gateway/endless-responses.test.ts
@@ -80,6 +80,12 @@
   t.deepEqual(responses.map(({ status, body }) => ({ status, body })), responses.map(() => ({ status: 200, body: 'whole' })))
 })
 
+test('the length of a body that a HEAD request leaves out is no reason to fail it', async t => {
+  const { port } = await startGateway(t, [({ headers }, socket) => { socket.write(head(headers['x-request'] ?? '', 200, { 'content-length': '9000000000' })) }])
+  const response = await fetch(`http://127.0.0.1:${port}/look-up/`, { method: 'HEAD', headers: { 'x-request': 'r-1', authorization: 'Bearer key-1' } })
+  t.is(response.status, 200)
+})
+
 test('a request that certainly was not run is refused as such, although the body of the refusal has no end', async t => {
   const handlers: RawRequestHandler[] = [
     ({ headers }, socket) => {
