Log how far an attempt had come, and its prompt's parts if it had no answer

Lines of a request now have the phase in which its latest attempt ended (waiting, started, answering), and the ids of the shared parts of its prompt if that attempt had no answer. The id of a part is read by itself, not only as a hash with the part before it.

--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -7,7 +7,7 @@
 import type { Metrics } from '../metrics/index.ts'
 import type { Quotas } from '../quota/index.ts'
 import type { RouteChoice, Router } from '../routing/index.ts'
-import type { Attempt, StreamProgress, CompleteResponse } from './attempt.ts'
+import type { Attempt, AttemptPhase, StreamProgress, CompleteResponse } from './attempt.ts'
 import type { BackendTable } from './backend-table.ts'
 import type { RouteTable } from './route-table.ts'
 import type { GatewayRoute, GatewayTeam, HeaderCodec, RequestHead } from './types.ts'
@@ -92,6 +92,8 @@
   /** Attempts that failed to connect, or reached another server than the chosen one. */
   undeliveredCount: number
   attempt: Attempt | undefined
+  /** How far the latest attempt had come when it ended. */
+  endedInPhase: AttemptPhase | undefined
   isCallerGone: boolean
   isTimedOut: boolean
   choice: RouteChoice | undefined
@@ -101,9 +103,11 @@
   failureResponse: CompleteResponse | undefined
 }
 
+const maxLoggedParts = 8
+
 /** Fields for the log events of a request, such as its route and the chosen backend server. Durations are in ms. */
 export function requestLogFields (active: ActiveRequest, clock: Clock): Record<string, unknown> {
-  const { id, team, route, version, service, sentCount, undeliveredCount, choice, arrivedAtMs, firstByteMs } = active
+  const { id, team, route, version, service, sentCount, undeliveredCount, choice, arrivedAtMs, firstByteMs, endedInPhase, head } = active
   return {
     request: id,
     team: team?.team,
@@ -112,6 +116,9 @@
     service,
     sent: sentCount,
     unreached: undeliveredCount,
+    phase: endedInPhase,
+    // Only of attempts without an answer, where a part of the prompt may be the cause.
+    promptParts: endedInPhase === 'waiting' || endedInPhase === 'started' ? head.sharedParts.slice(0, maxLoggedParts) : undefined,
     backend: choice?.backend.id,
     chosenFor: choice?.reason,
     expectedMs: choice === undefined ? undefined : Math.round(choice.expectedFirstTokenMs),
--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -67,8 +67,12 @@
   onEvents: (count: number) => void
 }
 
+/** How far the response to an attempt has come: nothing received, its head, or an event of its stream or a part of its body. */
+export type AttemptPhase = 'waiting' | 'started' | 'answering'
+
 /** An attempt in progress. */
 export interface Attempt {
+  phase: () => AttemptPhase
   ended: Promise<AttemptEnd>
   /** Closes the connection, which also ends the backend server's work. */
   abort: () => void
@@ -95,6 +99,7 @@
   let isSettled = false
   let notRunTimer: NodeJS.Timeout | undefined
   let forwardedBytes = 0
+  let hasContent = false
   const ended = new Promise<AttemptEnd>(resolve => { settle = resolve })
 
   function end (result: AttemptEnd): void {
@@ -165,6 +170,7 @@
     if (isSettled) return true
     options.onActivity()
     if (!isStream()) {
+      hasContent = true
       buffer.add(chunk)
       return true
     }
@@ -177,6 +183,7 @@
     if (forwardedBytes === 0 && progress.areHeadersSent) options.onFirstByte()
     sendHeaders()
     forwardedBytes += events.length
+    hasContent = true
     options.onEvents(progress.eventBuffer.eventCount() - eventsBefore)
     const hasRoom = response.write(events)
     if (!hasRoom) response.once('drain', exchange.resume)
@@ -210,6 +217,7 @@
   })
 
   return {
+    phase: () => head === undefined ? 'waiting' : hasContent ? 'answering' : 'started',
     ended,
     abort: () => {
       const mayHaveRun = exchange.isSent()
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -117,6 +117,7 @@
       sentCount: 0,
       undeliveredCount: 0,
       attempt: undefined,
+      endedInPhase: undefined,
       isCallerGone: false,
       isTimedOut: false,
       choice: undefined,
@@ -258,6 +259,7 @@
     const end = await attempt.ended
     clearTimeout(responseTimer)
     active.attempt = undefined
+    active.endedInPhase = attempt.phase()
     const isServerError = end.kind === 'complete' && end.response.status >= 500
     const ok = (end.kind === 'passed-on' || end.kind === 'complete') && !isServerError
     router.onAttemptEnded(attemptId, { ok, attributedToBackend: end.kind !== 'aborted' && !(end.kind === 'not-run' && !end.isUnreachable) })
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -3,7 +3,7 @@
  * byte for byte.
  */
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
-import type { BackendId, DomainId, RequestId, TeamId, VersionId } from '../ids/index.ts'
+import type { BackendId, DomainId, PromptPartId, RequestId, TeamId, VersionId } from '../ids/index.ts'
 import type { QuotaLimit } from '../quota/index.ts'
 import type { PromptBlocks } from '../routing/index.ts'
 
@@ -111,6 +111,8 @@
   /** Tokens of the prompt, and maximum tokens of the response. */
   tokens: { prompt: number, answer: number } | undefined
   prompt: PromptBlocks | undefined
+  /** The parts of the prompt that other requests may share, whatever their position; without the last part, which belongs to this request. */
+  sharedParts: PromptPartId[]
   /** Id of the last event that the caller received of an earlier stream. */
   lastEventId: string | undefined
 }
--- a/src/core/ids/index.ts
+++ b/src/core/ids/index.ts
@@ -21,6 +21,8 @@
 export type VersionId = Brand<'VersionId'>
 /** One request of a caller from admission to its end; kept when another node takes it over. */
 export type RequestId = Brand<'RequestId'>
+/** One part of a prompt that several requests may share; the same text has the same id in every prompt. */
+export type PromptPartId = Brand<'PromptPartId'>
 /** One attempt of a request at one backend server. */
 export type AttemptId = Brand<'AttemptId'>
 /** The key by which a caller marks repeats of the same request. */
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -11,7 +11,7 @@
 import type { AddressInfo } from 'node:net'
 import type { ExecutionContext } from 'ava'
 import type { AttemptReport, BackendEntry, GatewayConfiguration, GatewayRoute, HeaderCodec } from '../../src/core/gateway/index.ts'
-import type { BackendId, DomainId, NodeId, RequestId, TeamId, VersionId } from '../../src/core/ids/index.ts'
+import type { BackendId, DomainId, NodeId, PromptPartId, RequestId, TeamId, VersionId } from '../../src/core/ids/index.ts'
 import type { RawRequestHandler, RawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 
 const hasher = await createPromptHasher()
@@ -39,6 +39,7 @@
     key: headers.authorization?.replace('Bearer ', ''),
     tokens: headers['x-tokens'] === undefined ? undefined : { prompt: Number(headers['x-tokens']), answer: 0 },
     prompt: undefined,
+    sharedParts: headers['x-parts'] === undefined ? [] : String(headers['x-parts']).split(',').map(part => toId<PromptPartId>(part)),
     lastEventId: undefined
   }),
   forwardedHeaders: (request, { backend, deadlineAtMs, lastEventId }, bodyBytes, nowMs) => {
