--- a/src/stand-ins/raw-backend/index.ts
+++ b/src/stand-ins/raw-backend/index.ts
@@ -29,6 +29,10 @@
   closedCount: () => number
   /** Replaces the handler of all later requests. */
   setHandler: (handler: RawRequestHandler) => void
+  /** Ends all connections at once and refuses new ones, as a crashed process; with `isClean`, after the bytes that were written. */
+  crash: (options?: { isClean?: boolean }) => void
+  /** Listens again on the same port after a crash. */
+  restart: () => Promise<void>
   close: () => Promise<void>
 }
 
@@ -62,6 +66,7 @@
   let handler = initialHandler
   let connectionCount = 0
   let closedCount = 0
+  let isClosed = false
 
   const server = createServer(socket => {
     connectionCount += 1
@@ -92,13 +97,29 @@
       }
     })
   })
-  await new Promise<void>(resolve => server.listen({ host: '127.0.0.1', port: 0 }, resolve))
+  async function listen (port: number): Promise<void> {
+    await new Promise<void>(resolve => server.listen({ host: '127.0.0.1', port }, resolve))
+  }
+
+  await listen(0)
+  const { port } = server.address() as AddressInfo
   return {
-    port: (server.address() as AddressInfo).port,
+    port,
     requests,
     closedCount: () => closedCount,
     setHandler: next => { handler = next },
+    crash: ({ isClean = false } = {}) => {
+      server.close()
+      for (const socket of sockets) {
+        if (isClean) socket.end()
+        else socket.resetAndDestroy()
+      }
+    },
+    restart: async () => {
+      if (!isClosed) await listen(port)
+    },
     close: async () => {
+      isClosed = true
       for (const socket of sockets) socket.destroy()
       await new Promise(resolve => server.close(resolve))
     }
