Refuse prompts that crash one backend server after the other

Cause: outcomes were kept by backend server, version and retry budget, never by what a request carries. A request under which a server crashed was sent to the next one, and each further request with the same part as any other. With 9 to 195 nodes no node sees enough crashes by itself.

Ruled out: a limit on retries alone.

Why this works: nodes tell one another which prompts had no answer when a server crashed, and which parts of them were answered since. A part is assessed by the likelihood of that if it crashes what begins to answer it, relative to the present rate of crashes; the part that explains the crashes best goes first, and what it explains is no evidence against others. A crash is told from a reset, a cut or a grey server by a new connection, which only a process that ended refuses. While suspected, few requests with the parts are under way over all nodes, and a request under which a server crashed is sent again only once its parts were answered elsewhere. Once certain, all nodes refuse them on arrival and give up open attempts. Records last in the key-value service, end at a deadline by one trial over all nodes, and can be lifted.

--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -6,6 +6,7 @@
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { Quotas } from '../quota/index.ts'
+import type { Admittance, Quarantine } from '../quarantine/index.ts'
 import type { RouteChoice, Router } from '../routing/index.ts'
 import type { Attempt, AttemptPhase, StreamProgress, CompleteResponse } from './attempt.ts'
 import type { BackendTable } from './backend-table.ts'
@@ -46,6 +47,8 @@
   admission: Admission
   quotas: Quotas
   retryBudget: RetryBudget
+  /** Refuses prompts that crash backend servers. */
+  quarantine: Pick<Quarantine, 'admit' | 'find' | 'recordCrash' | 'recordAnswer' | 'onQuarantined'>
   backends: BackendTable
   /** Routes of the configuration in effect; undefined before the first one arrives. */
   routeTable: () => RouteTable | undefined
@@ -94,6 +97,12 @@
   attempt: Attempt | undefined
   /** How far the latest attempt had come when it ended. */
   endedInPhase: AttemptPhase | undefined
+  /** Whether a backend server crashed under an attempt that had no answer. */
+  hasCrashedBackend: boolean
+  /** Why the prompt must not be sent again. */
+  blockedBy: BlockedPrompt | undefined
+  /** Aborted when the caller disconnects or the deadline passes. */
+  ended: AbortController
   isCallerGone: boolean
   isTimedOut: boolean
   choice: RouteChoice | undefined
@@ -103,6 +112,9 @@
   failureResponse: CompleteResponse | undefined
 }
 
+/** Why a prompt is not sent, and when a retry may succeed. */
+export type BlockedPrompt = Pick<Extract<Admittance, { kind: 'refused' }>, 'reason' | 'detail' | 'retryAtMs'>
+
 const maxLoggedParts = 8
 
 /** Fields for the log events of a request, such as its route and the chosen backend server. Durations are in ms. */
--- a/src/core/gateway/attempt-end-handler.ts
+++ b/src/core/gateway/attempt-end-handler.ts
@@ -88,6 +88,11 @@
   function retryOrFail (active: ActiveRequest, choice: RouteChoice, cause: string): boolean {
     const { route, excluded } = active
     excluded.add(choice.backend.id)
+    if (active.blockedBy !== undefined && !active.isCallerGone) {
+      const { reason, detail, retryAtMs } = active.blockedBy
+      failRequest(active, reason, detail, retryAtMs - clock.wallMs())
+      return false
+    }
     const mayRepeat = active.mayHaveRunOn.size === 0 || isRetryable(active)
     const hasAttemptsLeft = active.sentCount < route.maxBackends && active.undeliveredCount <= maxUndelivered
     const isWithinDeadline = clock.wallMs() < active.deadlineAtMs && !active.isCallerGone
--- a/src/core/gateway/backend-table-types.ts
+++ b/src/core/gateway/backend-table-types.ts
@@ -88,6 +88,8 @@
   pause: (id: BackendId, forMs: number) => void
   /** Time until the first of a service's paused backend servers resumes; undefined unless all that are live are paused. */
   allPausedForMs: (service: string) => number | undefined
+  /** Whether a version of a service is being stopped after a move. */
+  isReplaced: (service: string, version: VersionId) => boolean
   /** How many backend servers of each service get no requests, by reason. */
   ineligibleCounts: () => Map<string, Map<IneligibleReason, number>>
   close: () => void
--- a/src/core/gateway/backend-table.ts
+++ b/src/core/gateway/backend-table.ts
@@ -248,6 +248,7 @@
     },
     pause,
     allPausedForMs,
+    isReplaced: (service, version) => options.versionRolesOf(service)(version) === 'replaced',
     ineligibleCounts,
     close: () => {
       for (const { connections } of known.values()) connections.close()
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -8,6 +8,7 @@
 import { readBody } from './read-body.ts'
 import { servingLabel, canaryLabel } from './backend-table.ts'
 import { createAttemptEndHandler } from './attempt-end-handler.ts'
+import { createPromptGate } from './prompt-gate.ts'
 import { resumeMs } from './eligibility.ts'
 import { createLatencyObserver } from './latency-observer.ts'
 import { createResponseBuffers } from './response-buffers.ts'
@@ -44,6 +45,7 @@
   const refusals = createRefusals(options)
   const buffers = createResponseBuffers({ maxResponseBytes, maxTotalBytes: maxBufferedBytes })
   const { refuse, withJitter } = refusals
+  const promptGate = createPromptGate(options)
   const { handleAttemptEnd, failRequest, timeOutRequest } = createAttemptEndHandler(options, refusals)
 
   /** Finds the route and the team; refuses the request and returns undefined when it is not allowed. */
@@ -118,12 +120,17 @@
       undeliveredCount: 0,
       attempt: undefined,
       endedInPhase: undefined,
+      hasCrashedBackend: false,
+      blockedBy: undefined,
+      ended: new AbortController(),
       isCallerGone: false,
       isTimedOut: false,
       choice: undefined,
       firstByteMs: undefined,
       failureResponse: undefined
     }
+    const quarantined = promptGate.refusalOnArrival(active)
+    if (quarantined !== undefined) return refuse(response, quarantined, requestLogFields(active, clock))
     if (team?.quota !== undefined) {
       const waitMs = options.quotas.take(team.team, team.quota, quotaUnitsOf(active))
       if (waitMs > 0) {
@@ -136,11 +143,10 @@
 
   async function admitAndServe (active: ActiveRequest): Promise<void> {
     const { response, route } = active
-    const callerGone = new AbortController()
     response.on('close', () => {
       if (response.writableFinished) return
       active.isCallerGone = true
-      callerGone.abort()
+      active.ended.abort()
       active.attempt?.abort()
     })
     const permit = await options.admission.admit({
@@ -152,7 +158,7 @@
       maxConcurrent: maxRequestsInFlight,
       maxQueued: maxQueuedRequests,
       expectedMs: 0,
-      signal: callerGone.signal
+      signal: active.ended.signal
     })
     if (permit.isErr) {
       const { reason, detail, retryAtMs } = permit.error
@@ -161,6 +167,7 @@
     }
     const timer = setTimeout(() => {
       active.isTimedOut = true
+      active.ended.abort()
       active.attempt?.abort()
     }, Math.max(0, active.deadlineAtMs - clock.wallMs()))
     try {
@@ -193,6 +200,9 @@
     for (;;) {
       if (active.isCallerGone) return log('gatewayLeft', { ...requestLogFields(active, clock), phase: 'serving' })
       if (active.isTimedOut) return timeOutRequest(active)
+      const admittance = await promptGate.admit(active)
+      if (active.isCallerGone || active.isTimedOut) continue
+      if (admittance.kind === 'refused') return failRequest(active, admittance.reason, admittance.detail, admittance.retryAtMs - clock.wallMs())
       const chosen = router.choose(routeRequest(active), backends.usable(active.service))
       if (chosen.isErr) {
         const pausedForMs = backends.allPausedForMs(active.service)
@@ -201,6 +211,8 @@
         return failRequest(active, reason, detail, Math.max(0, (retryAtMs ?? 0) - clock.wallMs()))
       }
       const end = await attemptOnce(active, chosen.value)
+      admittance.release()
+      await promptGate.onAttemptEnded(active, end)
       if (handleAttemptEnd(active, chosen.value, end)) return
     }
   }
@@ -224,6 +236,7 @@
     const isCanary = choice.version === canaryLabel
     const sentAtMs = clock.monotonicMs()
     let lastProgressAtMs: number | undefined
+    let hasEvents = false
     const latencies = createLatencyObserver(sentAtMs, latency => options.onLatency({ service: active.service, route: route.name, isCanary, ...latency }))
     const attempt = startAttempt({
       connections: known.connections,
@@ -247,6 +260,8 @@
       onEvents: count => {
         lastProgressAtMs = clock.monotonicMs()
         latencies.onEvents(count, lastProgressAtMs)
+        if (!hasEvents) promptGate.onFirstEvent(active)
+        hasEvents = true
       }
     })
     active.attempt = attempt
--- a/src/core/log/events/gateway.ts
+++ b/src/core/log/events/gateway.ts
@@ -15,8 +15,13 @@
   backendPaused: { number: 715, level: 'info', text: 'A backend server asked this node for a pause and gets no requests until it ends.', remedy: 'none; if it happens often, the service needs more backend servers. askedMs is set if the pause was longer than allowed.' },
   backendPauseInvalid: { number: 716, level: 'warn', text: 'A backend server sent a Retry-After that is not a number of seconds; it is ignored.', remedy: 'Correct the backend server.' },
   backendAvoided: { number: 713, level: 'warn', text: 'Other nodes can not reach a backend server, so this node avoids it, or no longer does.', remedy: 'Check the backend server if it remains avoided.' },
+  backendCrashed: { number: 717, level: 'warn', text: 'A backend server crashed before it had answered this request; the parts of the prompt are suspected until they are answered elsewhere.', remedy: 'Check the log of the backend server. If it happens repeatedly, see promptQuarantined.' },
   configurationTaken: { number: 720, level: 'info', text: 'A new configuration is in effect on this node.', remedy: 'none' },
   configurationUnreadable: { number: 721, level: 'error', text: 'A configuration is invalid and was ignored.', remedy: 'The previous configuration stays in effect; correct the stored one.' },
   storeHistoryLost: { number: 722, level: 'warn', text: 'The key-value service no longer has the history that a watch needs; all keys are listed again.', remedy: 'none' },
+  promptQuarantined: { number: 730, level: 'error', text: 'Prompts with all of these parts crashed backend servers; requests with them are refused until untilMs.', remedy: 'Find the callers by the requests of the backendCrashed events with these parts. After the cause is removed, lift the quarantine.' },
+  promptReleased: { number: 731, level: 'info', text: 'Prompts with these parts are no longer refused.', remedy: 'none; see the cause.' },
+  promptTrial: { number: 732, level: 'info', text: 'One request with quarantined parts is sent as a trial.', remedy: 'none' },
+  quarantineUnreadable: { number: 733, level: 'error', text: 'The stored quarantine records can not be read and were ignored.', remedy: 'Correct or delete the stored value.' },
   linesDropped: { number: 723, level: 'warn', text: 'Log lines were dropped because the log\'s limit was exceeded.', remedy: 'Use the metrics for complete counts.' }
 } satisfies Record<string, LogEventDefinition>
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -12,6 +12,7 @@
 import type { NodeId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
+import type { PromptReport } from '../quarantine/index.ts'
 import type { ViewDelta } from '../store-view/index.ts'
 import type { CollectorChoice } from './collectors.ts'
 import type { Activity, NodeAddress, NodeDigest, NodeReport } from './types.ts'
@@ -39,6 +40,8 @@
   dutyHolder: () => NodeId | undefined
   /** Collects the content of this node's report. */
   collectReport: () => Omit<NodeReport, 'node' | 'bootId' | 'sequence' | 'wantsDigest' | 'digestSource'>
+  /** What a collector knows from all other nodes about prompts that may crash backend servers. */
+  promptsFor: (node: NodeId) => PromptReport
   /** Called with each report of another node. */
   onReport: (report: NodeReport) => void
   /**
@@ -65,6 +68,8 @@
   reportingNodes: () => NodeId[]
   /** Number of other nodes whose activity is known here. */
   knownNodeCount: () => number
+  /** Time after which what one node has found out is known to all others, despite the loss of one report. */
+  evidenceDelayMs: () => number
   /** Number of other nodes whose activity is as recent as a lost report or two allow. */
   currentNodeCount: () => number
   /** The last report of a node, if it reported recently. */
@@ -196,7 +201,7 @@
       isDraining: ownReport?.isDraining ?? false,
       nodes: totals.nodeCountExcept(report.node),
       delta: options.deltaAfter(report.revision),
-      activity: usesTotals ? { ...totals.totalsExcept(report.node), quotaLevels: needsLevels ? ownReport?.quotaLevels : undefined } : undefined
+      activity: usesTotals ? { ...totals.totalsExcept(report.node), prompts: options.promptsFor(report.node), quotaLevels: needsLevels ? ownReport?.quotaLevels : undefined } : undefined
     }), from.port, from.address)
   }
 
@@ -271,6 +276,7 @@
     usesCollectors: () => choice.usesCollectors,
     // With a collector, a report waits for half an interval there and its digest for half an interval here.
     activityAgeMs: () => choice.usesCollectors ? reportIntervalMs : reportIntervalMs / 2,
+    evidenceDelayMs: () => (choice.usesCollectors ? 2 : 1) * reportIntervalMs + reportIntervalMs / 2,
     sendReport,
     close: () => {
       closed.abort()
--- a/src/core/node-reports/types.ts
+++ b/src/core/node-reports/types.ts
@@ -1,6 +1,7 @@
 /** Types of the reports that nodes exchange several times a second; each report replaces the previous one. */
 import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
 import type { QuotaLevels, QuotaUsage } from '../quota/index.ts'
+import type { PromptReport } from '../quarantine/index.ts'
 import type { PeerLoad, PrefixPlacement } from '../routing/index.ts'
 import type { ViewDelta } from '../store-view/index.ts'
 
@@ -17,6 +18,8 @@
   leaving?: ReadonlyMap<BackendId, number | undefined> | undefined
   /** The levels of the sender's quota buckets; only for receivers that may not know them, and undefined while the sender itself doesn't. */
   quotaLevels?: ReadonlyMap<TeamId, QuotaLevels> | undefined
+  /** Prompts that may crash backend servers. */
+  prompts?: PromptReport | undefined
 }
 
 /** What nodes say of a backend server that some of them suspect. */
--- /dev/null
+++ b/src/core/quarantine/evidence.ts
@@ -0,0 +1,145 @@
+/** Crashed attempts, and how often their parts were answered since, over all nodes; bounded, and forgotten after a time. */
+import type { Clock } from '../clock/index.ts'
+import type { AttemptId, NodeId, PromptPartId } from '../ids/index.ts'
+import { createRecentAnswers } from './recent-answers.ts'
+import type { AnswerCounts, CrashedAttempt } from './types.ts'
+
+/** The evidence that a node has. */
+export interface CrashEvidence {
+  /** Adds an attempt of this node or of another one. */
+  add: (crashed: CrashedAttempt, isOwn: boolean) => void
+  recordAnswer: (parts: readonly PromptPartId[]) => void
+  setAnswered: (source: NodeId, answered: ReadonlyMap<PromptPartId, AnswerCounts>) => void
+  /** Attempts that have been known for at least the given time. */
+  attempts: (minAgeMs?: number) => CrashedAttempt[]
+  /** The counts of all nodes. */
+  answered: (part: PromptPartId) => AnswerCounts
+  /** Attempts that a report repeats: this node's own, or for a digest all, that became known a short time ago. */
+  recent: (options: { isOwnOnly: boolean, max: number }) => CrashedAttempt[]
+  ownAnswered: () => Map<PromptPartId, AnswerCounts>
+  /** The counts of this node and all others but one. */
+  answeredExcept: (node: NodeId) => Map<PromptPartId, AnswerCounts>
+  /** Changes with everything that the assessment depends on. */
+  revision: () => number
+}
+
+/** Time after which a crash is forgotten. */
+const evidenceTtlMs = 60_000
+/** Time over which reports repeat an attempt, so that the loss of a few of them doesn't matter. */
+const repeatMs = 2_000
+/** Bound of what callers that send new parts with each request can make a node remember. */
+const maxAttempts = 192
+/** Maximum number of answers of one part that are counted at one node; far more than a decision needs. */
+const maxCountedAnswers = 50
+
+const noAnswers: AnswerCounts = { since: 0, before: 0 }
+
+function sum (a: AnswerCounts, b: AnswerCounts | undefined): AnswerCounts {
+  return b === undefined ? a : { since: a.since + b.since, before: a.before + b.before }
+}
+
+interface KnownAttempt {
+  crashed: CrashedAttempt
+  isOwn: boolean
+  /** Monotonic time at which this node learned of it. */
+  knownSinceMs: number
+}
+
+/** Creates empty evidence. */
+export function createCrashEvidence (clock: Clock): CrashEvidence {
+  const known = new Map<AttemptId, KnownAttempt>()
+  /** Number of known attempts that have the part. */
+  const trackedParts = new Map<PromptPartId, number>()
+  const own = new Map<PromptPartId, AnswerCounts>()
+  const bySource = new Map<NodeId, ReadonlyMap<PromptPartId, AnswerCounts>>()
+  const recentAnswers = createRecentAnswers(clock)
+  let revision = 0
+
+  function track (part: PromptPartId): void {
+    const count = trackedParts.get(part) ?? 0
+    trackedParts.set(part, count + 1)
+    const before = recentAnswers.count(part)
+    if (count === 0 && before > 0) own.set(part, { since: 0, before })
+  }
+
+  function untrack ({ parts }: CrashedAttempt): void {
+    for (const part of parts) {
+      const left = (trackedParts.get(part) ?? 0) - 1
+      if (left > 0) trackedParts.set(part, left)
+      else {
+        trackedParts.delete(part)
+        own.delete(part)
+      }
+    }
+  }
+
+  function removeOldest (): void {
+    const [oldest] = known
+    if (oldest === undefined) return
+    known.delete(oldest[0])
+    untrack(oldest[1].crashed)
+    revision += 1
+  }
+
+  function removeExpired (): void {
+    const oldestMs = clock.monotonicMs() - evidenceTtlMs
+    for (const { knownSinceMs } of known.values()) {
+      if (knownSinceMs >= oldestMs) break
+      removeOldest()
+    }
+    if (known.size === 0) bySource.clear()
+  }
+
+  function add (crashed: CrashedAttempt, isOwn: boolean): void {
+    removeExpired()
+    if (known.has(crashed.attempt) || crashed.parts.length === 0) return
+    known.set(crashed.attempt, { crashed, isOwn, knownSinceMs: clock.monotonicMs() })
+    for (const part of crashed.parts) track(part)
+    if (known.size > maxAttempts) removeOldest()
+    revision += 1
+  }
+
+  function answeredExcept (node: NodeId): Map<PromptPartId, AnswerCounts> {
+    const sums = new Map(own)
+    for (const [source, counts] of bySource) {
+      if (source === node) continue
+      for (const [part, count] of counts) if (trackedParts.has(part)) sums.set(part, sum(count, sums.get(part)))
+    }
+    return sums
+  }
+
+  return {
+    add,
+    recordAnswer: parts => {
+      for (const part of parts) {
+        recentAnswers.record(part)
+        if (!trackedParts.has(part)) continue
+        const { since, before } = own.get(part) ?? noAnswers
+        own.set(part, { since: Math.min(maxCountedAnswers, since + 1), before })
+        revision += 1
+      }
+    },
+    setAnswered: (source, answered) => {
+      // The counts of a node that stopped remain, since its answers were given.
+      if (answered.size === 0) return
+      const before = bySource.get(source)
+      bySource.set(source, answered)
+      const hasChanged = [...answered].some(([part, { since, before: earlier }]) => before?.get(part)?.since !== since || before?.get(part)?.before !== earlier)
+      if (hasChanged) revision += 1
+    },
+    attempts: (minAgeMs = 0) => {
+      removeExpired()
+      const latestMs = clock.monotonicMs() - minAgeMs
+      return [...known.values()].flatMap(({ crashed, knownSinceMs }) => knownSinceMs <= latestMs ? [crashed] : [])
+    },
+    answered: part => [...bySource.values()].reduce((total, counts) => sum(total, counts.get(part)), own.get(part) ?? noAnswers),
+    recent: ({ isOwnOnly, max }) => {
+      const oldestMs = clock.monotonicMs() - repeatMs
+      const recent = [...known.values()].flatMap(({ crashed, isOwn, knownSinceMs }) => knownSinceMs >= oldestMs && (isOwn || !isOwnOnly) ? [crashed] : [])
+      return recent.toSorted((a, b) => Number(b.hasStarted) - Number(a.hasStarted)).slice(0, max)
+    },
+    ownAnswered: () => new Map(own),
+    answeredExcept,
+    revision: () => revision
+  }
+}
--- /dev/null
+++ b/src/core/quarantine/index.ts
@@ -0,0 +1,249 @@
+/**
+ * Keeps prompts that crash backend servers from crashing one after the other. All
+ * nodes share what they saw: which prompts had no answer when a backend server
+ * crashed, and which of their parts were answered since. While a combination of
+ * parts is suspected, few requests with it are under way; once it is certain, all
+ * nodes refuse them until a deadline, and then one request is sent as a trial.
+ */
+import { assessPrompts, hasAllParts, quarantineScore } from './assess.ts'
+import { createCrashEvidence } from './evidence.ts'
+import { combinationKey, createQuarantineRecords } from './records.ts'
+import { createTrials } from './trials.ts'
+import type { NodeId, PromptPartId } from '../ids/index.ts'
+import type { Suspicion } from './assess.ts'
+import type { Admittance, AnswerCounts, CrashedAttempt, PromptReport, PromptRequest, Quarantine, QuarantineOptions, QuarantineRecord, QuarantineReason } from './types.ts'
+
+export type * from './types.ts'
+export { combinationKey } from './records.ts'
+export { createStoredQuarantine, quarantineKey } from './stored-records.ts'
+export type { StoredQuarantine } from './stored-records.ts'
+
+/** Time for which prompts are refused at first; it doubles after each trial that crashes its backend server. */
+const firstQuarantineMs = 10 * 60 * 1_000
+const maxQuarantineMs = 4 * 60 * 60 * 1_000
+/** Time for which the end of a quarantine is remembered, so that no older record or evidence brings it back. */
+const liftedRecordMs = 10 * 60 * 1_000
+/** Longest wait for the outcome of other requests with the same parts; usual times to the first token are shorter. */
+const maxWaitMs = 600
+const waitPollMs = 50
+/** Maximum number of requests that wait at a node. */
+const maxWaiting = 64
+/** Time after which a request that was refused on suspicion may be sent again; by then the suspicion is mostly settled. */
+const suspectedRetryMs = 2_000
+/** Shortest time between two assessments; bounds their processor time. */
+const assessmentIntervalMs = 20
+/** Limits of a report and of a digest, so that each fits into a few packets. */
+const maxReportedAttempts = 8
+const maxDigestAttempts = 24
+const maxReportedAnswers = 48
+/** Maximum number of parts of a prompt that are considered: the first and the last ones. */
+const maxParts = 16
+const maxRecordedBackends = 5
+/** Time over which the rate of answers is averaged. */
+const rateWindowMs = 5_000
+
+const notHeld: Admittance = { kind: 'admitted', release: () => {} }
+
+function boundParts (parts: readonly PromptPartId[]): readonly PromptPartId[] {
+  return parts.length <= maxParts ? parts : [...parts.slice(0, maxParts / 2), ...parts.slice(-maxParts / 2)]
+}
+
+/** Exponential moving averages of answers in a second, by service. */
+function createAnswerRates (nowMs: () => number) {
+  const rates = new Map<string, { perSecond: number, updatedAtMs: number }>()
+  function read (service: string): number {
+    const rate = rates.get(service)
+    return rate === undefined ? 0 : rate.perSecond * Math.exp(-(nowMs() - rate.updatedAtMs) / rateWindowMs)
+  }
+  return {
+    read,
+    record: (service: string) => { rates.set(service, { perSecond: read(service) + 1_000 / rateWindowMs, updatedAtMs: nowMs() }) }
+  }
+}
+
+/** Creates the quarantine of one node. */
+export function createQuarantine (options: QuarantineOptions): Quarantine {
+  const { clock, log, metrics } = options
+  const evidence = createCrashEvidence(clock)
+  const records = createQuarantineRecords(clock)
+  const trials = createTrials(options)
+  const rates = createAnswerRates(clock.monotonicMs)
+  let suspicions: Suspicion[] = []
+  let assessedRevision = -1
+  let assessedAtMs = -Infinity
+  /** Monotonic time until which evidence may be too new for a decision. */
+  let unsettledUntilMs = -Infinity
+  let waiting = 0
+  const listeners: Array<() => void> = []
+
+  const context = {
+    answered: evidence.answered,
+    answersPerSecond: (service: string) => rates.read(service) * options.nodeCount()
+  }
+
+  function apply (record: QuarantineRecord, cause: string): void {
+    if (!records.merge(record)) return
+    const { service, parts, state, sinceMs, untilMs, crashes, backends } = record
+    metrics.count('prompt_quarantine_changes_total', { state })
+    if (state === 'lifted') return log('promptReleased', { service, parts, cause })
+    log('promptQuarantined', { service, parts, cause, sinceMs, untilMs, crashes, backends })
+    for (const listener of listeners) listener()
+  }
+
+  function lift (record: QuarantineRecord, cause: string): void {
+    const nowMs = clock.wallMs()
+    apply({ ...record, state: 'lifted', changedAtMs: Math.max(nowMs, record.changedAtMs + 1), untilMs: nowMs + liftedRecordMs }, cause)
+  }
+
+  /** Leaves out crashes before the end of a quarantine of the same parts. */
+  function currentAttempts (minAgeMs?: number): CrashedAttempt[] {
+    const lifted = records.list().filter(({ state }) => state === 'lifted')
+    const attempts = evidence.attempts(minAgeMs)
+    if (lifted.length === 0) return attempts
+    return attempts.filter(({ service, parts, crashedAtMs }) => {
+      return !lifted.some(record => record.service === service && crashedAtMs <= record.changedAtMs && hasAllParts(parts, record.parts))
+    })
+  }
+
+  function quarantine ({ service, parts, crashes, backends, firstCrashAtMs }: Suspicion): void {
+    if (records.matching(service, parts).length > 0) return
+    const nowMs = clock.wallMs()
+    apply({
+      service,
+      parts,
+      state: 'quarantined',
+      changedAtMs: Math.max(nowMs, (records.get(service, parts)?.changedAtMs ?? 0) + 1),
+      sinceMs: firstCrashAtMs,
+      untilMs: nowMs + firstQuarantineMs,
+      crashes,
+      backends: backends.slice(0, maxRecordedBackends)
+    }, 'crashes')
+  }
+
+  /** Ends quarantines whose parts were all answered since, unless the crashes still outweigh that. */
+  function liftRefuted (attempts: readonly CrashedAttempt[]): void {
+    for (const record of records.list()) {
+      if (record.state === 'lifted' || !record.parts.every(part => evidence.answered(part).since > 0)) continue
+      const isKnown = attempts.some(({ service, parts }) => service === record.service && hasAllParts(parts, record.parts))
+      const isConfirmed = suspicions.some(({ service, parts, score }) => service === record.service && score >= quarantineScore && hasAllParts(record.parts, parts))
+      if (isKnown && !isConfirmed) lift(record, 'answered')
+    }
+  }
+
+  function assess (): void {
+    const nowMs = clock.monotonicMs()
+    const isUpToDate = evidence.revision() === assessedRevision && assessedAtMs >= unsettledUntilMs
+    if (isUpToDate || nowMs < assessedAtMs + assessmentIntervalMs) return
+    if (evidence.revision() !== assessedRevision) unsettledUntilMs = nowMs + options.reportDelayMs()
+    assessedRevision = evidence.revision()
+    assessedAtMs = nowMs
+    const attempts = currentAttempts()
+    suspicions = assessPrompts(attempts, context)
+    liftRefuted(attempts)
+    if (!suspicions.some(({ score }) => score >= quarantineScore)) return
+    // Another node's evidence may name another cause, so a decision waits until all of it has arrived.
+    for (const suspicion of assessPrompts(currentAttempts(options.reportDelayMs()), context)) {
+      if (suspicion.score >= quarantineScore) quarantine(suspicion)
+    }
+  }
+
+  function find (service: string, parts: readonly PromptPartId[]): QuarantineRecord | undefined {
+    if (parts.length === 0) return undefined
+    assess()
+    return records.matching(service, parts)[0]
+  }
+
+  /** The suspicion that limits a request: all of its parts are in the prompt, or one is and the crashes are beyond doubt. */
+  function findSuspicion (service: string, parts: readonly PromptPartId[]): Suspicion | undefined {
+    return suspicions.find(suspicion => {
+      return suspicion.service === service && (hasAllParts(parts, suspicion.parts) || (suspicion.score >= quarantineScore && suspicion.parts.some(part => parts.includes(part))))
+    })
+  }
+
+  function refuse (reason: QuarantineReason, parts: readonly PromptPartId[], retryAtMs: number): Admittance {
+    const detail = reason === 'prompt-quarantined'
+      ? `Backend servers crashed on prompts with ${parts.join(', ')}; change the prompt.`
+      : `Backend servers may have crashed on prompts with ${parts.join(', ')}.`
+    return { kind: 'refused', reason, detail, retryAtMs }
+  }
+
+  async function admit ({ service, parts: allParts, isRetryAfterCrash, signal }: PromptRequest): Promise<Admittance> {
+    const parts = boundParts(allParts)
+    const latestMs = clock.monotonicMs() + maxWaitMs
+    for (;;) {
+      const record = find(service, parts)
+      if (record !== undefined) {
+        const isTrial = clock.wallMs() >= record.untilMs && !isRetryAfterCrash && await options.claimTrial(record)
+        return isTrial ? notHeld : refuse('prompt-quarantined', record.parts, Math.max(record.untilMs, clock.wallMs() + suspectedRetryMs))
+      }
+      const suspicion = parts.length === 0 ? undefined : findSuspicion(service, parts)
+      if (suspicion === undefined) return notHeld
+      const key = combinationKey(service, suspicion.parts)
+      if (!isRetryAfterCrash && trials.take(key)) return { kind: 'admitted', release: () => trials.release(key) }
+      if (clock.monotonicMs() >= latestMs || waiting >= maxWaiting || signal.aborted) {
+        return refuse('prompt-suspected', suspicion.parts, clock.wallMs() + suspectedRetryMs)
+      }
+      waiting += 1
+      await clock.sleep(waitPollMs, signal)
+      waiting -= 1
+    }
+  }
+
+  function recordCrash (crashed: CrashedAttempt): void {
+    const parts = boundParts(crashed.parts)
+    metrics.count('attempts_crashed_total', { service: crashed.service, phase: crashed.hasStarted ? 'started' : 'waiting' })
+    log('backendCrashed', { ...crashed, parts })
+    for (const record of records.matching(crashed.service, parts)) extendAfterTrial(record)
+    evidence.add({ ...crashed, parts }, true)
+    assess()
+  }
+
+  function extendAfterTrial (record: QuarantineRecord): void {
+    const nowMs = clock.wallMs()
+    if (nowMs < record.untilMs) return
+    const forMs = Math.min(maxQuarantineMs, 2 * (record.untilMs - record.changedAtMs))
+    apply({ ...record, changedAtMs: nowMs, untilMs: nowMs + forMs, crashes: record.crashes + 1 }, 'trial')
+  }
+
+  function recordAnswer (service: string, parts: readonly PromptPartId[]): void {
+    rates.record(service)
+    if (parts.length === 0) return
+    evidence.recordAnswer(boundParts(parts))
+    for (const record of records.matching(service, parts)) if (clock.wallMs() >= record.untilMs) lift(record, 'trial')
+  }
+
+  function merge (source: NodeId, { crashed, answered, trials: underWay, records: received }: PromptReport): void {
+    for (const attempt of crashed) evidence.add(attempt, false)
+    evidence.setAnswered(source, answered)
+    trials.setUnderWay(source, underWay)
+    for (const record of received) apply(record, 'other-node')
+    assess()
+  }
+
+  function bounded (answered: ReadonlyMap<PromptPartId, AnswerCounts>): Map<PromptPartId, AnswerCounts> {
+    return new Map([...answered].slice(-maxReportedAnswers))
+  }
+
+  return {
+    admit,
+    find,
+    recordCrash,
+    recordAnswer,
+    report: () => {
+      assess()
+      return { crashed: evidence.recent({ isOwnOnly: true, max: maxReportedAttempts }), answered: bounded(evidence.ownAnswered()), trials: trials.underWay(), records: records.forReport() }
+    },
+    digestFor: node => ({
+      crashed: evidence.recent({ isOwnOnly: false, max: maxDigestAttempts }),
+      answered: bounded(evidence.answeredExcept(node)),
+      trials: trials.underWay({ exceptNode: node }),
+      records: records.forReport()
+    }),
+    merge,
+    onQuarantined: listener => { listeners.push(listener) },
+    records: records.list,
+    mergeRecords: received => {
+      for (const record of received) apply(record, 'key-value')
+    }
+  }
+}
--- /dev/null
+++ b/src/core/quarantine/stored-records.ts
@@ -0,0 +1,127 @@
+/**
+ * Keeps the quarantine records in the key-value service, for a start of all nodes
+ * and for operators, and grants the trial of an expired record to one node at a time.
+ */
+import { z } from 'zod'
+import { toId } from '../ids/index.ts'
+import { combinationKey } from './records.ts'
+import type { Clock } from '../clock/index.ts'
+import type { BackendId, PromptPartId } from '../ids/index.ts'
+import type { Duty } from '../leases/index.ts'
+import type { Log } from '../log/index.ts'
+import type { KeyValueEntry, KeyValueStore } from '../platform/key-value/types.ts'
+import type { Quarantine, QuarantineRecord } from './types.ts'
+
+/** Options of the stored records. */
+export interface StoredQuarantineOptions {
+  store: KeyValueStore
+  clock: Clock
+  log: Log
+  /** The holder of this duty writes. */
+  duty: Duty
+  /** The entry of a key as this node knows it. */
+  read: (key: string) => Pick<KeyValueEntry, 'value' | 'modRevision'> | undefined
+  quarantine: Pick<Quarantine, 'records' | 'mergeRecords'>
+}
+
+/** The stored records as one node reads and writes them. */
+export interface StoredQuarantine {
+  /** Merges the stored records, at the start and at each change. */
+  onContent: (value: string | undefined) => void
+  /** Writes the records if they differ from the stored ones; does nothing without the duty. */
+  reconcile: () => Promise<void>
+  /** Claims the trial of a record over all nodes; false if another node has one or the service doesn't confirm the claim. */
+  claimTrial: (record: QuarantineRecord) => Promise<boolean>
+}
+
+/** Key of the records in the key-value service. */
+export const quarantineKey = 'cyclamenshunt/quarantine'
+const trialKey = 'cyclamenshunt/quarantine-trial'
+const callTimeoutMs = 800
+/** Interval between two writes of changed records. */
+const writeIntervalMs = 500
+/** Time within which the outcome of a trial is known to all nodes; after it, another node may claim one. */
+const trialMs = 30_000
+
+const recordSchema = z.object({
+  service: z.string(),
+  parts: z.array(z.string()).min(1),
+  state: z.enum(['quarantined', 'lifted']),
+  changedAtMs: z.number(),
+  sinceMs: z.number(),
+  untilMs: z.number(),
+  crashes: z.number(),
+  backends: z.array(z.string())
+})
+const contentSchema = z.object({ records: z.array(recordSchema) })
+const trialSchema = z.object({ untilMs: z.number() })
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown
+  } catch {
+    // The schemas reject undefined.
+    return undefined
+  }
+}
+
+/** Decodes stored records; undefined if they can't be read. */
+export function decodeQuarantine (value: string): QuarantineRecord[] | undefined {
+  const content = contentSchema.safeParse(parseJson(value))
+  if (!content.success) return undefined
+  return content.data.records.map(record => ({
+    ...record,
+    parts: record.parts.map(part => toId<PromptPartId>(part)),
+    backends: record.backends.map(backend => toId<BackendId>(backend))
+  }))
+}
+
+/** Encodes records in the order of their names, so that the same records give the same text. */
+export function encodeQuarantine (records: readonly QuarantineRecord[]): string {
+  const nameOf = ({ service, parts }: QuarantineRecord): string => combinationKey(service, parts)
+  return JSON.stringify({ records: records.toSorted((a, b) => nameOf(a) < nameOf(b) ? -1 : 1) })
+}
+
+/** Creates the stored records; nothing is written before `reconcile`. */
+export function createStoredQuarantine ({ store, clock, log, duty, read, quarantine }: StoredQuarantineOptions): StoredQuarantine {
+  let nextWriteAtMs = -Infinity
+
+  async function reconcile (): Promise<void> {
+    const guard = duty.guard()
+    const stored = read(quarantineKey)
+    const value = encodeQuarantine(quarantine.records())
+    const isStored = stored === undefined ? quarantine.records().length === 0 : stored.value === value
+    const nowMs = clock.monotonicMs()
+    if (guard === undefined || isStored || nowMs < nextWriteAtMs) return
+    nextWriteAtMs = nowMs + writeIntervalMs
+    const compares = [guard, { key: quarantineKey, modRevision: stored?.modRevision ?? 0 }]
+    // If the compare fails, an operator has changed the records; they are merged before the next round.
+    await store.transact({ compares, puts: [{ key: quarantineKey, value }], deletes: [] }, { deadlineAtMs: clock.wallMs() + callTimeoutMs })
+  }
+
+  async function claimTrial (record: QuarantineRecord): Promise<boolean> {
+    const nowMs = clock.wallMs()
+    const claimed = read(trialKey)
+    const earlier = claimed === undefined ? undefined : trialSchema.safeParse(parseJson(claimed.value))
+    if (earlier?.success === true && nowMs < earlier.data.untilMs) return false
+    const value = JSON.stringify({ combination: combinationKey(record.service, record.parts), untilMs: nowMs + trialMs })
+    const written = await store.transact(
+      { compares: [{ key: trialKey, modRevision: claimed?.modRevision ?? 0 }], puts: [{ key: trialKey, value }], deletes: [] },
+      { deadlineAtMs: nowMs + callTimeoutMs }
+    )
+    const isClaimed = written.isOk && written.value.applied
+    if (isClaimed) log('promptTrial', { service: record.service, parts: record.parts })
+    return isClaimed
+  }
+
+  return {
+    onContent: value => {
+      if (value === undefined) return
+      const records = decodeQuarantine(value)
+      if (records === undefined) return log('quarantineUnreadable', { sizeBytes: value.length })
+      quarantine.mergeRecords(records)
+    },
+    reconcile,
+    claimTrial
+  }
+}
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -4,6 +4,7 @@
 import { createBackendTable, createIngress, createRouteTable, createRequestHandler, isConnectionHeader } from '../../src/core/gateway/index.ts'
 import { toId } from '../../src/core/ids/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
+import { createQuarantine } from '../../src/core/quarantine/index.ts'
 import { createQuotas } from '../../src/core/quota/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
 import { createPromptHasher, createRouter } from '../../src/core/routing/index.ts'
@@ -130,6 +131,7 @@
   for (const [index, { port }] of servers.entries()) backends.put(entryOf(`b-${index}`, port))
   const table = createRouteTable({ ...configuration, ...changes })
   const state = { isDraining: false, table: table as typeof table | undefined }
+  const quarantine = createQuarantine({ clock, log, metrics, random: createRandom(4), nodeCount: () => 1, reportDelayMs: () => 100, claimTrial: async () => false })
   const serve = createRequestHandler({
     clock,
     log,
@@ -139,6 +141,7 @@
     admission: createAdmission({ clock, metrics, random: createRandom(2), maxConcurrent: 100 }),
     quotas: createQuotas({ clock, random: () => 0, hasFullBuckets: true, ownShare: () => 1, reportAgeMs: () => 0, reachableShare: () => 1 }),
     retryBudget: createRetryBudget({ clock, minRetriesPerSecond: () => 10 }),
+    quarantine,
     backends,
     routeTable: () => state.table,
     canaryShare: () => 0,
@@ -179,5 +182,5 @@
     return { status: response.status, headers: response.headers, body, broken }
   }
 
-  return { servers, call, port, events, attempts, state, backends, ingress }
+  return { servers, call, port, events, attempts, state, backends, quarantine, ingress }
 }
--- a/test/node-reports/exchange.test.ts
+++ b/test/node-reports/exchange.test.ts
@@ -4,10 +4,12 @@
 import { toId } from '../../src/core/ids/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { createNodeReports } from '../../src/core/node-reports/index.ts'
+import { createQuarantine } from '../../src/core/quarantine/index.ts'
 import type { ExecutionContext } from 'ava'
-import type { BackendId, NodeId, TeamId } from '../../src/core/ids/index.ts'
+import type { AttemptId, BackendId, NodeId, PromptPartId, TeamId } from '../../src/core/ids/index.ts'
 import type { Metrics } from '../../src/core/metrics/index.ts'
 import type { NodeReports } from '../../src/core/node-reports/index.ts'
+import type { Quarantine } from '../../src/core/quarantine/index.ts'
 import type { ViewDelta } from '../../src/core/store-view/index.ts'
 
 const clock = createSystemClock()
@@ -29,6 +31,7 @@
   /** Sources whose first report was marked as such, and quota levels that arrived, by source. */
   firstSources: NodeId[]
   levelsBySource: Map<NodeId, number>
+  quarantine: Quarantine
   /** Replaces the node by one that starts anew at the same address. */
   restart: () => Promise<void>
 }
@@ -49,6 +52,9 @@
     const deltas: ViewDelta[] = []
     const metrics = createMetrics()
     let tokens = 0
+    const quarantine: Quarantine = createQuarantine({
+      clock, log: () => {}, metrics, random: () => 0.5, nodeCount: () => count, reportDelayMs: () => reports.evidenceDelayMs(), claimTrial: async () => false
+    })
     const reports = createNodeReports({
       host: '127.0.0.1',
       port: reportPort,
@@ -73,11 +79,14 @@
           suspects: new Map(),
           usage: new Map(),
           workMs: new Map(),
-          evidence: undefined
+          evidence: undefined,
+          prompts: quarantine.report()
         }
       },
+      promptsFor: quarantine.digestFor,
       onReport: () => {},
-      onActivity: (source, _life, { loads, quotaLevels }, isFirst) => {
+      onActivity: (source, _life, { loads, quotaLevels, prompts }, isFirst) => {
+        if (prompts !== undefined) quarantine.merge(source, prompts)
         openBySource.set(source, loads.get(engine)?.requests ?? 0)
         if (isFirst) firstSources.push(source)
         const level = quotaLevels?.get(team)?.quota
@@ -93,7 +102,7 @@
       nodes[index] = restarted
       await restarted.reports.start()
     }
-    return { id, reports, openBySource, deltas, metrics, firstSources, levelsBySource, restart }
+    return { id, reports, quarantine, openBySource, deltas, metrics, firstSources, levelsBySource, restart }
   }
   const nodes: Node[] = addresses.map((_, index) => createNode(index, 0))
   await Promise.all(nodes.map(({ reports }) => reports.start()))
@@ -134,6 +143,21 @@
   t.deepEqual(nodes.map(({ reports }) => reports.isCollector()), nodes.map((_, index) => index < 2))
 })
 
+for (const count of [5, 24]) {
+  test.serial(`three crashes that three of ${count} nodes saw let all nodes refuse the prompts`, async t => {
+    const nodes = await startCluster(t, count)
+    await until(() => nodes.every(node => openRequests(node) === count - 1))
+    const crashing = toId<PromptPartId>('crashing')
+    for (const [index, backend] of backends.slice(0, 3).entries()) {
+      const parts = [toId<PromptPartId>(`system-${index}`), crashing]
+      const attempt = toId<AttemptId>(`attempt-${index}`)
+      nodes[count - 1 - index]?.quarantine.recordCrash({ attempt, service: 'models', backend, backendStartedAtMs: 5, parts, hasStarted: true, crashedAtMs: clock.wallMs() + index * 100 })
+    }
+    await until(() => nodes.every(({ quarantine }) => quarantine.find('models', [toId<PromptPartId>('system-9'), crashing]) !== undefined))
+    t.true(nodes.every(({ quarantine }) => quarantine.find('models', [toId<PromptPartId>('system-0')]) === undefined))
+  })
+}
+
 test.serial('a small cluster needs no collector', async t => {
   const nodes = await startCluster(t, 5)
   await until(() => nodes.every(node => openRequests(node) === 4))
--- /dev/null
+++ b/test/quarantine/assess.test.ts
@@ -0,0 +1,81 @@
+/** Which parts of prompts are suspected, by the crashes and answers that are known. */
+import test from 'ava'
+import { assessPrompts, quarantineScore, suspicionScore } from '../../src/core/quarantine/assess.ts'
+import { toId } from '../../src/core/ids/index.ts'
+import type { AttemptId, BackendId, PromptPartId } from '../../src/core/ids/index.ts'
+import type { AnswerCounts, CrashedAttempt } from '../../src/core/quarantine/index.ts'
+
+const part = (name: string): PromptPartId => toId<PromptPartId>(name)
+
+/** An attempt on a crashed server, which is named by its time in ms. */
+function crashed (atMs: number, names: string[], options: { hasStarted?: boolean, server?: string } = {}): CrashedAttempt {
+  const server = options.server ?? `i-${atMs}`
+  return {
+    attempt: toId<AttemptId>(`${server}/${names.join()}`),
+    service: 'models',
+    backend: toId<BackendId>(server),
+    backendStartedAtMs: 1,
+    parts: names.map(part),
+    hasStarted: options.hasStarted ?? true,
+    crashedAtMs: atMs
+  }
+}
+
+function assess (attempts: CrashedAttempt[], answered: Record<string, AnswerCounts> = {}, answersPerSecond = 50) {
+  return assessPrompts(attempts, { answered: name => answered[name] ?? { since: 0, before: 0 }, answersPerSecond: () => answersPerSecond })
+}
+
+function quarantined (attempts: CrashedAttempt[], answered: Record<string, AnswerCounts> = {}, answersPerSecond = 50): string[] {
+  return assess(attempts, answered, answersPerSecond).flatMap(({ score, parts }) => score >= quarantineScore ? [parts.join('+')] : [])
+}
+
+test('a part in three crashes without an answer is quarantined, whatever comes with it', t => {
+  t.deepEqual(quarantined([crashed(0, ['a', 'bad']), crashed(500, ['b', 'bad']), crashed(900, ['c', 'bad'])]), ['bad'])
+})
+
+test('one crash makes a prompt suspected, and two do not quarantine it', t => {
+  t.true((assess([crashed(0, ['a', 'bad'])])[0]?.score ?? 0) >= suspicionScore)
+  t.deepEqual(quarantined([crashed(0, ['a', 'bad']), crashed(500, ['b', 'bad'])]), [])
+})
+
+test('parts that always occurred together are only quarantined together, until one of them is answered', t => {
+  const attempts = [crashed(0, ['a', 'bad']), crashed(500, ['a', 'bad']), crashed(900, ['a', 'bad'])]
+  t.deepEqual(quarantined(attempts), ['a+bad'])
+  t.deepEqual(quarantined(attempts, { a: { since: 1, before: 0 } }), ['bad'])
+})
+
+test('a popular part that is in every crashed prompt is not quarantined by itself, and not at all once it is answered', t => {
+  const withPopular = [0, 300, 600, 900, 1_200].flatMap(atMs => [crashed(atMs, ['popular', 'bad']), crashed(atMs, ['popular', `document-${atMs}`], { hasStarted: false })])
+  t.deepEqual(quarantined(withPopular, { popular: { since: 0, before: 9 } }), ['bad+popular'])
+  t.deepEqual(quarantined(withPopular, { popular: { since: 4, before: 0 } }), ['bad'])
+})
+
+test('parts of prompts that happened to be on servers that another one crashed are not quarantined', t => {
+  const attempts = Array.from({ length: 8 }, (_, index) => [crashed(index * 100, [`first-${index}`, 'bad']), crashed(index * 100, ['rare', 'seldom'])]).flat()
+  t.deepEqual(quarantined(attempts.filter(({ parts, crashedAtMs }) => parts.includes(part('bad')) || crashedAtMs < 500)), ['bad'])
+})
+
+test('two parts that crash servers at the same time are both quarantined', t => {
+  const attempts = Array.from({ length: 6 }, (_, index) => crashed(index * 300, [`first-${index}`, index % 2 === 0 ? 'bad-1' : 'bad-2']))
+  t.deepEqual(quarantined(attempts).toSorted(), ['bad-1', 'bad-2'])
+})
+
+test('servers that crash at the same moment, as in a loss of power, quarantine nothing', t => {
+  const attempts = Array.from({ length: 8 }, (_, index) => crashed(index, index < 5 ? ['popular', `document-${index}`] : ['other', `document-${index}`], { server: `i-${index}` }))
+  t.deepEqual(quarantined(attempts), [])
+})
+
+test('prompts that were not begun when a server crashed are weak evidence, which adds up', t => {
+  const attempts = (count: number): CrashedAttempt[] => Array.from({ length: count }, (_, index) => crashed(index * 500, [`first-${index}`, 'bad'], { hasStarted: false }))
+  t.deepEqual(quarantined(attempts(3)), [])
+  t.deepEqual(quarantined(attempts(6)), ['bad'])
+})
+
+test('a part that crashes half of the servers it is answered on is quarantined despite its answers', t => {
+  const attempts = Array.from({ length: 6 }, (_, index) => crashed(index * 500, [`first-${index}`, 'bad']))
+  t.deepEqual(quarantined(attempts, { bad: { since: 6, before: 0 } }), ['bad'])
+})
+
+test('answers outweigh a few crashes', t => {
+  t.deepEqual(quarantined([crashed(0, ['a', 'sound']), crashed(500, ['b', 'sound']), crashed(900, ['c', 'sound'])], { sound: { since: 2, before: 0 } }), [])
+})
