Cut streams without a length so that they don't look complete

What callers saw: a stream that had neither a length nor chunks and broke was ended towards the caller with a regular end of its connection, which is also how such a stream ends when it is complete. And a server that crashed with a regular end right after the head was passed on as a stream without events.

Cause: a cut destroyed the caller's connection, which sends FIN when nothing is pending; only chunked responses show from that that they were cut. The end of a stream was a success if no event was open, also when there was none.

Evidence: test/gateway/unframed-streams.test.ts plays the end of such streams between events, inside one and after the head, with FIN and RST, resumable or not, over real sockets.

Ruled out: forwarding such streams with chunks, since a test asks that the end of the body isn't claimed to be known.

--- a/src/core/gateway/attempt-end-handler.ts
+++ b/src/core/gateway/attempt-end-handler.ts
@@ -2,7 +2,7 @@
  * Decides what follows the end of an attempt: another attempt, or the final
  * response, which reports the request as not run only when that is certain.
  */
-import { delimitByConnectionClose, isSelfDelimited, forwardedResponseHeaders } from './gateway-response.ts'
+import { cutResponse, delimitByConnectionClose, isSelfDelimited, forwardedResponseHeaders } from './gateway-response.ts'
 import { requestLogFields } from './active-request.ts'
 import { parseRetryAfterMs } from './eligibility.ts'
 import type { BackendId } from '../ids/index.ts'
@@ -114,7 +114,7 @@
     if (progress.areHeadersSent) {
       metrics.count('gateway_answers_total', { status: 'cut', reason })
       log('gatewayCut', { ...requestLogFields(active, clock), reason, detail })
-      response.destroy()
+      cutResponse(response)
       return
     }
     if (failureResponse !== undefined) return forwardResponse(active, failureResponse)
--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -195,6 +195,9 @@
     if (head.isNotRun) return endAsNotRun()
     if (!isStream()) return end({ kind: 'complete', response: { status, headers, body: buffer.bytes() } })
     if (progress.eventBuffer.hasPartialEvent()) return onBroken('the stream ended in the middle of an event')
+    // Without a length, a crash right after the head looks like the regular end of a stream.
+    const hasEvents = progress.eventBuffer.eventCount() > eventsBefore
+    if (!hasEvents && !isSelfDelimited(status, headers)) return onBroken('the stream ended without an event')
     sendHeaders()
     response.end(progress.eventBuffer.takeComments())
     end({ kind: 'passed-on', status })
--- a/src/core/gateway/gateway-response.ts
+++ b/src/core/gateway/gateway-response.ts
@@ -23,6 +23,13 @@
   response.useChunkedEncodingByDefault = false
 }
 
+/** Aborts a response that has begun, in a way that the caller can't take for its regular end. */
+export function cutResponse (response: ServerResponse): void {
+  const isDelimitedByClose = !response.hasHeader('content-length') && !response.chunkedEncoding
+  if (isDelimitedByClose) response.socket?.resetAndDestroy()
+  response.destroy()
+}
+
 /** Headers of a backend server's response to forward to the caller. */
 export function forwardedResponseHeaders (headers: Record<string, string | string[] | undefined>, keepsLength: boolean): Record<string, string | string[]> {
   const forwarded: Record<string, string | string[]> = {}
--- /dev/null
+++ b/test/gateway/unframed-streams.test.ts
@@ -0,0 +1,81 @@
+/** Streams of backend servers that have neither a length nor chunks and end with their connection. */
+import { connect } from 'node:net'
+import test from 'ava'
+import { signed, startGateway } from './deployment.ts'
+import type { Socket } from 'node:net'
+import type { RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
+
+function event (id: number): string {
+  return `id: ${id}\ndata: piece ${id}\n\n`
+}
+
+function headOf (request: string): string {
+  return ['HTTP/1.1 200 OK', ...Object.entries(signed(request)).map(([name, value]) => `${name}: ${value}`), 'connection: close', '', ''].join('\r\n')
+}
+
+const endings: Record<string, (socket: Socket) => void> = {
+  'a regular end': socket => { socket.end() },
+  // The delay lets the caller's side read what was sent before the reset.
+  'a reset': socket => { setTimeout(() => socket.resetAndDestroy(), 30) }
+}
+
+/** What the first server sends before its connection ends. */
+const contents: Record<string, string> = {
+  'between two events': event(1),
+  'inside an event': `${event(1)}id: 2\nda`,
+  'after its head': ''
+}
+
+/** Answers with the content and the ending at first, and with the rest of the stream afterwards. */
+function failingOnce (content: string, end: (socket: Socket) => void): RawRequestHandler {
+  let hasFailed = false
+  return ({ headers }, socket) => {
+    const id = headers['x-request'] ?? ''
+    if (!hasFailed) {
+      hasFailed = true
+      socket.write(headOf(id) + content)
+      end(socket)
+      return
+    }
+    const rest = headers['last-event-id'] === '1' ? event(2) : event(1) + event(2)
+    socket.end(headOf(id) + rest)
+  }
+}
+
+/** Sends a request on a connection of its own; `broken` when the connection was reset. An HTTP client may take a reset for the regular end. */
+async function callRaw (port: number, path: string, id: string): Promise<{ status: number, body: string, broken: boolean }> {
+  const socket = connect(port, '127.0.0.1')
+  let received = ''
+  socket.setEncoding('utf8').on('data', (text: string) => { received += text })
+  socket.write(`GET ${path} HTTP/1.1\r\nhost: 127.0.0.1\r\nx-request: ${id}\r\nauthorization: Bearer key-1\r\n\r\n`)
+  const broken = await new Promise<boolean>(resolve => {
+    socket.on('error', () => resolve(true)).on('end', () => resolve(false))
+    // A response of the gateway itself has a length, and its connection stays open.
+    socket.on('data', () => { if (received.endsWith('}')) resolve(false) })
+  })
+  socket.destroy()
+  const [head = '', body = ''] = received.split(/\r\n\r\n(.*)/s)
+  return { status: Number(head.split(' ')[1]), body, broken }
+}
+
+for (const [ending, end] of Object.entries(endings)) {
+  for (const [place, content] of Object.entries(contents)) {
+    const isComplete = ending === 'a regular end' && place === 'between two events'
+
+    test(`a stream that can't be resumed and has ${ending} ${place} reaches the caller as ${isComplete ? 'complete' : 'failed'}`, async t => {
+      const handler = failingOnce(content, end)
+      const { port } = await startGateway(t, [handler])
+      const answer = await callRaw(port, '/once/', 'r-1')
+      if (content === '') t.is(answer.status, 502)
+      else t.deepEqual({ body: answer.body, broken: answer.broken }, { body: event(1), broken: !isComplete })
+      t.like(await callRaw(port, '/once/', 'r-2'), { status: 200, body: event(1) + event(2) })
+    })
+
+    test(`a stream that can be resumed and has ${ending} ${place} reaches the caller whole`, async t => {
+      const handler = failingOnce(content, end)
+      const { port } = await startGateway(t, [handler, handler])
+      const answer = await callRaw(port, '/resumable/', 'r-1')
+      t.like(answer, { status: 200, body: isComplete ? event(1) : event(1) + event(2), broken: false })
+    })
+  }
+}
