Test quarantines over restarts, cuts and an older key-value service, and measure them

What callers could have seen: after an operator lifted a quarantine, requests with the part stayed limited as suspected until new evidence came, because the assessment was kept. Two of the new tests failed until a change of a record makes the assessment anew.

--- a/bench/measure/index.ts
+++ b/bench/measure/index.ts
@@ -5,11 +5,13 @@
  * the cloud reclaims them; `npm run measure -- placement`: prompts of many nodes;
  * `npm run measure -- quotas`: a team's quota while nodes restart or are cut off;
  * `npm run measure -- version-moves [REQUESTS-PER-SECOND ...]`: good and bad versions beside an old one in trouble;
- * `npm run measure -- restores`: views while the key-value service is restored.
+ * `npm run measure -- restores`: views while the key-value service is restored;
+ * `npm run measure -- crashing-prompts`: prompts with a part that crashes engines.
  */
 import { parseArgs } from 'node:util'
 import { createPromptHasher } from '../../src/core/routing/index.ts'
 import { compare } from './compare.ts'
+import { measureCrashingPrompts } from './crashing-prompts/index.ts'
 import { measureOrdering } from './ordering/index.ts'
 import { measurePlacement } from './placement/index.ts'
 import { measureQuotas } from './quotas/index.ts'
@@ -65,6 +67,7 @@
   else if (positionals[0] === 'placement') console.log(await measurePlacement(reportFolder, { seconds, seed }))
   else if (positionals[0] === 'quotas') console.log(await measureQuotas(reportFolder, seed))
   else if (positionals[0] === 'version-moves') console.log(await measureVersionMoves(reportFolder, seed, positionals.slice(1).map(Number)))
+  else if (positionals[0] === 'crashing-prompts') console.log(await measureCrashingPrompts(reportFolder, seed))
   else if (positionals[0] === 'restores') console.log(await measureRestores())
   else await measureVersions()
 }
--- a/src/core/quarantine/index.ts
+++ b/src/core/quarantine/index.ts
@@ -83,6 +83,8 @@
 
   function apply (record: QuarantineRecord, cause: string): void {
     if (!records.merge(record)) return
+    // The end of a quarantine makes earlier crashes irrelevant.
+    assessedRevision = -1
     const { service, parts, state, sinceMs, untilMs, crashes, backends } = record
     metrics.count('prompt_quarantine_changes_total', { state })
     if (state === 'lifted') return log('promptReleased', { service, parts, cause })
--- /dev/null
+++ b/test/quarantine/quarantine.test.ts
@@ -0,0 +1,146 @@
+/** What nodes decide together about prompts that crash backend servers, over restarts, cuts and changes of the key-value service. */
+import test from 'ava'
+import { createCluster, partsOf, quarantineKey, service } from './cluster.ts'
+import type { Admittance } from '../../src/core/quarantine/index.ts'
+
+const tenMinutesMs = 10 * 60 * 1_000
+const noDeadline = { deadlineAtMs: Infinity }
+
+type Cluster = Awaited<ReturnType<typeof createCluster>>
+
+function ask ({ nodes }: Cluster, index: number, names: string[], isRetryAfterCrash = false): Promise<Admittance> {
+  return nodes[index]!.quarantine.admit({ service, parts: partsOf(...names), isRetryAfterCrash, signal: new AbortController().signal })
+}
+
+/** Asks all nodes at once and lets time pass until all have decided. */
+async function askAll (cluster: Cluster, names: string[], isRetryAfterCrash = false): Promise<Admittance[]> {
+  const asked = Promise.all(cluster.nodes.map((_, index) => ask(cluster, index, names, isRetryAfterCrash)))
+  await cluster.run(1_000)
+  return await asked
+}
+
+function countAdmitted (answers: readonly Admittance[]): number {
+  return answers.filter(({ kind }) => kind === 'admitted').length
+}
+
+test('all nodes refuse a prompt after three crashes that no node saw by itself, and admit prompts with its other parts', async t => {
+  const cluster = await createCluster(9)
+  await cluster.quarantinePart('bad')
+  t.deepEqual((await askAll(cluster, ['new', 'bad'])).map(answer => answer.kind === 'refused' && answer.reason), Array(9).fill('prompt-quarantined'))
+  t.is(countAdmitted(await askAll(cluster, ['bad-first-0', 'document'])), 9)
+})
+
+test('few requests with a suspected prompt are under way over all nodes', async t => {
+  const cluster = await createCluster(9)
+  cluster.crash(0, 'first', 'suspected')
+  await cluster.run(400)
+  t.true(countAdmitted(await askAll(cluster, ['first', 'suspected'])) <= 4)
+  t.is(countAdmitted(await askAll(cluster, ['other', 'suspected'])), 9)
+})
+
+test('a request under which a server crashed is sent again only once its parts were answered', async t => {
+  const cluster = await createCluster(9)
+  cluster.crash(0, 'first', 'suspected')
+  await cluster.run(400)
+  t.is(countAdmitted(await askAll(cluster, ['first', 'suspected'], true)), 0)
+  for (const { quarantine } of cluster.nodes.slice(4, 6)) quarantine.recordAnswer(service, partsOf('first', 'suspected'))
+  await cluster.run(400)
+  t.is(countAdmitted(await askAll(cluster, ['first', 'suspected'], true)), 9)
+})
+
+test('a quarantine lasts over the restart of all nodes, and over a key-value service that is away at first', async t => {
+  const cluster = await createCluster(9)
+  await cluster.quarantinePart('bad')
+  for (const index of cluster.nodes.keys()) cluster.restart(index)
+  t.false(cluster.isRefused(5, 'new', 'bad'))
+  await cluster.nodes[5]!.readStore()
+  t.true(cluster.isRefused(5, 'new', 'bad'))
+  await cluster.run(400)
+  t.true(cluster.nodes.every((_, index) => cluster.isRefused(index, 'new', 'bad')))
+})
+
+test('a node that joins late or was cut off learns of a quarantine from the others within two seconds', async t => {
+  const cluster = await createCluster(9)
+  cluster.cutOff.add(8)
+  await cluster.quarantinePart('bad')
+  cluster.nodes[8]!.readStore = async () => {}
+  cluster.nodes[7]!.readStore = async () => {}
+  await cluster.run(10_000)
+  cluster.restart(7)
+  cluster.nodes[7]!.readStore = async () => {}
+  cluster.cutOff.delete(8)
+  await cluster.run(2_000)
+  t.true(cluster.isRefused(7, 'new', 'bad'))
+  t.true(cluster.isRefused(8, 'new', 'bad'))
+})
+
+test('when a quarantine ends, one request over all nodes is sent as a trial, and its answer releases the prompt everywhere', async t => {
+  const cluster = await createCluster(9)
+  await cluster.quarantinePart('bad')
+  await cluster.clock.advance(tenMinutesMs)
+  t.is(countAdmitted(await askAll(cluster, ['new', 'bad'])), 1)
+  t.is(countAdmitted(await askAll(cluster, ['new', 'bad'])), 0)
+  cluster.nodes[3]!.quarantine.recordAnswer(service, partsOf('new', 'bad'))
+  await cluster.run(400)
+  t.is(countAdmitted(await askAll(cluster, ['new', 'bad'])), 9)
+})
+
+test('a trial that crashes its server renews the quarantine for twice as long', async t => {
+  const cluster = await createCluster(9)
+  await cluster.quarantinePart('bad')
+  await cluster.clock.advance(tenMinutesMs)
+  t.is(countAdmitted(await askAll(cluster, ['new', 'bad'])), 1)
+  cluster.crash(2, 'new', 'bad')
+  await cluster.run(400)
+  await cluster.clock.advance(tenMinutesMs + 60_000)
+  t.is(countAdmitted(await askAll(cluster, ['new', 'bad'])), 0)
+})
+
+test('no trial is sent while the key-value service is away', async t => {
+  const cluster = await createCluster(3)
+  await cluster.quarantinePart('bad')
+  await cluster.clock.advance(tenMinutesMs)
+  for (const { store } of cluster.nodes) store.setFaults({ down: true })
+  t.is(countAdmitted(await askAll(cluster, ['new', 'bad'])), 0)
+})
+
+test('an operator lifts a quarantine in the key-value service, and neither old evidence nor an older copy brings it back', async t => {
+  const cluster = await createCluster(9)
+  await cluster.quarantinePart('bad')
+  const copy = cluster.memory.state.copy()
+  const operator = cluster.memory.connect('operator')
+  const stored = await operator.get(quarantineKey, noDeadline)
+  const content = JSON.parse(stored.isOk ? stored.value.entry?.value ?? '' : '') as { records: Array<Record<string, unknown>> }
+  const lifted = content.records.map(record => ({ ...record, state: 'lifted', changedAtMs: cluster.clock.wallMs() }))
+  await operator.transact({ compares: [], puts: [{ key: quarantineKey, value: JSON.stringify({ records: lifted }) }], deletes: [] }, noDeadline)
+  await cluster.run(600)
+  t.is(countAdmitted(await askAll(cluster, ['new', 'bad'])), 9)
+  cluster.memory.state.restore(copy)
+  await cluster.run(1_000)
+  t.is(countAdmitted(await askAll(cluster, ['new', 'bad'])), 9)
+})
+
+test('an answer of a request that was under way releases a prompt that was quarantined by mistake', async t => {
+  const cluster = await createCluster(9)
+  await cluster.quarantinePart('sound')
+  t.true(cluster.isRefused(4, 'sound'))
+  for (const { quarantine } of cluster.nodes.slice(0, 2)) quarantine.recordAnswer(service, partsOf('sound'))
+  await cluster.run(400)
+  t.true(cluster.nodes.every((_, index) => !cluster.isRefused(index, 'sound')))
+})
+
+test('callers that send new parts with each request can neither fill the memory nor a report', async t => {
+  const cluster = await createCluster(2)
+  for (let index = 0; index < 1_000; index += 1) cluster.crash(0, `first-${index}`, ...Array.from({ length: 40 }, (_, part) => `part-${index}-${part}`))
+  const { crashed, answered, records } = cluster.nodes[0]!.quarantine.report()
+  t.true(crashed.length <= 8 && crashed.every(({ parts }) => parts.length <= 16))
+  t.true(answered.size <= 48 && records.length <= 64)
+  t.true(cluster.nodes[0]!.quarantine.records().length <= 64)
+})
+
+test('an unreadable stored value is ignored and logged', async t => {
+  const cluster = await createCluster(2)
+  cluster.nodes[1]!.stored.onContent('{"records":[{"parts":[]}]}')
+  cluster.nodes[1]!.stored.onContent('\u0000')
+  t.deepEqual(cluster.nodes[1]!.events, ['quarantineUnreadable', 'quarantineUnreadable'])
+})
