Let only nodes with all evidence quarantine prompts

Cause: the evidence of a crash reaches most nodes of a large cluster in part only, since digests and the memory are bounded; where the attempt with the part was missing, a crash was left unexplained and counted against others.

Now only nodes that get all reports themselves decide, and the others take their records over.

--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -68,6 +68,8 @@
   reportingNodes: () => NodeId[]
   /** Number of other nodes whose activity is known here. */
   knownNodeCount: () => number
+  /** Whether this node gets the reports of all others itself, and doesn't depend on a collector's digests. */
+  getsAllReports: () => boolean
   /** Time after which what one node has found out is known to all others, despite the loss of one report. */
   evidenceDelayMs: () => number
   /** Number of other nodes whose activity is as recent as a lost report or two allow. */
@@ -276,6 +278,7 @@
     usesCollectors: () => choice.usesCollectors,
     // With a collector, a report waits for half an interval there and its digest for half an interval here.
     activityAgeMs: () => choice.usesCollectors ? reportIntervalMs : reportIntervalMs / 2,
+    getsAllReports: () => choice.digestSource === undefined,
     evidenceDelayMs: () => (choice.usesCollectors ? 2 : 1) * reportIntervalMs + reportIntervalMs / 2,
     sendReport,
     close: () => {
--- a/src/core/quarantine/assess.ts
+++ b/src/core/quarantine/assess.ts
@@ -5,6 +5,7 @@
  * to the likelihood at the present rate of crashes. The part that explains the crashes
  * best is taken first; crashes that it explains are no evidence against the others.
  */
+import { crashKey } from './evidence.ts'
 import type { BackendId, PromptPartId } from '../ids/index.ts'
 import type { AnswerCounts, CrashedAttempt } from './types.ts'
 
@@ -54,16 +55,19 @@
   backend: BackendId
   atMs: number
   attempts: CrashedAttempt[]
+  /** The parts of all of them. */
+  parts: Set<PromptPartId>
 }
 
 function groupByCrash (attempts: readonly CrashedAttempt[]): Crash[] {
   const crashes = new Map<string, Crash>()
   for (const attempt of attempts) {
-    const { service, backend, backendStartedAtMs, crashedAtMs } = attempt
-    const key = `${service}/${backend}/${backendStartedAtMs ?? ''}`
-    const crash = crashes.get(key) ?? { service, backend, atMs: crashedAtMs, attempts: [] }
+    const { service, backend, parts, crashedAtMs } = attempt
+    const key = crashKey(attempt)
+    const crash = crashes.get(key) ?? { service, backend, atMs: crashedAtMs, attempts: [], parts: new Set() }
     crash.atMs = Math.min(crash.atMs, crashedAtMs)
     crash.attempts.push(attempt)
+    for (const part of parts) crash.parts.add(part)
     crashes.set(key, crash)
   }
   return [...crashes.values()].toSorted((a, b) => a.atMs - b.atMs)
@@ -80,10 +84,6 @@
   return episodes
 }
 
-function has (crash: Crash, part: PromptPartId): boolean {
-  return crash.attempts.some(({ parts }) => parts.includes(part))
-}
-
 /** Probability that a sound attempt ends by a crash at that time: the crashes without the part, relative to all attempts. */
 function backgroundProbability (atMs: number, others: readonly Crash[], answersPerSecond: number): number {
   const crashed = others.reduce((sum, crash) => sum + (Math.abs(crash.atMs - atMs) <= backgroundWindowMs ? crash.attempts.length : 0), 0)
@@ -94,8 +94,8 @@
 
 /** Assesses one part against the crashes of its service that no other part explains. */
 function assessPart (part: PromptPartId, crashes: readonly Crash[], context: AssessmentContext): Suspicion {
-  const own = crashes.filter(crash => has(crash, part))
-  const others = crashes.filter(crash => !has(crash, part))
+  const own = crashes.filter(crash => crash.parts.has(part))
+  const others = crashes.filter(crash => !crash.parts.has(part))
   const service = own[0]?.service ?? ''
   const answered = context.answered(part)
   const score = episodesOf(own).reduce((sum, episode) => {
@@ -115,7 +115,7 @@
   const suspicions: Suspicion[] = []
   let unexplained = crashes
   for (;;) {
-    const parts = new Set(unexplained.flatMap(({ attempts }) => attempts.flatMap(attempt => attempt.parts)))
+    const parts = new Set(unexplained.flatMap(crash => [...crash.parts]))
     // Of parts with equal scores, the one in fewer prompts explains the same crashes without the others.
     const assessed = [...parts].map(part => assessPart(part, unexplained, context)).toSorted((a, b) => b.score - a.score || a.attempts - b.attempts)
     const [best] = assessed
--- a/src/core/quarantine/evidence.ts
+++ b/src/core/quarantine/evidence.ts
@@ -28,10 +28,17 @@
 /** Time over which reports repeat an attempt, so that the loss of a few of them doesn't matter. */
 const repeatMs = 2_000
 /** Bound of what callers that send new parts with each request can make a node remember. */
-const maxAttempts = 192
+const maxAttempts = 512
+/** Attempts of one crash that are kept; those whose answer had begun first. */
+const maxAttemptsPerCrash = 8
 /** Maximum number of answers of one part that are counted at one node; far more than a decision needs. */
 const maxCountedAnswers = 50
 
+/** Name of a crash: of one start of a backend server's process. */
+export function crashKey ({ service, backend, backendStartedAtMs }: CrashedAttempt): string {
+  return `${service}/${backend}/${backendStartedAtMs ?? ''}`
+}
+
 const noAnswers: AnswerCounts = { since: 0, before: 0 }
 
 function sum (a: AnswerCounts, b: AnswerCounts | undefined): AnswerCounts {
@@ -43,6 +50,7 @@
   isOwn: boolean
   /** Monotonic time at which this node learned of it. */
   knownSinceMs: number
+  sentCount: number
 }
 
 /** Creates empty evidence. */
@@ -53,6 +61,7 @@
   const own = new Map<PromptPartId, AnswerCounts>()
   const bySource = new Map<NodeId, ReadonlyMap<PromptPartId, AnswerCounts>>()
   const recentAnswers = createRecentAnswers(clock)
+  const attemptsByCrash = new Map<string, CrashedAttempt[]>()
   let revision = 0
 
   function track (part: PromptPartId): void {
@@ -73,14 +82,30 @@
     }
   }
 
-  function removeOldest (): void {
-    const [oldest] = known
-    if (oldest === undefined) return
-    known.delete(oldest[0])
-    untrack(oldest[1].crashed)
+  function remove (crashed: CrashedAttempt): void {
+    known.delete(crashed.attempt)
+    untrack(crashed)
+    const key = crashKey(crashed)
+    const left = (attemptsByCrash.get(key) ?? []).filter(other => other !== crashed)
+    if (left.length > 0) attemptsByCrash.set(key, left)
+    else attemptsByCrash.delete(key)
     revision += 1
   }
 
+  function removeOldest (): void {
+    const [oldest] = known.values()
+    if (oldest !== undefined) remove(oldest.crashed)
+  }
+
+  /** Makes room for an attempt of a crash; returns false if those that are kept tell more. */
+  function makeRoom (crashed: CrashedAttempt): boolean {
+    const others = attemptsByCrash.get(crashKey(crashed)) ?? []
+    if (others.length < maxAttemptsPerCrash) return true
+    const replaced = crashed.hasStarted ? others.find(({ hasStarted }) => !hasStarted) : undefined
+    if (replaced !== undefined) remove(replaced)
+    return replaced !== undefined
+  }
+
   function removeExpired (): void {
     const oldestMs = clock.monotonicMs() - evidenceTtlMs
     for (const { knownSinceMs } of known.values()) {
@@ -92,8 +117,9 @@
 
   function add (crashed: CrashedAttempt, isOwn: boolean): void {
     removeExpired()
-    if (known.has(crashed.attempt) || crashed.parts.length === 0) return
-    known.set(crashed.attempt, { crashed, isOwn, knownSinceMs: clock.monotonicMs() })
+    if (known.has(crashed.attempt) || crashed.parts.length === 0 || !makeRoom(crashed)) return
+    known.set(crashed.attempt, { crashed, isOwn, knownSinceMs: clock.monotonicMs(), sentCount: 0 })
+    attemptsByCrash.set(crashKey(crashed), [...attemptsByCrash.get(crashKey(crashed)) ?? [], crashed])
     for (const part of crashed.parts) track(part)
     if (known.size > maxAttempts) removeOldest()
     revision += 1
@@ -135,8 +161,12 @@
     answered: part => [...bySource.values()].reduce((total, counts) => sum(total, counts.get(part)), own.get(part) ?? noAnswers),
     recent: ({ isOwnOnly, max }) => {
       const oldestMs = clock.monotonicMs() - repeatMs
-      const recent = [...known.values()].flatMap(({ crashed, isOwn, knownSinceMs }) => knownSinceMs >= oldestMs && (isOwn || !isOwnOnly) ? [crashed] : [])
-      return recent.toSorted((a, b) => Number(b.hasStarted) - Number(a.hasStarted)).slice(0, max)
+      const recent = [...known.values()].filter(({ isOwn, knownSinceMs }) => knownSinceMs >= oldestMs && (isOwn || !isOwnOnly))
+      const sent = recent.toSorted((a, b) => Number(b.crashed.hasStarted) - Number(a.crashed.hasStarted) || a.sentCount - b.sentCount).slice(0, max)
+      return sent.map(attempt => {
+        attempt.sentCount += 1
+        return attempt.crashed
+      })
     },
     ownAnswered: () => new Map(own),
     answeredExcept,
--- a/src/core/quarantine/index.ts
+++ b/src/core/quarantine/index.ts
@@ -31,9 +31,9 @@
 /** Time after which a request that was refused on suspicion may be sent again; by then the suspicion is mostly settled. */
 const suspectedRetryMs = 2_000
 /** Shortest time between two assessments; bounds their processor time. */
-const assessmentIntervalMs = 20
+const assessmentIntervalMs = 50
 /** Limits of a report and of a digest, so that each fits into a few packets. */
-const maxReportedAttempts = 8
+const maxReportedAttempts = 16
 const maxDigestAttempts = 24
 const maxReportedAnswers = 48
 /** Maximum number of parts of a prompt that are considered: the first and the last ones. */
@@ -142,7 +142,7 @@
     const attempts = currentAttempts()
     suspicions = assessPrompts(attempts, context)
     liftRefuted(attempts)
-    if (!suspicions.some(({ score }) => score >= quarantineScore)) return
+    if (!options.isDeciding() || !suspicions.some(({ score }) => score >= quarantineScore)) return
     // Another node's evidence may name another cause, so a decision waits until all of it has arrived.
     for (const suspicion of assessPrompts(currentAttempts(options.reportDelayMs()), context)) {
       if (suspicion.score >= quarantineScore) quarantine(suspicion)
--- a/src/core/quarantine/types.ts
+++ b/src/core/quarantine/types.ts
@@ -84,6 +84,8 @@
   nodeCount: () => number
   /** Time within which all nodes' evidence of a crash has arrived. */
   reportDelayMs: () => number
+  /** Whether this node gets the evidence of all others, so that it may quarantine prompts; the others take its records over. */
+  isDeciding: () => boolean
   /** Claims the trial of a record over all nodes; false if another node has it or nobody can tell. */
   claimTrial: (record: QuarantineRecord) => Promise<boolean>
 }
