Add engines that crash on a part of a prompt to the soak

Load and faults of the soak had no prompts, and no backend server crashed. Now four engines stream drafts, a part of a prompt may crash them when its answer begins, and two checks follow the users' rules: no more than three prompts with the part reach engines later than 3 s after the fifth crash, from nodes in contact, and no sound prompt is refused as quarantined.

--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -9,18 +9,18 @@
 
 /** A caller with its own connection pool. */
 export interface Caller {
-  call: (node: NodeProcess, path: string, id: string, method?: string) => Promise<CallResult>
+  call: (node: NodeProcess, path: string, id: string, options?: { method?: string, headers?: Record<string, string> }) => Promise<CallResult>
   close: () => void
 }
 
 export function createCaller (): Caller {
   const agent = new Agent({ keepAlive: true, maxSockets: 8 })
 
-  function call (node: NodeProcess, path: string, id: string, method = 'GET'): Promise<CallResult> {
+  function call (node: NodeProcess, path: string, id: string, { method = 'GET', headers = {} }: { method?: string, headers?: Record<string, string> } = {}): Promise<CallResult> {
     const startedAtMs = performance.now()
     return new Promise(resolve => {
       let receivedBytes = false
-      const clientRequest = httpRequest({ agent, host: '127.0.0.1', port: node.callersPort, path, method, headers: requestHeaders(id) }, response => {
+      const clientRequest = httpRequest({ agent, host: '127.0.0.1', port: node.callersPort, path, method, headers: { ...requestHeaders(id), ...headers } }, response => {
         receivedBytes = true
         let body = ''
         response.setEncoding('utf8')
--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -21,7 +21,7 @@
 
 /** One violation of a promise. */
 export interface BrokenPromise {
-  promise: 'leaving-left-alone' | 'pause-kept' | 'own-answer' | 'not-run' | 'at-most-once' | 'planned-stop' | 'an-end' | 'newest-configuration' | 'recovery'
+  promise: 'crashing-prompt' | 'sound-prompt' | 'leaving-left-alone' | 'pause-kept' | 'own-answer' | 'not-run' | 'at-most-once' | 'planned-stop' | 'an-end' | 'newest-configuration' | 'recovery'
   detail: string
 }
 
@@ -46,6 +46,15 @@
   atMs: number
 }
 
+/** A prompt as its caller saw it. */
+export interface CompletedDraft {
+  id: string
+  node: string
+  /** The part that crashes engines, if the prompt has it. */
+  part: string | undefined
+  result: CallResult
+}
+
 /** Collects the observations of one run. */
 export interface Checks {
   /** Called each time that a backend server runs a request. */
@@ -53,6 +62,11 @@
   onSent: (sent: SentRequest) => void
   onArrival: (arrival: Arrival) => void
   onCall: (call: CompletedCall) => void
+  /** Called for each prompt that reaches an engine. */
+  onPrompt: (prompt: { id: string, parts: readonly string[], atMs: number }) => void
+  /** Called when a part of a prompt has crashed an engine. */
+  onCrash: (part: string, atMs: number) => void
+  onDraft: (draft: CompletedDraft) => void
   /** Newest configuration version that a node is known to have used since the given start of its process; 0 if none. */
   newestVersionOf: (node: string, startCount: number) => number
   /**
@@ -71,6 +85,11 @@
 const pauseNoticeMs = 500
 const maxPausedRequests = 2
 
+/** Crashes by one part of a prompt, and the time after them, from which no more than `maxLatePrompts` with it may reach engines. */
+const crashesBeforeRefusal = 5
+const contactMs = 3_000
+const maxLatePrompts = 3
+
 /** A request counts as lost in a planned stop if it was open at least this long when its connection closed without a response. */
 const minLostRequestMs = 100
 
@@ -83,6 +102,8 @@
   const newestVersions = new Map<string, number>()
   const sentRequests = new Map<string, SentRequest>()
   const arrivals: Arrival[] = []
+  const prompts: Array<{ id: string, parts: readonly string[], atMs: number }> = []
+  const crashes = new Map<string, number[]>()
   /** Time at which a node first passed on a response of a leaving start of a backend server. */
   const leavingPassedOn = new Map<string, number>()
 
@@ -112,6 +133,26 @@
     }
   }
 
+  /** Prompts count if their node's process ran throughout the time of contact before they were sent. */
+  function checkCrashingPrompts (): void {
+    for (const [part, timesMs] of crashes) {
+      const fifthAtMs = timesMs[crashesBeforeRefusal - 1]
+      if (fifthAtMs === undefined) continue
+      const late = prompts.filter(({ id, parts }) => {
+        const sender = sentRequests.get(id)
+        return sender !== undefined && parts.includes(part) && sender.atMs > fifthAtMs + contactMs && isInContact(sender)
+      })
+      if (late.length > maxLatePrompts) broken.push({ promise: 'crashing-prompt', detail: `${late.length} prompts with ${part} reached engines later than ${contactMs} ms after the fifth crash` })
+    }
+  }
+
+  function isInContact ({ node, atMs }: SentRequest): boolean {
+    const lives = new Set([...sentRequests.values()].flatMap(sent => {
+      return sent.node === node && sent.atMs > atMs - contactMs && sent.atMs <= atMs ? [`${sent.startCount}/${sent.interruptionCount}`] : []
+    }))
+    return lives.size === 1
+  }
+
   function checkCall ({ id, isIdempotent, node, wasInterrupted, result }: CompletedCall): void {
     if (!isIdempotent) nonIdempotentIds.add(id)
     if (result.kind === 'answer') {
@@ -142,6 +183,15 @@
       calls[label] = (calls[label] ?? 0) + 1
       checkCall(call)
     },
+    onPrompt: prompt => { prompts.push(prompt) },
+    onCrash: (part, atMs) => { crashes.set(part, [...crashes.get(part) ?? [], atMs]) },
+    onDraft: ({ id, node, part, result }) => {
+      const label = `draft ${result.kind === 'answer' ? result.status : result.kind}`
+      calls[label] = (calls[label] ?? 0) + 1
+      if (result.kind !== 'answer') return
+      if (part === undefined && result.body.includes('prompt-quarantined')) broken.push({ promise: 'sound-prompt', detail: `${id} was refused by ${node} although no part of it crashes engines` })
+      if (result.isFromBackend && result.status === 200 && result.body.match(/data: (.*)/)?.[1] !== id) broken.push({ promise: 'own-answer', detail: `${id} got "${result.body.slice(0, 80)}" from ${node}` })
+    },
     newestVersionOf: (node, startCount) => newestVersions.get(`${node}/${startCount}`) ?? 0,
     onConfigurationServed: (node, startCount, version, newestBefore) => {
       const key = `${node}/${startCount}`
@@ -152,6 +202,7 @@
     finish: () => {
       checkLeaving()
       checkPauses()
+      checkCrashingPrompts()
       for (const id of nonIdempotentIds) {
         const count = runCounts.get(id) ?? 0
         if (count > 1) broken.push({ promise: 'at-most-once', detail: `${id} ran ${count} times` })
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path'
 import { startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 import {
-  createBackendHandler, configurationKey, createConfiguration, backendEntryKey, createBackendEntry, nodeSettings, createNodePorts, startPlatform
+  createBackendHandler, createEngineHandler, configurationKey, createConfiguration, backendEntryKey, createBackendEntry, nodeSettings, createNodePorts, startPlatform
 } from '../../test/platform-adapter/soak-deployment.ts'
 import { createNodeProcess } from './node-process.ts'
 import { startProxy } from './proxy.ts'
@@ -14,6 +14,9 @@
 import type { Proxy } from './proxy.ts'
 
 const backendCount = 3
+const engineCount = 4
+/** Time after which a crashed engine is back. */
+const engineRestartMs = 700
 /** Copies of the store; the oldest is some seconds old. */
 const copyCount = 4
 const copyIntervalMs = 1_000
@@ -47,6 +50,8 @@
 export interface SoakDeployment {
   nodes: NodeProcess[]
   backends: SoakBackend[]
+  /** The part of a prompt that crashes engines; undefined if none does. */
+  crashing: { part: string | undefined }
   /** One proxy to the store for each node. */
   storeProxies: Proxy[]
   setStoreFault: Awaited<ReturnType<typeof startPlatform>>['setFault']
@@ -67,11 +72,15 @@
   onRun: (id: string) => void
   /** Called for each request that reaches a start of a backend server. */
   onArrival: (arrival: Omit<Arrival, 'atMs'>) => void
+  /** Called for each prompt that reaches an engine. */
+  onPrompt: (request: string, sharedParts: readonly string[]) => void
+  /** Called when an engine crashes. */
+  onCrash: () => void
   random: () => number
 }
 
 /** Starts the deployment and the processes of its nodes; they may not be ready yet. */
-export async function startSoakDeployment ({ nodeCount, program, onRun, onArrival, random }: SoakDeploymentOptions): Promise<SoakDeployment> {
+export async function startSoakDeployment ({ nodeCount, program, onRun, onArrival, onPrompt, onCrash, random }: SoakDeploymentOptions): Promise<SoakDeployment> {
   const folder = mkdtempSync(join(tmpdir(), 'soak-'))
   const platform = await startPlatform()
   platform.setEra(1)
@@ -111,6 +120,29 @@
     closeFunctions.push(proxy.close, server.close)
   }
 
+  const crashing: SoakDeployment['crashing'] = { part: undefined }
+  const registerEngines: Array<() => Promise<void>> = []
+  for (let index = 1; index <= engineCount; index += 1) {
+    let startedAtMs = Date.now()
+    const id = `e-${index}`
+    const register = async (): Promise<void> => await platform.put(backendEntryKey(id), createBackendEntry(proxy.port, 'ready', 1, startedAtMs, true))
+    const crash = (): void => {
+      onCrash()
+      proxy.crash()
+      setTimeout(async () => {
+        startedAtMs = Date.now()
+        await proxy.restart()
+        await register()
+      }, engineRestartMs)
+    }
+    const crashesOn = (parts: readonly string[]): boolean => crashing.part !== undefined && parts.includes(crashing.part)
+    const server = await startRawBackend(createEngineHandler(id, { crashesOn, crash, onArrival: onPrompt, workMs: () => random() * maxProcessingMs }))
+    const proxy = await startProxy(server.port)
+    registerEngines.push(register)
+    await register()
+    closeFunctions.push(proxy.close, server.close)
+  }
+
   const indexes = Array.from({ length: nodeCount }, (_, index) => index)
   const seeds = indexes.map(index => createNodePorts(basePort + index * portsPerNode).control)
   const storeProxies = await Promise.all(indexes.map(() => startProxy(Number(platform.address.split(':')[1]))))
@@ -129,6 +161,7 @@
   return {
     nodes,
     backends,
+    crashing,
     storeProxies,
     setStoreFault: platform.setFault,
     configurationVersion: () => version,
@@ -139,6 +172,7 @@
       await new Promise(resolve => setTimeout(resolve, writeAgainMs))
       await platform.put(configurationKey, createConfiguration(version))
       for (const { register } of backends) await register(false)
+      for (const register of registerEngines) await register()
     },
     close: async () => {
       clearInterval(copying)
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -18,6 +18,8 @@
 
 const faultyModes: readonly ProxyMode[] = ['delay', 'reset', 'one-way', 'silent']
 
+const lastingCrashMs = 5_000
+
 /** Starts a node's process again if it has exited; resumes it first if it is paused. */
 async function restart (node: NodeProcess): Promise<void> {
   node.resume()
@@ -98,6 +100,17 @@
     mode.pauseSeconds = 0.6 + Math.round(random() * 20) / 10
     return { name: `a backend server asks for pauses of ${mode.pauseSeconds} s`, end: async () => { mode.pauseSeconds = undefined } }
   },
+  ({ crashing }, random) => {
+    if (crashing.part !== undefined) return { name: 'none', end: async () => {} }
+    const part = `bad${Math.floor(random() * 1e9).toString(16)}`
+    crashing.part = part
+    const end = async (): Promise<void> => {
+      // Prompts must go on to come after the time within which nodes have to refuse them.
+      await new Promise(resolve => setTimeout(resolve, lastingCrashMs))
+      crashing.part = undefined
+    }
+    return { name: `a part of a prompt crashes engines: ${part}`, end }
+  },
   async deployment => {
     await deployment.publishNextConfiguration()
     return { name: `configuration ${deployment.configurationVersion()}`, end: async () => {} }
--- a/bench/soak/proxy.ts
+++ b/bench/soak/proxy.ts
@@ -10,6 +10,10 @@
   setMode: (mode: ProxyMode) => void
   /** Monotonic time at which it last did not pass all bytes at once; the current time while it doesn't. */
   lastDisturbedAtMs: () => number
+  /** Resets all connections and refuses new ones, as if the target's process had crashed. */
+  crash: () => void
+  /** Accepts connections again, on the same port. */
+  restart: () => Promise<void>
   close: () => Promise<void>
 }
 
@@ -46,9 +50,16 @@
     forwardBytes(client, target, false)
     forwardBytes(target, client, true)
   })
-  await new Promise<void>(resolve => server.listen({ host: '127.0.0.1', port: 0 }, resolve))
+  let isClosed = false
+
+  async function listen (atPort: number): Promise<void> {
+    await new Promise<void>(resolve => server.listen({ host: '127.0.0.1', port: atPort }, resolve))
+  }
+
+  await listen(0)
+  const { port } = server.address() as AddressInfo
   return {
-    port: (server.address() as AddressInfo).port,
+    port,
     setMode: newMode => {
       if (mode !== 'pass') disturbedUntilMs = performance.now()
       const wasDroppingBytes = mode === 'silent' || mode === 'one-way'
@@ -57,7 +68,15 @@
       if (newMode === 'reset' || (wasDroppingBytes && newMode === 'pass')) for (const socket of sockets) socket.resetAndDestroy()
     },
     lastDisturbedAtMs: () => mode === 'pass' ? disturbedUntilMs : performance.now(),
+    crash: () => {
+      server.close()
+      for (const socket of sockets) socket.resetAndDestroy()
+    },
+    restart: async () => {
+      if (!isClosed && !server.listening) await listen(port)
+    },
     close: async () => {
+      isClosed = true
       for (const socket of sockets) socket.destroy()
       await new Promise(resolve => server.close(resolve))
     }
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -2,7 +2,7 @@
 import { request as httpRequest } from 'node:http'
 import { createSystemClock } from '../../src/core/clock/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
-import { readyPath } from '../../test/platform-adapter/soak-deployment.ts'
+import { promptHeaders, readyPath } from '../../test/platform-adapter/soak-deployment.ts'
 import { createCaller } from './callers.ts'
 import { createChecks } from './checks.ts'
 import { startFault } from './faults.ts'
@@ -43,6 +43,9 @@
 const pollMs = 100
 /** Share of calls that go to a probe route, which exists in one configuration version only. */
 const probeRatio = 0.15
+/** Share of calls that are prompts, and share of these that have a part that crashes engines, if there is one. */
+const draftRatio = 0.4
+const crashingRatio = 0.25
 
 const clock = createSystemClock()
 
@@ -74,7 +77,13 @@
   const callRandom = createRandom(seed + 1)
   const checks = createChecks()
   const deployment = await startSoakDeployment({
-    nodeCount, program, onRun: checks.onRun, onArrival: arrival => checks.onArrival({ ...arrival, atMs: performance.now() }), random: callRandom
+    nodeCount,
+    program,
+    onRun: checks.onRun,
+    onArrival: arrival => checks.onArrival({ ...arrival, atMs: performance.now() }),
+    onPrompt: (id, parts) => checks.onPrompt({ id, parts, atMs: performance.now() }),
+    onCrash: () => checks.onCrash(deployment.crashing.part ?? '', performance.now()),
+    random: callRandom
   })
   const faults: string[] = []
   const loadStopController = new AbortController()
@@ -88,6 +97,7 @@
     callCount += 1
     const id = `r-${seed}-${callCount}`
     checks.onSent({ id, node: node.name, startCount, interruptionCount, atMs: performance.now() })
+    if (callRandom() < draftRatio) return await sendDraft(caller, node, id)
     const routeDraw = callRandom()
     if (routeDraw < probeRatio) {
       const version = Math.max(1, deployment.configurationVersion() - Math.floor(callRandom() * 2))
@@ -97,10 +107,19 @@
       return
     }
     const isIdempotent = routeDraw < probeRatio + (1 - probeRatio) / 2
-    const result = await caller.call(node, isIdempotent ? '/look-up/a' : '/register/a', id, isIdempotent ? 'GET' : 'POST')
+    const result = await caller.call(node, isIdempotent ? '/look-up/a' : '/register/a', id, { method: isIdempotent ? 'GET' : 'POST' })
     checks.onCall({ id, isIdempotent, node: node.name, startCount, wasInterrupted: wasPaused || node.interruptionCount() !== interruptionCount, result })
   }
 
+  /** Sends a prompt; while a part crashes engines, some prompts have it. */
+  async function sendDraft (caller: Caller, node: NodeProcess, id: string): Promise<void> {
+    const { part } = deployment.crashing
+    const isCrashing = part !== undefined && callRandom() < crashingRatio
+    const document = isCrashing ? part : `d0c${Math.floor(callRandom() * 6)}`
+    const result = await caller.call(node, '/draft/a', id, { method: 'POST', headers: promptHeaders(id, [`5e5${Math.floor(callRandom() * 3)}`, document]) })
+    checks.onDraft({ id, node: node.name, part: isCrashing ? part : undefined, result })
+  }
+
   async function runCaller (): Promise<void> {
     const caller = createCaller()
     while (!loadStopController.signal.aborted) {
--- a/test/platform-adapter/soak-deployment.ts
+++ b/test/platform-adapter/soak-deployment.ts
@@ -1,5 +1,5 @@
 /** Configuration, backend server entries, headers and node settings of the soak run, in the platform's formats. */
-import { formatResponse } from '../../src/stand-ins/raw-backend/index.ts'
+import { formatChunk, formatResponse } from '../../src/stand-ins/raw-backend/index.ts'
 import { renderSettings } from './render-settings.ts'
 import type { RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
 
@@ -10,22 +10,24 @@
 const leavingHeader = 'server-leaving'
 const misdirectedStatus = 421
 const service = 'registry'
+const engineService = 'models'
+const promptPartsHeader = 'x-cyclamenshunt-prompt-prefix'
 
 /** Request timeout of all routes. */
 export const routeTimeoutMs = 2_000
 export const configurationKey = 'op/config'
 export const readyPath = '/cyclamenshunt/ready'
 
-function createRoute (name: string, path: string, kind: string, attempts: number) {
-  return { name, host: '127.0.0.1', path_prefix: path, kind, timeout_ms: routeTimeoutMs, slo_ms: 1_000, service, max_attempts: attempts }
+function createRoute (name: string, path: string, kind: string, attempts: number, routeService = service) {
+  return { name, host: '127.0.0.1', path_prefix: path, kind, timeout_ms: routeTimeoutMs, slo_ms: 1_000, service: routeService, max_attempts: attempts }
 }
 
 /** Creates the configuration with the given version: the two routes of the load, and a probe route that only this version has. */
 export function createConfiguration (version: number) {
   return {
     version,
-    routes: [createRoute('look-up', '/look-up/', 'safe', 3), createRoute('register', '/register/', 'non_idempotent', 3), createRoute('probe', `/version-${version}/`, 'safe', 1)],
-    services: [{ name: service, max_connections: 100 }],
+    routes: [createRoute('look-up', '/look-up/', 'safe', 3), createRoute('register', '/register/', 'non_idempotent', 3), createRoute('probe', `/version-${version}/`, 'safe', 1), { ...createRoute('draft', '/draft/', 'streaming', 3, engineService), stream_resume: true, gap_slo_ms: 500 }],
+    services: [{ name: service, max_connections: 100 }, { name: engineService, max_connections: 100, engine: { slots: 16, kv_capacity: 100_000 } }],
     tenants: [{ name: 'agency', api_keys: ['key-1'], unit: 'token', uncached_tokens: 1, rate_per_s: 100_000, burst: 100_000 }]
   }
 }
@@ -34,8 +36,8 @@
   return `servers/${backend}`
 }
 
-export function createBackendEntry (port: number, state: 'ready' | 'draining', sequence: number, startedAtMs: number) {
-  return { service, address: `127.0.0.1:${port}`, zone: 'a', version: 'v1', slots: 16, state, sequence, born: startedAtMs }
+export function createBackendEntry (port: number, state: 'ready' | 'draining', sequence: number, startedAtMs: number, isEngine = false) {
+  return { service: isEngine ? engineService : service, address: `127.0.0.1:${port}`, zone: 'a', version: 'v1', slots: 16, state, sequence, born: startedAtMs }
 }
 
 export function requestHeaders (id: string): Record<string, string> {
@@ -46,6 +48,17 @@
   return headers[signatureHeader] !== undefined
 }
 
+/** Headers of a request with a prompt. The last part is its own. */
+export function promptHeaders (id: string, sharedParts: readonly string[]): Record<string, string> {
+  const parts = [...sharedParts.map(part => `${part}:100`), `${id}:50`]
+  return { 'x-cyclamenshunt-token-count': `${sharedParts.length * 100 + 50},10`, [promptPartsHeader]: parts.join(',') }
+}
+
+/** The shared parts of a prompt, from its headers. */
+function sharedPartsOf (headers: Record<string, string>): string[] {
+  return (headers[promptPartsHeader] ?? '').split(',').slice(0, -1).map(part => part.split(':')[0] ?? '')
+}
+
 /** Whether a response says that its backend server is leaving. */
 export function isLeaving (headers: Record<string, unknown>): boolean {
   return headers[leavingHeader] === '1'
@@ -85,6 +98,44 @@
   }
 }
 
+/** What an engine does with prompts. */
+export interface EngineOptions {
+  /** Whether a prompt with these shared parts crashes the engine when its answer begins. */
+  crashesOn: (sharedParts: readonly string[]) => boolean
+  /** Ends the engine's connections and refuses new ones. */
+  crash: () => void
+  onArrival: (id: string, sharedParts: readonly string[]) => void
+  workMs: () => number
+}
+
+/** Creates the handler of an engine that streams the request's id in two events. */
+export function createEngineHandler (engine: string, { crashesOn, crash, onArrival, workMs }: EngineOptions): RawRequestHandler {
+  return ({ headers }, socket) => {
+    const id = headers[requestIdHeader] ?? ''
+    const answerHeaders = { [requestIdHeader]: id, [signatureHeader]: engine }
+    if (headers['x-cyclamenshunt-expect-instance'] !== engine) {
+      socket.write(formatResponse(misdirectedStatus, answerHeaders, ''))
+      return
+    }
+    const parts = sharedPartsOf(headers)
+    onArrival(id, parts)
+    setTimeout(() => {
+      if (!socket.writable) return
+      const names = Object.entries({ ...answerHeaders, 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked' }).map(([name, value]) => `${name}: ${value}`)
+      socket.write(['HTTP/1.1 200 OK', ...names, '', ''].join('\r\n'))
+      setTimeout(() => {
+        if (crashesOn(parts)) return crash()
+        const first = Number(headers['last-event-id'] ?? 0) + 1
+        const events = [1, 2].filter(number => number >= first).map(number => formatChunk(`id: ${number}\ndata: ${id}\n\n`))
+        if (socket.writable) socket.write(`${events.join('')}0\r\n\r\n`)
+      }, engineStartMs)
+    }, workMs())
+  }
+}
+
+/** Time from the head of an engine's answer to its first event. */
+const engineStartMs = 40
+
 /** Ports of one node: ten consecutive ports from the first. */
 export function createNodePorts (firstPort: number) {
   return { callers: firstPort, readiness: firstPort + 1, control: firstPort + 2, firstPeer: firstPort + 3, lastPeer: firstPort + 9 }
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -74,6 +74,17 @@
   }), ['pause-kept'])
 })
 
+test('prompts that crash engines and go on reaching them, and sound prompts that are quarantined, are detected', t => {
+  t.deepEqual(brokenPromisesOf(checks => {
+    for (let index = 0; index < 5; index += 1) checks.onCrash('bad', index)
+    for (const [index, atMs] of [2_000, 3_100, 3_200, 3_300, 3_400].entries()) {
+      checks.onSent({ id: `r-${index}`, node: 'front-a-1', startCount: 1, interruptionCount: 0, atMs })
+      checks.onPrompt({ id: `r-${index}`, parts: ['bad'], atMs })
+    }
+    checks.onDraft({ id: 'r-9', node: 'front-a-1', part: undefined, result: createAnswer(503, '{"reason":"prompt-quarantined"}', false) })
+  }), ['sound-prompt', 'crashing-prompt'])
+})
+
 test('a request cut by a kill, one admitted before a configuration change and a repeated idempotent request break no promise', t => {
   t.deepEqual(brokenPromisesOf(checks => {
     checks.onCall(createCall({ kind: 'cut', elapsedMs: 300, receivedBytes: false }, { wasInterrupted: true }))
