Quarantine only what the crashes tell apart

What callers would have seen: a popular sound part was refused for as long as the quarantine lasted.

Cause: the first three crashes had the popular part in all of them by chance, beside the part that caused them. Both explained them equally, and the first in order was quarantined; then no request could answer it any more.

Now a part is only quarantined if no other part explains its crashes about as well; until an answer or another crash tells them apart, both are limited. A crash with a quarantined part is explained by it, and a node without all evidence takes crashes in the time of a quarantine as explained.

Ruled out: a higher threshold, since any number of crashes may have a popular part in common.

--- a/src/core/gateway/prompt-gate.ts
+++ b/src/core/gateway/prompt-gate.ts
@@ -2,8 +2,8 @@
  * Connects the gateway with the quarantine: asks it before each attempt, and tells it
  * which attempts were answered and which had no answer when their backend server crashed.
  */
+import { createCrashProbe } from '../connections/crash-probe.ts'
 import { toId } from '../ids/index.ts'
-import { createCrashProbe } from './crash-probe.ts'
 import type { AttemptId } from '../ids/index.ts'
 import type { Admittance } from '../quarantine/index.ts'
 import type { ActiveRequest, RequestHandlerOptions } from './active-request.ts'
--- a/src/core/node-reports/codec.ts
+++ b/src/core/node-reports/codec.ts
@@ -1,9 +1,9 @@
 /** Encoding of the datagrams: compact CBOR arrays, because each should fit into one packet. */
 import { decode, encode } from 'cbor-x'
 import { toId } from '../ids/index.ts'
-import { decodePrompts, encodePrompts } from './prompt-codec.ts'
+import { decodePrompts, encodePrompts } from '../quarantine/index.ts'
 import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
-import type { WirePrompts } from './prompt-codec.ts'
+import type { WirePrompts } from '../quarantine/index.ts'
 import type { Activity, NodeDigest, NodeReport } from './types.ts'
 
 type WireActivity = [quota: Array<[team: string, quota: number, tolerance: number, asked?: number]>, loads: Array<[string, number, number]>, prefixes: Array<[string, string[]]>, suspects?: Array<[backend: string, suspecting: number, hearing: number]>, levels?: Array<[team: string, quota: number, tolerance: number]> | null, leaving?: Array<[backend: string, startedAtMs: number | null]>, prompts?: WirePrompts]
--- a/src/core/quarantine/assess.ts
+++ b/src/core/quarantine/assess.ts
@@ -16,8 +16,8 @@
   parts: PromptPartId[]
   /** Decimal logarithm of the likelihood ratio. */
   score: number
-  /** Crashed attempts with the part that was assessed. */
-  attempts: number
+  /** Whether the evidence suffices to refuse prompts with the parts. */
+  isCertain: boolean
   crashes: number
   backends: BackendId[]
   firstCrashAtMs: number
@@ -41,12 +41,14 @@
 const coincidenceMs = 10
 /** Time before and after a crash over which the rate of other crashes is measured. */
 const backgroundWindowMs = 1_000
-/** From this score on, prompts with the parts are refused. */
+/** From this score on, prompts with the parts are refused, unless another part explains the same crashes as well. */
 export const quarantineScore = Math.log10(20_000)
 /** From this score on, few requests with the parts are sent at a time. */
 export const suspicionScore = Math.log10(20)
 
 const answerScore = Math.log10(1 - crashProbability)
+/** Difference of scores that tells two parts apart: a little less than one answer. */
+const distinctionScore = 0.6
 /** Answers before the first crash are weak evidence, since a part may crash backend servers from then on; they decide between parts that always occur together. */
 const maxEarlierAnswers = 3
 
@@ -92,8 +94,15 @@
   return Math.max(minBackgroundProbability, crashed / (crashed + answered))
 }
 
+/** One part with the crashes and attempts that it may explain. */
+interface AssessedPart extends Suspicion {
+  part: PromptPartId
+  own: readonly Crash[]
+  attempts: number
+}
+
 /** Assesses one part against the crashes of its service that no other part explains. */
-function assessPart (part: PromptPartId, crashes: readonly Crash[], context: AssessmentContext): Suspicion {
+function assessPart (part: PromptPartId, crashes: readonly Crash[], context: AssessmentContext): AssessedPart {
   const own = crashes.filter(crash => crash.parts.has(part))
   const others = crashes.filter(crash => !crash.parts.has(part))
   const service = own[0]?.service ?? ''
@@ -108,7 +117,14 @@
   const parts = (attempts[0]?.parts ?? []).filter(other => {
     return other === part || (context.answered(other).since === 0 && attempts.every(attempt => attempt.parts.includes(other)))
   })
-  return { service, parts: [...parts].toSorted(), score, attempts: attempts.length, crashes: own.length, backends: own.map(({ backend }) => backend), firstCrashAtMs: own[0]?.atMs ?? 0 }
+  return {
+    part, service, parts: [...parts].toSorted(), score, isCertain: false, own, attempts: attempts.length, crashes: own.length, backends: own.map(({ backend }) => backend), firstCrashAtMs: own[0]?.atMs ?? 0
+  }
+}
+
+/** Whether another part, which prompts without this one also have, explains the same crashes about as well. */
+function isAmbiguous (best: AssessedPart, others: readonly AssessedPart[]): boolean {
+  return others.some(({ part, score, own }) => !best.parts.includes(part) && score > best.score - distinctionScore && best.own.every(crash => own.includes(crash)))
 }
 
 function assessService (crashes: readonly Crash[], context: AssessmentContext): Suspicion[] {
@@ -119,11 +135,11 @@
     // Of parts with equal scores, the one in fewer prompts explains the same crashes without the others.
     const assessed = [...parts].map(part => assessPart(part, unexplained, context)).toSorted((a, b) => b.score - a.score || a.attempts - b.attempts)
     const [best] = assessed
-    if (best === undefined || best.score < quarantineScore) {
+    if (best === undefined || best.score < quarantineScore || isAmbiguous(best, assessed)) {
       const rest = new Map(assessed.filter(({ score }) => score >= suspicionScore).map(suspicion => [suspicion.parts.join(), suspicion]))
       return [...suspicions, ...rest.values()]
     }
-    suspicions.push(best)
+    suspicions.push({ ...best, isCertain: true })
     const explained = unexplained.filter(crash => crash.attempts.some(attempt => best.parts.every(part => attempt.parts.includes(part))))
     unexplained = unexplained.filter(crash => !explained.includes(crash))
   }
--- a/src/core/quarantine/evidence.ts
+++ b/src/core/quarantine/evidence.ts
@@ -34,9 +34,12 @@
 /** Maximum number of answers of one part that are counted at one node; far more than a decision needs. */
 const maxCountedAnswers = 50
 
+/** Attempts on a backend server that doesn't report its start ended by the same crash if they ended in the same interval. */
+const crashIntervalMs = 500
+
 /** Name of a crash: of one start of a backend server's process. */
-export function crashKey ({ service, backend, backendStartedAtMs }: CrashedAttempt): string {
-  return `${service}/${backend}/${backendStartedAtMs ?? ''}`
+export function crashKey ({ service, backend, backendStartedAtMs, crashedAtMs }: CrashedAttempt): string {
+  return `${service}/${backend}/${backendStartedAtMs ?? `around ${Math.floor(crashedAtMs / crashIntervalMs)}`}`
 }
 
 const noAnswers: AnswerCounts = { since: 0, before: 0 }
--- a/src/core/quarantine/index.ts
+++ b/src/core/quarantine/index.ts
@@ -6,7 +6,7 @@
  * nodes refuse them until a deadline, and then one request is sent as a trial.
  */
 import { assessPrompts, hasAllParts, quarantineScore } from './assess.ts'
-import { createCrashEvidence } from './evidence.ts'
+import { crashKey, createCrashEvidence } from './evidence.ts'
 import { combinationKey, createQuarantineRecords } from './records.ts'
 import { createTrials } from './trials.ts'
 import type { NodeId, PromptPartId } from '../ids/index.ts'
@@ -15,12 +15,16 @@
 
 export type * from './types.ts'
 export { combinationKey } from './records.ts'
-export { createStoredQuarantine, quarantineKey } from './stored-records.ts'
+export { createStoredQuarantine, decodeQuarantine, encodeQuarantine, quarantineKey } from './stored-records.ts'
+export { decodePrompts, encodePrompts } from './wire.ts'
+export type { WirePrompts } from './wire.ts'
 export type { StoredQuarantine } from './stored-records.ts'
 
 /** Time for which prompts are refused at first; it doubles after each trial that crashes its backend server. */
 const firstQuarantineMs = 10 * 60 * 1_000
 const maxQuarantineMs = 4 * 60 * 60 * 1_000
+/** Time after the begin of a quarantine within which open attempts may still crash their backend servers. */
+const openAttemptsMs = 1_000
 /** Time for which the end of a quarantine is remembered, so that no older record or evidence brings it back. */
 const liftedRecordMs = 10 * 60 * 1_000
 /** Longest wait for the outcome of other requests with the same parts; usual times to the first token are shorter. */
@@ -97,14 +101,30 @@
     apply({ ...record, state: 'lifted', changedAtMs: Math.max(nowMs, record.changedAtMs + 1), untilMs: nowMs + liftedRecordMs }, cause)
   }
 
-  /** Leaves out crashes before the end of a quarantine of the same parts. */
-  function currentAttempts (minAgeMs?: number): CrashedAttempt[] {
-    const lifted = records.list().filter(({ state }) => state === 'lifted')
-    const attempts = evidence.attempts(minAgeMs)
-    if (lifted.length === 0) return attempts
-    return attempts.filter(({ service, parts, crashedAtMs }) => {
-      return !lifted.some(record => record.service === service && crashedAtMs <= record.changedAtMs && hasAllParts(parts, record.parts))
-    })
+  /** Whether the end of a quarantine makes a crash irrelevant. */
+  function isForgiven ({ service, parts, crashedAtMs }: CrashedAttempt, lifted: readonly QuarantineRecord[]): boolean {
+    return lifted.some(record => record.service === service && crashedAtMs <= record.changedAtMs && hasAllParts(parts, record.parts))
+  }
+
+  /** Whether a crash occurred while quarantined parts crashed backend servers. A node without all evidence takes them for its cause, because it may not know the attempt. */
+  function isInQuarantinedPeriod ({ service, crashedAtMs }: CrashedAttempt, record: QuarantineRecord): boolean {
+    return record.service === service && crashedAtMs >= record.sinceMs && crashedAtMs <= record.changedAtMs + openAttemptsMs
+  }
+
+  /** The attempts whose crashes no quarantine explains. */
+  function unexplainedAttempts (minAgeMs?: number): CrashedAttempt[] {
+    const known = records.list()
+    const lifted = known.filter(({ state }) => state === 'lifted')
+    const quarantined = known.filter(({ state }) => state === 'quarantined')
+    const attempts = evidence.attempts(minAgeMs).filter(attempt => !isForgiven(attempt, lifted))
+    if (quarantined.length === 0) return attempts
+    const explained = new Set(attempts.flatMap(attempt => {
+      const hasCause = quarantined.some(record => {
+        return (record.service === attempt.service && hasAllParts(attempt.parts, record.parts)) || (!options.isDeciding() && isInQuarantinedPeriod(attempt, record))
+      })
+      return hasCause ? [crashKey(attempt)] : []
+    }))
+    return attempts.filter(attempt => !explained.has(crashKey(attempt)))
   }
 
   function quarantine ({ service, parts, crashes, backends, firstCrashAtMs }: Suspicion): void {
@@ -123,12 +143,14 @@
   }
 
   /** Ends quarantines whose parts were all answered since, unless the crashes still outweigh that. */
-  function liftRefuted (attempts: readonly CrashedAttempt[]): void {
-    for (const record of records.list()) {
+  function liftRefuted (): void {
+    const all = records.list()
+    const lifted = all.filter(({ state }) => state === 'lifted')
+    for (const record of all) {
       if (record.state === 'lifted' || !record.parts.every(part => evidence.answered(part).since > 0)) continue
-      const isKnown = attempts.some(({ service, parts }) => service === record.service && hasAllParts(parts, record.parts))
-      const isConfirmed = suspicions.some(({ service, parts, score }) => service === record.service && score >= quarantineScore && hasAllParts(record.parts, parts))
-      if (isKnown && !isConfirmed) lift(record, 'answered')
+      const attempts = evidence.attempts().filter(attempt => attempt.service === record.service && hasAllParts(attempt.parts, record.parts) && !isForgiven(attempt, lifted))
+      const isConfirmed = assessPrompts(attempts, context).some(({ parts, score }) => score >= quarantineScore && hasAllParts(record.parts, parts))
+      if (attempts.length > 0 && !isConfirmed) lift(record, 'answered')
     }
   }
 
@@ -139,13 +161,12 @@
     if (evidence.revision() !== assessedRevision) unsettledUntilMs = nowMs + options.reportDelayMs()
     assessedRevision = evidence.revision()
     assessedAtMs = nowMs
-    const attempts = currentAttempts()
-    suspicions = assessPrompts(attempts, context)
-    liftRefuted(attempts)
-    if (!options.isDeciding() || !suspicions.some(({ score }) => score >= quarantineScore)) return
+    liftRefuted()
+    suspicions = assessPrompts(unexplainedAttempts(), context)
+    if (!options.isDeciding() || !suspicions.some(({ isCertain }) => isCertain)) return
     // Another node's evidence may name another cause, so a decision waits until all of it has arrived.
-    for (const suspicion of assessPrompts(currentAttempts(options.reportDelayMs()), context)) {
-      if (suspicion.score >= quarantineScore) quarantine(suspicion)
+    for (const suspicion of assessPrompts(unexplainedAttempts(options.reportDelayMs()), context)) {
+      if (suspicion.isCertain) quarantine(suspicion)
     }
   }
 
--- a/src/core/quarantine/stored-records.ts
+++ b/src/core/quarantine/stored-records.ts
@@ -7,9 +7,8 @@
 import { combinationKey } from './records.ts'
 import type { Clock } from '../clock/index.ts'
 import type { BackendId, PromptPartId } from '../ids/index.ts'
-import type { Duty } from '../leases/index.ts'
 import type { Log } from '../log/index.ts'
-import type { KeyValueEntry, KeyValueStore } from '../platform/key-value/types.ts'
+import type { Compare, KeyValueEntry, KeyValueStore } from '../platform/key-value/types.ts'
 import type { Quarantine, QuarantineRecord } from './types.ts'
 
 /** Options of the stored records. */
@@ -17,10 +16,10 @@
   store: KeyValueStore
   clock: Clock
   log: Log
-  /** The holder of this duty writes. */
-  duty: Duty
-  /** The entry of a key as this node knows it. */
-  read: (key: string) => Pick<KeyValueEntry, 'value' | 'modRevision'> | undefined
+  /** The conditions under which this node may write the records, such as the guard of a duty; undefined if it may not. */
+  writeConditions: () => Compare[] | undefined
+  /** Reads the entry of a key. */
+  read: (key: string) => Promise<Pick<KeyValueEntry, 'value' | 'modRevision'> | undefined>
   quarantine: Pick<Quarantine, 'records' | 'mergeRecords'>
 }
 
@@ -28,7 +27,7 @@
 export interface StoredQuarantine {
   /** Merges the stored records, at the start and at each change. */
   onContent: (value: string | undefined) => void
-  /** Writes the records if they differ from the stored ones; does nothing without the duty. */
+  /** Writes the records if they differ from the stored ones and this node may write them. */
   reconcile: () => Promise<void>
   /** Claims the trial of a record over all nodes; false if another node has one or the service doesn't confirm the claim. */
   claimTrial: (record: QuarantineRecord) => Promise<boolean>
@@ -83,25 +82,26 @@
 }
 
 /** Creates the stored records; nothing is written before `reconcile`. */
-export function createStoredQuarantine ({ store, clock, log, duty, read, quarantine }: StoredQuarantineOptions): StoredQuarantine {
+export function createStoredQuarantine ({ store, clock, log, writeConditions, read, quarantine }: StoredQuarantineOptions): StoredQuarantine {
   let nextWriteAtMs = -Infinity
 
   async function reconcile (): Promise<void> {
-    const guard = duty.guard()
-    const stored = read(quarantineKey)
+    const conditions = writeConditions()
+    const nowMs = clock.monotonicMs()
+    if (conditions === undefined || nowMs < nextWriteAtMs) return
+    const stored = await read(quarantineKey)
     const value = encodeQuarantine(quarantine.records())
     const isStored = stored === undefined ? quarantine.records().length === 0 : stored.value === value
-    const nowMs = clock.monotonicMs()
-    if (guard === undefined || isStored || nowMs < nextWriteAtMs) return
+    if (isStored) return
     nextWriteAtMs = nowMs + writeIntervalMs
-    const compares = [guard, { key: quarantineKey, modRevision: stored?.modRevision ?? 0 }]
+    const compares = [...conditions, { key: quarantineKey, modRevision: stored?.modRevision ?? 0 }]
     // If the compare fails, an operator has changed the records; they are merged before the next round.
     await store.transact({ compares, puts: [{ key: quarantineKey, value }], deletes: [] }, { deadlineAtMs: clock.wallMs() + callTimeoutMs })
   }
 
   async function claimTrial (record: QuarantineRecord): Promise<boolean> {
     const nowMs = clock.wallMs()
-    const claimed = read(trialKey)
+    const claimed = await read(trialKey)
     const earlier = claimed === undefined ? undefined : trialSchema.safeParse(parseJson(claimed.value))
     if (earlier?.success === true && nowMs < earlier.data.untilMs) return false
     const value = JSON.stringify({ combination: combinationKey(record.service, record.parts), untilMs: nowMs + trialMs })
--- a/src/core/node-reports/prompt-codec.ts
+++ b/src/core/quarantine/wire.ts
@@ -1,7 +1,7 @@
 /** Encoding of what nodes tell one another about prompts that crash backend servers, as compact CBOR arrays. */
 import { toId } from '../ids/index.ts'
 import type { AttemptId, BackendId, PromptPartId } from '../ids/index.ts'
-import type { CrashedAttempt, PromptReport, QuarantineRecord } from '../quarantine/index.ts'
+import type { CrashedAttempt, PromptReport, QuarantineRecord } from './types.ts'
 
 type WireCrash = [attempt: string, service: string, backend: string, startedAtMs: number | null, parts: string[], hasStarted: boolean, crashedAtMs: number]
 type WireRecord = [service: string, parts: string[], isQuarantined: boolean, changedAtMs: number, sinceMs: number, untilMs: number, crashes: number, backends: string[]]
--- a/test/quarantine/assess.test.ts
+++ b/test/quarantine/assess.test.ts
@@ -1,6 +1,6 @@
 /** Which parts of prompts are suspected, by the crashes and answers that are known. */
 import test from 'ava'
-import { assessPrompts, quarantineScore, suspicionScore } from '../../src/core/quarantine/assess.ts'
+import { assessPrompts, suspicionScore } from '../../src/core/quarantine/assess.ts'
 import { toId } from '../../src/core/ids/index.ts'
 import type { AttemptId, BackendId, PromptPartId } from '../../src/core/ids/index.ts'
 import type { AnswerCounts, CrashedAttempt } from '../../src/core/quarantine/index.ts'
@@ -26,7 +26,7 @@
 }
 
 function quarantined (attempts: CrashedAttempt[], answered: Record<string, AnswerCounts> = {}, answersPerSecond = 50): string[] {
-  return assess(attempts, answered, answersPerSecond).flatMap(({ score, parts }) => score >= quarantineScore ? [parts.join('+')] : [])
+  return assess(attempts, answered, answersPerSecond).flatMap(({ isCertain, parts }) => isCertain ? [parts.join('+')] : [])
 }
 
 test('a part in three crashes without an answer is quarantined, whatever comes with it', t => {
@@ -79,3 +79,16 @@
 test('answers outweigh a few crashes', t => {
   t.deepEqual(quarantined([crashed(0, ['a', 'sound']), crashed(500, ['b', 'sound']), crashed(900, ['c', 'sound'])], { sound: { since: 2, before: 0 } }), [])
 })
+
+test('crashes of a server that does not report its start are told apart by their time', t => {
+  const attempts = [0, 2_000, 4_000].map(atMs => ({ ...crashed(atMs, [`first-${atMs}`, 'bad'], { server: 'i-1' }), backendStartedAtMs: undefined }))
+  t.deepEqual(quarantined(attempts), ['bad'])
+  t.deepEqual(quarantined(attempts.map(attempt => ({ ...attempt, crashedAtMs: 0 }))), [])
+})
+
+test('of two parts that explain the same crashes, neither is quarantined until an answer or a crash tells them apart', t => {
+  const attempts = [crashed(0, ['popular', 'document']), crashed(0, ['other', 'bad']), crashed(60, ['popular', 'bad']), crashed(200, ['popular', 'bad'])]
+  t.deepEqual(quarantined(attempts), [])
+  t.deepEqual(quarantined(attempts, { popular: { since: 1, before: 0 } }), ['bad'])
+  t.deepEqual(quarantined([...attempts, crashed(900, ['third', 'bad'])]), ['bad'])
+})
--- a/test/quarantine/cluster.ts
+++ b/test/quarantine/cluster.ts
@@ -6,7 +6,6 @@
 import { createQuarantine, createStoredQuarantine } from '../../src/core/quarantine/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
 import type { AttemptId, BackendId, NodeId, PromptPartId } from '../../src/core/ids/index.ts'
-import type { Duty } from '../../src/core/leases/index.ts'
 import type { KeyValueEntry } from '../../src/core/platform/key-value/index.ts'
 import type { Quarantine, StoredQuarantine } from '../../src/core/quarantine/index.ts'
 
@@ -39,13 +38,12 @@
     const events: string[] = []
     const log = (event: string): void => { events.push(event) }
     const store = memory.connect(`node-${index}`)
-    const duty: Duty = {
-      name: 'platform', fencingNumber: () => fencingNumber, guard: () => index === 0 ? { key: dutyKey, modRevision: fencingNumber } : undefined, orderWindow: () => undefined, close: async () => {}
-    }
     const quarantine: Quarantine = createQuarantine({
       clock, log, metrics: createMetrics(), random: createRandom(index + 1), nodeCount: () => count, reportDelayMs: () => 300, isDeciding: () => true, claimTrial: record => stored.claimTrial(record)
     })
-    const stored = createStoredQuarantine({ store, clock, log, duty, read: key => entries.get(key), quarantine })
+    const stored = createStoredQuarantine({
+      store, clock, log, writeConditions: () => index === 0 ? [{ key: dutyKey, modRevision: fencingNumber }] : undefined, read: async key => entries.get(key), quarantine
+    })
     async function readStore (): Promise<void> {
       const listed = await store.list('cyclamenshunt/', { deadlineAtMs: Infinity })
       if (listed.isErr) return
