Ask the quarantine for drafts, too, and let operators list and lift it

The own path (drafts, prompts hashed in blocks) had the same fault: a draft whose engine crashed was sent to the next one, up to eight times, and the next draft with the same text again.

Drafts now go through the same decision. A few hashes of its blocks stand for a prompt. Quarantined prompts are refused with 422, which callers of this interface don't repeat.

cyclamenshunt quarantine list and lift; the status has the records.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -9,6 +9,8 @@
 import Get from './get/index.ts'
 import MovesList from './moves/list/index.ts'
 import MovesWatch from './moves/watch/index.ts'
+import QuarantineLift from './quarantine/lift/index.ts'
+import QuarantineList from './quarantine/list/index.ts'
 import Serve from './serve/index.ts'
 import SetCommand from './set/index.ts'
 import StandIn from './stand-in/index.ts'
@@ -25,6 +27,8 @@
   get: Get,
   'moves:list': MovesList,
   'moves:watch': MovesWatch,
+  'quarantine:lift': QuarantineLift,
+  'quarantine:list': QuarantineList,
   serve: Serve,
   set: SetCommand,
   'stand-in': StandIn,
@@ -38,5 +42,11 @@
     'For example:',
     '  $ cyclamenshunt moves list --json',
     '  $ cyclamenshunt moves watch attica-utilities'
+  ].join('\n'),
+  quarantine: [
+    'List and lift the refusal of prompts that crashed backend servers.',
+    'For example:',
+    '  $ cyclamenshunt quarantine list',
+    '  $ cyclamenshunt quarantine lift 91bd3f06c2a4e870'
   ].join('\n')
 }
--- /dev/null
+++ b/src/cli/quarantine/list/index.ts
@@ -0,0 +1,29 @@
+import { BaseCommand } from '../../base-command.ts'
+import { storeFlags, withStore } from '../../store-flags.ts'
+import { renderTable } from '../../table.ts'
+import { readRecords } from '../records.ts'
+import type { QuarantineRecord } from '../../../core/quarantine/index.ts'
+
+export default class QuarantineList extends BaseCommand {
+  static override summary = 'List prompts that are refused because backend servers crashed on them.'
+  static override description = 'Exit codes: 0 shown, 2 usage, 7 the key-value service did not respond.'
+  static override examples = [
+    '<%= config.bin %> quarantine list',
+    '<%= config.bin %> quarantine list --json'
+  ]
+
+  static override enableJsonFlag = true
+  static override flags = storeFlags
+
+  async run (): Promise<QuarantineRecord[]> {
+    const { flags } = await this.parse(QuarantineList)
+    return await withStore(flags, async ({ store, deadlineAtMs }) => {
+      const { records } = this.unwrap(await readRecords(store, deadlineAtMs))
+      const rows = records.map(({ service, parts, state, sinceMs, untilMs, crashes, backends }) => {
+        return [service, parts.join(' '), state, new Date(sinceMs).toISOString(), new Date(untilMs).toISOString(), String(crashes), backends.join(' ')]
+      })
+      this.log(renderTable(['service', 'parts', 'state', 'since', 'until', 'crashes', 'backends'], rows))
+      return records
+    })
+  }
+}
--- a/src/core/http/problem.ts
+++ b/src/core/http/problem.ts
@@ -31,6 +31,8 @@
   'owner-unreachable': 503,
   'running-elsewhere': 409,
   'answer-not-kept': 410,
+  'prompt-quarantined': 422,
+  'prompt-suspected': 503,
   'caller-left': 499
 }
 
--- a/src/core/node/choose-backend.ts
+++ b/src/core/node/choose-backend.ts
@@ -3,17 +3,20 @@
  * to routing, concurrency limits and version moves.
  */
 import { err, ok } from 'true-myth/result'
+import type { Result } from 'true-myth'
 import type { ConcurrencyLimits, RetryBudget } from '../admission/index.ts'
 import type { BackendTable } from '../backends/table.ts'
 import { createId } from '../ids/index.ts'
 import type { AttemptId, TeamId } from '../ids/index.ts'
 import type { Clock } from '../clock/index.ts'
+import type { Refusal } from '../outcomes/index.ts'
 import type { Metrics } from '../metrics/index.ts'
-import type { AttemptOutcome, ChooseBackend, DraftRequest } from '../requests/index.ts'
+import type { AttemptOutcome, ChooseBackend, ChoiceRequest, DraftChoice, DraftRequest } from '../requests/index.ts'
 import type { PromptBlocks, PromptHasher, RouteChoice, Router } from '../routing/index.ts'
 import type { VersionShares } from '../teams/index.ts'
 import type { RecordAttempt } from '../moves/attempt-observation.ts'
 import { createFailedVersions } from './failed-versions.ts'
+import type { DraftPromptGate } from './draft-prompt-gate.ts'
 
 /** Target for the time to the first token, which 95 % of drafts must meet. */
 export const firstTokenTargetMs = 950
@@ -31,6 +34,7 @@
   table: BackendTable
   sharesOf: (team: TeamId) => VersionShares | undefined
   recordAttempt: RecordAttempt
+  promptGate: DraftPromptGate
 }
 
 /** Creates the function that chooses the backend server of a draft's next attempt. */
@@ -49,6 +53,15 @@
   }
 
   return async ({ draft, excluded, version }) => {
+    const { hashes } = promptBlocks(draft)
+    const admittance = await options.promptGate.admit(draft, hashes)
+    if (admittance.kind === 'refused') return err({ reason: admittance.reason, run: 'not-run', detail: admittance.detail, retryAtMs: admittance.retryAtMs })
+    const chosen = choose({ draft, excluded, version })
+    if (chosen.isErr) admittance.release()
+    return chosen.map(choice => options.promptGate.observe(draft, hashes, choice, admittance.release))
+  }
+
+  function choose ({ draft, excluded, version }: ChoiceRequest): Result<DraftChoice, Refusal> {
     const shares = options.sharesOf(draft.team)
     const retryAtMs = clock.wallMs() + noBackendRetryMs
     if (shares === undefined) return err({ reason: 'unknown-team', run: 'not-run', detail: 'The team is no longer declared.' })
--- a/src/core/node/components.ts
+++ b/src/core/node/components.ts
@@ -14,9 +14,11 @@
 import { createDrafts } from '../requests/index.ts'
 import { createPromptHasher, createRouter } from '../routing/index.ts'
 import { createDraftChooser } from './choose-backend.ts'
+import { createDraftPromptGate } from './draft-prompt-gate.ts'
 import { createDutyCandidacy } from './duty-candidates.ts'
 import { engineProfileOf } from './engine-profiles.ts'
 import { createFleetDuties } from './fleet-duties.ts'
+import { createQuarantineExchange } from './quarantine-exchange.ts'
 import type { ShutdownState } from './shutdown-state.ts'
 import type { NodeContext, NodeDependencies } from './dependencies.ts'
 import { createCallLookUp, createCallSender } from './send-call.ts'
@@ -62,6 +64,7 @@
     }
   })
   const isCandidateFor = createDutyCandidacy(membership)
+  const { quarantine, close: closeQuarantine } = createQuarantineExchange({ clock, log, metrics, random, network, membership, store, isWriter: () => isCandidateFor('quarantine') })
   const duties = createDuties({ store, clock, log, node: settings.node, shouldHold: duty => !shutdown.leaving && isCandidateFor(duty) })
   const moves = createMoves({
     store,
@@ -80,7 +83,7 @@
   const { sharesOf } = moves
   /** The table for routing, with one entry for each version that a backend server serves. */
   const routingTable = { ...table, ofTeam: (team: TeamId) => moves.expandVersions(team, table.ofTeam(team)) }
-  const chooserOptions = { clock, metrics, router, hasher, limits, retryBudget, table: routingTable, sharesOf, recordAttempt: moves.recordAttempt }
+  const chooserOptions = { clock, metrics, router, hasher, limits, retryBudget, table: routingTable, sharesOf, recordAttempt: moves.recordAttempt, promptGate: createDraftPromptGate({ clock, quarantine }) }
   const drafts = createDrafts({
     clock,
     metrics,
@@ -132,6 +135,7 @@
 
   async function close (): Promise<void> {
     admission.close()
+    closeQuarantine()
     await fleetDuties?.close()
     await moves.close()
     await duties.close()
@@ -143,5 +147,5 @@
     router.close()
   }
 
-  return { admission, table, duties, moves, drafts, calls, instanceFeed, sharesOf, capacityOf, close }
+  return { admission, quarantine, table, duties, moves, drafts, calls, instanceFeed, sharesOf, capacityOf, close }
 }
--- a/src/core/node/status.ts
+++ b/src/core/node/status.ts
@@ -9,6 +9,7 @@
 import type { NodeMembership } from '../membership/index.ts'
 import type { Moves } from '../moves/index.ts'
 import type { PeerNetwork } from '../peers/types.ts'
+import type { Quarantine } from '../quarantine/index.ts'
 import type { Drafts } from '../requests/index.ts'
 import type { TeamId } from '../ids/index.ts'
 import type { VersionShares } from '../teams/index.ts'
@@ -26,6 +27,7 @@
   membership: NodeMembership
   network: PeerNetwork
   drafts: Drafts
+  quarantine: Pick<Quarantine, 'records'>
   duties: Duties
   readiness: () => Readiness
   sharesOf: (team: TeamId) => VersionShares | undefined
@@ -50,6 +52,7 @@
     duties: options.duties.held(),
     control: options.network.traffic(),
     backends: table.all(),
+    quarantine: options.quarantine.records(),
     moves: options.moves.list(),
     teams: [...configuration.current().teams.values()].map(({ team, version, move }) => ({
       team,
--- a/src/core/outcomes/explanations.ts
+++ b/src/core/outcomes/explanations.ts
@@ -34,6 +34,8 @@
   'key-missing': { text: 'A call that must not run twice has no idempotency key.', remedy: 'Send an Idempotency-Key header.' },
   'running-elsewhere': { text: 'The same call is already running.', remedy: 'Retry with the same key at retryAtMs to get its response.' },
   'answer-not-kept': { text: 'The call ran, but its response was too long to be stored for retries.', remedy: 'Look up the response on the backend server; don\'t send the call with a new key.' },
+  'prompt-quarantined': { text: 'Prompts with the same text crashed backend servers one after the other.', remedy: 'Change the prompt. Operators: see "cyclamenshunt quarantine list".' },
+  'prompt-suspected': { text: 'A backend server crashed on a prompt with the same text, and the outcome of another one is awaited.', remedy: 'Retry at retryAtMs.' },
   'caller-left': { text: 'The caller closed its connection.', remedy: 'None; it is counted separately because it isn\'t a failure.' }
 }
 
--- a/src/core/requests/run-draft.ts
+++ b/src/core/requests/run-draft.ts
@@ -127,7 +127,8 @@
   while (isActive(draft) && clock.wallMs() < draft.request.deadlineAtMs) {
     const choice = await chooseOnce(draft, excluded, history, options)
     if (choice.isOk) return choice.value
-    if (excluded.size === 0 && !history.hasAttempted) {
+    // A quarantined prompt isn't sent in time, so its draft doesn't wait.
+    if (choice.error.reason === 'prompt-quarantined' || (excluded.size === 0 && !history.hasAttempted)) {
       refuse(draft, options, choice.error)
       return undefined
     }
--- a/src/stand-ins/engine/attempts.ts
+++ b/src/stand-ins/engine/attempts.ts
@@ -47,6 +47,8 @@
   cache: PrefixCache
   hashBlocks: HashBlocks
   faults: EngineFaults
+  /** Ends all connections and refuses new ones for a while. */
+  crash: () => void
 }
 
 /** The attempts of one engine. */
@@ -73,7 +75,7 @@
 
 /** Creates the attempts of one engine. */
 export function createAttempts (options: AttemptsOptions): Attempts {
-  const { clock, timings, scheduler, cache, hashBlocks, faults } = options
+  const { clock, timings, scheduler, cache, hashBlocks, faults, crash } = options
   const entries = new Map<string, AttemptEntry>()
   const counts: EngineCounts = { started: 0, finished: 0, cancelled: 0, generatedTokens: 0, prefilledTokens: 0, cachedTokens: 0 }
 
@@ -96,6 +98,10 @@
       slowFactor: request.slowFactor,
       onPrefilled: () => cache.store(blocks),
       onToken: () => {
+        if (sequence.generatedTokens === 1 && faults.crashOnText !== undefined && request.prompt.includes(faults.crashOnText)) {
+          crash()
+          return false
+        }
         if (sequence.generatedTokens === request.breakAtToken) attempt.failure = 'the version failed in the middle of the stream'
         else attempt.generatedTokens = sequence.generatedTokens
         counts.generatedTokens += 1
--- a/src/stand-ins/engine/faults.ts
+++ b/src/stand-ins/engine/faults.ts
@@ -40,6 +40,8 @@
   lostCacheEvents: number
   /** Factor by which every batch step takes longer. */
   slowFactor: number
+  /** The engine crashes, and is back after a second, when it has computed the first token of an answer to a prompt with this text. */
+  crashOnText: string | undefined
 }
 
 /** Initial faults: none. */
@@ -54,7 +56,8 @@
   refuse: undefined,
   goneAtMs: undefined,
   lostCacheEvents: 0,
-  slowFactor: 1
+  slowFactor: 1,
+  crashOnText: undefined
 }
 
 /** Values that the conditions of a `VersionBehaviour` are checked against. */
--- a/src/stand-ins/engine/index.ts
+++ b/src/stand-ins/engine/index.ts
@@ -75,11 +75,15 @@
   cacheUsage: number
 }
 
+/** Time after which a crashed engine listens again. */
+const restartMs = 1_000
+
 /** Starts a stand-in engine with two listeners: the engine's API and the control API. */
 export async function createEngineStandIn (options: EngineStandInOptions = {}): Promise<EngineStandIn> {
   const clock = createSystemClock()
   const timings = { ...engineTimings, ...options.timings }
   const faults: EngineFaults = { ...noEngineFaults }
+  let isClosed = false
   const behaviours = new Map(Object.entries(options.behaviours ?? {}))
   const app = express()
   const server = await startServer(app, options)
@@ -91,7 +95,7 @@
     eventLossRatio: () => faults.lostCacheEvents,
     seed: options.seed ?? 1
   })
-  const attempts = createAttempts({ clock, timings, scheduler, cache, hashBlocks: await createBlockHasher(), faults })
+  const attempts = createAttempts({ clock, timings, scheduler, cache, hashBlocks: await createBlockHasher(), faults, crash })
   app.use(express.json({ limit: '16mb' }))
   const orders = addOrderRoutes(app, {
     versions: options.versions ?? ['v1'],
@@ -146,6 +150,11 @@
     await server.whenThawed()
   }
 
+  function crash (): void {
+    set({ down: true })
+    setTimeout(() => { if (!isClosed) set({ down: false }) }, restartMs)
+  }
+
   async function set (changes: Partial<EngineFaults>): Promise<void> {
     Object.assign(faults, changes)
     if (changes.frozen === true) server.freeze()
@@ -202,6 +211,7 @@
     set,
     setBehaviour,
     close: async () => {
+      isClosed = true
       clearInterval(maintenanceTimer)
       server.thaw()
       scheduler.close()
