--- a/src/core/quarantine/evidence.ts
+++ b/src/core/quarantine/evidence.ts
@@ -31,8 +31,8 @@
 const maxAttempts = 512
 /** Attempts of one crash that are kept; those whose answer had begun first. */
 const maxAttemptsPerCrash = 8
-/** Maximum number of answers of one part that are counted at one node; far more than a decision needs. */
-const maxCountedAnswers = 50
+/** Maximum number of answers of one part that are counted at one node; more than a decision needs, and further ones need no new assessment. */
+const maxCountedAnswers = 8
 
 /** Attempts on a backend server that doesn't report its start ended by the same crash if they ended in the same interval. */
 const crashIntervalMs = 500
@@ -144,7 +144,8 @@
         recentAnswers.record(part)
         if (!trackedParts.has(part)) continue
         const { since, before } = own.get(part) ?? noAnswers
-        own.set(part, { since: Math.min(maxCountedAnswers, since + 1), before })
+        if (since >= maxCountedAnswers) continue
+        own.set(part, { since: since + 1, before })
         revision += 1
       }
     },
