Count crashes after a quarantine was lifted by a node with a fast clock

A quarantine that was lifted with a change time in the future made all crashes before that time irrelevant, so that a part that crashed servers again was not quarantined for as long as the clock was ahead. Now crashes are irrelevant up to the time at which this node learned of the change, at the latest.

--- a/src/core/quarantine/index.ts
+++ b/src/core/quarantine/index.ts
@@ -102,8 +102,8 @@
   }
 
   /** Whether the end of a quarantine makes a crash irrelevant. */
-  function isForgiven ({ service, parts, crashedAtMs }: CrashedAttempt, lifted: readonly QuarantineRecord[]): boolean {
-    return lifted.some(record => record.service === service && crashedAtMs <= record.changedAtMs && hasAllParts(parts, record.parts))
+  function isForgiven ({ service, parts, crashedAtMs }: CrashedAttempt, lifted: ReturnType<typeof records.lifted>): boolean {
+    return lifted.some(({ record, liftedAtMs }) => record.service === service && crashedAtMs <= liftedAtMs && hasAllParts(parts, record.parts))
   }
 
   /** Whether a crash occurred while quarantined parts crashed backend servers. A node without all evidence takes them for its cause, because it may not know the attempt. */
@@ -113,9 +113,8 @@
 
   /** The attempts whose crashes no quarantine explains. */
   function unexplainedAttempts (minAgeMs?: number): CrashedAttempt[] {
-    const known = records.list()
-    const lifted = known.filter(({ state }) => state === 'lifted')
-    const quarantined = known.filter(({ state }) => state === 'quarantined')
+    const lifted = records.lifted()
+    const quarantined = records.list().filter(({ state }) => state === 'quarantined')
     const attempts = evidence.attempts(minAgeMs).filter(attempt => !isForgiven(attempt, lifted))
     if (quarantined.length === 0) return attempts
     const explained = new Set(attempts.flatMap(attempt => {
@@ -144,9 +143,8 @@
 
   /** Ends quarantines whose parts were all answered since, unless the crashes still outweigh that. */
   function liftRefuted (): void {
-    const all = records.list()
-    const lifted = all.filter(({ state }) => state === 'lifted')
-    for (const record of all) {
+    const lifted = records.lifted()
+    for (const record of records.list()) {
       if (record.state === 'lifted' || !record.parts.every(part => evidence.answered(part).since > 0)) continue
       const attempts = evidence.attempts().filter(attempt => attempt.service === record.service && hasAllParts(attempt.parts, record.parts) && !isForgiven(attempt, lifted))
       const isConfirmed = assessPrompts(attempts, context).some(({ parts, score }) => score >= quarantineScore && hasAllParts(record.parts, parts))
--- a/src/core/quarantine/records.ts
+++ b/src/core/quarantine/records.ts
@@ -12,6 +12,8 @@
   matching: (service: string, parts: readonly PromptPartId[]) => QuarantineRecord[]
   get: (service: string, parts: readonly PromptPartId[]) => QuarantineRecord | undefined
   list: () => QuarantineRecord[]
+  /** The lifted records, with the wall time of this node up to which they make crashes irrelevant; a node with a fast clock may have written them. */
+  lifted: () => Array<{ record: QuarantineRecord, liftedAtMs: number }>
   /** Records for a report: those that changed a short time ago, and some of the others in turn. */
   forReport: () => QuarantineRecord[]
 }
@@ -32,7 +34,7 @@
 
 /** Creates an empty set of records. */
 export function createQuarantineRecords (clock: Clock): QuarantineRecords {
-  const records = new Map<string, { record: QuarantineRecord, knownSinceMs: number }>()
+  const records = new Map<string, { record: QuarantineRecord, knownSinceMs: number, knownAtMs: number }>()
   let turn = 0
 
   function removeExpired (): void {
@@ -48,7 +50,7 @@
     if (record.parts.length === 0 || (before !== undefined && before.changedAtMs >= record.changedAtMs)) return false
     removeExpired()
     records.delete(key)
-    records.set(key, { record, knownSinceMs: clock.monotonicMs() })
+    records.set(key, { record, knownSinceMs: clock.monotonicMs(), knownAtMs: clock.wallMs() })
     const [oldest] = records.keys()
     if (records.size > maxRecords && oldest !== undefined) records.delete(oldest)
     return true
@@ -64,6 +66,12 @@
       removeExpired()
       return [...records.values()].map(({ record }) => record)
     },
+    lifted: () => {
+      removeExpired()
+      return [...records.values()].flatMap(({ record, knownAtMs }) => {
+        return record.state === 'lifted' ? [{ record, liftedAtMs: Math.min(record.changedAtMs, knownAtMs) }] : []
+      })
+    },
     forReport: () => {
       removeExpired()
       const oldestMs = clock.monotonicMs() - repeatMs
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -120,6 +120,17 @@
   t.is(countAdmitted(await askAll(cluster, ['new', 'bad'])), 9)
 })
 
+test('a quarantine that a node with a fast clock lifted returns when servers crash again', async t => {
+  const cluster = await createCluster(3)
+  await cluster.quarantinePart('bad')
+  const [record] = cluster.nodes[0]!.quarantine.records()
+  cluster.nodes[0]!.quarantine.mergeRecords([{ ...record!, state: 'lifted', changedAtMs: cluster.clock.wallMs() + 3_600_000, untilMs: cluster.clock.wallMs() + 7_200_000 }])
+  await cluster.run(600)
+  t.false(cluster.isRefused(1, 'new', 'bad'))
+  await cluster.quarantinePart('bad')
+  t.true(cluster.nodes.every((_, index) => cluster.isRefused(index, 'new', 'bad')))
+})
+
 test('an answer of a request that was under way releases a prompt that was quarantined by mistake', async t => {
   const cluster = await createCluster(9)
   await cluster.quarantinePart('sound')
