End the trial of a suspected prompt that was not sent

What callers would have seen: after a request with a suspected prompt was admitted and then found no backend server, or its caller left at that moment, no node sent another one with the prompt, so that nothing could clear it.

Cause: the trial counted as under way until its attempt ended, but there was none. Found by reading. The test fails before; three more tests hold the decisions on resets, leaving servers and open attempts of quarantined prompts over real sockets.

--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -201,10 +201,14 @@
       if (active.isCallerGone) return log('gatewayLeft', { ...requestLogFields(active, clock), phase: 'serving' })
       if (active.isTimedOut) return timeOutRequest(active)
       const admittance = await promptGate.admit(active)
-      if (active.isCallerGone || active.isTimedOut) continue
+      if (active.isCallerGone || active.isTimedOut) {
+        if (admittance.kind === 'admitted') admittance.release()
+        continue
+      }
       if (admittance.kind === 'refused') return failRequest(active, admittance.reason, admittance.detail, admittance.retryAtMs - clock.wallMs())
       const chosen = router.choose(routeRequest(active), backends.usable(active.service))
       if (chosen.isErr) {
+        admittance.release()
         const pausedForMs = backends.allPausedForMs(active.service)
         if (pausedForMs !== undefined) return failRequest(active, 'backends-paused', 'All backend servers of the service asked for a pause.', pausedForMs + options.random() * resumeMs)
         const { reason, detail, retryAtMs } = chosen.error
--- a/src/core/quarantine/index.ts
+++ b/src/core/quarantine/index.ts
@@ -200,7 +200,7 @@
       const suspicion = parts.length === 0 ? undefined : findSuspicion(service, parts)
       if (suspicion === undefined) return notHeld
       const key = combinationKey(service, suspicion.parts)
-      if (!isRetryAfterCrash && trials.take(key)) return { kind: 'admitted', release: () => trials.release(key) }
+      if (!signal.aborted && !isRetryAfterCrash && trials.take(key)) return { kind: 'admitted', release: () => trials.release(key) }
       if (clock.monotonicMs() >= latestMs || waiting >= maxWaiting || signal.aborted) {
         return refuse('prompt-suspected', suspicion.parts, clock.wallMs() + suspectedRetryMs)
       }
