--- a/src/cli/exit-codes.ts
+++ b/src/cli/exit-codes.ts
@@ -35,6 +35,7 @@
   ValueTooLarge: 'invalidFile',
   MoveConflict: 'conflict',
   DeclarationConflict: 'conflict',
+  QuarantineConflict: 'conflict',
   TeamUnknown: 'usage',
   KeyValueUnavailable: 'unreachable',
   KeyValueAmbiguous: 'outcomeUnknown',
--- a/src/cli/quarantine/records.ts
+++ b/src/cli/quarantine/records.ts
@@ -3,6 +3,7 @@
 import { createError } from '../../core/errors/index.ts'
 import { decodeQuarantine, encodeQuarantine, quarantineKey } from '../../core/quarantine/index.ts'
 import type { Result } from 'true-myth'
+import type { CyclamenError } from '../../core/errors/index.ts'
 import type { KeyValueError, KeyValueStore } from '../../core/platform/key-value/index.ts'
 import type { QuarantineRecord } from '../../core/quarantine/index.ts'
 
@@ -19,7 +20,7 @@
 }
 
 /** Lifts all quarantines that have the part; returns them. */
-export async function liftRecords (store: KeyValueStore, part: string, { nowMs, deadlineAtMs }: { nowMs: number, deadlineAtMs: number }): Promise<Result<QuarantineRecord[], KeyValueError>> {
+export async function liftRecords (store: KeyValueStore, part: string, { nowMs, deadlineAtMs }: { nowMs: number, deadlineAtMs: number }): Promise<Result<QuarantineRecord[], KeyValueError | CyclamenError<'QuarantineConflict'>>> {
   const stored = await readRecords(store, deadlineAtMs)
   if (stored.isErr) return err(stored.error)
   const { records, modRevision } = stored.value
@@ -31,5 +32,5 @@
     { compares: [{ key: quarantineKey, modRevision }], puts: [{ key: quarantineKey, value: encodeQuarantine(changed) }], deletes: [] }, { deadlineAtMs }
   )
   if (written.isErr) return err(written.error)
-  return written.value.applied ? ok(lifted) : err(createError('KeyValueUnavailable', { operation: 'lift', cause: 'the records changed meanwhile; run the command again' }))
+  return written.value.applied ? ok(lifted) : err(createError('QuarantineConflict', { part }))
 }
--- a/src/core/errors/commands.ts
+++ b/src/core/errors/commands.ts
@@ -26,6 +26,11 @@
     message: ({ conflicts }) => `Nothing was written because another change was written first:\n${conflicts.join('\n')}\n`,
     hint: 'Review the other change with "cyclamenshunt get", then repeat your change if it is still needed.'
   }),
+  QuarantineConflict: defineError<{ part: string }>({
+    title: 'Conflicting change of the quarantine',
+    message: ({ part }) => `The quarantine of ${part} was not lifted, because the records changed meanwhile.`,
+    hint: 'Run the command again.'
+  }),
   DeclarationUnknown: defineError<{ writeId: string, run: string }>({
     title: 'Outcome of the write unknown',
     message: ({ writeId }) => `The key-value service did not respond; write "${writeId}" may or may not have been applied.`,
