End suspicions with their evidence, and send no trial against another quarantine

What callers would have seen: a prompt that was suspected after one crash, and that nobody sent for a minute, stayed limited for as long as no other crash or answer came, although the crash was forgotten. And of two quarantines that refuse a prompt, the first one's end let a trial through that the other one still refuses.

Cause: an assessment was kept while the revision of the evidence stayed the same, which expiry doesn't change; only the first matching record was looked at. Found by reading. Both tests fail before.

--- a/src/core/quarantine/index.ts
+++ b/src/core/quarantine/index.ts
@@ -36,6 +36,8 @@
 const suspectedRetryMs = 2_000
 /** Shortest time between two assessments; bounds their processor time. */
 const assessmentIntervalMs = 50
+/** Longest time between two assessments while prompts are suspected. */
+const expiryCheckMs = 1_000
 /** Limits of a report and of a digest, so that each fits into a few packets. */
 const maxReportedAttempts = 16
 const maxDigestAttempts = 24
@@ -46,7 +48,7 @@
 /** Time over which the rate of answers is averaged. */
 const rateWindowMs = 5_000
 
-const notHeld: Admittance = { kind: 'admitted', release: () => {} }
+const admittedAtOnce: Admittance = { kind: 'admitted', release: () => {} }
 
 function boundParts (parts: readonly PromptPartId[]): readonly PromptPartId[] {
   return parts.length <= maxParts ? parts : [...parts.slice(0, maxParts / 2), ...parts.slice(-maxParts / 2)]
@@ -101,8 +103,8 @@
     apply({ ...record, state: 'lifted', changedAtMs: Math.max(nowMs, record.changedAtMs + 1), untilMs: nowMs + liftedRecordMs }, cause)
   }
 
-  /** Whether the end of a quarantine makes a crash irrelevant. */
-  function isForgiven ({ service, parts, crashedAtMs }: CrashedAttempt, lifted: ReturnType<typeof records.lifted>): boolean {
+  /** Whether a quarantine was lifted after the crash, which makes the crash irrelevant. */
+  function isBeforeLift ({ service, parts, crashedAtMs }: CrashedAttempt, lifted: ReturnType<typeof records.lifted>): boolean {
     return lifted.some(({ record, liftedAtMs }) => record.service === service && crashedAtMs <= liftedAtMs && hasAllParts(parts, record.parts))
   }
 
@@ -115,7 +117,7 @@
   function unexplainedAttempts (minAgeMs?: number): CrashedAttempt[] {
     const lifted = records.lifted()
     const quarantined = records.list().filter(({ state }) => state === 'quarantined')
-    const attempts = evidence.attempts(minAgeMs).filter(attempt => !isForgiven(attempt, lifted))
+    const attempts = evidence.attempts(minAgeMs).filter(attempt => !isBeforeLift(attempt, lifted))
     if (quarantined.length === 0) return attempts
     const explained = new Set(attempts.flatMap(attempt => {
       const hasCause = quarantined.some(record => {
@@ -146,7 +148,7 @@
     const lifted = records.lifted()
     for (const record of records.list()) {
       if (record.state === 'lifted' || !record.parts.every(part => evidence.answered(part).since > 0)) continue
-      const attempts = evidence.attempts().filter(attempt => attempt.service === record.service && hasAllParts(attempt.parts, record.parts) && !isForgiven(attempt, lifted))
+      const attempts = evidence.attempts().filter(attempt => attempt.service === record.service && hasAllParts(attempt.parts, record.parts) && !isBeforeLift(attempt, lifted))
       const isConfirmed = assessPrompts(attempts, context).some(({ parts, score }) => score >= quarantineScore && hasAllParts(record.parts, parts))
       if (attempts.length > 0 && !isConfirmed) lift(record, 'answered')
     }
@@ -154,7 +156,9 @@
 
   function assess (): void {
     const nowMs = clock.monotonicMs()
-    const isUpToDate = evidence.revision() === assessedRevision && assessedAtMs >= unsettledUntilMs
+    // Suspicions end with their evidence, which expires without a change that the revision shows.
+    const mayHaveExpired = suspicions.length > 0 && nowMs >= assessedAtMs + expiryCheckMs
+    const isUpToDate = evidence.revision() === assessedRevision && assessedAtMs >= unsettledUntilMs && !mayHaveExpired
     if (isUpToDate || nowMs < assessedAtMs + assessmentIntervalMs) return
     if (evidence.revision() !== assessedRevision) unsettledUntilMs = nowMs + options.reportDelayMs()
     assessedRevision = evidence.revision()
@@ -171,7 +175,7 @@
   function find (service: string, parts: readonly PromptPartId[]): QuarantineRecord | undefined {
     if (parts.length === 0) return undefined
     assess()
-    return records.matching(service, parts)[0]
+    return records.matching(service, parts).reduce<QuarantineRecord | undefined>((latest, record) => latest === undefined || record.untilMs > latest.untilMs ? record : latest, undefined)
   }
 
   /** The suspicion that limits a request: all of its parts are in the prompt, or one is and the crashes are beyond doubt. */
@@ -195,10 +199,10 @@
       const record = find(service, parts)
       if (record !== undefined) {
         const isTrial = clock.wallMs() >= record.untilMs && !isRetryAfterCrash && await options.claimTrial(record)
-        return isTrial ? notHeld : refuse('prompt-quarantined', record.parts, Math.max(record.untilMs, clock.wallMs() + suspectedRetryMs))
+        return isTrial ? admittedAtOnce : refuse('prompt-quarantined', record.parts, Math.max(record.untilMs, clock.wallMs() + suspectedRetryMs))
       }
       const suspicion = parts.length === 0 ? undefined : findSuspicion(service, parts)
-      if (suspicion === undefined) return notHeld
+      if (suspicion === undefined) return admittedAtOnce
       const key = combinationKey(service, suspicion.parts)
       if (!signal.aborted && !isRetryAfterCrash && trials.take(key)) return { kind: 'admitted', release: () => trials.release(key) }
       if (clock.monotonicMs() >= latestMs || waiting >= maxWaiting || signal.aborted) {
--- a/src/core/quarantine/types.ts
+++ b/src/core/quarantine/types.ts
@@ -94,7 +94,7 @@
 export interface Quarantine {
   /** Decides whether a request may be sent now. Waits a moment for the outcome of others with the same parts. */
   admit: (request: PromptRequest) => Promise<Admittance>
-  /** The record under which requests with these parts are refused, if any. */
+  /** The record under which requests with these parts are refused, if any; of several, the one with the latest deadline. */
   find: (service: string, parts: readonly PromptPartId[]) => QuarantineRecord | undefined
   recordCrash: (crashed: CrashedAttempt) => void
   /** Records the first event of a stream, or another complete answer. */
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -1,7 +1,7 @@
 /** What nodes decide together about prompts that crash backend servers, over restarts, cuts and changes of the key-value service. */
 import test from 'ava'
 import { createCluster, partsOf, quarantineKey, service } from './cluster.ts'
-import type { Admittance } from '../../src/core/quarantine/index.ts'
+import type { Admittance, QuarantineRecord } from '../../src/core/quarantine/index.ts'
 
 const tenMinutesMs = 10 * 60 * 1_000
 const noDeadline = { deadlineAtMs: Infinity }
@@ -155,3 +155,22 @@
   cluster.nodes[1]!.stored.onContent('\u0000')
   t.deepEqual(cluster.nodes[1]!.events, ['quarantineUnreadable', 'quarantineUnreadable'])
 })
+
+test('a prompt that nobody sent again is no longer suspected after a minute', async t => {
+  const cluster = await createCluster(9)
+  cluster.crash(0, 'first', 'suspected')
+  await cluster.run(400)
+  t.true(countAdmitted(await askAll(cluster, ['first', 'suspected'])) < 9)
+  await cluster.clock.advance(61_000)
+  for (let round = 0; round < 2; round += 1) t.is(countAdmitted(await askAll(cluster, ['first', 'suspected'])), 9)
+})
+
+test('no trial is sent for a prompt that another quarantine refuses', async t => {
+  const cluster = await createCluster(3)
+  const record: QuarantineRecord = {
+    service, parts: partsOf('bad', 'first'), state: 'quarantined', changedAtMs: cluster.clock.wallMs(), sinceMs: cluster.clock.wallMs(), untilMs: cluster.clock.wallMs() + 1_000, crashes: 3, backends: []
+  }
+  for (const { quarantine } of cluster.nodes) quarantine.mergeRecords([record, { ...record, parts: partsOf('bad'), untilMs: record.untilMs + 60_000 }])
+  await cluster.clock.advance(2_000)
+  t.is(countAdmitted(await askAll(cluster, ['bad', 'first'])), 0)
+})
