--- a/bench/measure/crashing-prompts/play.ts
+++ b/bench/measure/crashing-prompts/play.ts
@@ -93,7 +93,11 @@
 const crashingFromMs = 5_000
 const contactMs = 3_000
 
-interface CountedRequest { arrivedAtMs: number, isAnsweredFirst: boolean }
+/** A sound request with the same first part as most of the crashing ones. */
+interface CountedRequest {
+  arrivedAtMs: number
+  isAnsweredFirst: boolean
+}
 
 /** Plays the scenario. */
 export async function playCrashingPrompts (scenario: CrashScenario): Promise<CrashResult> {
@@ -111,6 +115,7 @@
   const crashTimesMs: number[] = []
   const crashingSentAtMs: number[] = []
   const counted: CountedRequest[] = []
+  const countedByRequest = new WeakMap<Request, CountedRequest>()
   let incarnation = 0
   let refusedByAllAtMs: number | undefined
 
@@ -147,7 +152,8 @@
       : { kind: 'admitted' as const, release: () => {} }
     const up = engines.filter(({ upFromMs }) => upFromMs <= clock.wallMs())
     const engine = up[Math.floor(random() * up.length)]
-    if (admittance.kind === 'refused' || engine === undefined) return
+    if (admittance.kind === 'refused') return
+    if (engine === undefined) return admittance.release()
     request.attempts += 1
     const nowMs = clock.wallMs()
     const startsAtMs = nowMs + 40 + exponential(random, 120)
@@ -164,11 +170,13 @@
     // A crashing prompt comes with the same first part most of the time.
     const firstPart = isCrashing && random() < 0.3 ? firstParts[Math.floor(random() * 5)]! : firstParts[first]!
     const request = { id: `r-${atMs}-${random()}`, parts: [firstPart, second], isCrashing, sharesFirstPart: first === sharedFirstPart, arrivedAtMs: atMs, attempts: 0, hasCrashedEngine: false }
-    if (!isCrashing && request.sharesFirstPart) counted.push({ arrivedAtMs: atMs, isAnsweredFirst: false })
-    requestsInOrder.set(request, counted.at(-1))
+    if (!isCrashing && request.sharesFirstPart) {
+      const count = { arrivedAtMs: atMs, isAnsweredFirst: false }
+      counted.push(count)
+      countedByRequest.set(request, count)
+    }
     send(Math.floor(random() * nodeCount), request)
   }
-  const requestsInOrder = new WeakMap<Request, CountedRequest | undefined>()
 
   function progress (): void {
     const nowMs = clock.wallMs()
@@ -189,8 +197,8 @@
         }
         attempt.hasEvents = true
         if (scenario.usesQuarantine) nodes[node]?.recordAnswer(service, request.parts)
-        const count = requestsInOrder.get(request)
-        if (count !== undefined && request.sharesFirstPart && !request.isCrashing && request.attempts === 1) count.isAnsweredFirst = true
+        const count = countedByRequest.get(request)
+        if (count !== undefined && request.attempts === 1) count.isAnsweredFirst = true
       }
       if (nowMs >= attempt.endsAtMs) open.delete(attempt)
     }
