Log the request limits that backend servers name

The header goes on to callers as before. No decision depends on it yet; tests of the gateway, quarantine and adapter pass unchanged.

--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -1,6 +1,7 @@
 /** The state of a request that the gateway is serving, and the fields of its log events. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Admission, RetryBudget } from '../admission/types.ts'
+import type { BackendLimits } from '../backend-limits/index.ts'
 import type { Clock } from '../clock/index.ts'
 import type { BackendId, TeamId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
@@ -50,6 +51,7 @@
   /** Refuses prompts that crash backend servers. */
   quarantine: Pick<Quarantine, 'admit' | 'find' | 'recordCrash' | 'recordAnswer' | 'onQuarantined'>
   backends: BackendTable
+  limits: BackendLimits
   /** Routes of the configuration in effect; undefined before the first one arrives. */
   routeTable: () => RouteTable | undefined
   /** Share of a service's requests that goes to its canary version, 0 to 1. */
--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -59,8 +59,8 @@
   shouldCloseConnection: () => boolean
   /** Called for everything received from the backend server. */
   onActivity: () => void
-  /** Called when a response says that the backend server is about to leave. */
-  onLeaving: () => void
+  /** Called with the head of each response to this request. */
+  onHead: (head: ResponseHead) => void
   /** Called when the backend server begins to respond: at a stream's first event, otherwise at the headers. */
   onFirstByte: () => void
   /** Called when complete events of a stream have been received, with their number in this attempt. */
@@ -144,7 +144,7 @@
       exchange.abort()
       return end({ kind: 'may-have-run', cause: 'received a response to another request', isUntrusted: true })
     }
-    if (head.isLeaving) options.onLeaving()
+    options.onHead(head)
     if (!head.isNotRun && !head.isSigned && status < minErrorStatus) {
       exchange.abort()
       return end({ kind: 'may-have-run', cause: 'received a response without a signature', isUntrusted: true })
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -41,7 +41,7 @@
 
 /** Creates the request handler of a gateway. */
 export function createRequestHandler (options: RequestHandlerOptions): RequestHandler {
-  const { clock, log, codec, router, backends } = options
+  const { clock, log, codec, router, backends, limits } = options
   const refusals = createRefusals(options)
   const buffers = createResponseBuffers({ maxResponseBytes, maxTotalBytes: maxBufferedBytes })
   const { refuse, withJitter } = refusals
@@ -226,6 +226,7 @@
     const known = backends.get(choice.backend.id)
     if (known === undefined) return { kind: 'not-run', cause: 'the backend server was removed after it was chosen', isMisdirected: false, isUnreachable: true }
     active.choice = choice
+    const limited = { id: known.entry.id, service: known.entry.service, startedAtMs: known.entry.startedAtMs }
     const nowMs = clock.wallMs()
     const attemptId = toId<AttemptId>(`${id}/${active.sentCount}/${active.undeliveredCount}`)
     const lastEventId = active.progress.eventBuffer.lastEventId() ?? head.lastEventId
@@ -253,7 +254,10 @@
       buffers,
       shouldCloseConnection: options.isDraining,
       onActivity: () => backends.recordActivity(choice.backend.id),
-      onLeaving: () => backends.markLeaving(choice.backend.id),
+      onHead: ({ isLeaving, requestLimit }) => {
+        if (isLeaving) backends.markLeaving(choice.backend.id)
+        limits.recordResponse(limited, requestLimit)
+      },
       onFirstByte: () => {
         lastProgressAtMs = clock.monotonicMs()
         latencies.onFirstByte(lastProgressAtMs)
@@ -273,6 +277,7 @@
       if (known.lastActivityAtMs < sentAtMs) backends.markSuspect(choice.backend.id, 'no byte was received since a request was sent')
     }, baseResponseTimeoutMs + expectedWaitFactor * choice.expectedFirstTokenMs)
     router.onAttemptSent(attemptId, choice)
+    limits.recordSent(limited)
     options.onSent({ service: active.service, isCanary, workMs: choice.prefillMs })
     if (active.sentCount === 0) options.retryBudget.deposit(choice.backend.id)
     const end = await attempt.ended
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -3,6 +3,7 @@
  * byte for byte.
  */
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
+import type { NamedLimit } from '../backend-limits/index.ts'
 import type { BackendId, DomainId, PromptPartId, RequestId, TeamId, VersionId } from '../ids/index.ts'
 import type { QuotaLimit } from '../quota/index.ts'
 import type { PromptBlocks } from '../routing/index.ts'
@@ -138,6 +139,8 @@
   isSigned: boolean
   /** Whether the backend server is about to leave. */
   isLeaving: boolean
+  /** What it says of the requests a second that the backend server takes. */
+  requestLimit: NamedLimit
 }
 
 /** Reads and writes the headers of callers and backend servers, so that the gateway doesn't depend on their names. */
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -1,5 +1,6 @@
 /** Starts a gateway on loopback in front of fake backend servers, with header names made up for the tests. */
 import { createAdmission, createRetryBudget } from '../../src/core/admission/index.ts'
+import { createBackendLimits, parseNamedLimit } from '../../src/core/backend-limits/index.ts'
 import { createSystemClock } from '../../src/core/clock/index.ts'
 import { createBackendTable, createIngress, createRouteTable, createRequestHandler, isConnectionHeader } from '../../src/core/gateway/index.ts'
 import { toId } from '../../src/core/ids/index.ts'
@@ -54,7 +55,8 @@
     request: headers['x-request'] as string | undefined,
     isNotRun: headers['x-not-run'] !== undefined || status === 421,
     isSigned: headers['x-seal'] !== undefined,
-    isLeaving: headers['x-leaving'] !== undefined
+    isLeaving: headers['x-leaving'] !== undefined,
+    requestLimit: parseNamedLimit(headers['x-limit'])
   })
 }
 
@@ -128,6 +130,7 @@
     profileOf: () => ({ prefillMsPerToken: 0.1, slots: 4, slotMs: 20 })
   })
   const backends = createBackendTable({ clock, log, metrics, random: () => 0.5, versionRolesOf: () => () => 'serving', maxPauseMs: 30_000, onRemoved: router.removeBackend })
+  const limits = createBackendLimits({ clock, log, metrics })
   for (const [index, { port }] of servers.entries()) backends.put(entryOf(`b-${index}`, port))
   const table = createRouteTable({ ...configuration, ...changes })
   const state = { isDraining: false, table: table as typeof table | undefined }
@@ -143,6 +146,7 @@
     retryBudget: createRetryBudget({ clock, minRetriesPerSecond: () => 10 }),
     quarantine,
     backends,
+    limits,
     routeTable: () => state.table,
     canaryShare: () => 0,
     onStarted: () => {},
