--- /dev/null
+++ b/test/platform-adapter/request-limits.test.ts
@@ -0,0 +1,114 @@
+/** Backend servers that name a request limit, in front of them several platform nodes that exchange reports over loopback. */
+import test from 'ava'
+import { parseSettings } from '../../platform/settings.ts'
+import { startNode } from '../../platform/node.ts'
+import { createSystemClock } from '../../src/core/clock/index.ts'
+import { createSilentLog } from '../../src/core/log/index.ts'
+import { formatResponse, startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
+import { findFreePorts } from '../free-ports.ts'
+import { startPlatform } from './platform-stand-in.ts'
+import { renderSettings } from './render-settings.ts'
+import type { ExecutionContext } from 'ava'
+import type { RawBackend } from '../../src/stand-ins/raw-backend/index.ts'
+
+const clock = createSystemClock()
+const windowMs = 4_000
+/** Time after a backend server first named its limit from which the rule is checked. */
+const graceMs = 1_000
+
+/** Requests that a backend server with a limit may get in any window, by the users' rule. */
+function allowedInWindow (perSecond: number): number {
+  return 1.5 * perSecond * windowMs / 1_000 + 5
+}
+
+function largestWindow (arrivalsAtMs: readonly number[]): number {
+  return Math.max(0, ...arrivalsAtMs.map(fromMs => arrivalsAtMs.filter(atMs => atMs >= fromMs && atMs < fromMs + windowMs).length))
+}
+
+/** A backend server that may name a limit, and the times at which requests arrive. */
+interface LimitedServer {
+  server: RawBackend
+  limit: string | undefined
+  arrivalsAtMs: number[]
+}
+
+async function startServer (): Promise<LimitedServer> {
+  const arrivalsAtMs: number[] = []
+  const server = await startRawBackend(({ headers }, socket) => {
+    arrivalsAtMs.push(clock.monotonicMs())
+    socket.write(formatResponse(200, {
+      'x-cyclamenshunt-attempt-id': headers['x-cyclamenshunt-attempt-id'] ?? '',
+      'x-cyclamenshunt-response-seal': 's',
+      ...(limited.limit === undefined ? {} : { 'server-limit': limited.limit })
+    }, 'whole'))
+  })
+  const limited: LimitedServer = { server, limit: undefined, arrivalsAtMs }
+  return limited
+}
+
+async function startTestNode (t: ExecutionContext, storeAddress: string, index: number) {
+  const port = await findFreePorts(10)
+  const settings = parseSettings(renderSettings({
+    node_name: `front-a-${index}`,
+    'platform.address': storeAddress,
+    'cloud.address': storeAddress,
+    'listen.front': `127.0.0.1:${port}`,
+    'listen.readiness': `127.0.0.1:${port + 1}`,
+    'listen.control': `127.0.0.1:${port + 2}`,
+    internal_ports: `${port + 3},${port + 9}`
+  }), 'node.conf')
+  const node = await startNode(settings, { log: createSilentLog() })
+  t.teardown(node.stop)
+  return async (id: string): Promise<number> => {
+    const response = await fetch(`http://127.0.0.1:${port}/x/`, { headers: { 'x-cyclamenshunt-attempt-id': id, authorization: 'Bearer key-1' } })
+    await response.arrayBuffer()
+    return response.status
+  }
+}
+
+/** Starts nodes in front of backend servers of one service and sends requests to random nodes until it ends. */
+async function startLoad (t: ExecutionContext, { nodeCount, serverCount, perSecond }: { nodeCount: number, serverCount: number, perSecond: number }) {
+  const platform = await startPlatform()
+  const servers = await Promise.all(Array.from({ length: serverCount }, startServer))
+  t.teardown(async () => {
+    await Promise.all(servers.map(({ server }) => server.close()))
+    await platform.close()
+  })
+  await platform.put('op/config', {
+    version: 1,
+    routes: [{ name: 'x', host: '127.0.0.1', path_prefix: '/x/', kind: 'safe', timeout_ms: 2_000, slo_ms: 1_000, service: 'registry', max_attempts: 2 }],
+    services: [{ name: 'registry', max_connections: 10 }],
+    tenants: [{ name: 'agency', api_keys: ['key-1'], unit: 'token', uncached_tokens: 1, rate_per_s: 100_000, burst: 100_000 }]
+  })
+  for (const [index, { server }] of servers.entries()) {
+    await platform.put(`servers/i-${index}`, { service: 'registry', address: `127.0.0.1:${server.port}`, zone: 'a', version: 'v1', slots: 4, state: 'ready', sequence: 1, born: 1_000 })
+  }
+  const calls = await Promise.all(Array.from({ length: nodeCount }, (_, index) => startTestNode(t, platform.address, index)))
+  for (const [index, call] of calls.entries()) while (await call(`start-${index}`) !== 200) await clock.sleep(20)
+  const statuses: number[] = []
+  let count = 0
+  const sendFor = async (durationMs: number): Promise<void> => {
+    const untilMs = clock.monotonicMs() + durationMs
+    const open: Array<Promise<unknown>> = []
+    while (clock.monotonicMs() < untilMs) {
+      const call = calls[count % calls.length]!
+      count += 1
+      open.push(call(`r-${count}`).then(status => statuses.push(status)))
+      await clock.sleep(1_000 / perSecond)
+    }
+    await Promise.all(open)
+  }
+  return { servers, sendFor, statuses }
+}
+
+test('a backend server that names a limit gets no more requests than that from all nodes together, and the others serve the rest', async t => {
+  const { servers, sendFor, statuses } = await startLoad(t, { nodeCount: 3, serverCount: 3, perSecond: 40 })
+  await sendFor(1_000)
+  const [limited] = servers as [LimitedServer]
+  limited.limit = '1'
+  const namedAtMs = clock.monotonicMs()
+  await sendFor(7_000)
+  const largest = largestWindow(limited.arrivalsAtMs.filter(atMs => atMs >= namedAtMs + graceMs))
+  t.true(largest <= allowedInWindow(1), `${largest} requests in ${windowMs} ms`)
+  t.deepEqual(statuses.filter(status => status !== 200), [])
+})
