Keep to the request limits that backend servers name, over all nodes together

Cause: whether a server may get a request was decided, never how often, and by each node alone. The header was forwarded and nothing read it.

Now nodes tell one another which limits were named (by start of the server's process, with the ages of the request and of the response, since responses overtake one another and clocks differ), a limit is divided by demand among few nodes chosen alike by all (core/backend-limits/allocation.ts), and each attempt takes a permit at the moment it is sent, which it gives back if no byte was sent. In a large fleet the collector divides. Nodes that hear few others have a small part or none. When all servers of a service are at their limits, requests are refused at once with 503, which is true, and callers are spread over the time in which there are permits for them. After the end of a limit load returns over two seconds.

--- a/src/core/backend-limits/index.ts
+++ b/src/core/backend-limits/index.ts
@@ -1,86 +1,349 @@
-/** Records the request limits that backend servers name in their responses. */
-import type { Clock } from '../clock/index.ts'
-import type { BackendId } from '../ids/index.ts'
-import type { Log } from '../log/index.ts'
-import type { Metrics } from '../metrics/index.ts'
+/**
+ * Request limits that backend servers in need name for all nodes together. Nodes tell one
+ * another what they were told, divide each limit among the nodes that hear one another, and
+ * every attempt takes a permit at the moment it is sent. A node in doubt sends less: one that
+ * hears few others has a small part of the limit, and one that has just learned of it begins
+ * without a permit.
+ */
+import { allocateLimit, effectiveLimit } from './allocation.ts'
+import { createDemandMeter } from './demand.ts'
+import { addResponse, isInForce, reportDelayMs } from './evidence.ts'
+import { createPermitBucket } from './permits.ts'
+import type { NodeId } from '../ids/index.ts'
+import type { LimitEvidence, LimitResponse } from './evidence.ts'
 import type { NamedLimit } from './parse.ts'
+import type { PermitBucket } from './permits.ts'
+import type { BackendLimits, BackendLimitsOptions, LimitedBackend, LimitReport, LimitShare, LimitState, PermitClaim, ReportedLimit, ReportedShare } from './types.ts'
 
+export type * from './types.ts'
 export { parseNamedLimit } from './parse.ts'
 export type { NamedLimit } from './parse.ts'
+export { decodeLimits, encodeLimits } from './wire.ts'
+export type { WireLimits } from './wire.ts'
 
-/** One start of a backend server's process. */
-export interface LimitedBackend {
-  id: BackendId
-  service: string
-  /** Wall time of its start, if it reported one. */
-  startedAtMs?: number | undefined
-}
+const secondMs = 1_000
+/** Time for which an ended limit is reported to the others. */
+const reportEndedMs = 3_000
+/** Time after a change for which a limit is in every report; some reports are lost. */
+const reportChangedMs = 1_000
+/** Limits in one report beside the changed ones, in turn, and in all. */
+const maxRepeatedLimits = 16
+const maxReportedLimits = 64
+/** Interval at which the next limits are repeated: that of the reports. */
+const repeatIntervalMs = 200
+/** Age up to which a collector's shares hold; several of its digests. */
+const maxShareAgeMs = 1_000
+/** Time for which an allocation is used again; half a report interval. */
+const allocationTtlMs = 100
+/** Time after which the evidence of a backend server is deleted that isn't registered. */
+const maxUnregisteredMs = 30_000
+/** Most limits that are remembered of backend servers that aren't registered. */
+const maxUnregistered = 1_024
+/** Longest time over which refused callers are told to come back. */
+const maxRetryMs = 5_000
+/** Interval at which requests that were sent elsewhere are logged, for each backend server. */
+const skipLogIntervalMs = 5_000
 
-/** Options of the limits of one node. */
-export interface BackendLimitsOptions {
-  clock: Clock
-  log: Log
-  metrics: Metrics
+/** What this node knows of one start of a backend server. */
+interface KnownLimit {
+  backend: Pick<LimitedBackend, 'id' | 'startedAtMs'>
+  evidence: LimitEvidence
+  changedAtMs: number
+  /** Monotonic time since which a limit is in force; undefined if it isn't. */
+  sinceMs: number | undefined
+  endedAtMs: number
+  bucket: PermitBucket
+  share: LimitShare | undefined
+  shareUntilMs: number
+  /** Requests that this node sent since the limit was named, and that it sent elsewhere. */
+  sentCount: number
+  skippedCount: number
+  skipLoggedAtMs: number
 }
 
-/** The limits of the backend servers that this node knows. */
-export interface BackendLimits {
-  /** Records what a response said of its backend server's limit. */
-  recordResponse: (backend: LimitedBackend, named: NamedLimit) => void
-  /** Records that a request was sent. */
-  recordSent: (backend: LimitedBackend) => void
-  /** Deletes the state of a backend server that is gone. */
-  remove: (id: BackendId) => void
+function keyOf ({ id, startedAtMs }: Pick<LimitedBackend, 'id' | 'startedAtMs'>): string {
+  return `${id}/${startedAtMs ?? ''}`
 }
 
-interface KnownLimit {
-  startedAtMs: number | undefined
-  perSecond: number
-  namedAtMs: number
-  /** Requests that this node sent since the limit was named. */
-  sentCount: number
+/** Requests of a lower class get the next permit first: by priority, and first attempts before retries. */
+function classOf ({ rank, isRetry }: PermitClaim): number {
+  return rank * 2 + (isRetry ? 1 : 0)
 }
 
+const noPermitNeeded = { giveBack: () => {} }
+
 /** Creates the limits of one node. */
-export function createBackendLimits ({ clock, log, metrics }: BackendLimitsOptions): BackendLimits {
-  const known = new Map<BackendId, KnownLimit>()
-  const reportedInvalid = new Set<BackendId>()
+export function createBackendLimits (options: BackendLimitsOptions): BackendLimits {
+  const { clock, log, metrics, random, node, draw, otherNodes, reportedDemands, getsAllReports, backendOf } = options
+  const known = new Map<string, KnownLimit>()
+  const reportedInvalid = new Set<string>()
+  const demand = createDemandMeter(clock)
+  const refusals = createDemandMeter(clock)
+  const rankings = new Map<string, readonly NodeId[]>()
+  const allocations = new Map<string, { shares: Map<NodeId, LimitShare>, untilMs: number }>()
+  let rankedNodes: ReadonlyArray<{ node: NodeId }> = []
+  let granted: { shares: Map<string, LimitShare>, untilMs: number } | undefined
 
-  function find ({ id, startedAtMs }: LimitedBackend): KnownLimit | undefined {
-    const limit = known.get(id)
-    return limit?.startedAtMs === startedAtMs ? limit : undefined
+  function serviceOf ({ id }: Pick<LimitedBackend, 'id'>): string | undefined {
+    return backendOf(id)?.service
   }
 
-  function recordResponse (backend: LimitedBackend, named: NamedLimit): void {
-    const { id, service, startedAtMs } = backend
-    const before = find(backend)
-    if (named.kind === 'invalid') {
-      if (!reportedInvalid.has(id)) log('backendLimitInvalid', { backend: id, service, text: named.text })
-      reportedInvalid.add(id)
+  /** All registered nodes in an order that is the backend server's own and the same on every node. */
+  function rankNodes (key: string): readonly NodeId[] {
+    const others = otherNodes()
+    if (others !== rankedNodes) {
+      rankings.clear()
+      rankedNodes = others
+    }
+    const existing = rankings.get(key)
+    if (existing !== undefined) return existing
+    const draws = new Map([node, ...others.map(other => other.node)].map(id => [id, draw(`${key}/${id}`)]))
+    const ranked = [...draws.keys()].sort((a, b) => (draws.get(a) ?? 0) - (draws.get(b) ?? 0))
+    rankings.set(key, ranked)
+    return ranked
+  }
+
+  /** The shares of the nodes whose reports come here. */
+  function allocate ({ backend, evidence }: KnownLimit): Map<NodeId, LimitShare> {
+    const key = keyOf(backend)
+    const nowMs = clock.monotonicMs()
+    const existing = allocations.get(key)
+    if (existing !== undefined && nowMs < existing.untilMs) return existing.shares
+    const service = serviceOf(backend) ?? ''
+    const demands = new Map([...reportedDemands()].map(([other, byService]) => [other, byService.get(service) ?? 0]))
+    // A node that uses a collector's shares is counted there.
+    if (getsAllReports()) demands.set(node, demand.perSecond(service))
+    const shares = allocateLimit({ perSecond: evidence.named.perSecond, ranked: rankNodes(key), demands })
+    allocations.set(key, { shares, untilMs: nowMs + allocationTtlMs })
+    return shares
+  }
+
+  /** This node's share without the collector that divides the limit: as if it heard no other node. */
+  function shareAlone ({ backend, evidence }: KnownLimit): LimitShare | undefined {
+    return allocateLimit({ perSecond: evidence.named.perSecond, ranked: rankNodes(keyOf(backend)), demands: new Map([[node, 1]]) }).get(node)
+  }
+
+  function ownShare (limit: KnownLimit): LimitShare | undefined {
+    if (getsAllReports()) return allocate(limit).get(node)
+    if (granted !== undefined && clock.monotonicMs() < granted.untilMs) return granted.shares.get(keyOf(limit.backend))
+    return shareAlone(limit)
+  }
+
+  function refreshShare (limit: KnownLimit): void {
+    const nowMs = clock.monotonicMs()
+    if (nowMs < limit.shareUntilMs) return
+    limit.share = ownShare(limit)
+    limit.shareUntilMs = nowMs + allocationTtlMs
+    const perSecond = (limit.share?.ratio ?? 0) * effectiveLimit(limit.evidence.named.perSecond)
+    limit.bucket.setRate({ perSecond, burst: limit.share?.burst ?? 1 }, nowMs)
+  }
+
+  /** The limit in force of a backend server, with this node's present share. */
+  function limitOf (backend: LimitedBackend): KnownLimit | undefined {
+    const limit = known.get(keyOf(backend))
+    if (limit?.sinceMs === undefined) return undefined
+    refreshShare(limit)
+    return limit
+  }
+
+  function create (backend: KnownLimit['backend'], evidence: LimitEvidence): KnownLimit {
+    const limit: KnownLimit = {
+      backend: { id: backend.id, startedAtMs: backend.startedAtMs },
+      evidence,
+      changedAtMs: -Infinity,
+      sinceMs: undefined,
+      endedAtMs: -Infinity,
+      bucket: createPermitBucket(),
+      share: undefined,
+      shareUntilMs: -Infinity,
+      sentCount: 0,
+      skippedCount: 0,
+      skipLoggedAtMs: -Infinity
+    }
+    known.set(keyOf(backend), limit)
+    return limit
+  }
+
+  function addEvidence (backend: KnownLimit['backend'], response: LimitResponse, source: 'response' | 'other-node'): void {
+    const before = known.get(keyOf(backend))
+    const evidence = addResponse(before?.evidence, response)
+    if (evidence === undefined || evidence === before?.evidence) return
+    const limit = before ?? create(backend, evidence)
+    const beforePerSecond = limit.sinceMs === undefined ? undefined : limit.evidence.named.perSecond
+    limit.evidence = evidence
+    const perSecond = isInForce(evidence) ? evidence.named.perSecond : undefined
+    if (perSecond === beforePerSecond) return
+    const nowMs = clock.monotonicMs()
+    const fields = { backend: backend.id, service: serviceOf(backend), source, sent: limit.sentCount, skipped: limit.skippedCount }
+    limit.changedAtMs = nowMs
+    limit.shareUntilMs = -Infinity
+    allocations.delete(keyOf(backend))
+    if (perSecond === undefined) {
+      log('backendLimitEnded', { ...fields, beforePerSecond, forMs: Math.round(nowMs - (limit.sinceMs ?? nowMs)) })
+      limit.sinceMs = undefined
+      limit.endedAtMs = nowMs
       return
     }
-    if (named.kind === 'none') {
-      if (before === undefined) return
-      known.delete(id)
-      log('backendLimitEnded', { backend: id, service, perSecond: before.perSecond, sent: before.sentCount, forMs: Math.round(clock.monotonicMs() - before.namedAtMs) })
+    log('backendLimitNamed', { ...fields, perSecond, beforePerSecond })
+    metrics.count('backend_limits_named_total', { service: fields.service ?? '', source })
+    if (limit.sinceMs !== undefined) return
+    // The permits of an earlier limit don't count, and neither do its requests.
+    Object.assign(limit, { sinceMs: nowMs, bucket: createPermitBucket(random()), sentCount: 0, skippedCount: 0 })
+    refreshShare(limit)
+  }
+
+  function recordResponse (backend: LimitedBackend, named: NamedLimit, sentAtMs: number): void {
+    const { id, service } = backend
+    if (named.kind === 'invalid') {
+      if (!reportedInvalid.has(keyOf(backend))) log('backendLimitInvalid', { backend: id, service, text: named.text })
+      reportedInvalid.add(keyOf(backend))
       return
     }
-    if (before?.perSecond === named.perSecond) return
-    known.set(id, { startedAtMs, perSecond: named.perSecond, namedAtMs: before?.namedAtMs ?? clock.monotonicMs(), sentCount: before?.sentCount ?? 0 })
-    log('backendLimitNamed', { backend: id, service, perSecond: named.perSecond, beforePerSecond: before?.perSecond, sent: before?.sentCount })
+    const perSecond = named.kind === 'none' ? undefined : named.perSecond
+    addEvidence(backend, { perSecond, sentAtMs, readAtMs: clock.monotonicMs() }, 'response')
+  }
+
+  function mergeLimits (limits: readonly ReportedLimit[]): void {
+    const nowMs = clock.monotonicMs()
+    deleteUnregistered()
+    for (const { backend, startedAtMs, perSecond, sentAgeMs, readAgeMs } of limits.slice(0, maxReportedLimits)) {
+      const isValid = sentAgeMs >= readAgeMs && readAgeMs >= 0 && (perSecond === undefined || perSecond >= 0)
+      if (!isValid) continue
+      // The report was under way for an unknown time, so the request may have been sent earlier than its age says.
+      addEvidence({ id: backend, startedAtMs }, { perSecond, sentAtMs: nowMs - sentAgeMs - reportDelayMs, readAtMs: nowMs - readAgeMs }, 'other-node')
+    }
+  }
+
+  function isRegistered ({ id, startedAtMs }: KnownLimit['backend']): boolean {
+    const registered = backendOf(id)
+    return registered !== undefined && registered.startedAtMs === startedAtMs
+  }
+
+  /** Deletes what was reported of backend servers that this node doesn't know; they may be registered soon, or be gone. */
+  function deleteUnregistered (): void {
+    const unregistered = [...known].filter(([, { backend }]) => !isRegistered(backend))
+    const oldestAtMs = clock.monotonicMs() - maxUnregisteredMs
+    for (const [index, [key, { changedAtMs }]] of unregistered.entries()) {
+      if (changedAtMs < oldestAtMs || index < unregistered.length - maxUnregistered) forget(key)
+    }
+  }
+
+  function forget (key: string): void {
+    known.delete(key)
+    reportedInvalid.delete(key)
+    allocations.delete(key)
+    rankings.delete(key)
+  }
+
+  function hasPermit (backend: LimitedBackend, claim: PermitClaim): boolean {
+    const limit = limitOf(backend)
+    if (limit === undefined) return true
+    return limit.bucket.waitMs(classOf(claim), clock.monotonicMs()) === 0
+  }
+
+  function recordSkipped (backend: LimitedBackend): void {
+    const limit = limitOf(backend)
+    if (limit === undefined) return
+    const nowMs = clock.monotonicMs()
+    limit.skippedCount += 1
+    metrics.count('limited_backend_skips_total', { service: backend.service })
+    if (nowMs < limit.skipLoggedAtMs + skipLogIntervalMs) return
+    limit.skipLoggedAtMs = nowMs
+    log('backendLimitSkipped', { backend: backend.id, service: backend.service, skipped: limit.skippedCount, sent: limit.sentCount, ...stateOf(backend) })
+  }
+
+  function take (backend: LimitedBackend, claim: PermitClaim): { giveBack: () => void } | undefined {
+    const limit = limitOf(backend)
+    if (limit === undefined) return noPermitNeeded
+    if (limit.bucket.waitMs(classOf(claim), clock.monotonicMs()) > 0) return undefined
+    const { bucket } = limit
+    bucket.take()
+    limit.sentCount += 1
+    metrics.count('limited_backend_requests_total', { service: backend.service })
+    return {
+      giveBack: () => {
+        bucket.giveBack()
+        limit.sentCount -= 1
+      }
+    }
+  }
+
+  function stateOf (backend: LimitedBackend): LimitState | undefined {
+    const limit = limitOf(backend)
+    if (limit === undefined) return undefined
+    const { perSecond } = limit.evidence.named
+    return {
+      perSecond,
+      ownPerSecond: (limit.share?.ratio ?? 0) * effectiveLimit(perSecond),
+      nextPermitInMs: limit.bucket.waitMs(0, clock.monotonicMs())
+    }
+  }
+
+  /**
+   * With more callers than permits, those that were refused lately would use up the permits of a
+   * longer time, so they are spread over it; the nodes are assumed to refuse alike.
+   */
+  function onRefused (service: string, backends: readonly LimitedBackend[], claim: PermitClaim): number {
+    const nowMs = clock.monotonicMs()
+    refusals.record(service)
+    const limits = backends.map(limitOf).filter(limit => limit !== undefined)
+    for (const { bucket } of limits) bucket.reserve(classOf(claim), nowMs)
+    const totalPerSecond = limits.reduce((sum, { evidence }) => sum + effectiveLimit(evidence.named.perSecond), 0)
+    if (totalPerSecond === 0) return 0
+    const refusedPerSecond = refusals.perSecond(service) * (otherNodes().length + 1)
+    const spreadMs = Math.min(maxRetryMs, refusedPerSecond / totalPerSecond * secondMs)
+    // Other nodes may have a permit when this one has none.
+    const soonestMs = Math.min(maxRetryMs, secondMs / totalPerSecond)
+    return soonestMs + random() * spreadMs
+  }
+
+  function toReported ({ backend, evidence, sinceMs }: KnownLimit): ReportedLimit {
+    const nowMs = clock.monotonicMs()
+    const { perSecond, sentAtMs, readAtMs } = sinceMs === undefined && evidence.cleared !== undefined ? evidence.cleared : evidence.named
+    return { backend: backend.id, startedAtMs: backend.startedAtMs, perSecond, sentAgeMs: nowMs - sentAtMs, readAgeMs: nowMs - readAtMs }
+  }
+
+  /** The limits that changed lately, and the others in turn. */
+  function limitsToReport (): ReportedLimit[] {
+    const nowMs = clock.monotonicMs()
+    const reportable = [...known.values()].filter(({ sinceMs, endedAtMs }) => sinceMs !== undefined || endedAtMs >= nowMs - reportEndedMs)
+    const changed = reportable.filter(({ changedAtMs }) => changedAtMs >= nowMs - reportChangedMs)
+    const others = reportable.filter(({ changedAtMs }) => changedAtMs < nowMs - reportChangedMs)
+    const first = others.length <= maxRepeatedLimits ? 0 : Math.floor(nowMs / repeatIntervalMs) * maxRepeatedLimits % others.length
+    const repeated = [...others.slice(first), ...others.slice(0, first)].slice(0, maxRepeatedLimits)
+    return [...changed, ...repeated].slice(0, maxReportedLimits).map(toReported)
+  }
+
+  function report (): LimitReport {
+    // Also without a limit: it must be known from the first one on who else is asked for its service.
+    return { limits: limitsToReport(), demands: demand.highest(), shares: undefined }
+  }
+
+  function digestFor (receiver: NodeId): LimitReport {
+    const shares: ReportedShare[] = []
+    for (const limit of known.values()) {
+      if (limit.sinceMs === undefined) continue
+      const share = allocate(limit).get(receiver)
+      if (share !== undefined) shares.push({ backend: limit.backend.id, startedAtMs: limit.backend.startedAtMs, ...share })
+    }
+    return { limits: limitsToReport(), demands: new Map(), shares: shares.slice(0, maxReportedLimits) }
   }
 
   return {
     recordResponse,
-    recordSent: backend => {
-      const limit = find(backend)
-      if (limit === undefined) return
-      limit.sentCount += 1
-      metrics.count('limited_backend_requests_total', { service: backend.service })
+    recordDemand: demand.record,
+    hasPermit,
+    recordSkipped,
+    take,
+    stateOf,
+    endedAtMs: backend => known.get(keyOf(backend))?.endedAtMs ?? -Infinity,
+    onRefused,
+    report,
+    digestFor,
+    mergeLimits,
+    setShares: shares => {
+      granted = shares === undefined ? undefined : { shares: new Map(shares.map(({ backend, startedAtMs, ratio, burst }) => [keyOf({ id: backend, startedAtMs }), { ratio, burst }])), untilMs: clock.monotonicMs() + maxShareAgeMs }
     },
-    remove: id => {
-      known.delete(id)
-      reportedInvalid.delete(id)
-    }
+    remove: backend => forget(keyOf(backend))
   }
 }
--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -51,7 +51,7 @@
   /** Refuses prompts that crash backend servers. */
   quarantine: Pick<Quarantine, 'admit' | 'find' | 'recordCrash' | 'recordAnswer' | 'onQuarantined'>
   backends: BackendTable
-  limits: BackendLimits
+  limits: Pick<BackendLimits, 'recordResponse' | 'recordDemand' | 'take'>
   /** Routes of the configuration in effect; undefined before the first one arrives. */
   routeTable: () => RouteTable | undefined
   /** Share of a service's requests that goes to its canary version, 0 to 1. */
@@ -96,6 +96,8 @@
   sentCount: number
   /** Attempts that failed to connect, or reached another server than the chosen one. */
   undeliveredCount: number
+  /** Backend servers that it was not sent to because of their limits. */
+  limitedBackends: Set<BackendId>
   attempt: Attempt | undefined
   /** How far the latest attempt had come when it ended. */
   endedInPhase: AttemptPhase | undefined
@@ -118,10 +120,11 @@
 export type BlockedPrompt = Pick<Extract<Admittance, { kind: 'refused' }>, 'reason' | 'detail' | 'retryAtMs'>
 
 const maxLoggedParts = 8
+const maxLoggedBackends = 4
 
 /** Fields for the log events of a request, such as its route and the chosen backend server. Durations are in ms. */
 export function requestLogFields (active: ActiveRequest, clock: Clock): Record<string, unknown> {
-  const { id, team, route, version, service, sentCount, undeliveredCount, choice, arrivedAtMs, firstByteMs, endedInPhase, head } = active
+  const { id, team, route, version, service, sentCount, limitedBackends, undeliveredCount, choice, arrivedAtMs, firstByteMs, endedInPhase, head } = active
   return {
     request: id,
     team: team?.team,
@@ -131,6 +134,7 @@
     sent: sentCount,
     unreached: undeliveredCount,
     phase: endedInPhase,
+    limited: limitedBackends.size === 0 ? undefined : [...limitedBackends].slice(0, maxLoggedBackends),
     // Only of attempts without an answer, where a part of the prompt may be the cause.
     promptParts: endedInPhase === 'waiting' || endedInPhase === 'started' ? head.sharedParts.slice(0, maxLoggedParts) : undefined,
     backend: choice?.backend.id,
--- a/src/core/gateway/backend-table-types.ts
+++ b/src/core/gateway/backend-table-types.ts
@@ -1,4 +1,5 @@
 /** Types of the table of backend servers. */
+import type { BackendLimits, PermitClaim } from '../backend-limits/index.ts'
 import type { Backend } from '../backends/types.ts'
 import type { Clock } from '../clock/index.ts'
 import type { BackendId, NodeId, VersionId } from '../ids/index.ts'
@@ -17,6 +18,8 @@
   metrics: Metrics
   /** The roles of a service's versions. */
   versionRolesOf: (service: string) => (version: VersionId) => VersionRole
+  /** The limits that backend servers name for their requests. */
+  limits: Pick<BackendLimits, 'hasPermit' | 'recordSkipped' | 'stateOf' | 'endedAtMs' | 'onRefused' | 'remove'>
   /** Random number in [0, 1). */
   random: () => number
   /** Longest pause that a backend server may ask for. */
@@ -62,8 +65,8 @@
   put: (entry: BackendEntry, isByRestore?: boolean) => void
   /** Removes an entry; requests in flight may finish. */
   remove: (id: BackendId, cause: string) => void
-  /** Backend servers of a service that may be chosen now; suspected ones only if no other is live. */
-  usable: (service: string) => Backend[]
+  /** Backend servers of a service that may be chosen now for a request, by default a first attempt of the highest priority; suspected ones only if no other is live. Calls `onLimited` for those that it may not be sent to because of their limits. */
+  usable: (service: string, claim?: PermitClaim, onLimited?: (backend: BackendId) => void) => Backend[]
   /** All entries of a service. */
   entries: (service: string) => BackendEntry[]
   get: (id: BackendId) => KnownBackend | undefined
@@ -88,6 +91,8 @@
   pause: (id: BackendId, forMs: number) => void
   /** Time until the first of a service's paused backend servers resumes; undefined unless all that are live are paused. */
   allPausedForMs: (service: string) => number | undefined
+  /** Time after which to retry, for a request that is refused because of limits; undefined unless all live backend servers that aren't paused limit their requests. */
+  allLimitedForMs: (service: string, claim: PermitClaim) => number | undefined
   /** Whether a version of a service is being stopped after a move. */
   isReplaced: (service: string, version: VersionId) => boolean
   /** How many backend servers of each service get no requests, by reason. */
--- a/src/core/gateway/backend-table.ts
+++ b/src/core/gateway/backend-table.ts
@@ -11,6 +11,7 @@
 import type { BackendId, InstanceId, TeamId, VersionId } from '../ids/index.ts'
 import type { BackendConnections } from './backend-connections.ts'
 import type { IneligibleReason } from './eligibility.ts'
+import type { PermitClaim } from '../backend-limits/index.ts'
 import type { SuspectCounts } from '../node-reports/types.ts'
 import type { BackendEntry } from './types.ts'
 import type { BackendTable, BackendTableOptions, KnownBackend } from './backend-table-types.ts'
@@ -22,6 +23,7 @@
 /** Version label of the backend servers that run the canary version of a move. */
 export const canaryLabel = toId<VersionId>('trial')
 
+const defaultClaim: PermitClaim = { rank: 0, isRetry: false }
 /** Longest time for which an unreachable backend server gets no requests. */
 const maxSuspectMs = 4_000
 /** That time after the first failure; doubles with each consecutive failure. */
@@ -42,7 +44,7 @@
 
 /** Creates an empty table. */
 export function createBackendTable (options: BackendTableOptions): BackendTable {
-  const { clock, log, metrics } = options
+  const { clock, log, metrics, limits } = options
   const known = new Map<BackendId, KnownBackend>()
   const departed = createDepartedBackends()
   const peerSuspects = createPeerSuspects({ clock, log, serviceOf: id => known.get(id)?.entry.service })
@@ -115,11 +117,12 @@
     known.delete(id)
     departed.add(gone.entry, isLeaving(gone))
     gone.connections.close()
+    limits.remove(gone.entry)
     options.onRemoved(id)
     log('backendRemoved', { backend: id, service: gone.entry.service, cause })
   }
 
-  function usable (service: string): Backend[] {
+  function usable (service: string, claim = defaultClaim, onLimited: (backend: BackendId) => void = () => {}): Backend[] {
     const nowMs = clock.monotonicMs()
     const peerCounts = peerSuspects.counts()
     const retriesSuspects = peerCounts.size > 0 && options.random() < retrySuspectRatio
@@ -130,7 +133,11 @@
       const { entry, backend } = candidate
       if (entry.service !== service) continue
       const role = roleOf(entry.version)
-      const reason = role === 'replaced' ? 'replaced' : reasonOf(candidate, nowMs, peerCounts, retriesSuspects)
+      const reason = role === 'replaced' ? 'replaced' : reasonOf(candidate, nowMs, peerCounts, retriesSuspects, claim)
+      if (reason === 'limited') {
+        limits.recordSkipped(entry)
+        onLimited(entry.id)
+      }
       if (reason !== undefined && !isLastResort(reason)) continue
       const labelled = role === 'evaluated' ? { ...backend, version: canaryLabel } : backend
       if (reason === undefined) eligible.push(labelled)
@@ -139,14 +146,17 @@
     return eligible.length > 0 ? eligible : lastResorts
   }
 
-  function reasonOf (candidate: KnownBackend, nowMs: number, peerCounts: ReadonlyMap<BackendId, SuspectCounts>, retriesSuspects: boolean): IneligibleReason | undefined {
+  function reasonOf (candidate: KnownBackend, nowMs: number, peerCounts: ReadonlyMap<BackendId, SuspectCounts>, retriesSuspects: boolean, claim = defaultClaim): IneligibleReason | undefined {
     const { entry, consecutiveFailures, lastActivityAtMs, pausedUntilMs } = candidate
+    const limitEndedAtMs = limits.endedAtMs(entry)
     return ineligibleReason({
       ...candidate,
       isLeaving: isLeaving(candidate),
       // A node that found out by itself goes on to try; the others wait until it succeeds.
+      hasPermit: limits.hasPermit(entry, claim),
+      limitEndedAtMs,
       isAvoided: isSuspectedByPeers(peerCounts.get(entry.id)) && consecutiveFailures === 0 && lastActivityAtMs < nowMs - ownActivityMs && !retriesSuspects
-    }, nowMs, pausedUntilMs === -Infinity ? 0 : options.random())
+    }, nowMs, pausedUntilMs === -Infinity && limitEndedAtMs === -Infinity ? 0 : options.random())
   }
 
   function setLeaving (candidate: KnownBackend, source: 'response' | 'other-node'): void {
@@ -170,13 +180,24 @@
     log('backendPaused', { backend: id, service, forMs: boundedMs, ...(boundedMs < forMs ? { askedMs: forMs } : {}) })
   }
 
+  function liveOf (service: string): KnownBackend[] {
+    return [...known.values()].filter(candidate => candidate.entry.service === service && !isLeaving(candidate) && !candidate.isMisdirected)
+  }
+
   function allPausedForMs (service: string): number | undefined {
     const nowMs = clock.monotonicMs()
-    const live = [...known.values()].filter(candidate => candidate.entry.service === service && !isLeaving(candidate) && !candidate.isMisdirected)
+    const live = liveOf(service)
     if (live.length === 0 || live.some(({ pausedUntilMs }) => pausedUntilMs <= nowMs)) return undefined
     return Math.min(...live.map(({ pausedUntilMs }) => pausedUntilMs)) - nowMs
   }
 
+  function allLimitedForMs (service: string, claim: PermitClaim): number | undefined {
+    const nowMs = clock.monotonicMs()
+    const unpaused = liveOf(service).filter(({ pausedUntilMs }) => pausedUntilMs <= nowMs)
+    if (unpaused.length === 0 || unpaused.some(({ entry }) => limits.stateOf(entry) === undefined)) return undefined
+    return limits.onRefused(service, unpaused.map(({ entry }) => entry), claim)
+  }
+
   function ineligibleCounts (): Map<string, Map<IneligibleReason, number>> {
     const nowMs = clock.monotonicMs()
     const peerCounts = peerSuspects.counts()
@@ -248,6 +269,7 @@
     },
     pause,
     allPausedForMs,
+    allLimitedForMs,
     isReplaced: (service, version) => options.versionRolesOf(service)(version) === 'replaced',
     ineligibleCounts,
     close: () => {
--- a/src/core/gateway/eligibility.ts
+++ b/src/core/gateway/eligibility.ts
@@ -6,7 +6,9 @@
   | 'leaving'
   /** It asked this node for a pause. */
   | 'paused'
-  /** Its pause has ended, and its load returns gradually. */
+  /** It limits its requests, and this node has no permit for this one. */
+  | 'limited'
+  /** Its pause or its limit has ended, and its load returns gradually. */
   | 'resuming'
   /** Another backend server was found at its address. */
   | 'misdirected'
@@ -25,11 +27,15 @@
   isMisdirected: boolean
   unconfirmedUntilMs: number
   pausedUntilMs: number
+  /** Whether the limit that it named allows this request now; true without a limit. */
+  hasPermit: boolean
+  /** Time at which its limit ended; -Infinity if there was none. */
+  limitEndedAtMs: number
   suspectUntilMs: number
   isAvoided: boolean
 }
 
-/** Time over which the load of a backend server returns after its pause. */
+/** Time over which the load of a backend server returns after its pause or limit. */
 export const resumeMs = 2_000
 
 /** Returns why a backend server should get no request, the strongest reason first; undefined if it may get one. `draw` is a random number in [0, 1). */
@@ -37,10 +43,12 @@
   if (input.isMisdirected) return 'misdirected'
   if (input.isLeaving) return 'leaving'
   if (nowMs < input.pausedUntilMs) return 'paused'
+  if (!input.hasPermit) return 'limited'
   if (nowMs < input.unconfirmedUntilMs) return 'unconfirmed'
   if (nowMs < input.suspectUntilMs) return 'suspected'
   if (input.isAvoided) return 'avoided'
-  return nowMs < input.pausedUntilMs + resumeMs && draw >= (nowMs - input.pausedUntilMs) / resumeMs ? 'resuming' : undefined
+  const resumesFromMs = Math.max(input.pausedUntilMs, input.limitEndedAtMs)
+  return nowMs < resumesFromMs + resumeMs && draw >= (nowMs - resumesFromMs) / resumeMs ? 'resuming' : undefined
 }
 
 /** Whether a backend server with this reason may still be used when no other is eligible: the reason may be wrong, or isn't binding. */
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -16,6 +16,7 @@
 import { requestLogFields } from './active-request.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AttemptId, RequestId, TeamId } from '../ids/index.ts'
+import type { PermitClaim } from '../backend-limits/index.ts'
 import type { RouteChoice, RouteRequest } from '../routing/index.ts'
 import type { AttemptEnd } from './attempt.ts'
 import type { RequestHandlerOptions, ActiveRequest } from './active-request.ts'
@@ -36,6 +37,11 @@
 const maxResponseBytes = 16 * 1024 * 1024
 const maxBufferedBytes = 64 * 1024 * 1024
 
+/** Whether certainly no byte of the request was sent. */
+function isUnsent (end: AttemptEnd): boolean {
+  return (end.kind === 'not-run' && end.isUnreachable) || (end.kind === 'aborted' && !end.mayHaveRun)
+}
+
 /** Serves one request; resolves when its response has ended or its caller has disconnected. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>
 
@@ -118,6 +124,7 @@
       excluded: new Set(),
       sentCount: 0,
       undeliveredCount: 0,
+      limitedBackends: new Set(),
       attempt: undefined,
       endedInPhase: undefined,
       hasCrashedBackend: false,
@@ -129,6 +136,7 @@
       firstByteMs: undefined,
       failureResponse: undefined
     }
+    limits.recordDemand(active.service)
     const quarantined = promptGate.refusalOnArrival(active)
     if (quarantined !== undefined) return refuse(response, quarantined, requestLogFields(active, clock))
     if (team?.quota !== undefined) {
@@ -178,6 +186,10 @@
     }
   }
 
+  function claimOf ({ team, route, sentCount }: ActiveRequest): PermitClaim {
+    return { rank: team?.rank ?? route.rank, isRetry: sentCount > 0 }
+  }
+
   function routeRequest (active: ActiveRequest): RouteRequest {
     const { id, service, head, deadlineAtMs, excluded, route, arrivedAtMs } = active
     const share = options.canaryShare(service)
@@ -206,11 +218,13 @@
         continue
       }
       if (admittance.kind === 'refused') return failRequest(active, admittance.reason, admittance.detail, admittance.retryAtMs - clock.wallMs())
-      const chosen = router.choose(routeRequest(active), backends.usable(active.service))
+      const chosen = router.choose(routeRequest(active), backends.usable(active.service, claimOf(active), backend => active.limitedBackends.add(backend)))
       if (chosen.isErr) {
         admittance.release()
         const pausedForMs = backends.allPausedForMs(active.service)
         if (pausedForMs !== undefined) return failRequest(active, 'backends-paused', 'All backend servers of the service asked for a pause.', pausedForMs + options.random() * resumeMs)
+        const limitedForMs = backends.allLimitedForMs(active.service, claimOf(active))
+        if (limitedForMs !== undefined) return failRequest(active, 'backends-limited', 'All backend servers of the service limit their requests, and no permit is left.', limitedForMs)
         const { reason, detail, retryAtMs } = chosen.error
         return failRequest(active, reason, detail, Math.max(0, (retryAtMs ?? 0) - clock.wallMs()))
       }
@@ -225,8 +239,9 @@
     const { route, team, request, response, head, id } = active
     const known = backends.get(choice.backend.id)
     if (known === undefined) return { kind: 'not-run', cause: 'the backend server was removed after it was chosen', isMisdirected: false, isUnreachable: true }
+    // Chosen in the same turn of the event loop, in which the permit was there.
+    const permit = limits.take(known.entry, claimOf(active))
     active.choice = choice
-    const limited = { id: known.entry.id, service: known.entry.service, startedAtMs: known.entry.startedAtMs }
     const nowMs = clock.wallMs()
     const attemptId = toId<AttemptId>(`${id}/${active.sentCount}/${active.undeliveredCount}`)
     const lastEventId = active.progress.eventBuffer.lastEventId() ?? head.lastEventId
@@ -256,7 +271,7 @@
       onActivity: () => backends.recordActivity(choice.backend.id),
       onHead: ({ isLeaving, requestLimit }) => {
         if (isLeaving) backends.markLeaving(choice.backend.id)
-        limits.recordResponse(limited, requestLimit)
+        limits.recordResponse(known.entry, requestLimit, sentAtMs)
       },
       onFirstByte: () => {
         lastProgressAtMs = clock.monotonicMs()
@@ -277,10 +292,10 @@
       if (known.lastActivityAtMs < sentAtMs) backends.markSuspect(choice.backend.id, 'no byte was received since a request was sent')
     }, baseResponseTimeoutMs + expectedWaitFactor * choice.expectedFirstTokenMs)
     router.onAttemptSent(attemptId, choice)
-    limits.recordSent(limited)
     options.onSent({ service: active.service, isCanary, workMs: choice.prefillMs })
     if (active.sentCount === 0) options.retryBudget.deposit(choice.backend.id)
     const end = await attempt.ended
+    if (isUnsent(end)) permit?.giveBack()
     clearTimeout(responseTimer)
     active.attempt = undefined
     active.endedInPhase = attempt.phase()
--- a/src/core/log/events/gateway.ts
+++ b/src/core/log/events/gateway.ts
@@ -16,6 +16,7 @@
   backendPauseInvalid: { number: 716, level: 'warn', text: 'A backend server sent a Retry-After that is not a number of seconds; it is ignored.', remedy: 'Correct the backend server.' },
   backendLimitNamed: { number: 718, level: 'info', text: 'A backend server named the number of requests a second that it takes from all nodes together, or another number than before.', remedy: 'none; if it lasts, the service needs more backend servers.' },
   backendLimitEnded: { number: 719, level: 'info', text: 'A backend server no longer limits the requests that it takes.', remedy: 'none' },
+  backendLimitSkipped: { number: 725, level: 'info', text: 'Requests were not sent to a backend server because of its limit; logged at most every five seconds for each one.', remedy: 'none; skipped and sent count since the limit was named.' },
   backendLimitInvalid: { number: 724, level: 'warn', text: 'A backend server named a request limit that is not a decimal number; it is ignored.', remedy: 'Correct the backend server.' },
   backendAvoided: { number: 713, level: 'warn', text: 'Other nodes can not reach a backend server, so this node avoids it, or no longer does.', remedy: 'Check the backend server if it remains avoided.' },
   backendCrashed: { number: 717, level: 'warn', text: 'A backend server crashed before it had answered this request; the parts of the prompt are suspected until they are answered elsewhere.', remedy: 'Check the log of the backend server. If it happens repeatedly, see promptQuarantined.' },
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -9,6 +9,7 @@
 import { createActivityTotals } from './activity-totals.ts'
 import type { RemoteInfo } from 'node:dgram'
 import type { Clock } from '../clock/index.ts'
+import type { LimitReport } from '../backend-limits/index.ts'
 import type { NodeId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
@@ -42,6 +43,8 @@
   collectReport: () => Omit<NodeReport, 'node' | 'bootId' | 'sequence' | 'wantsDigest' | 'digestSource'>
   /** What a collector knows from all other nodes about prompts that may crash backend servers. */
   promptsFor: (node: NodeId) => PromptReport
+  /** What a collector knows from all other nodes about the limits of backend servers, with the node's shares of them. */
+  limitsFor: (node: NodeId) => LimitReport
   /** Called with each report of another node. */
   onReport: (report: NodeReport) => void
   /**
@@ -74,6 +77,8 @@
   evidenceDelayMs: () => number
   /** Number of other nodes whose activity is as recent as a lost report or two allow. */
   currentNodeCount: () => number
+  /** The current reports of other nodes that don't use the digests of another collector. */
+  ownReports: () => NodeReport[]
   /** The last report of a node, if it reported recently. */
   lastReport: (node: NodeId) => NodeReport | undefined
   /** The collectors to which this node reports. */
@@ -203,7 +208,7 @@
       isDraining: ownReport?.isDraining ?? false,
       nodes: totals.nodeCountExcept(report.node),
       delta: options.deltaAfter(report.revision),
-      activity: usesTotals ? { ...totals.totalsExcept(report.node), prompts: options.promptsFor(report.node), quotaLevels: needsLevels ? ownReport?.quotaLevels : undefined } : undefined
+      activity: usesTotals ? { ...totals.totalsExcept(report.node), prompts: options.promptsFor(report.node), limits: options.limitsFor(report.node), quotaLevels: needsLevels ? ownReport?.quotaLevels : undefined } : undefined
     }), from.port, from.address)
   }
 
@@ -271,6 +276,13 @@
       if (choice.digestSource !== undefined) return digest !== undefined && digest.receivedAtMs >= nowMs - maxCurrentDigestAgeMs ? digest.nodes : 0
       return [...reportsByNode.values()].filter(({ receivedAtMs }) => receivedAtMs >= nowMs - maxCurrentAgeMs).length
     },
+    ownReports: () => {
+      const oldestAtMs = clock.monotonicMs() - maxCurrentAgeMs
+      return [...reportsByNode.values()].flatMap(({ report, receivedAtMs }) => {
+        const usesOwnDigest = !report.wantsDigest || report.digestSource === node
+        return receivedAtMs >= oldestAtMs && usesOwnDigest ? [report] : []
+      })
+    },
     lastReport: peer => reportsByNode.get(peer)?.report,
     collectors: () => choice.usesCollectors ? [...choice.everyReport] : [],
     isCollector: () => choice.isCollector,
--- a/src/core/node-reports/types.ts
+++ b/src/core/node-reports/types.ts
@@ -1,4 +1,5 @@
 /** Types of the reports that nodes exchange several times a second; each report replaces the previous one. */
+import type { LimitReport } from '../backend-limits/index.ts'
 import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
 import type { QuotaLevels, QuotaUsage } from '../quota/index.ts'
 import type { PromptReport } from '../quarantine/index.ts'
@@ -20,6 +21,8 @@
   quotaLevels?: ReadonlyMap<TeamId, QuotaLevels> | undefined
   /** Prompts that may crash backend servers. */
   prompts?: PromptReport | undefined
+  /** Request limits that backend servers named. */
+  limits?: LimitReport | undefined
 }
 
 /** What nodes say of a backend server that some of them suspect. */
--- a/test/gateway/backend-table.test.ts
+++ b/test/gateway/backend-table.test.ts
@@ -8,15 +8,17 @@
 import { createActivityTotals } from '../../src/core/node-reports/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
 import type { ManualClock } from '../../src/core/clock/index.ts'
+import type { BackendTableOptions } from '../../src/core/gateway/backend-table.ts'
 import type { BackendEntry, BackendTable } from '../../src/core/gateway/index.ts'
 import type { BackendId, DomainId, NodeId, VersionId } from '../../src/core/ids/index.ts'
 
 const service = 'engines'
+const noLimits: BackendTableOptions['limits'] = { hasPermit: () => true, recordSkipped: () => {}, stateOf: () => undefined, endedAtMs: () => -Infinity, onRefused: () => 0, remove: () => {} }
 const peer = toId<NodeId>('peer')
 const idOf = (index: number) => toId<BackendId>(`engine-${index}`)
 
 function createTable (clock: ManualClock, backendCount: number, random = () => 0.5): BackendTable {
-  const table = createBackendTable({ clock, log: createSilentLog(), metrics: createMetrics(), random, versionRolesOf: () => () => 'serving', maxPauseMs: 30_000, onRemoved: () => {} })
+  const table = createBackendTable({ clock, log: createSilentLog(), metrics: createMetrics(), limits: noLimits, random, versionRolesOf: () => () => 'serving', maxPauseMs: 30_000, onRemoved: () => {} })
   for (let index = 0; index < backendCount; index += 1) {
     table.put(entryOf(index))
   }
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -17,6 +17,7 @@
 import type { RawRequestHandler, RawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 
 const hasher = await createPromptHasher()
+const noOtherNodes: never[] = []
 const clock = createSystemClock()
 
 /** Headers of a response that is signed by a backend server. */
@@ -129,8 +130,19 @@
     random: createRandom(1),
     profileOf: () => ({ prefillMsPerToken: 0.1, slots: 4, slotMs: 20 })
   })
-  const backends = createBackendTable({ clock, log, metrics, random: () => 0.5, versionRolesOf: () => () => 'serving', maxPauseMs: 30_000, onRemoved: router.removeBackend })
-  const limits = createBackendLimits({ clock, log, metrics })
+  const limits = createBackendLimits({
+    clock,
+    log,
+    metrics,
+    random: createRandom(5),
+    node: toId<NodeId>('node-1'),
+    draw: hasher.draw,
+    otherNodes: () => noOtherNodes,
+    reportedDemands: () => new Map(),
+    getsAllReports: () => true,
+    backendOf: id => backends.get(id)?.entry
+  })
+  const backends = createBackendTable({ clock, log, metrics, limits, random: () => 0.5, versionRolesOf: () => () => 'serving', maxPauseMs: 30_000, onRemoved: router.removeBackend })
   for (const [index, { port }] of servers.entries()) backends.put(entryOf(`b-${index}`, port))
   const table = createRouteTable({ ...configuration, ...changes })
   const state = { isDraining: false, table: table as typeof table | undefined }
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -331,3 +331,48 @@
   t.is((await slow).body, 'late')
   t.is(servers[0]?.requests.length, 2)
 })
+
+test('a server at its limit gets no requests, others do, and the limit goes on to the caller', async t => {
+  const limited: RawRequestHandler = ({ headers }, socket) => {
+    socket.write(formatResponse(200, { ...signed(headers['x-request'] ?? ''), 'x-limit': '0.5' }, 'whole'))
+  }
+  const { call, servers, events } = await startGateway(t, [limited, respondOk])
+  const answers = []
+  for (let count = 0; count < 20; count += 1) answers.push(await call('/look-up/', `r-${count}`))
+  t.deepEqual(answers.filter(({ status }) => status !== 200), [])
+  t.is(servers[0]!.requests.length, 1)
+  t.is(answers.filter(({ headers }) => headers.get('x-limit') === '0.5').length, 1)
+  t.is(events.filter(({ event }) => event === 'backendLimitSkipped').length, 1)
+  t.true(events.some(({ event, fields }) => event === 'gatewayAnswered' && String(fields['limited']) === 'b-0'))
+})
+
+test('while all servers are at their limits, requests are refused at once as not run, with a time to return', async t => {
+  const limited: RawRequestHandler = ({ headers }, socket) => {
+    socket.write(formatResponse(200, { ...signed(headers['x-request'] ?? ''), 'x-limit': '1' }, 'whole'))
+  }
+  const { call, servers, events } = await startGateway(t, [limited, limited])
+  await call('/register/', 'r-1')
+  await call('/register/', 'r-2')
+  const refused = await call('/register/', 'r-3')
+  t.is(refused.status, 503)
+  t.true(Number(refused.headers.get('retry-after')) > 0)
+  t.true(refused.body.includes('backends-limited'))
+  t.is(servers.reduce((sum, { requests }) => sum + requests.length, 0), 2)
+  t.false(events.some(({ event }) => event === 'backendSuspected'))
+})
+
+test('a request that could not be delivered does not use up the permit of a limited server', async t => {
+  const limited: RawRequestHandler = ({ headers }, socket) => {
+    socket.write(formatResponse(200, { ...signed(headers['x-request'] ?? ''), 'x-limit': '2', connection: 'close' }, 'whole'))
+  }
+  const { call, servers, backends } = await startGateway(t, [limited])
+  t.is((await call('/register/', 'r-1')).status, 200)
+  await new Promise(resolve => setTimeout(resolve, 700))
+  servers[0]!.crash()
+  const before = servers[0]!.requests.length
+  t.is((await call('/register/', 'r-2')).status, 503)
+  await servers[0]!.restart()
+  backends.recordActivity(backends.list()[0]!.entry.id)
+  t.is((await call('/register/', 'r-3')).status, 200)
+  t.is(servers[0]!.requests.length, before + 1)
+})
--- a/test/node-reports/exchange.test.ts
+++ b/test/node-reports/exchange.test.ts
@@ -84,6 +84,7 @@
         }
       },
       promptsFor: quarantine.digestFor,
+      limitsFor: () => ({ limits: [], demands: new Map(), shares: undefined }),
       onReport: () => {},
       onActivity: (source, _life, { loads, quotaLevels, prompts }, isFirst) => {
         if (prompts !== undefined) quarantine.merge(source, prompts)
