--- a/bench/measure/request-limits/naive.ts
+++ b/bench/measure/request-limits/naive.ts
@@ -16,6 +16,7 @@
       buckets.set(id, { perSecond: named.perSecond, bucket })
     },
     recordDemand: () => {},
+    demandPerSecond: () => 0,
     hasPermit: ({ id }) => buckets.get(id)?.bucket.waitMs(0, clock.monotonicMs()) !== undefined ? buckets.get(id)?.bucket.waitMs(0, clock.monotonicMs()) === 0 : true,
     recordSkipped: () => {},
     take: ({ id }) => {
@@ -27,7 +28,7 @@
     },
     stateOf: ({ id }) => {
       const held = buckets.get(id)
-      return held === undefined ? undefined : { perSecond: held.perSecond, ownPerSecond: 0, nextPermitInMs: 0 }
+      return held === undefined ? undefined : { perSecond: held.perSecond, forMs: 0, ownPerSecond: 0, nextPermitInMs: 0 }
     },
     endedAtMs: () => -Infinity,
     onRefused: () => 0,
--- a/src/core/backend-limits/index.ts
+++ b/src/core/backend-limits/index.ts
@@ -274,6 +274,7 @@
     const { perSecond } = limit.evidence.named
     return {
       perSecond,
+      forMs: Math.round(clock.monotonicMs() - (limit.sinceMs ?? 0)),
       ownPerSecond: (limit.share?.ratio ?? 0) * effectiveLimit(perSecond),
       nextPermitInMs: limit.bucket.waitMs(0, clock.monotonicMs())
     }
@@ -332,6 +333,7 @@
   return {
     recordResponse,
     recordDemand: demand.record,
+    demandPerSecond: demand.perSecond,
     hasPermit,
     recordSkipped,
     take,
--- a/src/core/backend-limits/types.ts
+++ b/src/core/backend-limits/types.ts
@@ -83,6 +83,8 @@
 /** When a limited backend server takes requests from this node. */
 export interface LimitState {
   perSecond: number
+  /** Time in ms since this node knows of a limit. */
+  forMs: number
   /** Requests a second that this node may send; 0 if it may send none. */
   ownPerSecond: number
   /** Time in ms until this node may send the next request; Infinity if it may send none. */
@@ -95,6 +97,8 @@
   recordResponse: (backend: LimitedBackend, named: NamedLimit, sentAtMs: number) => void
   /** Counts a request that a caller asks a service for. */
   recordDemand: (service: string) => void
+  /** Requests a second that this node is asked for. */
+  demandPerSecond: (service: string) => number
   /** Whether a request may be sent now. Without a limit always true. */
   hasPermit: (backend: LimitedBackend, claim: PermitClaim) => boolean
   /** Records that a request was not sent there for want of a permit. */
