Compare limited backend servers with a permit also where few are compared

A node of a large fleet compares few servers of many, but a limit is divided among few nodes: these would rarely find the server that only they may send to, and what it takes would be unused. Test: of 200 servers the idle one is chosen in all of 20 cases, and in fewer than five without this.

--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -51,7 +51,7 @@
   /** Refuses prompts that crash backend servers. */
   quarantine: Pick<Quarantine, 'admit' | 'find' | 'recordCrash' | 'recordAnswer' | 'onQuarantined'>
   backends: BackendTable
-  limits: Pick<BackendLimits, 'recordResponse' | 'recordDemand' | 'take'>
+  limits: Pick<BackendLimits, 'recordResponse' | 'recordDemand' | 'take' | 'stateOf'>
   /** Routes of the configuration in effect; undefined before the first one arrives. */
   routeTable: () => RouteTable | undefined
   /** Share of a service's requests that goes to its canary version, 0 to 1. */
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -15,7 +15,7 @@
 import { createRefusals } from './refusals.ts'
 import { requestLogFields } from './active-request.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { AttemptId, RequestId, TeamId } from '../ids/index.ts'
+import type { AttemptId, BackendId, RequestId, TeamId } from '../ids/index.ts'
 import type { PermitClaim } from '../backend-limits/index.ts'
 import type { RouteChoice, RouteRequest } from '../routing/index.ts'
 import type { AttemptEnd } from './attempt.ts'
@@ -190,6 +190,11 @@
     return { rank: team?.rank ?? route.rank, isRetry: sentCount > 0 }
   }
 
+  function hasLimit (id: BackendId): boolean {
+    const known = backends.get(id)
+    return known !== undefined && limits.stateOf(known.entry) !== undefined
+  }
+
   function routeRequest (active: ActiveRequest): RouteRequest {
     const { id, service, head, deadlineAtMs, excluded, route, arrivedAtMs } = active
     const share = options.canaryShare(service)
@@ -203,6 +208,7 @@
       deadlineAtMs,
       ...(isFirstAttempt && route.kind === 'stream' ? { firstTokenDeadlineAtMs: arrivedAtMs + route.latencyTargetMs } : {}),
       compareAllBackends: options.hasRecentLoads(),
+      isAlwaysCompared: hasLimit,
       excluded
     }
   }
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -111,7 +111,8 @@
     const mostBlocks = Math.max(0, ...cachedBlocks.values())
     const bestHolders = holders.filter(({ id }) => cachedBlocks.get(id) === mostBlocks)
     const prefixBackends = bestHolders.length === 0 ? affinityBackends : bestHolders.length <= maxComparedHolders ? bestHolders : pickTwoRandom(bestHolders)
-    return new Set([...prefixBackends, ...pickTwoRandom(rendezvous.subset(node, live, subsetSize))])
+    const always = request.isAlwaysCompared === undefined ? [] : live.filter(({ id }) => request.isAlwaysCompared?.(id))
+    return new Set([...prefixBackends, ...always, ...pickTwoRandom(rendezvous.subset(node, live, subsetSize))])
   }
 
   function evaluateCandidate (request: RouteRequest, backend: Backend, cachedBlocks: ReadonlyMap<BackendId, number>, affinityRank: number, source: PrefixSource | undefined): Candidate {
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -47,6 +47,8 @@
   firstTokenDeadlineAtMs?: number
   /** Compares all live backend servers instead of a few; useful when the load from other nodes is known without delay. */
   compareAllBackends?: boolean
+  /** Decides which backend servers are always compared: those for which this node has permits that others don't have. */
+  isAlwaysCompared?: (backend: BackendId) => boolean
   /** Backend servers where earlier attempts of this request failed. */
   excluded: ReadonlySet<BackendId>
   /** Restricts the choice to one version, for example to continue an answer that this version began. */
--- a/test/routing/router.test.ts
+++ b/test/routing/router.test.ts
@@ -167,3 +167,19 @@
     t.is(choice.backend.id, backends[0]!.id)
   }
 })
+
+test('a node that may send to an idle server of many, which few others may, finds it', t => {
+  const { clock, router } = setUp(createRouter, { subsetSize: 8 })
+  const backends = createBackends(200)
+  const idle = backends[137]!.id
+  for (const [index, backend] of backends.entries()) {
+    if (backend.id === idle) continue
+    router.onPeerLoad(toId<NodeId>(`peer-${index}`), new Map([[backend.id, { requests: 40, pendingTokens: 50_000 }]]))
+  }
+  const chosenWith = (isAlwaysCompared?: (id: BackendId) => boolean) => Array.from({ length: 20 }, (_, index) => {
+    const request = createRequest(`r-${index}`, clock.wallMs(), isAlwaysCompared === undefined ? {} : { isAlwaysCompared })
+    return unwrapChoice(router.choose(request, backends)).backend.id
+  })
+  t.true(chosenWith().filter(id => id === idle).length < 5)
+  t.true(chosenWith(id => id === idle).every(id => id === idle))
+})
