Let backend servers of the soak name request limits, and check what they get

A fault names a limit of 0, 0.2, 1, 1.4 or 10 requests a second at some or all plain servers, for longer than the rule's window. The check counts requests in sliding windows at the servers, from nodes that had passed the limit on half a second before in the same life of their process, from one second after it was named.

--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -1,6 +1,6 @@
 /** HTTP callers with keep-alive connections, which they reuse until the node's process exits. */
 import { Agent, request as httpRequest } from 'node:http'
-import { backendOf, isFromBackend, isLeaving, requestHeaders, routeTimeoutMs } from '../../test/platform-adapter/soak-deployment.ts'
+import { backendOf, isFromBackend, isLeaving, namesLimit, requestHeaders, routeTimeoutMs } from '../../test/platform-adapter/soak-deployment.ts'
 import type { CallResult } from './checks.ts'
 import type { NodeProcess } from './node-process.ts'
 
@@ -25,7 +25,7 @@
         let body = ''
         response.setEncoding('utf8')
         response.on('data', (text: string) => { body += text })
-        response.on('end', () => resolve({ kind: 'answer', status: response.statusCode ?? 0, isFromBackend: isFromBackend(response.headers), leavingBackend: isLeaving(response.headers) ? backendOf(response.headers) : undefined, body }))
+        response.on('end', () => resolve({ kind: 'answer', status: response.statusCode ?? 0, isFromBackend: isFromBackend(response.headers), leavingBackend: isLeaving(response.headers) ? backendOf(response.headers) : undefined, limitedBackend: namesLimit(response.headers) ? backendOf(response.headers) : undefined, body }))
         response.on('error', () => resolve({ kind: 'cut', elapsedMs: Math.round(performance.now() - startedAtMs), receivedBytes }))
       })
       clientRequest.setTimeout(routeTimeoutMs + resultSlackMs, () => {
--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -1,8 +1,9 @@
 /** Checks the system's promises during a soak run, from what callers and backend servers observe. */
+import { findExceededLimits } from './limit-check.ts'
 
 /** How a caller's request ended. */
 export type CallResult =
-  | { kind: 'answer', status: number, isFromBackend: boolean, leavingBackend?: string | undefined, body: string }
+  | { kind: 'answer', status: number, isFromBackend: boolean, leavingBackend?: string | undefined, limitedBackend?: string | undefined, body: string }
   | { kind: 'refused' }
   | { kind: 'cut', elapsedMs: number, receivedBytes: boolean }
   | { kind: 'no-end' }
@@ -21,7 +22,7 @@
 
 /** One violation of a promise. */
 export interface BrokenPromise {
-  promise: 'crashing-prompt' | 'sound-prompt' | 'leaving-left-alone' | 'pause-kept' | 'own-answer' | 'not-run' | 'at-most-once' | 'planned-stop' | 'an-end' | 'newest-configuration' | 'recovery'
+  promise: 'limit-kept' | 'crashing-prompt' | 'sound-prompt' | 'leaving-left-alone' | 'pause-kept' | 'own-answer' | 'not-run' | 'at-most-once' | 'planned-stop' | 'an-end' | 'newest-configuration' | 'recovery'
   detail: string
 }
 
@@ -32,6 +33,8 @@
   startedAtMs: number
   /** Pause that the backend server asked for in its response. */
   pauseSeconds: number | undefined
+  /** The limit that the backend server named at that time, and the time since which it named it; undefined without one. */
+  limit?: { perSecond: number, sinceMs: number } | undefined
   /** Whether the connections to the backend server were disturbed shortly before. */
   isDisturbed: boolean
   atMs: number
@@ -106,6 +109,8 @@
   const crashes = new Map<string, number[]>()
   /** Time at which a node first passed on a response of a leaving start of a backend server. */
   const leavingPassedOn = new Map<string, number>()
+  /** The same for responses that named a limit. */
+  const limitPassedOn = new Map<string, number>()
 
   /** The node that a request was sent to, as long as its process wasn't restarted, paused or resumed. */
   function senderOf (request: string): (SentRequest & { key: string }) | undefined {
@@ -133,6 +138,15 @@
     }
   }
 
+  function checkLimits (): void {
+    const limited = arrivals.flatMap(({ request, backend, startedAtMs, limit, isDisturbed, atMs }) => {
+      const sender = senderOf(request)
+      if (limit === undefined || sender === undefined || isDisturbed) return []
+      return [{ backend, startedAtMs, limit, atMs, toldAtMs: limitPassedOn.get(`${sender.key}/${backend}/${startedAtMs}/${limit.sinceMs}`) }]
+    })
+    for (const detail of findExceededLimits(limited)) broken.push({ promise: 'limit-kept', detail })
+  }
+
   /** Prompts count if their node's process ran throughout the time of contact before they were sent. */
   function checkCrashingPrompts (): void {
     for (const [part, timesMs] of crashes) {
@@ -164,13 +178,13 @@
     if (result.kind === 'no-end') broken.push({ promise: 'an-end', detail: `${id} got no response and no error from ${node}` })
   }
 
-  function recordLeaving ({ id, result }: CompletedCall): void {
-    if (result.kind !== 'answer' || result.leavingBackend === undefined) return
+  /** Records when a node first passed on what a start of a backend server said of itself. */
+  function recordPassedOn (id: string, sayingBackend: string | undefined, passedOn: Map<string, number>): void {
     const sender = senderOf(id)
-    const arrival = arrivals.findLast(({ request, backend }) => request === id && backend === result.leavingBackend)
+    const arrival = sayingBackend === undefined ? undefined : arrivals.findLast(({ request, backend }) => request === id && backend === sayingBackend)
     if (sender === undefined || arrival === undefined) return
-    const key = `${sender.key}/${arrival.backend}/${arrival.startedAtMs}`
-    if (!leavingPassedOn.has(key)) leavingPassedOn.set(key, performance.now())
+    const key = [sender.key, arrival.backend, arrival.startedAtMs, ...(passedOn === limitPassedOn ? [arrival.limit?.sinceMs] : [])].join('/')
+    if (!passedOn.has(key)) passedOn.set(key, performance.now())
   }
 
   return {
@@ -178,7 +192,10 @@
     onSent: sent => { sentRequests.set(sent.id, sent) },
     onArrival: arrival => { arrivals.push(arrival) },
     onCall: call => {
-      recordLeaving(call)
+      if (call.result.kind === 'answer') {
+        recordPassedOn(call.id, call.result.leavingBackend, leavingPassedOn)
+        recordPassedOn(call.id, call.result.limitedBackend, limitPassedOn)
+      }
       const label = call.result.kind === 'answer' ? String(call.result.status) : call.result.kind
       calls[label] = (calls[label] ?? 0) + 1
       checkCall(call)
@@ -202,6 +219,7 @@
     finish: () => {
       checkLeaving()
       checkPauses()
+      checkLimits()
       checkCrashingPrompts()
       for (const id of nonIdempotentIds) {
         const count = runCounts.get(id) ?? 0
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -43,7 +43,7 @@
   removeEntry: () => Promise<void>
   /** What it says in its responses from now on. */
   mode: BackendMode
-  /** Registers a new start of the backend server, which is neither leaving nor paused. */
+  /** Registers a new start of the backend server, which is neither leaving nor paused nor limited. */
   restart: () => Promise<void>
 }
 
@@ -100,9 +100,9 @@
   const backends: SoakBackend[] = []
   for (let index = 1; index <= backendCount; index += 1) {
     const id = `i-${index}`
-    const mode: BackendMode = { isLeaving: false, pauseSeconds: undefined }
+    const mode: BackendMode = { isLeaving: false, pauseSeconds: undefined, limit: undefined }
     let startedAtMs = Date.now()
-    const handleArrival = (request: string, pauseSeconds: number | undefined): void => onArrival({ request, backend: id, startedAtMs, pauseSeconds, isDisturbed: proxy.lastDisturbedAtMs() >= performance.now() - disturbanceMs })
+    const handleArrival = (request: string, said: Pick<BackendMode, 'pauseSeconds' | 'limit'>): void => onArrival({ request, backend: id, startedAtMs, ...said, isDisturbed: proxy.lastDisturbedAtMs() >= performance.now() - disturbanceMs })
     const server = await startRawBackend(createBackendHandler(id, mode, handleArrival, onRun, () => random() * (random() < slowRatio ? maxSlowProcessingMs : maxProcessingMs)))
     const proxy = await startProxy(server.port)
     let sequence = 0
@@ -113,7 +113,7 @@
     await register(false)
     const restart = async (): Promise<void> => {
       startedAtMs = Date.now()
-      Object.assign(mode, { isLeaving: false, pauseSeconds: undefined })
+      Object.assign(mode, { isLeaving: false, pauseSeconds: undefined, limit: undefined })
       await register(false)
     }
     backends.push({ proxy, register, restart, mode, removeEntry: () => platform.remove(backendEntryKey(id)) })
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -19,6 +19,8 @@
 const faultyModes: readonly ProxyMode[] = ['delay', 'reset', 'one-way', 'silent']
 
 const lastingCrashMs = 5_000
+/** Longer than the window in which requests to a limited backend server are counted. */
+const lastingLimitMs = 4_500
 
 /** Starts a node's process again if it has exited; resumes it first if it is paused. */
 async function restart (node: NodeProcess): Promise<void> {
@@ -100,6 +102,18 @@
     mode.pauseSeconds = 0.6 + Math.round(random() * 20) / 10
     return { name: `a backend server asks for pauses of ${mode.pauseSeconds} s`, end: async () => { mode.pauseSeconds = undefined } }
   },
+  ({ backends }, random) => {
+    const share = random()
+    const limited = backends.filter(() => random() < share)
+    const limitPerSecond = pick([0, 0.2, 1, 1.4, 10], random)
+    const limit = { perSecond: limitPerSecond, sinceMs: performance.now() }
+    for (const { mode } of limited) mode.limit = limit
+    const end = async (): Promise<void> => {
+      await new Promise(resolve => setTimeout(resolve, lastingLimitMs))
+      for (const { mode } of limited) if (mode.limit === limit) mode.limit = undefined
+    }
+    return { name: `${limited.length} backend servers limit their requests to ${limitPerSecond} a second`, end }
+  },
   ({ crashing }, random) => {
     if (crashing.part !== undefined) return { name: 'none', end: async () => {} }
     const part = `bad${Math.floor(random() * 1e9).toString(16)}`
--- a/test/platform-adapter/soak-deployment.ts
+++ b/test/platform-adapter/soak-deployment.ts
@@ -8,6 +8,7 @@
 const requestIdHeader = 'x-cyclamenshunt-attempt-id'
 const signatureHeader = 'x-cyclamenshunt-response-seal'
 const leavingHeader = 'server-leaving'
+const limitHeader = 'server-limit'
 const misdirectedStatus = 421
 const service = 'registry'
 const engineService = 'models'
@@ -64,6 +65,11 @@
   return headers[leavingHeader] === '1'
 }
 
+/** Whether a response names a limit of its backend server. */
+export function namesLimit (headers: Record<string, unknown>): boolean {
+  return headers[limitHeader] !== undefined
+}
+
 /** The backend server that sent a response. */
 export function backendOf (headers: Record<string, unknown>): string {
   return String(headers[signatureHeader] ?? '')
@@ -74,21 +80,23 @@
   isLeaving: boolean
   /** Pause in seconds that it asks for instead of running requests; undefined if it runs them. */
   pauseSeconds: number | undefined
+  /** Requests a second that it names as its limit, and since when; undefined without one. */
+  limit: { perSecond: number, sinceMs: number } | undefined
 }
 
-/** Called for each request that reaches a backend server, with the pause that it asked for. */
-export type OnArrival = (id: string, pauseSeconds: number | undefined) => void
+/** Called for each request that reaches a backend server, with what the server says at that time. */
+export type OnArrival = (id: string, said: Pick<BackendMode, 'pauseSeconds' | 'limit'>) => void
 
 /** Creates the handler of a backend server that calls `onExecuted` for each request that it runs and responds with its id after `workMs`. */
 export function createBackendHandler (backend: string, mode: BackendMode, onArrival: OnArrival, onExecuted: (id: string) => void, workMs: () => number): RawRequestHandler {
   return ({ headers }, socket) => {
     const id = headers[requestIdHeader] ?? ''
-    const answerHeaders = { [requestIdHeader]: id, [signatureHeader]: backend, ...(mode.isLeaving ? { [leavingHeader]: '1' } : {}) }
+    const answerHeaders = { [requestIdHeader]: id, [signatureHeader]: backend, ...(mode.isLeaving ? { [leavingHeader]: '1' } : {}), ...(mode.limit === undefined ? {} : { [limitHeader]: String(mode.limit.perSecond) }) }
     if (headers['x-cyclamenshunt-expect-instance'] !== backend) {
       socket.write(formatResponse(misdirectedStatus, answerHeaders, ''))
       return
     }
-    onArrival(id, mode.pauseSeconds)
+    onArrival(id, { pauseSeconds: mode.pauseSeconds, limit: mode.limit })
     if (mode.pauseSeconds !== undefined) {
       socket.write(formatResponse(503, { ...answerHeaders, 'x-cyclamenshunt-not-executed': '1', 'retry-after': String(mode.pauseSeconds) }, ''))
       return
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -96,3 +96,19 @@
     checks.onCall(createCall(createAnswer(200, 'r-2'), { id: 'r-2', isIdempotent: true }))
   }), [])
 })
+
+test('requests beyond a limit from nodes that had passed it on are detected, and those of other nodes and before are not', t => {
+  const limit = { perSecond: 1, sinceMs: 0 }
+  const record = (checks: ReturnType<typeof createChecks>, startCount: number): void => {
+    checks.onSent({ node: 'front-a-1', startCount: 1, interruptionCount: 0, id: 'r-0', atMs: -2_000 })
+    checks.onArrival({ backend: 'i-1', startedAtMs: 5, pauseSeconds: undefined, isDisturbed: false, limit, request: 'r-0', atMs: -2_000 })
+    checks.onCall(createCall({ kind: 'answer', status: 200, isFromBackend: true, limitedBackend: 'i-1', body: 'r-0' }, { id: 'r-0' }))
+    const toldAtMs = performance.now()
+    for (let index = 1; index <= 12; index += 1) {
+      checks.onSent({ node: 'front-a-1', startCount, interruptionCount: 0, id: `r-${index}`, atMs: toldAtMs + 600 })
+      checks.onArrival({ backend: 'i-1', startedAtMs: 5, pauseSeconds: undefined, isDisturbed: false, limit, request: `r-${index}`, atMs: toldAtMs + 600 + index })
+    }
+  }
+  t.deepEqual(brokenPromisesOf(checks => record(checks, 1)), ['limit-kept'])
+  t.deepEqual(brokenPromisesOf(checks => record(checks, 2)), [])
+})
