--- a/bench/measure/index.ts
+++ b/bench/measure/index.ts
@@ -6,7 +6,8 @@
  * `npm run measure -- quotas`: a team's quota while nodes restart or are cut off;
  * `npm run measure -- version-moves [REQUESTS-PER-SECOND ...]`: good and bad versions beside an old one in trouble;
  * `npm run measure -- restores`: views while the key-value service is restored;
- * `npm run measure -- crashing-prompts`: prompts with a part that crashes engines.
+ * `npm run measure -- crashing-prompts`: prompts with a part that crashes engines;
+ * `npm run measure -- request-limits`: backend servers that limit the requests that they take.
  */
 import { parseArgs } from 'node:util'
 import { createPromptHasher } from '../../src/core/routing/index.ts'
@@ -16,6 +17,7 @@
 import { measurePlacement } from './placement/index.ts'
 import { measureQuotas } from './quotas/index.ts'
 import { verdictTable, writeReport } from './report.ts'
+import { measureRequestLimits } from './request-limits/index.ts'
 import { measureRestores } from './restores/index.ts'
 import { measureSlopes } from './slopes/index.ts'
 import { measureVersionMoves } from './version-moves/index.ts'
@@ -68,6 +70,7 @@
   else if (positionals[0] === 'quotas') console.log(await measureQuotas(reportFolder, seed))
   else if (positionals[0] === 'version-moves') console.log(await measureVersionMoves(reportFolder, seed, positionals.slice(1).map(Number)))
   else if (positionals[0] === 'crashing-prompts') console.log(await measureCrashingPrompts(reportFolder, seed))
+  else if (positionals[0] === 'request-limits') console.log(await measureRequestLimits(reportFolder, seed))
   else if (positionals[0] === 'restores') console.log(await measureRestores())
   else await measureVersions()
 }
--- a/bench/measure/request-limits/naive.ts
+++ b/bench/measure/request-limits/naive.ts
@@ -17,7 +17,7 @@
     },
     recordDemand: () => {},
     demandPerSecond: () => 0,
-    hasPermit: ({ id }) => buckets.get(id)?.bucket.waitMs(0, clock.monotonicMs()) !== undefined ? buckets.get(id)?.bucket.waitMs(0, clock.monotonicMs()) === 0 : true,
+    hasPermit: ({ id }) => (buckets.get(id)?.bucket.waitMs(0, clock.monotonicMs()) ?? 0) === 0,
     recordSkipped: () => {},
     take: ({ id }) => {
       const held = buckets.get(id)
