Keep to request limits on drafts and calls of the own interface, too

Drafts and calls chose their backend servers from a table of their own, so they ignored a limit as the gateway had. Engines and services name it in the header request-limit; attempts take their permits from the same module, nodes report limits over the peer network, and a request that no backend server of its team takes is refused at once (503, backends-limited) instead of being retried until its attempts are used up. `cyclamenshunt status` lists the limits. The stand-ins name them as a fault.

--- a/bench/measure/request-limits/naive.ts
+++ b/bench/measure/request-limits/naive.ts
@@ -36,6 +36,7 @@
     digestFor: () => empty,
     mergeLimits: () => {},
     setShares: () => {},
+    list: () => [],
     remove: () => {}
   }
 }
--- a/src/core/backend-limits/index.ts
+++ b/src/core/backend-limits/index.ts
@@ -16,7 +16,7 @@
 import type { BackendLimits, BackendLimitsOptions, LimitedBackend, LimitReport, LimitShare, LimitState, PermitClaim, ReportedLimit, ReportedShare } from './types.ts'
 
 export type * from './types.ts'
-export { parseNamedLimit } from './parse.ts'
+export { parseNamedLimit, requestLimitHeader } from './parse.ts'
 export type { NamedLimit } from './parse.ts'
 export { decodeLimits, encodeLimits } from './wire.ts'
 export type { WireLimits } from './wire.ts'
@@ -346,6 +346,10 @@
     setShares: shares => {
       granted = shares === undefined ? undefined : { shares: new Map(shares.map(({ backend, startedAtMs, ratio, burst }) => [keyOf({ id: backend, startedAtMs }), { ratio, burst }])), untilMs: clock.monotonicMs() + maxShareAgeMs }
     },
+    list: () => [...known.values()].flatMap(({ backend, sinceMs, sentCount, skippedCount }) => {
+      const state = sinceMs === undefined ? undefined : stateOf({ ...backend, service: serviceOf(backend) ?? '' })
+      return state === undefined ? [] : [{ backend: backend.id, ...state, sent: sentCount, skipped: skippedCount }]
+    }),
     remove: backend => forget(keyOf(backend))
   }
 }
--- a/src/core/backend-limits/parse.ts
+++ b/src/core/backend-limits/parse.ts
@@ -1,5 +1,8 @@
 /** Reads the request limits that backend servers name in the headers of their responses. */
 
+/** Response header of engines and services in which they name their limit; the users' platform has a name of its own. */
+export const requestLimitHeader = 'request-limit'
+
 /** What a response says of its backend server's limit: none, a number of requests a second, or a text that is not one. */
 export type NamedLimit =
   | { kind: 'none' }
--- a/src/core/backend-limits/types.ts
+++ b/src/core/backend-limits/types.ts
@@ -122,6 +122,8 @@
   mergeLimits: (limits: readonly ReportedLimit[]) => void
   /** Replaces the shares that a collector gave to this node; undefined when the collector is no longer used. */
   setShares: (shares: readonly ReportedShare[] | undefined) => void
+  /** All limits in force. */
+  list: () => Array<LimitState & { backend: BackendId, sent: number, skipped: number }>
   /** Deletes the state of a backend server that is gone. */
   remove: (backend: LimitedBackend) => void
 }
--- a/src/core/backends/engine-client.ts
+++ b/src/core/backends/engine-client.ts
@@ -12,7 +12,7 @@
 import type { CyclamenError } from '../errors/index.ts'
 import type { AttemptId, BackendId } from '../ids/index.ts'
 import type { Priority } from '../teams/types.ts'
-import type { CacheEvent, EngineClient, GenerateEvent, GenerateRequest, LoadReport } from './types.ts'
+import type { CacheEvent, EngineClient, GenerateEvent, GenerateRequest, LoadReport, OnNamedLimit } from './types.ts'
 
 /** Options of a client of one engine. */
 export interface EngineClientOptions {
@@ -22,6 +22,7 @@
   clock: Clock
   /** Longest time without a received byte on a stream; comments of the event stream count as bytes. */
   idleTimeoutMs?: number
+  onNamedLimit?: OnNamedLimit
 }
 
 const defaultIdleTimeoutMs = 2_000
@@ -65,7 +66,7 @@
   ): AsyncIterable<GenerateEvent> {
     const dispatcher = connections.currentPool()
     return streamEngineEvents({
-      dispatcher, clock, idleMonitor, idleTimeoutMs, request, attempt, firstEventIndex, signal, onIdleTimeout: () => connections.replacePool(dispatcher)
+      dispatcher, clock, idleMonitor, idleTimeoutMs, request, attempt, firstEventIndex, signal, onNamedLimit: options.onNamedLimit, onIdleTimeout: () => connections.replacePool(dispatcher)
     })
   }
 
--- a/src/core/backends/engine-stream.ts
+++ b/src/core/backends/engine-stream.ts
@@ -1,4 +1,5 @@
 /** One stream of an engine's answer, from its request to its end event. */
+import { parseNamedLimit, requestLimitHeader } from '../backend-limits/index.ts'
 import { createByteCollector, describeError, isConnectError } from '../connections/index.ts'
 import { attemptError, createEventReader } from './engine-events.ts'
 import { createSseParser } from './sse-parser.ts'
@@ -8,7 +9,7 @@
 import type { Clock } from '../clock/index.ts'
 import type { AttemptId } from '../ids/index.ts'
 import type { IdleTimeoutMonitor, WatchedStream } from './idle-timeout.ts'
-import type { GenerateEvent } from './types.ts'
+import type { GenerateEvent, OnNamedLimit } from './types.ts'
 
 /** Options of one stream. */
 export interface EngineStreamOptions {
@@ -21,6 +22,7 @@
   attempt: AttemptId
   firstEventIndex: number
   signal: AbortSignal
+  onNamedLimit?: OnNamedLimit | undefined
   /** Called when no byte arrived within the idle timeout. */
   onIdleTimeout: () => void
 }
@@ -119,6 +121,7 @@
   let retryAfter: string | undefined
   const refusal = createByteCollector(maxRefusalBytes)
   let bytesWithoutEvent = 0
+  let sentAtMs = clock.monotonicMs()
 
   function onChunk (chunk: Buffer): void {
     watchedStream.lastByteAtMs = clock.monotonicMs()
@@ -159,6 +162,7 @@
       // If the reader left before the connection was established, nothing is sent.
       if (state.failure !== undefined) return abortConnection(state)
       state.sent = true
+      sentAtMs = clock.monotonicMs()
     },
     onResponseStart: (_controller, statusCode, headers) => {
       watchedStream.lastByteAtMs = clock.monotonicMs()
@@ -166,6 +170,7 @@
       retryAfter = headers['retry-after']?.toString()
       const responseAttempt = headers['x-request-id']
       if (responseAttempt !== undefined && responseAttempt !== attempt) throw attemptError('answer-incomplete', 'received a response for another attempt')
+      options.onNamedLimit?.(parseNamedLimit(headers[requestLimitHeader]), sentAtMs)
     },
     onResponseData: (_controller, chunk) => onChunk(chunk),
     onResponseEnd: onEnd,
--- a/src/core/backends/service-call.ts
+++ b/src/core/backends/service-call.ts
@@ -3,13 +3,14 @@
  * the moment a byte of it may have been sent.
  */
 import { Result } from 'true-myth'
+import { parseNamedLimit, requestLimitHeader } from '../backend-limits/index.ts'
 import { createByteCollector, describeError } from '../connections/index.ts'
 import { parseRetryAfter } from './refusal.ts'
 import type { Client, Dispatcher } from 'undici'
 import type { Clock } from '../clock/index.ts'
 import type { ByteCollector } from '../connections/index.ts'
 import type { RetryReason } from '../outcomes/index.ts'
-import type { AttemptFailure, ServiceResponse, ServiceRequest } from './types.ts'
+import type { AttemptFailure, OnNamedLimit, ServiceResponse, ServiceRequest } from './types.ts'
 
 /** Response header by which a service states whether it ran a call. */
 export const runStateHeader = 'run-state'
@@ -69,10 +70,12 @@
   client: Client,
   clock: Clock,
   request: ServiceRequest,
-  signal: AbortSignal
+  signal: AbortSignal,
+  onNamedLimit: OnNamedLimit = () => {}
 ): Promise<Result<ServiceResponse, AttemptFailure>> {
   const exchange: Exchange = { sent: false, status: 0, headers: {}, body: createByteCollector(maxResponseBytes), controller: undefined }
   const settledController = new AbortController()
+  let sentAtMs = clock.monotonicMs()
   return await new Promise(resolve => {
     let isSettled = false
     function settle (result: Result<ServiceResponse, AttemptFailure>): void {
@@ -104,10 +107,12 @@
         // Nothing may be sent for an abandoned call, and the HTTP client must not send a call a second time.
         if (isSettled || exchange.sent) return controller.abort(new Error('the call was abandoned'))
         exchange.sent = true
+        sentAtMs = clock.monotonicMs()
       },
       onResponseStart: (_controller, status, headers) => {
         exchange.status = status
         exchange.headers = headers
+        onNamedLimit(parseNamedLimit(headers[requestLimitHeader]), sentAtMs)
       },
       onResponseData: (_controller, chunk) => {
         if (!exchange.body.add(Buffer.from(chunk))) abandonTooLong()
--- a/src/core/backends/service-client.ts
+++ b/src/core/backends/service-client.ts
@@ -7,7 +7,7 @@
 import { callService } from './service-call.ts'
 import type { Clock } from '../clock/index.ts'
 import type { BackendId } from '../ids/index.ts'
-import type { AttemptFailure, ServiceResponse, ServiceClient, ServiceRequest } from './types.ts'
+import type { AttemptFailure, OnNamedLimit, ServiceResponse, ServiceClient, ServiceRequest } from './types.ts'
 
 /** Options of a client of one service. */
 export interface ServiceClientOptions {
@@ -22,6 +22,7 @@
    */
   maxConnectionIdleMs?: number
   connectTimeoutMs?: number
+  onNamedLimit?: OnNamedLimit
 }
 
 const defaultMaxConnectionIdleMs = 1_000
@@ -44,7 +45,7 @@
       return Result.err({ reason: 'connect-failed', mayHaveRun: false, detail: 'the deadline passed before the request was sent' })
     }
     const connection = freshConnections.acquire()
-    const result = await callService(connection, clock, request, signal)
+    const result = await callService(connection, clock, request, signal, options.onNamedLimit)
     if (result.isOk) freshConnections.release(connection)
     else freshConnections.discard(connection)
     return result
--- a/src/core/backends/types.ts
+++ b/src/core/backends/types.ts
@@ -1,9 +1,10 @@
 /** Types of backend servers (model engines and plain services) and of their clients. */
 import type { Result } from 'true-myth'
+import type { NamedLimit } from '../backend-limits/index.ts'
 import type { CyclamenError } from '../errors/index.ts'
 import type { AttemptId, BackendId, DomainId, InstanceId, TeamId, VersionId } from '../ids/index.ts'
 import type { Priority } from '../teams/types.ts'
-import type { RetryReason } from '../outcomes/index.ts'
+import type { RefusalReason, RetryReason } from '../outcomes/index.ts'
 
 /** A backend server according to the instance list and reclaim notices. */
 export interface Backend {
@@ -44,6 +45,9 @@
   | { kind: 'token', index: number, text: string, raw: string }
   | { kind: 'end', finishReason: string, promptTokens: number, cachedTokens: number, generatedTokens: number }
 
+/** Called with what the head of a response says of the backend server's request limit, and the monotonic time at which its request was sent. */
+export type OnNamedLimit = (named: NamedLimit, sentAtMs: number) => void
+
 /** Why an attempt at a backend server failed, and whether it may have run. */
 export interface AttemptFailure {
   reason: RetryReason
@@ -52,6 +56,8 @@
   detail: string
   /** Earliest wall time for a retry at this backend server, if it sent one. */
   retryAtMs?: number
+  /** Set when this node sent nothing and no further attempt can help now. */
+  refusal?: RefusalReason
 }
 
 /** Load report of an engine. It reflects the time `reportedAtMs`, not the time of its arrival. */
--- a/src/core/calls/execution.ts
+++ b/src/core/calls/execution.ts
@@ -139,6 +139,7 @@
   function giveUpRefusal (request: CallRequest, failure: AttemptFailure, attempt: number): Refusal | undefined {
     const retryAtMs = failure.retryAtMs ?? clock.wallMs() + defaultRetryDelayMs
     const notRun = (reason: RefusalReason): Refusal => ({ reason, run: 'not-run', retryAtMs, detail: failure.detail })
+    if (failure.refusal !== undefined) return notRun(failure.refusal)
     if (options.signal.aborted) return notRun('draining')
     if (clock.wallMs() + limits.retryPauseMs * attempt >= request.call.deadlineAtMs) return notRun('deadline-past')
     if (attempt >= limits.maxAttempts) return notRun('attempts-exhausted')
--- a/src/core/calls/repeatable.ts
+++ b/src/core/calls/repeatable.ts
@@ -12,6 +12,7 @@
 
 /** The reason not to make another attempt; undefined if one is allowed. */
 function giveUpReason (options: AttemptOptions, call: Call, failure: AttemptFailure, attempt: number): RefusalReason | undefined {
+  if (failure.refusal !== undefined) return failure.refusal
   if (options.signal.aborted) return 'draining'
   if (options.clock.wallMs() >= call.deadlineAtMs) return 'deadline-past'
   if (attempt >= options.limits.maxAttempts) return 'attempts-exhausted'
--- a/src/core/http/problem.ts
+++ b/src/core/http/problem.ts
@@ -33,6 +33,7 @@
   'answer-not-kept': 410,
   'prompt-quarantined': 422,
   'prompt-suspected': 503,
+  'backends-limited': 503,
   'caller-left': 499
 }
 
--- a/src/core/node/choose-backend.ts
+++ b/src/core/node/choose-backend.ts
@@ -5,6 +5,7 @@
 import { err, ok } from 'true-myth/result'
 import type { Result } from 'true-myth'
 import type { ConcurrencyLimits, RetryBudget } from '../admission/index.ts'
+import type { BackendLimits } from '../backend-limits/index.ts'
 import type { BackendTable } from '../backends/table.ts'
 import { createId } from '../ids/index.ts'
 import type { AttemptId, TeamId } from '../ids/index.ts'
@@ -13,8 +14,9 @@
 import type { Metrics } from '../metrics/index.ts'
 import type { AttemptOutcome, ChooseBackend, ChoiceRequest, DraftChoice, DraftRequest } from '../requests/index.ts'
 import type { PromptBlocks, PromptHasher, RouteChoice, Router } from '../routing/index.ts'
-import type { VersionShares } from '../teams/index.ts'
+import type { Priority, VersionShares } from '../teams/index.ts'
 import type { RecordAttempt } from '../moves/attempt-observation.ts'
+import { choosePermitted } from './limited-choice.ts'
 import { createFailedVersions } from './failed-versions.ts'
 import type { DraftPromptGate } from './draft-prompt-gate.ts'
 
@@ -23,6 +25,9 @@
 /** Retry delay for a request for which there is no backend server. */
 const noBackendRetryMs = 1_000
 
+/** Ranks for permits of limited backend servers; the lowest goes first. */
+const priorityRanks: Record<Priority, number> = { urgent: 0, normal: 1, batch: 2 }
+
 /** Options of `createDraftChooser`. */
 export interface ChooseBackendOptions {
   clock: Clock
@@ -30,6 +35,8 @@
   router: Router
   hasher: PromptHasher
   limits: ConcurrencyLimits
+  /** The request limits that backend servers name. */
+  requestLimits: BackendLimits
   retryBudget: RetryBudget
   table: BackendTable
   sharesOf: (team: TeamId) => VersionShares | undefined
@@ -54,6 +61,7 @@
 
   return async ({ draft, excluded, version }) => {
     const { hashes } = promptBlocks(draft)
+    if (excluded.size === 0) options.requestLimits.recordDemand(draft.team)
     const admittance = await options.promptGate.admit(draft, hashes)
     if (admittance.kind === 'refused') return err({ reason: admittance.reason, run: 'not-run', detail: admittance.detail, retryAtMs: admittance.retryAtMs })
     const chosen = choose({ draft, excluded, version })
@@ -69,7 +77,8 @@
       return err({ reason: 'no-backend', run: 'not-run', detail: 'The version failed repeatedly for this draft.', retryAtMs })
     }
     const remaining = version === undefined ? failedVersions.remaining(draft, shares) : shares
-    const chosen = router.choose({
+    const claim = { rank: priorityRanks[draft.priority], isRetry: excluded.size > 0 }
+    const chosen = choosePermitted({ clock, router, limits: options.requestLimits }, {
       request: draft.request,
       team: draft.team,
       shares: remaining,
@@ -78,9 +87,9 @@
       deadlineAtMs: draft.deadlineAtMs,
       excluded: failedVersions.effectiveExclusions(draft, excluded, remaining),
       ...(version === undefined ? {} : { requiredVersion: version })
-    }, table.ofTeam(draft.team))
+    }, table.ofTeam(draft.team), claim)
     if (chosen.isErr) return err(chosen.error)
-    const choice = chosen.value
+    const { choice, permit } = chosen.value
     const engine = table.engineOf(choice.backend.id)
     if (engine === undefined) return err({ reason: 'no-backend', run: 'not-run', detail: 'The backend server is not a model engine.', retryAtMs })
     const attempt = createId<AttemptId>('att', clock.wallMs())
@@ -95,6 +104,8 @@
       if (remainingAttempts > 0) inFlight.set(id, remainingAttempts)
       else inFlight.delete(id)
       const { ok, attributedToBackend, promptTokens, cachedTokens } = outcome
+      const wasNotMade = outcome.ok && !outcome.attributedToBackend
+      if (wasNotMade || outcome.reason === 'connect-failed') permit.giveBack()
       router.onAttemptEnded(attempt, promptTokens === 0 ? { ok, attributedToBackend } : { ok, attributedToBackend, promptTokens, cachedTokens })
       // The backend server reports that it is leaving before the instance list does.
       if (outcome.reason === 'backend-leaving') table.markLeaving(id, undefined)
--- a/src/core/node/components.ts
+++ b/src/core/node/components.ts
@@ -18,7 +18,10 @@
 import { createDutyCandidacy } from './duty-candidates.ts'
 import { engineProfileOf } from './engine-profiles.ts'
 import { createFleetDuties } from './fleet-duties.ts'
+import { toLimited } from './limited-choice.ts'
+import { createLimitsExchange } from './limits-exchange.ts'
 import { createQuarantineExchange } from './quarantine-exchange.ts'
+import type { Backend, OnNamedLimit } from '../backends/types.ts'
 import type { ShutdownState } from './shutdown-state.ts'
 import type { NodeContext, NodeDependencies } from './dependencies.ts'
 import { createCallLookUp, createCallSender } from './send-call.ts'
@@ -54,15 +57,29 @@
     network,
     membership,
     random,
-    createEngine: backend => createEngineClient({ backend: backend.id, url: backend.url, clock }),
-    createService: backend => createServiceClient({ backend: backend.id, url: backend.url, clock }),
+    createEngine: backend => createEngineClient({ backend: backend.id, url: backend.url, clock, onNamedLimit: onNamedLimit(backend) }),
+    createService: backend => createServiceClient({ backend: backend.id, url: backend.url, clock, onNamedLimit: onNamedLimit(backend) }),
     onLeaving: backend => drafts.onBackendLeaving(backend),
     onGone: backend => {
+      requestLimits.remove({ id: backend, service: '' })
       router.removeBackend(backend)
       limits.removeBackend(backend)
       retryBudget.removeBackend(backend)
     }
   })
+  const { limits: requestLimits, close: closeLimits } = createLimitsExchange({
+    clock,
+    log,
+    metrics,
+    random,
+    draw: hasher.draw,
+    network,
+    membership,
+    backendOf: id => {
+      const backend = table.find(id)
+      return backend === undefined ? undefined : toLimited(backend)
+    }
+  })
   const isCandidateFor = createDutyCandidacy(membership)
   const { quarantine, close: closeQuarantine } = createQuarantineExchange({ clock, log, metrics, random, network, membership, store, isWriter: () => isCandidateFor('quarantine') })
   const duties = createDuties({ store, clock, log, node: settings.node, shouldHold: duty => !shutdown.leaving && isCandidateFor(duty) })
@@ -83,7 +100,7 @@
   const { sharesOf } = moves
   /** The table for routing, with one entry for each version that a backend server serves. */
   const routingTable = { ...table, ofTeam: (team: TeamId) => moves.expandVersions(team, table.ofTeam(team)) }
-  const chooserOptions = { clock, metrics, router, hasher, limits, retryBudget, table: routingTable, sharesOf, recordAttempt: moves.recordAttempt, promptGate: createDraftPromptGate({ clock, quarantine }) }
+  const chooserOptions = { clock, metrics, router, hasher, limits, requestLimits, retryBudget, table: routingTable, sharesOf, recordAttempt: moves.recordAttempt, promptGate: createDraftPromptGate({ clock, quarantine }) }
   const drafts = createDrafts({
     clock,
     metrics,
@@ -126,6 +143,10 @@
   const instanceFeed = createInstanceFeed({ instanceList, network, membership, clock, metrics, random, onChange: backendWatch.update })
   dependencies.nodeList.read = instanceFeed.readNodes
 
+  function onNamedLimit (backend: Backend): OnNamedLimit {
+    return (named, sentAtMs) => requestLimits.recordResponse(toLimited(backend), named, sentAtMs)
+  }
+
   /** Number of concurrent requests that this node may send to a team's live backend servers, by their current limits. */
   function capacityOf (team: TeamId): number {
     return table.ofTeam(team)
@@ -136,6 +157,7 @@
   async function close (): Promise<void> {
     admission.close()
     closeQuarantine()
+    closeLimits()
     await fleetDuties?.close()
     await moves.close()
     await duties.close()
@@ -147,5 +169,5 @@
     router.close()
   }
 
-  return { admission, quarantine, table, duties, moves, drafts, calls, instanceFeed, sharesOf, capacityOf, close }
+  return { admission, quarantine, requestLimits, table, duties, moves, drafts, calls, instanceFeed, sharesOf, capacityOf, close }
 }
--- a/src/core/node/send-call.ts
+++ b/src/core/node/send-call.ts
@@ -6,9 +6,14 @@
 import { toId } from '../ids/index.ts'
 import type { BackendId, RequestId } from '../ids/index.ts'
 import type { RouteChoice } from '../routing/index.ts'
+import type { PermitClaim } from '../backend-limits/index.ts'
 import type { BackendTable } from '../backends/table.ts'
+import { choosePermitted } from './limited-choice.ts'
 import type { ChooseBackendOptions } from './choose-backend.ts'
+import type { PermittedChoice } from './limited-choice.ts'
 
+/** Calls are not ranked. */
+const callClaim: PermitClaim = { rank: 1, isRetry: false }
 /** Lowest HTTP status that counts as a failure of the service's version. */
 const firstFailureStatus = 500
 
@@ -19,16 +24,18 @@
   return async (order, signal) => {
     const choice = chooseBackend(order, options)
     if (choice.isErr) return err(choice.error)
-    const { backend } = choice.value
+    const { choice: chosen, permit } = choice.value
+    const { backend } = chosen
     const service = table.serviceOf(backend.id)
     if (service === undefined) return err(notSentFailure(`backend server ${backend.id} is not a plain service`))
-    router.onAttemptSent(order.attempt, choice.value)
+    router.onAttemptSent(order.attempt, chosen)
     options.retryBudget.deposit(toId<BackendId>(order.team))
     const startedAtMs = clock.monotonicMs()
-    const result = await service.call({ ...order, version: choice.value.version }, signal)
+    const result = await service.call({ ...order, version: chosen.version }, signal)
+    if (result.isErr && result.error.reason === 'connect-failed') permit.giveBack()
     router.onAttemptEnded(order.attempt, { ok: result.isOk })
     if (result.isErr && result.error.reason === 'backend-leaving') table.markLeaving(backend.id, undefined)
-    recordOutcome(options, order, choice.value, result, clock.monotonicMs() - startedAtMs)
+    recordOutcome(options, order, chosen, result, clock.monotonicMs() - startedAtMs)
     return result
   }
 }
@@ -46,17 +53,21 @@
   return { reason: 'connect-failed', mayHaveRun: false, detail, ...(retryAtMs === undefined ? {} : { retryAtMs }) }
 }
 
-function chooseBackend (order: AttemptRequest, options: ChooseBackendOptions): Result<RouteChoice, AttemptFailure> {
+function chooseBackend (order: AttemptRequest, options: ChooseBackendOptions): Result<PermittedChoice, AttemptFailure> {
   const shares = options.sharesOf(order.team)
   if (shares === undefined) return err(notSentFailure('the team is no longer declared'))
-  return options.router.choose({
+  options.requestLimits.recordDemand(order.team)
+  return choosePermitted({ ...options, limits: options.requestLimits }, {
     request: toId<RequestId>(order.attempt),
     team: order.team,
     shares,
     priority: 'normal',
     deadlineAtMs: order.deadlineAtMs,
     excluded: new Set<BackendId>()
-  }, options.table.ofTeam(order.team)).mapErr(refusal => notSentFailure(refusal.detail, refusal.retryAtMs))
+  }, options.table.ofTeam(order.team), callClaim).mapErr(({ reason, detail, retryAtMs }) => {
+    const failure = notSentFailure(detail, retryAtMs)
+    return reason === 'backends-limited' ? { ...failure, refusal: reason } : failure
+  })
 }
 
 function recordOutcome (
--- a/src/core/node/status.ts
+++ b/src/core/node/status.ts
@@ -1,5 +1,6 @@
 /** The status of a node for operators, served at `/v1/status`. */
 import type { Admission } from '../admission/index.ts'
+import type { BackendLimits } from '../backend-limits/index.ts'
 import type { BackendTable } from '../backends/table.ts'
 import type { Calls } from '../calls/index.ts'
 import type { Clock } from '../clock/index.ts'
@@ -28,6 +29,7 @@
   network: PeerNetwork
   drafts: Drafts
   quarantine: Pick<Quarantine, 'records'>
+  requestLimits: Pick<BackendLimits, 'list'>
   duties: Duties
   readiness: () => Readiness
   sharesOf: (team: TeamId) => VersionShares | undefined
@@ -53,6 +55,7 @@
     control: options.network.traffic(),
     backends: table.all(),
     quarantine: options.quarantine.records(),
+    requestLimits: options.requestLimits.list(),
     moves: options.moves.list(),
     teams: [...configuration.current().teams.values()].map(({ team, version, move }) => ({
       team,
--- a/src/core/outcomes/explanations.ts
+++ b/src/core/outcomes/explanations.ts
@@ -35,6 +35,7 @@
   'running-elsewhere': { text: 'The same call is already running.', remedy: 'Retry with the same key at retryAtMs to get its response.' },
   'answer-not-kept': { text: 'The call ran, but its response was too long to be stored for retries.', remedy: 'Look up the response on the backend server; don\'t send the call with a new key.' },
   'prompt-quarantined': { text: 'Prompts with the same text crashed backend servers one after the other.', remedy: 'Change the prompt. Operators: see "cyclamenshunt quarantine list".' },
+  'backends-limited': { text: 'All backend servers of the team limit the requests that they take, and no permit is left.', remedy: 'Retry at retryAtMs; if it lasts, the team needs more backend servers.' },
   'prompt-suspected': { text: 'A backend server crashed on a prompt with the same text, and the outcome of another one is awaited.', remedy: 'Retry at retryAtMs.' },
   'caller-left': { text: 'The caller closed its connection.', remedy: 'None; it is counted separately because it isn\'t a failure.' }
 }
--- a/src/stand-ins/engine/attempt-routes.ts
+++ b/src/stand-ins/engine/attempt-routes.ts
@@ -1,6 +1,7 @@
 /**
  * The routes of a stand-in engine that start, resume and cancel attempts.
  */
+import { requestLimitHeader } from '../../core/backend-limits/index.ts'
 import { charsPerGeneratedToken } from './generated-text.ts'
 import { isEffectActive } from './faults.ts'
 import type { Express, Request, Response } from 'express'
@@ -90,6 +91,10 @@
     attempts.start(attempt, response)
   }
 
+  app.use((_request, response, next) => {
+    if (faults.requestLimitPerSecond !== undefined) response.setHeader(requestLimitHeader, faults.requestLimitPerSecond)
+    next()
+  })
   app.post('/v1/chat/completions', complete)
   app.get('/v1/attempts/:id/stream', (request: Request, response: Response) => {
     const resumed = attempts.resume(String(request.params['id']), Number(request.query['from'] ?? 0), response)
--- a/src/stand-ins/engine/faults.ts
+++ b/src/stand-ins/engine/faults.ts
@@ -42,6 +42,8 @@
   slowFactor: number
   /** The engine crashes, and is back after a second, when it has computed the first token of an answer to a prompt with this text. */
   crashOnText: string | undefined
+  /** Requests a second that the engine names in its responses as its limit for all nodes together. */
+  requestLimitPerSecond: number | undefined
 }
 
 /** Initial faults: none. */
@@ -57,7 +59,8 @@
   goneAtMs: undefined,
   lostCacheEvents: 0,
   slowFactor: 1,
-  crashOnText: undefined
+  crashOnText: undefined,
+  requestLimitPerSecond: undefined
 }
 
 /** Values that the conditions of a `VersionBehaviour` are checked against. */
--- a/src/stand-ins/service/index.ts
+++ b/src/stand-ins/service/index.ts
@@ -3,6 +3,7 @@
  * that it receives, without deduplication, and counts calls by idempotency
  * key, so that tests detect calls that ran twice.
  */
+import { requestLimitHeader } from '../../core/backend-limits/index.ts'
 import express from 'express'
 import { createSystemClock } from '../../core/clock/index.ts'
 import { runStateDone, runStateNotRun, runStateHeader } from '../../core/backends/index.ts'
@@ -31,6 +32,8 @@
   silenceConnections: boolean
   /** Setting this to true destroys the open connections; new ones work. */
   breakConnections: boolean
+  /** Requests a second that the service names in its responses as its limit for all nodes together. */
+  requestLimitPerSecond: number | undefined
 }
 
 export interface ServiceStandInOptions extends ListenOptions {
@@ -83,7 +86,8 @@
     frozen: false,
     down: false,
     silenceConnections: false,
-    breakConnections: false
+    breakConnections: false,
+    requestLimitPerSecond: undefined
   }
   const ranByKey = new Map<string, number>()
   const outcomes = new Map<string, unknown>()
@@ -93,6 +97,10 @@
   const app = express()
   const server = await startServer(app, options)
   app.use('/v1', express.json())
+  app.use((_request, response, next) => {
+    if (faults.requestLimitPerSecond !== undefined) response.setHeader(requestLimitHeader, faults.requestLimitPerSecond)
+    next()
+  })
   const orders = addOrderRoutes(app, {
     versions: options.versions ?? ['v1'],
     checksFencing: options.checksFencing ?? true,
