Keep what a backend server said of itself while its entry has expired

The table dropped pause and leaving with the entry, and so it would have dropped the new request limits, on all nodes at the same moment.

Now pause and leaving belong to a start of the server and are taken up when the same start is registered again; limits are kept by id and start and only deleted after 30 s without an entry. The new test of the table failed before.

--- a/bench/measure/request-limits/naive.ts
+++ b/bench/measure/request-limits/naive.ts
@@ -36,7 +36,6 @@
     digestFor: () => empty,
     mergeLimits: () => {},
     setShares: () => {},
-    list: () => [],
-    remove: () => {}
+    list: () => []
   }
 }
--- a/src/core/backend-limits/index.ts
+++ b/src/core/backend-limits/index.ts
@@ -52,6 +52,8 @@
   /** Monotonic time since which a limit is in force; undefined if it isn't. */
   sinceMs: number | undefined
   endedAtMs: number
+  /** Monotonic time since which the backend server isn't registered; undefined if it is. */
+  unregisteredSinceMs: number | undefined
   bucket: PermitBucket
   share: LimitShare | undefined
   shareUntilMs: number
@@ -153,6 +155,7 @@
       changedAtMs: -Infinity,
       sinceMs: undefined,
       endedAtMs: -Infinity,
+      unregisteredSinceMs: undefined,
       bucket: createPermitBucket(),
       share: undefined,
       shareUntilMs: -Infinity,
@@ -205,7 +208,6 @@
 
   function mergeLimits (limits: readonly ReportedLimit[]): void {
     const nowMs = clock.monotonicMs()
-    deleteUnregistered()
     for (const { backend, startedAtMs, perSecond, sentAgeMs, readAgeMs } of limits.slice(0, maxReportedLimits)) {
       const isValid = sentAgeMs >= readAgeMs && readAgeMs >= 0 && (perSecond === undefined || perSecond >= 0)
       if (!isValid) continue
@@ -219,12 +221,13 @@
     return registered !== undefined && registered.startedAtMs === startedAtMs
   }
 
-  /** Deletes what was reported of backend servers that this node doesn't know; they may be registered soon, or be gone. */
+  /** Deletes what is known of backend servers that aren't registered; their entries may only have expired, or arrive soon. */
   function deleteUnregistered (): void {
-    const unregistered = [...known].filter(([, { backend }]) => !isRegistered(backend))
-    const oldestAtMs = clock.monotonicMs() - maxUnregisteredMs
-    for (const [index, [key, { changedAtMs }]] of unregistered.entries()) {
-      if (changedAtMs < oldestAtMs || index < unregistered.length - maxUnregistered) forget(key)
+    const nowMs = clock.monotonicMs()
+    for (const limit of known.values()) limit.unregisteredSinceMs = isRegistered(limit.backend) ? undefined : limit.unregisteredSinceMs ?? nowMs
+    const unregistered = [...known].filter(([, { unregisteredSinceMs }]) => unregisteredSinceMs !== undefined)
+    for (const [index, [key, { unregisteredSinceMs = nowMs }]] of unregistered.entries()) {
+      if (unregisteredSinceMs < nowMs - maxUnregisteredMs || index < unregistered.length - maxUnregistered) forget(key)
     }
   }
 
@@ -316,6 +319,7 @@
   }
 
   function report (): LimitReport {
+    deleteUnregistered()
     // Also without a limit: it must be known from the first one on who else is asked for its service.
     return { limits: limitsToReport(), demands: demand.highest(), shares: undefined }
   }
@@ -349,7 +353,6 @@
     list: () => [...known.values()].flatMap(({ backend, sinceMs, sentCount, skippedCount }) => {
       const state = sinceMs === undefined ? undefined : stateOf({ ...backend, service: serviceOf(backend) ?? '' })
       return state === undefined ? [] : [{ backend: backend.id, ...state, sent: sentCount, skipped: skippedCount }]
-    }),
-    remove: backend => forget(keyOf(backend))
+    })
   }
 }
--- a/src/core/backend-limits/types.ts
+++ b/src/core/backend-limits/types.ts
@@ -124,6 +124,4 @@
   setShares: (shares: readonly ReportedShare[] | undefined) => void
   /** All limits in force. */
   list: () => Array<LimitState & { backend: BackendId, sent: number, skipped: number }>
-  /** Deletes the state of a backend server that is gone. */
-  remove: (backend: LimitedBackend) => void
 }
--- a/src/core/gateway/backend-table-types.ts
+++ b/src/core/gateway/backend-table-types.ts
@@ -19,7 +19,7 @@
   /** The roles of a service's versions. */
   versionRolesOf: (service: string) => (version: VersionId) => VersionRole
   /** The limits that backend servers name for their requests. */
-  limits: Pick<BackendLimits, 'hasPermit' | 'recordSkipped' | 'stateOf' | 'endedAtMs' | 'onRefused' | 'remove'>
+  limits: Pick<BackendLimits, 'hasPermit' | 'recordSkipped' | 'stateOf' | 'endedAtMs' | 'onRefused'>
   /** Random number in [0, 1). */
   random: () => number
   /** Longest pause that a backend server may ask for. */
--- a/src/core/gateway/backend-table.ts
+++ b/src/core/gateway/backend-table.ts
@@ -92,21 +92,23 @@
       return
     }
     const entry = withKnownState(registered, isByRestore)
-    const hasReappeared = isByRestore && departed.find(entry) !== undefined
+    // What the same start of it said still holds when its entry had only expired.
+    const departure = departed.find(entry)
+    const hasReappeared = isByRestore && departure !== undefined
     if (before !== undefined) remove(entry.id, 'replaced by a new registration')
     log('backendChanged', { backend: entry.id, service: entry.service, domain: entry.domain, version: entry.version, leaving: entry.isLeaving })
     known.set(entry.id, {
       entry,
-      backend: toBackend(entry),
+      backend: departure?.leavingSinceMs === undefined ? toBackend(entry) : { ...toBackend(entry), state: 'leaving' },
       connections: connect(entry),
       suspectUntilMs: -Infinity,
       consecutiveFailures: 0,
       lastFailureAtMs: -Infinity,
       lastActivityAtMs: clock.monotonicMs(),
       isMisdirected: false,
-      leavingSinceMs: undefined,
-      isLeavingHeard: false,
-      pausedUntilMs: -Infinity,
+      leavingSinceMs: departure?.leavingSinceMs,
+      isLeavingHeard: departure?.isLeavingHeard ?? false,
+      pausedUntilMs: departure?.pausedUntilMs ?? -Infinity,
       unconfirmedUntilMs: hasReappeared ? clock.monotonicMs() + restoreConfirmationMs : -Infinity
     })
   }
@@ -115,9 +117,8 @@
     const gone = known.get(id)
     if (gone === undefined) return
     known.delete(id)
-    departed.add(gone.entry, isLeaving(gone))
+    departed.add(gone.entry, { ...gone, wasLeaving: isLeaving(gone) })
     gone.connections.close()
-    limits.remove(gone.entry)
     options.onRemoved(id)
     log('backendRemoved', { backend: id, service: gone.entry.service, cause })
   }
@@ -152,9 +153,9 @@
     return ineligibleReason({
       ...candidate,
       isLeaving: isLeaving(candidate),
-      // A node that found out by itself goes on to try; the others wait until it succeeds.
       hasPermit: limits.hasPermit(entry, claim),
       limitEndedAtMs,
+      // A node that found out by itself goes on to try; the others wait until it succeeds.
       isAvoided: isSuspectedByPeers(peerCounts.get(entry.id)) && consecutiveFailures === 0 && lastActivityAtMs < nowMs - ownActivityMs && !retriesSuspects
     }, nowMs, pausedUntilMs === -Infinity && limitEndedAtMs === -Infinity ? 0 : options.random())
   }
--- a/src/core/node/components.ts
+++ b/src/core/node/components.ts
@@ -61,7 +61,6 @@
     createService: backend => createServiceClient({ backend: backend.id, url: backend.url, clock, onNamedLimit: onNamedLimit(backend) }),
     onLeaving: backend => drafts.onBackendLeaving(backend),
     onGone: backend => {
-      requestLimits.remove({ id: backend, service: '' })
       router.removeBackend(backend)
       limits.removeBackend(backend)
       retryBudget.removeBackend(backend)
--- a/test/backend-limits/limits.test.ts
+++ b/test/backend-limits/limits.test.ts
@@ -157,6 +157,25 @@
   t.not(node.limits.take({ ...backend, startedAtMs: 2_000 }, first), undefined)
 })
 
+test('a limit outlasts the expiry of the server\'s entry for a while, and what was reported of unknown servers is bounded', async t => {
+  let isRegistered = true
+  const node = createLimits({ backendOf: () => isRegistered ? backend : undefined })
+  respond(node, named(1))
+  await node.clock.advance(60_000)
+  node.limits.report()
+  isRegistered = false
+  node.limits.report()
+  await node.clock.advance(20_000)
+  node.limits.report()
+  t.is(node.limits.stateOf(backend)?.perSecond, 1)
+  await node.clock.advance(20_000)
+  node.limits.report()
+  t.is(node.limits.stateOf(backend), undefined)
+  for (let index = 0; index < 3_000; index += 1) node.limits.mergeLimits([reported({ backend: toId<BackendId>(`unknown-${index}`) })])
+  node.limits.report()
+  t.true(node.limits.list().length <= 1_024)
+})
+
 test('malformed reports change nothing and do not throw', t => {
   const node = createLimits()
   node.limits.mergeLimits([reported({ perSecond: -1 }), reported({ perSecond: NaN }), reported({ sentAgeMs: -5 }), reported({ readAgeMs: NaN }), reported({ sentAgeMs: 1, readAgeMs: 50 })])
--- a/test/gateway/backend-table.test.ts
+++ b/test/gateway/backend-table.test.ts
@@ -13,7 +13,7 @@
 import type { BackendId, DomainId, NodeId, VersionId } from '../../src/core/ids/index.ts'
 
 const service = 'engines'
-const noLimits: BackendTableOptions['limits'] = { hasPermit: () => true, recordSkipped: () => {}, stateOf: () => undefined, endedAtMs: () => -Infinity, onRefused: () => 0, remove: () => {} }
+const noLimits: BackendTableOptions['limits'] = { hasPermit: () => true, recordSkipped: () => {}, stateOf: () => undefined, endedAtMs: () => -Infinity, onRefused: () => 0 }
 const peer = toId<NodeId>('peer')
 const idOf = (index: number) => toId<BackendId>(`engine-${index}`)
 
@@ -209,6 +209,27 @@
   t.deepEqual([...table.ineligibleCounts().get(service) ?? []].toSorted(), [['leaving', 1], ['paused', 2]])
 })
 
+test('a backend server whose entry expires and returns keeps its pause and still leaves, and its next start does not', async t => {
+  const clock = createManualClock()
+  const table = createTable(clock, 3)
+  table.pause(idOf(0), 4_000)
+  table.markLeaving(idOf(1))
+  for (const index of [0, 1]) {
+    table.remove(idOf(index), 'expired')
+    table.put(entryOf(index))
+  }
+  t.deepEqual(usableIds(table), [idOf(2)])
+  t.deepEqual(table.heardLeaving().map(({ backend }) => backend), [idOf(1)])
+  await clock.advance(7_000)
+  t.deepEqual(usableIds(table).toSorted(), [idOf(0), idOf(2)])
+  table.pause(idOf(0), 4_000)
+  for (const index of [0, 1]) {
+    table.remove(idOf(index), 'expired')
+    table.put(entryOf(index, { startedAtMs: 2_000 }))
+  }
+  t.is(usableIds(table).length, 3)
+})
+
 test('a backend server that had left is still leaving when the key-value service is restored with its earlier entry', async t => {
   const clock = createManualClock()
   const table = createTable(clock, 3)
