--- a/bench/measure/request-limits/cluster.ts
+++ b/bench/measure/request-limits/cluster.ts
@@ -23,6 +23,7 @@
   /** Latest reports by sender. */
   reports: Map<number, { report: LimitReport, receivedAtMs: number, source: number | undefined }>
   lastDigestAtMs: number
+  reportCount: number
 }
 
 /** Options of a cluster. */
@@ -52,6 +53,8 @@
 const collectorTimeoutMs = 600
 const lossRatio = 0.01
 export const tickMs = 10
+/** Number of a node's reports after its start to which a collector responds with all limits. */
+const newNodeReports = 10
 
 const silentLog = createSilentLog()
 const metrics = createMetrics()
@@ -72,6 +75,7 @@
       source: usesCollectors && index !== 0 ? 0 : undefined,
       reports: new Map(),
       lastDigestAtMs: clock.monotonicMs(),
+      reportCount: 0,
       limits: createLimits({
         clock,
         log: silentLog,
@@ -98,6 +102,7 @@
 
   function sendReport (from: ClusterNode): void {
     const report = from.limits.report()
+    from.reportCount += 1
     const isSecond = Math.floor(clock.monotonicMs() / reportIntervalMs) % 2 === 0
     for (const to of nodes) {
       if (to === from || (usesCollectors && to.index > 1)) continue
@@ -105,7 +110,7 @@
       if (!canReach(from, to)) continue
       to.reports.set(from.index, { report, receivedAtMs: clock.monotonicMs(), source: from.source })
       to.limits.mergeLimits(report.limits)
-      if (from.source === to.index && canReach(to, from)) receiveDigest(from, to.limits.digestFor(from.id))
+      if (from.source === to.index && canReach(to, from)) receiveDigest(from, to.limits.digestFor(from.id, from.reportCount <= newNodeReports))
     }
   }
 
--- a/src/core/backend-limits/index.ts
+++ b/src/core/backend-limits/index.ts
@@ -308,13 +308,13 @@
   }
 
   /** The limits that changed lately, and the others in turn. */
-  function limitsToReport (): ReportedLimit[] {
+  function limitsToReport (maxRepeated = maxRepeatedLimits): ReportedLimit[] {
     const nowMs = clock.monotonicMs()
     const reportable = [...known.values()].filter(({ sinceMs, endedAtMs }) => sinceMs !== undefined || endedAtMs >= nowMs - reportEndedMs)
     const changed = reportable.filter(({ changedAtMs }) => changedAtMs >= nowMs - reportChangedMs)
     const others = reportable.filter(({ changedAtMs }) => changedAtMs < nowMs - reportChangedMs)
-    const first = others.length <= maxRepeatedLimits ? 0 : Math.floor(nowMs / repeatIntervalMs) * maxRepeatedLimits % others.length
-    const repeated = [...others.slice(first), ...others.slice(0, first)].slice(0, maxRepeatedLimits)
+    const first = others.length <= maxRepeated ? 0 : Math.floor(nowMs / repeatIntervalMs) * maxRepeated % others.length
+    const repeated = [...others.slice(first), ...others.slice(0, first)].slice(0, maxRepeated)
     return [...changed, ...repeated].slice(0, maxReportedLimits).map(toReported)
   }
 
@@ -324,14 +324,14 @@
     return { limits: limitsToReport(), demands: demand.highest(), shares: undefined }
   }
 
-  function digestFor (receiver: NodeId): LimitReport {
+  function digestFor (receiver: NodeId, isNewReceiver: boolean): LimitReport {
     const shares: ReportedShare[] = []
     for (const limit of known.values()) {
       if (limit.sinceMs === undefined) continue
       const share = allocate(limit).get(receiver)
       if (share !== undefined) shares.push({ backend: limit.backend.id, startedAtMs: limit.backend.startedAtMs, ...share })
     }
-    return { limits: limitsToReport(), demands: new Map(), shares: shares.slice(0, maxReportedLimits) }
+    return { limits: limitsToReport(isNewReceiver ? maxReportedLimits : maxRepeatedLimits), demands: new Map(), shares: shares.slice(0, maxReportedLimits) }
   }
 
   return {
--- a/src/core/backend-limits/types.ts
+++ b/src/core/backend-limits/types.ts
@@ -116,8 +116,8 @@
   onRefused: (service: string, backends: readonly LimitedBackend[], claim: PermitClaim) => number
   /** What this node tells the others. */
   report: () => LimitReport
-  /** What this node, as a collector, tells another node. */
-  digestFor: (node: NodeId) => LimitReport
+  /** What this node, as a collector, tells another node; all limits if that node may not know them yet. */
+  digestFor: (node: NodeId, isNewReceiver: boolean) => LimitReport
   /** Records what another node reported of limits. */
   mergeLimits: (limits: readonly ReportedLimit[]) => void
   /** Replaces the shares that a collector gave to this node; undefined when the collector is no longer used. */
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -43,8 +43,8 @@
   collectReport: () => Omit<NodeReport, 'node' | 'bootId' | 'sequence' | 'wantsDigest' | 'digestSource'>
   /** What a collector knows from all other nodes about prompts that may crash backend servers. */
   promptsFor: (node: NodeId) => PromptReport
-  /** What a collector knows from all other nodes about the limits of backend servers, with the node's shares of them. */
-  limitsFor: (node: NodeId) => LimitReport
+  /** What a collector knows from all other nodes about the limits of backend servers, with the node's shares of them; a new receiver may not know any. */
+  limitsFor: (node: NodeId, isNewReceiver: boolean) => LimitReport
   /** Called with each report of another node. */
   onReport: (report: NodeReport) => void
   /**
@@ -201,14 +201,14 @@
     if (!report.wantsDigest) return
     totals.record(report.node, report.bootId, report)
     const usesTotals = report.digestSource === undefined || report.digestSource === node
-    const needsLevels = report.sequence <= reportsWithLevels || before?.digestSource !== report.digestSource
+    const isNewReceiver = report.sequence <= reportsWithLevels || before?.digestSource !== report.digestSource
     sendDatagram('digest', encodeDigest({
       node,
       bootId,
       isDraining: ownReport?.isDraining ?? false,
       nodes: totals.nodeCountExcept(report.node),
       delta: options.deltaAfter(report.revision),
-      activity: usesTotals ? { ...totals.totalsExcept(report.node), prompts: options.promptsFor(report.node), limits: options.limitsFor(report.node), quotaLevels: needsLevels ? ownReport?.quotaLevels : undefined } : undefined
+      activity: usesTotals ? { ...totals.totalsExcept(report.node), prompts: options.promptsFor(report.node), limits: options.limitsFor(report.node, isNewReceiver), quotaLevels: isNewReceiver ? ownReport?.quotaLevels : undefined } : undefined
     }), from.port, from.address)
   }
 
--- a/test/backend-limits/limits.test.ts
+++ b/test/backend-limits/limits.test.ts
@@ -176,6 +176,22 @@
   t.true(node.limits.list().length <= 1_024)
 })
 
+test('a collector tells a node that has just started of all limits at once, and the others in turn', async t => {
+  const node = createLimits()
+  const receiver = toId<NodeId>('node-2')
+  node.limits.mergeLimits(Array.from({ length: 40 }, (_, index) => reported({ backend: toId<BackendId>(`i-${index}`) })))
+  await node.clock.advance(5_000)
+  t.is(node.limits.digestFor(receiver, true).limits.length, 40)
+  const seen = new Set<BackendId>()
+  for (let count = 0; count < 3; count += 1) {
+    const { limits } = node.limits.digestFor(receiver, false)
+    t.true(limits.length <= 16)
+    for (const { backend: id } of limits) seen.add(id)
+    await node.clock.advance(200)
+  }
+  t.is(seen.size, 40)
+})
+
 test('malformed reports change nothing and do not throw', t => {
   const node = createLimits()
   node.limits.mergeLimits([reported({ perSecond: -1 }), reported({ perSecond: NaN }), reported({ sentAgeMs: -5 }), reported({ readAgeMs: NaN }), reported({ sentAgeMs: 1, readAgeMs: 50 })])
