Keep nodes running when a stored value can not be read

A registration of a node that is not JSON threw in the listener of the view, outside of any handler: each node that watches the key ends, and again after its restart.

Tests: node-registry ended with an uncaught exception before, store-view timed out.

--- a/src/core/leases/duty.ts
+++ b/src/core/leases/duty.ts
@@ -51,7 +51,7 @@
 
 function parseValue (value: string): Partial<DutyValue> {
   try {
-    return JSON.parse(value) as DutyValue
+    return JSON.parse(value) as Partial<DutyValue> | null ?? {}
   } catch {
     // A value that is not JSON was not written by a node.
     return {}
--- a/src/core/store-view/index.ts
+++ b/src/core/store-view/index.ts
@@ -22,6 +22,7 @@
 const firstPeerUpdateCheckMs = 50
 /** Timeout of a read of an omitted value. */
 const readTimeoutMs = 800
+const maxLoggedKeys = 8
 
 /** Creates a view; sends no request before `start` is called. */
 export function createStoreView (options: StoreViewOptions): StoreView {
@@ -48,7 +49,13 @@
 
   function notifyListeners (changes: readonly ViewChange[]): void {
     if (changes.length === 0) return
-    for (const listener of listeners) listener(changes)
+    for (const listener of listeners) {
+      try {
+        listener(changes)
+      } catch (error) {
+        log('viewChangeFailed', { keys: changes.slice(0, maxLoggedKeys).map(({ key }) => key), cause: (error as Error).stack })
+      }
+    }
   }
 
   function markReachable (reachableForMs: number): void {
--- a/src/core/usage/reporter.ts
+++ b/src/core/usage/reporter.ts
@@ -3,6 +3,7 @@
  * are stored in the key-value service before they are sent, so that a repeated
  * report of a window contains the same counts, whichever node sends it.
  */
+import { z } from 'zod'
 import { toId } from '../ids/index.ts'
 import type { Result } from 'true-myth'
 import type { Clock } from '../clock/index.ts'
@@ -15,6 +16,8 @@
 import type { StoreView, ViewChange } from '../store-view/index.ts'
 import type { Usage, WindowCounts } from './types.ts'
 
+const countsSchema = z.record(z.string(), z.number())
+
 /** Result of a report: accepted, or rejected because another node holds the duty. */
 export type UsageReportResult = 'taken' | 'fenced'
 
@@ -72,8 +75,14 @@
     return usagePrefix + window
   }
 
-  function parseCounts (value: string): WindowCounts {
-    return new Map(Object.entries(JSON.parse(value) as Record<string, number>).map(([team, count]) => [toId<TeamId>(team), count]))
+  /** Counts that can't be read were not written by a node; the window then counts as not agreed. */
+  function parseCounts (value: string): WindowCounts | undefined {
+    try {
+      const counts = countsSchema.safeParse(JSON.parse(value)).data
+      return counts === undefined ? undefined : new Map(Object.entries(counts).map(([team, count]) => [toId<TeamId>(team), count]))
+    } catch {
+      return undefined
+    }
   }
 
   /** Windows that are complete, not yet sent, and not past their due time. */
@@ -89,7 +98,8 @@
     for (const { key, value } of changes) {
       if (value === undefined || !key.startsWith(usagePrefix)) continue
       const window = Number(key.slice(usagePrefix.length))
-      if (!agreedCounts.has(window)) agreedCounts.set(window, parseCounts(value))
+      const counts = agreedCounts.has(window) ? undefined : parseCounts(value)
+      if (counts !== undefined) agreedCounts.set(window, counts)
     }
     for (const oldWindow of agreedCounts.keys()) if (oldWindow < usage.windowAt(clock.wallMs()) - 2 * keptWindows) agreedCounts.delete(oldWindow)
   }
--- a/test/platform-adapter/node-registry.test.ts
+++ b/test/platform-adapter/node-registry.test.ts
@@ -23,7 +23,7 @@
     view.onChanges(changes => changes.forEach(registry.applyChange))
     await view.start()
     registry.register()
-    return registry
+    return Object.assign(registry, { store })
   }))
   await clock.advance(1_000)
   return { clock, registries }
@@ -55,6 +55,15 @@
   silent!.close()
 })
 
+test('a registration that can not be read names no node, and the others hold', async t => {
+  const { clock, registries: [holder, other] } = await setUp(3)
+  const values = ['{"node":', 'null', '7', '{}', '{"node":"x","host":5,"linkMbps":1,"reportPort":1,"viewPort":1}', '{"node":"y","host":"h","linkMbps":1,"reportPort":"1","viewPort":1}']
+  const puts = values.map((value, index) => ({ key: `cyclamenshunt/nodes/broken-${index}`, value }))
+  await holder!.store.transact({ compares: [], puts, deletes: [] }, { deadlineAtMs: clock.wallMs() + 1_000 })
+  await clock.advance(1_000)
+  t.deepEqual(other!.peers().map(({ node }) => node).toSorted(), [idOf(0), idOf(2)])
+})
+
 test('a holder that hears few of the nodes deletes nothing', async t => {
   const { clock, registries: [holder] } = await setUp(6)
   for (let second = 0; second < 60; second += 1) {
--- a/test/store-view/store-view.test.ts
+++ b/test/store-view/store-view.test.ts
@@ -210,3 +210,17 @@
   t.true(deltaCount > 10 && deltaCount < 40, `${deltaCount} deltas`)
   t.deepEqual(follower.view.list('servers/').map(({ value }) => value), collector.view.list('servers/').map(({ value }) => value))
 })
+
+test('a value that one listener can not process keeps neither the others nor later changes from being processed', async t => {
+  const { view, put, events } = setUp()
+  t.teardown(view.close)
+  const seen: string[] = []
+  view.onChanges(changes => changes.forEach(({ value }) => JSON.parse(value ?? '')))
+  view.onChanges(changes => seen.push(...changes.map(({ key }) => key)))
+  await put('a', '{"malformed":')
+  await view.start()
+  await put('b', '1')
+  await until(() => seen.includes('b'))
+  t.deepEqual(seen, ['a', 'b'])
+  t.true(events.includes('viewChangeFailed'))
+})
