Let a bucket keep the part of a permit that it began with until it has a rate

In a large fleet the collector's first shares come after the limit, and until then the buckets lost what they began with, so that at 0.2 a second the first request was sent after ten seconds.

--- a/src/core/backend-limits/permits.ts
+++ b/src/core/backend-limits/permits.ts
@@ -9,7 +9,7 @@
 
 /** A bucket of permits. Times are monotonic, in ms. */
 export interface PermitBucket {
-  /** Sets the rate from now on. Without a rate, the permits are lost. */
+  /** Sets the rate from now on. When a rate ends, the permits are lost. */
   setRate: (rate: PermitRate, nowMs: number) => void
   /** Time until a request of a class may be sent; lower classes go first. 0 if it may be sent now, Infinity if never at this rate. */
   waitMs: (priorityClass: number, nowMs: number) => number
@@ -49,8 +49,9 @@
   return {
     setRate: (next, nowMs) => {
       refresh(nowMs)
+      const hasEnded = rate.perSecond > 0 && next.perSecond === 0
       rate = next
-      level = next.perSecond > 0 ? Math.min(next.burst, level) : 0
+      level = hasEnded ? 0 : Math.min(next.burst, level)
     },
     waitMs: (priorityClass, nowMs) => {
       refresh(nowMs)
