Take the permit of a choice before its attempt, and refuse as limited only without any permit

A share may change between the choice of a server and the permit; the attempt was then sent without one. Now another server is chosen. A request whose service has a permit, but not in time for its target, is no longer refused as backends-limited.

--- a/src/core/backend-limits/index.ts
+++ b/src/core/backend-limits/index.ts
@@ -142,6 +142,7 @@
 
   /** The limit in force of a backend server, with this node's present share. */
   function limitOf (backend: LimitedBackend): KnownLimit | undefined {
+    if (known.size === 0) return undefined
     const limit = known.get(keyOf(backend))
     if (limit?.sinceMs === undefined) return undefined
     refreshShare(limit)
@@ -209,7 +210,7 @@
   function mergeLimits (limits: readonly ReportedLimit[]): void {
     const nowMs = clock.monotonicMs()
     for (const { backend, startedAtMs, perSecond, sentAgeMs, readAgeMs } of limits.slice(0, maxReportedLimits)) {
-      const isValid = sentAgeMs >= readAgeMs && readAgeMs >= 0 && (perSecond === undefined || perSecond >= 0)
+      const isValid = sentAgeMs >= readAgeMs && readAgeMs >= 0 && (perSecond === undefined || (perSecond >= 0 && Number.isFinite(perSecond)))
       if (!isValid) continue
       // The report was under way for an unknown time, so the request may have been sent earlier than its age says.
       addEvidence({ id: backend, startedAtMs }, { perSecond, sentAtMs: nowMs - sentAgeMs - reportDelayMs, readAtMs: nowMs - readAgeMs }, 'other-node')
@@ -342,7 +343,7 @@
     recordSkipped,
     take,
     stateOf,
-    endedAtMs: backend => known.get(keyOf(backend))?.endedAtMs ?? -Infinity,
+    endedAtMs: backend => known.size === 0 ? -Infinity : known.get(keyOf(backend))?.endedAtMs ?? -Infinity,
     onRefused,
     report,
     digestFor,
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -16,7 +16,7 @@
 import { requestLogFields } from './active-request.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AttemptId, BackendId, RequestId, TeamId } from '../ids/index.ts'
-import type { PermitClaim } from '../backend-limits/index.ts'
+import type { Permit, PermitClaim } from '../backend-limits/index.ts'
 import type { RouteChoice, RouteRequest } from '../routing/index.ts'
 import type { AttemptEnd } from './attempt.ts'
 import type { RequestHandlerOptions, ActiveRequest } from './active-request.ts'
@@ -224,29 +224,40 @@
         continue
       }
       if (admittance.kind === 'refused') return failRequest(active, admittance.reason, admittance.detail, admittance.retryAtMs - clock.wallMs())
-      const chosen = router.choose(routeRequest(active), backends.usable(active.service, claimOf(active), backend => active.limitedBackends.add(backend)))
+      const usable = backends.usable(active.service, claimOf(active), backend => active.limitedBackends.add(backend))
+      const chosen = router.choose(routeRequest(active), usable)
       if (chosen.isErr) {
         admittance.release()
         const pausedForMs = backends.allPausedForMs(active.service)
         if (pausedForMs !== undefined) return failRequest(active, 'backends-paused', 'All backend servers of the service asked for a pause.', pausedForMs + options.random() * resumeMs)
-        const limitedForMs = backends.allLimitedForMs(active.service, claimOf(active))
+        const limitedForMs = usable.length === 0 ? backends.allLimitedForMs(active.service, claimOf(active)) : undefined
         if (limitedForMs !== undefined) return failRequest(active, 'backends-limited', 'All backend servers of the service limit their requests, and no permit is left.', limitedForMs)
         const { reason, detail, retryAtMs } = chosen.error
         return failRequest(active, reason, detail, Math.max(0, (retryAtMs ?? 0) - clock.wallMs()))
       }
+      const permit = takePermit(active, chosen.value)
+      if (permit === undefined) {
+        admittance.release()
+        continue
+      }
       const end = await attemptOnce(active, chosen.value)
+      if (isUnsent(end)) permit.giveBack()
       admittance.release()
       await promptGate.onAttemptEnded(active, end)
       if (handleAttemptEnd(active, chosen.value, end)) return
     }
   }
 
+  /** Undefined if the limit changed since the choice, which was made with a permit. */
+  function takePermit (active: ActiveRequest, { backend }: RouteChoice): Permit | undefined {
+    const known = backends.get(backend.id)
+    return known === undefined ? { giveBack: () => {} } : limits.take(known.entry, claimOf(active))
+  }
+
   async function attemptOnce (active: ActiveRequest, choice: RouteChoice): Promise<AttemptEnd> {
     const { route, team, request, response, head, id } = active
     const known = backends.get(choice.backend.id)
     if (known === undefined) return { kind: 'not-run', cause: 'the backend server was removed after it was chosen', isMisdirected: false, isUnreachable: true }
-    // Chosen in the same turn of the event loop, in which the permit was there.
-    const permit = limits.take(known.entry, claimOf(active))
     active.choice = choice
     const nowMs = clock.wallMs()
     const attemptId = toId<AttemptId>(`${id}/${active.sentCount}/${active.undeliveredCount}`)
@@ -301,7 +312,6 @@
     options.onSent({ service: active.service, isCanary, workMs: choice.prefillMs })
     if (active.sentCount === 0) options.retryBudget.deposit(choice.backend.id)
     const end = await attempt.ended
-    if (isUnsent(end)) permit?.giveBack()
     clearTimeout(responseTimer)
     active.attempt = undefined
     active.endedInPhase = attempt.phase()
