Release requests that are refused after the quarantine admitted them

Each request with a prompt was kept in the gate's list from its admittance on, and only the end of an attempt took it out: one that found no backend server, or none in time, stayed there with its body for the life of the process. Found by reading the path that refuses requests for limits.

--- a/src/core/backend-limits/index.ts
+++ b/src/core/backend-limits/index.ts
@@ -5,14 +5,18 @@
  * hears few others has a small part of the limit, and one that has just learned of it begins
  * without a permit.
  */
-import { allocateLimit, effectiveLimit } from './allocation.ts'
+import { effectiveLimit } from './allocation.ts'
 import { createDemandMeter } from './demand.ts'
 import { addResponse, isInForce, reportDelayMs } from './evidence.ts'
 import { createPermitBucket } from './permits.ts'
+import { maxReportedLimits, selectLimits } from './report-selection.ts'
+import { allocationTtlMs, createLimitShares } from './shares.ts'
 import type { NodeId } from '../ids/index.ts'
 import type { LimitEvidence, LimitResponse } from './evidence.ts'
 import type { NamedLimit } from './parse.ts'
 import type { PermitBucket } from './permits.ts'
+import type { ReportableLimit } from './report-selection.ts'
+import type { DividedLimit } from './shares.ts'
 import type { BackendLimits, BackendLimitsOptions, LimitedBackend, LimitReport, LimitShare, LimitState, PermitClaim, ReportedLimit, ReportedShare } from './types.ts'
 
 export type * from './types.ts'
@@ -22,19 +26,6 @@
 export type { WireLimits } from './wire.ts'
 
 const secondMs = 1_000
-/** Time for which an ended limit is reported to the others. */
-const reportEndedMs = 3_000
-/** Time after a change for which a limit is in every report; some reports are lost. */
-const reportChangedMs = 1_000
-/** Limits in one report beside the changed ones, in turn, and in all. */
-const maxRepeatedLimits = 16
-const maxReportedLimits = 64
-/** Interval at which the next limits are repeated: that of the reports. */
-const repeatIntervalMs = 200
-/** Age up to which a collector's shares hold; several of its digests. */
-const maxShareAgeMs = 1_000
-/** Time for which an allocation is used again; half a report interval. */
-const allocationTtlMs = 100
 /** Time after which the evidence of a backend server is deleted that isn't registered. */
 const maxUnregisteredMs = 30_000
 /** Most limits that are remembered of backend servers that aren't registered. */
@@ -45,13 +36,7 @@
 const skipLogIntervalMs = 5_000
 
 /** What this node knows of one start of a backend server. */
-interface KnownLimit {
-  backend: Pick<LimitedBackend, 'id' | 'startedAtMs'>
-  evidence: LimitEvidence
-  changedAtMs: number
-  /** Monotonic time since which a limit is in force; undefined if it isn't. */
-  sinceMs: number | undefined
-  endedAtMs: number
+interface KnownLimit extends ReportableLimit {
   /** Monotonic time since which the backend server isn't registered; undefined if it is. */
   unregisteredSinceMs: number | undefined
   bucket: PermitBucket
@@ -76,65 +61,25 @@
 
 /** Creates the limits of one node. */
 export function createBackendLimits (options: BackendLimitsOptions): BackendLimits {
-  const { clock, log, metrics, random, node, draw, otherNodes, reportedDemands, getsAllReports, backendOf } = options
+  const { clock, log, metrics, random, otherNodes, backendOf } = options
   const known = new Map<string, KnownLimit>()
   const reportedInvalid = new Set<string>()
   const demand = createDemandMeter(clock)
   const refusals = createDemandMeter(clock)
-  const rankings = new Map<string, readonly NodeId[]>()
-  const allocations = new Map<string, { shares: Map<NodeId, LimitShare>, untilMs: number }>()
-  let rankedNodes: ReadonlyArray<{ node: NodeId }> = []
-  let granted: { shares: Map<string, LimitShare>, untilMs: number } | undefined
+  const shares = createLimitShares({ ...options, ownDemand: demand.perSecond })
 
   function serviceOf ({ id }: Pick<LimitedBackend, 'id'>): string | undefined {
     return backendOf(id)?.service
   }
 
-  /** All registered nodes in an order that is the backend server's own and the same on every node. */
-  function rankNodes (key: string): readonly NodeId[] {
-    const others = otherNodes()
-    if (others !== rankedNodes) {
-      rankings.clear()
-      rankedNodes = others
-    }
-    const existing = rankings.get(key)
-    if (existing !== undefined) return existing
-    const draws = new Map([node, ...others.map(other => other.node)].map(id => [id, draw(`${key}/${id}`)]))
-    const ranked = [...draws.keys()].sort((a, b) => (draws.get(a) ?? 0) - (draws.get(b) ?? 0))
-    rankings.set(key, ranked)
-    return ranked
-  }
-
-  /** The shares of the nodes whose reports come here. */
-  function allocate ({ backend, evidence }: KnownLimit): Map<NodeId, LimitShare> {
-    const key = keyOf(backend)
-    const nowMs = clock.monotonicMs()
-    const existing = allocations.get(key)
-    if (existing !== undefined && nowMs < existing.untilMs) return existing.shares
-    const service = serviceOf(backend) ?? ''
-    const demands = new Map([...reportedDemands()].map(([other, byService]) => [other, byService.get(service) ?? 0]))
-    // A node that uses a collector's shares is counted there.
-    if (getsAllReports()) demands.set(node, demand.perSecond(service))
-    const shares = allocateLimit({ perSecond: evidence.named.perSecond, ranked: rankNodes(key), demands })
-    allocations.set(key, { shares, untilMs: nowMs + allocationTtlMs })
-    return shares
-  }
-
-  /** This node's share without the collector that divides the limit: as if it heard no other node. */
-  function shareAlone ({ backend, evidence }: KnownLimit): LimitShare | undefined {
-    return allocateLimit({ perSecond: evidence.named.perSecond, ranked: rankNodes(keyOf(backend)), demands: new Map([[node, 1]]) }).get(node)
-  }
-
-  function ownShare (limit: KnownLimit): LimitShare | undefined {
-    if (getsAllReports()) return allocate(limit).get(node)
-    if (granted !== undefined && clock.monotonicMs() < granted.untilMs) return granted.shares.get(keyOf(limit.backend))
-    return shareAlone(limit)
+  function toDivided ({ backend, evidence }: KnownLimit): DividedLimit {
+    return { key: keyOf(backend), service: serviceOf(backend) ?? '', perSecond: evidence.named.perSecond }
   }
 
   function refreshShare (limit: KnownLimit): void {
     const nowMs = clock.monotonicMs()
     if (nowMs < limit.shareUntilMs) return
-    limit.share = ownShare(limit)
+    limit.share = shares.own(toDivided(limit))
     limit.shareUntilMs = nowMs + allocationTtlMs
     const perSecond = (limit.share?.ratio ?? 0) * effectiveLimit(limit.evidence.named.perSecond)
     limit.bucket.setRate({ perSecond, burst: limit.share?.burst ?? 1 }, nowMs)
@@ -181,7 +126,7 @@
     const fields = { backend: backend.id, service: serviceOf(backend), source, sent: limit.sentCount, skipped: limit.skippedCount }
     limit.changedAtMs = nowMs
     limit.shareUntilMs = -Infinity
-    allocations.delete(keyOf(backend))
+    shares.invalidate(keyOf(backend))
     if (perSecond === undefined) {
       log('backendLimitEnded', { ...fields, beforePerSecond, forMs: Math.round(nowMs - (limit.sinceMs ?? nowMs)) })
       limit.sinceMs = undefined
@@ -235,8 +180,7 @@
   function forget (key: string): void {
     known.delete(key)
     reportedInvalid.delete(key)
-    allocations.delete(key)
-    rankings.delete(key)
+    shares.remove(key)
   }
 
   function hasPermit (backend: LimitedBackend, claim: PermitClaim): boolean {
@@ -302,37 +246,20 @@
     return soonestMs + random() * spreadMs
   }
 
-  function toReported ({ backend, evidence, sinceMs }: KnownLimit): ReportedLimit {
-    const nowMs = clock.monotonicMs()
-    const { perSecond, sentAtMs, readAtMs } = sinceMs === undefined && evidence.cleared !== undefined ? evidence.cleared : evidence.named
-    return { backend: backend.id, startedAtMs: backend.startedAtMs, perSecond, sentAgeMs: nowMs - sentAtMs, readAgeMs: nowMs - readAtMs }
-  }
-
-  /** The limits that changed lately, and the others in turn. */
-  function limitsToReport (maxRepeated = maxRepeatedLimits): ReportedLimit[] {
-    const nowMs = clock.monotonicMs()
-    const reportable = [...known.values()].filter(({ sinceMs, endedAtMs }) => sinceMs !== undefined || endedAtMs >= nowMs - reportEndedMs)
-    const changed = reportable.filter(({ changedAtMs }) => changedAtMs >= nowMs - reportChangedMs)
-    const others = reportable.filter(({ changedAtMs }) => changedAtMs < nowMs - reportChangedMs)
-    const first = others.length <= maxRepeated ? 0 : Math.floor(nowMs / repeatIntervalMs) * maxRepeated % others.length
-    const repeated = [...others.slice(first), ...others.slice(0, first)].slice(0, maxRepeated)
-    return [...changed, ...repeated].slice(0, maxReportedLimits).map(toReported)
-  }
-
   function report (): LimitReport {
     deleteUnregistered()
     // Also without a limit: it must be known from the first one on who else is asked for its service.
-    return { limits: limitsToReport(), demands: demand.highest(), shares: undefined }
+    return { limits: selectLimits(known.values(), clock.monotonicMs()), demands: demand.highest(), shares: undefined }
   }
 
   function digestFor (receiver: NodeId, isNewReceiver: boolean): LimitReport {
-    const shares: ReportedShare[] = []
+    const reported: ReportedShare[] = []
     for (const limit of known.values()) {
       if (limit.sinceMs === undefined) continue
-      const share = allocate(limit).get(receiver)
-      if (share !== undefined) shares.push({ backend: limit.backend.id, startedAtMs: limit.backend.startedAtMs, ...share })
+      const share = shares.divide(toDivided(limit)).get(receiver)
+      if (share !== undefined) reported.push({ backend: limit.backend.id, startedAtMs: limit.backend.startedAtMs, ...share })
     }
-    return { limits: limitsToReport(isNewReceiver ? maxReportedLimits : maxRepeatedLimits), demands: new Map(), shares: shares.slice(0, maxReportedLimits) }
+    return { limits: selectLimits(known.values(), clock.monotonicMs(), isNewReceiver), demands: new Map(), shares: reported.slice(0, maxReportedLimits) }
   }
 
   return {
@@ -348,9 +275,7 @@
     report,
     digestFor,
     mergeLimits,
-    setShares: shares => {
-      granted = shares === undefined ? undefined : { shares: new Map(shares.map(({ backend, startedAtMs, ratio, burst }) => [keyOf({ id: backend, startedAtMs }), { ratio, burst }])), untilMs: clock.monotonicMs() + maxShareAgeMs }
-    },
+    setShares: granted => shares.setGranted(granted === undefined ? undefined : new Map(granted.map(share => [keyOf({ id: share.backend, startedAtMs: share.startedAtMs }), share]))),
     list: () => [...known.values()].flatMap(({ backend, sinceMs, sentCount, skippedCount }) => {
       const state = sinceMs === undefined ? undefined : stateOf({ ...backend, service: serviceOf(backend) ?? '' })
       return state === undefined ? [] : [{ backend: backend.id, ...state, sent: sentCount, skipped: skippedCount }]
--- a/src/core/gateway/prompt-gate.ts
+++ b/src/core/gateway/prompt-gate.ts
@@ -38,8 +38,15 @@
   async function admit (active: ActiveRequest): Promise<Admittance> {
     const { service, head, hasCrashedBackend, ended } = active
     const admittance = await quarantine.admit({ service, parts: head.sharedParts, isRetryAfterCrash: hasCrashedBackend, signal: ended.signal })
-    if (admittance.kind === 'admitted' && head.sharedParts.length > 0) open.add(active)
-    return admittance
+    if (admittance.kind === 'refused' || head.sharedParts.length === 0) return admittance
+    open.add(active)
+    return {
+      kind: 'admitted',
+      release: () => {
+        open.delete(active)
+        admittance.release()
+      }
+    }
   }
 
   /** Whether the backend server is known to stop, so that the end of its connections is no sign of a crash. */
@@ -69,7 +76,6 @@
     onFirstEvent: ({ service, head }) => quarantine.recordAnswer(service, head.sharedParts),
     onAttemptEnded: async (active, end) => {
       const { service, head, choice, route } = active
-      open.delete(active)
       if (end.kind === 'complete' && end.response.status < 500 && route.kind !== 'stream') quarantine.recordAnswer(service, head.sharedParts)
       const crashedAtMs = clock.wallMs()
       const known = choice === undefined ? undefined : backends.get(choice.backend.id)
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -8,6 +8,7 @@
 import { readBody } from './read-body.ts'
 import { servingLabel, canaryLabel } from './backend-table.ts'
 import { createAttemptEndHandler } from './attempt-end-handler.ts'
+import { createLimitGate } from './limit-gate.ts'
 import { createPromptGate } from './prompt-gate.ts'
 import { resumeMs } from './eligibility.ts'
 import { createLatencyObserver } from './latency-observer.ts'
@@ -15,8 +16,7 @@
 import { createRefusals } from './refusals.ts'
 import { requestLogFields } from './active-request.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { AttemptId, BackendId, RequestId, TeamId } from '../ids/index.ts'
-import type { Permit, PermitClaim } from '../backend-limits/index.ts'
+import type { AttemptId, RequestId, TeamId } from '../ids/index.ts'
 import type { RouteChoice, RouteRequest } from '../routing/index.ts'
 import type { AttemptEnd } from './attempt.ts'
 import type { RequestHandlerOptions, ActiveRequest } from './active-request.ts'
@@ -37,11 +37,6 @@
 const maxResponseBytes = 16 * 1024 * 1024
 const maxBufferedBytes = 64 * 1024 * 1024
 
-/** Whether certainly no byte of the request was sent. */
-function isUnsent (end: AttemptEnd): boolean {
-  return (end.kind === 'not-run' && end.isUnreachable) || (end.kind === 'aborted' && !end.mayHaveRun)
-}
-
 /** Serves one request; resolves when its response has ended or its caller has disconnected. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>
 
@@ -52,6 +47,7 @@
   const buffers = createResponseBuffers({ maxResponseBytes, maxTotalBytes: maxBufferedBytes })
   const { refuse, withJitter } = refusals
   const promptGate = createPromptGate(options)
+  const limitGate = createLimitGate(options)
   const { handleAttemptEnd, failRequest, timeOutRequest } = createAttemptEndHandler(options, refusals)
 
   /** Finds the route and the team; refuses the request and returns undefined when it is not allowed. */
@@ -186,15 +182,6 @@
     }
   }
 
-  function claimOf ({ team, route, sentCount }: ActiveRequest): PermitClaim {
-    return { rank: team?.rank ?? route.rank, isRetry: sentCount > 0 }
-  }
-
-  function hasLimit (id: BackendId): boolean {
-    const known = backends.get(id)
-    return known !== undefined && limits.stateOf(known.entry) !== undefined
-  }
-
   function routeRequest (active: ActiveRequest): RouteRequest {
     const { id, service, head, deadlineAtMs, excluded, route, arrivedAtMs } = active
     const share = options.canaryShare(service)
@@ -208,7 +195,7 @@
       deadlineAtMs,
       ...(isFirstAttempt && route.kind === 'stream' ? { firstTokenDeadlineAtMs: arrivedAtMs + route.latencyTargetMs } : {}),
       compareAllBackends: options.hasRecentLoads(),
-      isAlwaysCompared: hasLimit,
+      isAlwaysCompared: limitGate.hasLimit,
       excluded
     }
   }
@@ -224,36 +211,30 @@
         continue
       }
       if (admittance.kind === 'refused') return failRequest(active, admittance.reason, admittance.detail, admittance.retryAtMs - clock.wallMs())
-      const usable = backends.usable(active.service, claimOf(active), backend => active.limitedBackends.add(backend))
+      const usable = limitGate.usable(active)
       const chosen = router.choose(routeRequest(active), usable)
       if (chosen.isErr) {
         admittance.release()
         const pausedForMs = backends.allPausedForMs(active.service)
         if (pausedForMs !== undefined) return failRequest(active, 'backends-paused', 'All backend servers of the service asked for a pause.', pausedForMs + options.random() * resumeMs)
-        const limitedForMs = usable.length === 0 ? backends.allLimitedForMs(active.service, claimOf(active)) : undefined
+        const limitedForMs = usable.length === 0 ? limitGate.retryInMs(active) : undefined
         if (limitedForMs !== undefined) return failRequest(active, 'backends-limited', 'All backend servers of the service limit their requests, and no permit is left.', limitedForMs)
         const { reason, detail, retryAtMs } = chosen.error
         return failRequest(active, reason, detail, Math.max(0, (retryAtMs ?? 0) - clock.wallMs()))
       }
-      const permit = takePermit(active, chosen.value)
+      const permit = limitGate.takePermit(active, chosen.value)
       if (permit === undefined) {
         admittance.release()
         continue
       }
       const end = await attemptOnce(active, chosen.value)
-      if (isUnsent(end)) permit.giveBack()
+      limitGate.onAttemptEnded(permit, end)
       admittance.release()
       await promptGate.onAttemptEnded(active, end)
       if (handleAttemptEnd(active, chosen.value, end)) return
     }
   }
 
-  /** Undefined if the limit changed since the choice, which was made with a permit. */
-  function takePermit (active: ActiveRequest, { backend }: RouteChoice): Permit | undefined {
-    const known = backends.get(backend.id)
-    return known === undefined ? { giveBack: () => {} } : limits.take(known.entry, claimOf(active))
-  }
-
   async function attemptOnce (active: ActiveRequest, choice: RouteChoice): Promise<AttemptEnd> {
     const { route, team, request, response, head, id } = active
     const known = backends.get(choice.backend.id)
