--- a/src/core/backend-limits/index.ts
+++ b/src/core/backend-limits/index.ts
@@ -17,7 +17,7 @@
 import type { PermitBucket } from './permits.ts'
 import type { ReportableLimit } from './report-selection.ts'
 import type { DividedLimit } from './shares.ts'
-import type { BackendLimits, BackendLimitsOptions, LimitedBackend, LimitReport, LimitShare, LimitState, PermitClaim, ReportedLimit, ReportedShare } from './types.ts'
+import type { BackendLimits, BackendLimitsOptions, LimitedBackend, LimitReport, LimitShare, LimitState, Permit, PermitClaim, ReportedLimit, ReportedShare } from './types.ts'
 
 export type * from './types.ts'
 export { parseNamedLimit, requestLimitHeader } from './parse.ts'
@@ -28,7 +28,7 @@
 const secondMs = 1_000
 /** Time after which the evidence of a backend server is deleted that isn't registered. */
 const maxUnregisteredMs = 30_000
-/** Most limits that are remembered of backend servers that aren't registered. */
+/** Most backend servers that aren't registered, or named an invalid limit, that are remembered. */
 const maxUnregistered = 1_024
 /** Longest time over which refused callers are told to come back. */
 const maxRetryMs = 5_000
@@ -57,7 +57,7 @@
   return rank * 2 + (isRetry ? 1 : 0)
 }
 
-const noPermitNeeded = { giveBack: () => {} }
+const noPermitNeeded: Permit = { giveBack: () => {} }
 
 /** Creates the limits of one node. */
 export function createBackendLimits (options: BackendLimitsOptions): BackendLimits {
@@ -144,9 +144,10 @@
   function recordResponse (backend: LimitedBackend, named: NamedLimit, sentAtMs: number): void {
     const { id, service } = backend
     if (named.kind === 'invalid') {
-      if (!reportedInvalid.has(keyOf(backend))) log('backendLimitInvalid', { backend: id, service, text: named.text })
+      if (reportedInvalid.has(keyOf(backend))) return
+      if (reportedInvalid.size >= maxUnregistered) reportedInvalid.clear()
       reportedInvalid.add(keyOf(backend))
-      return
+      return log('backendLimitInvalid', { backend: id, service, text: named.text })
     }
     const perSecond = named.kind === 'none' ? undefined : named.perSecond
     addEvidence(backend, { perSecond, sentAtMs, readAtMs: clock.monotonicMs() }, 'response')
@@ -200,7 +201,7 @@
     log('backendLimitSkipped', { backend: backend.id, service: backend.service, skipped: limit.skippedCount, sent: limit.sentCount, ...stateOf(backend) })
   }
 
-  function take (backend: LimitedBackend, claim: PermitClaim): { giveBack: () => void } | undefined {
+  function take (backend: LimitedBackend, claim: PermitClaim): Permit | undefined {
     const limit = limitOf(backend)
     if (limit === undefined) return noPermitNeeded
     if (limit.bucket.waitMs(classOf(claim), clock.monotonicMs()) > 0) return undefined
