--- a/bench/measure/crashing-prompts/index.ts
+++ b/bench/measure/crashing-prompts/index.ts
@@ -1,6 +1,7 @@
 /** `npm run measure -- crashing-prompts`: how many engines a part of a prompt crashes until all nodes refuse it, and what that costs sound requests; with a plot. */
 import { mkdir, writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
+import { facetChart } from '../facet-chart.ts'
 import { toSvg } from '../plot.ts'
 import { playCrashingPrompts } from './play.ts'
 import type { TopLevelSpec } from 'vega-lite'
@@ -51,21 +52,11 @@
   const values = rows.filter(({ trouble }) => trouble === 'none').map(({ nodes, ratePerSecond, usesQuarantine, results }) => ({
     nodes: `${nodes} nodes`, rate: ratePerSecond, crashes: medianOf(results.map(({ crashes }) => crashes)), policy: usesQuarantine ? 'quarantine' : 'before'
   }))
-  return {
-    background: 'white',
-    data: { values },
-    facet: { field: 'nodes', type: 'nominal', title: null, sort: fleets.map(({ nodes }) => `${nodes} nodes`) },
-    spec: {
-      width: 180,
-      height: 180,
-      mark: { type: 'line', point: true },
-      encoding: {
-        x: { field: 'rate', type: 'quantitative', scale: { type: 'log' }, title: 'requests with the part a second' },
-        y: { field: 'crashes', type: 'quantitative', scale: { type: 'log' }, title: `crashes in ${(forMs / 1_000) - 5} s` },
-        color: { field: 'policy', type: 'nominal', title: null }
-      }
-    }
-  }
+  return facetChart(values, {
+    facets: fleets.map(({ nodes }) => `${nodes} nodes`),
+    x: { field: 'rate', title: 'requests with the part a second' },
+    y: { field: 'crashes', title: `crashes in ${(forMs / 1_000) - 5} s` }
+  })
 }
 
 /** Plays all cases and writes the page and the plot into a folder; returns the table. */
--- a/bench/measure/request-limits/index.ts
+++ b/bench/measure/request-limits/index.ts
@@ -1,6 +1,7 @@
 /** `npm run measure -- request-limits`: what limited backend servers get from many nodes, and how much of their limits is used; with a plot. */
 import { mkdir, writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
+import { facetChart } from '../facet-chart.ts'
 import { toSvg } from '../plot.ts'
 import { createEqualShares } from './naive.ts'
 import { playRequestLimits } from './play.ts'
@@ -47,21 +48,11 @@
   const values = rows.filter(({ share }) => share === 'third').map(({ nodes, perSecond, trouble, isNaive, results }) => ({
     nodes: `${nodes} nodes`, perSecond, ratio: Math.max(...results.map(({ largestRatio }) => largestRatio)), policy: isNaive ? 'equal shares' : trouble
   }))
-  return {
-    background: 'white',
-    data: { values },
-    facet: { field: 'nodes', type: 'nominal', title: null, sort: fleets.map(({ nodes }) => `${nodes} nodes`) },
-    spec: {
-      width: 180,
-      height: 180,
-      mark: { type: 'line', point: true },
-      encoding: {
-        x: { field: 'perSecond', type: 'quantitative', scale: { type: 'log' }, title: 'limit, requests a second' },
-        y: { field: 'ratio', type: 'quantitative', scale: { type: 'log' }, title: 'largest window over what is allowed' },
-        color: { field: 'policy', type: 'nominal', title: null }
-      }
-    }
-  }
+  return facetChart(values, {
+    facets: fleets.map(({ nodes }) => `${nodes} nodes`),
+    x: { field: 'perSecond', title: 'limit, requests a second' },
+    y: { field: 'ratio', title: 'largest window over what is allowed' }
+  })
 }
 
 /** Plays all cases and writes the page and the plot into a folder; returns the table. */
--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -1,4 +1,5 @@
 /** The state of a request that the gateway is serving, and the fields of its log events. */
+import { createStreamProgress } from './attempt.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Admission, RetryBudget } from '../admission/types.ts'
 import type { BackendLimits } from '../backend-limits/index.ts'
@@ -116,6 +117,31 @@
   failureResponse: CompleteResponse | undefined
 }
 
+/** Creates the state of an accepted request, before its first attempt. */
+export function createActiveRequest (accepted: Pick<ActiveRequest, 'id' | 'route' | 'team' | 'head' | 'version' | 'body' | 'arrivedAtMs' | 'request' | 'response' | 'service'>): ActiveRequest {
+  const { arrivedAtMs, route, head } = accepted
+  return {
+    ...accepted,
+    deadlineAtMs: arrivedAtMs + Math.min(route.timeoutMs, head.callerTimeoutMs ?? Infinity),
+    progress: createStreamProgress(),
+    mayHaveRunOn: new Set(),
+    excluded: new Set(),
+    sentCount: 0,
+    undeliveredCount: 0,
+    limitedBackends: new Set(),
+    attempt: undefined,
+    endedInPhase: undefined,
+    hasCrashedBackend: false,
+    blockedBy: undefined,
+    ended: new AbortController(),
+    isCallerGone: false,
+    isTimedOut: false,
+    choice: undefined,
+    firstByteMs: undefined,
+    failureResponse: undefined
+  }
+}
+
 /** Why a prompt is not sent, and when a retry may succeed. */
 export type BlockedPrompt = Pick<Extract<Admittance, { kind: 'refused' }>, 'reason' | 'detail' | 'retryAtMs'>
 
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -3,7 +3,7 @@
  * control, and makes attempts until the outcome is known.
  */
 import { toId } from '../ids/index.ts'
-import { createStreamProgress, startAttempt } from './attempt.ts'
+import { startAttempt } from './attempt.ts'
 import { isAttemptOk } from './attempt-outcome.ts'
 import { readBody } from './read-body.ts'
 import { servingLabel, canaryLabel } from './backend-table.ts'
@@ -14,7 +14,7 @@
 import { createLatencyObserver } from './latency-observer.ts'
 import { createResponseBuffers } from './response-buffers.ts'
 import { createRefusals } from './refusals.ts'
-import { requestLogFields } from './active-request.ts'
+import { createActiveRequest, requestLogFields } from './active-request.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AttemptId, RequestId, TeamId } from '../ids/index.ts'
 import type { RouteChoice, RouteRequest } from '../routing/index.ts'
@@ -106,32 +106,8 @@
       request.resume()
       return
     }
-    const { route, team, head, version, id } = accepted
-    const active: ActiveRequest = {
-      ...accepted,
-      body: body.body,
-      arrivedAtMs,
-      deadlineAtMs: arrivedAtMs + Math.min(route.timeoutMs, head.callerTimeoutMs ?? Infinity),
-      request,
-      response,
-      service: pickService(id, route),
-      progress: createStreamProgress(),
-      mayHaveRunOn: new Set(),
-      excluded: new Set(),
-      sentCount: 0,
-      undeliveredCount: 0,
-      limitedBackends: new Set(),
-      attempt: undefined,
-      endedInPhase: undefined,
-      hasCrashedBackend: false,
-      blockedBy: undefined,
-      ended: new AbortController(),
-      isCallerGone: false,
-      isTimedOut: false,
-      choice: undefined,
-      firstByteMs: undefined,
-      failureResponse: undefined
-    }
+    const { route, team, version, id } = accepted
+    const active = createActiveRequest({ ...accepted, body: body.body, arrivedAtMs, request, response, service: pickService(id, route) })
     limits.recordDemand(active.service)
     const quarantined = promptGate.refusalOnArrival(active)
     if (quarantined !== undefined) return refuse(response, quarantined, requestLogFields(active, clock))
--- a/src/core/log/events/platform.ts
+++ b/src/core/log/events/platform.ts
@@ -5,7 +5,7 @@
   keyValueDown: { number: 600, level: 'warn', text: 'The key-value service does not respond.', remedy: 'Check the service; until it responds, the node uses its last known content.' },
   keyValueUp: { number: 601, level: 'info', text: 'The key-value service responds again.', remedy: 'none' },
   storeRestored: { number: 602, level: 'warn', text: 'The key-value service was restored from an older copy; what was written since the copy is lost or written again.', remedy: 'none for a planned drill; otherwise check the service. See docs/operators/key-value-service.md.' },
-  viewChangeFailed: { number: 603, level: 'error', text: 'A change of the key-value service could not be processed; the node goes on with the next ones.', remedy: 'Correct or delete the value of one of the keys, and report a bug with the fields of this event.' },
+  viewChangeFailed: { number: 603, level: 'error', text: 'A change of the key-value service could not be processed; the node goes on with the next ones.', remedy: 'Correct or delete the value; key is the first of the changes that were processed together. Report a bug with the fields of this event.' },
   nodeEntryUnreadable: { number: 604, level: 'warn', text: 'The registration of a node can not be read; it names no node.', remedy: 'Delete the entry; a node that runs registers again.' },
   dutyTaken: { number: 610, level: 'info', text: 'This node now holds a duty.', remedy: 'none' },
   dutyLost: { number: 611, level: 'warn', text: 'This node no longer holds a duty.', remedy: 'Another node takes over the duty; check the key-value service if this happens repeatedly.' },
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -278,10 +278,8 @@
     },
     ownReports: () => {
       const oldestAtMs = clock.monotonicMs() - maxCurrentAgeMs
-      return [...reportsByNode.values()].flatMap(({ report, receivedAtMs }) => {
-        const usesOwnDigest = !report.wantsDigest || report.digestSource === node
-        return receivedAtMs >= oldestAtMs && usesOwnDigest ? [report] : []
-      })
+      const usesOwnDigest = ({ wantsDigest, digestSource }: NodeReport): boolean => !wantsDigest || digestSource === node
+      return [...reportsByNode.values()].flatMap(({ report, receivedAtMs }) => receivedAtMs >= oldestAtMs && usesOwnDigest(report) ? [report] : [])
     },
     lastReport: peer => reportsByNode.get(peer)?.report,
     collectors: () => choice.usesCollectors ? [...choice.everyReport] : [],
--- a/src/core/store-view/index.ts
+++ b/src/core/store-view/index.ts
@@ -22,7 +22,6 @@
 const firstPeerUpdateCheckMs = 50
 /** Timeout of a read of an omitted value. */
 const readTimeoutMs = 800
-const maxLoggedKeys = 8
 
 /** Creates a view; sends no request before `start` is called. */
 export function createStoreView (options: StoreViewOptions): StoreView {
@@ -53,7 +52,7 @@
       try {
         listener(changes)
       } catch (error) {
-        log('viewChangeFailed', { keys: changes.slice(0, maxLoggedKeys).map(({ key }) => key), cause: (error as Error).stack })
+        log('viewChangeFailed', { key: changes[0]?.key, changes: changes.length, cause: (error as Error).stack })
       }
     }
   }
--- a/test/platform-adapter/request-limits.test.ts
+++ b/test/platform-adapter/request-limits.test.ts
@@ -7,7 +7,7 @@
 import { formatResponse, startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 import { findFreePorts } from '../free-ports.ts'
 import { startPlatform } from './platform-stand-in.ts'
-import { renderSettings } from './render-settings.ts'
+import { nodeSettings } from './soak-deployment.ts'
 import type { ExecutionContext } from 'ava'
 import type { RawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 
@@ -48,15 +48,7 @@
 
 async function startTestNode (t: ExecutionContext, storeAddress: string, index: number) {
   const port = await findFreePorts(10)
-  const settings = parseSettings(renderSettings({
-    node_name: `front-a-${index}`,
-    'platform.address': storeAddress,
-    'cloud.address': storeAddress,
-    'listen.front': `127.0.0.1:${port}`,
-    'listen.readiness': `127.0.0.1:${port + 1}`,
-    'listen.control': `127.0.0.1:${port + 2}`,
-    internal_ports: `${port + 3},${port + 9}`
-  }), 'node.conf')
+  const settings = parseSettings(nodeSettings(`front-a-${index}`, port, Number(storeAddress.split(':')[1]), [], true), 'node.conf')
   const node = await startNode(settings, { log: createSilentLog() })
   t.teardown(node.stop)
   return async (id: string): Promise<number> => {
