End a limit only after its latest naming that this node read itself

The same limit, read again within 200 ms, did not count as later, which is meant for reports that several nodes pass on. A response without a limit whose request was sent in between ended the limit, although its order to the second one is unknown. Own responses count at once now. Found by reading; the new test failed before.

--- a/src/core/backend-limits/evidence.ts
+++ b/src/core/backend-limits/evidence.ts
@@ -27,17 +27,19 @@
   return response.perSecond !== undefined
 }
 
-function laterNamed (known: LimitEvidence['named'], next: LimitEvidence['named']): LimitEvidence['named'] {
-  // Each node that passes a report on makes it appear a little later, so a small difference is no news.
-  if (next.perSecond === known.perSecond) return next.readAtMs > known.readAtMs + reportDelayMs ? next : known
+function laterNamed (known: LimitEvidence['named'], next: LimitEvidence['named'], delayMs: number): LimitEvidence['named'] {
+  if (next.perSecond === known.perSecond) return next.readAtMs > known.readAtMs + delayMs ? next : known
   if (next.sentAtMs >= known.readAtMs) return next
   if (known.sentAtMs >= next.readAtMs) return known
   return next.perSecond < known.perSecond ? next : known
 }
 
-/** Adds a response; undefined if no limit is known. */
-export function addResponse (known: LimitEvidence | undefined, next: LimitResponse): LimitEvidence | undefined {
-  if (isNamed(next)) return known === undefined ? { named: next, cleared: undefined } : { ...known, named: laterNamed(known.named, next) }
+/**
+ * Adds a response; undefined if no limit is known. A report that several nodes pass on appears a little later
+ * with each, so the same limit is no news if it was read no later than `delayMs` after the known one; 0 for own responses.
+ */
+export function addResponse (known: LimitEvidence | undefined, next: LimitResponse, delayMs: number): LimitEvidence | undefined {
+  if (isNamed(next)) return known === undefined ? { named: next, cleared: undefined } : { ...known, named: laterNamed(known.named, next, delayMs) }
   if (known === undefined || next.sentAtMs <= (known.cleared?.sentAtMs ?? -Infinity)) return known
   return { ...known, cleared: next }
 }
--- a/src/core/backend-limits/index.ts
+++ b/src/core/backend-limits/index.ts
@@ -115,7 +115,7 @@
 
   function addEvidence (backend: KnownLimit['backend'], response: LimitResponse, source: 'response' | 'other-node'): void {
     const before = known.get(keyOf(backend))
-    const evidence = addResponse(before?.evidence, response)
+    const evidence = addResponse(before?.evidence, response, source === 'response' ? 0 : reportDelayMs)
     if (evidence === undefined || evidence === before?.evidence) return
     const limit = before ?? create(backend, evidence)
     const beforePerSecond = limit.sinceMs === undefined ? undefined : limit.evidence.named.perSecond
--- a/test/backend-limits/limits.test.ts
+++ b/test/backend-limits/limits.test.ts
@@ -97,6 +97,16 @@
   t.deepEqual(node.events.map(({ event }) => event), ['backendLimitNamed', 'backendLimitEnded'])
 })
 
+test('a response without a limit whose request was sent before the limit was read once more does not end it', async t => {
+  const node = createLimits()
+  respond(node, named(1), 20)
+  await node.clock.advance(150)
+  respond(node, named(1), 100)
+  await node.clock.advance(50)
+  respond(node, none, 100)
+  t.is(node.limits.stateOf(backend)?.perSecond, 1)
+})
+
 test('a limit that is lowered holds at once, and an older, higher one that is read later does not raise it', async t => {
   const node = createLimits()
   respond(node, named(10))
