Give each run of the soak a block of ports that it holds

The block followed from the last digit of the process id, and one of the other runs had the same. A run now holds the last port of its block, and takes the next block if another run does.

--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -7,6 +7,7 @@
   createBackendHandler, createEngineHandler, configurationKey, createConfiguration, backendEntryKey, createBackendEntry, nodeSettings, createNodePorts, startPlatform
 } from '../../test/platform-adapter/soak-deployment.ts'
 import { createNodeProcess } from './node-process.ts'
+import { takePortBlock } from './port-block.ts'
 import { startProxy } from './proxy.ts'
 import type { BackendMode } from '../../test/platform-adapter/soak-deployment.ts'
 import type { Arrival } from './checks.ts'
@@ -25,10 +26,8 @@
 /** Time after a restore within which the operator and the backend servers write again. */
 const writeAgainMs = 700
 const portsPerNode = 20
-/** Below the ephemeral port range; each process has its own block of ports, so that parallel runs don't collide. */
-const basePort = 20_000 + process.pid % 10 * 1_000
-/** Maximum number of nodes whose ports fit into one block. */
-export const maxNodes = 50
+/** Maximum number of nodes whose ports fit into one block, without its last port. */
+export const maxNodes = 49
 /** Maximum processing time of a request. The share `slowRatio` takes up to `maxSlowProcessingMs`, so that requests are open when a node is stopped. */
 const maxProcessingMs = 60
 const maxSlowProcessingMs = 600
@@ -82,6 +81,8 @@
 /** Starts the deployment and the processes of its nodes; they may not be ready yet. */
 export async function startSoakDeployment ({ nodeCount, program, onRun, onArrival, onPrompt, onCrash, random }: SoakDeploymentOptions): Promise<SoakDeployment> {
   const folder = mkdtempSync(join(tmpdir(), 'soak-'))
+  const portBlock = await takePortBlock()
+  const basePort = portBlock.firstPort
   const platform = await startPlatform()
   platform.setEra(1)
   const copies = [platform.copy()]
@@ -178,7 +179,7 @@
       clearInterval(copying)
       killAllNodes()
       process.off('exit', killAllNodes)
-      for (const close of [...closeFunctions, ...storeProxies.map(proxy => proxy.close), platform.close]) await close()
+      for (const close of [...closeFunctions, ...storeProxies.map(proxy => proxy.close), platform.close, portBlock.close]) await close()
       rmSync(folder, { recursive: true, force: true })
     }
   }
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,6 +1,7 @@
 /** Short soak runs with regression seeds, and tests of the soak's own checks. */
 import test from 'ava'
 import { createChecks } from '../../bench/soak/checks.ts'
+import { takePortBlock } from '../../bench/soak/port-block.ts'
 import { runSoak } from '../../bench/soak/run.ts'
 import { buildProgram } from '../platform-adapter/build-program.ts'
 import type { CompletedCall, CallResult } from '../../bench/soak/checks.ts'
@@ -112,3 +113,13 @@
   t.deepEqual(brokenPromisesOf(checks => record(checks, 1)), ['limit-kept'])
   t.deepEqual(brokenPromisesOf(checks => record(checks, 2)), [])
 })
+
+test('soak runs that take place at the same time use different ports', async t => {
+  const blocks = await Promise.all(Array.from({ length: 3 }, takePortBlock))
+  t.is(new Set(blocks.map(({ firstPort }) => firstPort)).size, 3)
+  const [first] = blocks
+  await first!.close()
+  const next = await takePortBlock()
+  t.true(blocks.slice(1).every(({ firstPort }) => firstPort !== next.firstPort))
+  await Promise.all([...blocks.slice(1), next].map(block => block.close()))
+})
