--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -174,3 +174,15 @@
   await cluster.clock.advance(2_000)
   t.is(countAdmitted(await askAll(cluster, ['bad', 'first'])), 0)
 })
+
+test('a part that goes on to be answered between the crashes is neither quarantined nor suspected, however many there are', async t => {
+  const { nodes, crash, run, isRefused } = await createCluster(9)
+  for (let index = 0; index < 40; index += 1) {
+    crash(index % 9, 'system')
+    for (const { quarantine } of nodes) for (let answers = 0; answers < 2; answers += 1) quarantine.recordAnswer(service, partsOf('system'))
+    await run(400)
+    t.false(isRefused(index % 9, 'system'), `quarantined after ${index + 1} crashes`)
+  }
+  const admitted = await nodes[0]!.quarantine.admit({ service, parts: partsOf('system'), isRetryAfterCrash: false, signal: new AbortController().signal })
+  t.is(admitted.kind, 'admitted')
+})
