--- a/bench/measure/crashing-prompts/play.ts
+++ b/bench/measure/crashing-prompts/play.ts
@@ -136,7 +136,7 @@
       const { request, node, hasStarted, hasEvents } = attempt
       if (!hasEvents && isCrash) {
         request.hasCrashedEngine = true
-        if (scenario.usesQuarantine) nodes[node]?.recordCrash({ attempt: toId<AttemptId>(`${request.id}/${request.attempts}`), service, backend: id, backendStartedAtMs: startedAtMs, parts: request.parts, hasStarted, crashedAtMs: clock.wallMs() })
+        if (scenario.usesQuarantine) nodes[node]?.recordCrash({ attempt: toId<AttemptId>(`${request.id}/${request.attempts}`), service, backend: id, backendStartedAtMs: startedAtMs, features: request.parts, hasStarted, crashedAtMs: clock.wallMs() })
       }
       if (!hasEvents) retry(node, request)
     }
@@ -148,7 +148,7 @@
 
   async function send (node: number, request: Request): Promise<void> {
     const admittance = scenario.usesQuarantine
-      ? await nodes[node]!.admit({ service, parts: request.parts, isRetryAfterCrash: request.hasCrashedEngine, signal: AbortSignal.timeout(60_000) })
+      ? await nodes[node]!.admit({ service, features: request.parts, isRetryAfterCrash: request.hasCrashedEngine, signal: AbortSignal.timeout(60_000) })
       : { kind: 'admitted' as const, release: () => {} }
     const up = engines.filter(({ upFromMs }) => upFromMs <= clock.wallMs())
     const engine = up[Math.floor(random() * up.length)]
@@ -245,12 +245,12 @@
     const countFromMs = (crashTimesMs[4] ?? crashTimesMs.at(-1) ?? Infinity) + 2 * contactMs
     // A request that came shortly before the end may still wait for its answer.
     const latestMs = startMs + forMs - 1_000
-    const records = new Map(nodes.flatMap(node => node.records()).map((record: QuarantineRecord) => [record.parts.join(), record]))
+    const records = new Map(nodes.flatMap(node => node.records()).map((record: QuarantineRecord) => [record.features.join(), record]))
     return {
       crashes: crashTimesMs.length,
       lateRequests: crashingSentAtMs.filter(atMs => atMs > fifthMs + contactMs).length,
       refusedByAllAfterMs: refusedByAllAtMs === undefined ? undefined : refusedByAllAtMs - crashTimesMs[0]!,
-      soundQuarantined: [...records.values()].filter(({ parts }) => !parts.includes(crashingPart)).length,
+      soundQuarantined: [...records.values()].filter(({ features }) => !features.includes(crashingPart)).length,
       soundAnsweredRatio: answeredRatio(counted.filter(({ arrivedAtMs }) => arrivedAtMs > countFromMs && arrivedAtMs < latestMs)),
       soundAnsweredBeforeRatio: answeredRatio(counted.filter(({ arrivedAtMs }) => arrivedAtMs < startMs + crashingFromMs - 1_000))
     }
--- a/src/cli/quarantine/lift/index.ts
+++ b/src/cli/quarantine/lift/index.ts
@@ -18,7 +18,7 @@
     const { args, flags } = await this.parse(QuarantineLift)
     return await withStore(flags, async ({ store, clock, deadlineAtMs }) => {
       const lifted = this.unwrap(await liftRecords(store, args.part, { nowMs: clock.wallMs(), deadlineAtMs }))
-      this.log(lifted.length === 0 ? `No quarantine has the part ${args.part}.` : `Lifted: ${lifted.map(({ service, parts }) => `${service} ${parts.join(' ')}`).join('; ')}`)
+      this.log(lifted.length === 0 ? `No quarantine has the part ${args.part}.` : `Lifted: ${lifted.map(({ service, features }) => `${service} ${features.join(' ')}`).join('; ')}`)
       return lifted
     })
   }
--- a/src/cli/quarantine/list/index.ts
+++ b/src/cli/quarantine/list/index.ts
@@ -19,8 +19,8 @@
     const { flags } = await this.parse(QuarantineList)
     return await withStore(flags, async ({ store, deadlineAtMs }) => {
       const { records } = this.unwrap(await readRecords(store, deadlineAtMs))
-      const rows = records.map(({ service, parts, state, sinceMs, untilMs, crashes, backends }) => {
-        return [service, parts.join(' '), state, new Date(sinceMs).toISOString(), new Date(untilMs).toISOString(), String(crashes), backends.join(' ')]
+      const rows = records.map(({ service, features, state, sinceMs, untilMs, crashes, backends }) => {
+        return [service, features.join(' '), state, new Date(sinceMs).toISOString(), new Date(untilMs).toISOString(), String(crashes), backends.join(' ')]
       })
       this.log(renderTable(['service', 'parts', 'state', 'since', 'until', 'crashes', 'backends'], rows))
       return records
--- a/src/cli/quarantine/records.ts
+++ b/src/cli/quarantine/records.ts
@@ -24,7 +24,7 @@
   const stored = await readRecords(store, deadlineAtMs)
   if (stored.isErr) return err(stored.error)
   const { records, modRevision } = stored.value
-  const isLifted = ({ state, parts }: QuarantineRecord): boolean => state === 'quarantined' && parts.some(other => other === part)
+  const isLifted = ({ state, features }: QuarantineRecord): boolean => state === 'quarantined' && features.some(other => other === part)
   const changed = records.map(record => isLifted(record) ? { ...record, state: 'lifted' as const, changedAtMs: Math.max(nowMs, record.changedAtMs + 1), untilMs: Math.max(nowMs, record.untilMs) } : record)
   const lifted = changed.filter((record, index) => record !== records[index])
   if (lifted.length === 0) return ok([])
--- a/src/core/gateway/prompt-gate.ts
+++ b/src/core/gateway/prompt-gate.ts
@@ -37,7 +37,7 @@
 
   async function admit (active: ActiveRequest): Promise<Admittance> {
     const { service, head, hasCrashedBackend, ended } = active
-    const admittance = await quarantine.admit({ service, parts: head.sharedParts, isRetryAfterCrash: hasCrashedBackend, signal: ended.signal })
+    const admittance = await quarantine.admit({ service, features: head.sharedParts, isRetryAfterCrash: hasCrashedBackend, signal: ended.signal })
     if (admittance.kind === 'refused' || head.sharedParts.length === 0) return admittance
     open.add(active)
     return {
@@ -69,7 +69,7 @@
       const nowMs = clock.wallMs()
       // From its deadline on, the record lets a trial through, which is decided before the attempt.
       if (record === undefined || nowMs >= record.untilMs) return undefined
-      const detail = `Backend servers crashed on prompts with ${record.parts.join(', ')}; change the prompt.`
+      const detail = `Backend servers crashed on prompts with ${record.features.join(', ')}; change the prompt.`
       return { status: 503, reason: 'prompt-quarantined', detail, retryInMs: record.untilMs - nowMs }
     },
     admit,
@@ -86,11 +86,11 @@
         service,
         backend: known.entry.id,
         backendStartedAtMs: known.entry.startedAtMs,
-        parts: head.sharedParts,
+        features: head.sharedParts,
         hasStarted: active.endedInPhase === 'started',
         crashedAtMs
       })
-      const admittance = await quarantine.admit({ service, parts: head.sharedParts, isRetryAfterCrash: true, signal: active.ended.signal })
+      const admittance = await quarantine.admit({ service, features: head.sharedParts, isRetryAfterCrash: true, signal: active.ended.signal })
       if (admittance.kind === 'refused') active.blockedBy = admittance
     }
   }
--- a/src/core/ids/index.ts
+++ b/src/core/ids/index.ts
@@ -25,6 +25,8 @@
 export type PromptPartId = Brand<'PromptPartId'>
 /** Digest of a whole request: method, host, path with query, team and body. */
 export type RequestDigest = Brand<'RequestDigest'>
+/** What requests have in common that may crash backend servers: a part of their prompts, or the whole request. */
+export type RequestFeature = PromptPartId | RequestDigest
 /** One attempt of a request at one backend server. */
 export type AttemptId = Brand<'AttemptId'>
 /** The key by which a caller marks repeats of the same request. */
--- a/src/core/node-reports/codec.ts
+++ b/src/core/node-reports/codec.ts
@@ -2,13 +2,13 @@
 import { decode, encode } from 'cbor-x'
 import { decodeLimits, encodeLimits } from '../backend-limits/index.ts'
 import { toId } from '../ids/index.ts'
-import { decodePrompts, encodePrompts } from '../quarantine/index.ts'
+import { decodeQuarantineReport, encodeQuarantineReport } from '../quarantine/index.ts'
 import type { WireLimits } from '../backend-limits/index.ts'
 import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
-import type { WirePrompts } from '../quarantine/index.ts'
+import type { WireQuarantine } from '../quarantine/index.ts'
 import type { Activity, NodeDigest, NodeReport } from './types.ts'
 
-type WireActivity = [quota: Array<[team: string, quota: number, tolerance: number, asked?: number]>, loads: Array<[string, number, number]>, prefixes: Array<[string, string[]]>, suspects?: Array<[backend: string, suspecting: number, hearing: number]>, levels?: Array<[team: string, quota: number, tolerance: number]> | null, leaving?: Array<[backend: string, startedAtMs: number | null]>, prompts?: WirePrompts, limits?: WireLimits | null]
+type WireActivity = [quota: Array<[team: string, quota: number, tolerance: number, asked?: number]>, loads: Array<[string, number, number]>, prefixes: Array<[string, string[]]>, suspects?: Array<[backend: string, suspecting: number, hearing: number]>, levels?: Array<[team: string, quota: number, tolerance: number]> | null, leaving?: Array<[backend: string, startedAtMs: number | null]>, prompts?: WireQuarantine, limits?: WireLimits | null]
 type WireChange = [key: string, value: string | null | 0, modRevision: number, isByRestore?: 1]
 type WireReport = ['report', string, string, number, boolean, boolean, number, WireActivity, Array<[number, Array<[string, number]>]>, Array<[string, number]>, unknown, (string | null)?]
 type WireDigest = ['digest', string, string, boolean, number, number, number, WireChange[] | null, WireActivity | null]
@@ -26,7 +26,7 @@
     [...suspects].map(([backend, { suspecting, hearing }]) => [backend, suspecting, hearing]),
     quotaLevels === undefined ? null : [...quotaLevels].map(([team, { quota, tolerance }]) => [team, Math.round(quota), Math.round(tolerance)]),
     [...leaving].map(([backend, startedAtMs]) => [backend, startedAtMs ?? null]),
-    encodePrompts(prompts),
+    encodeQuarantineReport(prompts),
     encodeLimits(limits)
   ]
 }
@@ -37,7 +37,7 @@
     loads: new Map(loads.map(([backend, requests, pendingTokens]) => [toId<BackendId>(backend), { requests, pendingTokens }])),
     prefixes: prefixes.map(([backend, hashes]) => ({ backend: toId<BackendId>(backend), hashes })),
     suspects: new Map(suspects.map(([backend, suspecting, hearing]) => [toId<BackendId>(backend), { suspecting, hearing }])),
-    prompts: decodePrompts(prompts),
+    prompts: decodeQuarantineReport(prompts),
     limits: decodeLimits(limits),
     leaving: new Map(leaving.map(([backend, startedAtMs]) => [toId<BackendId>(backend), startedAtMs ?? undefined])),
     quotaLevels: levels === undefined || levels === null ? undefined : new Map(levels.map(([team, quota, tolerance]) => [toId<TeamId>(team), { quota, tolerance }]))
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -13,7 +13,7 @@
 import type { NodeId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
-import type { PromptReport } from '../quarantine/index.ts'
+import type { QuarantineReport } from '../quarantine/index.ts'
 import type { ViewDelta } from '../store-view/index.ts'
 import type { CollectorChoice } from './collectors.ts'
 import type { Activity, NodeAddress, NodeDigest, NodeReport } from './types.ts'
@@ -42,7 +42,7 @@
   /** Collects the content of this node's report. */
   collectReport: () => Omit<NodeReport, 'node' | 'bootId' | 'sequence' | 'wantsDigest' | 'digestSource'>
   /** What a collector knows from all other nodes about prompts that may crash backend servers. */
-  promptsFor: (node: NodeId) => PromptReport
+  promptsFor: (node: NodeId) => QuarantineReport
   /** What a collector knows from all other nodes about the limits of backend servers, with the node's shares of them; a new receiver may not know any. */
   limitsFor: (node: NodeId, isNewReceiver: boolean) => LimitReport
   /** Called with each report of another node. */
--- a/src/core/node-reports/types.ts
+++ b/src/core/node-reports/types.ts
@@ -2,7 +2,7 @@
 import type { LimitReport } from '../backend-limits/index.ts'
 import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
 import type { QuotaLevels, QuotaUsage } from '../quota/index.ts'
-import type { PromptReport } from '../quarantine/index.ts'
+import type { QuarantineReport } from '../quarantine/index.ts'
 import type { PeerLoad, PrefixPlacement } from '../routing/index.ts'
 import type { ViewDelta } from '../store-view/index.ts'
 
@@ -20,7 +20,7 @@
   /** The levels of the sender's quota buckets; only for receivers that may not know them, and undefined while the sender itself doesn't. */
   quotaLevels?: ReadonlyMap<TeamId, QuotaLevels> | undefined
   /** Prompts that may crash backend servers. */
-  prompts?: PromptReport | undefined
+  prompts?: QuarantineReport | undefined
   /** Request limits that backend servers named. */
   limits?: LimitReport | undefined
 }
--- a/src/core/node/draft-prompt-gate.ts
+++ b/src/core/node/draft-prompt-gate.ts
@@ -40,7 +40,7 @@
     if (await probe({ host: hostname, port: Number(port) }) !== 'refused') return
     // An engine sends the head at once, so it doesn't tell which prompts were being answered.
     quarantine.recordCrash({
-      attempt: createId<AttemptId>('att', crashedAtMs), service: draft.team, backend: backend.id, backendStartedAtMs: undefined, parts: partsOfBlocks(hashes), hasStarted: false, crashedAtMs
+      attempt: createId<AttemptId>('att', crashedAtMs), service: draft.team, backend: backend.id, backendStartedAtMs: undefined, features: partsOfBlocks(hashes), hasStarted: false, crashedAtMs
     })
   }
 
@@ -48,7 +48,7 @@
     await openProbes.get(draft)
     const signal = AbortSignal.timeout(Math.max(0, draft.deadlineAtMs - clock.wallMs()))
     // An accepted draft is finished if it can be, so it may be one of the few that are sent while their prompt is suspected.
-    return await quarantine.admit({ service: draft.team, parts: partsOfBlocks(hashes), isRetryAfterCrash: false, signal })
+    return await quarantine.admit({ service: draft.team, features: partsOfBlocks(hashes), isRetryAfterCrash: false, signal })
   }
 
   function observe (draft: DraftRequest, hashes: readonly string[], choice: DraftChoice, release: () => void): DraftChoice {
--- a/src/core/node/quarantine-exchange.ts
+++ b/src/core/node/quarantine-exchange.ts
@@ -1,12 +1,12 @@
 /** Lets the quarantines of all nodes exchange what they know over the peer network, and keeps their records in the key-value service. */
-import { createStoredQuarantine, decodePrompts, encodePrompts, quarantineKey, createQuarantine } from '../quarantine/index.ts'
+import { createStoredQuarantine, decodeQuarantineReport, encodeQuarantineReport, quarantineKey, createQuarantine } from '../quarantine/index.ts'
 import { sample } from '../membership/prober.ts'
 import type { Clock } from '../clock/index.ts'
 import type { KeyValueEntry, KeyValueStore } from '../platform/key-value/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Membership, PeerNetwork } from '../peers/types.ts'
 import type { Metrics } from '../metrics/index.ts'
-import type { PromptReport, Quarantine, WirePrompts } from '../quarantine/index.ts'
+import type { QuarantineReport, Quarantine, WireQuarantine } from '../quarantine/index.ts'
 
 /** Options of the exchange. */
 export interface QuarantineExchangeOptions {
@@ -35,7 +35,7 @@
 const readIntervalMs = 2_000
 const callTimeoutMs = 1_000
 
-function isEmpty ({ crashed, answered, trials, records }: PromptReport): boolean {
+function isEmpty ({ crashed, answered, trials, records }: QuarantineReport): boolean {
   return crashed.length + answered.size + trials.length + records.length === 0
 }
 
@@ -62,7 +62,7 @@
   function sendReport (): void {
     const report = quarantine.report()
     if (isEmpty(report)) return
-    const body = encodePrompts(report)
+    const body = encodeQuarantineReport(report)
     const peers = membership.peers()
     for (const peer of peers.length <= maxReceivers ? peers : sample(peers, maxReceivers, random)) network.send(peer, reportKind, body)
   }
@@ -88,7 +88,7 @@
     }
   }
 
-  network.handle(reportKind, (from, body) => quarantine.merge(from, decodePrompts(body as WirePrompts)))
+  network.handle(reportKind, (from, body) => quarantine.merge(from, decodeQuarantineReport(body as WireQuarantine)))
   exchangeWithStore()
   exchangeWithPeers()
   return { quarantine, close: () => closed.abort() }
--- a/src/core/quarantine/assess.ts
+++ b/src/core/quarantine/assess.ts
@@ -6,14 +6,14 @@
  * best is taken first; crashes that it explains are no evidence against the others.
  */
 import { crashKey } from './evidence.ts'
-import type { BackendId, PromptPartId } from '../ids/index.ts'
+import type { BackendId, RequestFeature } from '../ids/index.ts'
 import type { AnswerCounts, CrashedAttempt } from './types.ts'
 
 /** A combination of parts that may crash backend servers. */
 export interface Suspicion {
   service: string
   /** The parts that no evidence tells apart: all of them are in each crashed prompt, and none was answered. In ascending order. */
-  parts: PromptPartId[]
+  features: RequestFeature[]
   /** Decimal logarithm of the likelihood ratio. */
   score: number
   /** Whether the evidence suffices to refuse prompts with the parts. */
@@ -26,7 +26,7 @@
 /** What is known about a service. */
 export interface AssessmentContext {
   /** Attempts that were answered since a crash, and shortly before it, by part. */
-  answered: (part: PromptPartId) => AnswerCounts
+  answered: (feature: RequestFeature) => AnswerCounts
   /** Attempts that are answered by a service in a second, over all nodes. */
   answersPerSecond: (service: string) => number
 }
@@ -58,18 +58,18 @@
   atMs: number
   attempts: CrashedAttempt[]
   /** The parts of all of them. */
-  parts: Set<PromptPartId>
+  features: Set<RequestFeature>
 }
 
 function groupByCrash (attempts: readonly CrashedAttempt[]): Crash[] {
   const crashes = new Map<string, Crash>()
   for (const attempt of attempts) {
-    const { service, backend, parts, crashedAtMs } = attempt
+    const { service, backend, features, crashedAtMs } = attempt
     const key = crashKey(attempt)
-    const crash = crashes.get(key) ?? { service, backend, atMs: crashedAtMs, attempts: [], parts: new Set() }
+    const crash = crashes.get(key) ?? { service, backend, atMs: crashedAtMs, attempts: [], features: new Set() }
     crash.atMs = Math.min(crash.atMs, crashedAtMs)
     crash.attempts.push(attempt)
-    for (const part of parts) crash.parts.add(part)
+    for (const feature of features) crash.features.add(feature)
     crashes.set(key, crash)
   }
   return [...crashes.values()].toSorted((a, b) => a.atMs - b.atMs)
@@ -95,64 +95,64 @@
 }
 
 /** One part with the crashes and attempts that it may explain. */
-interface AssessedPart extends Suspicion {
-  part: PromptPartId
+interface AssessedFeature extends Suspicion {
+  feature: RequestFeature
   own: readonly Crash[]
   attempts: number
 }
 
 /** Assesses one part against the crashes of its service that no other part explains. */
-function assessPart (part: PromptPartId, crashes: readonly Crash[], context: AssessmentContext): AssessedPart {
-  const own = crashes.filter(crash => crash.parts.has(part))
-  const others = crashes.filter(crash => !crash.parts.has(part))
+function assessFeature (feature: RequestFeature, crashes: readonly Crash[], context: AssessmentContext): AssessedFeature {
+  const own = crashes.filter(crash => crash.features.has(feature))
+  const others = crashes.filter(crash => !crash.features.has(feature))
   const service = own[0]?.service ?? ''
-  const answered = context.answered(part)
+  const answered = context.answered(feature)
   const score = episodesOf(own).reduce((sum, episode) => {
-    const hasStarted = episode.some(({ attempts }) => attempts.some(attempt => attempt.hasStarted && attempt.parts.includes(part)))
+    const hasStarted = episode.some(({ attempts }) => attempts.some(attempt => attempt.hasStarted && attempt.features.includes(feature)))
     const probability = hasStarted ? crashProbability : waitingCrashProbability
     const background = backgroundProbability(episode[0]?.atMs ?? 0, others, context.answersPerSecond(service))
     return sum + Math.max(0, Math.log10(probability / background))
   }, (answered.since + Math.min(maxEarlierAnswers, answered.before)) * answerScore)
-  const attempts = own.flatMap(crash => crash.attempts.filter(({ parts }) => parts.includes(part)))
-  const parts = (attempts[0]?.parts ?? []).filter(other => {
-    return other === part || (context.answered(other).since === 0 && attempts.every(attempt => attempt.parts.includes(other)))
+  const attempts = own.flatMap(crash => crash.attempts.filter(({ features }) => features.includes(feature)))
+  const features = (attempts[0]?.features ?? []).filter(other => {
+    return other === feature || (context.answered(other).since === 0 && attempts.every(attempt => attempt.features.includes(other)))
   })
   return {
-    part, service, parts: [...parts].toSorted(), score, isCertain: false, own, attempts: attempts.length, crashes: own.length, backends: own.map(({ backend }) => backend), firstCrashAtMs: own[0]?.atMs ?? 0
+    feature, service, features: [...features].toSorted(), score, isCertain: false, own, attempts: attempts.length, crashes: own.length, backends: own.map(({ backend }) => backend), firstCrashAtMs: own[0]?.atMs ?? 0
   }
 }
 
 /** Whether another part, which prompts without this one also have, explains the same crashes about as well. */
-function isAmbiguous (best: AssessedPart, others: readonly AssessedPart[]): boolean {
-  return others.some(({ part, score, own }) => !best.parts.includes(part) && score > best.score - distinctionScore && best.own.every(crash => own.includes(crash)))
+function isAmbiguous (best: AssessedFeature, others: readonly AssessedFeature[]): boolean {
+  return others.some(({ feature, score, own }) => !best.features.includes(feature) && score > best.score - distinctionScore && best.own.every(crash => own.includes(crash)))
 }
 
 function assessService (crashes: readonly Crash[], context: AssessmentContext): Suspicion[] {
   const suspicions: Suspicion[] = []
   let unexplained = crashes
   for (;;) {
-    const parts = new Set(unexplained.flatMap(crash => [...crash.parts]))
+    const features = new Set(unexplained.flatMap(crash => [...crash.features]))
     // Of parts with equal scores, the one in fewer prompts explains the same crashes without the others.
-    const assessed = [...parts].map(part => assessPart(part, unexplained, context)).toSorted((a, b) => b.score - a.score || a.attempts - b.attempts)
+    const assessed = [...features].map(feature => assessFeature(feature, unexplained, context)).toSorted((a, b) => b.score - a.score || a.attempts - b.attempts)
     const [best] = assessed
     if (best === undefined || best.score < quarantineScore || isAmbiguous(best, assessed)) {
-      const rest = new Map(assessed.filter(({ score }) => score >= suspicionScore).map(suspicion => [suspicion.parts.join(), suspicion]))
+      const rest = new Map(assessed.filter(({ score }) => score >= suspicionScore).map(suspicion => [suspicion.features.join(), suspicion]))
       return [...suspicions, ...rest.values()]
     }
     suspicions.push({ ...best, isCertain: true })
-    const explained = unexplained.filter(crash => crash.attempts.some(attempt => best.parts.every(part => attempt.parts.includes(part))))
+    const explained = unexplained.filter(crash => crash.attempts.some(attempt => best.features.every(feature => attempt.features.includes(feature))))
     unexplained = unexplained.filter(crash => !explained.includes(crash))
   }
 }
 
 /** Finds the suspected combinations of parts, the most likely first for each service. */
-export function assessPrompts (attempts: readonly CrashedAttempt[], context: AssessmentContext): Suspicion[] {
+export function assessFeatures (attempts: readonly CrashedAttempt[], context: AssessmentContext): Suspicion[] {
   const crashes = groupByCrash(attempts)
   const services = new Set(crashes.map(({ service }) => service))
   return [...services].flatMap(service => assessService(crashes.filter(crash => crash.service === service), context))
 }
 
 /** Whether a prompt has all of the parts. */
-export function hasAllParts (promptParts: readonly PromptPartId[], parts: readonly PromptPartId[]): boolean {
-  return parts.every(part => promptParts.includes(part))
+export function hasAllFeatures (promptParts: readonly RequestFeature[], features: readonly RequestFeature[]): boolean {
+  return features.every(feature => promptParts.includes(feature))
 }
--- a/src/core/quarantine/evidence.ts
+++ b/src/core/quarantine/evidence.ts
@@ -1,6 +1,6 @@
 /** Crashed attempts, and how often their parts were answered since, over all nodes; bounded, and forgotten after a time. */
 import type { Clock } from '../clock/index.ts'
-import type { AttemptId, NodeId, PromptPartId } from '../ids/index.ts'
+import type { AttemptId, NodeId, RequestFeature } from '../ids/index.ts'
 import { createRecentAnswers } from './recent-answers.ts'
 import type { AnswerCounts, CrashedAttempt } from './types.ts'
 
@@ -8,17 +8,17 @@
 export interface CrashEvidence {
   /** Adds an attempt of this node or of another one. */
   add: (crashed: CrashedAttempt, isOwn: boolean) => void
-  recordAnswer: (parts: readonly PromptPartId[]) => void
-  setAnswered: (source: NodeId, answered: ReadonlyMap<PromptPartId, AnswerCounts>) => void
+  recordAnswer: (features: readonly RequestFeature[]) => void
+  setAnswered: (source: NodeId, answered: ReadonlyMap<RequestFeature, AnswerCounts>) => void
   /** Attempts that have been known for at least the given time. */
   attempts: (minAgeMs?: number) => CrashedAttempt[]
   /** The counts of all nodes. */
-  answered: (part: PromptPartId) => AnswerCounts
+  answered: (feature: RequestFeature) => AnswerCounts
   /** Attempts that a report repeats: this node's own, or for a digest all, that became known a short time ago. */
   recent: (options: { isOwnOnly: boolean, max: number }) => CrashedAttempt[]
-  ownAnswered: () => Map<PromptPartId, AnswerCounts>
+  ownAnswered: () => Map<RequestFeature, AnswerCounts>
   /** The counts of this node and all others but one. */
-  answeredExcept: (node: NodeId) => Map<PromptPartId, AnswerCounts>
+  answeredExcept: (node: NodeId) => Map<RequestFeature, AnswerCounts>
   /** Changes with everything that the assessment depends on. */
   revision: () => number
 }
@@ -60,27 +60,27 @@
 export function createCrashEvidence (clock: Clock): CrashEvidence {
   const known = new Map<AttemptId, KnownAttempt>()
   /** Number of known attempts that have the part. */
-  const trackedParts = new Map<PromptPartId, number>()
-  const own = new Map<PromptPartId, AnswerCounts>()
-  const bySource = new Map<NodeId, ReadonlyMap<PromptPartId, AnswerCounts>>()
+  const trackedFeatures = new Map<RequestFeature, number>()
+  const own = new Map<RequestFeature, AnswerCounts>()
+  const bySource = new Map<NodeId, ReadonlyMap<RequestFeature, AnswerCounts>>()
   const recentAnswers = createRecentAnswers(clock)
   const attemptsByCrash = new Map<string, CrashedAttempt[]>()
   let revision = 0
 
-  function track (part: PromptPartId): void {
-    const count = trackedParts.get(part) ?? 0
-    trackedParts.set(part, count + 1)
-    const before = recentAnswers.count(part)
-    if (count === 0 && before > 0) own.set(part, { since: 0, before })
+  function track (feature: RequestFeature): void {
+    const count = trackedFeatures.get(feature) ?? 0
+    trackedFeatures.set(feature, count + 1)
+    const before = recentAnswers.count(feature)
+    if (count === 0 && before > 0) own.set(feature, { since: 0, before })
   }
 
-  function untrack ({ parts }: CrashedAttempt): void {
-    for (const part of parts) {
-      const left = (trackedParts.get(part) ?? 0) - 1
-      if (left > 0) trackedParts.set(part, left)
+  function untrack ({ features }: CrashedAttempt): void {
+    for (const feature of features) {
+      const left = (trackedFeatures.get(feature) ?? 0) - 1
+      if (left > 0) trackedFeatures.set(feature, left)
       else {
-        trackedParts.delete(part)
-        own.delete(part)
+        trackedFeatures.delete(feature)
+        own.delete(feature)
       }
     }
   }
@@ -120,32 +120,32 @@
 
   function add (crashed: CrashedAttempt, isOwn: boolean): void {
     removeExpired()
-    if (known.has(crashed.attempt) || crashed.parts.length === 0 || !makeRoom(crashed)) return
+    if (known.has(crashed.attempt) || crashed.features.length === 0 || !makeRoom(crashed)) return
     known.set(crashed.attempt, { crashed, isOwn, knownSinceMs: clock.monotonicMs(), sentCount: 0 })
     attemptsByCrash.set(crashKey(crashed), [...attemptsByCrash.get(crashKey(crashed)) ?? [], crashed])
-    for (const part of crashed.parts) track(part)
+    for (const feature of crashed.features) track(feature)
     if (known.size > maxAttempts) removeOldest()
     revision += 1
   }
 
-  function answeredExcept (node: NodeId): Map<PromptPartId, AnswerCounts> {
+  function answeredExcept (node: NodeId): Map<RequestFeature, AnswerCounts> {
     const sums = new Map(own)
     for (const [source, counts] of bySource) {
       if (source === node) continue
-      for (const [part, count] of counts) if (trackedParts.has(part)) sums.set(part, sum(count, sums.get(part)))
+      for (const [feature, count] of counts) if (trackedFeatures.has(feature)) sums.set(feature, sum(count, sums.get(feature)))
     }
     return sums
   }
 
   return {
     add,
-    recordAnswer: parts => {
-      for (const part of parts) {
-        recentAnswers.record(part)
-        if (!trackedParts.has(part)) continue
-        const { since, before } = own.get(part) ?? noAnswers
+    recordAnswer: features => {
+      for (const feature of features) {
+        recentAnswers.record(feature)
+        if (!trackedFeatures.has(feature)) continue
+        const { since, before } = own.get(feature) ?? noAnswers
         if (since >= maxCountedAnswers) continue
-        own.set(part, { since: since + 1, before })
+        own.set(feature, { since: since + 1, before })
         revision += 1
       }
     },
@@ -154,7 +154,7 @@
       if (answered.size === 0) return
       const before = bySource.get(source)
       bySource.set(source, answered)
-      const hasChanged = [...answered].some(([part, { since, before: earlier }]) => before?.get(part)?.since !== since || before?.get(part)?.before !== earlier)
+      const hasChanged = [...answered].some(([feature, { since, before: earlier }]) => before?.get(feature)?.since !== since || before?.get(feature)?.before !== earlier)
       if (hasChanged) revision += 1
     },
     attempts: (minAgeMs = 0) => {
@@ -162,7 +162,7 @@
       const latestMs = clock.monotonicMs() - minAgeMs
       return [...known.values()].flatMap(({ crashed, knownSinceMs }) => knownSinceMs <= latestMs ? [crashed] : [])
     },
-    answered: part => [...bySource.values()].reduce((total, counts) => sum(total, counts.get(part)), own.get(part) ?? noAnswers),
+    answered: feature => [...bySource.values()].reduce((total, counts) => sum(total, counts.get(feature)), own.get(feature) ?? noAnswers),
     recent: ({ isOwnOnly, max }) => {
       const oldestMs = clock.monotonicMs() - repeatMs
       const recent = [...known.values()].filter(({ isOwn, knownSinceMs }) => knownSinceMs >= oldestMs && (isOwn || !isOwnOnly))
--- a/src/core/quarantine/index.ts
+++ b/src/core/quarantine/index.ts
@@ -5,20 +5,21 @@
  * parts is suspected, few requests with it are under way; once it is certain, all
  * nodes refuse them until a deadline, and then one request is sent as a trial.
  */
-import { assessPrompts, hasAllParts, quarantineScore } from './assess.ts'
+import { assessFeatures, hasAllFeatures, quarantineScore } from './assess.ts'
 import { crashKey, createCrashEvidence } from './evidence.ts'
 import { combinationKey, createQuarantineRecords } from './records.ts'
+import { featureLogFields } from './request-digest.ts'
 import { createTrials } from './trials.ts'
-import type { NodeId, PromptPartId } from '../ids/index.ts'
+import type { NodeId, RequestFeature } from '../ids/index.ts'
 import type { Suspicion } from './assess.ts'
-import type { Admittance, AnswerCounts, CrashedAttempt, PromptReport, PromptRequest, Quarantine, QuarantineOptions, QuarantineRecord, QuarantineReason } from './types.ts'
+import type { Admittance, AnswerCounts, CrashedAttempt, QuarantineReport, QuarantineRequest, Quarantine, QuarantineOptions, QuarantineRecord, QuarantineReason } from './types.ts'
 
 export type * from './types.ts'
 export { combinationKey } from './records.ts'
 export { digestRequest, isRequestDigest } from './request-digest.ts'
 export { createStoredQuarantine, decodeQuarantine, encodeQuarantine, quarantineKey } from './stored-records.ts'
-export { decodePrompts, encodePrompts } from './wire.ts'
-export type { WirePrompts } from './wire.ts'
+export { decodeQuarantineReport, encodeQuarantineReport } from './wire.ts'
+export type { WireQuarantine } from './wire.ts'
 export type { StoredQuarantine } from './stored-records.ts'
 
 /** Time for which prompts are refused at first; it doubles after each trial that crashes its backend server. */
@@ -44,15 +45,15 @@
 const maxDigestAttempts = 24
 const maxReportedAnswers = 48
 /** Maximum number of parts of a prompt that are considered: the first and the last ones. */
-const maxParts = 16
+const maxFeatures = 16
 const maxRecordedBackends = 5
 /** Time over which the rate of answers is averaged. */
 const rateWindowMs = 5_000
 
 const admittedAtOnce: Admittance = { kind: 'admitted', release: () => {} }
 
-function boundParts (parts: readonly PromptPartId[]): readonly PromptPartId[] {
-  return parts.length <= maxParts ? parts : [...parts.slice(0, maxParts / 2), ...parts.slice(-maxParts / 2)]
+function boundFeatures (features: readonly RequestFeature[]): readonly RequestFeature[] {
+  return features.length <= maxFeatures ? features : [...features.slice(0, maxFeatures / 2), ...features.slice(-maxFeatures / 2)]
 }
 
 /** Exponential moving averages of answers in a second, by service. */
@@ -92,10 +93,10 @@
     if (!records.merge(record)) return
     // The end of a quarantine makes earlier crashes irrelevant.
     assessedRevision = -1
-    const { service, parts, state, sinceMs, untilMs, crashes, backends } = record
+    const { service, features, state, sinceMs, untilMs, crashes, backends } = record
     metrics.count('prompt_quarantine_changes_total', { state })
-    if (state === 'lifted') return log('promptReleased', { service, parts, cause })
-    log('promptQuarantined', { service, parts, cause, sinceMs, untilMs, crashes, backends })
+    if (state === 'lifted') return log('promptReleased', { service, ...featureLogFields(features), cause })
+    log('promptQuarantined', { service, ...featureLogFields(features), cause, sinceMs, untilMs, crashes, backends })
     for (const listener of listeners) listener()
   }
 
@@ -105,8 +106,8 @@
   }
 
   /** Whether a quarantine was lifted after the crash, which makes the crash irrelevant. */
-  function isBeforeLift ({ service, parts, crashedAtMs }: CrashedAttempt, lifted: ReturnType<typeof records.lifted>): boolean {
-    return lifted.some(({ record, liftedAtMs }) => record.service === service && crashedAtMs <= liftedAtMs && hasAllParts(parts, record.parts))
+  function isBeforeLift ({ service, features, crashedAtMs }: CrashedAttempt, lifted: ReturnType<typeof records.lifted>): boolean {
+    return lifted.some(({ record, liftedAtMs }) => record.service === service && crashedAtMs <= liftedAtMs && hasAllFeatures(features, record.features))
   }
 
   /** Whether a crash occurred while quarantined parts crashed backend servers. A node without all evidence takes them for its cause, because it may not know the attempt. */
@@ -122,21 +123,21 @@
     if (quarantined.length === 0) return attempts
     const explained = new Set(attempts.flatMap(attempt => {
       const hasCause = quarantined.some(record => {
-        return (record.service === attempt.service && hasAllParts(attempt.parts, record.parts)) || (!options.isDeciding() && isInQuarantinedPeriod(attempt, record))
+        return (record.service === attempt.service && hasAllFeatures(attempt.features, record.features)) || (!options.isDeciding() && isInQuarantinedPeriod(attempt, record))
       })
       return hasCause ? [crashKey(attempt)] : []
     }))
     return attempts.filter(attempt => !explained.has(crashKey(attempt)))
   }
 
-  function quarantine ({ service, parts, crashes, backends, firstCrashAtMs }: Suspicion): void {
-    if (records.matching(service, parts).length > 0) return
+  function quarantine ({ service, features, crashes, backends, firstCrashAtMs }: Suspicion): void {
+    if (records.matching(service, features).length > 0) return
     const nowMs = clock.wallMs()
     apply({
       service,
-      parts,
+      features,
       state: 'quarantined',
-      changedAtMs: Math.max(nowMs, (records.get(service, parts)?.changedAtMs ?? 0) + 1),
+      changedAtMs: Math.max(nowMs, (records.get(service, features)?.changedAtMs ?? 0) + 1),
       sinceMs: firstCrashAtMs,
       untilMs: nowMs + firstQuarantineMs,
       crashes,
@@ -148,9 +149,9 @@
   function liftRefuted (): void {
     const lifted = records.lifted()
     for (const record of records.list()) {
-      if (record.state === 'lifted' || !record.parts.every(part => evidence.answered(part).since > 0)) continue
-      const attempts = evidence.attempts().filter(attempt => attempt.service === record.service && hasAllParts(attempt.parts, record.parts) && !isBeforeLift(attempt, lifted))
-      const isConfirmed = assessPrompts(attempts, context).some(({ parts, score }) => score >= quarantineScore && hasAllParts(record.parts, parts))
+      if (record.state === 'lifted' || !record.features.every(feature => evidence.answered(feature).since > 0)) continue
+      const attempts = evidence.attempts().filter(attempt => attempt.service === record.service && hasAllFeatures(attempt.features, record.features) && !isBeforeLift(attempt, lifted))
+      const isConfirmed = assessFeatures(attempts, context).some(({ features, score }) => score >= quarantineScore && hasAllFeatures(record.features, features))
       if (attempts.length > 0 && !isConfirmed) lift(record, 'answered')
     }
   }
@@ -165,49 +166,49 @@
     assessedRevision = evidence.revision()
     assessedAtMs = nowMs
     liftRefuted()
-    suspicions = assessPrompts(unexplainedAttempts(), context)
+    suspicions = assessFeatures(unexplainedAttempts(), context)
     if (!options.isDeciding() || !suspicions.some(({ isCertain }) => isCertain)) return
     // Another node's evidence may name another cause, so a decision waits until all of it has arrived.
-    for (const suspicion of assessPrompts(unexplainedAttempts(options.reportDelayMs()), context)) {
+    for (const suspicion of assessFeatures(unexplainedAttempts(options.reportDelayMs()), context)) {
       if (suspicion.isCertain) quarantine(suspicion)
     }
   }
 
-  function find (service: string, parts: readonly PromptPartId[]): QuarantineRecord | undefined {
-    if (parts.length === 0) return undefined
+  function find (service: string, features: readonly RequestFeature[]): QuarantineRecord | undefined {
+    if (features.length === 0) return undefined
     assess()
-    return records.matching(service, parts).reduce<QuarantineRecord | undefined>((latest, record) => latest === undefined || record.untilMs > latest.untilMs ? record : latest, undefined)
+    return records.matching(service, features).reduce<QuarantineRecord | undefined>((latest, record) => latest === undefined || record.untilMs > latest.untilMs ? record : latest, undefined)
   }
 
   /** The suspicion that limits a request: all of its parts are in the prompt, or one is and the crashes are beyond doubt. */
-  function findSuspicion (service: string, parts: readonly PromptPartId[]): Suspicion | undefined {
+  function findSuspicion (service: string, features: readonly RequestFeature[]): Suspicion | undefined {
     return suspicions.find(suspicion => {
-      return suspicion.service === service && (hasAllParts(parts, suspicion.parts) || (suspicion.score >= quarantineScore && suspicion.parts.some(part => parts.includes(part))))
+      return suspicion.service === service && (hasAllFeatures(features, suspicion.features) || (suspicion.score >= quarantineScore && suspicion.features.some(feature => features.includes(feature))))
     })
   }
 
-  function refuse (reason: QuarantineReason, parts: readonly PromptPartId[], retryAtMs: number): Admittance {
+  function refuse (reason: QuarantineReason, features: readonly RequestFeature[], retryAtMs: number): Admittance {
     const detail = reason === 'prompt-quarantined'
-      ? `Backend servers crashed on prompts with ${parts.join(', ')}; change the prompt.`
-      : `Backend servers may have crashed on prompts with ${parts.join(', ')}.`
+      ? `Backend servers crashed on prompts with ${features.join(', ')}; change the prompt.`
+      : `Backend servers may have crashed on prompts with ${features.join(', ')}.`
     return { kind: 'refused', reason, detail, retryAtMs }
   }
 
-  async function admit ({ service, parts: allParts, isRetryAfterCrash, signal }: PromptRequest): Promise<Admittance> {
-    const parts = boundParts(allParts)
+  async function admit ({ service, features: allFeatures, isRetryAfterCrash, signal }: QuarantineRequest): Promise<Admittance> {
+    const features = boundFeatures(allFeatures)
     const latestMs = clock.monotonicMs() + maxWaitMs
     for (;;) {
-      const record = find(service, parts)
+      const record = find(service, features)
       if (record !== undefined) {
         const isTrial = clock.wallMs() >= record.untilMs && !isRetryAfterCrash && await options.claimTrial(record)
-        return isTrial ? admittedAtOnce : refuse('prompt-quarantined', record.parts, Math.max(record.untilMs, clock.wallMs() + suspectedRetryMs))
+        return isTrial ? admittedAtOnce : refuse('prompt-quarantined', record.features, Math.max(record.untilMs, clock.wallMs() + suspectedRetryMs))
       }
-      const suspicion = parts.length === 0 ? undefined : findSuspicion(service, parts)
+      const suspicion = features.length === 0 ? undefined : findSuspicion(service, features)
       if (suspicion === undefined) return admittedAtOnce
-      const key = combinationKey(service, suspicion.parts)
+      const key = combinationKey(service, suspicion.features)
       if (!signal.aborted && !isRetryAfterCrash && trials.take(key)) return { kind: 'admitted', release: () => trials.release(key) }
       if (clock.monotonicMs() >= latestMs || waiting >= maxWaiting || signal.aborted) {
-        return refuse('prompt-suspected', suspicion.parts, clock.wallMs() + suspectedRetryMs)
+        return refuse('prompt-suspected', suspicion.features, clock.wallMs() + suspectedRetryMs)
       }
       waiting += 1
       await clock.sleep(waitPollMs, signal)
@@ -216,11 +217,11 @@
   }
 
   function recordCrash (crashed: CrashedAttempt): void {
-    const parts = boundParts(crashed.parts)
+    const features = boundFeatures(crashed.features)
     metrics.count('attempts_crashed_total', { service: crashed.service, phase: crashed.hasStarted ? 'started' : 'waiting' })
-    log('backendCrashed', { ...crashed, parts })
-    for (const record of records.matching(crashed.service, parts)) extendAfterTrial(record)
-    evidence.add({ ...crashed, parts }, true)
+    log('backendCrashed', { ...crashed, features })
+    for (const record of records.matching(crashed.service, features)) extendAfterTrial(record)
+    evidence.add({ ...crashed, features }, true)
     assess()
   }
 
@@ -231,14 +232,14 @@
     apply({ ...record, changedAtMs: nowMs, untilMs: nowMs + forMs, crashes: record.crashes + 1 }, 'trial')
   }
 
-  function recordAnswer (service: string, parts: readonly PromptPartId[]): void {
+  function recordAnswer (service: string, features: readonly RequestFeature[]): void {
     rates.record(service)
-    if (parts.length === 0) return
-    evidence.recordAnswer(boundParts(parts))
-    for (const record of records.matching(service, parts)) if (clock.wallMs() >= record.untilMs) lift(record, 'trial')
+    if (features.length === 0) return
+    evidence.recordAnswer(boundFeatures(features))
+    for (const record of records.matching(service, features)) if (clock.wallMs() >= record.untilMs) lift(record, 'trial')
   }
 
-  function merge (source: NodeId, { crashed, answered, trials: underWay, records: received }: PromptReport): void {
+  function merge (source: NodeId, { crashed, answered, trials: underWay, records: received }: QuarantineReport): void {
     for (const attempt of crashed) evidence.add(attempt, false)
     evidence.setAnswered(source, answered)
     trials.setUnderWay(source, underWay)
@@ -246,7 +247,7 @@
     assess()
   }
 
-  function bounded (answered: ReadonlyMap<PromptPartId, AnswerCounts>): Map<PromptPartId, AnswerCounts> {
+  function bounded (answered: ReadonlyMap<RequestFeature, AnswerCounts>): Map<RequestFeature, AnswerCounts> {
     return new Map([...answered].slice(-maxReportedAnswers))
   }
 
--- a/src/core/quarantine/records.ts
+++ b/src/core/quarantine/records.ts
@@ -1,7 +1,7 @@
 /** The quarantine records that a node knows. Records of several nodes are merged by the time of their latest change, so that all nodes end with the same ones. */
-import { hasAllParts } from './assess.ts'
+import { hasAllFeatures } from './assess.ts'
 import type { Clock } from '../clock/index.ts'
-import type { PromptPartId } from '../ids/index.ts'
+import type { RequestFeature } from '../ids/index.ts'
 import type { QuarantineRecord } from './types.ts'
 
 /** The records of a node. */
@@ -9,8 +9,8 @@
   /** Adds or replaces a record unless a later one is known; returns whether it did. */
   merge: (record: QuarantineRecord) => boolean
   /** The records under which requests with these parts are refused. */
-  matching: (service: string, parts: readonly PromptPartId[]) => QuarantineRecord[]
-  get: (service: string, parts: readonly PromptPartId[]) => QuarantineRecord | undefined
+  matching: (service: string, features: readonly RequestFeature[]) => QuarantineRecord[]
+  get: (service: string, features: readonly RequestFeature[]) => QuarantineRecord | undefined
   list: () => QuarantineRecord[]
   /** The lifted records, with the wall time of this node up to which they make crashes irrelevant; a node with a fast clock may have written them. */
   lifted: () => Array<{ record: QuarantineRecord, liftedAtMs: number }>
@@ -28,8 +28,8 @@
 const recordsInTurn = 2
 
 /** Name of a combination of parts of a service's prompts. */
-export function combinationKey (service: string, parts: readonly PromptPartId[]): string {
-  return `${service}/${parts.join('+')}`
+export function combinationKey (service: string, features: readonly RequestFeature[]): string {
+  return `${service}/${features.join('+')}`
 }
 
 /** Creates an empty set of records. */
@@ -45,9 +45,9 @@
   }
 
   function merge (record: QuarantineRecord): boolean {
-    const key = combinationKey(record.service, record.parts)
+    const key = combinationKey(record.service, record.features)
     const before = records.get(key)?.record
-    if (record.parts.length === 0 || (before !== undefined && before.changedAtMs >= record.changedAtMs)) return false
+    if (record.features.length === 0 || (before !== undefined && before.changedAtMs >= record.changedAtMs)) return false
     removeExpired()
     records.delete(key)
     records.set(key, { record, knownSinceMs: clock.monotonicMs(), knownAtMs: clock.wallMs() })
@@ -58,10 +58,10 @@
 
   return {
     merge,
-    matching: (service, parts) => [...records.values()].flatMap(({ record }) => {
-      return record.state === 'quarantined' && record.service === service && hasAllParts(parts, record.parts) ? [record] : []
+    matching: (service, features) => [...records.values()].flatMap(({ record }) => {
+      return record.state === 'quarantined' && record.service === service && hasAllFeatures(features, record.features) ? [record] : []
     }),
-    get: (service, parts) => records.get(combinationKey(service, parts))?.record,
+    get: (service, features) => records.get(combinationKey(service, features))?.record,
     list: () => {
       removeExpired()
       return [...records.values()].map(({ record }) => record)
--- a/src/core/quarantine/request-digest.ts
+++ b/src/core/quarantine/request-digest.ts
@@ -1,7 +1,7 @@
 /** The identity of a request: two requests with the same digest ask for the same thing on behalf of the same team. */
 import { createHash } from 'node:crypto'
 import { toId } from '../ids/index.ts'
-import type { RequestDigest, TeamId } from '../ids/index.ts'
+import type { RequestDigest, RequestFeature, TeamId } from '../ids/index.ts'
 
 /** What makes two requests the same. Ids of attempts, deadlines and other headers differ between repeats. */
 export interface RequestIdentity {
@@ -27,6 +27,11 @@
 }
 
 /** Whether a feature of a request is the digest of a whole one. */
-export function isRequestDigest (feature: string): feature is RequestDigest {
+export function isRequestDigest (feature: RequestFeature): feature is RequestDigest {
   return feature.startsWith(digestPrefix)
 }
+
+/** The fields of log events for features, as in the gateway's lines on requests. */
+export function featureLogFields (features: readonly RequestFeature[]): { parts: RequestFeature[], requestDigest: RequestDigest | undefined } {
+  return { parts: features.filter(feature => !isRequestDigest(feature)), requestDigest: features.find(isRequestDigest) }
+}
--- a/src/core/quarantine/stored-records.ts
+++ b/src/core/quarantine/stored-records.ts
@@ -5,8 +5,9 @@
 import { z } from 'zod'
 import { toId } from '../ids/index.ts'
 import { combinationKey } from './records.ts'
+import { featureLogFields } from './request-digest.ts'
 import type { Clock } from '../clock/index.ts'
-import type { BackendId, PromptPartId } from '../ids/index.ts'
+import type { BackendId, RequestFeature } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Compare, KeyValueEntry, KeyValueStore } from '../platform/key-value/types.ts'
 import type { Quarantine, QuarantineRecord } from './types.ts'
@@ -44,6 +45,7 @@
 
 const recordSchema = z.object({
   service: z.string(),
+  /** Digests of whole requests, too; the name is of the first release. */
   parts: z.array(z.string()).min(1),
   state: z.enum(['quarantined', 'lifted']),
   changedAtMs: z.number(),
@@ -68,17 +70,18 @@
 export function decodeQuarantine (value: string): QuarantineRecord[] | undefined {
   const content = contentSchema.safeParse(parseJson(value))
   if (!content.success) return undefined
-  return content.data.records.map(record => ({
+  return content.data.records.map(({ parts, ...record }) => ({
     ...record,
-    parts: record.parts.map(part => toId<PromptPartId>(part)),
+    features: parts.map(feature => toId<RequestFeature>(feature)),
     backends: record.backends.map(backend => toId<BackendId>(backend))
   }))
 }
 
 /** Encodes records in the order of their names, so that the same records give the same text. */
 export function encodeQuarantine (records: readonly QuarantineRecord[]): string {
-  const nameOf = ({ service, parts }: QuarantineRecord): string => combinationKey(service, parts)
-  return JSON.stringify({ records: records.toSorted((a, b) => nameOf(a) < nameOf(b) ? -1 : 1) })
+  const nameOf = ({ service, features }: QuarantineRecord): string => combinationKey(service, features)
+  const sorted = records.toSorted((a, b) => nameOf(a) < nameOf(b) ? -1 : 1)
+  return JSON.stringify({ records: sorted.map(({ features, ...record }) => ({ ...record, parts: features })) })
 }
 
 /** Creates the stored records; nothing is written before `reconcile`. */
@@ -104,13 +107,13 @@
     const claimed = await read(trialKey)
     const earlier = claimed === undefined ? undefined : trialSchema.safeParse(parseJson(claimed.value))
     if (earlier?.success === true && nowMs < earlier.data.untilMs) return false
-    const value = JSON.stringify({ combination: combinationKey(record.service, record.parts), untilMs: nowMs + trialMs })
+    const value = JSON.stringify({ combination: combinationKey(record.service, record.features), untilMs: nowMs + trialMs })
     const written = await store.transact(
       { compares: [{ key: trialKey, modRevision: claimed?.modRevision ?? 0 }], puts: [{ key: trialKey, value }], deletes: [] },
       { deadlineAtMs: nowMs + callTimeoutMs }
     )
     const isClaimed = written.isOk && written.value.applied
-    if (isClaimed) log('promptTrial', { service: record.service, parts: record.parts })
+    if (isClaimed) log('promptTrial', { service: record.service, ...featureLogFields(record.features) })
     return isClaimed
   }
 
--- a/src/core/quarantine/types.ts
+++ b/src/core/quarantine/types.ts
@@ -1,6 +1,6 @@
 /** Types of the quarantine for prompts that crash backend servers. */
 import type { Clock } from '../clock/index.ts'
-import type { AttemptId, BackendId, NodeId, PromptPartId } from '../ids/index.ts'
+import type { AttemptId, BackendId, NodeId, RequestFeature } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 
@@ -12,7 +12,7 @@
   /** Wall time of the start of the backend server's process, if it reported one. */
   backendStartedAtMs: number | undefined
   /** The parts of its prompt that other requests may share. */
-  parts: readonly PromptPartId[]
+  features: readonly RequestFeature[]
   /** Whether the head of the response had arrived, which means that its prompt was being answered. */
   hasStarted: boolean
   /** Wall time of the crash. */
@@ -23,7 +23,7 @@
 export interface QuarantineRecord {
   service: string
   /** Requests whose prompts have all of these parts are refused; in ascending order. */
-  parts: readonly PromptPartId[]
+  features: readonly RequestFeature[]
   state: 'quarantined' | 'lifted'
   /** Wall time of the latest change of the record. */
   changedAtMs: number
@@ -46,10 +46,10 @@
 }
 
 /** What nodes tell one another about prompts that may crash backend servers. */
-export interface PromptReport {
+export interface QuarantineReport {
   crashed: readonly CrashedAttempt[]
   /** How often parts of crashed prompts were answered. */
-  answered: ReadonlyMap<PromptPartId, AnswerCounts>
+  answered: ReadonlyMap<RequestFeature, AnswerCounts>
   /** Suspected combinations of parts of which a request is under way. */
   trials: readonly string[]
   records: readonly QuarantineRecord[]
@@ -64,9 +64,9 @@
   | { kind: 'refused', reason: QuarantineReason, detail: string, retryAtMs: number }
 
 /** A request that asks to be sent. */
-export interface PromptRequest {
+export interface QuarantineRequest {
   service: string
-  parts: readonly PromptPartId[]
+  features: readonly RequestFeature[]
   /** Whether a backend server crashed under an earlier attempt of the request; then it is only sent once its parts are no longer suspected. */
   isRetryAfterCrash: boolean
   /** Aborts a wait. */
@@ -93,18 +93,18 @@
 /** The quarantine as one node sees it. */
 export interface Quarantine {
   /** Decides whether a request may be sent now. Waits a moment for the outcome of others with the same parts. */
-  admit: (request: PromptRequest) => Promise<Admittance>
+  admit: (request: QuarantineRequest) => Promise<Admittance>
   /** The record under which requests with these parts are refused, if any; of several, the one with the latest deadline. */
-  find: (service: string, parts: readonly PromptPartId[]) => QuarantineRecord | undefined
+  find: (service: string, features: readonly RequestFeature[]) => QuarantineRecord | undefined
   recordCrash: (crashed: CrashedAttempt) => void
   /** Records the first event of a stream, or another complete answer. */
-  recordAnswer: (service: string, parts: readonly PromptPartId[]) => void
+  recordAnswer: (service: string, features: readonly RequestFeature[]) => void
   /** What this node has to tell. */
-  report: () => PromptReport
+  report: () => QuarantineReport
   /** What a collector tells a node of all others. */
-  digestFor: (node: NodeId) => PromptReport
+  digestFor: (node: NodeId) => QuarantineReport
   /** Adds what another node, or a collector for several, tells. */
-  merge: (source: NodeId, report: PromptReport) => void
+  merge: (source: NodeId, report: QuarantineReport) => void
   /** Calls the listener whenever prompts were quarantined, so that their open attempts can be aborted. */
   onQuarantined: (listener: () => void) => void
   /** All records that haven't expired, for the key-value service and for operators. */
--- a/test/cli/quarantine.test.ts
+++ b/test/cli/quarantine.test.ts
@@ -11,7 +11,7 @@
 import type { QuarantineRecord } from '../../src/core/quarantine/index.ts'
 
 const record: QuarantineRecord = {
-  service: 'lyric-model', parts: [toId<PromptPartId>('91bd3f06')], state: 'quarantined', changedAtMs: 2_000, sinceMs: 1_000, untilMs: 9_000_000_000_000, crashes: 3, backends: [toId<BackendId>('i-1')]
+  service: 'lyric-model', features: [toId<PromptPartId>('91bd3f06')], state: 'quarantined', changedAtMs: 2_000, sinceMs: 1_000, untilMs: 9_000_000_000_000, crashes: 3, backends: [toId<BackendId>('i-1')]
 }
 
 test('quarantine list shows refused prompts, and quarantine lift ends their refusal', async t => {
@@ -27,7 +27,7 @@
     const lifted = await runCli(['quarantine', 'lift', '91bd3f06', ...endpoint])
     t.is(lifted.code, 0, lifted.stderr)
     const stored = await store.get(quarantineKey, deadline())
-    t.like(decodeQuarantine(stored.isOk ? stored.value.entry?.value ?? '' : '')?.[0], { state: 'lifted', parts: record.parts })
+    t.like(decodeQuarantine(stored.isOk ? stored.value.entry?.value ?? '' : '')?.[0], { state: 'lifted', features: record.features })
   } finally {
     await store.close()
     await service.close()
--- a/test/quarantine/assess.test.ts
+++ b/test/quarantine/assess.test.ts
@@ -1,6 +1,6 @@
 /** Which parts of prompts are suspected, by the crashes and answers that are known. */
 import test from 'ava'
-import { assessPrompts, suspicionScore } from '../../src/core/quarantine/assess.ts'
+import { assessFeatures, suspicionScore } from '../../src/core/quarantine/assess.ts'
 import { toId } from '../../src/core/ids/index.ts'
 import type { AttemptId, BackendId, PromptPartId } from '../../src/core/ids/index.ts'
 import type { AnswerCounts, CrashedAttempt } from '../../src/core/quarantine/index.ts'
@@ -15,18 +15,18 @@
     service: 'models',
     backend: toId<BackendId>(server),
     backendStartedAtMs: 1,
-    parts: names.map(part),
+    features: names.map(part),
     hasStarted: options.hasStarted ?? true,
     crashedAtMs: atMs
   }
 }
 
 function assess (attempts: CrashedAttempt[], answered: Record<string, AnswerCounts> = {}, answersPerSecond = 50) {
-  return assessPrompts(attempts, { answered: name => answered[name] ?? { since: 0, before: 0 }, answersPerSecond: () => answersPerSecond })
+  return assessFeatures(attempts, { answered: name => answered[name] ?? { since: 0, before: 0 }, answersPerSecond: () => answersPerSecond })
 }
 
 function quarantined (attempts: CrashedAttempt[], answered: Record<string, AnswerCounts> = {}, answersPerSecond = 50): string[] {
-  return assess(attempts, answered, answersPerSecond).flatMap(({ isCertain, parts }) => isCertain ? [parts.join('+')] : [])
+  return assess(attempts, answered, answersPerSecond).flatMap(({ isCertain, features }) => isCertain ? [features.join('+')] : [])
 }
 
 test('a part in three crashes without an answer is quarantined, whatever comes with it', t => {
@@ -52,7 +52,7 @@
 
 test('parts of prompts that happened to be on servers that another one crashed are not quarantined', t => {
   const attempts = Array.from({ length: 8 }, (_, index) => [crashed(index * 100, [`first-${index}`, 'bad']), crashed(index * 100, ['rare', 'seldom'])]).flat()
-  t.deepEqual(quarantined(attempts.filter(({ parts, crashedAtMs }) => parts.includes(part('bad')) || crashedAtMs < 500)), ['bad'])
+  t.deepEqual(quarantined(attempts.filter(({ features, crashedAtMs }) => features.includes(part('bad')) || crashedAtMs < 500)), ['bad'])
 })
 
 test('two parts that crash servers at the same time are both quarantined', t => {
--- a/test/quarantine/gateway.test.ts
+++ b/test/quarantine/gateway.test.ts
@@ -54,7 +54,7 @@
 test('a suspected prompt that is admitted when no backend server is left does not keep others from being sent', async t => {
   const { call, backends, quarantine } = await startGateway(t, [])
   const parts = [toId<PromptPartId>('system'), toId<PromptPartId>('suspected')]
-  quarantine.recordCrash({ attempt: toId<AttemptId>('a-1'), service: 'service', backend: toId<BackendId>('b-9'), backendStartedAtMs: 1, parts, hasStarted: true, crashedAtMs: Date.now() })
+  quarantine.recordCrash({ attempt: toId<AttemptId>('a-1'), service: 'service', backend: toId<BackendId>('b-9'), backendStartedAtMs: 1, features: parts, hasStarted: true, crashedAtMs: Date.now() })
   t.is(backends.list().length, 0)
   const answer = await call('/resumable/', 'r-1', { headers: { 'x-parts': 'system,suspected' } })
   t.true(answer.body.includes('no-backend'))
@@ -87,7 +87,7 @@
   const open = call('/once/', 'r-1', { headers: { 'x-parts': 'first,bad' } })
   while (servers[0]!.requests.length === 0) await new Promise(resolve => setTimeout(resolve, 5))
   const nowMs = Date.now()
-  quarantine.mergeRecords([{ service: 'service', parts: [toId<PromptPartId>('bad')], state: 'quarantined', changedAtMs: nowMs, sinceMs: nowMs, untilMs: nowMs + 60_000, crashes: 3, backends: [] }])
+  quarantine.mergeRecords([{ service: 'service', features: [toId<PromptPartId>('bad')], state: 'quarantined', changedAtMs: nowMs, sinceMs: nowMs, untilMs: nowMs + 60_000, crashes: 3, backends: [] }])
   t.like(await open, { status: 502 })
   const answer = await call('/once/', 'r-2', { headers: { 'x-parts': 'second,bad' } })
   t.is(answer.status, 503)
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -9,7 +9,7 @@
 type Cluster = Awaited<ReturnType<typeof createCluster>>
 
 function ask ({ nodes }: Cluster, index: number, names: string[], isRetryAfterCrash = false): Promise<Admittance> {
-  return nodes[index]!.quarantine.admit({ service, parts: partsOf(...names), isRetryAfterCrash, signal: new AbortController().signal })
+  return nodes[index]!.quarantine.admit({ service, features: partsOf(...names), isRetryAfterCrash, signal: new AbortController().signal })
 }
 
 /** Asks all nodes at once and lets time pass until all have decided. */
@@ -144,7 +144,7 @@
   const cluster = await createCluster(2)
   for (let index = 0; index < 1_000; index += 1) cluster.crash(0, `first-${index}`, ...Array.from({ length: 40 }, (_, part) => `part-${index}-${part}`))
   const { crashed, answered, records } = cluster.nodes[0]!.quarantine.report()
-  t.true(crashed.length <= 16 && crashed.every(({ parts }) => parts.length <= 16))
+  t.true(crashed.length <= 16 && crashed.every(({ features }) => features.length <= 16))
   t.true(answered.size <= 48 && records.length <= 64)
   t.true(cluster.nodes[0]!.quarantine.records().length <= 64)
 })
@@ -168,9 +168,9 @@
 test('no trial is sent for a prompt that another quarantine refuses', async t => {
   const cluster = await createCluster(3)
   const record: QuarantineRecord = {
-    service, parts: partsOf('bad', 'first'), state: 'quarantined', changedAtMs: cluster.clock.wallMs(), sinceMs: cluster.clock.wallMs(), untilMs: cluster.clock.wallMs() + 1_000, crashes: 3, backends: []
+    service, features: partsOf('bad', 'first'), state: 'quarantined', changedAtMs: cluster.clock.wallMs(), sinceMs: cluster.clock.wallMs(), untilMs: cluster.clock.wallMs() + 1_000, crashes: 3, backends: []
   }
-  for (const { quarantine } of cluster.nodes) quarantine.mergeRecords([record, { ...record, parts: partsOf('bad'), untilMs: record.untilMs + 60_000 }])
+  for (const { quarantine } of cluster.nodes) quarantine.mergeRecords([record, { ...record, features: partsOf('bad'), untilMs: record.untilMs + 60_000 }])
   await cluster.clock.advance(2_000)
   t.is(countAdmitted(await askAll(cluster, ['bad', 'first'])), 0)
 })
@@ -183,6 +183,6 @@
     await run(400)
     t.false(isRefused(index % 9, 'system'), `quarantined after ${index + 1} crashes`)
   }
-  const admitted = await nodes[0]!.quarantine.admit({ service, parts: partsOf('system'), isRetryAfterCrash: false, signal: new AbortController().signal })
+  const admitted = await nodes[0]!.quarantine.admit({ service, features: partsOf('system'), isRetryAfterCrash: false, signal: new AbortController().signal })
   t.is(admitted.kind, 'admitted')
 })
