--- a/bench/measure/crashing-prompts/play.ts
+++ b/bench/measure/crashing-prompts/play.ts
@@ -136,7 +136,7 @@
       const { request, node, hasStarted, hasEvents } = attempt
       if (!hasEvents && isCrash) {
         request.hasCrashedEngine = true
-        if (scenario.usesQuarantine) nodes[node]?.recordCrash({ attempt: toId<AttemptId>(`${request.id}/${request.attempts}`), service, backend: id, backendStartedAtMs: startedAtMs, features: request.parts, hasStarted, crashedAtMs: clock.wallMs() })
+        if (scenario.usesQuarantine) nodes[node]?.recordCrash({ attempt: toId<AttemptId>(`${request.id}/${request.attempts}`), service, backend: id, backendStartedAtMs: startedAtMs, features: request.parts, hasStarted, inProgress: 1, crashedAtMs: clock.wallMs() })
       }
       if (!hasEvents) retry(node, request)
     }
@@ -148,7 +148,7 @@
 
   async function send (node: number, request: Request): Promise<void> {
     const admittance = scenario.usesQuarantine
-      ? await nodes[node]!.admit({ service, features: request.parts, isRetryAfterCrash: request.hasCrashedEngine, signal: AbortSignal.timeout(60_000) })
+      ? await nodes[node]!.admit({ service, features: request.parts, isRetryAfterCrash: request.hasCrashedEngine, liveBackends: () => [], signal: AbortSignal.timeout(60_000) })
       : { kind: 'admitted' as const, release: () => {} }
     const up = engines.filter(({ upFromMs }) => upFromMs <= clock.wallMs())
     const engine = up[Math.floor(random() * up.length)]
--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -50,8 +50,8 @@
   admission: Admission
   quotas: Quotas
   retryBudget: RetryBudget
-  /** Refuses prompts that crash backend servers. */
-  quarantine: Pick<Quarantine, 'admit' | 'find' | 'recordCrash' | 'recordAnswer' | 'onQuarantined'>
+  /** Refuses requests that crash backend servers. */
+  quarantine: Pick<Quarantine, 'admit' | 'find' | 'isQuiet' | 'recordCrash' | 'recordAnswer' | 'onQuarantined'>
   backends: BackendTable
   limits: Pick<BackendLimits, 'recordResponse' | 'recordDemand' | 'take' | 'stateOf'>
   /** Routes of the configuration in effect; undefined before the first one arrives. */
@@ -105,10 +105,12 @@
   attempt: Attempt | undefined
   /** How far the latest attempt had come when it ended. */
   endedInPhase: AttemptPhase | undefined
-  /** Whether a backend server crashed under an attempt that had no answer. */
+  /** Whether a backend server crashed under an attempt without a complete answer. */
   hasCrashedBackend: boolean
-  /** Why the prompt must not be sent again. */
-  blockedBy: BlockedPrompt | undefined
+  /** Why the request must not be sent again. */
+  blockedBy: BlockedRequest | undefined
+  /** The admittance of a retry after such an attempt, until the retry is sent. */
+  retryAdmittance: Admittance | undefined
   /** Aborted when the caller disconnects or the deadline passes. */
   ended: AbortController
   isCallerGone: boolean
@@ -141,6 +143,7 @@
     endedInPhase: undefined,
     hasCrashedBackend: false,
     blockedBy: undefined,
+    retryAdmittance: undefined,
     ended: new AbortController(),
     isCallerGone: false,
     isTimedOut: false,
@@ -154,8 +157,8 @@
   return digestRequest({ method: request.method ?? '', host: request.headers.host ?? '', path: request.url ?? '', team: team?.team, body })
 }
 
-/** Why a prompt is not sent, and when a retry may succeed. */
-export type BlockedPrompt = Pick<Extract<Admittance, { kind: 'refused' }>, 'reason' | 'detail' | 'retryAtMs'>
+/** Why a request is not sent, and when a retry may succeed. */
+export type BlockedRequest = Pick<Extract<Admittance, { kind: 'refused' }>, 'reason' | 'detail' | 'retryAtMs'>
 
 const maxLoggedParts = 8
 const maxLoggedBackends = 4
--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -27,10 +27,10 @@
   | { kind: 'complete', response: CompleteResponse }
   /** Certainly not run: nothing was sent, or the backend server stated that it did not run the request. */
   | { kind: 'not-run', cause: string, status?: number, retryAfter?: string, isMisdirected: boolean, isUnreachable: boolean }
-  /** It may have run, and this attempt forwarded nothing. `isUntrusted` marks a response that is unsigned or to another request. */
-  | { kind: 'may-have-run', cause: string, isUntrusted: boolean }
+  /** It may have run, and this attempt forwarded nothing. `isUntrusted` marks a response that is unsigned or to another request; `isGivenUp` one that the gateway didn't read to its end. */
+  | { kind: 'may-have-run', cause: string, isUntrusted: boolean, isGivenUp: boolean }
   /** A stream broke after this attempt had forwarded events. */
-  | { kind: 'broken', cause: string }
+  | { kind: 'broken', cause: string, isGivenUp: boolean }
   /** The gateway aborted it. */
   | { kind: 'aborted', mayHaveRun: boolean }
 
@@ -114,7 +114,7 @@
   function failWithBytes (cause: string): void {
     exchange.abort()
     if (head?.isNotRun === true) endAsNotRun()
-    else onBroken(cause)
+    else onBroken(cause, true)
   }
 
   function endAsNotRun (): void {
@@ -142,12 +142,12 @@
     if (isMismatched) {
       // The connection carries a response to another request, so nothing on it can be trusted.
       exchange.abort()
-      return end({ kind: 'may-have-run', cause: 'received a response to another request', isUntrusted: true })
+      return end({ kind: 'may-have-run', cause: 'received a response to another request', isUntrusted: true, isGivenUp: true })
     }
     options.onHead(head)
     if (!head.isNotRun && !head.isSigned && status < minErrorStatus) {
       exchange.abort()
-      return end({ kind: 'may-have-run', cause: 'received a response without a signature', isUntrusted: true })
+      return end({ kind: 'may-have-run', cause: 'received a response without a signature', isUntrusted: true, isGivenUp: true })
     }
     const declaredBytes = Number(firstValueOf(newHeaders['content-length']) ?? 0)
     const hasBody = options.request.method !== 'HEAD'
@@ -203,18 +203,18 @@
     end({ kind: 'passed-on', status })
   }
 
-  function onBroken (cause: string): void {
+  function onBroken (cause: string, isGivenUp = false): void {
     progress.eventBuffer.discardPartialEvent()
-    if (forwardedBytes > 0) end({ kind: 'broken', cause })
-    else end({ kind: 'may-have-run', cause, isUntrusted: false })
+    if (forwardedBytes > 0) end({ kind: 'broken', cause, isGivenUp })
+    else end({ kind: 'may-have-run', cause, isUntrusted: false, isGivenUp })
   }
 
   const exchange: Exchange = options.connections.send(options.request, {
     onHead,
     onData,
     onEnd,
-    onFailure: ({ mayHaveRun, cause }) => {
-      if (mayHaveRun) onBroken(cause)
+    onFailure: ({ mayHaveRun, cause, isGivenUp }) => {
+      if (mayHaveRun) onBroken(cause, isGivenUp)
       else end({ kind: 'not-run', cause, isMisdirected: false, isUnreachable: true })
     }
   })
--- a/src/core/gateway/backend-connections.ts
+++ b/src/core/gateway/backend-connections.ts
@@ -7,14 +7,17 @@
 import { describeError } from '../connections/index.ts'
 import { isSelfDelimited } from './gateway-response.ts'
 
+/** Codes of errors that say that the backend server's side ended the connection; after all others this side closes it. */
+const connectionEndCodes = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE'])
+
 /** Callbacks of one exchange. */
 export interface ExchangeHandlers {
   onHead: (status: number, headers: Record<string, string | string[] | undefined>) => void
   /** Returns false to pause reading until `resume` is called. */
   onData: (chunk: Buffer) => boolean
   onEnd: () => void
-  /** `mayHaveRun` is false only when certainly no byte of the request was sent. */
-  onFailure: (failure: { mayHaveRun: boolean, cause: string }) => void
+  /** `mayHaveRun` is false only when certainly no byte of the request was sent; `isGivenUp` marks a connection that this side closed. */
+  onFailure: (failure: { mayHaveRun: boolean, cause: string, isGivenUp: boolean }) => void
 }
 
 /** A request in progress on one connection, and its response. */
@@ -123,15 +126,15 @@
     let gotDataInThisTick = false
     let informationalCount = 0
 
-    function fail (cause: string): void {
+    function fail (cause: string, isGivenUp = false): void {
       if (hasEnded) return
       hasEnded = true
       discard(client)
-      handlers.onFailure({ mayHaveRun: isSent, cause })
+      handlers.onFailure({ mayHaveRun: isSent, cause, isGivenUp })
     }
 
     function failAndClose (cause: string): void {
-      fail(cause)
+      fail(cause, true)
       controller?.abort(new Error(cause))
     }
 
@@ -178,7 +181,7 @@
         releaseClient(client)
         handlers.onEnd()
       },
-      onResponseError: (_controller, error) => fail(describeError(error))
+      onResponseError: (_controller, error) => fail(describeError(error), !connectionEndCodes.has((error as NodeJS.ErrnoException).code ?? ''))
     })
 
     return {
--- a/src/core/gateway/backend-table-types.ts
+++ b/src/core/gateway/backend-table-types.ts
@@ -67,6 +67,8 @@
   remove: (id: BackendId, cause: string) => void
   /** Backend servers of a service that may be chosen now for a request, by default a first attempt of the highest priority; suspected ones only if no other is live. Calls `onLimited` for those that it may not be sent to because of their limits. */
   usable: (service: string, claim?: PermitClaim, onLimited?: (backend: BackendId) => void) => Backend[]
+  /** The entries of a service whose servers take requests, as far as this node knows. */
+  live: (service: string) => BackendEntry[]
   /** All entries of a service. */
   entries: (service: string) => BackendEntry[]
   get: (id: BackendId) => KnownBackend | undefined
--- a/src/core/gateway/backend-table.ts
+++ b/src/core/gateway/backend-table.ts
@@ -237,6 +237,10 @@
     put,
     remove,
     usable,
+    live: service => {
+      const nowMs = clock.monotonicMs()
+      return liveOf(service).filter(({ suspectUntilMs, pausedUntilMs }) => suspectUntilMs <= nowMs && pausedUntilMs <= nowMs).map(({ entry }) => entry)
+    },
     entries: service => [...known.values()].filter(({ entry }) => entry.service === service).map(({ entry, leavingSinceMs }) => leavingSinceMs === undefined ? entry : { ...entry, isLeaving: true }),
     get: id => known.get(id),
     list: () => [...known.values()],
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -9,7 +9,7 @@
 import { servingLabel, canaryLabel } from './backend-table.ts'
 import { createAttemptEndHandler } from './attempt-end-handler.ts'
 import { createLimitGate } from './limit-gate.ts'
-import { createPromptGate } from './prompt-gate.ts'
+import { createQuarantineGate } from './quarantine-gate.ts'
 import { resumeMs } from './eligibility.ts'
 import { createLatencyObserver } from './latency-observer.ts'
 import { createResponseBuffers } from './response-buffers.ts'
@@ -46,7 +46,7 @@
   const refusals = createRefusals(options)
   const buffers = createResponseBuffers({ maxResponseBytes, maxTotalBytes: maxBufferedBytes })
   const { refuse, withJitter } = refusals
-  const promptGate = createPromptGate(options)
+  const quarantineGate = createQuarantineGate(options)
   const limitGate = createLimitGate(options)
   const { handleAttemptEnd, failRequest, timeOutRequest } = createAttemptEndHandler(options, refusals)
 
@@ -109,7 +109,7 @@
     const { route, team, version, id } = accepted
     const active = createActiveRequest({ ...accepted, body: body.body, arrivedAtMs, request, response, service: pickService(id, route) })
     limits.recordDemand(active.service)
-    const quarantined = promptGate.refusalOnArrival(active)
+    const quarantined = quarantineGate.refusalOnArrival(active)
     if (quarantined !== undefined) return refuse(response, quarantined, requestLogFields(active, clock))
     if (team?.quota !== undefined) {
       const waitMs = options.quotas.take(team.team, team.quota, quotaUnitsOf(active))
@@ -154,6 +154,7 @@
       await attemptUntilDone(active)
     } finally {
       clearTimeout(timer)
+      quarantineGate.onEnded(active)
       permit.value.release(response.writableFinished ? 'done' : 'failed')
     }
   }
@@ -181,7 +182,7 @@
     for (;;) {
       if (active.isCallerGone) return log('gatewayLeft', { ...requestLogFields(active, clock), phase: 'serving' })
       if (active.isTimedOut) return timeOutRequest(active)
-      const admittance = await promptGate.admit(active)
+      const admittance = await quarantineGate.admit(active)
       if (active.isCallerGone || active.isTimedOut) {
         if (admittance.kind === 'admitted') admittance.release()
         continue
@@ -206,7 +207,7 @@
       const end = await attemptOnce(active, chosen.value)
       limitGate.onAttemptEnded(permit, end)
       admittance.release()
-      await promptGate.onAttemptEnded(active, end)
+      await quarantineGate.onAttemptEnded(active, end)
       if (handleAttemptEnd(active, chosen.value, end)) return
     }
   }
@@ -257,7 +258,7 @@
       onEvents: count => {
         lastProgressAtMs = clock.monotonicMs()
         latencies.onEvents(count, lastProgressAtMs)
-        if (!hasEvents) promptGate.onFirstEvent(active)
+        if (!hasEvents) quarantineGate.onFirstEvent(active)
         hasEvents = true
       }
     })
--- a/src/core/http/problem.ts
+++ b/src/core/http/problem.ts
@@ -33,6 +33,8 @@
   'answer-not-kept': 410,
   'prompt-quarantined': 422,
   'prompt-suspected': 503,
+  'request-quarantined': 422,
+  'request-suspected': 503,
   'backends-limited': 503,
   'caller-left': 499
 }
--- a/src/core/log/events/gateway.ts
+++ b/src/core/log/events/gateway.ts
@@ -19,13 +19,13 @@
   backendLimitSkipped: { number: 725, level: 'info', text: 'Requests were not sent to a backend server because of its limit; logged at most every five seconds for each one.', remedy: 'none; skipped and sent count since the limit was named.' },
   backendLimitInvalid: { number: 724, level: 'warn', text: 'A backend server named a request limit that is not a decimal number; it is ignored.', remedy: 'Correct the backend server.' },
   backendAvoided: { number: 713, level: 'warn', text: 'Other nodes can not reach a backend server, so this node avoids it, or no longer does.', remedy: 'Check the backend server if it remains avoided.' },
-  backendCrashed: { number: 717, level: 'warn', text: 'A backend server crashed before it had answered this request; the parts of the prompt are suspected until they are answered elsewhere.', remedy: 'Check the log of the backend server. If it happens repeatedly, see promptQuarantined.' },
+  backendCrashed: { number: 717, level: 'warn', text: 'A backend server crashed before it had answered this request; the request and the parts of its prompt are suspected until they are answered elsewhere.', remedy: 'Check the log of the backend server. If it happens repeatedly, see promptQuarantined.' },
   configurationTaken: { number: 720, level: 'info', text: 'A new configuration is in effect on this node.', remedy: 'none' },
   configurationUnreadable: { number: 721, level: 'error', text: 'A configuration is invalid and was ignored.', remedy: 'The previous configuration stays in effect; correct the stored one.' },
   storeHistoryLost: { number: 722, level: 'warn', text: 'The key-value service no longer has the history that a watch needs; all keys are listed again.', remedy: 'none' },
-  promptQuarantined: { number: 730, level: 'error', text: 'Prompts with all of these parts crashed backend servers; requests with them are refused until untilMs.', remedy: 'Find the callers by the requests of the backendCrashed events with these parts. After the cause is removed, lift the quarantine.' },
-  promptReleased: { number: 731, level: 'info', text: 'Prompts with these parts are no longer refused.', remedy: 'none; see the cause.' },
-  promptTrial: { number: 732, level: 'info', text: 'One request with quarantined parts is sent as a trial.', remedy: 'none' },
+  promptQuarantined: { number: 730, level: 'error', text: 'The same request (requestDigest), or prompts with all of these parts, crashed backend servers; such requests are refused until untilMs.', remedy: 'Find the callers by team and route, or by the requests of the backendCrashed events with these parts. After the cause is removed, lift the quarantine.' },
+  promptReleased: { number: 731, level: 'info', text: 'The same request, or prompts with these parts, are no longer refused.', remedy: 'none; see the cause.' },
+  promptTrial: { number: 732, level: 'info', text: 'One request that is quarantined, or has quarantined parts, is sent as a trial.', remedy: 'none' },
   quarantineUnreadable: { number: 733, level: 'error', text: 'The stored quarantine records can not be read and were ignored.', remedy: 'Correct or delete the stored value.' },
   linesDropped: { number: 723, level: 'warn', text: 'Log lines were dropped because the log\'s limit was exceeded.', remedy: 'Use the metrics for complete counts.' }
 } satisfies Record<string, LogEventDefinition>
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -93,11 +93,15 @@
   activityAgeMs: () => number
   /** Sends a report immediately, for example before the node stops. */
   sendReport: () => void
+  /** Sends a report within some 20 ms instead of at the next interval. */
+  sendSoon: () => void
   close: () => void
 }
 
 /** Interval between reports; limits the age of what other nodes know. A collector with a third of a CPU core can process those of hundreds of nodes. */
 const reportIntervalMs = 200
+/** Shortest time between two reports that are sent ahead of the interval. */
+const minReportIntervalMs = 20
 /** Number of intervals without a report after which a node counts as silent; some datagrams are lost. */
 const maxMissedIntervals = 7
 /** Age up to which activity is current: a node that was cut off notices it after so long. Through a collector, a lost report and a lost digest both delay it. */
@@ -141,6 +145,8 @@
   let levelsUntilMs = 0
   let ownReport: NodeReport | undefined
   let sequence = 0
+  let lastReportAtMs = -Infinity
+  let isSendingSoon = false
 
   function sendDatagram (kind: 'report' | 'digest', bytes: Buffer, port: number, host: string): void {
     metrics.count('node_reports_sent_total', { kind })
@@ -166,6 +172,7 @@
     const holder = options.dutyHolder()
     applyChoice(collectors.choose(peers, holder === node ? undefined : holder))
     sequence += 1
+    lastReportAtMs = clock.monotonicMs()
     const report: NodeReport = { ...options.collectReport(), node, bootId, sequence, wantsDigest: choice.usesCollectors, digestSource: choice.digestSource ?? node }
     ownReport = report
     const targets = new Set([...choice.everyReport, ...(sequence % 2 === 0 ? choice.everySecondReport : [])])
@@ -250,6 +257,15 @@
     if (digest !== undefined && digest.receivedAtMs < oldestAtMs) digest = undefined
   }
 
+  /** Sends a report ahead of the interval; several requests for one within a short time get a common one. */
+  async function sendSoon (): Promise<void> {
+    if (isSendingSoon) return
+    isSendingSoon = true
+    await clock.sleep(Math.max(0, lastReportAtMs + minReportIntervalMs - clock.monotonicMs()), closed.signal)
+    isSendingSoon = false
+    if (!closed.signal.aborted) sendReport()
+  }
+
   async function run (): Promise<void> {
     while (!closed.signal.aborted) {
       sendReport()
@@ -291,6 +307,7 @@
     getsAllReports: () => choice.digestSource === undefined,
     evidenceDelayMs: () => (choice.usesCollectors ? 2 : 1) * reportIntervalMs + reportIntervalMs / 2,
     sendReport,
+    sendSoon: () => { sendSoon() },
     close: () => {
       closed.abort()
       socket.close()
--- a/src/core/node/choose-backend.ts
+++ b/src/core/node/choose-backend.ts
@@ -18,7 +18,7 @@
 import type { RecordAttempt } from '../moves/attempt-observation.ts'
 import { choosePermitted } from './limited-choice.ts'
 import { createFailedVersions } from './failed-versions.ts'
-import type { DraftPromptGate } from './draft-prompt-gate.ts'
+import type { OwnPathQuarantine } from './own-path-quarantine.ts'
 
 /** Target for the time to the first token, which 95 % of drafts must meet. */
 export const firstTokenTargetMs = 950
@@ -41,7 +41,7 @@
   table: BackendTable
   sharesOf: (team: TeamId) => VersionShares | undefined
   recordAttempt: RecordAttempt
-  promptGate: DraftPromptGate
+  ownPathQuarantine: OwnPathQuarantine
 }
 
 /** Creates the function that chooses the backend server of a draft's next attempt. */
@@ -62,11 +62,11 @@
   return async ({ draft, excluded, version }) => {
     const { hashes } = promptBlocks(draft)
     if (excluded.size === 0) options.requestLimits.recordDemand(draft.team)
-    const admittance = await options.promptGate.admit(draft, hashes)
+    const admittance = await options.ownPathQuarantine.admitDraft(draft, hashes)
     if (admittance.kind === 'refused') return err({ reason: admittance.reason, run: 'not-run', detail: admittance.detail, retryAtMs: admittance.retryAtMs })
     const chosen = choose({ draft, excluded, version })
     if (chosen.isErr) admittance.release()
-    return chosen.map(choice => options.promptGate.observe(draft, hashes, choice, admittance.release))
+    return chosen.map(choice => options.ownPathQuarantine.observeDraft(draft, hashes, choice, admittance.release))
   }
 
   function choose ({ draft, excluded, version }: ChoiceRequest): Result<DraftChoice, Refusal> {
--- a/src/core/node/components.ts
+++ b/src/core/node/components.ts
@@ -14,7 +14,7 @@
 import { createDrafts } from '../requests/index.ts'
 import { createPromptHasher, createRouter } from '../routing/index.ts'
 import { createDraftChooser } from './choose-backend.ts'
-import { createDraftPromptGate } from './draft-prompt-gate.ts'
+import { createOwnPathQuarantine } from './own-path-quarantine.ts'
 import { createDutyCandidacy } from './duty-candidates.ts'
 import { engineProfileOf } from './engine-profiles.ts'
 import { createFleetDuties } from './fleet-duties.ts'
@@ -99,7 +99,7 @@
   const { sharesOf } = moves
   /** The table for routing, with one entry for each version that a backend server serves. */
   const routingTable = { ...table, ofTeam: (team: TeamId) => moves.expandVersions(team, table.ofTeam(team)) }
-  const chooserOptions = { clock, metrics, router, hasher, limits, requestLimits, retryBudget, table: routingTable, sharesOf, recordAttempt: moves.recordAttempt, promptGate: createDraftPromptGate({ clock, quarantine }) }
+  const chooserOptions = { clock, metrics, router, hasher, limits, requestLimits, retryBudget, table: routingTable, sharesOf, recordAttempt: moves.recordAttempt, ownPathQuarantine: createOwnPathQuarantine({ clock, quarantine, liveBackends: team => routingTable.ofTeam(team) }) }
   const drafts = createDrafts({
     clock,
     metrics,
--- a/src/core/node/quarantine-exchange.ts
+++ b/src/core/node/quarantine-exchange.ts
@@ -29,6 +29,8 @@
 
 const reportKind = 'quarantine/report'
 const reportIntervalMs = 500
+/** Shortest time before a report that is sent ahead of the interval. */
+const minReportIntervalMs = 50
 /** Receivers of one report; in a larger cluster they are drawn anew each time, and pass records on. */
 const maxReceivers = 64
 /** Interval at which a writer reads the stored records, which an operator may have changed. */
@@ -43,6 +45,7 @@
 export function createQuarantineExchange (options: QuarantineExchangeOptions): QuarantineExchange {
   const { clock, log, network, membership, store, random } = options
   const closed = new AbortController()
+  let lastReportAtMs = -Infinity
 
   async function read (key: string): Promise<KeyValueEntry | undefined> {
     const result = await store.get(key, { deadlineAtMs: clock.wallMs() + callTimeoutMs })
@@ -55,11 +58,15 @@
     // Two reports, in case that one is lost.
     reportDelayMs: () => 2 * reportIntervalMs,
     isDeciding: () => true,
+    onUrgent: () => {
+      if (clock.monotonicMs() >= lastReportAtMs + minReportIntervalMs) sendReport()
+    },
     claimTrial: record => stored.claimTrial(record)
   })
   const stored = createStoredQuarantine({ store, clock, log, writeConditions: () => options.isWriter() ? [] : undefined, read, quarantine })
 
   function sendReport (): void {
+    lastReportAtMs = clock.monotonicMs()
     const report = quarantine.report()
     if (isEmpty(report)) return
     const body = encodeQuarantineReport(report)
--- a/src/core/node/send-call.ts
+++ b/src/core/node/send-call.ts
@@ -16,12 +16,22 @@
 const callClaim: PermitClaim = { rank: 1, isRetry: false }
 /** Lowest HTTP status that counts as a failure of the service's version. */
 const firstFailureStatus = 500
+/** Responses from this status on may have been given without running the call. */
+const firstErrorStatus = 400
 
 /** Creates the function that sends calls. */
 export function createCallSender (options: ChooseBackendOptions): SendAttempt {
-  const { clock, router, table } = options
+  const { clock, router, table, ownPathQuarantine } = options
 
   return async (order, signal) => {
+    const admittance = await ownPathQuarantine.admitCall(order, signal)
+    if (admittance.kind === 'refused') return err({ ...notSentFailure(admittance.detail, admittance.retryAtMs), refusal: admittance.reason })
+    const result = await sendOnce(order, signal)
+    admittance.release()
+    return result
+  }
+
+  async function sendOnce (order: AttemptRequest, signal: AbortSignal): Promise<Result<ServiceResponse, AttemptFailure>> {
     const choice = chooseBackend(order, options)
     if (choice.isErr) return err(choice.error)
     const { choice: chosen, permit } = choice.value
@@ -36,6 +46,8 @@
     router.onAttemptEnded(order.attempt, { ok: result.isOk })
     if (result.isErr && result.error.reason === 'backend-leaving') table.markLeaving(backend.id, undefined)
     recordOutcome(options, order, chosen, result, clock.monotonicMs() - startedAtMs)
+    if (result.isErr && result.error.mayHaveRun) await ownPathQuarantine.detectCallCrash(order, backend)
+    if (result.isOk && result.value.status < firstErrorStatus) ownPathQuarantine.recordCallAnswer(order)
     return result
   }
 }
--- a/src/core/node/status.ts
+++ b/src/core/node/status.ts
@@ -1,4 +1,5 @@
 /** The status of a node for operators, served at `/v1/status`. */
+import { toStoredRecord } from '../quarantine/index.ts'
 import type { Admission } from '../admission/index.ts'
 import type { BackendLimits } from '../backend-limits/index.ts'
 import type { BackendTable } from '../backends/table.ts'
@@ -54,7 +55,7 @@
     duties: options.duties.held(),
     control: options.network.traffic(),
     backends: table.all(),
-    quarantine: options.quarantine.records(),
+    quarantine: options.quarantine.records().map(toStoredRecord),
     requestLimits: options.requestLimits.list(),
     moves: options.moves.list(),
     teams: [...configuration.current().teams.values()].map(({ team, version, move }) => ({
--- a/src/core/outcomes/explanations.ts
+++ b/src/core/outcomes/explanations.ts
@@ -37,6 +37,8 @@
   'prompt-quarantined': { text: 'Prompts with the same text crashed backend servers one after the other.', remedy: 'Change the prompt. Operators: see "cyclamenshunt quarantine list".' },
   'backends-limited': { text: 'All backend servers of the team limit the requests that they take, and no permit is left.', remedy: 'Retry at retryAtMs; if it lasts, the team needs more backend servers.' },
   'prompt-suspected': { text: 'A backend server crashed on a prompt with the same text, and the outcome of another one is awaited.', remedy: 'Retry at retryAtMs.' },
+  'request-quarantined': { text: 'The same request crashed backend servers one after the other.', remedy: 'Don\'t repeat the request. Operators: see "cyclamenshunt quarantine list".' },
+  'request-suspected': { text: 'A backend server crashed under the same request, and the outcome of another attempt is awaited, or only one backend server is left.', remedy: 'Retry at retryAtMs.' },
   'caller-left': { text: 'The caller closed its connection.', remedy: 'None; it is counted separately because it isn\'t a failure.' }
 }
 
--- a/src/core/outcomes/index.ts
+++ b/src/core/outcomes/index.ts
@@ -10,7 +10,8 @@
   'bad-request', 'body-missing', 'body-too-large', 'body-truncated', 'unauthorized', 'forbidden',
   'unknown-team', 'unknown-route', 'deadline-past', 'deadline-unreachable', 'queue-full', 'team-limit',
   'no-backend', 'backend-failed', 'retry-budget', 'attempts-exhausted', 'draining', 'not-ready', 'store-unavailable',
-  'owner-unreachable', 'key-reused', 'key-expired', 'key-missing', 'running-elsewhere', 'answer-not-kept', 'caller-left', 'prompt-quarantined', 'prompt-suspected', 'backends-limited'
+  'owner-unreachable', 'key-reused', 'key-expired', 'key-missing', 'running-elsewhere', 'answer-not-kept', 'caller-left', 'prompt-quarantined', 'prompt-suspected',
+  'request-quarantined', 'request-suspected', 'backends-limited'
 ] as const
 
 /** Why a request was refused or ended without a complete response. Each reason has a counter. */
--- a/src/core/quarantine/evidence.ts
+++ b/src/core/quarantine/evidence.ts
@@ -2,6 +2,8 @@
 import type { Clock } from '../clock/index.ts'
 import type { AttemptId, NodeId, RequestFeature } from '../ids/index.ts'
 import { createRecentAnswers } from './recent-answers.ts'
+import { isRequestDigest } from './request-digest.ts'
+import type { RecentAnswers } from './recent-answers.ts'
 import type { AnswerCounts, CrashedAttempt } from './types.ts'
 
 /** The evidence that a node has. */
@@ -12,27 +14,36 @@
   setAnswered: (source: NodeId, answered: ReadonlyMap<RequestFeature, AnswerCounts>) => void
   /** Attempts that have been known for at least the given time. */
   attempts: (minAgeMs?: number) => CrashedAttempt[]
+  /** Whether an attempt of the service is known. */
+  hasService: (service: string) => boolean
   /** The counts of all nodes. */
   answered: (feature: RequestFeature) => AnswerCounts
   /** Attempts that a report repeats: this node's own, or for a digest all, that became known a short time ago. */
   recent: (options: { isOwnOnly: boolean, max: number }) => CrashedAttempt[]
+  /** The counts of this node for a report. */
   ownAnswered: () => Map<RequestFeature, AnswerCounts>
-  /** The counts of this node and all others but one. */
+  /** The counts of this node and all others but one, for a digest. */
   answeredExcept: (node: NodeId) => Map<RequestFeature, AnswerCounts>
   /** Changes with everything that the assessment depends on. */
   revision: () => number
 }
 
-/** Time after which a crash is forgotten. */
-const evidenceTtlMs = 60_000
+/** Time after which a crash is forgotten; a request that crashes servers may come again after minutes. */
+const evidenceTtlMs = 30 * 60_000
+/** Time after which only the whole request of a crashed attempt counts. Parts are in many requests, so old crashes say little about them. */
+const partEvidenceTtlMs = 60_000
 /** Time over which reports repeat an attempt, so that the loss of a few of them doesn't matter. */
 const repeatMs = 2_000
 /** Bound of what callers that send new parts with each request can make a node remember. */
 const maxAttempts = 512
 /** Attempts of one crash that are kept; those whose answer had begun first. */
-const maxAttemptsPerCrash = 8
-/** Maximum number of answers of one part that are counted at one node; more than a decision needs, and further ones need no new assessment. */
-const maxCountedAnswers = 8
+const maxAttemptsPerCrash = 16
+/** Maximum number of answers of one feature that are counted at one node for each crashed attempt with it; further ones need no new assessment. */
+const maxAnswersPerCrash = 8
+
+/** Limits of the counts in a report, so that it fits into a few packets: those that changed, and others in turn. */
+const maxReportedCounts = 48
+const countsInTurn = 4
 
 /** Attempts on a backend server that doesn't report its start ended by the same crash if they ended in the same interval. */
 const crashIntervalMs = 500
@@ -63,15 +74,24 @@
   const trackedFeatures = new Map<RequestFeature, number>()
   const own = new Map<RequestFeature, AnswerCounts>()
   const bySource = new Map<NodeId, ReadonlyMap<RequestFeature, AnswerCounts>>()
-  const recentAnswers = createRecentAnswers(clock)
+  const recentAnswers = { requests: createRecentAnswers(clock), parts: createRecentAnswers(clock) }
+  /** Monotonic times of the latest changes of a feature's counts, over all nodes. */
+  const countsChangedAtMs = new Map<RequestFeature, number>()
+  let turn = 0
   const attemptsByCrash = new Map<string, CrashedAttempt[]>()
   let revision = 0
 
+  function recentAnswersOf (feature: RequestFeature): RecentAnswers {
+    return isRequestDigest(feature) ? recentAnswers.requests : recentAnswers.parts
+  }
+
   function track (feature: RequestFeature): void {
     const count = trackedFeatures.get(feature) ?? 0
     trackedFeatures.set(feature, count + 1)
-    const before = recentAnswers.count(feature)
-    if (count === 0 && before > 0) own.set(feature, { since: 0, before })
+    const before = recentAnswersOf(feature).count(feature)
+    if (count > 0 || before === 0) return
+    own.set(feature, { since: 0, before })
+    countsChangedAtMs.set(feature, clock.monotonicMs())
   }
 
   function untrack ({ features }: CrashedAttempt): void {
@@ -81,6 +101,7 @@
       else {
         trackedFeatures.delete(feature)
         own.delete(feature)
+        countsChangedAtMs.delete(feature)
       }
     }
   }
@@ -95,25 +116,34 @@
     revision += 1
   }
 
+  /** Whether the same request is known from another crash. */
+  function isRepeated ({ attempt, features }: CrashedAttempt): boolean {
+    const digest = features.find(isRequestDigest)
+    return digest !== undefined && (trackedFeatures.get(digest) ?? 0) > (known.has(attempt) ? 1 : 0)
+  }
+
+  /** Removes the oldest attempt; one whose request came again only if there is no other. */
   function removeOldest (): void {
-    const [oldest] = known.values()
-    if (oldest !== undefined) remove(oldest.crashed)
+    const attempts = [...known.values()].map(({ crashed }) => crashed)
+    const oldest = attempts.find(crashed => !isRepeated(crashed)) ?? attempts[0]
+    if (oldest !== undefined) remove(oldest)
   }
 
   /** Makes room for an attempt of a crash; returns false if those that are kept tell more. */
   function makeRoom (crashed: CrashedAttempt): boolean {
     const others = attemptsByCrash.get(crashKey(crashed)) ?? []
     if (others.length < maxAttemptsPerCrash) return true
-    const replaced = crashed.hasStarted ? others.find(({ hasStarted }) => !hasStarted) : undefined
+    const mayReplace = (other: CrashedAttempt): boolean => (crashed.hasStarted && !other.hasStarted) || (isRepeated(crashed) && !isRepeated(other))
+    const replaced = others.find(mayReplace)
     if (replaced !== undefined) remove(replaced)
     return replaced !== undefined
   }
 
   function removeExpired (): void {
     const oldestMs = clock.monotonicMs() - evidenceTtlMs
-    for (const { knownSinceMs } of known.values()) {
+    for (const { crashed, knownSinceMs } of known.values()) {
       if (knownSinceMs >= oldestMs) break
-      removeOldest()
+      remove(crashed)
     }
     if (known.size === 0) bySource.clear()
   }
@@ -128,7 +158,18 @@
     revision += 1
   }
 
-  function answeredExcept (node: NodeId): Map<RequestFeature, AnswerCounts> {
+  /** The counts that changed a short time ago, the latest first, and some of the others in turn. */
+  function forReport (counts: ReadonlyMap<RequestFeature, AnswerCounts>): Map<RequestFeature, AnswerCounts> {
+    const oldestMs = clock.monotonicMs() - repeatMs
+    const changedAtMs = ([feature]: readonly [RequestFeature, AnswerCounts]): number => countsChangedAtMs.get(feature) ?? -Infinity
+    const changed = [...counts].filter(count => changedAtMs(count) >= oldestMs).toSorted((a, b) => changedAtMs(b) - changedAtMs(a))
+    const others = [...counts].filter(count => changedAtMs(count) < oldestMs)
+    turn += countsInTurn
+    const inTurn = Array.from({ length: Math.min(countsInTurn, others.length) }, (_, index) => others[(turn + index) % others.length])
+    return new Map([...changed.slice(0, maxReportedCounts), ...inTurn.filter(count => count !== undefined)])
+  }
+
+  function sumsExcept (node: NodeId): Map<RequestFeature, AnswerCounts> {
     const sums = new Map(own)
     for (const [source, counts] of bySource) {
       if (source === node) continue
@@ -141,26 +182,42 @@
     add,
     recordAnswer: features => {
       for (const feature of features) {
-        recentAnswers.record(feature)
+        recentAnswersOf(feature).record(feature)
         if (!trackedFeatures.has(feature)) continue
         const { since, before } = own.get(feature) ?? noAnswers
-        if (since >= maxCountedAnswers) continue
+        if (since >= maxAnswersPerCrash * (trackedFeatures.get(feature) ?? 0)) continue
         own.set(feature, { since: since + 1, before })
+        countsChangedAtMs.set(feature, clock.monotonicMs())
         revision += 1
       }
     },
     setAnswered: (source, answered) => {
-      // The counts of a node that stopped remain, since its answers were given.
-      if (answered.size === 0) return
-      const before = bySource.get(source)
-      bySource.set(source, answered)
-      const hasChanged = [...answered].some(([feature, { since, before: earlier }]) => before?.get(feature)?.since !== since || before?.get(feature)?.before !== earlier)
-      if (hasChanged) revision += 1
+      // A report has the counts that changed. Those of a node that stopped remain, since its answers were given.
+      const known = new Map([...bySource.get(source) ?? []].filter(([feature]) => trackedFeatures.has(feature)))
+      for (const [feature, counts] of answered) {
+        const before = known.get(feature)
+        if (!trackedFeatures.has(feature)) continue
+        if (before?.since === counts.since && before.before === counts.before) continue
+        known.set(feature, counts)
+        countsChangedAtMs.set(feature, clock.monotonicMs())
+        revision += 1
+      }
+      if (known.size > 0) bySource.set(source, known)
+      else bySource.delete(source)
     },
     attempts: (minAgeMs = 0) => {
       removeExpired()
-      const latestMs = clock.monotonicMs() - minAgeMs
-      return [...known.values()].flatMap(({ crashed, knownSinceMs }) => knownSinceMs <= latestMs ? [crashed] : [])
+      const nowMs = clock.monotonicMs()
+      return [...known.values()].flatMap(({ crashed, knownSinceMs }) => {
+        if (knownSinceMs > nowMs - minAgeMs) return []
+        if (knownSinceMs >= nowMs - partEvidenceTtlMs) return [crashed]
+        const features = crashed.features.filter(isRequestDigest)
+        return features.length === 0 ? [] : [{ ...crashed, features }]
+      })
+    },
+    hasService: service => {
+      removeExpired()
+      return [...known.values()].some(({ crashed }) => crashed.service === service)
     },
     answered: feature => [...bySource.values()].reduce((total, counts) => sum(total, counts.get(feature)), own.get(feature) ?? noAnswers),
     recent: ({ isOwnOnly, max }) => {
@@ -172,8 +229,8 @@
         return attempt.crashed
       })
     },
-    ownAnswered: () => new Map(own),
-    answeredExcept,
+    ownAnswered: () => forReport(own),
+    answeredExcept: node => forReport(sumsExcept(node)),
     revision: () => revision
   }
 }
--- a/src/core/quarantine/index.ts
+++ b/src/core/quarantine/index.ts
@@ -7,17 +7,18 @@
  */
 import { assessFeatures, hasAllFeatures, quarantineScore } from './assess.ts'
 import { crashKey, createCrashEvidence } from './evidence.ts'
-import { combinationKey, createQuarantineRecords } from './records.ts'
-import { featureLogFields } from './request-digest.ts'
+import { createQuarantineRecords } from './records.ts'
+import { featureLogFields, isRequestDigest } from './request-digest.ts'
+import { createSuspectGate } from './suspect-gate.ts'
 import { createTrials } from './trials.ts'
 import type { NodeId, RequestFeature } from '../ids/index.ts'
 import type { Suspicion } from './assess.ts'
-import type { Admittance, AnswerCounts, CrashedAttempt, QuarantineReport, QuarantineRequest, Quarantine, QuarantineOptions, QuarantineRecord, QuarantineReason } from './types.ts'
+import type { Admittance, CrashedAttempt, LiveBackend, QuarantineReport, QuarantineRequest, Quarantine, QuarantineOptions, QuarantineRecord } from './types.ts'
 
 export type * from './types.ts'
 export { combinationKey } from './records.ts'
 export { digestRequest, isRequestDigest } from './request-digest.ts'
-export { createStoredQuarantine, decodeQuarantine, encodeQuarantine, quarantineKey } from './stored-records.ts'
+export { createStoredQuarantine, decodeQuarantine, encodeQuarantine, quarantineKey, toStoredRecord } from './stored-records.ts'
 export { decodeQuarantineReport, encodeQuarantineReport } from './wire.ts'
 export type { WireQuarantine } from './wire.ts'
 export type { StoredQuarantine } from './stored-records.ts'
@@ -25,13 +26,20 @@
 /** Time for which prompts are refused at first; it doubles after each trial that crashes its backend server. */
 const firstQuarantineMs = 10 * 60 * 1_000
 const maxQuarantineMs = 4 * 60 * 60 * 1_000
+/** The same for one request, whose refusal concerns no others. */
+const firstRequestQuarantineMs = 60 * 60 * 1_000
+const maxRequestQuarantineMs = 24 * 60 * 60 * 1_000
 /** Time after the begin of a quarantine within which open attempts may still crash their backend servers. */
 const openAttemptsMs = 1_000
 /** Time for which the end of a quarantine is remembered, so that no older record or evidence brings it back. */
 const liftedRecordMs = 10 * 60 * 1_000
 /** Longest wait for the outcome of other requests with the same parts; usual times to the first token are shorter. */
 const maxWaitMs = 600
-const waitPollMs = 50
+const waitPollMs = 20
+/** Time after a crash in which the servers of a service may be starting again, so that the last one must not be risked. */
+const restartMs = 10_000
+/** The same for one backend server that doesn't report its start, so that only its address is known. */
+const unknownRestartMs = 1_000
 /** Maximum number of requests that wait at a node. */
 const maxWaiting = 64
 /** Time after which a request that was refused on suspicion may be sent again; by then the suspicion is mostly settled. */
@@ -43,19 +51,25 @@
 /** Limits of a report and of a digest, so that each fits into a few packets. */
 const maxReportedAttempts = 16
 const maxDigestAttempts = 24
-const maxReportedAnswers = 48
-/** Maximum number of parts of a prompt that are considered: the first and the last ones. */
+/** Maximum number of features of a request that are considered: the first and the last ones. */
 const maxFeatures = 16
 const maxRecordedBackends = 5
 /** Time over which the rate of answers is averaged. */
 const rateWindowMs = 5_000
 
-const admittedAtOnce: Admittance = { kind: 'admitted', release: () => {} }
-
 function boundFeatures (features: readonly RequestFeature[]): readonly RequestFeature[] {
   return features.length <= maxFeatures ? features : [...features.slice(0, maxFeatures / 2), ...features.slice(-maxFeatures / 2)]
 }
 
+/** Why a request is refused, in words. */
+export function explainRefusal (kind: 'quarantined' | 'suspected', features: readonly RequestFeature[]): string {
+  const names = features.join(', ')
+  if (features.some(isRequestDigest)) {
+    return kind === 'quarantined' ? `Backend servers crashed on this request (${names}); don't repeat it.` : `Backend servers may have crashed on this request (${names}).`
+  }
+  return kind === 'quarantined' ? `Backend servers crashed on prompts with ${names}; change the prompt.` : `Backend servers may have crashed on prompts with ${names}.`
+}
+
 /** Exponential moving averages of answers in a second, by service. */
 function createAnswerRates (nowMs: () => number) {
   const rates = new Map<string, { perSecond: number, updatedAtMs: number }>()
@@ -75,6 +89,7 @@
   const evidence = createCrashEvidence(clock)
   const records = createQuarantineRecords(clock)
   const trials = createTrials(options)
+  const gate = createSuspectGate(trials)
   const rates = createAnswerRates(clock.monotonicMs)
   let suspicions: Suspicion[] = []
   let assessedRevision = -1
@@ -86,17 +101,18 @@
 
   const context = {
     answered: evidence.answered,
-    answersPerSecond: (service: string) => rates.read(service) * options.nodeCount()
+    answersPerSecond: (service: string) => rates.read(service) * options.nodeCount(),
+    isExplainedByRequest: (crashed: CrashedAttempt) => quarantinedRequests(crashed).length > 0
   }
 
   function apply (record: QuarantineRecord, cause: string): void {
     if (!records.merge(record)) return
     // The end of a quarantine makes earlier crashes irrelevant.
     assessedRevision = -1
-    const { service, features, state, sinceMs, untilMs, crashes, backends } = record
+    const { service, features, state, sinceMs, untilMs, crashes, backends, origin } = record
     metrics.count('prompt_quarantine_changes_total', { state })
     if (state === 'lifted') return log('promptReleased', { service, ...featureLogFields(features), cause })
-    log('promptQuarantined', { service, ...featureLogFields(features), cause, sinceMs, untilMs, crashes, backends })
+    log('promptQuarantined', { service, ...featureLogFields(features), cause, ...origin, sinceMs, untilMs, crashes, backends })
     for (const listener of listeners) listener()
   }
 
@@ -115,10 +131,15 @@
     return record.service === service && crashedAtMs >= record.sinceMs && crashedAtMs <= record.changedAtMs + openAttemptsMs
   }
 
-  /** The attempts whose crashes no quarantine explains. */
+  /** The quarantined whole requests that are the cause of a crash. */
+  function quarantinedRequests ({ service, features }: CrashedAttempt): QuarantineRecord[] {
+    return records.matching(service, features).filter(record => record.features.some(isRequestDigest))
+  }
+
+  /** The attempts whose crashes no quarantine of parts explains. */
   function unexplainedAttempts (minAgeMs?: number): CrashedAttempt[] {
     const lifted = records.lifted()
-    const quarantined = records.list().filter(({ state }) => state === 'quarantined')
+    const quarantined = records.list().filter(({ state, features }) => state === 'quarantined' && !(options.isDeciding() && features.some(isRequestDigest)))
     const attempts = evidence.attempts(minAgeMs).filter(attempt => !isBeforeLift(attempt, lifted))
     if (quarantined.length === 0) return attempts
     const explained = new Set(attempts.flatMap(attempt => {
@@ -130,7 +151,7 @@
     return attempts.filter(attempt => !explained.has(crashKey(attempt)))
   }
 
-  function quarantine ({ service, features, crashes, backends, firstCrashAtMs }: Suspicion): void {
+  function quarantine ({ service, features, crashes, backends, firstCrashAtMs, origin }: Suspicion): void {
     if (records.matching(service, features).length > 0) return
     const nowMs = clock.wallMs()
     apply({
@@ -139,9 +160,10 @@
       state: 'quarantined',
       changedAtMs: Math.max(nowMs, (records.get(service, features)?.changedAtMs ?? 0) + 1),
       sinceMs: firstCrashAtMs,
-      untilMs: nowMs + firstQuarantineMs,
+      untilMs: nowMs + (features.some(isRequestDigest) ? firstRequestQuarantineMs : firstQuarantineMs),
       crashes,
-      backends: backends.slice(0, maxRecordedBackends)
+      backends: backends.slice(0, maxRecordedBackends),
+      ...(origin === undefined ? {} : { origin })
     }, 'crashes')
   }
 
@@ -180,35 +202,46 @@
     return records.matching(service, features).reduce<QuarantineRecord | undefined>((latest, record) => latest === undefined || record.untilMs > latest.untilMs ? record : latest, undefined)
   }
 
-  /** The suspicion that limits a request: all of its parts are in the prompt, or one is and the crashes are beyond doubt. */
-  function findSuspicion (service: string, features: readonly RequestFeature[]): Suspicion | undefined {
-    return suspicions.find(suspicion => {
+  /** The suspicions that limit a request: it has all of their features, or one of several parts and the crashes are beyond doubt. */
+  function suspicionsOf (service: string, features: readonly RequestFeature[]): Suspicion[] {
+    return suspicions.filter(suspicion => {
       return suspicion.service === service && (hasAllFeatures(features, suspicion.features) || (suspicion.score >= quarantineScore && suspicion.features.some(feature => features.includes(feature))))
     })
   }
 
-  function refuse (reason: QuarantineReason, features: readonly RequestFeature[], retryAtMs: number): Admittance {
-    const detail = reason === 'prompt-quarantined'
-      ? `Backend servers crashed on prompts with ${features.join(', ')}; change the prompt.`
-      : `Backend servers may have crashed on prompts with ${features.join(', ')}.`
-    return { kind: 'refused', reason, detail, retryAtMs }
+  function refuse (kind: 'quarantined' | 'suspected', features: readonly RequestFeature[], retryAtMs: number): Admittance {
+    const detail = explainRefusal(kind, features)
+    return { kind: 'refused', reason: `${features.some(isRequestDigest) ? 'request' : 'prompt'}-${kind}`, detail, retryAtMs }
   }
 
-  async function admit ({ service, features: allFeatures, isRetryAfterCrash, signal }: QuarantineRequest): Promise<Admittance> {
-    const features = boundFeatures(allFeatures)
+  /** Whether a service lost backend servers a short time ago and has only one left, as far as this node knows. */
+  function isLastBackend ({ service, liveBackends }: QuarantineRequest): boolean {
+    const oldestMs = clock.wallMs() - restartMs
+    const crashed = evidence.attempts().filter(attempt => attempt.service === service && attempt.crashedAtMs >= oldestMs)
+    if (crashed.length === 0) return false
+    const hasCrashed = ({ id, startedAtMs }: LiveBackend): boolean => crashed.some(({ backend, backendStartedAtMs, crashedAtMs }) => {
+      return backend === id && (startedAtMs === undefined || backendStartedAtMs === undefined ? crashedAtMs >= clock.wallMs() - unknownRestartMs : backendStartedAtMs === startedAtMs)
+    })
+    return liveBackends().filter(live => !hasCrashed(live)).length <= 1
+  }
+
+  async function admit (request: QuarantineRequest): Promise<Admittance> {
+    const { service, isRetryAfterCrash, signal } = request
+    const features = boundFeatures(request.features)
     const latestMs = clock.monotonicMs() + maxWaitMs
     for (;;) {
       const record = find(service, features)
       if (record !== undefined) {
         const isTrial = clock.wallMs() >= record.untilMs && !isRetryAfterCrash && await options.claimTrial(record)
-        return isTrial ? admittedAtOnce : refuse('prompt-quarantined', record.features, Math.max(record.untilMs, clock.wallMs() + suspectedRetryMs))
+        return isTrial ? { kind: 'admitted', release: () => {} } : refuse('quarantined', record.features, Math.max(record.untilMs, clock.wallMs() + suspectedRetryMs))
       }
-      const suspicion = features.length === 0 ? undefined : findSuspicion(service, features)
-      if (suspicion === undefined) return admittedAtOnce
-      const key = combinationKey(service, suspicion.features)
-      if (!signal.aborted && !isRetryAfterCrash && trials.take(key)) return { kind: 'admitted', release: () => trials.release(key) }
-      if (clock.monotonicMs() >= latestMs || waiting >= maxWaiting || signal.aborted) {
-        return refuse('prompt-suspected', suspicion.features, clock.wallMs() + suspectedRetryMs)
+      const decision = gate.take(features, suspicionsOf(service, features), () => ({ isRetryAfterCrash, isLastBackend: isLastBackend(request) }))
+      if (decision.kind === 'taken') {
+        if (suspicions.length > 0) options.onUrgent?.()
+        return { kind: 'admitted', release: decision.release }
+      }
+      if (decision.isFinal || clock.monotonicMs() >= latestMs || waiting >= maxWaiting || signal.aborted) {
+        return refuse('suspected', decision.suspicion.features, clock.wallMs() + suspectedRetryMs)
       }
       waiting += 1
       await clock.sleep(waitPollMs, signal)
@@ -219,16 +252,19 @@
   function recordCrash (crashed: CrashedAttempt): void {
     const features = boundFeatures(crashed.features)
     metrics.count('attempts_crashed_total', { service: crashed.service, phase: crashed.hasStarted ? 'started' : 'waiting' })
-    log('backendCrashed', { ...crashed, features })
+    const { features: _, origin, ...fields } = crashed
+    log('backendCrashed', { ...fields, ...origin, ...featureLogFields(features) })
     for (const record of records.matching(crashed.service, features)) extendAfterTrial(record)
     evidence.add({ ...crashed, features }, true)
     assess()
+    options.onUrgent?.()
   }
 
   function extendAfterTrial (record: QuarantineRecord): void {
     const nowMs = clock.wallMs()
     if (nowMs < record.untilMs) return
-    const forMs = Math.min(maxQuarantineMs, 2 * (record.untilMs - record.changedAtMs))
+    const maxMs = record.features.some(isRequestDigest) ? maxRequestQuarantineMs : maxQuarantineMs
+    const forMs = Math.min(maxMs, 2 * (record.untilMs - record.changedAtMs))
     apply({ ...record, changedAtMs: nowMs, untilMs: nowMs + forMs, crashes: record.crashes + 1 }, 'trial')
   }
 
@@ -247,22 +283,19 @@
     assess()
   }
 
-  function bounded (answered: ReadonlyMap<RequestFeature, AnswerCounts>): Map<RequestFeature, AnswerCounts> {
-    return new Map([...answered].slice(-maxReportedAnswers))
-  }
-
   return {
     admit,
+    isQuiet: service => !evidence.hasService(service) && !records.list().some(record => record.service === service),
     find,
     recordCrash,
     recordAnswer,
     report: () => {
       assess()
-      return { crashed: evidence.recent({ isOwnOnly: true, max: maxReportedAttempts }), answered: bounded(evidence.ownAnswered()), trials: trials.underWay(), records: records.forReport() }
+      return { crashed: evidence.recent({ isOwnOnly: true, max: maxReportedAttempts }), answered: evidence.ownAnswered(), trials: gate.underWay(suspicions), records: records.forReport() }
     },
     digestFor: node => ({
       crashed: evidence.recent({ isOwnOnly: false, max: maxDigestAttempts }),
-      answered: bounded(evidence.answeredExcept(node)),
+      answered: evidence.answeredExcept(node),
       trials: trials.underWay({ exceptNode: node }),
       records: records.forReport()
     }),
--- a/src/core/quarantine/records.ts
+++ b/src/core/quarantine/records.ts
@@ -28,7 +28,7 @@
 const recordsInTurn = 2
 
 /** Name of a combination of parts of a service's prompts. */
-export function combinationKey (service: string, features: readonly RequestFeature[]): string {
+export function combinationKey (service: string, features: readonly string[]): string {
   return `${service}/${features.join('+')}`
 }
 
--- a/src/core/quarantine/stored-records.ts
+++ b/src/core/quarantine/stored-records.ts
@@ -7,10 +7,10 @@
 import { combinationKey } from './records.ts'
 import { featureLogFields } from './request-digest.ts'
 import type { Clock } from '../clock/index.ts'
-import type { BackendId, RequestFeature } from '../ids/index.ts'
+import type { BackendId, RequestFeature, TeamId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Compare, KeyValueEntry, KeyValueStore } from '../platform/key-value/types.ts'
-import type { Quarantine, QuarantineRecord } from './types.ts'
+import type { Quarantine, QuarantineRecord, RequestOrigin } from './types.ts'
 
 /** Options of the stored records. */
 export interface StoredQuarantineOptions {
@@ -52,7 +52,8 @@
   sinceMs: z.number(),
   untilMs: z.number(),
   crashes: z.number(),
-  backends: z.array(z.string())
+  backends: z.array(z.string()),
+  origin: z.object({ team: z.string().optional(), route: z.string() }).optional()
 })
 const contentSchema = z.object({ records: z.array(recordSchema) })
 const trialSchema = z.object({ untilMs: z.number() })
@@ -70,18 +71,28 @@
 export function decodeQuarantine (value: string): QuarantineRecord[] | undefined {
   const content = contentSchema.safeParse(parseJson(value))
   if (!content.success) return undefined
-  return content.data.records.map(({ parts, ...record }) => ({
+  return content.data.records.map(({ parts, origin, ...record }) => ({
     ...record,
+    ...(origin === undefined ? {} : { origin: originOf(origin) }),
     features: parts.map(feature => toId<RequestFeature>(feature)),
     backends: record.backends.map(backend => toId<BackendId>(backend))
   }))
 }
 
+function originOf ({ team, route }: { team?: string | undefined, route: string }): RequestOrigin {
+  return { ...(team === undefined ? {} : { team: toId<TeamId>(team) }), route }
+}
+
+/** A record with the field names of the stored value, which reports for operators have, too. */
+export function toStoredRecord ({ features, ...record }: QuarantineRecord): Omit<QuarantineRecord, 'features'> & { parts: readonly RequestFeature[] } {
+  return { ...record, parts: features }
+}
+
 /** Encodes records in the order of their names, so that the same records give the same text. */
 export function encodeQuarantine (records: readonly QuarantineRecord[]): string {
   const nameOf = ({ service, features }: QuarantineRecord): string => combinationKey(service, features)
   const sorted = records.toSorted((a, b) => nameOf(a) < nameOf(b) ? -1 : 1)
-  return JSON.stringify({ records: sorted.map(({ features, ...record }) => ({ ...record, parts: features })) })
+  return JSON.stringify({ records: sorted.map(toStoredRecord) })
 }
 
 /** Creates the stored records; nothing is written before `reconcile`. */
--- a/src/core/quarantine/trials.ts
+++ b/src/core/quarantine/trials.ts
@@ -1,5 +1,5 @@
 /**
- * Limits the requests with a suspected combination of parts that are under way over
+ * Limits the requests with suspected features that are under way over
  * all nodes. Nodes take turns at random without agreement: each one sends such a
  * request at most once in an interval that grows with the number of nodes, and none
  * while it knows of one under way at another node.
@@ -18,6 +18,8 @@
 export interface Trials {
   /** Returns whether a request may be sent now; if so, it counts as under way until `release`. */
   take: (key: string) => boolean
+  /** The same without turns, as long as none is known to be under way. */
+  takeIfNone: (key: string) => boolean
   release: (key: string) => void
   /** The combinations that have a request under way at this node, or, for a digest, at any node but one. */
   underWay: (options?: { exceptNode: NodeId }) => string[]
@@ -50,12 +52,22 @@
     return [...bySource].flatMap(([source, { keys, receivedAtMs }]) => source !== exceptNode && receivedAtMs >= oldestMs ? keys : [])
   }
 
+  function isUnderWay (key: string): boolean {
+    return own.has(key) || keysOfOthers().includes(key)
+  }
+
+  function takeIfNone (key: string): boolean {
+    if (isUnderWay(key)) return false
+    own.add(key)
+    return true
+  }
+
   function take (key: string): boolean {
     const nowMs = clock.monotonicMs()
     const periodMs = intervalMs * Math.max(1, nodeCount())
     const dueAtMs = nextAtMs.get(key) ?? nowMs + random() * periodMs
     nextAtMs.delete(key)
-    const isAllowed = nowMs >= dueAtMs && !own.has(key) && !keysOfOthers().includes(key)
+    const isAllowed = nowMs >= dueAtMs && !isUnderWay(key)
     nextAtMs.set(key, isAllowed ? nowMs + periodMs : dueAtMs)
     forgetIdle(nowMs)
     if (isAllowed) own.add(key)
@@ -64,6 +76,7 @@
 
   return {
     take,
+    takeIfNone,
     release: key => { own.delete(key) },
     underWay: options => options === undefined ? [...own] : [...new Set([...own, ...keysOfOthers(options.exceptNode)])],
     setUnderWay: (source, keys) => {
--- a/src/core/quarantine/wire.ts
+++ b/src/core/quarantine/wire.ts
@@ -1,10 +1,10 @@
 /** Encoding of what nodes tell one another about prompts that crash backend servers, as compact CBOR arrays. */
 import { toId } from '../ids/index.ts'
 import type { AttemptId, BackendId, RequestFeature } from '../ids/index.ts'
-import type { CrashedAttempt, QuarantineReport, QuarantineRecord } from './types.ts'
+import type { CrashedAttempt, RequestOrigin, QuarantineReport, QuarantineRecord } from './types.ts'
 
-type WireCrash = [attempt: string, service: string, backend: string, startedAtMs: number | null, features: string[], hasStarted: boolean, crashedAtMs: number]
-type WireRecord = [service: string, features: string[], isQuarantined: boolean, changedAtMs: number, sinceMs: number, untilMs: number, crashes: number, backends: string[]]
+type WireCrash = [attempt: string, service: string, backend: string, startedAtMs: number | null, features: string[], hasStarted: boolean, crashedAtMs: number, inProgress?: number, origin?: RequestOrigin | null]
+type WireRecord = [service: string, features: string[], isQuarantined: boolean, changedAtMs: number, sinceMs: number, untilMs: number, crashes: number, backends: string[], origin?: RequestOrigin | null]
 /** Null when there is nothing to tell. */
 export type WireQuarantine = [crashed: WireCrash[], answered: Array<[feature: string, since: number, before: number]>, trials: string[], records: WireRecord[]] | null
 
@@ -13,14 +13,14 @@
   const { crashed, answered, trials, records } = report
   if (crashed.length + answered.size + trials.length + records.length === 0) return null
   return [
-    crashed.map(({ attempt, service, backend, backendStartedAtMs, features, hasStarted, crashedAtMs }) => [attempt, service, backend, backendStartedAtMs ?? null, [...features], hasStarted, crashedAtMs]),
+    crashed.map(({ attempt, service, backend, backendStartedAtMs, features, hasStarted, crashedAtMs, inProgress, origin }) => [attempt, service, backend, backendStartedAtMs ?? null, [...features], hasStarted, crashedAtMs, inProgress, origin ?? null]),
     [...answered].map(([feature, { since, before }]) => [feature, since, before]),
     [...trials],
-    records.map(({ service, features, state, changedAtMs, sinceMs, untilMs, crashes, backends }) => [service, [...features], state === 'quarantined', changedAtMs, sinceMs, untilMs, crashes, [...backends]])
+    records.map(({ service, features, state, changedAtMs, sinceMs, untilMs, crashes, backends, origin }) => [service, [...features], state === 'quarantined', changedAtMs, sinceMs, untilMs, crashes, [...backends], origin ?? null])
   ]
 }
 
-function decodeCrash ([attempt, service, backend, startedAtMs, features, hasStarted, crashedAtMs]: WireCrash): CrashedAttempt {
+function decodeCrash ([attempt, service, backend, startedAtMs, features, hasStarted, crashedAtMs, inProgress = 1, origin]: WireCrash): CrashedAttempt {
   return {
     attempt: toId<AttemptId>(attempt),
     service,
@@ -28,11 +28,13 @@
     backendStartedAtMs: startedAtMs ?? undefined,
     features: features.map(feature => toId<RequestFeature>(feature)),
     hasStarted,
-    crashedAtMs
+    crashedAtMs,
+    inProgress,
+    ...(origin == null ? {} : { origin })
   }
 }
 
-function decodeRecord ([service, features, isQuarantined, changedAtMs, sinceMs, untilMs, crashes, backends]: WireRecord): QuarantineRecord {
+function decodeRecord ([service, features, isQuarantined, changedAtMs, sinceMs, untilMs, crashes, backends, origin]: WireRecord): QuarantineRecord {
   return {
     service,
     features: features.map(feature => toId<RequestFeature>(feature)),
@@ -41,7 +43,8 @@
     sinceMs,
     untilMs,
     crashes,
-    backends: backends.map(backend => toId<BackendId>(backend))
+    backends: backends.map(backend => toId<BackendId>(backend)),
+    ...(origin == null ? {} : { origin })
   }
 }
 
--- a/src/core/requests/run-draft.ts
+++ b/src/core/requests/run-draft.ts
@@ -127,8 +127,9 @@
   while (isActive(draft) && clock.wallMs() < draft.request.deadlineAtMs) {
     const choice = await chooseOnce(draft, excluded, history, options)
     if (choice.isOk) return choice.value
-    // A quarantined prompt isn't sent in time, so its draft doesn't wait.
-    if (choice.error.reason === 'prompt-quarantined' || (excluded.size === 0 && !history.hasAttempted)) {
+    // A quarantined request isn't sent in time, so its draft doesn't wait.
+    const isQuarantined = choice.error.reason === 'prompt-quarantined' || choice.error.reason === 'request-quarantined'
+    if (isQuarantined || (excluded.size === 0 && !history.hasAttempted)) {
       refuse(draft, options, choice.error)
       return undefined
     }
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -137,6 +137,7 @@
       fetchFrom: fetched === undefined ? undefined : source?.backend,
       expectedFirstTokenMs: firstTokenMs,
       prefillMs: uncachedTokens * profile.prefillMsPerToken,
+      requestsAhead: load.requests,
       prompt
     }
     const costMs = candidateCostMs(load, profile, firstTokenMs, uncachedTokens) + (fetched?.durationMs ?? 0) * transferCostRatio
--- a/src/core/routing/naive.ts
+++ b/src/core/routing/naive.ts
@@ -47,6 +47,7 @@
       fetchFrom: undefined,
       expectedFirstTokenMs: 0,
       prefillMs: 0,
+      requestsAhead: reports.get(backend.id)?.running ?? 0,
       prompt: request.prompt
     })
   }
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -91,6 +91,8 @@
   expectedFirstTokenMs: number
   /** Expected time to compute the prompt tokens that aren't cached; part of `expectedFirstTokenMs`. */
   prefillMs: number
+  /** Requests that were running or waiting there, as far as known. */
+  requestsAhead: number
   prompt: PromptBlocks | undefined
 }
 
--- a/test/node-reports/exchange.test.ts
+++ b/test/node-reports/exchange.test.ts
@@ -152,7 +152,7 @@
     for (const [index, backend] of backends.slice(0, 3).entries()) {
       const parts = [toId<PromptPartId>(`system-${index}`), crashing]
       const attempt = toId<AttemptId>(`attempt-${index}`)
-      nodes[count - 1 - index]?.quarantine.recordCrash({ attempt, service: 'models', backend, backendStartedAtMs: 5, features: parts, hasStarted: true, crashedAtMs: clock.wallMs() + index * 100 })
+      nodes[count - 1 - index]?.quarantine.recordCrash({ attempt, service: 'models', backend, backendStartedAtMs: 5, features: parts, hasStarted: true, inProgress: 1, crashedAtMs: clock.wallMs() + index * 100 })
     }
     await until(() => nodes.every(({ quarantine }) => quarantine.find('models', [toId<PromptPartId>('system-9'), crashing]) !== undefined))
     t.true(nodes.every(({ quarantine }) => quarantine.find('models', [toId<PromptPartId>('system-0')]) === undefined))
--- a/test/quarantine/assess.test.ts
+++ b/test/quarantine/assess.test.ts
@@ -8,7 +8,7 @@
 const part = (name: string): PromptPartId => toId<PromptPartId>(name)
 
 /** An attempt on a crashed server, which is named by its time in ms. */
-function crashed (atMs: number, names: string[], options: { hasStarted?: boolean, server?: string } = {}): CrashedAttempt {
+function crashed (atMs: number, names: string[], options: { hasStarted?: boolean, inProgress?: number, server?: string } = {}): CrashedAttempt {
   const server = options.server ?? `i-${atMs}`
   return {
     attempt: toId<AttemptId>(`${server}/${names.join()}`),
@@ -17,6 +17,7 @@
     backendStartedAtMs: 1,
     features: names.map(part),
     hasStarted: options.hasStarted ?? true,
+    inProgress: options.inProgress ?? 1,
     crashedAtMs: atMs
   }
 }
--- a/test/quarantine/cluster.ts
+++ b/test/quarantine/cluster.ts
@@ -78,7 +78,7 @@
   function crash (index: number, ...names: string[]): void {
     crashes += 1
     nodes[index]!.quarantine.recordCrash({
-      attempt: toId<AttemptId>(`attempt-${crashes}`), service, backend: toId<BackendId>(`i-${crashes}`), backendStartedAtMs: crashes, features: partsOf(...names), hasStarted: true, crashedAtMs: clock.wallMs()
+      attempt: toId<AttemptId>(`attempt-${crashes}`), service, backend: toId<BackendId>(`i-${crashes}`), backendStartedAtMs: crashes, features: partsOf(...names), hasStarted: true, inProgress: 1, crashedAtMs: clock.wallMs()
     })
   }
 
--- a/test/quarantine/drafts.test.ts
+++ b/test/quarantine/drafts.test.ts
@@ -1,6 +1,6 @@
 /** Drafts of real nodes whose engines crash on prompts with a certain text, over loopback. */
 import test from 'ava'
-import { partsOfBlocks } from '../../src/core/node/draft-prompt-gate.ts'
+import { partsOfBlocks } from '../../src/core/node/own-path-quarantine.ts'
 import { callerToken, startDeployment, waitUntil } from '../node/deployment.ts'
 
 const blockChars = 256
@@ -22,8 +22,10 @@
   t.teardown(deployment.close)
   for (const engine of deployment.engines) await engine.set({ crashOnText: crashingText })
   t.is((await sendDraft(deployment.urlOf(0), 'sound')).status, 200)
+  let round = 0
   await waitUntil(async () => {
-    const answers = await Promise.all([0, 1, 2].map(index => sendDraft(deployment.urlOf(index), `${crashingText}${index}`)))
+    round += 1
+    const answers = await Promise.all([0, 1, 2].map(index => sendDraft(deployment.urlOf(index), `${crashingText}${index} ${round}`)))
     return answers.every(({ status, reason }) => status === 422 && reason === 'prompt-quarantined')
   }, 60_000)
   await waitUntil(async () => (await Promise.all([0, 1, 2].map(index => sendDraft(deployment.urlOf(index), `sound ${index}`)))).every(({ status }) => status === 200))
--- a/test/quarantine/gateway.test.ts
+++ b/test/quarantine/gateway.test.ts
@@ -54,7 +54,7 @@
 test('a suspected prompt that is admitted when no backend server is left does not keep others from being sent', async t => {
   const { call, backends, quarantine } = await startGateway(t, [])
   const parts = [toId<PromptPartId>('system'), toId<PromptPartId>('suspected')]
-  quarantine.recordCrash({ attempt: toId<AttemptId>('a-1'), service: 'service', backend: toId<BackendId>('b-9'), backendStartedAtMs: 1, features: parts, hasStarted: true, crashedAtMs: Date.now() })
+  quarantine.recordCrash({ attempt: toId<AttemptId>('a-1'), service: 'service', backend: toId<BackendId>('b-9'), backendStartedAtMs: 1, features: parts, hasStarted: true, inProgress: 1, crashedAtMs: Date.now() })
   t.is(backends.list().length, 0)
   const answer = await call('/resumable/', 'r-1', { headers: { 'x-parts': 'system,suspected' } })
   t.true(answer.body.includes('no-backend'))
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -1,15 +1,18 @@
 /** What nodes decide together about prompts that crash backend servers, over restarts, cuts and changes of the key-value service. */
 import test from 'ava'
 import { createCluster, partsOf, quarantineKey, service } from './cluster.ts'
+import { toId } from '../../src/core/ids/index.ts'
+import type { BackendId } from '../../src/core/ids/index.ts'
 import type { Admittance, QuarantineRecord } from '../../src/core/quarantine/index.ts'
 
 const tenMinutesMs = 10 * 60 * 1_000
+const twoBackends = () => [{ id: toId<BackendId>('live-1') }, { id: toId<BackendId>('live-2') }]
 const noDeadline = { deadlineAtMs: Infinity }
 
 type Cluster = Awaited<ReturnType<typeof createCluster>>
 
 function ask ({ nodes }: Cluster, index: number, names: string[], isRetryAfterCrash = false): Promise<Admittance> {
-  return nodes[index]!.quarantine.admit({ service, features: partsOf(...names), isRetryAfterCrash, signal: new AbortController().signal })
+  return nodes[index]!.quarantine.admit({ service, features: partsOf(...names), isRetryAfterCrash, liveBackends: twoBackends, signal: new AbortController().signal })
 }
 
 /** Asks all nodes at once and lets time pass until all have decided. */
@@ -183,6 +186,6 @@
     await run(400)
     t.false(isRefused(index % 9, 'system'), `quarantined after ${index + 1} crashes`)
   }
-  const admitted = await nodes[0]!.quarantine.admit({ service, features: partsOf('system'), isRetryAfterCrash: false, signal: new AbortController().signal })
+  const admitted = await nodes[0]!.quarantine.admit({ service, features: partsOf('system'), isRetryAfterCrash: false, liveBackends: twoBackends, signal: new AbortController().signal })
   t.is(admitted.kind, 'admitted')
 })
