Limit a request from its first crash on, however many others were in progress

Three causes: - Crashes within 10 ms counted once for a request, too, although a request that was on each of the servers was hardly there by chance. A crash beside one without the request still counts nothing. - A request of which more than four were in progress was not limited, and of a crash with more than 16 attempts the culprit was often not kept. - The assessment of a new crash waited up to 50 ms for the next turn, so the request's own retry went out unlimited.

--- a/bench/measure/index.ts
+++ b/bench/measure/index.ts
@@ -7,12 +7,14 @@
  * `npm run measure -- version-moves [REQUESTS-PER-SECOND ...]`: good and bad versions beside an old one in trouble;
  * `npm run measure -- restores`: views while the key-value service is restored;
  * `npm run measure -- crashing-prompts`: prompts with a part that crashes engines;
+ * `npm run measure -- crashing-requests`: one request that crashes the servers of a plain service;
  * `npm run measure -- request-limits`: backend servers that limit the requests that they take.
  */
 import { parseArgs } from 'node:util'
 import { createPromptHasher } from '../../src/core/routing/index.ts'
 import { compare } from './compare.ts'
 import { measureCrashingPrompts } from './crashing-prompts/index.ts'
+import { measureCrashingRequests } from './crashing-requests/index.ts'
 import { measureOrdering } from './ordering/index.ts'
 import { measurePlacement } from './placement/index.ts'
 import { measureQuotas } from './quotas/index.ts'
@@ -70,6 +72,7 @@
   else if (positionals[0] === 'quotas') console.log(await measureQuotas(reportFolder, seed))
   else if (positionals[0] === 'version-moves') console.log(await measureVersionMoves(reportFolder, seed, positionals.slice(1).map(Number)))
   else if (positionals[0] === 'crashing-prompts') console.log(await measureCrashingPrompts(reportFolder, seed))
+  else if (positionals[0] === 'crashing-requests') console.log(await measureCrashingRequests(reportFolder, seed))
   else if (positionals[0] === 'request-limits') console.log(await measureRequestLimits(reportFolder, seed))
   else if (positionals[0] === 'restores') console.log(await measureRestores())
   else await measureVersions()
--- a/src/core/quarantine/assess.ts
+++ b/src/core/quarantine/assess.ts
@@ -58,8 +58,10 @@
 const backgroundWindowMs = 1_000
 /** From this score on, requests with the features are refused, unless another feature explains the same crashes as well. */
 export const quarantineScore = Math.log10(20_000)
-/** From this score on, few requests with the features are sent at a time. */
+/** From this score on, few requests with the parts are sent at a time, and no request to the last backend server of its service. */
 export const suspicionScore = Math.log10(20)
+/** From this score on, one copy of a request is sent at a time, which concerns no other request. */
+const requestSuspicionScore = Math.log10(2)
 
 /** Difference of scores that tells two features apart: a little less than one answer to a prompt with a part. */
 const distinctionScore = 0.6
@@ -98,8 +100,9 @@
   return [...crashes.values()].toSorted((a, b) => a.atMs - b.atMs)
 }
 
-/** Crashes in groups that may have one cause. */
-function episodesOf (crashes: readonly Crash[]): Crash[][] {
+/** Crashes in groups that may have one cause. A request that was on all backend servers that crashed together was hardly there by chance. */
+function episodesOf (feature: RequestFeature, crashes: readonly Crash[]): Crash[][] {
+  if (isRequestDigest(feature)) return crashes.map(crash => [crash])
   const episodes: Crash[][] = []
   for (const crash of crashes) {
     const last = episodes.at(-1)
@@ -125,9 +128,21 @@
   attempts: number
 }
 
+/** The crashes of attempts with each feature. */
+function indexByFeature (crashes: readonly Crash[]): Map<RequestFeature, Crash[]> {
+  const index = new Map<RequestFeature, Crash[]>()
+  for (const crash of crashes) {
+    for (const feature of crash.features) {
+      const own = index.get(feature)
+      if (own === undefined) index.set(feature, [crash])
+      else own.push(crash)
+    }
+  }
+  return index
+}
+
 /** The crashes that count for a feature. */
-function crashesOf (feature: RequestFeature, crashes: readonly Crash[]): Crash[] {
-  const withFeature = crashes.filter(crash => crash.features.has(feature))
+function crashesOf (feature: RequestFeature, withFeature: readonly Crash[]): readonly Crash[] {
   const unexplained = withFeature.filter(({ isExplained }) => !isExplained)
   return !isRequestDigest(feature) && unexplained.length >= minUnexplainedCrashes ? withFeature : unexplained
 }
@@ -143,15 +158,15 @@
 }
 
 /** Assesses one feature against the crashes of its service that no other feature explains. */
-function assessFeature (feature: RequestFeature, crashes: readonly Crash[], context: AssessmentContext): AssessedFeature {
+function assessFeature (feature: RequestFeature, withFeature: readonly Crash[], crashes: readonly Crash[], context: AssessmentContext): AssessedFeature {
   const isRequest = isRequestDigest(feature)
-  const own = crashesOf(feature, crashes)
+  const own = crashesOf(feature, withFeature)
   const others = crashes.filter(crash => !crash.features.has(feature))
   const service = own[0]?.service ?? ''
   const likelihood = isRequest ? requestLikelihood : partLikelihood
   const { since, before } = context.answered(feature)
   const answersScore = since * Math.log10(1 - likelihood.crash) + Math.min(maxEarlierAnswers, before) * earlierAnswerScore
-  const crashesScore = episodesOf(own).reduce((sum, episode) => sum + scoreOfEpisode(feature, episode, others, likelihood, context.answersPerSecond(service)), 0)
+  const crashesScore = episodesOf(feature, own).reduce((sum, episode) => sum + scoreOfEpisode(feature, episode, others, likelihood, context.answersPerSecond(service)), 0)
   // One of the requests in progress may be the cause; of a part, only that it comes again tells anything.
   const choiceScore = isRequest ? Math.log10(Math.min(...own.map(({ inProgress }) => inProgress))) : 0
   const attempts = own.flatMap(crash => crash.attempts.filter(({ features }) => features.includes(feature)))
@@ -200,12 +215,11 @@
   const suspicions: Suspicion[] = []
   let unexplained = crashes
   for (;;) {
-    const features = new Set(unexplained.flatMap(crash => [...crash.features]))
     // Of parts with equal scores, the one in fewer prompts explains the same crashes without the others.
-    const assessed = [...features].map(feature => assessFeature(feature, unexplained, context)).toSorted((a, b) => b.score - a.score || a.attempts - b.attempts)
+    const assessed = [...indexByFeature(unexplained)].map(([feature, withFeature]) => assessFeature(feature, withFeature, unexplained, context)).toSorted((a, b) => b.score - a.score || a.attempts - b.attempts)
     const cause = findCause(assessed)
     if (cause === undefined) {
-      const rest = new Map(assessed.filter(({ score }) => score >= suspicionScore).map(suspicion => [suspicion.features.join(), suspicion]))
+      const rest = new Map(assessed.filter(({ score, isRequest }) => score >= (isRequest ? requestSuspicionScore : suspicionScore)).map(suspicion => [suspicion.features.join(), suspicion]))
       return [...suspicions, ...rest.values()]
     }
     suspicions.push({ ...cause, isCertain: true })
--- a/src/core/quarantine/evidence.ts
+++ b/src/core/quarantine/evidence.ts
@@ -26,6 +26,8 @@
   answeredExcept: (node: NodeId) => Map<RequestFeature, AnswerCounts>
   /** Changes with everything that the assessment depends on. */
   revision: () => number
+  /** Number of attempts that were added so far. */
+  addedCount: () => number
 }
 
 /** Time after which a crash is forgotten; a request that crashes servers may come again after minutes. */
@@ -37,7 +39,7 @@
 /** Bound of what callers that send new parts with each request can make a node remember. */
 const maxAttempts = 512
 /** Attempts of one crash that are kept; those whose answer had begun first. */
-const maxAttemptsPerCrash = 16
+const maxAttemptsPerCrash = 32
 /** Maximum number of answers of one feature that are counted at one node for each crashed attempt with it; further ones need no new assessment. */
 const maxAnswersPerCrash = 8
 
@@ -80,6 +82,7 @@
   let turn = 0
   const attemptsByCrash = new Map<string, CrashedAttempt[]>()
   let revision = 0
+  let addedCount = 0
 
   function recentAnswersOf (feature: RequestFeature): RecentAnswers {
     return isRequestDigest(feature) ? recentAnswers.requests : recentAnswers.parts
@@ -155,6 +158,7 @@
     attemptsByCrash.set(crashKey(crashed), [...attemptsByCrash.get(crashKey(crashed)) ?? [], crashed])
     for (const feature of crashed.features) track(feature)
     if (known.size > maxAttempts) removeOldest()
+    addedCount += 1
     revision += 1
   }
 
@@ -223,7 +227,7 @@
     recent: ({ isOwnOnly, max }) => {
       const oldestMs = clock.monotonicMs() - repeatMs
       const recent = [...known.values()].filter(({ isOwn, knownSinceMs }) => knownSinceMs >= oldestMs && (isOwn || !isOwnOnly))
-      const sent = recent.toSorted((a, b) => Number(b.crashed.hasStarted) - Number(a.crashed.hasStarted) || a.sentCount - b.sentCount).slice(0, max)
+      const sent = recent.toSorted((a, b) => Number(isRepeated(b.crashed)) - Number(isRepeated(a.crashed)) || Number(b.crashed.hasStarted) - Number(a.crashed.hasStarted) || a.sentCount - b.sentCount).slice(0, max)
       return sent.map(attempt => {
         attempt.sentCount += 1
         return attempt.crashed
@@ -231,6 +235,7 @@
     },
     ownAnswered: () => forReport(own),
     answeredExcept: node => forReport(sumsExcept(node)),
-    revision: () => revision
+    revision: () => revision,
+    addedCount: () => addedCount
   }
 }
--- a/src/core/quarantine/index.ts
+++ b/src/core/quarantine/index.ts
@@ -44,8 +44,11 @@
 const maxWaiting = 64
 /** Time after which a request that was refused on suspicion may be sent again; by then the suspicion is mostly settled. */
 const suspectedRetryMs = 2_000
-/** Shortest time between two assessments; bounds their processor time. */
+/** Shortest time between two assessments, in ms and as a multiple of what one takes; bounds their processor time. */
 const assessmentIntervalMs = 50
+const assessmentIntervalRatio = 20
+/** Assessments of new crashes within that time. */
+const maxUrgentAssessments = 8
 /** Longest time between two assessments while prompts are suspected. */
 const expiryCheckMs = 1_000
 /** Limits of a report and of a digest, so that each fits into a few packets. */
@@ -94,6 +97,9 @@
   let suspicions: Suspicion[] = []
   let assessedRevision = -1
   let assessedAtMs = -Infinity
+  let assessedCount = 0
+  let nextAssessmentAtMs = -Infinity
+  let urgentAssessments = 0
   /** Monotonic time until which evidence may be too new for a decision. */
   let unsettledUntilMs = -Infinity
   let waiting = 0
@@ -183,12 +189,17 @@
     // Suspicions end with their evidence, which expires without a change that the revision shows.
     const mayHaveExpired = suspicions.length > 0 && nowMs >= assessedAtMs + expiryCheckMs
     const isUpToDate = evidence.revision() === assessedRevision && assessedAtMs >= unsettledUntilMs && !mayHaveExpired
-    if (isUpToDate || nowMs < assessedAtMs + assessmentIntervalMs) return
+    const isDue = nowMs >= nextAssessmentAtMs
+    const isUrgent = evidence.addedCount() !== assessedCount && urgentAssessments < maxUrgentAssessments
+    if (isUpToDate || !(isDue || isUrgent)) return
+    urgentAssessments = isDue ? 0 : urgentAssessments + 1
+    assessedCount = evidence.addedCount()
     if (evidence.revision() !== assessedRevision) unsettledUntilMs = nowMs + options.reportDelayMs()
     assessedRevision = evidence.revision()
     assessedAtMs = nowMs
     liftRefuted()
     suspicions = assessFeatures(unexplainedAttempts(), context)
+    if (isDue) nextAssessmentAtMs = nowMs + Math.max(assessmentIntervalMs, assessmentIntervalRatio * (clock.monotonicMs() - nowMs))
     if (!options.isDeciding() || !suspicions.some(({ isCertain }) => isCertain)) return
     // Another node's evidence may name another cause, so a decision waits until all of it has arrived.
     for (const suspicion of assessFeatures(unexplainedAttempts(options.reportDelayMs()), context)) {
--- a/src/core/quarantine/suspect-gate.ts
+++ b/src/core/quarantine/suspect-gate.ts
@@ -7,6 +7,7 @@
  */
 import { combinationKey } from './records.ts'
 import { isRequestDigest } from './request-digest.ts'
+import { suspicionScore } from './assess.ts'
 import type { RequestDigest, RequestFeature } from '../ids/index.ts'
 import type { Suspicion } from './assess.ts'
 import type { Trials } from './trials.ts'
@@ -39,11 +40,11 @@
 const minCrashesForTurns = 2
 
 /** The limit of a request that has the suspected features. */
-export function limitOf ({ features, crashes, isCertain }: Pick<Suspicion, 'features' | 'crashes' | 'isCertain'>, { isRetryAfterCrash, isLastBackend }: SuspectCircumstances): SuspectLimit {
+export function limitOf ({ features, crashes, score, isCertain }: Pick<Suspicion, 'features' | 'crashes' | 'score' | 'isCertain'>, { isRetryAfterCrash, isLastBackend }: SuspectCircumstances): SuspectLimit {
   if (!features.some(isRequestDigest)) return isRetryAfterCrash ? 'wait' : 'in-turn'
+  const isLikely = crashes >= minCrashesForTurns || score >= suspicionScore
   // Its own retry would crash the next backend server; a restart takes longer than a caller waits.
-  const isHopeless = isCertain || isLastBackend || (isRetryAfterCrash && crashes >= minCrashesForTurns)
-  if (isHopeless) return 'reject'
+  if (isCertain || (isLastBackend && isLikely) || (isRetryAfterCrash && crashes >= minCrashesForTurns)) return 'reject'
   return crashes >= minCrashesForTurns ? 'in-turn' : 'one-at-a-time'
 }
 
