Let backend servers of the soak crash on a request that comes again, and check what they get

A look-up with one path crashes the server that runs it for some seconds and is repeated at all nodes, among restarts, cuts and an older store. Checked: no more than three of them reach servers, from nodes in contact, later than 3 s after the third crash; no other request is refused as quarantined. Look-ups and registrations have 60 paths now and each draft its own, because one path for all made them the same request. The test of the checks has a case that breaks both.

--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -12,6 +12,8 @@
 export interface CompletedCall {
   id: string
   isIdempotent: boolean
+  /** The path of the request that crashes backend servers, if it is that one. */
+  crashingPath: string | undefined
   /** Name of the node that the request was sent to, and how often its process had been started by then. */
   node: string
   startCount: number
@@ -22,7 +24,7 @@
 
 /** One violation of a promise. */
 export interface BrokenPromise {
-  promise: 'limit-kept' | 'crashing-prompt' | 'sound-prompt' | 'leaving-left-alone' | 'pause-kept' | 'own-answer' | 'not-run' | 'at-most-once' | 'planned-stop' | 'an-end' | 'newest-configuration' | 'recovery'
+  promise: 'limit-kept' | 'crashing-prompt' | 'sound-prompt' | 'crashing-request' | 'sound-request' | 'leaving-left-alone' | 'pause-kept' | 'own-answer' | 'not-run' | 'at-most-once' | 'planned-stop' | 'an-end' | 'newest-configuration' | 'recovery'
   detail: string
 }
 
@@ -69,6 +71,8 @@
   onPrompt: (prompt: { id: string, parts: readonly string[], atMs: number }) => void
   /** Called when a part of a prompt has crashed an engine. */
   onCrash: (part: string, atMs: number) => void
+  /** Called when a request with the path has crashed a backend server. */
+  onRequestCrash: (path: string, atMs: number) => void
   onDraft: (draft: CompletedDraft) => void
   /** Newest configuration version that a node is known to have used since the given start of its process; 0 if none. */
   newestVersionOf: (node: string, startCount: number) => number
@@ -92,6 +96,9 @@
 const crashesBeforeRefusal = 5
 const contactMs = 3_000
 const maxLatePrompts = 3
+/** The same for one request that comes again. */
+const requestCrashesBeforeRefusal = 3
+const maxLateRequests = 3
 
 /** A request counts as lost in a planned stop if it was open at least this long when its connection closed without a response. */
 const minLostRequestMs = 100
@@ -107,6 +114,9 @@
   const arrivals: Arrival[] = []
   const prompts: Array<{ id: string, parts: readonly string[], atMs: number }> = []
   const crashes = new Map<string, number[]>()
+  const requestCrashes = new Map<string, number[]>()
+  /** Path of each request that may have crashed a backend server. */
+  const crashingPaths = new Map<string, string>()
   /** Time at which a node first passed on a response of a leaving start of a backend server. */
   const leavingPassedOn = new Map<string, number>()
   /** The same for responses that named a limit. */
@@ -160,6 +170,18 @@
     }
   }
 
+  function checkCrashingRequests (): void {
+    for (const [path, timesMs] of requestCrashes) {
+      const thirdAtMs = timesMs[requestCrashesBeforeRefusal - 1]
+      if (thirdAtMs === undefined) continue
+      const late = arrivals.filter(({ request }) => {
+        const sender = sentRequests.get(request)
+        return sender !== undefined && crashingPaths.get(request) === path && sender.atMs > thirdAtMs + contactMs && isInContact(sender)
+      })
+      if (late.length > maxLateRequests) broken.push({ promise: 'crashing-request', detail: `${late.length} requests for ${path} reached backend servers later than ${contactMs} ms after the third crash` })
+    }
+  }
+
   function isInContact ({ node, atMs }: SentRequest): boolean {
     const lives = new Set([...sentRequests.values()].flatMap(sent => {
       return sent.node === node && sent.atMs > atMs - contactMs && sent.atMs <= atMs ? [`${sent.startCount}/${sent.interruptionCount}`] : []
@@ -167,8 +189,10 @@
     return lives.size === 1
   }
 
-  function checkCall ({ id, isIdempotent, node, wasInterrupted, result }: CompletedCall): void {
+  function checkCall ({ id, isIdempotent, crashingPath, node, wasInterrupted, result }: CompletedCall): void {
     if (!isIdempotent) nonIdempotentIds.add(id)
+    if (crashingPath !== undefined) crashingPaths.set(id, crashingPath)
+    else if (result.kind === 'answer' && result.body.includes('request-quarantined')) broken.push({ promise: 'sound-request', detail: `${id} was refused by ${node} although it crashes no backend server` })
     if (result.kind === 'answer') {
       if (result.isFromBackend && result.status === 200 && result.body !== id) broken.push({ promise: 'own-answer', detail: `${id} got "${result.body.slice(0, 80)}" from ${node}` })
       if (!result.isFromBackend && result.status === 503) reportedNotRunIds.add(id)
@@ -201,6 +225,7 @@
       checkCall(call)
     },
     onPrompt: prompt => { prompts.push(prompt) },
+    onRequestCrash: (path, atMs) => { requestCrashes.set(path, [...requestCrashes.get(path) ?? [], atMs]) },
     onCrash: (part, atMs) => { crashes.set(part, [...crashes.get(part) ?? [], atMs]) },
     onDraft: ({ id, node, part, result }) => {
       const label = `draft ${result.kind === 'answer' ? result.status : result.kind}`
@@ -221,6 +246,7 @@
       checkPauses()
       checkLimits()
       checkCrashingPrompts()
+      checkCrashingRequests()
       for (const id of nonIdempotentIds) {
         const count = runCounts.get(id) ?? 0
         if (count > 1) broken.push({ promise: 'at-most-once', detail: `${id} ran ${count} times` })
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -16,8 +16,8 @@
 
 const backendCount = 3
 const engineCount = 4
-/** Time after which a crashed engine is back. */
-const engineRestartMs = 700
+/** Time after which a crashed backend server is back. */
+const crashRestartMs = 700
 /** Copies of the store; the oldest is some seconds old. */
 const copyCount = 4
 const copyIntervalMs = 1_000
@@ -49,8 +49,8 @@
 export interface SoakDeployment {
   nodes: NodeProcess[]
   backends: SoakBackend[]
-  /** The part of a prompt that crashes engines; undefined if none does. */
-  crashing: { part: string | undefined }
+  /** The part of a prompt that crashes engines, and the path of a look-up that crashes the other backend servers; undefined if none does. */
+  crashing: { part: string | undefined, path: string | undefined }
   /** One proxy to the store for each node. */
   storeProxies: Proxy[]
   setStoreFault: Awaited<ReturnType<typeof startPlatform>>['setFault']
@@ -75,11 +75,13 @@
   onPrompt: (request: string, sharedParts: readonly string[]) => void
   /** Called when an engine crashes. */
   onCrash: () => void
+  /** Called when another backend server crashes under a request with the path. */
+  onRequestCrash: (path: string) => void
   random: () => number
 }
 
 /** Starts the deployment and the processes of its nodes; they may not be ready yet. */
-export async function startSoakDeployment ({ nodeCount, program, onRun, onArrival, onPrompt, onCrash, random }: SoakDeploymentOptions): Promise<SoakDeployment> {
+export async function startSoakDeployment ({ nodeCount, program, onRun, onArrival, onPrompt, onCrash, onRequestCrash, random }: SoakDeploymentOptions): Promise<SoakDeployment> {
   const folder = mkdtempSync(join(tmpdir(), 'soak-'))
   const portBlock = await takePortBlock()
   const basePort = portBlock.firstPort
@@ -99,12 +101,13 @@
 
   const closeFunctions: Array<() => Promise<void>> = []
   const backends: SoakBackend[] = []
+  const crashing: SoakDeployment['crashing'] = { part: undefined, path: undefined }
   for (let index = 1; index <= backendCount; index += 1) {
     const id = `i-${index}`
     const mode: BackendMode = { isLeaving: false, pauseSeconds: undefined, limit: undefined }
     let startedAtMs = Date.now()
     const handleArrival = (request: string, said: Pick<BackendMode, 'pauseSeconds' | 'limit'>): void => onArrival({ request, backend: id, startedAtMs, ...said, isDisturbed: proxy.lastDisturbedAtMs() >= performance.now() - disturbanceMs })
-    const server = await startRawBackend(createBackendHandler(id, mode, handleArrival, onRun, () => random() * (random() < slowRatio ? maxSlowProcessingMs : maxProcessingMs)))
+    const server = await startRawBackend(createBackendHandler(id, mode, handleArrival, onRun, () => random() * (random() < slowRatio ? maxSlowProcessingMs : maxProcessingMs), { crashesOn: path => path === crashing.path, crash: () => crash() }))
     const proxy = await startProxy(server.port)
     let sequence = 0
     const register = async (isDraining: boolean): Promise<void> => {
@@ -117,11 +120,18 @@
       Object.assign(mode, { isLeaving: false, pauseSeconds: undefined, limit: undefined })
       await register(false)
     }
+    const crash = (): void => {
+      onRequestCrash(crashing.path ?? '')
+      proxy.crash()
+      setTimeout(async () => {
+        await proxy.restart()
+        await restart()
+      }, crashRestartMs)
+    }
     backends.push({ proxy, register, restart, mode, removeEntry: () => platform.remove(backendEntryKey(id)) })
     closeFunctions.push(proxy.close, server.close)
   }
 
-  const crashing: SoakDeployment['crashing'] = { part: undefined }
   const registerEngines: Array<() => Promise<void>> = []
   for (let index = 1; index <= engineCount; index += 1) {
     let startedAtMs = Date.now()
@@ -134,7 +144,7 @@
         startedAtMs = Date.now()
         await proxy.restart()
         await register()
-      }, engineRestartMs)
+      }, crashRestartMs)
     }
     const crashesOn = (parts: readonly string[]): boolean => crashing.part !== undefined && parts.includes(crashing.part)
     const server = await startRawBackend(createEngineHandler(id, { crashesOn, crash, onArrival: onPrompt, workMs: () => random() * maxProcessingMs }))
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -125,6 +125,16 @@
     }
     return { name: `a part of a prompt crashes engines: ${part}`, end }
   },
+  ({ crashing }, random) => {
+    if (crashing.path !== undefined) return { name: 'none', end: async () => {} }
+    const path = `/look-up/a?item=bad${Math.floor(random() * 1e9).toString(16)}`
+    crashing.path = path
+    const end = async (): Promise<void> => {
+      await new Promise(resolve => setTimeout(resolve, lastingCrashMs))
+      crashing.path = undefined
+    }
+    return { name: `a request crashes the backend servers that run it: ${path}`, end }
+  },
   async deployment => {
     await deployment.publishNextConfiguration()
     return { name: `configuration ${deployment.configurationVersion()}`, end: async () => {} }
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -46,6 +46,10 @@
 /** Share of calls that are prompts, and share of these that have a part that crashes engines, if there is one. */
 const draftRatio = 0.4
 const crashingRatio = 0.25
+/** Share of look-ups that repeat the request that crashes backend servers, if there is one. */
+const repeatRatio = 0.15
+/** Number of different look-ups and registrations; the first ones come more often. */
+const itemCount = 60
 
 const clock = createSystemClock()
 
@@ -82,6 +86,7 @@
     onRun: checks.onRun,
     onArrival: arrival => checks.onArrival({ ...arrival, atMs: performance.now() }),
     onPrompt: (id, parts) => checks.onPrompt({ id, parts, atMs: performance.now() }),
+    onRequestCrash: path => checks.onRequestCrash(path, performance.now()),
     onCrash: () => checks.onCrash(deployment.crashing.part ?? '', performance.now()),
     random: callRandom
   })
@@ -107,8 +112,11 @@
       return
     }
     const isIdempotent = routeDraw < probeRatio + (1 - probeRatio) / 2
-    const result = await caller.call(node, isIdempotent ? '/look-up/a' : '/register/a', id, { method: isIdempotent ? 'GET' : 'POST' })
-    checks.onCall({ id, isIdempotent, node: node.name, startCount, wasInterrupted: wasInterrupted || node.interruptionCount() !== interruptionCount, result })
+    const crashingPath = isIdempotent && callRandom() < repeatRatio ? deployment.crashing.path : undefined
+    const item = Math.floor(callRandom() ** 2 * itemCount)
+    const path = crashingPath ?? (isIdempotent ? `/look-up/a?item=${item}` : `/register/a?item=${item}`)
+    const result = await caller.call(node, path, id, { method: isIdempotent ? 'GET' : 'POST' })
+    checks.onCall({ id, isIdempotent, crashingPath, node: node.name, startCount, wasInterrupted: wasInterrupted || node.interruptionCount() !== interruptionCount, result })
   }
 
   /** Sends a prompt; while a part crashes engines, some prompts have it. */
@@ -116,7 +124,7 @@
     const { part } = deployment.crashing
     const isCrashing = part !== undefined && callRandom() < crashingRatio
     const document = isCrashing ? part : `d0c${Math.floor(callRandom() * 6)}`
-    const result = await caller.call(node, '/draft/a', id, { method: 'POST', headers: promptHeaders(id, [`5e5${Math.floor(callRandom() * 3)}`, document]) })
+    const result = await caller.call(node, `/draft/a?request=${id}`, id, { method: 'POST', headers: promptHeaders(id, [`5e5${Math.floor(callRandom() * 3)}`, document]) })
     checks.onDraft({ id, node: node.name, part: isCrashing ? part : undefined, result })
   }
 
--- a/test/platform-adapter/signals.test.ts
+++ b/test/platform-adapter/signals.test.ts
@@ -17,7 +17,7 @@
 test('a second SIGTERM and a SIGHUP during a stop do not abort open requests', async t => {
   // Found by `npm run soak -- --seed 712`, in which a node was stopped again while it was stopping.
   const executed: string[] = []
-  const deployment = await startSoakDeployment({ nodeCount: 1, program, onRun: id => { executed.push(id) }, onArrival: () => {}, onPrompt: () => {}, onCrash: () => {}, random: () => slowRandomValue })
+  const deployment = await startSoakDeployment({ nodeCount: 1, program, onRun: id => { executed.push(id) }, onArrival: () => {}, onPrompt: () => {}, onCrash: () => {}, onRequestCrash: () => {}, random: () => slowRandomValue })
   const caller = createCaller()
   t.teardown(async () => {
     caller.close()
--- a/test/platform-adapter/soak-deployment.ts
+++ b/test/platform-adapter/soak-deployment.ts
@@ -87,9 +87,17 @@
 /** Called for each request that reaches a backend server, with what the server says at that time. */
 export type OnArrival = (id: string, said: Pick<BackendMode, 'pauseSeconds' | 'limit'>) => void
 
+/** How a backend server crashes. */
+export interface BackendCrash {
+  /** Whether a request with this path crashes the server that runs it. */
+  crashesOn: (path: string) => boolean
+  /** Ends the server's connections and refuses new ones. */
+  crash: () => void
+}
+
 /** Creates the handler of a backend server that calls `onExecuted` for each request that it runs and responds with its id after `workMs`. */
-export function createBackendHandler (backend: string, mode: BackendMode, onArrival: OnArrival, onExecuted: (id: string) => void, workMs: () => number): RawRequestHandler {
-  return ({ headers }, socket) => {
+export function createBackendHandler (backend: string, mode: BackendMode, onArrival: OnArrival, onExecuted: (id: string) => void, workMs: () => number, { crashesOn, crash }: BackendCrash): RawRequestHandler {
+  return ({ target, headers }, socket) => {
     const id = headers[requestIdHeader] ?? ''
     const answerHeaders = { [requestIdHeader]: id, [signatureHeader]: backend, ...(mode.isLeaving ? { [leavingHeader]: '1' } : {}), ...(mode.limit === undefined ? {} : { [limitHeader]: String(mode.limit.perSecond) }) }
     if (headers['x-cyclamenshunt-expect-instance'] !== backend) {
@@ -102,6 +110,10 @@
       return
     }
     onExecuted(id)
+    if (crashesOn(target)) {
+      setTimeout(() => { if (socket.writable) crash() }, crashAfterMs)
+      return
+    }
     setTimeout(() => { if (socket.writable) socket.write(formatResponse(200, answerHeaders, id)) }, workMs())
   }
 }
@@ -141,6 +153,8 @@
   }
 }
 
+/** Time from the begin of a request until the crash that it causes. */
+const crashAfterMs = 20
 /** Time from the head of an engine's answer to its first event. */
 const engineStartMs = 40
 
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -25,7 +25,7 @@
 }
 
 function createCall (result: CallResult, changes: Partial<CompletedCall> = {}): CompletedCall {
-  return { id: 'r-1', isIdempotent: false, node: 'front-a-1', startCount: 1, wasInterrupted: false, result, ...changes }
+  return { id: 'r-1', isIdempotent: false, crashingPath: undefined, node: 'front-a-1', startCount: 1, wasInterrupted: false, result, ...changes }
 }
 
 function brokenPromisesOf (record: (checks: ReturnType<typeof createChecks>) => void): string[] {
@@ -84,6 +84,15 @@
     }
     checks.onDraft({ id: 'r-9', node: 'front-a-1', part: undefined, result: createAnswer(503, '{"reason":"prompt-quarantined"}', false) })
   }), ['sound-prompt', 'crashing-prompt'])
+  t.deepEqual(brokenPromisesOf(checks => {
+    for (let index = 0; index < 3; index += 1) checks.onRequestCrash('/look-up/bad', index)
+    for (const [index, atMs] of [2_000, 3_100, 3_200, 3_300, 3_400].entries()) {
+      checks.onSent({ id: `r-${index}`, node: 'front-a-1', startCount: 1, interruptionCount: 0, atMs })
+      checks.onArrival({ request: `r-${index}`, backend: 'i-1', startedAtMs: 1, pauseSeconds: undefined, isDisturbed: false, atMs })
+      checks.onCall(createCall(createAnswer(502, '', false), { id: `r-${index}`, isIdempotent: true, crashingPath: '/look-up/bad' }))
+    }
+    checks.onCall(createCall(createAnswer(503, '{"reason":"request-quarantined"}', false), { id: 'r-9' }))
+  }), ['sound-request', 'crashing-request'])
 })
 
 test('a request cut by a kill, one admitted before a configuration change and a repeated idempotent request break no promise', t => {
