--- a/test/quarantine/assess.test.ts
+++ b/test/quarantine/assess.test.ts
@@ -93,3 +93,41 @@
   t.deepEqual(quarantined(attempts, { popular: { since: 1, before: 0 } }), ['bad'])
   t.deepEqual(quarantined([...attempts, crashed(900, ['third', 'bad'])]), ['bad'])
 })
+
+test('a whole request in three crashes without an answer is certain, alone or one of twenty-four in progress', t => {
+  t.deepEqual(quarantined([0, 400, 900].map(atMs => crashed(atMs, ['request:bad']))), ['request:bad'])
+  t.deepEqual(quarantined([0, 400, 900].map(atMs => crashed(atMs, ['request:bad'], { inProgress: 24 }))), ['request:bad'])
+  t.deepEqual(quarantined([0, 400].map(atMs => crashed(atMs, ['request:bad']))), [])
+})
+
+test('a whole request goes before the parts that explain the same crashes', t => {
+  const attempts = [0, 400, 900].map(atMs => crashed(atMs, ['request:bad', 'system', 'document']))
+  t.deepEqual(quarantined(attempts), ['request:bad'])
+})
+
+test('a part that crashes servers under different requests is found, although each of them is repeated until it is quarantined itself', t => {
+  const attempts = [0, 400, 900, 1_400, 1_900].map(atMs => crashed(atMs, [atMs < 1_000 ? 'request:first' : 'request:second', 'bad', `own-${atMs < 1_000 ? 1 : 2}`]))
+  t.true(quarantined(attempts).includes('bad'))
+})
+
+test('a sound request that a server was running at two of three crashes is told from the one that was there at all of them', t => {
+  const attempts = [0, 400, 900].flatMap(atMs => [crashed(atMs, ['request:bad'], { inProgress: 2 }), ...(atMs < 900 ? [crashed(atMs, ['request:neighbour'], { inProgress: 2 })] : [])])
+  t.deepEqual(quarantined(attempts), ['request:bad'])
+})
+
+test('of two requests that were in each crash neither is certain until one of them is answered', t => {
+  const attempts = [0, 400, 900].flatMap(atMs => ['request:bad', 'request:neighbour'].map(name => crashed(atMs, [name], { inProgress: 2 })))
+  t.deepEqual(quarantined(attempts), [])
+  t.deepEqual(quarantined(attempts, { 'request:neighbour': { since: 1, before: 0 } }), ['request:bad'])
+})
+
+test('a frequent request that is answered before and between the crashes is not blamed for them', t => {
+  const attempts = [0, 400, 900, 1_400].map(atMs => crashed(atMs, ['request:frequent']))
+  t.deepEqual(quarantined(attempts.slice(0, 3), { 'request:frequent': { since: 0, before: 3 } }), [])
+  t.deepEqual(quarantined(attempts, { 'request:frequent': { since: 3, before: 3 } }), [])
+})
+
+test('a crash beside that of a server without the request counts nothing against it, as in a loss of power', t => {
+  const attempts = [0, 1, 2].flatMap(atMs => [crashed(atMs * 1_000, ['request:victim']), crashed(atMs * 1_000 + 2, ['request:elsewhere'], { server: `other-${atMs}` })])
+  t.deepEqual(quarantined(attempts), [])
+})
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -189,3 +189,32 @@
   const admitted = await nodes[0]!.quarantine.admit({ service, features: partsOf('system'), isRetryAfterCrash: false, liveBackends: twoBackends, signal: new AbortController().signal })
   t.is(admitted.kind, 'admitted')
 })
+
+test('a request that comes once in 70 s is refused after its third crash, by all nodes and over restarts and a cut', async t => {
+  const cluster = await createCluster(9)
+  for (const index of [0, 3, 6]) {
+    cluster.crash(index, 'request:bad')
+    await cluster.run(70_000)
+  }
+  cluster.cutOff.add(5)
+  cluster.restart(4)
+  await cluster.run(2_000)
+  cluster.cutOff.clear()
+  await cluster.run(2_000)
+  t.true(cluster.nodes.every((_, index) => cluster.isRefused(index, 'request:bad', 'new')))
+  t.false(cluster.isRefused(1, 'request:other', 'new'))
+  t.is((await ask(cluster, 1, ['request:bad'])).kind, 'refused')
+})
+
+test('a caller that crashes servers with a new request each time does not displace what is known of a repeated one', async t => {
+  const cluster = await createCluster(3)
+  for (const index of [0, 1]) {
+    cluster.crash(index, 'request:bad')
+    await cluster.run(2_000)
+  }
+  for (let index = 0; index < 700; index += 1) cluster.crash(index % 3, `request:new-${index}`)
+  await cluster.run(2_000)
+  cluster.crash(2, 'request:bad')
+  await cluster.run(1_200)
+  t.true(cluster.isRefused(0, 'request:bad'))
+})
