Keep the attempts of a crash whose request was in most crashes

At the third crash 70 requests were in progress, most of them victims of the crashes before, so all counted as repeated, and the one that was in every crash found no room among the 32 that a node keeps.

--- a/src/core/quarantine/evidence.ts
+++ b/src/core/quarantine/evidence.ts
@@ -119,16 +119,16 @@
     revision += 1
   }
 
-  /** Whether the same request is known from another crash. */
-  function isRepeated ({ attempt, features }: CrashedAttempt): boolean {
+  /** Number of other attempts with the same request that are known. */
+  function repeatCount ({ attempt, features }: CrashedAttempt): number {
     const digest = features.find(isRequestDigest)
-    return digest !== undefined && (trackedFeatures.get(digest) ?? 0) > (known.has(attempt) ? 1 : 0)
+    return digest === undefined ? 0 : (trackedFeatures.get(digest) ?? 0) - (known.has(attempt) ? 1 : 0)
   }
 
   /** Removes the oldest attempt; one whose request came again only if there is no other. */
   function removeOldest (): void {
     const attempts = [...known.values()].map(({ crashed }) => crashed)
-    const oldest = attempts.find(crashed => !isRepeated(crashed)) ?? attempts[0]
+    const oldest = attempts.find(crashed => repeatCount(crashed) === 0) ?? attempts[0]
     if (oldest !== undefined) remove(oldest)
   }
 
@@ -136,10 +136,11 @@
   function makeRoom (crashed: CrashedAttempt): boolean {
     const others = attemptsByCrash.get(crashKey(crashed)) ?? []
     if (others.length < maxAttemptsPerCrash) return true
-    const mayReplace = (other: CrashedAttempt): boolean => (crashed.hasStarted && !other.hasStarted) || (isRepeated(crashed) && !isRepeated(other))
-    const replaced = others.find(mayReplace)
-    if (replaced !== undefined) remove(replaced)
-    return replaced !== undefined
+    const least = others.reduce((found, other) => repeatCount(other) < repeatCount(found) ? other : found)
+    const replaced = crashed.hasStarted ? others.find(({ hasStarted }) => !hasStarted) ?? least : least
+    if (repeatCount(replaced) >= repeatCount(crashed) && replaced.hasStarted >= crashed.hasStarted) return false
+    remove(replaced)
+    return true
   }
 
   function removeExpired (): void {
@@ -227,7 +228,7 @@
     recent: ({ isOwnOnly, max }) => {
       const oldestMs = clock.monotonicMs() - repeatMs
       const recent = [...known.values()].filter(({ isOwn, knownSinceMs }) => knownSinceMs >= oldestMs && (isOwn || !isOwnOnly))
-      const sent = recent.toSorted((a, b) => Number(isRepeated(b.crashed)) - Number(isRepeated(a.crashed)) || Number(b.crashed.hasStarted) - Number(a.crashed.hasStarted) || a.sentCount - b.sentCount).slice(0, max)
+      const sent = recent.toSorted((a, b) => repeatCount(b.crashed) - repeatCount(a.crashed) || Number(b.crashed.hasStarted) - Number(a.crashed.hasStarted) || a.sentCount - b.sentCount).slice(0, max)
       return sent.map(attempt => {
         attempt.sentCount += 1
         return attempt.crashed
