--- a/test/quarantine/requests.test.ts
+++ b/test/quarantine/requests.test.ts
@@ -69,3 +69,32 @@
   t.deepEqual(events.flatMap(({ event, fields }) => event === 'promptQuarantined' ? fields.parts as string[] : []).filter(part => part === 'system' || part === 'document'), [])
   t.true(sound.filter(status => status === 200).length >= 54, `${sound.filter(status => status !== 200).length} of ${sound.length} sound requests were not answered`)
 })
+
+test('a request that crashes engines after the first event of its answer is no longer sent after three crashes', async t => {
+  let crashes = 0
+  const servers: RawBackend[] = []
+  const answerOn = (index: number): RawRequestHandler => ({ headers, target }, socket) => {
+    const id = headers['x-request'] ?? ''
+    const head = ['HTTP/1.1 200 OK', ...Object.entries({ ...signed(id), 'transfer-encoding': 'chunked' }).map(([name, value]) => `${name}: ${value}`), '', ''].join('\r\n')
+    const event = formatChunk('id: 1\ndata: piece\n\n')
+    if (target !== '/once/bad') {
+      socket.write(`${head}${event}0\r\n\r\n`)
+      return
+    }
+    socket.write(head + event)
+    setTimeout(() => {
+      if (socket.destroyed) return
+      crashes += 1
+      servers[index]!.crash()
+      setTimeout(() => { servers[index]!.restart() }, 200)
+    }, 20)
+  }
+  const { call, servers: started } = await startGateway(t, [0, 1, 2, 3].map(answerOn))
+  servers.push(...started)
+  for (let round = 0; round < 20; round += 1) {
+    await call('/once/bad', `c-${round}`, { headers: { 'x-parts': 'system,document' } })
+    t.is((await call('/once/sound', `s-${round}`, { headers: { 'x-parts': 'system,document' } })).status, 200)
+    await pause(60)
+  }
+  t.true(crashes <= maxCrashes, `${crashes} crashes`)
+})
