--- a/src/core/quarantine/evidence.ts
+++ b/src/core/quarantine/evidence.ts
@@ -1,4 +1,4 @@
-/** Crashed attempts, and how often their parts were answered since, over all nodes; bounded, and forgotten after a time. */
+/** Crashed attempts, and how often their features were answered since, over all nodes; bounded, and forgotten after a time. */
 import type { Clock } from '../clock/index.ts'
 import type { AttemptId, NodeId, RequestFeature } from '../ids/index.ts'
 import { createRecentAnswers } from './recent-answers.ts'
@@ -10,6 +10,8 @@
 export interface CrashEvidence {
   /** Adds an attempt of this node or of another one. */
   add: (crashed: CrashedAttempt, isOwn: boolean) => void
+  /** Forgets the attempts for which a condition holds. */
+  forget: (isObsolete: (crashed: CrashedAttempt) => boolean) => void
   recordAnswer: (features: readonly RequestFeature[]) => void
   setAnswered: (source: NodeId, answered: ReadonlyMap<RequestFeature, AnswerCounts>) => void
   /** Attempts that have been known for at least the given time. */
@@ -36,9 +38,9 @@
 const partEvidenceTtlMs = 60_000
 /** Time over which reports repeat an attempt, so that the loss of a few of them doesn't matter. */
 const repeatMs = 2_000
-/** Bound of what callers that send new parts with each request can make a node remember. */
+/** Bound of what callers that send new requests or parts each time can make a node remember. */
 const maxAttempts = 512
-/** Attempts of one crash that are kept; those whose answer had begun first. */
+/** Attempts of one crash that are kept: those whose answer had begun, and whose request was in most crashes, first. */
 const maxAttemptsPerCrash = 32
 /** Maximum number of answers of one feature that are counted at one node for each crashed attempt with it; further ones need no new assessment. */
 const maxAnswersPerCrash = 8
@@ -72,7 +74,7 @@
 /** Creates empty evidence. */
 export function createCrashEvidence (clock: Clock): CrashEvidence {
   const known = new Map<AttemptId, KnownAttempt>()
-  /** Number of known attempts that have the part. */
+  /** Number of known attempts that have the feature. */
   const trackedFeatures = new Map<RequestFeature, number>()
   const own = new Map<RequestFeature, AnswerCounts>()
   const bySource = new Map<NodeId, ReadonlyMap<RequestFeature, AnswerCounts>>()
@@ -185,6 +187,9 @@
 
   return {
     add,
+    forget: isObsolete => {
+      for (const { crashed } of [...known.values()]) if (isObsolete(crashed)) remove(crashed)
+    },
     recordAnswer: features => {
       for (const feature of features) {
         recentAnswersOf(feature).record(feature)
--- a/src/core/quarantine/index.ts
+++ b/src/core/quarantine/index.ts
@@ -1,9 +1,10 @@
 /**
- * Keeps prompts that crash backend servers from crashing one after the other. All
- * nodes share what they saw: which prompts had no answer when a backend server
- * crashed, and which of their parts were answered since. While a combination of
- * parts is suspected, few requests with it are under way; once it is certain, all
- * nodes refuse them until a deadline, and then one request is sent as a trial.
+ * Keeps requests that crash backend servers from crashing one after the other. All
+ * nodes share what they saw: which requests had no answer when a backend server
+ * crashed, and which of them, or of the parts of their prompts, were answered since.
+ * While a request or a combination of parts is suspected, few such requests are under
+ * way; once it is certain, all nodes refuse them until a deadline, and then one is
+ * sent as a trial.
  */
 import { assessFeatures, hasAllFeatures, quarantineScore } from './assess.ts'
 import { crashKey, createCrashEvidence } from './evidence.ts'
@@ -33,7 +34,7 @@
 const openAttemptsMs = 1_000
 /** Time for which the end of a quarantine is remembered, so that no older record or evidence brings it back. */
 const liftedRecordMs = 10 * 60 * 1_000
-/** Longest wait for the outcome of other requests with the same parts; usual times to the first token are shorter. */
+/** Longest wait for the outcome of other requests with the same features; usual times to the first token are shorter. */
 const maxWaitMs = 600
 const waitPollMs = 20
 /** Time after a crash in which the servers of a service may be starting again, so that the last one must not be risked. */
@@ -49,7 +50,7 @@
 const assessmentIntervalRatio = 20
 /** Assessments of new crashes within that time. */
 const maxUrgentAssessments = 8
-/** Longest time between two assessments while prompts are suspected. */
+/** Longest time between two assessments while anything is suspected. */
 const expiryCheckMs = 1_000
 /** Limits of a report and of a digest, so that each fits into a few packets. */
 const maxReportedAttempts = 16
@@ -117,7 +118,12 @@
     assessedRevision = -1
     const { service, features, state, sinceMs, untilMs, crashes, backends, origin } = record
     metrics.count('prompt_quarantine_changes_total', { state })
-    if (state === 'lifted') return log('promptReleased', { service, ...featureLogFields(features), cause })
+    if (state === 'lifted') {
+      // The evidence is remembered longer than the lifted record.
+      const lifted = records.lifted()
+      evidence.forget(attempt => isBeforeLift(attempt, lifted))
+      return log('promptReleased', { service, ...featureLogFields(features), cause })
+    }
     log('promptQuarantined', { service, ...featureLogFields(features), cause, ...origin, sinceMs, untilMs, crashes, backends })
     for (const listener of listeners) listener()
   }
@@ -173,7 +179,7 @@
     }, 'crashes')
   }
 
-  /** Ends quarantines whose parts were all answered since, unless the crashes still outweigh that. */
+  /** Ends quarantines whose features were all answered since, unless the crashes still outweigh that. */
   function liftRefuted (): void {
     const lifted = records.lifted()
     for (const record of records.list()) {
--- a/src/core/quarantine/recent-answers.ts
+++ b/src/core/quarantine/recent-answers.ts
@@ -1,8 +1,8 @@
-/** How often the parts of prompts were answered in the last seconds, for the most recent parts. */
+/** How often features of requests were answered in the last seconds, for the most recent features. */
 import type { Clock } from '../clock/index.ts'
 import type { RequestFeature } from '../ids/index.ts'
 
-/** Answers of one node by part. */
+/** Answers of one node by feature. */
 export interface RecentAnswers {
   record: (feature: RequestFeature) => void
   /** Number of answers in the last seconds, at most `maxCount`. */
@@ -11,12 +11,12 @@
 
 const windowMs = 5_000
 const maxCount = 3
-/** Bound of the memory; parts beyond it that were answered least recently are forgotten. */
+/** Bound of the memory; features beyond it that were answered least recently are forgotten. */
 const maxFeatures = 1_024
 
 /** Creates empty counts. */
 export function createRecentAnswers (clock: Clock): RecentAnswers {
-  /** Monotonic times of the latest answers of each part, in the order of the latest one. */
+  /** Monotonic times of the latest answers of each feature, in the order of the latest one. */
   const answersMs = new Map<RequestFeature, number[]>()
 
   function recentTimesMs (feature: RequestFeature): number[] {
--- a/src/core/quarantine/records.ts
+++ b/src/core/quarantine/records.ts
@@ -8,7 +8,7 @@
 export interface QuarantineRecords {
   /** Adds or replaces a record unless a later one is known; returns whether it did. */
   merge: (record: QuarantineRecord) => boolean
-  /** The records under which requests with these parts are refused. */
+  /** The records under which requests with these features are refused. */
   matching: (service: string, features: readonly RequestFeature[]) => QuarantineRecord[]
   get: (service: string, features: readonly RequestFeature[]) => QuarantineRecord | undefined
   list: () => QuarantineRecord[]
@@ -27,7 +27,7 @@
 /** Number of other records in each report. */
 const recordsInTurn = 2
 
-/** Name of a combination of parts of a service's prompts. */
+/** Name of a combination of features of a service's requests. */
 export function combinationKey (service: string, features: readonly string[]): string {
   return `${service}/${features.join('+')}`
 }
--- a/src/core/quarantine/types.ts
+++ b/src/core/quarantine/types.ts
@@ -104,7 +104,7 @@
   nodeCount: () => number
   /** Time within which all nodes' evidence of a crash has arrived. */
   reportDelayMs: () => number
-  /** Whether this node gets the evidence of all others, so that it may quarantine prompts; the others take its records over. */
+  /** Whether this node gets the evidence of all others, so that it may quarantine requests; the others take its records over. */
   isDeciding: () => boolean
   /** Called when the other nodes should soon know what this node has to report: a crash, or a suspected request that is under way. */
   onUrgent?: () => void
--- a/src/core/quarantine/wire.ts
+++ b/src/core/quarantine/wire.ts
@@ -1,4 +1,4 @@
-/** Encoding of what nodes tell one another about prompts that crash backend servers, as compact CBOR arrays. */
+/** Encoding of what nodes tell one another about requests that crash backend servers, as compact CBOR arrays. */
 import { toId } from '../ids/index.ts'
 import type { AttemptId, BackendId, RequestFeature } from '../ids/index.ts'
 import type { CrashedAttempt, RequestOrigin, QuarantineReport, QuarantineRecord } from './types.ts'
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -218,3 +218,22 @@
   await cluster.run(1_200)
   t.true(cluster.isRefused(0, 'request:bad'))
 })
+
+test('the crashes before a request was lifted do not bring its quarantine back while they are remembered', async t => {
+  const cluster = await createCluster(2)
+  for (let index = 0; index < 3; index += 1) {
+    cluster.crash(index % 2, 'request:bad')
+    await cluster.run(400)
+  }
+  await cluster.run(600)
+  t.true(cluster.isRefused(0, 'request:bad'))
+  const nowMs = cluster.clock.wallMs()
+  const lifted = cluster.nodes[0]!.quarantine.records().map(record => ({ ...record, state: 'lifted' as const, changedAtMs: nowMs, untilMs: nowMs + tenMinutesMs }))
+  for (const { quarantine } of cluster.nodes) quarantine.mergeRecords(lifted)
+  await cluster.run(2_000)
+  t.false(cluster.isRefused(0, 'request:bad'))
+  await cluster.clock.advance(11 * 60_000)
+  cluster.crash(0, 'request:bad')
+  await cluster.run(1_000)
+  t.false(cluster.isRefused(0, 'request:bad'))
+})
