--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -7,6 +7,7 @@
 import { createCollectors } from './collectors.ts'
 import { decodeMessage, encodeDigest, encodeReport } from './codec.ts'
 import { createActivityTotals } from './activity-totals.ts'
+import { maxPrefixesOf } from './prefix-limit.ts'
 import type { RemoteInfo } from 'node:dgram'
 import type { Clock } from '../clock/index.ts'
 import type { LimitReport } from '../backend-limits/index.ts'
@@ -113,20 +114,6 @@
 /** Maximum age of a collector's last delta for which this node needs no watch of its own; several report intervals. */
 const maxDeltaAgeMs = 2_000
 
-/** Share of a collector's bandwidth that prefixes in digests may use; the rest is for callers. */
-const prefixLinkRatio = 0.2
-/** Size of a prefix in a digest: an id and two hashes. */
-const prefixBytes = 75
-/** Maximum number of prefixes in one digest, so that it fits into a few packets. */
-const maxPrefixes = 64
-
-/** Number of prefixes that a collector may include in each digest. */
-function maxPrefixesOf (linkMbps: number, nodes: number): number {
-  const bytesPerSecond = linkMbps * 1e6 / 8 * prefixLinkRatio
-  const digestsPerSecond = Math.max(1, nodes) * 1_000 / reportIntervalMs
-  return Math.min(maxPrefixes, Math.floor(bytesPerSecond / digestsPerSecond / prefixBytes))
-}
-
 /** Creates the report exchange; `start` binds its port. */
 export function createNodeReports (options: NodeReportsOptions): NodeReports {
   const { clock, log, metrics, node, bootId } = options
@@ -134,7 +121,7 @@
   const closed = new AbortController()
   const reportsByNode = new Map<NodeId, { report: NodeReport, receivedAtMs: number }>()
   const collectors = createCollectors({ node, linkMbps: options.linkMbps, clock, draw: options.draw })
-  const totals = createActivityTotals({ clock, maxPrefixes: () => maxPrefixesOf(options.linkMbps, reportsByNode.size) })
+  const totals = createActivityTotals({ clock, maxPrefixes: () => maxPrefixesOf(options.linkMbps, reportsByNode.size, reportIntervalMs) })
   let choice: CollectorChoice = collectors.choose([], undefined)
   let digest: { nodes: number, receivedAtMs: number } | undefined
   let lastDeltaAtMs = -Infinity
--- a/src/core/quarantine/index.ts
+++ b/src/core/quarantine/index.ts
@@ -6,10 +6,12 @@
  * way; once it is certain, all nodes refuse them until a deadline, and then one is
  * sent as a trial.
  */
+import { createAnswerRates } from './answer-rates.ts'
 import { assessFeatures, hasAllFeatures, quarantineScore } from './assess.ts'
 import { crashKey, createCrashEvidence } from './evidence.ts'
 import { createQuarantineRecords } from './records.ts'
-import { featureLogFields, isRequestDigest } from './request-digest.ts'
+import { boundFeatures, featureLogFields, isRequestDigest } from './request-digest.ts'
+import { explainRefusal } from './refusals.ts'
 import { createSuspectGate } from './suspect-gate.ts'
 import { createTrials } from './trials.ts'
 import type { NodeId, RequestFeature } from '../ids/index.ts'
@@ -18,6 +20,7 @@
 
 export type * from './types.ts'
 export { combinationKey } from './records.ts'
+export { explainRefusal } from './refusals.ts'
 export { digestRequest, isRequestDigest } from './request-digest.ts'
 export { createStoredQuarantine, decodeQuarantine, encodeQuarantine, quarantineKey, toStoredRecord } from './stored-records.ts'
 export { decodeQuarantineReport, encodeQuarantineReport } from './wire.ts'
@@ -55,37 +58,7 @@
 /** Limits of a report and of a digest, so that each fits into a few packets. */
 const maxReportedAttempts = 16
 const maxDigestAttempts = 24
-/** Maximum number of features of a request that are considered: the first and the last ones. */
-const maxFeatures = 16
 const maxRecordedBackends = 5
-/** Time over which the rate of answers is averaged. */
-const rateWindowMs = 5_000
-
-function boundFeatures (features: readonly RequestFeature[]): readonly RequestFeature[] {
-  return features.length <= maxFeatures ? features : [...features.slice(0, maxFeatures / 2), ...features.slice(-maxFeatures / 2)]
-}
-
-/** Why a request is refused, in words. */
-export function explainRefusal (kind: 'quarantined' | 'suspected', features: readonly RequestFeature[]): string {
-  const names = features.join(', ')
-  if (features.some(isRequestDigest)) {
-    return kind === 'quarantined' ? `Backend servers crashed on this request (${names}); don't repeat it.` : `Backend servers may have crashed on this request (${names}).`
-  }
-  return kind === 'quarantined' ? `Backend servers crashed on prompts with ${names}; change the prompt.` : `Backend servers may have crashed on prompts with ${names}.`
-}
-
-/** Exponential moving averages of answers in a second, by service. */
-function createAnswerRates (nowMs: () => number) {
-  const rates = new Map<string, { perSecond: number, updatedAtMs: number }>()
-  function read (service: string): number {
-    const rate = rates.get(service)
-    return rate === undefined ? 0 : rate.perSecond * Math.exp(-(nowMs() - rate.updatedAtMs) / rateWindowMs)
-  }
-  return {
-    read,
-    record: (service: string) => { rates.set(service, { perSecond: read(service) + 1_000 / rateWindowMs, updatedAtMs: nowMs() }) }
-  }
-}
 
 /** Creates the quarantine of one node. */
 export function createQuarantine (options: QuarantineOptions): Quarantine {
--- a/src/core/quarantine/request-digest.ts
+++ b/src/core/quarantine/request-digest.ts
@@ -16,6 +16,8 @@
 
 /** Characters of the digest that are kept: 128 bits, so that no caller can find a request that collides with another team's. */
 const digestChars = 22
+/** Maximum number of features of a request that are considered: the first and the last ones. */
+const maxFeatures = 16
 /** No id of a prompt's part contains a colon. */
 const digestPrefix = 'request:'
 
@@ -35,3 +37,8 @@
 export function featureLogFields (features: readonly RequestFeature[]): { parts: RequestFeature[], requestDigest: RequestDigest | undefined } {
   return { parts: features.filter(feature => !isRequestDigest(feature)), requestDigest: features.find(isRequestDigest) }
 }
+
+/** The features that are considered; the digest is the first one. */
+export function boundFeatures (features: readonly RequestFeature[]): readonly RequestFeature[] {
+  return features.length <= maxFeatures ? features : [...features.slice(0, maxFeatures / 2), ...features.slice(-maxFeatures / 2)]
+}
