Forget the answers to parts together with the crashes that they are counted for

Since crashes of requests are remembered for 30 minutes, the answers to the parts beside them were, too, so a part that was answered after one crash and crashes servers minutes later needed more crashes than three. The new test failed before. Found by reading.

--- a/src/core/quarantine/evidence.ts
+++ b/src/core/quarantine/evidence.ts
@@ -99,7 +99,7 @@
     countsChangedAtMs.set(feature, clock.monotonicMs())
   }
 
-  function untrack ({ features }: CrashedAttempt): void {
+  function untrack (features: readonly RequestFeature[]): void {
     for (const feature of features) {
       const left = (trackedFeatures.get(feature) ?? 0) - 1
       if (left > 0) trackedFeatures.set(feature, left)
@@ -113,7 +113,7 @@
 
   function remove (crashed: CrashedAttempt): void {
     known.delete(crashed.attempt)
-    untrack(crashed)
+    untrack(crashed.features)
     const key = crashKey(crashed)
     const left = (attemptsByCrash.get(key) ?? []).filter(other => other !== crashed)
     if (left.length > 0) attemptsByCrash.set(key, left)
@@ -145,11 +145,25 @@
     return true
   }
 
+  /** Forgets the parts of an attempt and the answers to them; the whole request is remembered longer. */
+  function removeParts (attempt: KnownAttempt): void {
+    const { crashed } = attempt
+    const digests = crashed.features.filter(isRequestDigest)
+    if (digests.length === 0) return remove(crashed)
+    if (digests.length === crashed.features.length) return
+    untrack(crashed.features.filter(feature => !isRequestDigest(feature)))
+    attempt.crashed = { ...crashed, features: digests }
+    const key = crashKey(crashed)
+    attemptsByCrash.set(key, (attemptsByCrash.get(key) ?? []).map(other => other === crashed ? attempt.crashed : other))
+    revision += 1
+  }
+
   function removeExpired (): void {
-    const oldestMs = clock.monotonicMs() - evidenceTtlMs
-    for (const { crashed, knownSinceMs } of known.values()) {
-      if (knownSinceMs >= oldestMs) break
-      remove(crashed)
+    const nowMs = clock.monotonicMs()
+    for (const attempt of known.values()) {
+      if (attempt.knownSinceMs >= nowMs - partEvidenceTtlMs) break
+      if (attempt.knownSinceMs < nowMs - evidenceTtlMs) remove(attempt.crashed)
+      else removeParts(attempt)
     }
     if (known.size === 0) bySource.clear()
   }
@@ -217,13 +231,8 @@
     },
     attempts: (minAgeMs = 0) => {
       removeExpired()
-      const nowMs = clock.monotonicMs()
-      return [...known.values()].flatMap(({ crashed, knownSinceMs }) => {
-        if (knownSinceMs > nowMs - minAgeMs) return []
-        if (knownSinceMs >= nowMs - partEvidenceTtlMs) return [crashed]
-        const features = crashed.features.filter(isRequestDigest)
-        return features.length === 0 ? [] : [{ ...crashed, features }]
-      })
+      const latestMs = clock.monotonicMs() - minAgeMs
+      return [...known.values()].flatMap(({ crashed, knownSinceMs }) => knownSinceMs <= latestMs ? [crashed] : [])
     },
     hasService: service => {
       removeExpired()
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -237,3 +237,12 @@
   await cluster.run(1_000)
   t.false(cluster.isRefused(0, 'request:bad'))
 })
+
+test('answers after a crash that was more than a minute ago say nothing for a part that crashes servers from now on', async t => {
+  const cluster = await createCluster(3)
+  cluster.crash(0, 'request:first', 'bad')
+  for (let answers = 0; answers < 8; answers += 1) cluster.nodes[0]!.quarantine.recordAnswer(service, partsOf('bad'))
+  await cluster.run(70_000)
+  await cluster.quarantinePart('bad')
+  t.true(cluster.isRefused(1, 'bad', 'new'))
+})
