--- a/src/stand-ins/raw-backend/index.ts
+++ b/src/stand-ins/raw-backend/index.ts
@@ -36,6 +36,7 @@
   close: () => Promise<void>
 }
 
+const restartRetryMs = 20
 const headEnd = '\r\n\r\n'
 
 /** Formats an HTTP/1.1 response with a Content-Length header; `headers` can override it. */
@@ -98,7 +99,13 @@
     })
   })
   async function listen (port: number): Promise<void> {
-    await new Promise<void>(resolve => server.listen({ host: '127.0.0.1', port }, resolve))
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen({ host: '127.0.0.1', port }, () => {
+        server.off('error', reject)
+        resolve()
+      })
+    })
   }
 
   await listen(0)
@@ -116,7 +123,8 @@
       }
     },
     restart: async () => {
-      if (!isClosed) await listen(port)
+      // Another process may have taken the port for a moment, as it was free during the crash.
+      while (!isClosed && !server.listening) await listen(port).catch(() => new Promise(resolve => setTimeout(resolve, restartRetryMs)))
     },
     close: async () => {
       isClosed = true
