--- a/src/stand-ins/raw-backend/index.ts
+++ b/src/stand-ins/raw-backend/index.ts
@@ -108,6 +108,17 @@
     })
   }
 
+  /** Another process may have taken the port for a moment, as it was free during the crash. */
+  async function listenAgain (port: number): Promise<void> {
+    if (isClosed) return
+    try {
+      await listen(port)
+    } catch {
+      await new Promise(resolve => setTimeout(resolve, restartRetryMs))
+      await listenAgain(port)
+    }
+  }
+
   await listen(0)
   const { port } = server.address() as AddressInfo
   return {
@@ -123,8 +134,7 @@
       }
     },
     restart: async () => {
-      // Another process may have taken the port for a moment, as it was free during the crash.
-      while (!isClosed && !server.listening) await listen(port).catch(() => new Promise(resolve => setTimeout(resolve, restartRetryMs)))
+      await listenAgain(port)
     },
     close: async () => {
       isClosed = true
