--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -139,6 +139,7 @@
     const ports = portsOf(basePort + index * portsPerNode)
     const settingsFile = join(folder, `${name}.conf`)
     let child
+    let exited = Promise.resolve()
     let startCount = 0
     return {
       name,
@@ -150,7 +151,10 @@
         const started = spawn(command.program, command.words, { cwd: repository, env: { PATH: process.env.PATH, HOME: process.env.HOME, CYCLAMENSHUNT_SETTINGS: settingsFile }, stdio: ['ignore', 'pipe', 'pipe'] })
         child = started
         for (const stream of [started.stdout, started.stderr]) stream.on('data', text => log(name, String(text)))
-        started.on('exit', () => { if (child === started) child = undefined })
+        exited = new Promise(resolve => started.on('exit', () => {
+          child = undefined
+          resolve()
+        }))
       },
       signal: kind => child?.kill(kind),
       /** Resolves once the platform would send connections to the node. */
@@ -161,7 +165,7 @@
           await sleep(readyPollMs)
         }
       },
-      whenDown: async () => { while (child !== undefined) await sleep(readyPollMs) }
+      whenDown: () => exited
     }
   })
 }
