--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,98 +1,87 @@
 /**
- * In a drill the store is away for a moment and comes back from a copy some seconds old, and all nodes are killed at the
- * same time. The node that then holds the duty reports a window again, with other counts than the report that the
- * platform has accepted. DRILL=0 or KILL=0 leave one of the two disruptions out.
+ * A node is stopped as planned while streams are open that outlast its grace period. Some of them have no length and end
+ * with their connection, as answers of runners may.
  */
-import { apiKey, createConfiguration, ledgerService } from '../stand-ins/configuration.mjs'
+import { apiKey, createConfiguration, engineService } from '../stand-ins/configuration.mjs'
 import { createClient } from '../stand-ins/client.mjs'
 import { runCase, sleep } from '../stand-ins/deployment.mjs'
+import { countEvents, writeStream } from '../stand-ins/event-stream.mjs'
 import { startPlatform } from '../stand-ins/platform.mjs'
-import { answerHeaders, formatAnswer, startRunner } from '../stand-ins/runner.mjs'
+import { startRunner } from '../stand-ins/runner.mjs'
 
-const nodeCount = 3
-const slots = 6
-const deadlineMs = 1_500
-const requestIntervalMs = 100
-const warmUpMs = 14_000
-const copyIntervalMs = 250
-/** Time from the copy to the begin of the drill, and for which the store is away. */
-const copyAgeMs = 1_500
-const awayMs = 2_000
-/** Processes are down for as long as in the site file. */
-const downMs = 1_000
-const pollMs = 20
-const reportWaitMs = 20_000
-const endMs = 20_000
+const nodeCount = 2
+const runnerCount = 8
+const slots = 64
+const deadlineMs = 15_000
+/** The site file has drafts of 91 events on average and of 216 at most, with pauses of up to 250 ms. */
+const eventCount = 100
+const eventIntervalMs = 100
+/** Half of the runners give one in 20 of their answers no length: the share and the part of the site file. */
+const unframingRunnerCount = runnerCount / 2
+const answersPerUnframed = 20
+const streamCount = 360
+const openStreamsMs = 1_500
 
 await runCase(import.meta.url, async ({ isTroubled, record, onClose, createNodes }) => {
-  const hasDrill = isTroubled && process.env.DRILL !== '0'
-  const hasKill = isTroubled && process.env.KILL !== '0'
-  const platform = await startPlatform(record)
+  const platform = await startPlatform()
   onClose(platform.close)
   platform.put('op/config', createConfiguration())
-  const runner = await startRunner({
-    id: 'i-ledger-1',
-    service: ledgerService,
-    slots,
-    platform,
-    handle: (request, socket) => socket.write(formatAnswer(200, answerHeaders('i-ledger-1', request), 'granted'))
-  })
-  onClose(runner.close)
-  const copies = []
-  const copying = setInterval(() => copies.push({ atMs: performance.now(), copy: platform.copy() }), copyIntervalMs)
-  onClose(() => clearInterval(copying))
+  const unframed = new Set()
+  const writtenCounts = new Map()
+
+  for (let index = 0; index < runnerCount; index += 1) {
+    const id = `i-engine-${index + 1}`
+    let answerCount = 0
+    let unframedAt = 0
+    const runner = await startRunner({
+      id,
+      service: engineService,
+      slots,
+      platform,
+      handle: (request, socket) => {
+        // One answer of each 20, at random.
+        if (answerCount % answersPerUnframed === 0) unframedAt = answerCount + Math.floor(Math.random() * answersPerUnframed)
+        const isUnframed = index < unframingRunnerCount && answerCount === unframedAt
+        answerCount += 1
+        if (isUnframed) unframed.add(request.id)
+        writeStream({ runner: id, request, socket, framing: isUnframed ? 'unframed' : 'chunked', eventCount, eventIntervalMs, onEnd: written => writtenCounts.set(request.id, written) })
+      }
+    })
+    onClose(runner.close)
+  }
   const nodes = await createNodes({ count: nodeCount, platform })
   for (const node of nodes) node.start()
   for (const node of nodes) await node.whenReady()
 
+  const stopped = nodes[0]
   const clients = nodes.map(({ port }) => createClient({ port, key: apiKey }))
   for (const client of clients) onClose(client.close)
-  let sentCount = 0
-  const sending = setInterval(() => {
-    sentCount += 1
-    clients[sentCount % nodeCount].send({ id: `grant-${sentCount}`, path: '/grant-record/song', body: 'grant', deadlineMs })
-  }, requestIntervalMs)
-  onClose(() => clearInterval(sending))
-
-  await sleep(warmUpMs)
-  const reportsBefore = platform.usageReports.length
-  const untilMs = performance.now() + reportWaitMs
-  while (platform.usageReports.length === reportsBefore) {
-    if (performance.now() > untilMs) throw new Error('no node reports the usage')
-    await sleep(pollMs)
-  }
-  clearInterval(copying)
-  const { copy, atMs } = copies.findLast(({ atMs }) => atMs < performance.now() - copyAgeMs)
-  if (hasDrill) {
-    platform.leave()
-    record('the store is away')
-  }
-  if (hasKill) {
-    for (const node of nodes) node.signal('SIGKILL')
-    record('all nodes get SIGKILL')
-    for (const node of nodes) await node.whenDown()
-    await sleep(downMs)
-    for (const node of nodes) node.start()
-    record('all nodes are started again')
-  }
-  if (hasDrill) {
-    await sleep(Math.max(0, awayMs - (hasKill ? downMs : 0)))
-    platform.restore(copy)
-    record(`the store is back from a copy that is ${Math.round(performance.now() - atMs)} ms old`)
-    platform.put('op/config', createConfiguration())
-    runner.beat()
+  const answers = Promise.all(Array.from({ length: streamCount }, async (_, number) => {
+    await sleep(openStreamsMs * number / streamCount)
+    return await clients[number % nodeCount].send({ id: `draft-${number}`, path: '/snippet-draft/song', body: 'text', deadlineMs })
+  }))
+  await sleep(openStreamsMs + 500)
+  if (isTroubled) {
+    stopped.signal('SIGTERM')
+    record(`${stopped.name} gets SIGTERM`)
   }
-  await sleep(endMs)
+  const results = await answers
+  if (isTroubled) await stopped.whenDown()
 
-  const firstCounts = new Map()
   const violations = []
-  for (const { window, counts, fence, holder, isAccepted } of platform.usageReports) {
-    if (!isAccepted) continue
-    const text = JSON.stringify(Object.entries(counts).sort())
-    const before = firstCounts.get(window)
-    if (before === undefined) firstCounts.set(window, text)
-    else if (before !== text) violations.push(`ONE: window ${window} was accepted with ${before} and, from ${holder} with the fence ${fence}, with ${text}`)
+  const counts = { whole: 0, cutVisibly: 0, refused: 0 }
+  for (const { id, status, isComplete, body, cause } of results) {
+    const received = countEvents(body)
+    const isWhole = received === eventCount
+    if (status === 200 && isComplete && isWhole) counts.whole += 1
+    else if (status === 503) counts.refused += 1
+    else {
+      const framing = unframed.has(id) ? 'unframed' : 'chunked'
+      record(`${id} (${framing}): status ${status}, ${received} of ${eventCount} events, the runner had written ${writtenCounts.get(id)}, ${isComplete ? 'looks complete' : `broken off (${cause})`}`)
+      if (isComplete) violations.push(`MIXED: ${id} ended after ${received} of ${eventCount} events and looks complete`)
+      else counts.cutVisibly += 1
+    }
   }
-  record(`${sentCount} requests sent, ${platform.usageReports.length} usage reports`)
+  record(`${results.length} streams, ${unframed.size} of them without a length: ${JSON.stringify(counts)}, ${violations.length} cut and looking complete`)
   return violations
 })
--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -144,6 +144,7 @@
     return {
       name,
       port: ports.front,
+      readinessPort: ports.readiness,
       isUp: () => child !== undefined,
       start: () => {
         startCount += 1
--- a/review/stand-ins/platform.mjs
+++ b/review/stand-ins/platform.mjs
@@ -136,6 +136,11 @@
     usageReports,
     put: (key, value) => write([{ key, value: Buffer.from(JSON.stringify(value)).toString('base64') }], []),
     remove: key => write([], [key]),
+    /** The value of a key that the system writes in JSON; undefined if there is none. */
+    get: key => {
+      const item = state.items.get(key)
+      return item === undefined ? undefined : JSON.parse(Buffer.from(item.value, 'base64').toString())
+    },
     keys: () => [...state.items.keys()],
     copy: () => structuredClone(state),
     /** The store is away until `restore`. */
--- a/review/stand-ins/runner.mjs
+++ b/review/stand-ins/runner.mjs
@@ -33,10 +33,11 @@
  * Starts a runner that writes its heartbeats to the store of `platform`. `handle(request, socket, connection)`
  * gets the requests that name this runner; `connection` keeps a case's data on the connection.
  */
-export async function startRunner ({ id, service, slots, zone = 'zone-a', platform, handle }) {
+export async function startRunner ({ id, service, slots, zone = 'zone-a', version = 'v1', platform, handle }) {
   const born = Date.now()
   const sockets = new Set()
   let sequence = 0
+  let state = 'ready'
 
   const server = createServer(socket => {
     const connection = {}
@@ -63,13 +64,14 @@
   })
   await new Promise(resolve => server.listen({ host: '127.0.0.1', port: 0 }, resolve))
 
-  function beat () {
+  function beat (newState = state) {
     sequence += 1
-    platform.put(`servers/${id}`, { service, address: `127.0.0.1:${server.address().port}`, zone, version: 'v1', slots, state: 'ready', cold_remaining_ms: 0, sequence, born })
+    state = newState
+    platform.put(`servers/${id}`, { service, address: `127.0.0.1:${server.address().port}`, zone, version, slots, state, cold_remaining_ms: 0, sequence, born })
   }
 
   beat()
-  const beating = setInterval(beat, heartbeatMs)
+  const beating = setInterval(() => beat(), heartbeatMs)
   return {
     id,
     beat,
