--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -24,7 +24,7 @@
 /** Time from the order until the runners name their limit, in requests a second. */
 const limitedAfterMs = 7_000
 const limitPerSecond = 1
-/** A stopped runner's entry is removed after three heartbeats of silence. */
+/** An entry is removed three heartbeats after the last one. */
 const entryLifeMs = 3_600
 const endMs = 6_000
 const pollMs = 10
@@ -110,8 +110,10 @@
   record(`the roll-out is ${state}`)
   if (state !== 'completed') throw new Error('the roll-out was not completed, so the case says nothing')
   const completedAtMs = performance.now()
-  for (const { close } of oldRunners) close()
-  setTimeout(() => { for (const { id } of oldRunners) platform.remove(`servers/${id}`) }, entryLifeMs)
+  for (const { id, close, lastBeatAtMs } of oldRunners) {
+    close()
+    setTimeout(() => platform.remove(`servers/${id}`), lastBeatAtMs() + entryLifeMs - performance.now())
+  }
   await sleep(endMs)
   clearInterval(sending)
   await Promise.all(open)
--- a/review/stand-ins/runner.mjs
+++ b/review/stand-ins/runner.mjs
@@ -38,6 +38,7 @@
   const sockets = new Set()
   let sequence = 0
   let state = 'ready'
+  let lastBeatAtMs
 
   const server = createServer(socket => {
     const connection = {}
@@ -67,6 +68,7 @@
   function beat (newState = state) {
     sequence += 1
     state = newState
+    lastBeatAtMs = performance.now()
     platform.put(`servers/${id}`, { service, address: `127.0.0.1:${server.address().port}`, zone, version, slots, state, cold_remaining_ms: 0, sequence, born })
   }
 
@@ -75,6 +77,7 @@
   return {
     id,
     beat,
+    lastBeatAtMs: () => lastBeatAtMs,
     close: () => {
       clearInterval(beating)
       server.close()
