Log each answer that is not delivered, and count it by reason

What callers saw could not be found in the log: an answer under which the node closed the connection had gatewayAnswered (logged when the response was handed over), or no line at all when a planned stop ended.

gatewayAnswered is now logged once the last byte was taken by the caller's connection.

--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -11,6 +11,7 @@
 import type { Quotas } from '../quota/index.ts'
 import type { Admittance, Quarantine } from '../quarantine/index.ts'
 import type { RouteChoice, Router } from '../routing/index.ts'
+import type { AnswerEnd } from './ingress.ts'
 import type { Attempt, AttemptPhase, StreamProgress, CompleteResponse } from './attempt.ts'
 import type { BackendTable } from './backend-table.ts'
 import type { RouteTable } from './route-table.ts'
@@ -66,6 +67,8 @@
   /** Called when a latency of an attempt is known, which may be long before the attempt ends. */
   onLatency: (report: LatencyReport) => void
   isDraining: () => boolean
+  /** How the connection of an answer ended that was not delivered. */
+  answerEndOf: (response: ServerResponse) => AnswerEnd
   /** Whether this node learns of the others' load soon enough to compare all backend servers without many nodes choosing the same one. */
   hasRecentLoads: () => boolean
   /** A uniformly distributed number from 0 to 1, the same for the same text. */
@@ -114,6 +117,8 @@
   /** Aborted when the caller disconnects or the deadline passes. */
   ended: AbortController
   isCallerGone: boolean
+  /** Whether the node aborted the response. */
+  isCut: boolean
   isTimedOut: boolean
   choice: RouteChoice | undefined
   /** Time from arrival to the first byte of a backend server's response. */
@@ -146,6 +151,7 @@
     retryAdmittance: undefined,
     ended: new AbortController(),
     isCallerGone: false,
+    isCut: false,
     isTimedOut: false,
     choice: undefined,
     firstByteMs: undefined,
--- a/src/core/gateway/attempt-end-handler.ts
+++ b/src/core/gateway/attempt-end-handler.ts
@@ -113,7 +113,8 @@
     const { response, failureResponse, mayHaveRunOn, progress } = active
     if (progress.areHeadersSent) {
       metrics.count('gateway_answers_total', { status: 'cut', reason })
-      log('gatewayCut', { ...requestLogFields(active, clock), reason, detail })
+      log('gatewayCut', { ...requestLogFields(active, clock), reason, detail, waitingBytes: response.writableLength })
+      active.isCut = true
       cutResponse(response)
       return
     }
@@ -143,7 +144,13 @@
     recordResponse(active, backendResponse.status)
   }
 
+  /** Counts and logs the response once its last byte was written to the connection. */
   function recordResponse (active: ActiveRequest, status: number): void {
+    if (active.response.writableFinished) return recordDelivery(active, status)
+    active.response.once('finish', () => recordDelivery(active, status))
+  }
+
+  function recordDelivery (active: ActiveRequest, status: number): void {
     const { route, firstByteMs, arrivedAtMs } = active
     metrics.count('gateway_answers_total', { status: String(status), reason: 'passed-on' })
     if (firstByteMs !== undefined) metrics.observe(`gateway_first_byte_ms_${route.kind.replaceAll('-', '_')}`, firstByteMs)
--- a/src/core/gateway/ingress.ts
+++ b/src/core/gateway/ingress.ts
@@ -3,7 +3,7 @@
  * graceful shutdown that lets open requests finish.
  */
 import { createServer } from 'node:http'
-import type { Server } from 'node:http'
+import type { Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock } from '../clock/index.ts'
 import type { Log } from '../log/index.ts'
@@ -30,6 +30,12 @@
   serve: RequestHandler
 }
 
+/** Why the connection of an answer ended before the answer was delivered, and how many bytes of it the caller had not taken. */
+export interface AnswerEnd {
+  reason: 'caller-closed' | 'stop-deadline'
+  waitingBytes: number
+}
+
 /** The listener for callers. */
 export interface Ingress {
   listen: () => Promise<void>
@@ -37,8 +43,10 @@
   address: () => ReturnType<Server['address']>
   /** Applies the limits of a configuration to connections from now on. */
   setLimits: (limits: GatewayConfiguration['limits']) => void
-  /** Number of requests without a complete response. */
+  /** Number of requests without a delivered answer. */
   inFlight: () => number
+  /** How the connection of an undelivered answer ended. */
+  answerEndOf: (response: ServerResponse) => AnswerEnd
   /** Closes idle connections and accepts no new ones. */
   stopAccepting: () => void
   close: () => void
@@ -52,7 +60,8 @@
 /** Creates a listener; `listen` binds it. */
 export function createIngress (options: IngressOptions): Ingress {
   const { log, metrics, serve } = options
-  let inFlight = 0
+  const open = new Set<ServerResponse>()
+  const cutAnswers = new WeakMap<ServerResponse, AnswerEnd>()
   let isShuttingDown = false
 
   const server: Server = createServer({
@@ -61,8 +70,8 @@
     keepAlive: false,
     noDelay: true
   }, (request, response) => {
-    inFlight += 1
-    response.on('close', () => { inFlight -= 1 })
+    open.add(response)
+    response.on('close', () => open.delete(response))
     // A response that began before the shutdown has no "connection: close" header, so its connection is closed after it.
     response.on('finish', () => { if (isShuttingDown) request.socket.end() })
     serve(request, response).catch((error: unknown) => {
@@ -97,12 +106,16 @@
     }),
     address: () => server.address(),
     setLimits,
-    inFlight: () => inFlight,
+    inFlight: () => open.size,
+    answerEndOf: response => cutAnswers.get(response) ?? { reason: 'caller-closed', waitingBytes: response.writableLength },
     stopAccepting: () => {
       isShuttingDown = true
       server.close()
       server.closeIdleConnections()
     },
-    close: () => server.closeAllConnections()
+    close: () => {
+      for (const response of open) cutAnswers.set(response, { reason: 'stop-deadline', waitingBytes: response.writableLength })
+      server.closeAllConnections()
+    }
   }
 }
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -42,7 +42,7 @@
 
 /** Creates the request handler of a gateway. */
 export function createRequestHandler (options: RequestHandlerOptions): RequestHandler {
-  const { clock, log, codec, router, backends, limits } = options
+  const { clock, log, metrics, codec, router, backends, limits } = options
   const refusals = createRefusals(options)
   const buffers = createResponseBuffers({ maxResponseBytes, maxTotalBytes: maxBufferedBytes })
   const { refuse, withJitter } = refusals
@@ -121,13 +121,23 @@
     await admitAndServe(active)
   }
 
+  /** Handles the end of the caller's connection before its answer was delivered. */
+  function onConnectionEnded (active: ActiveRequest): void {
+    const { response } = active
+    const { reason, waitingBytes } = options.answerEndOf(response)
+    const phase = response.writableEnded ? 'written' : response.headersSent ? 'answering' : 'waiting'
+    metrics.count('answers_not_delivered_total', { reason, phase })
+    const hasLeft = reason === 'caller-closed' && phase !== 'written'
+    log(hasLeft ? 'gatewayLeft' : 'answerNotDelivered', { ...requestLogFields(active, clock), phase, reason, waitingBytes })
+    active.isCallerGone = true
+    active.ended.abort()
+    active.attempt?.abort()
+  }
+
   async function admitAndServe (active: ActiveRequest): Promise<void> {
     const { response, route } = active
     response.on('close', () => {
-      if (response.writableFinished) return
-      active.isCallerGone = true
-      active.ended.abort()
-      active.attempt?.abort()
+      if (!response.writableFinished && !active.isCut) onConnectionEnded(active)
     })
     const permit = await options.admission.admit({
       team: active.team?.team ?? toId<TeamId>(''),
@@ -180,7 +190,7 @@
   /** Makes attempts until the request has ended. */
   async function attemptUntilDone (active: ActiveRequest): Promise<void> {
     for (;;) {
-      if (active.isCallerGone) return log('gatewayLeft', { ...requestLogFields(active, clock), phase: 'serving' })
+      if (active.isCallerGone) return
       if (active.isTimedOut) return timeOutRequest(active)
       const admittance = await quarantineGate.admit(active)
       if (active.isCallerGone || active.isTimedOut) {
--- a/src/core/log/events/gateway.ts
+++ b/src/core/log/events/gateway.ts
@@ -2,11 +2,12 @@
 
 /** Log events 700 to 799: requests that the gateway forwards, and its view of backend servers and configuration. */
 export const gatewayEvents = {
-  gatewayAnswered: { number: 700, level: 'info', text: 'A response of a backend server was forwarded to the caller.', remedy: 'none' },
+  gatewayAnswered: { number: 700, level: 'info', text: 'A response of a backend server was delivered to the caller\'s connection.', remedy: 'none' },
   gatewayRefused: { number: 701, level: 'info', text: 'The node answered a request itself, without a backend server.', remedy: 'See the reason and the other fields of the event.' },
   gatewayRetried: { number: 702, level: 'info', text: 'A request is retried at another backend server.', remedy: 'none' },
   gatewayCut: { number: 703, level: 'warn', text: 'A response was aborted after a part of it had been sent.', remedy: 'See the cause; the connection to the caller was closed.' },
   gatewayLeft: { number: 704, level: 'info', text: 'The caller disconnected before the response was complete.', remedy: 'none' },
+  answerNotDelivered: { number: 706, level: 'warn', text: 'The connection to the caller ended before the answer was delivered.', remedy: 'See the reason: stop-deadline (the node stopped first), crossed-close (the request was read after the node had ended its side, and was not run) or caller-closed. phase tells how far the answer had come, waitingBytes what the caller had not read.' },
   gatewayFailed: { number: 705, level: 'error', text: 'Handling a request failed unexpectedly.', remedy: 'Report a bug with the fields of this event.' },
   backendChanged: { number: 710, level: 'info', text: 'A backend server registered or changed its state.', remedy: 'none' },
   backendRemoved: { number: 711, level: 'info', text: 'A backend server is no longer registered.', remedy: 'none' },
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -168,6 +168,7 @@
     onAttempt: attempt => attempts.push(attempt),
     hasRecentLoads: () => true,
     isDraining: () => state.isDraining,
+    answerEndOf: response => ingress.answerEndOf(response),
     draw: hasher.draw,
     random: createRandom(3)
   })
