Show what callers lose at a planned stop: eight tests that fail

One node with stand-ins over real sockets, stopped with a grace of 4 s while callers hold connections: a request that follows a stream on a kept connection, requests whose first byte, head or body comes late, a slow reader, an idle kept connection, a new connection, and answers that can't be delivered by the end.

--- /dev/null
+++ b/test/platform-adapter/planned-stop.test.ts
@@ -0,0 +1,199 @@
+/** Callers whose connections are open while a node stops as planned: each request is answered completely or refused as not run. */
+import test from 'ava'
+import { parseSettings } from '../../platform/settings.ts'
+import { startNode } from '../../platform/node.ts'
+import { createSystemClock } from '../../src/core/clock/index.ts'
+import { formatChunk, formatResponse, startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
+import { findFreePorts } from '../free-ports.ts'
+import { startPlatform } from './platform-stand-in.ts'
+import { connectCaller } from './raw-caller.ts'
+import { renderSettings } from './render-settings.ts'
+import type { ExecutionContext } from 'ava'
+import type { Socket } from 'node:net'
+import type { RawRequest, RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
+
+const clock = createSystemClock()
+/** The node stops listening two seconds after the signal at the earliest, and ends its last connections before this time is over. */
+const graceMs = 4_000
+const largeBytes = 8 * 1024 * 1024
+
+function signed ({ headers }: RawRequest): Record<string, string> {
+  return { 'x-cyclamenshunt-attempt-id': headers['x-cyclamenshunt-attempt-id'] ?? '', 'x-cyclamenshunt-response-seal': 's' }
+}
+
+const respondOk: RawRequestHandler = (request, socket) => { socket.write(formatResponse(200, signed(request), 'whole')) }
+const respondLarge: RawRequestHandler = (request, socket) => { socket.write(formatResponse(200, signed(request), 'x'.repeat(largeBytes))) }
+
+/** Streams events until `isLast` holds or the connection closes. */
+function streamUntil (isLast: (eventCount: number) => boolean): RawRequestHandler {
+  return async (request, socket: Socket) => {
+    const headers = Object.entries({ ...signed(request), 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked' })
+    socket.write(['HTTP/1.1 200 Status', ...headers.map(([name, value]) => `${name}: ${value}`), '', ''].join('\r\n'))
+    for (let count = 1; socket.writable; count += 1) {
+      socket.write(formatChunk(`id: ${count}\ndata: piece\n\n`))
+      if (isLast(count)) {
+        socket.write('0\r\n\r\n')
+        return
+      }
+      await clock.sleep(20)
+    }
+  }
+}
+
+function createRoute (name: string, kind: string) {
+  return { name, host: '127.0.0.1', path_prefix: `/${name}/`, kind, timeout_ms: 15_000, slo_ms: 1_000, service: name, max_attempts: 1 }
+}
+
+/** Starts a node before one backend server for each service. */
+async function startStoppableNode (t: ExecutionContext, handlers: Record<string, RawRequestHandler>) {
+  const platform = await startPlatform()
+  const services = Object.keys(handlers)
+  const backends = new Map(await Promise.all(services.map(async service => [service, await startRawBackend(handlers[service]!)] as const)))
+  for (const [service, { port }] of backends) await platform.put(`servers/i-${service}`, { service, address: `127.0.0.1:${port}`, zone: 'a', version: 'v1', slots: 16, state: 'ready', sequence: 1 })
+  await platform.put('op/config', {
+    version: 1,
+    routes: services.map(name => createRoute(name, name === 'stream' ? 'streaming' : 'non_idempotent')),
+    services: services.map(name => ({ name, max_connections: 100 })),
+    limits: { header_timeout_ms: 10_000 }
+  })
+  const port = await findFreePorts(10)
+  const settings = parseSettings(renderSettings({
+    'platform.address': platform.address,
+    'cloud.address': platform.address,
+    'listen.front': `127.0.0.1:${port}`,
+    'listen.readiness': `127.0.0.1:${port + 1}`,
+    'listen.control': `127.0.0.1:${port + 2}`,
+    internal_ports: `${port + 3},${port + 9}`,
+    'bounds.grace_s': String(graceMs / 1_000)
+  }), 'node.conf')
+  const lines: Array<Record<string, unknown>> = []
+  const node = await startNode(settings, { log: (event, fields) => { lines.push({ event, ...fields }) } })
+  let stopping: Promise<void> | undefined
+  const stop = (): Promise<void> => {
+    stopping ??= node.stop()
+    return stopping
+  }
+  t.teardown(async () => {
+    await stop()
+    for (const backend of backends.values()) await backend.close()
+    await platform.close()
+  })
+  while ((await fetch(`http://127.0.0.1:${port + 1}/cyclamenshunt/ready`)).status !== 200) await clock.sleep(20)
+  return { port, stop, lines, requestsOf: (service: string) => backends.get(service)!.requests }
+}
+
+function requestHead (service: string, id: string, framing: string, method = 'POST'): string {
+  return `${method} /${service}/ HTTP/1.1\r\nhost: 127.0.0.1\r\nx-cyclamenshunt-attempt-id: ${id}\r\n${framing}\r\n\r\n`
+}
+
+function post (service: string, id: string): string {
+  return `${requestHead(service, id, 'content-length: 4')}body`
+}
+
+test('a request that follows a stream on a kept connection during a stop is answered', async t => {
+  let isStreamDone = false
+  const { port, stop, requestsOf } = await startStoppableNode(t, { stream: streamUntil(() => isStreamDone), calls: respondOk })
+  const caller = await connectCaller(port)
+  caller.write(post('stream', 'r-1'))
+  while (requestsOf('stream').length === 0) await clock.sleep(10)
+  const stopped = stop()
+  await clock.sleep(graceMs * 0.6)
+  isStreamDone = true
+  t.like(await caller.nextResponse(), { status: 200, isComplete: true })
+  caller.write(post('calls', 'r-2'))
+  const answer = await caller.nextResponse()
+  t.like(answer, { status: 200, body: 'whole', isComplete: true })
+  t.regex(answer.head, /connection: close/)
+  await stopped
+})
+
+for (const [part, split] of [['first byte', 0], ['end of the head', 60], ['end of the body', undefined]] as const) {
+  test(`a request whose ${part} comes late in a stop is refused as not run if it can't be finished, and answered otherwise`, async t => {
+    const { port, stop, requestsOf } = await startStoppableNode(t, { stream: streamUntil(count => count === 150), calls: respondOk })
+    const callers = await Promise.all(['stream', 'calls'].map(async service => {
+      const caller = await connectCaller(port)
+      const text = `${requestHead(service, `r-${service}`, 'transfer-encoding: chunked')}4\r\nbody\r\n0\r\n\r\n`
+      const at = split ?? text.length - 5
+      caller.write(text.slice(0, at))
+      return { service, caller, rest: text.slice(at) }
+    }))
+    const stopped = stop()
+    await clock.sleep(graceMs * 0.6)
+    const answers = await Promise.all(callers.map(({ caller, rest }) => {
+      caller.write(rest)
+      return caller.nextResponse()
+    }))
+    t.like(answers[0], { status: 503, isComplete: true })
+    t.regex(answers[0]!.head, /retry-after: 0\./)
+    t.is(requestsOf('stream').length, 0)
+    t.like(answers[1], { status: 200, body: 'whole', isComplete: true })
+    for (const { head } of answers) t.regex(head, /connection: close/)
+    await stopped
+  })
+}
+
+test('a caller that reads slowly during a stop gets its whole answer', async t => {
+  const { port, stop, requestsOf, lines } = await startStoppableNode(t, { large: respondLarge })
+  const caller = await connectCaller(port)
+  caller.write(post('large', 'r-1'))
+  while (requestsOf('large').length === 0) await clock.sleep(10)
+  caller.socket.pause()
+  const stopped = stop()
+  await clock.sleep(graceMs * 0.6)
+  t.false(lines.some(({ event }) => event === 'gatewayAnswered'))
+  caller.socket.resume()
+  const { isComplete, body } = await caller.nextResponse()
+  t.deepEqual({ isComplete, length: body.length }, { isComplete: true, length: largeBytes })
+  await stopped
+  t.like(lines.find(({ event }) => event === 'gatewayAnswered'), { request: 'r-1' })
+})
+
+test('an answer that is not delivered by the end of a stop is visibly incomplete and has one line that names it', async t => {
+  const { port, stop, requestsOf, lines } = await startStoppableNode(t, { stream: streamUntil(() => false), large: respondLarge, silent: () => {} })
+  const [stream, large, silent, unfinished] = await Promise.all([0, 1, 2, 3].map(() => connectCaller(port)))
+  stream!.write(post('stream', 'r-stream'))
+  large!.write(post('large', 'r-large'))
+  silent!.write(post('silent', 'r-silent'))
+  unfinished!.write(requestHead('large', 'r-unfinished', 'content-length: 4'))
+  while (requestsOf('stream').length + requestsOf('large').length + requestsOf('silent').length < 3) await clock.sleep(10)
+  large!.socket.pause()
+  await stop()
+  large!.socket.resume()
+  t.like(await stream!.nextResponse(), { status: 200, isComplete: false })
+  t.like(await large!.nextResponse(), { status: 200, isComplete: false })
+  // It may have run.
+  t.like(await silent!.nextResponse(), { status: 504, isComplete: true })
+  t.like(await unfinished!.nextResponse(), { status: 503, isComplete: true })
+  const ends = (id: string) => lines.filter(({ request, event }) => request === id && ['gatewayAnswered', 'gatewayRefused', 'gatewayCut', 'gatewayLeft', 'answerNotDelivered'].includes(String(event)))
+  t.like(ends('r-stream'), { length: 1, 0: { event: 'gatewayCut', reason: 'draining' } })
+  t.like(ends('r-large'), { length: 1, 0: { event: 'answerNotDelivered', reason: 'stop-deadline', phase: 'written' } })
+  t.true(Number(ends('r-large')[0]?.['waitingBytes']) > 0)
+  t.like(ends('r-silent'), { length: 1, 0: { event: 'gatewayRefused', reason: 'draining' } })
+  t.like(ends('r-unfinished'), { length: 1, 0: { event: 'gatewayRefused', reason: 'draining' } })
+})
+
+test('an idle kept connection stays open during a stop until its next answer, which says that it closes', async t => {
+  const { port, stop } = await startStoppableNode(t, { calls: respondOk })
+  const caller = await connectCaller(port)
+  caller.write(post('calls', 'r-1'))
+  t.like(await caller.nextResponse(), { status: 200 })
+  const stopped = stop()
+  await clock.sleep(graceMs * 0.6)
+  caller.write(post('calls', 'r-2'))
+  const answer = await caller.nextResponse()
+  t.like(answer, { status: 200, isComplete: true })
+  t.regex(answer.head, /connection: close/)
+  await stopped
+})
+
+test('a new connection late in a stop is answered, not reset', async t => {
+  const { port, stop } = await startStoppableNode(t, { calls: respondOk })
+  const idle = await connectCaller(port)
+  const stopped = stop()
+  await clock.sleep(graceMs * 0.6)
+  const caller = await connectCaller(port)
+  caller.write(post('calls', 'r-1'))
+  t.like(await caller.nextResponse(), { status: 200, isComplete: true })
+  idle.socket.destroy()
+  await stopped
+})
