End callers' connections only by an answer that said so and was delivered

Cause: no part of the node owned the end of a connection. The listener closed 2.7 s after the signal together with all that Node.js calls idle (a connection is, once end() was called, also while bytes wait), the end of a response half-closed a connection that was still read, and what was left closed without an answer at the end.

The listener stays open until the end of the stop, where requests without an answer get 503 or 504 and streams are cut visibly. gatewayAnswered follows the delivery: Node.js emits finish also when a connection is closed while bytes wait.

A test of the gateway expected the faulty end: that a connection closes after a stream that hadn't announced it. It is replaced by one that expects the stream whole, the connection open, the next answer announcing the end, and the end after it.

--- /dev/null
+++ b/src/core/caller-connections/types.ts
@@ -0,0 +1,43 @@
+/** Types of the callers' connections. */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Clock } from '../clock/index.ts'
+
+/** Why the connection of an answer ended before the answer was delivered. */
+export type UndeliveredReason = 'caller-closed' | 'stop-deadline'
+
+/** How the connection of an undelivered answer ended, and how many bytes of the answer the caller had not taken. */
+export interface AnswerEnd {
+  reason: UndeliveredReason
+  waitingBytes: number
+}
+
+/** Options of the callers' connections. */
+export interface CallerConnectionsOptions {
+  /** The server whose connections these are. Its `clientError` and `timeout` events are handled here. */
+  server: Server
+  clock: Clock
+  /** Whether answers that begin now tell their callers to use another connection. */
+  isDraining: () => boolean
+  /** Called for a request that was read after the node had announced or made the end of its connection; it must not run. */
+  onLateRequest: (request: IncomingMessage) => void
+  /** Called for a request that the HTTP parser rejects; returns the answer's bytes, which must say `Connection: close`. */
+  onParserError: (error: NodeJS.ErrnoException) => string
+}
+
+/** The connections of callers. A connection ends by an answer that said so and was delivered, or while it is idle. */
+export interface CallerConnections {
+  /** Takes over a request and its response. Returns false if it must not be handled, because no answer can be sent. */
+  take: (request: IncomingMessage, response: ServerResponse) => boolean
+  /** Number of requests that were taken and whose answers are not delivered. */
+  openRequestCount: () => number
+  /** How the connection of an answer ended, once it has; undefined if the answer was delivered: its last byte was taken by the connection. */
+  answerEndOf: (response: ServerResponse) => AnswerEnd | undefined
+  /** Stops listening; open connections stay. */
+  stopListening: () => void
+  /** Resolves once all connections have ended, at the monotonic time `deadlineAtMs` at the latest. */
+  whenEnded: (deadlineAtMs: number) => Promise<void>
+  /** Resolves once all answers are delivered, at the monotonic time `deadlineAtMs` at the latest. */
+  whenAnswered: (deadlineAtMs: number) => Promise<void>
+  /** Ends idle connections regularly and aborts all others, whose answers are then visibly incomplete. */
+  close: () => void
+}
--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Admission, RetryBudget } from '../admission/types.ts'
 import type { BackendLimits } from '../backend-limits/index.ts'
+import type { AnswerEnd } from '../caller-connections/index.ts'
 import type { Clock } from '../clock/index.ts'
 import type { BackendId, RequestDigest, TeamId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
@@ -11,7 +12,6 @@
 import type { Quotas } from '../quota/index.ts'
 import type { Admittance, Quarantine } from '../quarantine/index.ts'
 import type { RouteChoice, Router } from '../routing/index.ts'
-import type { AnswerEnd } from './ingress.ts'
 import type { Attempt, AttemptPhase, StreamProgress, CompleteResponse } from './attempt.ts'
 import type { BackendTable } from './backend-table.ts'
 import type { RouteTable } from './route-table.ts'
@@ -66,9 +66,10 @@
   onAttempt: (report: AttemptReport) => void
   /** Called when a latency of an attempt is known, which may be long before the attempt ends. */
   onLatency: (report: LatencyReport) => void
-  isDraining: () => boolean
-  /** How the connection of an answer ended that was not delivered. */
-  answerEndOf: (response: ServerResponse) => AnswerEnd
+  /** Aborted when the node ends the requests that are still open at the end of a stop. */
+  stopped: AbortSignal
+  /** How the connection of an answer ended; undefined if the answer was delivered. */
+  answerEndOf: (response: ServerResponse) => AnswerEnd | undefined
   /** Whether this node learns of the others' load soon enough to compare all backend servers without many nodes choosing the same one. */
   hasRecentLoads: () => boolean
   /** A uniformly distributed number from 0 to 1, the same for the same text. */
@@ -119,7 +120,13 @@
   isCallerGone: boolean
   /** Whether the node aborted the response. */
   isCut: boolean
+  /** Status of the backend server's response that was forwarded completely. */
+  forwardedStatus: number | undefined
+  /** Whether the response was delivered, or its connection has ended. */
+  isClosed: boolean
   isTimedOut: boolean
+  /** Whether the node stopped before the request had ended. */
+  isStopped: boolean
   choice: RouteChoice | undefined
   /** Time from arrival to the first byte of a backend server's response. */
   firstByteMs: number | undefined
@@ -152,7 +159,10 @@
     ended: new AbortController(),
     isCallerGone: false,
     isCut: false,
+    forwardedStatus: undefined,
+    isClosed: false,
     isTimedOut: false,
+    isStopped: false,
     choice: undefined,
     firstByteMs: undefined,
     failureResponse: undefined
--- a/src/core/gateway/attempt-end-handler.ts
+++ b/src/core/gateway/attempt-end-handler.ts
@@ -2,7 +2,8 @@
  * Decides what follows the end of an attempt: another attempt, or the final
  * response, which reports the request as not run only when that is certain.
  */
-import { cutResponse, delimitByConnectionClose, isSelfDelimited, forwardedResponseHeaders } from './gateway-response.ts'
+import { cutAnswer } from '../caller-connections/index.ts'
+import { delimitByConnectionClose, isSelfDelimited, forwardedResponseHeaders } from './gateway-response.ts'
 import { requestLogFields } from './active-request.ts'
 import { parseRetryAfterMs } from './eligibility.ts'
 import type { BackendId } from '../ids/index.ts'
@@ -30,8 +31,10 @@
   handleAttemptEnd: (active: ActiveRequest, choice: RouteChoice, end: AttemptEnd) => boolean
   /** Ends a request without a successful response; `reason` is a metric label. */
   failRequest: (active: ActiveRequest, reason: string, detail: string, retryInMs: number) => void
-  /** Ends a request whose deadline has passed. */
-  timeOutRequest: (active: ActiveRequest) => void
+  /** Counts and logs a forwarded response if it was delivered; called when the response has closed. */
+  recordDelivery: (active: ActiveRequest) => void
+  /** Ends a request whose deadline has passed, or whose node stops. */
+  endRequest: (active: ActiveRequest) => void
 }
 
 function isRetryable ({ route }: ActiveRequest): boolean {
@@ -115,7 +118,7 @@
       metrics.count('gateway_answers_total', { status: 'cut', reason })
       log('gatewayCut', { ...requestLogFields(active, clock), reason, detail, waitingBytes: response.writableLength })
       active.isCut = true
-      cutResponse(response)
+      cutAnswer(response)
       return
     }
     if (failureResponse !== undefined) return forwardResponse(active, failureResponse)
@@ -125,11 +128,13 @@
     refuse(response, refusal, requestLogFields(active, clock))
   }
 
-  function timeOutRequest (active: ActiveRequest): void {
-    const { progress, mayHaveRunOn, response } = active
-    if (progress.areHeadersSent) return failRequest(active, 'deadline-past', 'The deadline passed before the response was complete.', 0)
+  function endRequest (active: ActiveRequest): void {
+    const { progress, mayHaveRunOn, response, isTimedOut } = active
+    const reason = isTimedOut ? 'deadline-past' : 'draining'
+    const cause = isTimedOut ? 'The deadline passed' : 'The node stopped'
+    if (progress.areHeadersSent) return failRequest(active, reason, `${cause} before the response was complete.`, 0)
     const status = mayHaveRunOn.size === 0 ? 503 : 504
-    refuse(response, { status, reason: 'deadline-past', detail: 'The deadline passed before there was a response.' }, requestLogFields(active, clock))
+    refuse(response, { status, reason, detail: `${cause} before there was a response.` }, requestLogFields(active, clock))
   }
 
   function forwardResponse (active: ActiveRequest, backendResponse: CompleteResponse): void {
@@ -139,24 +144,24 @@
     for (const [name, value] of Object.entries(forwardedResponseHeaders(backendResponse.headers, isHead))) response.setHeader(name, value)
     if (!isSelfDelimited(backendResponse.status, backendResponse.headers)) delimitByConnectionClose(response)
     else if (!isHead) response.setHeader('content-length', backendResponse.body.length)
-    if (options.isDraining()) response.setHeader('connection', 'close')
     response.end(backendResponse.body)
     recordResponse(active, backendResponse.status)
   }
 
-  /** Counts and logs the response once its last byte was written to the connection. */
+  /** The response is counted and logged once it is delivered, which may be before or after this call. */
   function recordResponse (active: ActiveRequest, status: number): void {
-    if (active.response.writableFinished) return recordDelivery(active, status)
-    active.response.once('finish', () => recordDelivery(active, status))
+    active.forwardedStatus = status
+    if (active.isClosed) recordDelivery(active)
   }
 
-  function recordDelivery (active: ActiveRequest, status: number): void {
-    const { route, firstByteMs, arrivedAtMs } = active
-    metrics.count('gateway_answers_total', { status: String(status), reason: 'passed-on' })
+  function recordDelivery (active: ActiveRequest): void {
+    const { route, firstByteMs, arrivedAtMs, response, forwardedStatus } = active
+    if (forwardedStatus === undefined || options.answerEndOf(response) !== undefined) return
+    metrics.count('gateway_answers_total', { status: String(forwardedStatus), reason: 'passed-on' })
     if (firstByteMs !== undefined) metrics.observe(`gateway_first_byte_ms_${route.kind.replaceAll('-', '_')}`, firstByteMs)
     metrics.observe(`gateway_total_ms_${route.kind.replaceAll('-', '_')}`, clock.wallMs() - arrivedAtMs)
-    log('gatewayAnswered', { ...requestLogFields(active, clock), status })
+    log('gatewayAnswered', { ...requestLogFields(active, clock), status: forwardedStatus })
   }
 
-  return { handleAttemptEnd, failRequest, timeOutRequest }
+  return { handleAttemptEnd, failRequest, endRequest, recordDelivery }
 }
--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -56,7 +56,6 @@
   response: ServerResponse
   progress: StreamProgress
   buffers: ResponseBuffers
-  shouldCloseConnection: () => boolean
   /** Called for everything received from the backend server. */
   onActivity: () => void
   /** Called with the head of each response to this request. */
@@ -163,7 +162,6 @@
     response.statusCode = status
     for (const [name, value] of Object.entries(forwardedResponseHeaders(headers, false))) response.setHeader(name, value)
     if (!isSelfDelimited(status, headers)) delimitByConnectionClose(response)
-    if (options.shouldCloseConnection()) response.setHeader('connection', 'close')
   }
 
   function onData (chunk: Buffer): boolean {
--- a/src/core/gateway/gateway-response.ts
+++ b/src/core/gateway/gateway-response.ts
@@ -23,13 +23,6 @@
   response.useChunkedEncodingByDefault = false
 }
 
-/** Aborts a response that has begun, in a way that the caller can't take for its regular end. */
-export function cutResponse (response: ServerResponse): void {
-  const isDelimitedByClose = !response.hasHeader('content-length') && !response.chunkedEncoding
-  if (isDelimitedByClose) response.socket?.resetAndDestroy()
-  response.destroy()
-}
-
 /** Headers of a backend server's response to forward to the caller. */
 export function forwardedResponseHeaders (headers: Record<string, string | string[] | undefined>, keepsLength: boolean): Record<string, string | string[]> {
   const forwarded: Record<string, string | string[]> = {}
@@ -54,13 +47,12 @@
 const secondMs = 1_000
 
 /** Sends a response of the gateway, unless a response has already begun. */
-export function sendGatewayResponse (response: ServerResponse, content: GatewayResponse, closesConnection: boolean): void {
+export function sendGatewayResponse (response: ServerResponse, content: GatewayResponse): void {
   if (response.headersSent || response.destroyed) return
   const body = JSON.stringify({ reason: content.reason, detail: content.detail })
   response.statusCode = content.status
   response.setHeader('content-type', 'application/json')
   response.setHeader('content-length', Buffer.byteLength(body))
   if (content.retryInMs !== undefined) response.setHeader('retry-after', (Math.max(0, content.retryInMs) / secondMs).toFixed(3))
-  if (closesConnection) response.setHeader('connection', 'close')
   response.end(body)
 }
--- a/src/core/gateway/ingress.ts
+++ b/src/core/gateway/ingress.ts
@@ -3,8 +3,9 @@
  * graceful shutdown that lets open requests finish.
  */
 import { createServer } from 'node:http'
-import type { Server, ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import { createCallerConnections } from '../caller-connections/index.ts'
+import type { IncomingHttpHeaders, Server } from 'node:http'
+import type { CallerConnections } from '../caller-connections/index.ts'
 import type { Clock } from '../clock/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
@@ -28,12 +29,8 @@
   log: Log
   metrics: Metrics
   serve: RequestHandler
-}
-
-/** Why the connection of an answer ended before the answer was delivered, and how many bytes of it the caller had not taken. */
-export interface AnswerEnd {
-  reason: 'caller-closed' | 'stop-deadline'
-  waitingBytes: number
+  isDraining: () => boolean
+  requestIdOf: (headers: IncomingHttpHeaders) => string | undefined
 }
 
 /** The listener for callers. */
@@ -45,13 +42,26 @@
   setLimits: (limits: GatewayConfiguration['limits']) => void
   /** Number of requests without a delivered answer. */
   inFlight: () => number
-  /** How the connection of an undelivered answer ended. */
-  answerEndOf: (response: ServerResponse) => AnswerEnd
-  /** Closes idle connections and accepts no new ones. */
-  stopAccepting: () => void
+  answerEndOf: CallerConnections['answerEndOf']
+  /** Serves until all connections have ended, then stops listening and ends what is left. */
+  drain: (limits: DrainLimits) => Promise<void>
+  /** Stops listening and closes all connections at once. */
   close: () => void
 }
 
+/** Limits of a graceful shutdown. Times are monotonic, in ms. */
+export interface DrainLimits {
+  /** Until then, new connections may arrive. */
+  listenUntilMs: number
+  /** Open requests are ended then. */
+  endsAtMs: number
+  /** Ends all open requests, by an answer if none has begun. */
+  endRequests: () => void
+}
+
+/** Time that the last answers get to be written. */
+const lastAnswersMs = 150
+
 const statusOfError: Record<string, string> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
@@ -59,10 +69,7 @@
 
 /** Creates a listener; `listen` binds it. */
 export function createIngress (options: IngressOptions): Ingress {
-  const { log, metrics, serve } = options
-  const open = new Set<ServerResponse>()
-  const cutAnswers = new WeakMap<ServerResponse, AnswerEnd>()
-  let isShuttingDown = false
+  const { clock, log, metrics, serve } = options
 
   const server: Server = createServer({
     maxHeaderSize: defaultLimits.maxHeaderBytes,
@@ -70,10 +77,7 @@
     keepAlive: false,
     noDelay: true
   }, (request, response) => {
-    open.add(response)
-    response.on('close', () => open.delete(response))
-    // A response that began before the shutdown has no "connection: close" header, so its connection is closed after it.
-    response.on('finish', () => { if (isShuttingDown) request.socket.end() })
+    if (!connections.take(request, response)) return
     serve(request, response).catch((error: unknown) => {
       log('gatewayFailed', { path: request.url, cause: (error as Error).stack })
       metrics.count('gateway_failures_total')
@@ -81,15 +85,18 @@
     })
   })
   setLimits(defaultLimits)
-
-  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-    metrics.count('gateway_broken_requests_total', { code: error.code ?? 'unknown' })
-    if (!socket.writable || socket.bytesWritten > 0) {
-      socket.destroy()
-      return
+  const connections = createCallerConnections({
+    server,
+    clock,
+    isDraining: options.isDraining,
+    onLateRequest: request => {
+      metrics.count('answers_not_delivered_total', { reason: 'crossed-close', phase: 'waiting' })
+      log('answerNotDelivered', { request: options.requestIdOf(request.headers), path: request.url, phase: 'waiting', reason: 'crossed-close', waitingBytes: 0 })
+    },
+    onParserError: ({ code = 'unknown' }) => {
+      metrics.count('gateway_broken_requests_total', { code })
+      return `HTTP/1.1 ${statusOfError[code] ?? '400 Bad Request'}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`
     }
-    const status = statusOfError[error.code ?? ''] ?? '400 Bad Request'
-    socket.end(`HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`)
   })
 
   function setLimits (limits: GatewayConfiguration['limits']): void {
@@ -99,6 +106,15 @@
     server.requestTimeout = 0
   }
 
+  async function drain ({ listenUntilMs, endsAtMs, endRequests }: DrainLimits): Promise<void> {
+    await clock.sleep(listenUntilMs - clock.monotonicMs())
+    await connections.whenEnded(endsAtMs)
+    connections.stopListening()
+    endRequests()
+    await connections.whenAnswered(endsAtMs + lastAnswersMs)
+    connections.close()
+  }
+
   return {
     listen: () => new Promise((resolve, reject) => {
       server.once('error', reject)
@@ -106,16 +122,12 @@
     }),
     address: () => server.address(),
     setLimits,
-    inFlight: () => open.size,
-    answerEndOf: response => cutAnswers.get(response) ?? { reason: 'caller-closed', waitingBytes: response.writableLength },
-    stopAccepting: () => {
-      isShuttingDown = true
-      server.close()
-      server.closeIdleConnections()
-    },
+    inFlight: connections.openRequestCount,
+    answerEndOf: connections.answerEndOf,
+    drain,
     close: () => {
-      for (const response of open) cutAnswers.set(response, { reason: 'stop-deadline', waitingBytes: response.writableLength })
-      server.closeAllConnections()
+      connections.stopListening()
+      connections.close()
     }
   }
 }
--- a/src/core/gateway/read-body.ts
+++ b/src/core/gateway/read-body.ts
@@ -1,27 +1,34 @@
 /** Reads the complete body of a caller's request, up to a maximum size. */
 import type { IncomingMessage } from 'node:http'
 
-/** How reading the body ended; `disconnected` when the caller closed its connection. */
+/** How reading the body ended; `disconnected` when the caller closed its connection, `stopped` when the signal aborted. */
 export type BodyOutcome =
   | { kind: 'complete', body: Buffer | undefined }
   | { kind: 'too-large' }
   | { kind: 'disconnected' }
+  | { kind: 'stopped' }
 
-/** Reads until the end of the body, the maximum size or a disconnect of the caller. */
-export function readBody (request: IncomingMessage, maxBytes: number): Promise<BodyOutcome> {
+/** Reads until the end of the body, the maximum size, a disconnect of the caller or the abort of the signal. */
+export function readBody (request: IncomingMessage, maxBytes: number, signal: AbortSignal): Promise<BodyOutcome> {
   const declared = Number(request.headers['content-length'] ?? 0)
   if (declared > maxBytes) return Promise.resolve({ kind: 'too-large' })
   const hasBody = declared > 0 || request.headers['transfer-encoding'] !== undefined
   return new Promise(resolve => {
     const chunks: Buffer[] = []
     let sizeBytes = 0
+    const onAbort = (): void => end({ kind: 'stopped' })
+    function end (outcome: BodyOutcome): void {
+      signal.removeEventListener('abort', onAbort)
+      resolve(outcome)
+    }
+    signal.addEventListener('abort', onAbort)
     request.on('data', (chunk: Buffer) => {
       sizeBytes += chunk.length
-      if (sizeBytes > maxBytes) resolve({ kind: 'too-large' })
+      if (sizeBytes > maxBytes) end({ kind: 'too-large' })
       else chunks.push(chunk)
     })
-    request.on('end', () => resolve({ kind: 'complete', body: hasBody ? Buffer.concat(chunks) : undefined }))
-    request.on('close', () => resolve({ kind: 'disconnected' }))
-    request.on('error', () => resolve({ kind: 'disconnected' }))
+    request.on('end', () => end({ kind: 'complete', body: hasBody ? Buffer.concat(chunks) : undefined }))
+    request.on('close', () => end({ kind: 'disconnected' }))
+    request.on('error', () => end({ kind: 'disconnected' }))
   })
 }
--- a/src/core/gateway/refusals.ts
+++ b/src/core/gateway/refusals.ts
@@ -15,11 +15,11 @@
 }
 
 /** Creates the refusal functions. */
-export function createRefusals ({ metrics, log, isDraining, random }: Pick<RequestHandlerOptions, 'metrics' | 'log' | 'isDraining' | 'random'>): Refusals {
+export function createRefusals ({ metrics, log, random }: Pick<RequestHandlerOptions, 'metrics' | 'log' | 'random'>): Refusals {
   function refuse (response: ServerResponse, refusal: GatewayResponse, fields: Record<string, unknown>): void {
     metrics.count('gateway_answers_total', { status: String(refusal.status), reason: refusal.reason })
     log('gatewayRefused', { ...fields, status: refusal.status, reason: refusal.reason, detail: refusal.detail, retryInMs: refusal.retryInMs })
-    sendGatewayResponse(response, refusal, isDraining())
+    sendGatewayResponse(response, refusal)
   }
 
   function withJitter (waitMs: number): number {
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -20,6 +20,7 @@
 import type { RouteChoice, RouteRequest } from '../routing/index.ts'
 import type { AttemptEnd } from './attempt.ts'
 import type { RequestHandlerOptions, ActiveRequest } from './active-request.ts'
+import type { GatewayResponse } from './gateway-response.ts'
 import type { GatewayRoute } from './types.ts'
 
 /** Retry time that callers get while the node has no configuration. */
@@ -37,6 +38,9 @@
 const maxResponseBytes = 16 * 1024 * 1024
 const maxBufferedBytes = 64 * 1024 * 1024
 
+/** Retry time that callers get from a stopping node; their next connection leads to another one. */
+const stoppingRetryMs = 100
+
 /** Serves one request; resolves when its response has ended or its caller has disconnected. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>
 
@@ -48,7 +52,7 @@
   const { refuse, withJitter } = refusals
   const quarantineGate = createQuarantineGate(options)
   const limitGate = createLimitGate(options)
-  const { handleAttemptEnd, failRequest, timeOutRequest } = createAttemptEndHandler(options, refusals)
+  const { handleAttemptEnd, failRequest, endRequest, recordDelivery } = createAttemptEndHandler(options, refusals)
 
   /** Finds the route and the team; refuses the request and returns undefined when it is not allowed. */
   function accept (request: IncomingMessage, response: ServerResponse): Pick<ActiveRequest, 'route' | 'team' | 'head' | 'version' | 'id'> | undefined {
@@ -74,6 +78,10 @@
     return { id, route, team, head, version }
   }
 
+  function stopRefusal (): GatewayResponse {
+    return { status: 503, reason: 'draining', detail: 'The node is stopping and can not finish the request before.', retryInMs: withJitter(stoppingRetryMs) }
+  }
+
   function pickService (id: string, route: GatewayRoute): string {
     const total = route.services.reduce((sum, { weight }) => sum + weight, 0)
     let remaining = options.draw(`${id}/service`) * total
@@ -92,9 +100,10 @@
   async function serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAtMs = clock.wallMs()
     const maxBodyBytes = options.routeTable()?.configuration.limits.maxBodyBytes ?? 0
-    const body = await readBody(request, maxBodyBytes)
-    const fields = { request: request.url }
-    if (body.kind === 'disconnected') return log('gatewayLeft', { ...fields, phase: 'body' })
+    const fields = { request: codec.readRequest(request.headers).request, path: request.url }
+    const body = await readBody(request, maxBodyBytes, options.stopped)
+    if (body.kind === 'disconnected') return log('gatewayLeft', { ...fields, phase: 'reading' })
+    if (body.kind === 'stopped') return refuse(response, stopRefusal(), fields)
     if (body.kind === 'too-large' && options.routeTable() !== undefined) {
       refuse(response, { status: 413, reason: 'body-too-large', detail: `The body may have at most ${maxBodyBytes} bytes.` }, fields)
       request.resume()
@@ -121,10 +130,14 @@
     await admitAndServe(active)
   }
 
-  /** Handles the end of the caller's connection before its answer was delivered. */
-  function onConnectionEnded (active: ActiveRequest): void {
+  /** Called when the answer was delivered or its connection has ended. */
+  function onResponseClosed (active: ActiveRequest): void {
     const { response } = active
-    const { reason, waitingBytes } = options.answerEndOf(response)
+    const end = options.answerEndOf(response)
+    active.isClosed = true
+    if (end === undefined) return recordDelivery(active)
+    if (active.isCut) return
+    const { reason, waitingBytes } = end
     const phase = response.writableEnded ? 'written' : response.headersSent ? 'answering' : 'waiting'
     metrics.count('answers_not_delivered_total', { reason, phase })
     const hasLeft = reason === 'caller-closed' && phase !== 'written'
@@ -136,9 +149,14 @@
 
   async function admitAndServe (active: ActiveRequest): Promise<void> {
     const { response, route } = active
-    response.on('close', () => {
-      if (!response.writableFinished && !active.isCut) onConnectionEnded(active)
-    })
+    response.on('close', () => onResponseClosed(active))
+    const onStopped = (): void => {
+      active.isStopped = true
+      active.ended.abort()
+      active.attempt?.abort()
+    }
+    options.stopped.addEventListener('abort', onStopped)
+    response.on('close', () => options.stopped.removeEventListener('abort', onStopped))
     const permit = await options.admission.admit({
       team: active.team?.team ?? toId<TeamId>(''),
       route: route.name,
@@ -151,6 +169,7 @@
       signal: active.ended.signal
     })
     if (permit.isErr) {
+      if (active.isStopped) return refuse(response, stopRefusal(), requestLogFields(active, clock))
       const { reason, detail, retryAtMs } = permit.error
       const retryInMs = Math.max(0, (retryAtMs ?? 0) - clock.wallMs())
       return refuse(response, { status: 503, reason, detail, retryInMs }, requestLogFields(active, clock))
@@ -191,9 +210,9 @@
   async function attemptUntilDone (active: ActiveRequest): Promise<void> {
     for (;;) {
       if (active.isCallerGone) return
-      if (active.isTimedOut) return timeOutRequest(active)
+      if (active.isTimedOut || active.isStopped) return endRequest(active)
       const admittance = await quarantineGate.admit(active)
-      if (active.isCallerGone || active.isTimedOut) {
+      if (active.isCallerGone || active.isTimedOut || active.isStopped) {
         if (admittance.kind === 'admitted') admittance.release()
         continue
       }
@@ -252,7 +271,6 @@
       response,
       progress: active.progress,
       buffers,
-      shouldCloseConnection: options.isDraining,
       onActivity: () => backends.recordActivity(choice.backend.id),
       onHead: ({ isLeaving, requestLimit }) => {
         if (isLeaving) backends.markLeaving(choice.backend.id)
--- /dev/null
+++ b/test/caller-connections/caller-connections.test.ts
@@ -0,0 +1,124 @@
+/** Ends of callers' connections, over real sockets. */
+import { createServer } from 'node:http'
+import { once } from 'node:events'
+import test from 'ava'
+import { createCallerConnections } from '../../src/core/caller-connections/index.ts'
+import { createSystemClock } from '../../src/core/clock/index.ts'
+import { connectCaller } from '../raw-caller.ts'
+import type { ExecutionContext } from 'ava'
+import type { AddressInfo } from 'node:net'
+import type { ServerResponse } from 'node:http'
+
+const clock = createSystemClock()
+const largeBytes = 15 * 1024 * 1024
+const badRequest = 'HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\nconnection: close\r\n\r\n'
+
+/** Starts a server whose responses are kept until the test ends them. */
+async function startServer (t: ExecutionContext) {
+  const state = { isDraining: false }
+  const responses = new Map<string, ServerResponse>()
+  const late: string[] = []
+  const server = createServer((request, response) => {
+    if (connections.take(request, response)) responses.set(request.url ?? '', response)
+  })
+  const connections = createCallerConnections({
+    server,
+    clock,
+    isDraining: () => state.isDraining,
+    onLateRequest: ({ url }) => late.push(url ?? ''),
+    onParserError: () => badRequest
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  t.teardown(() => {
+    connections.stopListening()
+    connections.close()
+  })
+  const caller = await connectCaller((server.address() as AddressInfo).port)
+  t.teardown(() => caller.socket.destroy())
+  const responseTo = async (path: string): Promise<ServerResponse> => {
+    while (!responses.has(path)) await clock.sleep(5)
+    return responses.get(path)!
+  }
+  return { server, connections, state, caller, responseTo, late }
+}
+
+function get (path: string): string {
+  return `GET ${path} HTTP/1.1\r\nhost: h\r\n\r\n`
+}
+
+test('of pipelined requests that were taken, only the last answer announces the end, and all are delivered', async t => {
+  const { caller, state, responseTo, late } = await startServer(t)
+  caller.write(get('/1') + get('/2'))
+  const [first, second] = [await responseTo('/1'), await responseTo('/2')]
+  state.isDraining = true
+  second.end('two')
+  first.end('one')
+  caller.write(get('/3'))
+  const answers = [await caller.nextResponse(), await caller.nextResponse(), await caller.nextResponse()]
+  t.deepEqual(answers.map(({ body, isComplete }) => ({ body, isComplete })), [{ body: 'one', isComplete: true }, { body: 'two', isComplete: true }, { body: '', isComplete: false }])
+  t.deepEqual(answers.map(({ head }) => /connection: close/.test(head)), [false, true, false])
+  t.deepEqual(late, ['/3'])
+})
+
+test('an answer that announces the end reaches a slow caller whole, although bytes of the caller are unread', async t => {
+  const { caller, state, responseTo, connections } = await startServer(t)
+  state.isDraining = true
+  caller.write(get('/1'))
+  const response = await responseTo('/1')
+  caller.socket.pause()
+  response.end(Buffer.alloc(largeBytes, 'x'))
+  caller.write(`POST /2 HTTP/1.1\r\nhost: h\r\ncontent-length: 100000\r\n\r\n${'y'.repeat(100_000)}`)
+  await clock.sleep(100)
+  t.is(connections.openRequestCount(), 1)
+  caller.socket.resume()
+  const { body, isComplete } = await caller.nextResponse()
+  t.deepEqual({ length: body.length, isComplete }, { length: largeBytes, isComplete: true })
+})
+
+test('an answer is delivered although bytes that can not be parsed follow its request', async t => {
+  const { caller, responseTo } = await startServer(t)
+  caller.write(`${get('/1')}\0\0\r\n\r\n`)
+  const response = await responseTo('/1')
+  await clock.sleep(20)
+  response.end('one')
+  const answer = await caller.nextResponse()
+  t.like(answer, { status: 200, body: 'one', isComplete: true })
+  t.regex(answer.head, /connection: close/)
+  t.like(await caller.nextResponse(), { status: 0 })
+})
+
+test('a request whose body can not be parsed is answered on a kept connection', async t => {
+  const { caller, responseTo } = await startServer(t)
+  caller.write(get('/1'))
+  ;(await responseTo('/1')).end('one')
+  t.like(await caller.nextResponse(), { status: 200 })
+  caller.write('POST /2 HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\nno chunk\r\n')
+  t.like(await caller.nextResponse(), { status: 400, isComplete: true })
+})
+
+test('an idle connection ends regularly, and a request that crosses its end is not handled', async t => {
+  const { server, caller, responseTo, late } = await startServer(t)
+  server.keepAliveTimeout = 50
+  caller.write(get('/1'))
+  ;(await responseTo('/1')).end('one')
+  t.like(await caller.nextResponse(), { status: 200 })
+  await once(caller.socket, 'end')
+  caller.write(get('/2'))
+  while (late.length === 0) await clock.sleep(5)
+  t.deepEqual(late, ['/2'])
+})
+
+test('an answer whose connection is closed while bytes of it wait is not delivered', async t => {
+  const { caller, responseTo, connections } = await startServer(t)
+  caller.write(get('/1'))
+  const response = await responseTo('/1')
+  caller.socket.pause()
+  response.end(Buffer.alloc(largeBytes, 'x'))
+  await clock.sleep(50)
+  const closed = once(response, 'close')
+  connections.close()
+  await closed
+  t.like(connections.answerEndOf(response), { reason: 'stop-deadline' })
+  t.true(connections.answerEndOf(response)!.waitingBytes > 0)
+})
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -167,16 +167,15 @@
     onLatency: () => {},
     onAttempt: attempt => attempts.push(attempt),
     hasRecentLoads: () => true,
-    isDraining: () => state.isDraining,
+    stopped: new AbortController().signal,
     answerEndOf: response => ingress.answerEndOf(response),
     draw: hasher.draw,
     random: createRandom(3)
   })
-  const ingress = createIngress({ host: '127.0.0.1', port: 0, clock, log, metrics, serve })
+  const ingress = createIngress({ host: '127.0.0.1', port: 0, clock, log, metrics, serve, isDraining: () => state.isDraining, requestIdOf: headers => String(headers['x-request']) })
   await ingress.listen()
   const { port } = ingress.address() as AddressInfo
   t.teardown(async () => {
-    ingress.stopAccepting()
     ingress.close()
     backends.close()
     await Promise.all(servers.map(backend => backend.close()))
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -4,7 +4,7 @@
 import { formatResponse, formatChunk } from '../../src/stand-ins/raw-backend/index.ts'
 import { respondNotRun, respondOk, configuration, signed, startGateway } from './deployment.ts'
 import { waitUntil } from './wait-until.ts'
-import type { RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
+import type { RawRequest, RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
 
 function streamHead (request: string): string {
   const headers = Object.entries({ ...signed(request), 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked' })
@@ -262,9 +262,10 @@
   t.is(answer.headers.get('connection'), 'close')
 })
 
-test('closes a connection after its open response once the listener has stopped accepting', async t => {
+test('a connection whose stream began before the node drained ends after its next response, which says so', async t => {
   let finish = (): void => {}
-  const { port, ingress, servers } = await startGateway(t, [({ headers }, socket) => {
+  const { port, state, servers } = await startGateway(t, [({ headers }, socket) => {
+    if (headers['x-request'] === 'r-2') return respondOk({ headers } as RawRequest, socket)
     socket.write(streamHead(headers['x-request'] ?? '') + formatChunk(event(1)))
     finish = () => { socket.write(formatChunk(event(2)) + endOfChunks) }
   }])
@@ -273,13 +274,17 @@
   let hasEnded = false
   socket.setEncoding('latin1').on('data', (chunk: string) => { text += chunk })
   socket.on('end', () => { hasEnded = true })
-  socket.write('POST /once/ HTTP/1.1\r\nhost: 127.0.0.1\r\nauthorization: Bearer key-1\r\nx-request: r-1\r\ncontent-length: 1\r\n\r\nb')
+  const post = (path: string, id: string): void => { socket.write(`POST ${path} HTTP/1.1\r\nhost: 127.0.0.1\r\nauthorization: Bearer key-1\r\nx-request: ${id}\r\ncontent-length: 1\r\n\r\nb`) }
+  post('/once/', 'r-1')
   await waitUntil(() => servers[0]!.requests.length === 1 && text.includes('piece 1'))
-  ingress.stopAccepting()
+  state.isDraining = true
   finish()
-  await waitUntil(() => hasEnded)
+  await waitUntil(() => text.endsWith(endOfChunks))
   t.true(text.includes('piece 2'))
-  t.true(text.endsWith(endOfChunks))
+  t.false(hasEnded)
+  post('/register/', 'r-2')
+  await waitUntil(() => hasEnded)
+  t.regex(text, /HTTP\/1\.1 200 OK\r\n(?:.+\r\n)*connection: close\r\n(?:.+\r\n)*\r\nwhole$/i)
 })
 
 test('logs one event per request with its route, backend server and status', async t => {
--- a/test/platform-adapter/planned-stop.test.ts
+++ b/test/platform-adapter/planned-stop.test.ts
@@ -1,4 +1,5 @@
 /** Callers whose connections are open while a node stops as planned: each request is answered completely or refused as not run. */
+import { once } from 'node:events'
 import test from 'ava'
 import { parseSettings } from '../../platform/settings.ts'
 import { startNode } from '../../platform/node.ts'
@@ -6,7 +7,7 @@
 import { formatChunk, formatResponse, startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 import { findFreePorts } from '../free-ports.ts'
 import { startPlatform } from './platform-stand-in.ts'
-import { connectCaller } from './raw-caller.ts'
+import { connectCaller } from '../raw-caller.ts'
 import { renderSettings } from './render-settings.ts'
 import type { ExecutionContext } from 'ava'
 import type { Socket } from 'node:net'
@@ -15,7 +16,8 @@
 const clock = createSystemClock()
 /** The node stops listening two seconds after the signal at the earliest, and ends its last connections before this time is over. */
 const graceMs = 4_000
-const largeBytes = 8 * 1024 * 1024
+/** More than the socket buffers hold. */
+const largeBytes = 15 * 1024 * 1024
 
 function signed ({ headers }: RawRequest): Record<string, string> {
   return { 'x-cyclamenshunt-attempt-id': headers['x-cyclamenshunt-attempt-id'] ?? '', 'x-cyclamenshunt-response-seal': 's' }
@@ -82,6 +84,16 @@
   return { port, stop, lines, requestsOf: (service: string) => backends.get(service)!.requests }
 }
 
+/** The node takes a request late in a stop if it knows how long the answers of its route take. */
+async function sendCalls (port: number): Promise<void> {
+  const caller = await connectCaller(port)
+  for (let count = 0; count < 40; count += 1) {
+    caller.write(post('calls', `first-${count}`))
+    await caller.nextResponse()
+  }
+  caller.socket.destroy()
+}
+
 function requestHead (service: string, id: string, framing: string, method = 'POST'): string {
   return `${method} /${service}/ HTTP/1.1\r\nhost: 127.0.0.1\r\nx-cyclamenshunt-attempt-id: ${id}\r\n${framing}\r\n\r\n`
 }
@@ -92,10 +104,11 @@
 
 test('a request that follows a stream on a kept connection during a stop is answered', async t => {
   let isStreamDone = false
-  const { port, stop, requestsOf } = await startStoppableNode(t, { stream: streamUntil(() => isStreamDone), calls: respondOk })
+  const { port, stop } = await startStoppableNode(t, { stream: streamUntil(() => isStreamDone), calls: respondOk })
+  await sendCalls(port)
   const caller = await connectCaller(port)
   caller.write(post('stream', 'r-1'))
-  while (requestsOf('stream').length === 0) await clock.sleep(10)
+  await once(caller.socket, 'data')
   const stopped = stop()
   await clock.sleep(graceMs * 0.6)
   isStreamDone = true
@@ -110,6 +123,7 @@
 for (const [part, split] of [['first byte', 0], ['end of the head', 60], ['end of the body', undefined]] as const) {
   test(`a request whose ${part} comes late in a stop is refused as not run if it can't be finished, and answered otherwise`, async t => {
     const { port, stop, requestsOf } = await startStoppableNode(t, { stream: streamUntil(count => count === 150), calls: respondOk })
+    await sendCalls(port)
     const callers = await Promise.all(['stream', 'calls'].map(async service => {
       const caller = await connectCaller(port)
       const text = `${requestHead(service, `r-${service}`, 'transfer-encoding: chunked')}4\r\nbody\r\n0\r\n\r\n`
@@ -174,6 +188,7 @@
 
 test('an idle kept connection stays open during a stop until its next answer, which says that it closes', async t => {
   const { port, stop } = await startStoppableNode(t, { calls: respondOk })
+  await sendCalls(port)
   const caller = await connectCaller(port)
   caller.write(post('calls', 'r-1'))
   t.like(await caller.nextResponse(), { status: 200 })
@@ -188,6 +203,7 @@
 
 test('a new connection late in a stop is answered, not reset', async t => {
   const { port, stop } = await startStoppableNode(t, { calls: respondOk })
+  await sendCalls(port)
   const idle = await connectCaller(port)
   const stopped = stop()
   await clock.sleep(graceMs * 0.6)
--- a/test/platform-adapter/raw-caller.ts
+++ b/test/raw-caller.ts
@@ -40,6 +40,13 @@
   }
 }
 
+/** Length of a response whose head has a Content-Length; 0 if it has none. */
+function declaredLength (text: string): number {
+  const headLength = text.indexOf(headEnd) + headEnd.length
+  const declared = /content-length: (\d+)/i.exec(text.slice(0, headLength))?.[1]
+  return declared === undefined ? 0 : headLength + Number(declared)
+}
+
 function parseResponse (text: string, hasEnded: boolean): { response: RawResponse, length: number | undefined } {
   const headLength = text.indexOf(headEnd) + headEnd.length
   if (headLength < headEnd.length) return { response: { status: 0, head: '', body: '', isComplete: false }, length: undefined }
@@ -59,11 +66,15 @@
 export async function connectCaller (port: number): Promise<RawCaller> {
   const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true })
   const chunks: string[] = []
+  let pendingLength = 0
+  /** Length of the current response, once its head names it. */
+  let wantedLength = 0
   let text = ''
   let hasEnded = false
   let onChange = (): void => {}
   socket.setEncoding('latin1').on('data', (chunk: string) => {
     chunks.push(chunk)
+    pendingLength += chunk.length
     onChange()
   })
   for (const event of ['end', 'error', 'close']) {
@@ -78,10 +89,14 @@
     write: content => { socket.write(content) },
     nextResponse: () => new Promise(resolve => {
       onChange = () => {
+        if (pendingLength < wantedLength && !hasEnded) return
         text += chunks.splice(0).join('')
+        wantedLength = declaredLength(text)
         const { response, length } = parseResponse(text, hasEnded)
         if (length === undefined && !hasEnded) return
         text = text.slice(length ?? text.length)
+        pendingLength = text.length
+        wantedLength = 0
         onChange = () => {}
         resolve(response)
       }
