--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -15,6 +15,7 @@
 import type { Attempt, AttemptPhase, StreamProgress, CompleteResponse } from './attempt.ts'
 import type { BackendTable } from './backend-table.ts'
 import type { RouteTable } from './route-table.ts'
+import type { StopGate } from './stop-gate.ts'
 import type { GatewayRoute, GatewayTeam, HeaderCodec, RequestHead } from './types.ts'
 
 /** Result of one attempt, for usage counts and the evaluation of versions. */
@@ -68,6 +69,7 @@
   onLatency: (report: LatencyReport) => void
   /** Aborted when the node ends the requests that are still open at the end of a stop. */
   stopped: AbortSignal
+  stopGate: StopGate
   /** How the connection of an answer ended; undefined if the answer was delivered. */
   answerEndOf: (response: ServerResponse) => AnswerEnd | undefined
   /** Whether this node learns of the others' load soon enough to compare all backend servers without many nodes choosing the same one. */
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -7,6 +7,7 @@
 export { createRouteTable } from './route-table.ts'
 export { createRequestHandler } from './request-handler.ts'
 export { createIngress } from './ingress.ts'
+export { createStopGate } from './stop-gate.ts'
 export { isConnectionHeader } from './gateway-response.ts'
 export type { AttemptReport, RequestHandlerOptions } from './active-request.ts'
 export type { RequestHandler } from './request-handler.ts'
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -2,7 +2,7 @@
 import { createAdmission, createRetryBudget } from '../../src/core/admission/index.ts'
 import { createBackendLimits, parseNamedLimit } from '../../src/core/backend-limits/index.ts'
 import { createSystemClock } from '../../src/core/clock/index.ts'
-import { createBackendTable, createIngress, createRouteTable, createRequestHandler, isConnectionHeader } from '../../src/core/gateway/index.ts'
+import { createBackendTable, createIngress, createRouteTable, createRequestHandler, createStopGate, isConnectionHeader } from '../../src/core/gateway/index.ts'
 import { toId } from '../../src/core/ids/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { createQuarantine } from '../../src/core/quarantine/index.ts'
@@ -168,6 +168,7 @@
     onAttempt: attempt => attempts.push(attempt),
     hasRecentLoads: () => true,
     stopped: new AbortController().signal,
+    stopGate: createStopGate({ clock, endsAtMs: () => undefined }),
     answerEndOf: response => ingress.answerEndOf(response),
     draw: hasher.draw,
     random: createRandom(3)
