End callers' connections of the own interface in the same place

A call on the connection of a draft that began before the drain crossed the close and was never answered. The server now uses core/caller-connections, which also sets Connection: close on the newest answer of each connection; a drain waits for idle connections until their idle timeout (5 s) or its deadline.

--- a/src/core/http/index.ts
+++ b/src/core/http/index.ts
@@ -4,8 +4,9 @@
 import { once } from 'node:events'
 import express from 'express'
 import type { NextFunction, Request, Response } from 'express'
+import { createCallerConnections } from '../caller-connections/index.ts'
 import { bearerToken, hasDigest } from './authenticate.ts'
-import { handleParserErrors } from './parser-errors.ts'
+import { answerParserError } from './parser-errors.ts'
 import { createCallHandler } from './call-handler.ts'
 import { createContextMiddleware } from './request-context.ts'
 import { parseChatBody, parseDraftBody } from './draft-body.ts'
@@ -21,27 +22,34 @@
 export interface CallerServer {
   readonly port: number
   countOpenConnections: () => Promise<number>
-  /** Stops listening, closes idle connections and waits for the others; those still open at the wall time `deadlineAtMs` are aborted. */
+  /** Stops listening and waits until all connections have ended, also idle ones; at the wall time `deadlineAtMs`, those still open are closed. */
   close: (deadlineAtMs: number) => Promise<void>
 }
 
 /** Starts the server; resolves once it listens. */
 export async function createCallerServer (options: CallerServerOptions): Promise<CallerServer> {
-  const server = createServer({ requestTimeout: options.maxBodyMs, headersTimeout: options.maxHeaderMs }, createApp(options))
+  const app = createApp(options)
+  const server = createServer({ requestTimeout: options.maxBodyMs, headersTimeout: options.maxHeaderMs }, (request, response) => {
+    if (connections.take(request, response)) app(request, response)
+  })
+  const connections = createCallerConnections({
+    server,
+    clock: options.clock,
+    // Load balancers reuse connections; a stopping node makes them close each one after its current response.
+    isDraining: options.isLeaving,
+    onLateRequest: () => options.metrics.count('answers_not_delivered_total', { reason: 'crossed-close', phase: 'waiting' }),
+    onParserError: error => answerParserError(error, options)
+  })
   server.maxConnections = options.maxConnections
-  handleParserErrors(server, options)
   server.listen(options.port, options.host)
   await once(server, 'listening')
   const { port } = server.address() as AddressInfo
 
   async function close (deadlineAtMs: number): Promise<void> {
-    const closed = once(server, 'close')
-    server.close()
-    server.closeIdleConnections()
-    const deadlineTimer = new AbortController()
-    options.clock.sleep(deadlineAtMs - options.clock.wallMs(), deadlineTimer.signal).then(() => server.closeAllConnections(), () => {})
-    await closed
-    deadlineTimer.abort()
+    const { clock } = options
+    connections.stopListening()
+    await connections.whenEnded(clock.monotonicMs() + deadlineAtMs - clock.wallMs())
+    connections.close()
   }
 
   const countOpenConnections = (): Promise<number> => new Promise((resolve, reject) => {
@@ -55,10 +63,8 @@
   const app = express()
   app.disable('x-powered-by')
   app.disable('etag')
-  // Load balancers reuse connections; a stopping node makes them close each one after its current response.
   app.use((_request, response, next) => {
     response.locals.arrivedAtMs = options.clock.monotonicMs()
-    if (options.isLeaving()) response.set('Connection', 'close')
     next()
   })
   const readBody = express.raw({ type: () => true, limit: options.maxBodyBytes })
--- a/src/core/http/parser-errors.ts
+++ b/src/core/http/parser-errors.ts
@@ -3,8 +3,6 @@
  * too slow or malformed. They get a typed refusal like all others, because
  * their callers must know that nothing was executed.
  */
-import type { Server } from 'node:http'
-import type { Duplex } from 'node:stream'
 import type { RefusalReason } from '../outcomes/index.ts'
 import { toProblemDetails } from './problem.ts'
 import type { CallerServerOptions } from './types.ts'
@@ -19,24 +17,18 @@
   return { reason: 'bad-request', detail: 'The request is not valid HTTP; check the client.' }
 }
 
-/** Answers such requests with problem details and closes their connections. */
-export function handleParserErrors (server: Server, options: Pick<CallerServerOptions, 'metrics' | 'log'>): void {
-  server.on('clientError', (error: ParserError, socket: Duplex) => {
-    if (!socket.writable || error.code === 'ECONNRESET') {
-      socket.destroy()
-      return
-    }
-    const { reason, detail } = refusalOf(error)
-    options.metrics.countRefusal(reason)
-    options.log('requestRefused', { reason, run: 'not-run' })
-    const problem = toProblemDetails({ reason, run: 'not-run', detail })
-    const body = JSON.stringify(problem)
-    const head = [
-      `HTTP/1.1 ${problem.status} ${problem.title}`,
-      'Content-Type: application/problem+json; charset=utf-8',
-      `Content-Length: ${Buffer.byteLength(body)}`,
-      'Connection: close'
-    ]
-    socket.end(`${head.join('\r\n')}\r\n\r\n${body}`)
-  })
+/** Counts and logs such a request, and returns the answer to it. */
+export function answerParserError (error: ParserError, options: Pick<CallerServerOptions, 'metrics' | 'log'>): string {
+  const { reason, detail } = refusalOf(error)
+  options.metrics.countRefusal(reason)
+  options.log('requestRefused', { reason, run: 'not-run' })
+  const problem = toProblemDetails({ reason, run: 'not-run', detail })
+  const body = JSON.stringify(problem)
+  const head = [
+    `HTTP/1.1 ${problem.status} ${problem.title}`,
+    'Content-Type: application/problem+json; charset=utf-8',
+    `Content-Length: ${Buffer.byteLength(body)}`,
+    'Connection: close'
+  ]
+  return `${head.join('\r\n')}\r\n\r\n${body}`
 }
--- a/test/node/whole-path.test.ts
+++ b/test/node/whole-path.test.ts
@@ -1,7 +1,9 @@
 /** End-to-end requests from callers through nodes to backend servers, in one process over real connections. */
+import { once } from 'node:events'
 import { connect } from 'node:net'
 import test from 'ava'
 import { generatedAnswer } from '../../src/stand-ins/index.ts'
+import { connectCaller } from '../raw-caller.ts'
 import { callerToken, operatorToken, startDeployment, waitUntil } from './deployment.ts'
 
 const authorization = { authorization: `Bearer ${callerToken}` }
@@ -140,3 +142,22 @@
   const recomputed = await metrics?.counterValue('recomputed_tokens_total', { cause: 'backend-reclaimed' }) ?? Infinity
   t.true(recomputed < 300, `${recomputed} of more than 2,250 tokens were recomputed`)
 })
+
+test('a call that follows a draft on a kept connection of a stopping node is answered', async t => {
+  const deployment = await startDeployment(2, 20)
+  t.teardown(deployment.close)
+  const { port } = new URL(deployment.urlOf(0))
+  const caller = await connectCaller(Number(port))
+  const post = (path: string, body: string): void => {
+    caller.write(`POST /v1/teams/${path} HTTP/1.1\r\nhost: 127.0.0.1\r\nauthorization: ${authorization.authorization}\r\nidempotency-key: k-1\r\ncontent-length: ${body.length}\r\n\r\n${body}`)
+  }
+  post('agency/drafts/letters', JSON.stringify({ prompt: 'case file 17', maxTokens: 40 }))
+  await once(caller.socket, 'data')
+  const stopped = deployment.nodes[0]!.drain(Date.now() + 10_000)
+  t.like(await caller.nextResponse(), { status: 200, isComplete: true })
+  post('registry/calls/registrations', 'debtor 9')
+  const answer = await caller.nextResponse()
+  t.true(answer.isComplete && answer.status !== 0)
+  t.regex(answer.head, /connection: close/)
+  await stopped
+})
