Expect answers by their tokens in a stop, and end it once no request comes

Cause: with fewer than 32 known answers a stream was expected to take until its deadline, one maximum counted for long and short answers, and idle connections kept every stop open for the whole grace period.

Requests that name their tokens are now expected by first byte and time per token (95th percentiles, from eight answers on), and a stop ends when no request has been open for 1 s.

--- a/src/core/caller-connections/index.ts
+++ b/src/core/caller-connections/index.ts
@@ -34,6 +34,8 @@
   const connections = new Map<Socket, Connection>()
   const abortedAnswers = new WeakMap<ServerResponse, AnswerEnd>()
   const deliveredAnswers = new WeakSet<ServerResponse>()
+  /** Monotonic time at which a request was taken or an answer delivered last, or the wait for quiet began. */
+  let lastActiveAtMs = clock.monotonicMs()
 
   server.on('connection', socket => {
     const connection: Connection = { socket, open: new Map(), isLast: false, hasEnded: false }
@@ -69,10 +71,12 @@
       return false
     }
     connection.open.set(response, request)
+    lastActiveAtMs = clock.monotonicMs()
     // Node.js also emits this when the connection is closed while bytes of the answer wait.
     response.on('finish', () => { if (!connection.socket.destroyed) deliveredAnswers.add(response) })
     response.on('close', () => {
       connection.open.delete(response)
+      lastActiveAtMs = clock.monotonicMs()
       if (connection.isLast) endIfDelivered(connection)
     })
     announceEnd(connection, response)
@@ -137,7 +141,10 @@
     },
     // The close method of an HTTP server also closes connections that only look idle to it.
     stopListening: () => NetServer.prototype.close.call(server),
-    whenEnded: deadlineAtMs => pollUntil(() => connections.size === 0, deadlineAtMs),
+    whenQuiet: (quietMs, deadlineAtMs) => {
+      lastActiveAtMs = clock.monotonicMs()
+      return pollUntil(() => connections.size === 0 || (openRequestCount() === 0 && clock.monotonicMs() >= lastActiveAtMs + quietMs), deadlineAtMs)
+    },
     whenAnswered: deadlineAtMs => pollUntil(() => openRequestCount() === 0, deadlineAtMs),
     close: () => {
       for (const connection of connections.values()) closeConnection(connection)
--- a/src/core/caller-connections/types.ts
+++ b/src/core/caller-connections/types.ts
@@ -34,8 +34,8 @@
   answerEndOf: (response: ServerResponse) => AnswerEnd | undefined
   /** Stops listening; open connections stay. */
   stopListening: () => void
-  /** Resolves once all connections have ended, at the monotonic time `deadlineAtMs` at the latest. */
-  whenEnded: (deadlineAtMs: number) => Promise<void>
+  /** Resolves once all connections have ended, or no request has been open for `quietMs` from this call on; at the monotonic time `deadlineAtMs` at the latest. */
+  whenQuiet: (quietMs: number, deadlineAtMs: number) => Promise<void>
   /** Resolves once all answers are delivered, at the monotonic time `deadlineAtMs` at the latest. */
   whenAnswered: (deadlineAtMs: number) => Promise<void>
   /** Ends idle connections regularly and aborts all others, whose answers are then visibly incomplete. */
--- a/src/core/gateway/attempt-end-handler.ts
+++ b/src/core/gateway/attempt-end-handler.ts
@@ -155,12 +155,13 @@
   }
 
   function recordDelivery (active: ActiveRequest): void {
-    const { route, firstByteMs, arrivedAtMs, response, forwardedStatus } = active
+    const { route, head, firstByteMs, arrivedAtMs, response, forwardedStatus } = active
     if (forwardedStatus === undefined || options.answerEndOf(response) !== undefined) return
-    options.stopGate.recordAnswer(route.name, clock.wallMs() - arrivedAtMs)
+    const tookMs = clock.wallMs() - arrivedAtMs
+    options.stopGate.recordAnswer(route.name, { firstByteMs: firstByteMs ?? tookMs, tookMs, answerTokens: head.tokens?.answer })
     metrics.count('gateway_answers_total', { status: String(forwardedStatus), reason: 'passed-on' })
     if (firstByteMs !== undefined) metrics.observe(`gateway_first_byte_ms_${route.kind.replaceAll('-', '_')}`, firstByteMs)
-    metrics.observe(`gateway_total_ms_${route.kind.replaceAll('-', '_')}`, clock.wallMs() - arrivedAtMs)
+    metrics.observe(`gateway_total_ms_${route.kind.replaceAll('-', '_')}`, tookMs)
     log('gatewayAnswered', { ...requestLogFields(active, clock), status: forwardedStatus })
   }
 
--- a/src/core/gateway/ingress.ts
+++ b/src/core/gateway/ingress.ts
@@ -43,7 +43,7 @@
   /** Number of requests without a delivered answer. */
   inFlight: () => number
   answerEndOf: CallerConnections['answerEndOf']
-  /** Serves until all connections have ended, then stops listening and ends what is left. */
+  /** Serves until no request comes any more, then stops listening and closes the connections. */
   drain: (limits: DrainLimits) => Promise<void>
   /** Stops listening and closes all connections at once. */
   close: () => void
@@ -59,6 +59,8 @@
   endRequests: () => void
 }
 
+/** Time without an open request after which a draining node closes idle connections; callers that send the next request when an answer ends do so sooner. */
+const quietMs = 1_000
 /** Time that the last answers get to be written. */
 const lastAnswersMs = 150
 
@@ -108,7 +110,7 @@
 
   async function drain ({ listenUntilMs, endsAtMs, endRequests }: DrainLimits): Promise<void> {
     await clock.sleep(listenUntilMs - clock.monotonicMs())
-    await connections.whenEnded(endsAtMs)
+    await connections.whenQuiet(quietMs, endsAtMs)
     connections.stopListening()
     endRequests()
     await connections.whenAnswered(endsAtMs + lastAnswersMs)
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -117,7 +117,7 @@
     }
     const { route, team, version, id } = accepted
     const active = createActiveRequest({ ...accepted, body: body.body, arrivedAtMs, request, response, service: pickService(id, route) })
-    if (!options.stopGate.admits(route.name, active.deadlineAtMs)) return refuse(response, stopRefusal(), requestLogFields(active, clock))
+    if (!options.stopGate.admits({ route: route.name, answerTokens: active.head.tokens?.answer, deadlineAtMs: active.deadlineAtMs })) return refuse(response, stopRefusal(), requestLogFields(active, clock))
     limits.recordDemand(active.service)
     const quarantined = quarantineGate.refusalOnArrival(active)
     if (quarantined !== undefined) return refuse(response, quarantined, requestLogFields(active, clock))
--- a/src/core/gateway/stop-gate.ts
+++ b/src/core/gateway/stop-gate.ts
@@ -1,6 +1,6 @@
 /**
  * Decides whether a stopping node takes a request: only one that it expects to
- * finish before it ends its connections, by the time that the answers of the
+ * finish before it ends its connections, by the time that recent answers of the
  * request's route took. All others are refused at once, so that their callers
  * can go to another node.
  */
@@ -9,9 +9,30 @@
 /** Number of answers of a route that are remembered. */
 const rememberedAnswers = 256
 /** With fewer answers, a request is expected to take all the time until its deadline. */
-const minAnswers = 32
-/** Factor on the longest remembered answer. */
+const minAnswers = 8
+/** Factor on what the remembered answers took. */
 const safetyFactor = 1.25
+/** Quantile of first bytes and paces; both are rarely high in the same answer. */
+const sizedQuantile = 0.95
+/** Answers with fewer tokens count as this many, because a single pause would dominate their pace. */
+const minPaceTokens = 16
+
+/** What is known of an answer when it is delivered. Times count from the arrival of its request. */
+export interface AnswerTimes {
+  firstByteMs: number
+  tookMs: number
+  /** Maximum tokens of the answer; undefined if the request doesn't say. */
+  answerTokens: number | undefined
+}
+
+/** A request at the gate. */
+export interface GateRequest {
+  route: string
+  /** Maximum tokens of the answer; undefined if the request doesn't say. */
+  answerTokens: number | undefined
+  /** Wall time. */
+  deadlineAtMs: number
+}
 
 /** Options of the gate. */
 export interface StopGateOptions {
@@ -22,33 +43,43 @@
 
 /** The gate of a node. */
 export interface StopGate {
-  /** Records that an answer of a route was delivered `tookMs` after its request had arrived. */
-  recordAnswer: (route: string, tookMs: number) => void
-  /** Whether the node takes a request whose deadline is at the wall time `deadlineAtMs`. */
-  admits: (route: string, deadlineAtMs: number) => boolean
+  recordAnswer: (route: string, times: AnswerTimes) => void
+  admits: (request: GateRequest) => boolean
+}
+
+/** A quantile of some times, of which there is at least one. */
+function quantileOf (times: readonly number[], quantile: number): number {
+  const sorted = times.toSorted((a, b) => a - b)
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * quantile))] ?? 0
 }
 
 /** Creates the gate of a node. */
 export function createStopGate ({ clock, endsAtMs }: StopGateOptions): StopGate {
-  const answers = new Map<string, { tookMs: number[], next: number }>()
+  const answersOf = new Map<string, { answers: AnswerTimes[], next: number }>()
 
-  function longestExpectedMs (route: string): number {
-    const { tookMs } = answers.get(route) ?? { tookMs: [] }
-    return tookMs.length < minAnswers ? Infinity : Math.max(...tookMs) * safetyFactor
+  /** Time that an answer takes at most, by far most probably. */
+  function expectedMs (route: string, answerTokens: number | undefined): number {
+    const { answers } = answersOf.get(route) ?? { answers: [] }
+    if (answers.length < minAnswers) return Infinity
+    const sized = answers.filter(answer => answer.answerTokens !== undefined)
+    if (answerTokens === undefined || sized.length < minAnswers) return quantileOf(answers.map(({ tookMs }) => tookMs), 1) * safetyFactor
+    const firstByteMs = quantileOf(sized.map(answer => answer.firstByteMs), sizedQuantile)
+    const msPerToken = quantileOf(sized.map(answer => (answer.tookMs - answer.firstByteMs) / Math.max(minPaceTokens, answer.answerTokens ?? 0)), sizedQuantile)
+    return (firstByteMs + msPerToken * Math.max(minPaceTokens, answerTokens)) * safetyFactor
   }
 
   return {
-    recordAnswer: (route, tookMs) => {
-      const recorded = answers.get(route) ?? { tookMs: [], next: 0 }
-      answers.set(route, recorded)
-      recorded.tookMs[recorded.next] = tookMs
+    recordAnswer: (route, times) => {
+      const recorded = answersOf.get(route) ?? { answers: [], next: 0 }
+      answersOf.set(route, recorded)
+      recorded.answers[recorded.next] = times
       recorded.next = (recorded.next + 1) % rememberedAnswers
     },
-    admits: (route, deadlineAtMs) => {
+    admits: ({ route, answerTokens, deadlineAtMs }) => {
       const endAtMs = endsAtMs()
       if (endAtMs === undefined) return true
-      const expectedMs = Math.min(longestExpectedMs(route), deadlineAtMs - clock.wallMs())
-      return clock.monotonicMs() + expectedMs <= endAtMs
+      const longestMs = Math.min(expectedMs(route, answerTokens), deadlineAtMs - clock.wallMs())
+      return clock.monotonicMs() + longestMs <= endAtMs
     }
   }
 }
--- a/src/core/http/index.ts
+++ b/src/core/http/index.ts
@@ -18,11 +18,14 @@
 export { toProblemDetails } from './problem.ts'
 export type { ProblemDetails } from './problem.ts'
 
+/** Time without an open request after which idle connections are closed. */
+const quietMs = 1_000
+
 /** A running server. */
 export interface CallerServer {
   readonly port: number
   countOpenConnections: () => Promise<number>
-  /** Stops listening and waits until all connections have ended, also idle ones; at the wall time `deadlineAtMs`, those still open are closed. */
+  /** Waits until no request comes any more, at the wall time `deadlineAtMs` at the latest; then stops listening and closes the connections. */
   close: (deadlineAtMs: number) => Promise<void>
 }
 
@@ -47,8 +50,8 @@
 
   async function close (deadlineAtMs: number): Promise<void> {
     const { clock } = options
+    await connections.whenQuiet(quietMs, clock.monotonicMs() + deadlineAtMs - clock.wallMs())
     connections.stopListening()
-    await connections.whenEnded(clock.monotonicMs() + deadlineAtMs - clock.wallMs())
     connections.close()
   }
 
