--- a/src/core/gateway/ingress.ts
+++ b/src/core/gateway/ingress.ts
@@ -62,7 +62,7 @@
 /** Time without an open request after which a draining node closes idle connections; callers that send the next request when an answer ends do so sooner. */
 const quietMs = 1_000
 /** Time that the last answers get to be written. */
-const lastAnswersMs = 150
+const lastAnswersMs = 250
 
 const statusOfError: Record<string, string> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
