Soak planned stops with callers that keep connections and send and read slowly

Callers use plain sockets: they send the next request in the same turn in which an answer ends, open connections up to 5 s before their use, send heads and bodies in parts, read 8 MB over up to 5 s, pipeline now and then, and use a connection until the node closes it. Half of the requests are streams of 1 to 7.5 s, some resumable, some without a length.

A cut answer never looks complete, a refused request never ran, proper requests aren't denied, each cut answer has a log line with its id, and a process ends with exit code 0 before the platform would kill it.

--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -11,7 +11,7 @@
 import { startProxy } from './proxy.ts'
 import type { BackendMode } from '../../test/platform-adapter/soak-deployment.ts'
 import type { Arrival } from './checks.ts'
-import type { NodeProcess } from './node-process.ts'
+import type { NodeProcess, NodeProcessOptions } from './node-process.ts'
 import type { Proxy } from './proxy.ts'
 
 const backendCount = 3
@@ -67,8 +67,9 @@
   nodeCount: number
   /** Path of the built program that the nodes run. */
   program: string
-  /** Called with the id of every request that a backend server runs. */
+  /** Called with the id of every request that a backend server runs, prompts aside, and when its work is done. */
   onRun: (id: string) => void
+  onRunEnd?: (id: string) => void
   /** Called for each request that reaches a start of a backend server. */
   onArrival: (arrival: Omit<Arrival, 'atMs'>) => void
   /** Called for each prompt that reaches an engine. */
@@ -77,11 +78,14 @@
   onCrash: () => void
   /** Called when another backend server crashes under a request with the path. */
   onRequestCrash: (path: string) => void
+  /** Called for each line that a node logs, and when its process ends. */
+  onLogLine?: NodeProcessOptions['onLogLine']
+  onExit?: NodeProcessOptions['onExit']
   random: () => number
 }
 
 /** Starts the deployment and the processes of its nodes; they may not be ready yet. */
-export async function startSoakDeployment ({ nodeCount, program, onRun, onArrival, onPrompt, onCrash, onRequestCrash, random }: SoakDeploymentOptions): Promise<SoakDeployment> {
+export async function startSoakDeployment ({ nodeCount, program, onRun, onRunEnd = () => {}, onArrival, onPrompt, onCrash, onRequestCrash, onLogLine, onExit, random }: SoakDeploymentOptions): Promise<SoakDeployment> {
   const folder = mkdtempSync(join(tmpdir(), 'soak-'))
   const portBlock = await takePortBlock()
   const basePort = portBlock.firstPort
@@ -107,7 +111,7 @@
     const mode: BackendMode = { isLeaving: false, pauseSeconds: undefined, limit: undefined }
     let startedAtMs = Date.now()
     const handleArrival = (request: string, said: Pick<BackendMode, 'pauseSeconds' | 'limit'>): void => onArrival({ request, backend: id, startedAtMs, ...said, isDisturbed: proxy.lastDisturbedAtMs() >= performance.now() - disturbanceMs })
-    const server = await startRawBackend(createBackendHandler(id, mode, handleArrival, onRun, () => random() * (random() < slowRatio ? maxSlowProcessingMs : maxProcessingMs), { crashesOn: path => path === crashing.path, crash: () => crash() }))
+    const server = await startRawBackend(createBackendHandler(id, mode, handleArrival, { onRun, onRunEnd }, () => random() * (random() < slowRatio ? maxSlowProcessingMs : maxProcessingMs), { crashesOn: path => path === crashing.path, crash: () => crash() }))
     const proxy = await startProxy(server.port)
     let sequence = 0
     const register = async (isDraining: boolean): Promise<void> => {
@@ -147,7 +151,7 @@
       }, crashRestartMs)
     }
     const crashesOn = (parts: readonly string[]): boolean => crashing.part !== undefined && parts.includes(crashing.part)
-    const server = await startRawBackend(createEngineHandler(id, { crashesOn, crash, onArrival: onPrompt, workMs: () => random() * maxProcessingMs }))
+    const server = await startRawBackend(createEngineHandler(id, { crashesOn, crash, onArrival: onPrompt, observer: { onRun, onRunEnd }, workMs: () => random() * maxProcessingMs }))
     const proxy = await startProxy(server.port)
     registerEngines.push(register)
     await register()
@@ -162,7 +166,7 @@
     const firstPort = basePort + index * portsPerNode
     const { callers, readiness } = createNodePorts(firstPort)
     return createNodeProcess({
-      name, program, folder, callersPort: callers, readinessPort: readiness, settings: isFirstStart => nodeSettings(name, firstPort, storeProxies[index]!.port, seeds, isFirstStart)
+      name, program, folder, callersPort: callers, readinessPort: readiness, settings: isFirstStart => nodeSettings(name, firstPort, storeProxies[index]!.port, seeds, isFirstStart), ...(onLogLine === undefined ? {} : { onLogLine }), ...(onExit === undefined ? {} : { onExit })
     })
   })
   const killAllNodes = (): void => nodes.forEach(node => node.kill())
--- a/bench/soak/index.ts
+++ b/bench/soak/index.ts
@@ -6,12 +6,16 @@
  *     npm run soak -- --seed 7 --seeds 10 --seconds 12 --json
  *     npm run soak -- --minutes 5 --nodes 24
  *
- * Without `--seed`, the first seed is random. Logs of failed runs are written to .cache/soak.
+ *     npm run soak -- --stops --seed 7 --seconds 20
+ *
+ * With `--stops`, the only faults are planned ones: nodes are stopped and started again, beside reloads and changes of
+ * the configuration, and callers are like the users'. Without `--seed`, the first seed is random. Logs of failed runs are written to .cache/soak.
  */
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { parseArgs } from 'node:util'
 import { runSoak } from './run.ts'
+import { runStops } from './stop-run.ts'
 import { maxNodes } from './deployment.ts'
 
 const programPath = 'target/cyclamenshunt.cjs'
@@ -27,6 +31,7 @@
     seconds: { type: 'string', default: '12' },
     minutes: { type: 'string' },
     nodes: { type: 'string', default: '3' },
+    stops: { type: 'boolean', default: false },
     json: { type: 'boolean', default: false }
   }
 })
@@ -52,7 +57,7 @@
 for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(1))
 
 for (let seed = firstSeed; shouldRunAnotherSeed(seed - firstSeed); seed += 1) {
-  const { logs, ...result } = await runSoak({ seed, durationMs, nodeCount, program: programPath })
+  const { logs, ...result } = await (values.stops ? runStops : runSoak)({ seed, durationMs, nodeCount, program: programPath })
   const text = values.json ? JSON.stringify(result) : `seed ${seed}: ${result.faults.length} faults, ${JSON.stringify(result.calls)}, broken: ${JSON.stringify(result.broken)}`
   process.stdout.write(`${text}\n`)
   if (result.broken.length === 0) continue
--- a/bench/soak/node-process.ts
+++ b/bench/soak/node-process.ts
@@ -2,6 +2,7 @@
 import { spawn } from 'node:child_process'
 import { writeFileSync } from 'node:fs'
 import { join } from 'node:path'
+import { createInterface } from 'node:readline'
 import type { ChildProcess } from 'node:child_process'
 
 const settingsEnvVar = 'CYCLAMENSHUNT_SETTINGS'
@@ -14,6 +15,8 @@
   readonly readinessPort: number
   startCount: () => number
   isUp: () => boolean
+  /** Whether the current process has logged a line, so that its program runs. */
+  hasLogged: () => boolean
   /** Number of kills, pauses and resumes so far. A request during which it grows is no evidence about planned stops. */
   interruptionCount: () => number
   /** Whether its process is paused, or was killed and hasn't ended yet, which takes a while on a busy machine. */
@@ -28,6 +31,16 @@
   log: () => string[]
 }
 
+/** The end of a node's process. */
+export interface NodeExit {
+  node: string
+  startCount: number
+  atMs: number
+  /** Exit code; null if a signal ended the process. */
+  code: number | null
+  signal: NodeJS.Signals | null
+}
+
 export interface NodeProcessOptions {
   name: string
   /** Path of the built program. */
@@ -37,6 +50,9 @@
   readinessPort: number
   /** Renders the settings file for the first or a later start. */
   settings: (isFirstStart: boolean) => string
+  /** Called for each line that the process logs. */
+  onLogLine?: (line: string) => void
+  onExit?: (exit: NodeExit) => void
 }
 
 /** Creates the node without a process; `start` runs the first one. */
@@ -48,6 +64,7 @@
   let interruptionCount = 0
   let isPaused = false
   let isKilled = false
+  let hasLogged = false
   let log: string[] = []
 
   function sendSignal (kind: NodeJS.Signals): void {
@@ -59,8 +76,11 @@
     sendSignal(kind)
   }
 
-  function appendLog (text: string): void {
-    log = [...log, ...text.split('\n').filter(line => line !== '')].slice(-maxLogLines)
+  function appendLine (line: string): void {
+    hasLogged = true
+    log.push(line)
+    if (log.length > 2 * maxLogLines) log = log.slice(-maxLogLines)
+    options.onLogLine?.(line)
   }
 
   function start (): void {
@@ -71,9 +91,13 @@
     writeFileSync(settingsFile, options.settings(startCount === 1))
     const started = spawn(process.execPath, [program], { env: { [settingsEnvVar]: settingsFile }, stdio: ['ignore', 'pipe', 'pipe'] })
     child = started
-    started.stdout.on('data', (bytes: Buffer) => appendLog(String(bytes)))
-    started.stderr.on('data', (bytes: Buffer) => appendLog(String(bytes)))
-    started.on('exit', () => { if (child === started) child = undefined })
+    hasLogged = false
+    for (const input of [started.stdout, started.stderr]) createInterface({ input }).on('line', appendLine)
+    const count = startCount
+    started.on('exit', (code, signal) => {
+      if (child === started) child = undefined
+      options.onExit?.({ node: name, startCount: count, atMs: performance.now(), code, signal })
+    })
   }
 
   return {
@@ -82,6 +106,7 @@
     readinessPort: options.readinessPort,
     startCount: () => startCount,
     isUp: () => child !== undefined,
+    hasLogged: () => hasLogged,
     interruptionCount: () => interruptionCount,
     isInterrupted: () => isPaused || isKilled,
     start,
@@ -99,6 +124,6 @@
       interrupt('SIGCONT')
     },
     reload: () => sendSignal('SIGHUP'),
-    log: () => log
+    log: () => log.slice(-maxLogLines)
   }
 }
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -1,12 +1,12 @@
 /** Runs one seed of the soak: load and faults for a set time, then recovery, then the checks that need all observations. */
-import { request as httpRequest } from 'node:http'
 import { createSystemClock } from '../../src/core/clock/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
-import { promptHeaders, readyPath } from '../../test/platform-adapter/soak-deployment.ts'
+import { promptHeaders } from '../../test/platform-adapter/soak-deployment.ts'
 import { createCaller } from './callers.ts'
 import { createChecks } from './checks.ts'
 import { startFault } from './faults.ts'
 import { startSoakDeployment } from './deployment.ts'
+import { isReady, pollUntil, startTimeoutMs } from './readiness.ts'
 import type { BrokenPromise } from './checks.ts'
 import type { Caller } from './callers.ts'
 import type { Fault } from './faults.ts'
@@ -37,10 +37,8 @@
 const minFaultMs = 300
 const maxFaultMs = 2_500
 const maxFaultIntervalMs = 900
-const startTimeoutMs = 15_000
 /** Time after the last fault within which all nodes must serve again; the platform's deployments set the same limit. */
 const recoveryTimeoutMs = 15_000
-const pollMs = 100
 /** Share of calls that go to a probe route, which exists in one configuration version only. */
 const probeRatio = 0.15
 /** Share of calls that are prompts, and share of these that have a part that crashes engines, if there is one. */
@@ -53,28 +51,6 @@
 
 const clock = createSystemClock()
 
-function isReady ({ readinessPort }: NodeProcess): Promise<boolean> {
-  return new Promise(resolve => {
-    const clientRequest = httpRequest({ host: '127.0.0.1', port: readinessPort, path: readyPath, timeout: 1_000 }, response => {
-      response.resume()
-      resolve(response.statusCode === 200)
-    })
-    clientRequest.on('timeout', () => clientRequest.destroy())
-    // The connection is refused while the node's process isn't listening.
-    clientRequest.on('error', () => resolve(false))
-    clientRequest.end()
-  })
-}
-
-async function pollUntil (condition: () => Promise<boolean>, withinMs: number): Promise<boolean> {
-  const endAtMs = clock.monotonicMs() + withinMs
-  while (clock.monotonicMs() < endAtMs) {
-    if (await condition()) return true
-    await clock.sleep(pollMs)
-  }
-  return false
-}
-
 export async function runSoak ({ seed, durationMs, nodeCount, program }: SoakOptions): Promise<SoakResult> {
   const random = createRandom(seed)
   // Callers have their own generator, because their timing varies and the faults must be the same in each run of a seed.
--- /dev/null
+++ b/bench/soak/stop-run.ts
@@ -0,0 +1,140 @@
+/** Runs one seed of planned stops: each node is stopped and started again and again, with reloads and configuration changes beside it. */
+import { createSystemClock } from '../../src/core/clock/index.ts'
+import { createRandom } from '../../src/core/random/index.ts'
+import { graceMs } from '../../test/platform-adapter/soak-deployment.ts'
+import { startSoakDeployment } from './deployment.ts'
+import { createDeliveryChecks } from './delivery-checks.ts'
+import { isReady, pollUntil, startTimeoutMs } from './readiness.ts'
+import { runStopCallers } from './stop-callers.ts'
+import type { NodeProcess } from './node-process.ts'
+import type { SoakOptions, SoakResult } from './run.ts'
+
+const clock = createSystemClock()
+const callerCount = 60
+/** Longest time for which a node serves before it is stopped. */
+const maxServingMs = 4_000
+const maxDownMs = 500
+/** Shares of stops with a second SIGTERM and with a reload, and of starts that are stopped before the node is ready. */
+const secondStopRatio = 0.3
+const reloadRatio = 0.3
+const earlyStopRatio = 0.4
+const maxEarlyStopMs = 600
+const maxConfigurationIntervalMs = 4_000
+const pollMs = 20
+
+export async function runStops ({ seed, durationMs, nodeCount, program }: SoakOptions): Promise<SoakResult> {
+  const checks = createDeliveryChecks()
+  const workRandom = createRandom(seed)
+  const deployment = await startSoakDeployment({
+    nodeCount,
+    program,
+    onRun: checks.onRun,
+    onRunEnd: checks.onRunEnd,
+    onArrival: () => {},
+    onPrompt: () => {},
+    onCrash: () => {},
+    onRequestCrash: () => {},
+    onLogLine: checks.onLogLine,
+    onExit: checks.onExit,
+    random: workRandom
+  })
+  const faults: string[] = []
+  const callersEnd = new AbortController()
+  const endAtMs = clock.monotonicMs() + durationMs
+  const isOver = (): boolean => clock.monotonicMs() >= endAtMs
+  const stopping = new Set<NodeProcess>()
+  const mayStop = (): boolean => stopping.size < nodeCount - 1
+
+  function stop (node: NodeProcess, name: string): void {
+    faults.push(`${name} ${node.name}`)
+    checks.onStop({ node: node.name, startCount: node.startCount(), atMs: performance.now(), hasLogged: node.hasLogged() })
+    node.stop()
+  }
+
+  /** Waits until the process has ended; one that is up after the grace period is killed, as by the platform. */
+  async function waitUntilDown (node: NodeProcess): Promise<void> {
+    const killAtMs = clock.monotonicMs() + graceMs
+    while (node.isUp() && clock.monotonicMs() < killAtMs) await clock.sleep(pollMs)
+    if (node.isUp()) node.kill()
+    while (node.isUp()) await clock.sleep(pollMs)
+  }
+
+  function reload (node: NodeProcess): void {
+    faults.push(`reload ${node.name}`)
+    node.reload()
+  }
+
+  /** Stops a node and starts it again; the signals during the stop are drawn. */
+  async function restart (node: NodeProcess, random: () => number): Promise<void> {
+    const startCount = node.startCount()
+    const after = async (afterMs: number, signal: () => void): Promise<void> => {
+      await clock.sleep(afterMs)
+      if (node.isUp() && node.startCount() === startCount) signal()
+    }
+    if (random() < reloadRatio) reload(node)
+    stop(node, 'stop')
+    const signals: Array<Promise<void>> = []
+    if (random() < secondStopRatio) signals.push(after(random() * graceMs, () => stop(node, 'stop again')))
+    if (random() < reloadRatio) signals.push(after(random() * graceMs, () => reload(node)))
+    await waitUntilDown(node)
+    await Promise.all(signals)
+    await clock.sleep(random() * maxDownMs)
+    node.start()
+    if (random() < earlyStopRatio) {
+      await clock.sleep(random() * maxEarlyStopMs)
+      stop(node, 'stop early')
+      await waitUntilDown(node)
+      node.start()
+    }
+    await pollUntil(async () => await isReady(node), startTimeoutMs)
+  }
+
+  /** Stops one node after the other, several at a time, but never all. */
+  async function restartAgainAndAgain (node: NodeProcess, random: () => number): Promise<void> {
+    while (!isOver()) {
+      await clock.sleep(random() * maxServingMs)
+      while (!mayStop()) await clock.sleep(pollMs)
+      stopping.add(node)
+      await restart(node, random)
+      stopping.delete(node)
+    }
+  }
+
+  async function changeConfiguration (random: () => number): Promise<void> {
+    while (!isOver()) {
+      await clock.sleep(random() * maxConfigurationIntervalMs)
+      await deployment.publishNextConfiguration()
+      faults.push(`configuration ${deployment.configurationVersion()}`)
+    }
+  }
+
+  try {
+    const areAllReady = async (): Promise<boolean> => (await Promise.all(deployment.nodes.map(isReady))).every(Boolean)
+    const hasStarted = await pollUntil(areAllReady, startTimeoutMs)
+    if (!hasStarted) return { seed, faults, calls: {}, broken: [{ promise: 'recovery', detail: 'not every node became ready after the start' }], logs: {} }
+    const callers = runStopCallers({
+      nodes: deployment.nodes,
+      callerCount,
+      createRandom: caller => createRandom(seed * callerCount + caller + 1),
+      idPrefix: `s-${seed}`,
+      onDelivery: checks.onDelivery,
+      signal: callersEnd.signal
+    })
+    const nodeSeed = (seed + 1) * callerCount * nodeCount
+    await Promise.all([
+      ...deployment.nodes.map((node, index) => restartAgainAndAgain(node, createRandom(nodeSeed + index))),
+      changeConfiguration(createRandom(nodeSeed + nodeCount))
+    ])
+    // Answers that the death of all processes cuts must not look complete either.
+    callersEnd.abort()
+    checks.onKill()
+    for (const node of deployment.nodes) node.kill()
+    faults.push('kill all nodes')
+    await callers
+  } finally {
+    callersEnd.abort()
+    await deployment.close()
+  }
+  const { broken, calls } = checks.finish()
+  return { seed, faults, calls, broken, logs: broken.length === 0 ? {} : Object.fromEntries(deployment.nodes.map(node => [node.name, node.log()])) }
+}
--- a/test/platform-adapter/soak-deployment.ts
+++ b/test/platform-adapter/soak-deployment.ts
@@ -1,6 +1,7 @@
 /** Configuration, backend server entries, headers and node settings of the soak run, in the platform's formats. */
 import { formatChunk, formatResponse } from '../../src/stand-ins/raw-backend/index.ts'
 import { renderSettings } from './render-settings.ts'
+import type { Socket } from 'node:net'
 import type { RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
 
 export { startPlatform } from './platform-stand-in.ts'
@@ -14,20 +15,33 @@
 const engineService = 'models'
 const promptPartsHeader = 'x-cyclamenshunt-prompt-prefix'
 
-/** Request timeout of all routes. */
+/** Request timeout of all routes but those of streams and large answers. */
 export const routeTimeoutMs = 2_000
+/** Request timeout of the routes of streams and large answers. */
+export const longTimeoutMs = 15_000
+/** Time after SIGTERM within which a node's process has to end by itself. */
+export const graceMs = 8_000
+export const largeBodyBytes = 8 * 1024 * 1024
 export const configurationKey = 'op/config'
 export const readyPath = '/cyclamenshunt/ready'
 
-function createRoute (name: string, path: string, kind: string, attempts: number, routeService = service) {
-  return { name, host: '127.0.0.1', path_prefix: path, kind, timeout_ms: routeTimeoutMs, slo_ms: 1_000, service: routeService, max_attempts: attempts }
+function createRoute (name: string, path: string, kind: string, attempts: number, routeService = service, timeoutMs = routeTimeoutMs) {
+  return { name, host: '127.0.0.1', path_prefix: path, kind, timeout_ms: timeoutMs, slo_ms: 1_000, service: routeService, max_attempts: attempts }
 }
 
-/** Creates the configuration with the given version: the two routes of the load, and a probe route that only this version has. */
+/** Creates the configuration with the given version: the routes of the load, and a probe route that only this version has. */
 export function createConfiguration (version: number) {
   return {
     version,
-    routes: [createRoute('look-up', '/look-up/', 'safe', 3), createRoute('register', '/register/', 'non_idempotent', 3), createRoute('probe', `/version-${version}/`, 'safe', 1), { ...createRoute('draft', '/draft/', 'streaming', 3, engineService), stream_resume: true, gap_slo_ms: 500 }],
+    routes: [
+      createRoute('stream', '/stream/', 'streaming', 1, engineService, longTimeoutMs),
+      { ...createRoute('resumable', '/resumable/', 'streaming', 3, engineService, longTimeoutMs), stream_resume: true },
+      createRoute('large', '/large/', 'safe', 3, service, longTimeoutMs),
+      createRoute('look-up', '/look-up/', 'safe', 3),
+      createRoute('register', '/register/', 'non_idempotent', 3),
+      createRoute('probe', `/version-${version}/`, 'safe', 1),
+      { ...createRoute('draft', '/draft/', 'streaming', 3, engineService), stream_resume: true, gap_slo_ms: 500 }
+    ],
     services: [{ name: service, max_connections: 100 }, { name: engineService, max_connections: 100, engine: { slots: 16, kv_capacity: 100_000 } }],
     tenants: [{ name: 'agency', api_keys: ['key-1'], unit: 'token', uncached_tokens: 1, rate_per_s: 100_000, burst: 100_000 }]
   }
@@ -95,8 +109,37 @@
   crash: () => void
 }
 
-/** Creates the handler of a backend server that calls `onExecuted` for each request that it runs and responds with its id after `workMs`. */
-export function createBackendHandler (backend: string, mode: BackendMode, onArrival: OnArrival, onExecuted: (id: string) => void, workMs: () => number, { crashesOn, crash }: BackendCrash): RawRequestHandler {
+/** Called when a backend server begins to run a request, and when its work is done, which it isn't if the connection closes before. */
+export interface RunObserver {
+  onRun: (id: string) => void
+  onRunEnd: (id: string) => void
+}
+
+/** The body of a large answer. */
+export function formatLargeBody (id: string): string {
+  const line = `${id}\n`
+  return line.repeat(Math.ceil(largeBodyBytes / line.length))
+}
+
+/** Events of a stream, up to the last one. */
+export function formatEvents (id: string, lastEvent: number): string {
+  return Array.from({ length: lastEvent }, (_, index) => formatEvent(id, index + 1)).join('')
+}
+
+function formatEvent (id: string, number: number): string {
+  return `id: ${number}\ndata: ${id}\n\n`
+}
+
+/** Path of a stream. One without a length ends with the engine's connection. */
+export function streamPath ({ isResumable, events, intervalMs, hasLength }: { isResumable: boolean, events: number, intervalMs: number, hasLength: boolean }): string {
+  return `/${isResumable ? 'resumable' : 'stream'}/a?events=${events}&interval=${intervalMs}&length=${hasLength ? 1 : 0}`
+}
+
+/**
+ * Creates the handler of a backend server that reports each request that it runs and responds after `workMs` with its
+ * id, or with a large body.
+ */
+export function createBackendHandler (backend: string, mode: BackendMode, onArrival: OnArrival, { onRun, onRunEnd }: RunObserver, workMs: () => number, { crashesOn, crash }: BackendCrash): RawRequestHandler {
   return ({ target, headers }, socket) => {
     const id = headers[requestIdHeader] ?? ''
     const answerHeaders = { [requestIdHeader]: id, [signatureHeader]: backend, ...(mode.isLeaving ? { [leavingHeader]: '1' } : {}), ...(mode.limit === undefined ? {} : { [limitHeader]: String(mode.limit.perSecond) }) }
@@ -109,12 +152,16 @@
       socket.write(formatResponse(503, { ...answerHeaders, 'x-cyclamenshunt-not-executed': '1', 'retry-after': String(mode.pauseSeconds) }, ''))
       return
     }
-    onExecuted(id)
+    onRun(id)
     if (crashesOn(target)) {
       setTimeout(() => { if (socket.writable) crash() }, crashAfterMs)
       return
     }
-    setTimeout(() => { if (socket.writable) socket.write(formatResponse(200, answerHeaders, id)) }, workMs())
+    setTimeout(() => {
+      if (!socket.writable) return
+      socket.write(formatResponse(200, answerHeaders, target.startsWith('/large/') ? formatLargeBody(id) : id))
+      onRunEnd(id)
+    }, workMs())
   }
 }
 
@@ -125,28 +172,55 @@
   /** Ends the engine's connections and refuses new ones. */
   crash: () => void
   onArrival: (id: string, sharedParts: readonly string[]) => void
+  /** Observes the requests of the routes of streams. */
+  observer: RunObserver
   workMs: () => number
 }
 
-/** Creates the handler of an engine that streams the request's id in two events. */
-export function createEngineHandler (engine: string, { crashesOn, crash, onArrival, workMs }: EngineOptions): RawRequestHandler {
-  return ({ headers }, socket) => {
+/** Writes the events of a stream at its interval, until the connection closes. */
+function writeStream (target: string, headers: Record<string, string>, answerHeaders: Record<string, string>, id: string, { onRun, onRunEnd }: RunObserver, socket: Socket): void {
+  const query = new URLSearchParams(target.split('?')[1])
+  const [events, intervalMs] = [Number(query.get('events')), Number(query.get('interval'))]
+  const hasLength = query.get('length') === '1'
+  let written = Number(headers['last-event-id'] ?? 0)
+  onRun(id)
+  socket.write(formatHead({ ...answerHeaders, 'content-type': 'text/event-stream', ...(hasLength ? { 'transfer-encoding': 'chunked' } : { connection: 'close' }) }))
+  const timer = setInterval(() => {
+    if (!socket.writable) return clearInterval(timer)
+    written += 1
+    const event = formatEvent(id, written)
+    socket.write(hasLength ? formatChunk(event) : event)
+    if (written < events) return
+    clearInterval(timer)
+    if (hasLength) socket.write('0\r\n\r\n')
+    else socket.end()
+    onRunEnd(id)
+  }, intervalMs)
+}
+
+function formatHead (headers: Record<string, string>): string {
+  return ['HTTP/1.1 200 OK', ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`), '', ''].join('\r\n')
+}
+
+/** Creates the handler of an engine that streams the request's id in two events, or in as many as a stream's path says. */
+export function createEngineHandler (engine: string, { crashesOn, crash, onArrival, observer, workMs }: EngineOptions): RawRequestHandler {
+  return ({ target, headers }, socket) => {
     const id = headers[requestIdHeader] ?? ''
     const answerHeaders = { [requestIdHeader]: id, [signatureHeader]: engine }
     if (headers['x-cyclamenshunt-expect-instance'] !== engine) {
       socket.write(formatResponse(misdirectedStatus, answerHeaders, ''))
       return
     }
+    if (!target.startsWith('/draft/')) return writeStream(target, headers, answerHeaders, id, observer, socket)
     const parts = sharedPartsOf(headers)
     onArrival(id, parts)
     setTimeout(() => {
       if (!socket.writable) return
-      const names = Object.entries({ ...answerHeaders, 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked' }).map(([name, value]) => `${name}: ${value}`)
-      socket.write(['HTTP/1.1 200 OK', ...names, '', ''].join('\r\n'))
+      socket.write(formatHead({ ...answerHeaders, 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked' }))
       setTimeout(() => {
         if (crashesOn(parts)) return crash()
         const first = Number(headers['last-event-id'] ?? 0) + 1
-        const events = [1, 2].filter(number => number >= first).map(number => formatChunk(`id: ${number}\ndata: ${id}\n\n`))
+        const events = [1, 2].filter(number => number >= first).map(number => formatChunk(formatEvent(id, number)))
         if (socket.writable) socket.write(`${events.join('')}0\r\n\r\n`)
       }, engineStartMs)
     }, workMs())
@@ -176,6 +250,7 @@
     internal_ports: `${ports.firstPeer},${ports.lastPeer}`,
     seeds: seeds.map(port => `127.0.0.1:${port}`).join(','),
     bootstrap: String(isFirstStart),
-    'bounds.report_window_s': '2'
+    'bounds.report_window_s': '2',
+    'bounds.grace_s': String(graceMs / 1_000)
   })
 }
