--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -3,6 +3,7 @@
 import { createChecks } from '../../bench/soak/checks.ts'
 import { takePortBlock } from '../../bench/soak/port-block.ts'
 import { runSoak } from '../../bench/soak/run.ts'
+import { runStops } from '../../bench/soak/stop-run.ts'
 import { buildProgram } from '../platform-adapter/build-program.ts'
 import type { CompletedCall, CallResult } from '../../bench/soak/checks.ts'
 
@@ -24,6 +25,13 @@
   })
 }
 
+test.serial('while nodes are stopped as planned, each request gets its whole answer or a true refusal', async t => {
+  const { broken, calls, faults, logs } = await runStops({ seed: 1, durationMs: 12_000, nodeCount: 3, program })
+  if (broken.length > 0) t.log(faults, logs)
+  t.deepEqual(broken, [])
+  t.true((calls['200'] ?? 0) > 0)
+})
+
 function createCall (result: CallResult, changes: Partial<CompletedCall> = {}): CompletedCall {
   return { id: 'r-1', isIdempotent: false, crashingPath: undefined, node: 'front-a-1', startCount: 1, wasInterrupted: false, result, ...changes }
 }
