--- a/bench/soak/stop-run.ts
+++ b/bench/soak/stop-run.ts
@@ -13,6 +13,8 @@
 const callerCount = 60
 /** Longest time for which a node serves before it is stopped. */
 const maxServingMs = 4_000
+/** Largest share of the nodes that stop or start at a time. */
+const maxStoppingRatio = 2 / 3
 const maxDownMs = 500
 /** Shares of stops with a second SIGTERM and with a reload, and of starts that are stopped before the node is ready. */
 const secondStopRatio = 0.3
@@ -43,7 +45,7 @@
   const endAtMs = clock.monotonicMs() + durationMs
   const isOver = (): boolean => clock.monotonicMs() >= endAtMs
   const stopping = new Set<NodeProcess>()
-  const mayStop = (): boolean => stopping.size < nodeCount - 1
+  const mayStop = (): boolean => stopping.size < Math.max(1, Math.floor(nodeCount * maxStoppingRatio))
 
   function stop (node: NodeProcess, name: string): void {
     faults.push(`${name} ${node.name}`)
@@ -89,7 +91,7 @@
     await pollUntil(async () => await isReady(node), startTimeoutMs)
   }
 
-  /** Stops one node after the other, several at a time, but never all. */
+  /** Stops and starts one node again and again. */
   async function restartAgainAndAgain (node: NodeProcess, random: () => number): Promise<void> {
     while (!isOver()) {
       await clock.sleep(random() * maxServingMs)
