Send pipelined requests late in the soak of planned stops

A request that follows a slowly read answer with `Connection: close` meets a closed socket; its reset takes the tail of that answer away.

A pipelined request that wasn't run doesn't count: it crosses the close that the answer before it announces, and waits unread until that answer is delivered.

--- a/bench/soak/delivery-checks.ts
+++ b/bench/soak/delivery-checks.ts
@@ -92,10 +92,11 @@
 
   /** Whether the users' rules count an incomplete answer as a loss. */
   function isLost (delivery: Delivery): boolean {
-    const { id, startedAtMs, sentAtMs, endedAtMs, timeoutMs, readEndAtMs } = delivery
+    const { id, isPipelined, startedAtMs, sentAtMs, endedAtMs, timeoutMs, readEndAtMs } = delivery
     const run = runs.get(id)
     if (sentAtMs === undefined && run === undefined) return false
-    if (run === undefined && endedAtMs <= (sentAtMs ?? Infinity) + lossSlackMs) return false
+    // A pipelined one crosses the close that the answer before it announces, and waits unread until that answer is delivered.
+    if (run === undefined && (isPipelined || endedAtMs <= (sentAtMs ?? Infinity) + lossSlackMs)) return false
     if (endedAtMs >= startedAtMs + timeoutMs) return false
     const stop = stopOf(delivery)
     if (stop === undefined) return true
--- a/bench/soak/stop-callers.ts
+++ b/bench/soak/stop-callers.ts
@@ -39,7 +39,8 @@
 /** Shares of requests whose head or body is sent in parts, and that are followed by another one before they are answered. */
 const slowHeadRatio = 0.15
 const slowBodyRatio = 0.3
-const pipelinedRatio = 0.03
+const pipelinedRatio = 0.06
+const maxPipelineDelayMs = 2_000
 const maxPartPauseMs = 500
 /** Share of large answers that are read slowly; the whole of one then takes up to twice `meanReadMs`. */
 const slowReadRatio = 0.8
@@ -103,7 +104,13 @@
     }
     while (connection.isOpen() && !signal.aborted) {
       const sent = [send(false)]
-      if (random() < pipelinedRatio) sent.push(send(true))
+      let isAnswered = false
+      sent[0]!.finally(() => { isAnswered = true })
+      if (random() < pipelinedRatio) {
+        await Promise.race([sent[0], clock.sleep(random() * maxPipelineDelayMs)])
+        // Sent although the answer before it may say `Connection: close`, whose end the caller hasn't read yet.
+        if (!isAnswered) sent.push(send(true))
+      }
       await Promise.all(sent)
       if (random() < pauseRatio) await clock.sleep(random() * maxIdleMs)
     }
--- a/test/soak/delivery-checks.test.ts
+++ b/test/soak/delivery-checks.test.ts
@@ -48,6 +48,8 @@
   t.deepEqual(brokenBy({ readEndAtMs: 6_000, endedAtMs: 3_400, status: 200 }), lost, 'a slow reader')
   t.deepEqual(brokenBy({}), [], 'its backend server was at work in the last sixth')
   t.deepEqual(brokenBy({ sentAtMs: 3_100, endedAtMs: 3_105 }, () => {}), [], 'crossed the close')
+  t.deepEqual(brokenBy({ isPipelined: true, endedAtMs: 3_400 }, () => {}), [], 'was pipelined and not run')
+  t.deepEqual(brokenBy({ isPipelined: true, endedAtMs: 3_400 }), lost, 'was pipelined and run')
   t.deepEqual(brokenBy({ endedAtMs: 5_200, timeoutMs: 5_000 }), [], 'its timeout was reached')
   t.deepEqual(brokenBy({ endedAtMs: performance.now() + 1_000 }, checks => {
     checks.onRun('r-1')
