Complete a roll-out whose old version has stopped instead of taking it back

The restored copy lacked the result; restarted nodes took the move for a running one, wrote `taken-back` at its deadline, and wanted a version that had no server. The order that its operator wrote again was a new one to them, so a recorded result was lost with it, too.

Requests now go to the new version while the old one has no registered server, unless it was found bad; the move is then completed once the new version is shown to be good, and not taken back. A move is not taken back either to servers that are only in the copy. The record of a move identifies its order over restores and has its last state, also if the operator writes the order over the copy's own.

--- a/bench/measure/version-moves/play.ts
+++ b/bench/measure/version-moves/play.ts
@@ -81,7 +81,8 @@
       duty,
       orders: () => isOrdered ? [order] : [],
       status: () => status,
-      startedAtMs: () => startedAtMs,
+      record: ({ revision }) => startedAtMs === undefined ? undefined : { revision, startedAtMs, state: states.at(-1) },
+      hasOldVersion: () => true,
       encode: (_order, state, atMs) => {
         startedAtMs = atMs
         return { compares: [], puts: [{ key: `moves/${service}`, value: state }] }
--- a/src/core/moves/index.ts
+++ b/src/core/moves/index.ts
@@ -39,8 +39,9 @@
 export type { BackendOrders } from './load-versions.ts'
 export { moveKeyPrefix, parseMoveRecord } from './move-record.ts'
 export { newVersionShare } from './schedule.ts'
+export { isSameAfterRestore } from './order-continuity.ts'
 export { createServiceMoves } from './service-moves.ts'
-export type { ServiceMoveOrder, ServiceMoves, ServiceMoveState, ServiceMoveStatus } from './service-moves.ts'
+export type { ServiceMoveOrder, ServiceMoveRecord, ServiceMoves, ServiceMoveState, ServiceMoveStatus } from './service-moves.ts'
 
 /** Options of the moves on a node. */
 export interface MovesOptions {
--- a/src/core/moves/messages.ts
+++ b/src/core/moves/messages.ts
@@ -1,9 +1,10 @@
 /** Messages between nodes about moves: reports of attempt counts to the summing nodes, and brakes to all nodes. */
 import { z } from 'zod'
 import { toId } from '../ids/index.ts'
-import { attemptCountsSchema } from './attempt-counts.ts'
+import { attemptCountsSchema, packedCountsSchema } from './attempt-counts.ts'
 import type { MoveId, NodeId, TeamId } from '../ids/index.ts'
 import type { AttemptCounts } from './attempt-counts.ts'
+import type { ServiceMoveReport } from './service-move-types.ts'
 import type { RegressionEvidence } from './types.ts'
 
 /** Message kinds. */
@@ -43,6 +44,7 @@
   counts: z.array(attemptCountsSchema),
   brake: brake.optional()
 })
+const serviceReportsSchema = z.array(z.object({ service: z.string(), revision: z.number(), isBad: z.boolean(), counts: z.array(packedCountsSchema) }))
 const brakeSchema = z.object({ ...moveIdentity, brake })
 
 /** Parses a report; undefined when it is invalid. */
@@ -54,3 +56,8 @@
 export function parseBrake (body: unknown): MoveBrake | undefined {
   return brakeSchema.safeParse(body).data
 }
+
+/** Parses a node's reports about the moves of services; none when they are invalid. */
+export function parseServiceReports (reports: unknown): ServiceMoveReport[] {
+  return serviceReportsSchema.safeParse(reports).data ?? []
+}
--- a/src/core/moves/service-move-types.ts
+++ b/src/core/moves/service-move-types.ts
@@ -28,6 +28,16 @@
   revision: number
 }
 
+/** What a holder of the duty stored about a move with its last state. */
+export interface ServiceMoveRecord {
+  /** Revision of the order at that time. */
+  revision: number
+  /** Wall time at which the move began. */
+  startedAtMs: number
+  /** Missing in records of earlier releases. */
+  state?: ServiceMoveState | undefined
+}
+
 /** Report of one node about one move to the other nodes. */
 export interface ServiceMoveReport {
   service: string
@@ -47,8 +57,10 @@
   duty: Duty
   orders: () => ServiceMoveOrder[]
   status: (service: string) => ServiceMoveStatus | undefined
-  /** Wall time at which the move began, as written by a holder of the duty. */
-  startedAtMs: (order: ServiceMoveOrder) => number | undefined
+  /** The record of an order's move, also if it is from before a restore of the key-value service. */
+  record: (order: ServiceMoveOrder) => ServiceMoveRecord | undefined
+  /** Whether a backend server of another version than the target is registered and not leaving. */
+  hasOldVersion: (order: ServiceMoveOrder) => boolean
   /** The writes for a state and the compares that they require, in addition to the duty's guard. */
   encode: (order: ServiceMoveOrder, state: ServiceMoveState, startedAtMs: number) => Pick<Transaction, 'compares' | 'puts'>
   /** Number of routes to a service, and number of serving nodes. */
@@ -69,7 +81,7 @@
 export interface ServiceMoves {
   /** The roles of a service's versions now. The new version stays apart after its move was taken back. */
   versionRolesOf: (service: string) => (version: VersionId) => VersionRole
-  /** Current share of a service's requests for its canary version, 0 to 1. */
+  /** Current share of a service's requests for its canary version, 0 to 1; 1 if the old version has no backend server left. */
   canaryShareOf: (service: string) => number
   /** Counts an attempt towards the canary version's share, when it is sent. */
   recordSent: (service: string, isCanary: boolean) => void
--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -3,14 +3,18 @@
  * Each node sends the new version a small share of the requests and evaluates
  * it; the holder of the duty writes the result before the deadline.
  */
-import { z } from 'zod'
-import { packCounts, packedCountsSchema, unpackCounts } from './attempt-counts.ts'
+import { packCounts, unpackCounts } from './attempt-counts.ts'
 import { eraOf } from '../platform/key-value/revision.ts'
 import { createCanaryAnalysis } from './canary-analysis.ts'
+import { parseServiceReports } from './messages.ts'
+import { createOldVersion } from './old-version.ts'
+import { createOrderContinuity } from './order-continuity.ts'
 import { createServiceHistory } from './service-history.ts'
 import type { NodeId, TeamId, VersionId } from '../ids/index.ts'
 import type { PackedCounts } from './attempt-counts.ts'
 import type { CanaryAnalysis } from './canary-analysis.ts'
+import type { OldVersion } from './old-version.ts'
+import type { OrderContinuity } from './order-continuity.ts'
 import type { PromotionResult } from './promotion.ts'
 import type { ServiceHistory } from './service-history.ts'
 import type { RegressionEvidence, MoveRecord } from './types.ts'
@@ -35,15 +39,10 @@
 /** Longest time for one write. */
 const callTimeoutMs = 1_200
 
-const reportSchema = z.array(z.object({
-  service: z.string(),
-  revision: z.number(),
-  isBad: z.boolean(),
-  counts: z.array(packedCountsSchema)
-}))
-
 interface RunningMove {
-  order: ServiceMoveOrder
+  readonly order: ServiceMoveOrder
+  continuity: OrderContinuity
+  oldVersion: OldVersion
   analysis: CanaryAnalysis
   seenAtMs: number
   isBad: boolean
@@ -99,8 +98,17 @@
       onBrake: evidence => markBad(order.service, evidence, node)
     })
     log('serviceMoveSeen', { service: order.service, target: order.target, durationMs: order.durationMs, revision: order.revision })
+    const continuity = createOrderContinuity(clock, order, options.record(order)?.revision)
+    const oldVersion = createOldVersion({
+      clock,
+      hasServers: () => options.hasOldVersion(order),
+      isSettled: continuity.isSettled,
+      onChange: isGone => log('serviceMoveOldVersion', { service: order.service, target: order.target, isGone })
+    })
     return {
-      order,
+      get order () { return continuity.current },
+      continuity,
+      oldVersion,
       analysis,
       seenAtMs: nowMs,
       isBad: false,
@@ -137,10 +145,7 @@
     const order = options.orders().find(other => other.service === service)
     const known = running.get(service)
     if (order === undefined) return known !== undefined && isLost(known.order) ? known : undefined
-    if (known !== undefined && (known.order.revision === order.revision || isSameAfterRestore(known.order, order))) {
-      known.order = order
-      return known
-    }
+    if (known?.continuity.follow(order) === true) return known
     const created = begin(order)
     running.set(service, created)
     return created
@@ -151,21 +156,16 @@
     return eraOf(revision) < store.era()
   }
 
-  /** Whether an order is the one from before a restore, from the older copy or written again. */
-  function isSameAfterRestore (before: ServiceMoveOrder, after: ServiceMoveOrder): boolean {
-    return eraOf(after.revision) > eraOf(before.revision) && after.target === before.target && after.durationMs === before.durationMs
-  }
-
   /** The state that is stored for this order; states of earlier orders are ignored. */
   function storedStateOf ({ order }: RunningMove): ServiceMoveState | undefined {
     const status = options.status(order.service)
     return status !== undefined && status.target === order.target && status.revision > order.revision ? status.state : undefined
   }
 
-  /** The state of a move. A result is final, even if the key-value service has lost it. */
+  /** The state of a move. A result is final, even if the key-value service has lost it or its order was written again after it. */
   function stateOf (move: RunningMove): ServiceMoveState | undefined {
     const stored = storedStateOf(move)
-    if (stored === 'done' || stored === 'taken-back') setResult(move, stored)
+    for (const state of [stored, options.record(move.order)?.state]) if (state === 'done' || state === 'taken-back') setResult(move, state)
     return move.result ?? stored
   }
 
@@ -181,10 +181,11 @@
   }
 
   function startOf ({ order, seenAtMs }: RunningMove): number {
-    return Math.min(options.startedAtMs(order) ?? Infinity, seenAtMs)
+    return Math.min(options.record(order)?.startedAtMs ?? Infinity, seenAtMs)
   }
 
-  function usedShareOf ({ slackShare }: RunningMove): number {
+  function usedShareOf ({ slackShare, oldVersion }: RunningMove): number {
+    if (oldVersion.isGone()) return 1
     return Math.min(options.maxShare * maxShareRatio, options.maxShare * usedShareRatio + slackShare)
   }
 
@@ -211,12 +212,21 @@
     const state = stateOf(move)
     if (move.result !== undefined && storedStateOf(move) !== move.result) return await write(move, move.result)
     if (isEnded(move)) return
-    const deadlineAtMs = startOf(move) + move.order.durationMs
-    if (move.isBad || clock.wallMs() > deadlineAtMs - callTimeoutMs) return await write(move, 'taken-back')
-    if (state === undefined) return await write(move, 'running')
     const { durationMs } = move.order
+    const isExpired = clock.wallMs() > startOf(move) + durationMs - callTimeoutMs
+    if (move.isBad || (isExpired && canBeTakenBack(move))) return await write(move, 'taken-back')
+    if (state === undefined) return await write(move, 'running')
     const decideAtMs = startOf(move) + Math.max(durationMs * evaluationRatio, durationMs - maxMarginMs)
-    if (clock.wallMs() >= decideAtMs && isShownGood(move)) await write(move, 'done')
+    const canBeDone = move.oldVersion.hasServers() ? !isExpired : move.oldVersion.isGoneForGood()
+    if (clock.wallMs() >= decideAtMs && canBeDone && isShownGood(move)) await write(move, 'done')
+  }
+
+  /**
+   * Whether the old version has backend servers that can take the requests back. After a restore these may have stopped
+   * because of a lost result, and only be registered in the copy.
+   */
+  function canBeTakenBack ({ continuity, oldVersion }: RunningMove): boolean {
+    return oldVersion.hasServers() && (!continuity.isRestored() || continuity.isSettled())
   }
 
   /** A version that isn't shown to be good yet may be so later; without that it is taken back shortly before the deadline. */
@@ -239,9 +249,9 @@
     },
     canaryShareOf: service => {
       const move = currentMove(service)
-      if (move === undefined || move.isBad || !options.hasCurrentView() || !hasTime(move) || isUsedUp(move)) return 0
-      const state = stateOf(move)
-      return state === undefined || state === 'running' ? usedShareOf(move) : 0
+      if (move === undefined || move.isBad || isEnded(move)) return 0
+      if (move.oldVersion.isGone()) return 1
+      return !options.hasCurrentView() || !hasTime(move) || isUsedUp(move) ? 0 : usedShareOf(move)
     },
     recordSent: (service, isCanary) => {
       const move = running.get(service)
@@ -266,9 +276,7 @@
       service: move.order.service, revision: move.order.revision, isBad: move.isBad, counts: dueCounts(move)
     })),
     mergeReports: (from, bootId, reports) => {
-      const parsed = reportSchema.safeParse(reports)
-      if (!parsed.success) return
-      for (const { service, revision, isBad, counts } of parsed.data) {
+      for (const { service, revision, isBad, counts } of parseServiceReports(reports)) {
         const move = currentMove(service)
         if (move === undefined || move.order.revision !== revision) continue
         move.analysis.addReport(`${from}/${bootId}`, counts.map(unpackCounts), clock.wallMs())
--- a/test/moves/service-moves.test.ts
+++ b/test/moves/service-moves.test.ts
@@ -6,9 +6,9 @@
 import { packCounts } from '../../src/core/moves/attempt-counts.ts'
 import { createServiceMoves } from '../../src/core/moves/service-moves.ts'
 import { createMemoryKeyValue, createRevision } from '../../src/core/platform/key-value/index.ts'
-import type { NodeId } from '../../src/core/ids/index.ts'
+import type { BackendId, NodeId, RequestId } from '../../src/core/ids/index.ts'
 import type { Duty } from '../../src/core/leases/index.ts'
-import type { ServiceMoveOrder, ServiceMoves, ServiceMovesOptions, ServiceMoveState, ServiceMoveStatus } from '../../src/core/moves/service-moves.ts'
+import type { ServiceMoveOrder, ServiceMoveRecord, ServiceMoves, ServiceMovesOptions, ServiceMoveState, ServiceMoveStatus } from '../../src/core/moves/service-moves.ts'
 
 const usual = { nodes: 8, requestsPerSecond: 60, durationMs: 16_000 }
 
@@ -83,7 +83,8 @@
     store: createMemoryKeyValue({ clock }).connect('holder'),
     duty,
     status: () => undefined,
-    startedAtMs: () => undefined,
+    record: () => undefined,
+    hasOldVersion: () => true,
     encode: (_order, state) => ({ compares: [], puts: [{ key: `moves/${service}`, value: state }] }),
     routes: () => 1,
     nodes: () => 1,
@@ -165,6 +166,102 @@
   t.true(moves.canaryShareOf(service) > 0)
 })
 
+/** One node that was started after a restore of the key-value service, which contains the order, the record of its move if there is one, and what nodes write. */
+function createRestarted (record: ServiceMoveRecord | undefined, orderEra = 2) {
+  const clock = createManualClock()
+  const kv = createMemoryKeyValue({ clock })
+  const orders = [{ ...order, revision: createRevision(orderEra, 70) }]
+  const written: ServiceMoveState[] = []
+  const servers = { hasOld: false }
+  const moves = createTestMoves({
+    clock,
+    store: { ...kv.connect('holder'), era: () => 2 },
+    orders: () => orders,
+    record: () => record,
+    status: () => written.length === 0 ? undefined : { state: written.at(-1)!, target, revision: createRevision(2, 70 + written.length) },
+    hasOldVersion: () => servers.hasOld,
+    encode: (_order, state) => {
+      written.push(state)
+      return { compares: [], puts: [{ key: `moves/${service}`, value: state }] }
+    }
+  })
+  /** Serves requests for a time, as the share says; 20 a second. */
+  async function serve (forMs: number, ok: (isCanary: boolean) => boolean): Promise<{ toOld: number, toNew: number }> {
+    const sent = { toOld: 0, toNew: 0 }
+    for (let elapsedMs = 0; elapsedMs < forMs; elapsedMs += 50) {
+      const isEvaluated = moves.versionRolesOf(service)(target) === 'evaluated'
+      const isCanary = isEvaluated && (elapsedMs / 50) % 100 < 100 * moves.canaryShareOf(service)
+      sent[isCanary || !isEvaluated ? 'toNew' : 'toOld'] += 1
+      moves.recordSent(service, isCanary)
+      moves.recordAttempt(service, isCanary, { request: toId<RequestId>(`r-${clock.wallMs()}`), route: 'register', backend: toId<BackendId>('i-1'), ok: ok(isCanary) })
+      await moves.reconcile()
+      await clock.advance(50)
+    }
+    return sent
+  }
+  return { clock, moves, orders, servers, written, serve }
+}
+
+const lostResult: ServiceMoveRecord = { revision: createRevision(1, 50), startedAtMs: createManualClock().wallMs() - 20_000, state: 'running' }
+
+test('a restarted node whose old version has stopped sends all requests to the new one, and completes the move instead of taking it back', async t => {
+  for (const record of [lostResult, undefined]) {
+    const { written, serve } = createRestarted(record)
+    await serve(6_000, () => true)
+    const later = await serve(30_000, () => true)
+    t.is(later.toOld, 0)
+    t.deepEqual(written, ['running', 'done'])
+  }
+})
+
+test('does not take a move back to servers that are only registered in the older copy', async t => {
+  const { servers, written, serve } = createRestarted(lostResult)
+  servers.hasOld = true
+  await serve(4_000, () => true)
+  servers.hasOld = false
+  await serve(30_000, () => true)
+  t.deepEqual(written, ['running', 'done'])
+})
+
+test('takes a move back after its deadline if the old version still has servers after a restore', async t => {
+  const { servers, written, serve } = createRestarted(lostResult)
+  servers.hasOld = true
+  const sent = await serve(10_000, () => true)
+  t.is(sent.toNew, 0)
+  t.is(written.at(-1), 'taken-back')
+})
+
+test('a new version that fails gets nothing more, and is not completed, although the old version has no servers', async t => {
+  const { moves, written, serve } = createRestarted(lostResult)
+  const sent = await serve(40_000, () => false)
+  t.true(sent.toNew < 50, String(sent.toNew))
+  t.is(moves.canaryShareOf(service), 0)
+  t.false(written.includes('done'))
+})
+
+test('the old version gets its share again as soon as it has servers', async t => {
+  const { moves, servers, serve } = createRestarted(undefined)
+  await serve(6_000, () => true)
+  t.is(moves.canaryShareOf(service), 1)
+  servers.hasOld = true
+  t.true(moves.canaryShareOf(service) <= maxShare)
+})
+
+test('a recorded result holds for an order that is written again after it, in the copy and over it', async t => {
+  const { clock, moves, orders, servers, written } = createRestarted({ ...lostResult, startedAtMs: createManualClock().wallMs(), state: 'taken-back' })
+  servers.hasOld = true
+  t.is(moves.canaryShareOf(service), 0)
+  await moves.reconcile()
+  // The copy had the order, and the operator writes it once more.
+  orders[0] = { ...orders[0]!, revision: createRevision(2, 80) }
+  t.is(moves.canaryShareOf(service), 0)
+  await moves.reconcile()
+  t.deepEqual(written, ['taken-back', 'taken-back'])
+  await clock.advance(60_000)
+  orders[0] = { ...orders[0]!, revision: createRevision(2, 95) }
+  t.is(moves.versionRolesOf(service)(target), 'evaluated')
+})
+
 /** A service with little traffic: two requests a second at the new version, and lookups that often fail by themselves. */
 const small = { nodes: 9, requestsPerSecond: 25, durationMs: 30_000, earlierMs: 4_000 }
 
