Skip windows that may have been reported before the start of a node

A process that starts knows neither what was reported before nor whether the store was restored since. The holder now stores, once an era, the era and the first window from which all counts are in the store, after it has written again what it remembers. Without that record of the present era, a new holder sends stored or remembered counts only, for windows that ended before it learned of the era, with a second for the difference of clocks. With it, a restart without a restore loses no window.

--- a/src/core/usage/reporter.ts
+++ b/src/core/usage/reporter.ts
@@ -1,10 +1,12 @@
 /**
  * Reports the usage of each window on the node that holds the duty. The counts
  * are stored in the key-value service before they are sent, so that a repeated
- * report of a window contains the same counts, whichever node sends it.
+ * report of a window contains the same counts, whichever node sends it. A window
+ * that may have been reported with counts that a restore undid is skipped.
  */
 import { z } from 'zod'
 import { toId } from '../ids/index.ts'
+import { createUsageContinuity } from './continuity.ts'
 import type { Result } from 'true-myth'
 import type { Clock } from '../clock/index.ts'
 import type { CyclamenError } from '../errors/index.ts'
@@ -48,10 +50,10 @@
 const usagePrefix = 'cyclamenshunt/usage/'
 /** Time after the end of a window until the reports of all nodes have arrived: several of their report intervals. */
 const settleMs = 1_500
+/** Largest difference between the clocks of two nodes that is expected. */
+const maxClockSkewMs = 1_000
 /** Timeout of one call. */
 const callTimeoutMs = 1_200
-/** Time for which a node counts as the last holder of the duty; several rounds. */
-const recentlyHeldMs = 1_500
 /** Number of windows whose stored counts are kept for a later holder of the duty. */
 const keptWindows = 6
 
@@ -63,10 +65,14 @@
   let firstWindow: number | undefined
   let startedAtMs: number | undefined
   let currentFencingNumber: number | undefined
-  let era: number | undefined
-  let lastHeldAtMs = -Infinity
-  /** Wall time at which this node learned that the key-value service was restored while another node held the duty. */
-  let restoredAtMs = -Infinity
+  const continuity = createUsageContinuity({
+    clock,
+    store,
+    view,
+    duty,
+    isFirstStart: options.isFirstStart,
+    firstUnreportedWindow: wallMs => usage.windowAt(wallMs - settleMs + maxClockSkewMs)
+  })
   view.onChanges(rememberAgreedCounts)
   /** Fencing number that was rejected because of a later holder; nothing more is sent with it. */
   let overtakenFencingNumber: number | undefined
@@ -85,12 +91,20 @@
     }
   }
 
-  /** Windows that are complete, not yet sent, and not past their due time. */
-  function dueWindows (): number[] {
+  /** Windows that are complete and not past their due time. */
+  function settledWindows (): number[] {
     const nowMs = clock.wallMs()
     const last = usage.windowAt(nowMs - settleMs) - 1
     const first = Math.max(firstWindow ?? 0, usage.windowAt(nowMs - dueMs) - 1)
-    return Array.from({ length: Math.max(0, last - first + 1) }, (_, index) => first + index).filter(window => !sentWindows.has(window))
+    return Array.from({ length: Math.max(0, last - first + 1) }, (_, index) => first + index)
+  }
+
+  function dueWindows (): number[] {
+    return settledWindows().filter(window => !sentWindows.has(window))
+  }
+
+  function encodeCounts (counts: WindowCounts): string {
+    return JSON.stringify(Object.fromEntries(counts))
   }
 
   /** Remembers the counts that are fixed for windows, because the key-value service may be restored from a copy without them. */
@@ -104,29 +118,15 @@
     for (const oldWindow of agreedCounts.keys()) if (oldWindow < usage.windowAt(clock.wallMs()) - 2 * keptWindows) agreedCounts.delete(oldWindow)
   }
 
-  /** Windows whose counts the previous holder may have fixed and sent before a restore that undid the record; other counts must not be sent for them. */
-  function mayHaveBeenReported (window: number): boolean {
-    return !agreedCounts.has(window) && window < usage.windowAt(restoredAtMs - settleMs)
-  }
-
+  /** Skips windows whose counts an earlier holder may have fixed and sent before a restore that undid the record; other counts must not be sent for them. */
   function skipUncertainWindows (): void {
     for (const window of dueWindows()) {
-      if (!mayHaveBeenReported(window)) continue
+      if (agreedCounts.has(window) || readAgreedCounts(window) !== undefined || window >= continuity.firstKnownWindow()) continue
       sentWindows.add(window)
       log('usageSkipped', { window })
     }
   }
 
-  function checkEra (): void {
-    // Before the first response the era isn't known; the first one is no restore.
-    if (era === undefined && view.reachableSinceMs() === undefined) return
-    const latest = store.era()
-    const wasHolding = clock.wallMs() - lastHeldAtMs < recentlyHeldMs
-    if (era !== undefined && latest > era && !wasHolding) restoredAtMs = clock.wallMs()
-    era = latest
-    if (duty.fencingNumber() !== undefined) lastHeldAtMs = clock.wallMs()
-  }
-
   /** The counts that all holders send for a window; undefined when the key-value service is not available. */
   async function agreeOnCounts (window: number): Promise<WindowCounts | undefined> {
     const stored = readAgreedCounts(window)
@@ -139,7 +139,7 @@
     const oldKey = keyOf(window - keptWindows)
     const written = await store.transact({
       compares: [guard, { key, modRevision: 0 }],
-      puts: [{ key, value: JSON.stringify(Object.fromEntries(counts)) }],
+      puts: [{ key, value: encodeCounts(counts) }],
       deletes: view.get(oldKey) === undefined ? [] : [oldKey]
     }, { deadlineAtMs: clock.wallMs() + callTimeoutMs })
     if (written.isOk && written.value.applied) {
@@ -176,19 +176,24 @@
   return {
     reportDueWindows: async () => {
       startedAtMs ??= clock.monotonicMs()
-      checkEra()
+      continuity.observeEra()
       if (options.isFirstStart) firstWindow ??= usage.windowAt(clock.wallMs())
       // The counts of other nodes for earlier windows arrive with their next reports.
       if (clock.monotonicMs() < startedAtMs + settleMs) return
       const fencingNumber = duty.orderWindow(checksFencing)?.fencingNumber
       if (fencingNumber === undefined || fencingNumber === overtakenFencingNumber) return
       if (currentFencingNumber !== fencingNumber) {
+        if (!await continuity.readStored()) return
         // It is not known what the previous holder has sent; sending a window again has no effect.
         currentFencingNumber = fencingNumber
         sentWindows.clear()
         skipUncertainWindows()
       }
       for (const window of dueWindows()) await report(window)
+      await continuity.store(settledWindows().map(window => {
+        const counts = agreedCounts.get(window)
+        return { window, key: keyOf(window), value: counts === undefined ? undefined : encodeCounts(counts) }
+      }))
     }
   }
 }
