Begin quota buckets empty if the store was restored since their levels were kept

After a restore of the store and a kill of all nodes, the nodes took the stored levels of an older copy, or their absence, for what teams had left, and could admit once more what was admitted since the copy was made. Nobody knows that, so buckets now begin empty, as they do for a record that can't be read, and fill within seconds. The record contains its era, and each era gets one.

The new test fails on the code before: both the levels of the copy and the missing record were passed on.

--- a/src/core/log/events/agreement.ts
+++ b/src/core/log/events/agreement.ts
@@ -18,6 +18,7 @@
   viewFromPeer: { number: 413, level: 'info', text: 'The content of the key-value service was copied from another node.', remedy: 'none; check the service if this persists.' },
   collectorChosen: { number: 414, level: 'info', text: 'This node now uses the totals of another collector of reports, or collects the reports itself.', remedy: 'none; if this happens repeatedly, check the network between both nodes.' },
   quotaLevelsUnreadable: { number: 416, level: 'warn', text: 'The stored levels of quota buckets could not be read; buckets begin empty.', remedy: 'none; the record is written again while a team is near its quota.' },
+  quotaLevelsOutdated: { number: 418, level: 'warn', text: 'The key-value service was restored since the levels of quota buckets were stored; buckets begin empty.', remedy: 'none; refusals by quota end within seconds, as the buckets fill.' },
   nodesDeparted: { number: 417, level: 'info', text: 'The registrations of nodes that were not heard for a long time were deleted.', remedy: 'none; a node that still runs registers again.' },
   quotaBegan: { number: 415, level: 'info', text: 'The bucket of a team\'s quota began on this node: full, with the level of another node, or empty because no node knows what was admitted.', remedy: 'none; refusals by quota within seconds after an empty one follow from the restart of all nodes.' }
 } satisfies Record<string, LogEventDefinition>
--- a/src/core/quota/stored-levels.ts
+++ b/src/core/quota/stored-levels.ts
@@ -2,7 +2,8 @@
  * Keeps low levels of quota buckets in the key-value service, for a start of all
  * nodes at once: nobody else knows then what a team has used. A team without a
  * stored level has used so little that the tolerance covers it, so that nothing is
- * written while teams stay within their quotas.
+ * written while teams stay within their quotas. A record from before a restore of
+ * the service says nothing about what was used since; each era gets its own.
  */
 import { z } from 'zod'
 import { toId } from '../ids/index.ts'
@@ -38,19 +39,25 @@
 const writeIntervalMs = 500
 const callTimeoutMs = 800
 
-const recordSchema = z.object({ atMs: z.number(), levels: z.record(z.string(), z.object({ quota: z.number(), tolerance: z.number() })) })
+const recordSchema = z.object({ era: z.number().default(0), atMs: z.number(), levels: z.record(z.string(), z.object({ quota: z.number(), tolerance: z.number() })) })
 
 /** Creates the stored levels; nothing is written before `reconcile`. */
 export function createStoredLevels ({ store, clock, log, quotas, duty }: StoredLevelsOptions): StoredLevels {
   let nextWriteAtMs = -Infinity
   /** Whether the record may contain levels, so that it must be cleared. */
   let mayContainLevels = true
+  /** Era of the service in which this node last wrote the record. */
+  let writtenEra: number | undefined
 
   function onContent (value: string | undefined): void {
-    if (value === undefined) return quotas.onStoredLevels(new Map(), 0)
+    const era = store.era()
+    // Without a record, a service that was never restored says that no level is low.
+    if (value === undefined && era === 0) return quotas.onStoredLevels(new Map(), 0)
+    if (value === undefined) return log('quotaLevelsOutdated', { era })
     const record = recordSchema.safeParse(parseJson(value))
     // An unreadable record tells nothing, so buckets begin empty.
     if (!record.success) return log('quotaLevelsUnreadable', { cause: record.error.message })
+    if (record.data.era !== era) return log('quotaLevelsOutdated', { era, recordedEra: record.data.era })
     const levels = new Map(Object.entries(record.data.levels).map(([team, level]): [TeamId, QuotaLevels] => [toId<TeamId>(team), level]))
     quotas.onStoredLevels(levels, Math.max(0, clock.wallMs() - record.data.atMs))
   }
@@ -59,11 +66,15 @@
     const guard = duty.guard()
     const levels = quotas.lowLevels()
     const nowMs = clock.monotonicMs()
-    if (guard === undefined || levels === undefined || nowMs < nextWriteAtMs || (levels.size === 0 && !mayContainLevels)) return
+    const era = store.era()
+    const isDue = levels !== undefined && (levels.size > 0 || mayContainLevels || writtenEra !== era)
+    if (guard === undefined || !isDue || nowMs < nextWriteAtMs) return
     nextWriteAtMs = nowMs + writeIntervalMs
-    const value = JSON.stringify({ atMs: clock.wallMs(), levels: Object.fromEntries(levels) })
+    const value = JSON.stringify({ era, atMs: clock.wallMs(), levels: Object.fromEntries(levels) })
     const written = await store.transact({ compares: [guard], puts: [{ key: recordKey, value }], deletes: [] }, { deadlineAtMs: clock.wallMs() + callTimeoutMs })
-    if (written.isOk && written.value.applied) mayContainLevels = levels.size > 0
+    if (written.isErr || !written.value.applied) return
+    mayContainLevels = levels.size > 0
+    writtenEra = era
   }
 
   return { key: recordKey, onContent, reconcile }
--- a/test/quota/stored-levels.test.ts
+++ b/test/quota/stored-levels.test.ts
@@ -15,12 +15,12 @@
   const kv = createMemoryKeyValue({ clock })
   const events: string[] = []
   const received: Array<{ levels: Array<[string, QuotaLevels]>, ageMs: number }> = []
-  const state = { low: new Map<TeamId, QuotaLevels>() as Map<TeamId, QuotaLevels> | undefined, isHolder: true }
+  const state = { low: new Map<TeamId, QuotaLevels>() as Map<TeamId, QuotaLevels> | undefined, isHolder: true, era: 0 }
   const duty: Duty = {
     name: 'd', fencingNumber: () => 1, guard: () => state.isHolder ? { key: 'duties/d', modRevision: 0 } : undefined, orderWindow: () => undefined, close: async () => {}
   }
   const stored = createStoredLevels({
-    store: kv.connect('node'),
+    store: { ...kv.connect('node'), era: () => state.era },
     clock,
     log: event => { events.push(event) },
     duty,
@@ -62,3 +62,21 @@
   t.deepEqual(received, [{ levels: [['agency', { quota: 10, tolerance: 2 }]], ageMs: 1_500 }, { levels: [], ageMs: 0 }])
   t.deepEqual(events, ['quotaLevelsUnreadable'])
 })
+
+test('a start after a restore takes neither the levels of the copy nor their absence for what teams have left', async t => {
+  const { clock, kv, events, received, state, stored } = setUp()
+  state.low = new Map([[team, { quota: 10, tolerance: 2 }]])
+  await stored.reconcile()
+  const copy = kv.state.get(stored.key)?.value
+  state.era = 1
+  stored.onContent(copy)
+  stored.onContent(undefined)
+  t.deepEqual(received, [])
+  t.deepEqual(events, ['quotaLevelsOutdated', 'quotaLevelsOutdated'])
+  // A holder that lived through the restore writes the record of the new era, although no level is low.
+  state.low = new Map()
+  await clock.advance(600)
+  await stored.reconcile()
+  stored.onContent(kv.state.get(stored.key)?.value)
+  t.deepEqual(received.map(({ levels }) => levels), [[]])
+})
