Judge a new version by itself while the old one has no backend server

Without attempts of the old version, each failure of the new one counted as a regression by its share, and a node that was restarted knew no usual rate: a good version that fails one request in seven for other reasons was found bad while its completion was being recovered, got nothing more, and was taken back with the only servers of its service.

Attempts now count only once registrations have settled after a restart or a restore. While the old version is gone, the bound is 25 bad answers beyond the usual rate, or beyond a quarter of the requests if no rate is known, and a version within that rate is completed. A bad one gets nothing, and is taken back when the old version has a server to take it to.

--- a/src/core/gateway/backend-table-types.ts
+++ b/src/core/gateway/backend-table-types.ts
@@ -71,6 +71,8 @@
   live: (service: string) => BackendEntry[]
   /** All entries of a service. */
   entries: (service: string) => BackendEntry[]
+  /** Whether a server of a service has another version than this one, and isn't leaving. */
+  hasOtherVersion: (service: string, version: VersionId) => boolean
   get: (id: BackendId) => KnownBackend | undefined
   list: () => KnownBackend[]
   /** Reports that it could not be reached or stopped responding. */
--- a/src/core/gateway/backend-table.ts
+++ b/src/core/gateway/backend-table.ts
@@ -242,6 +242,13 @@
       return liveOf(service).filter(({ suspectUntilMs, pausedUntilMs }) => suspectUntilMs <= nowMs && pausedUntilMs <= nowMs).map(({ entry }) => entry)
     },
     entries: service => [...known.values()].filter(({ entry }) => entry.service === service).map(({ entry, leavingSinceMs }) => leavingSinceMs === undefined ? entry : { ...entry, isLeaving: true }),
+    hasOtherVersion: (service, version) => {
+      for (const candidate of known.values()) {
+        const { entry, isMisdirected } = candidate
+        if (entry.service === service && entry.version !== version && !isMisdirected && !isLeaving(candidate)) return true
+      }
+      return false
+    },
     get: id => known.get(id),
     list: () => [...known.values()],
     markSuspect,
--- a/src/core/moves/canary-analysis.ts
+++ b/src/core/moves/canary-analysis.ts
@@ -61,6 +61,7 @@
   promotionVerdict: PromotionAnalysis['verdict']
   /** Whether the sum has so many bad answers of the new version that it must not get more, even if the old one does no better. */
   hasTooManyBad: PromotionAnalysis['hasTooManyBad']
+  answersWellAlone: PromotionAnalysis['answersWellAlone']
   isDoubtful: RegressionDetector['isDoubtful']
   totals: RegressionDetector['totals']
   brake: () => RegressionEvidence | undefined
@@ -189,6 +190,7 @@
     canaryAttempts,
     promotionVerdict: promotion.verdict,
     hasTooManyBad: promotion.hasTooManyBad,
+    answersWellAlone: promotion.answersWellAlone,
     isDoubtful,
     totals,
     brake: () => brake,
--- a/src/core/moves/promotion.ts
+++ b/src/core/moves/promotion.ts
@@ -71,8 +71,10 @@
   /** Adds counts; those at a share of 0 are of the time before the move. */
   add: (delta: AttemptCounts, nowMs: number) => void
   verdict: (nowMs: number) => PromotionVerdict
-  /** Whether the new version gave so many bad answers that it must not get more, even if the old one does no better. */
-  hasTooManyBad: () => boolean
+  /** Whether the new version gave so many bad answers that it must not get more, even if the old one does no better, or has no backend server. */
+  hasTooManyBad: (hasOldVersion?: boolean) => boolean
+  /** Whether the new version answers as well as is usual, for a move whose old version has no backend server to compare it with. */
+  answersWellAlone: () => boolean
 }
 
 /** Options of `createPromotionAnalysis`; times are wall times. */
@@ -134,10 +136,10 @@
     return lastUsualBucket([normOf(kind, route).oldCounts], roughSlowRatio) ?? lastUsualBucket(during.map(({ oldCounts }) => oldCounts), roughSlowRatio)
   }
 
-  /** Rate of bad attempts before the move. */
-  function normRateOf (kind: RegressionKind, route: string, threshold: number): number {
+  /** Rate of bad attempts before the move; `unknownRate` without enough attempts. */
+  function normRateOf (kind: RegressionKind, route: string, threshold: number, unknownRate = kind === 'failing' ? defaultFailureRate : defaultSlowRate): number {
     const { oldBad, oldTotal } = tallyOf(normOf(kind, route), threshold)
-    if (oldTotal < minReferenceAttempts) return kind === 'failing' ? defaultFailureRate : defaultSlowRate
+    if (oldTotal < minReferenceAttempts) return unknownRate
     return Math.min(maxReferenceRate, (oldBad + 0.5) / (oldTotal + 1))
   }
 
@@ -244,13 +246,16 @@
       (hasTestableSmaller ? test('small-routes', smaller, margins.part, maxSmallMissProbability) : undefined)
   }
 
-  function excessBadOf (kind: RegressionKind): number {
+  /** Bad attempts beyond the usual ones. Without the old version, a service whose usual rate isn't known may fail as often as can be evaluated. */
+  function excessBadOf (kind: RegressionKind, hasOldVersion: boolean): number {
     let excess = 0
     for (const [route, byPeriod] of routesOf(kind)) {
       const threshold = thresholdOf(kind, route)
       if (threshold === undefined || isUnusable(kind, route)) continue
+      if (!hasOldVersion && isFailing(tallyOf(normOf(kind, route), threshold))) continue
       const { newBad, newTotal } = sumTallies([...byPeriod.values()].map(histogram => tallyOf(histogram, threshold)))
-      excess += newBad - newTotal * (driftRatio * normRateOf(kind, route, threshold) + driftRate)
+      const normRate = normRateOf(kind, route, threshold, hasOldVersion ? undefined : (maxReferenceRate - driftRate) / driftRatio)
+      excess += newBad - newTotal * (driftRatio * normRate + driftRate)
     }
     return excess
   }
@@ -263,6 +268,11 @@
       if (!kinds.includes('failing')) return { result: 'too-few-attempts' }
       return kinds.map(kind => firstFailure(kind, nowMs)).find(failure => failure !== undefined) ?? { result: 'good' }
     },
-    hasTooManyBad: () => [...periods.keys()].some(kind => excessBadOf(kind) > maxExcessBad)
+    hasTooManyBad: (hasOldVersion = true) => [...periods.keys()].some(kind => excessBadOf(kind, hasOldVersion) > maxExcessBad),
+    answersWellAlone: () => {
+      const histograms = [...routesOf('failing').values()].flatMap(byPeriod => [...byPeriod.values()])
+      const { newTotal } = sumTallies(histograms.map(histogram => tallyOf(histogram, 0)))
+      return newTotal >= minReferenceAttempts && [...periods.keys()].every(kind => excessBadOf(kind, false) <= 0)
+    }
   }
 }
--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -102,7 +102,7 @@
     const oldVersion = createOldVersion({
       clock,
       hasServers: () => options.hasOldVersion(order),
-      isSettled: continuity.isSettled,
+      continuity,
       onChange: isGone => log('serviceMoveOldVersion', { service: order.service, target: order.target, isGone })
     })
     return {
@@ -184,8 +184,7 @@
     return Math.min(options.record(order)?.startedAtMs ?? Infinity, seenAtMs)
   }
 
-  function usedShareOf ({ slackShare, oldVersion }: RunningMove): number {
-    if (oldVersion.isGone()) return 1
+  function usedShareOf ({ slackShare }: RunningMove): number {
     return Math.min(options.maxShare * maxShareRatio, options.maxShare * usedShareRatio + slackShare)
   }
 
@@ -214,19 +213,17 @@
     if (isEnded(move)) return
     const { durationMs } = move.order
     const isExpired = clock.wallMs() > startOf(move) + durationMs - callTimeoutMs
-    if (move.isBad || (isExpired && canBeTakenBack(move))) return await write(move, 'taken-back')
+    if ((move.isBad || isExpired) && move.oldVersion.canTakeBack()) return await write(move, 'taken-back')
     if (state === undefined) return await write(move, 'running')
     const decideAtMs = startOf(move) + Math.max(durationMs * evaluationRatio, durationMs - maxMarginMs)
-    const canBeDone = move.oldVersion.hasServers() ? !isExpired : move.oldVersion.isGoneForGood()
-    if (clock.wallMs() >= decideAtMs && canBeDone && isShownGood(move)) await write(move, 'done')
+    if (move.isBad || clock.wallMs() < decideAtMs) return
+    const isShown = move.oldVersion.isGone() ? move.oldVersion.isGoneForGood() && move.analysis.answersWellAlone() : !isExpired && isShownGood(move)
+    if (isShown) await write(move, 'done')
   }
 
-  /**
-   * Whether the old version has backend servers that can take the requests back. After a restore these may have stopped
-   * because of a lost result, and only be registered in the copy.
-   */
-  function canBeTakenBack ({ continuity, oldVersion }: RunningMove): boolean {
-    return oldVersion.hasServers() && (!continuity.isRestored() || continuity.isSettled())
+  /** Records what an attempt showed, with the share at which it was drawn. */
+  function observe (move: RunningMove, record: (share: number) => void): void {
+    if (!isEnded(move) && move.oldVersion.isCertain()) record(move.oldVersion.isGone() ? 1 : usedShareOf(move))
   }
 
   /** A version that isn't shown to be good yet may be so later; without that it is taken back shortly before the deadline. */
@@ -262,14 +259,14 @@
     recordAttempt: (service, isCanary, evidence) => {
       const move = running.get(service)
       if (!isCanary && (move === undefined || isEnded(move))) historyOf(service).addAttempt(evidence.route, evidence.ok, clock.monotonicMs())
-      if (move === undefined || isEnded(move)) return
+      if (move === undefined) return
       const version = isCanary ? move.order.target : oldVersionLabel
-      move.analysis.recordAttempt({ ...evidence, version, team: service as TeamId, firstTokenMs: undefined, betweenTokensMs: undefined }, usedShareOf(move), clock.wallMs())
+      observe(move, share => move.analysis.recordAttempt({ ...evidence, version, team: service as TeamId, firstTokenMs: undefined, betweenTokensMs: undefined }, share, clock.wallMs()))
     },
     recordLatency: (service, isCanary, observation) => {
       const move = running.get(service)
       const version = isCanary ? move?.order.target : oldVersionLabel
-      if (move !== undefined && version !== undefined && !isEnded(move)) move.analysis.recordLatency({ ...observation, version }, usedShareOf(move), clock.wallMs())
+      if (move !== undefined && version !== undefined) observe(move, share => move.analysis.recordLatency({ ...observation, version }, share, clock.wallMs()))
       if (!isCanary && !observation.isLowerBound) historyOf(service).addLatency(observation.route, observation.kind, observation.latencyMs)
     },
     reports: () => [...running.values()].filter(move => stateOf(move) !== 'done').map(move => ({
@@ -289,7 +286,7 @@
         if (move === undefined) continue
         // The sum over all nodes is evaluated here, where the result is written.
         move.analysis.addReport(node, move.analysis.counts(), clock.wallMs())
-        if (!isEnded(move) && move.analysis.hasTooManyBad()) markBad(service, undefined, node)
+        if (!isEnded(move) && move.analysis.hasTooManyBad(!move.oldVersion.isGone())) markBad(service, undefined, node)
         await reconcileMove(move)
       }
     }
--- a/test/gateway/backend-table.test.ts
+++ b/test/gateway/backend-table.test.ts
@@ -242,3 +242,16 @@
   await clock.advance(5_000)
   t.deepEqual(usableIds(table), [idOf(1)])
 })
+
+test('a version has no servers left when all of its are leaving, misdirected or removed', t => {
+  const table = createTable(createManualClock(), 3)
+  const [old, target] = [toId<VersionId>('v1'), toId<VersionId>('v2')]
+  table.put(entryOf(3, { version: target }))
+  t.true(table.hasOtherVersion(service, target))
+  table.put(entryOf(0, { isLeaving: true }))
+  table.markMisdirected(idOf(1))
+  t.true(table.hasOtherVersion(service, target))
+  table.remove(idOf(2), 'test')
+  t.false(table.hasOtherVersion(service, target))
+  t.true(table.hasOtherVersion(service, old))
+})
