Keep a node answering when a roll-out is completed while its servers name a limit

What callers saw: all nodes answered nothing for about 3 s, requests in progress were not even timed out.

Cause: for a backend server of a replaced version only `replaced` was considered, not its limit, and `replaced` is a last resort. Without a permit for it the request was routed again at once, without leaving the microtask queue.

All reasons are evaluated now, the binding ones first. The choice and the permit are taken together (`choosePermitted`): a server whose permit is gone is left out of the next choice, so the number of choices is bounded by that of the servers, and each further turn of the request's loop makes an attempt. A replaced server also doesn't stand in for one that is only paused or limited, and doesn't count for the time to retry.

Before the change the three new tests failed: `npx ava test/gateway/gateway.test.ts test/gateway/backend-table.test.ts` gave 1,000 requests for a permit instead of 2, no `backends-limited` response while the loop held up the whole file (three other tests failed with it), and the replaced server as usable.

--- a/src/core/gateway/backend-table-types.ts
+++ b/src/core/gateway/backend-table-types.ts
@@ -65,7 +65,7 @@
   put: (entry: BackendEntry, isByRestore?: boolean) => void
   /** Removes an entry; requests in flight may finish. */
   remove: (id: BackendId, cause: string) => void
-  /** Backend servers of a service that may be chosen now for a request, by default a first attempt of the highest priority; suspected ones only if no other is live. Calls `onLimited` for those that it may not be sent to because of their limits. */
+  /** Backend servers of a service that may be chosen now for a request, by default a first attempt of the highest priority; suspected ones only if no other is live, and replaced ones only if none takes requests again soon. Calls `onLimited` for those that it may not be sent to because of their limits. */
   usable: (service: string, claim?: PermitClaim, onLimited?: (backend: BackendId) => void) => Backend[]
   /** The entries of a service whose servers take requests, as far as this node knows. */
   live: (service: string) => BackendEntry[]
@@ -95,8 +95,8 @@
   pause: (id: BackendId, forMs: number) => void
   /** Time until the first of a service's paused backend servers resumes; undefined unless all that are live are paused. */
   allPausedForMs: (service: string) => number | undefined
-  /** Time after which to retry, for a request that is refused because of limits; undefined unless all live backend servers that aren't paused limit their requests. */
-  allLimitedForMs: (service: string, claim: PermitClaim) => number | undefined
+  /** Time after which to retry, for a request that is refused because of limits; undefined unless all live backend servers that are neither paused nor excluded limit their requests. */
+  allLimitedForMs: (service: string, claim: PermitClaim, excluded: ReadonlySet<BackendId>) => number | undefined
   /** Whether a version of a service is being stopped after a move. */
   isReplaced: (service: string, version: VersionId) => boolean
   /** How many backend servers of each service get no requests, by reason. */
--- a/src/core/gateway/backend-table.ts
+++ b/src/core/gateway/backend-table.ts
@@ -4,7 +4,7 @@
  */
 import { createBackendConnections } from './backend-connections.ts'
 import { createDepartedBackends } from './departed-backends.ts'
-import { ineligibleReason, isLastResort } from './eligibility.ts'
+import { ineligibleReason, isHeldBack, isLastResort } from './eligibility.ts'
 import { createPeerSuspects, isSuspectedByPeers } from './peer-suspects.ts'
 import { toId } from '../ids/index.ts'
 import type { Backend } from '../backends/types.ts'
@@ -12,6 +12,7 @@
 import type { BackendConnections } from './backend-connections.ts'
 import type { IneligibleReason } from './eligibility.ts'
 import type { PermitClaim } from '../backend-limits/index.ts'
+import type { VersionRole } from '../moves/types.ts'
 import type { SuspectCounts } from '../node-reports/types.ts'
 import type { BackendEntry } from './types.ts'
 import type { BackendTable, BackendTableOptions, KnownBackend } from './backend-table-types.ts'
@@ -129,25 +130,29 @@
     const retriesSuspects = peerCounts.size > 0 && options.random() < retrySuspectRatio
     const roleOf = options.versionRolesOf(service)
     const eligible: Backend[] = []
-    const lastResorts: Backend[] = []
+    const lastResorts: Array<{ backend: Backend, role: VersionRole }> = []
+    let hasHeldBack = false
     for (const candidate of known.values()) {
       const { entry, backend } = candidate
       if (entry.service !== service) continue
       const role = roleOf(entry.version)
-      const reason = role === 'replaced' ? 'replaced' : reasonOf(candidate, nowMs, peerCounts, retriesSuspects, claim)
+      const reason = reasonOf(candidate, role, nowMs, peerCounts, retriesSuspects, claim)
       if (reason === 'limited') {
         limits.recordSkipped(entry)
         onLimited(entry.id)
       }
+      if (reason !== undefined && isHeldBack(reason) && role !== 'replaced') hasHeldBack = true
       if (reason !== undefined && !isLastResort(reason)) continue
       const labelled = role === 'evaluated' ? { ...backend, version: canaryLabel } : backend
       if (reason === undefined) eligible.push(labelled)
-      else lastResorts.push(labelled)
+      else lastResorts.push({ backend: labelled, role })
     }
-    return eligible.length > 0 ? eligible : lastResorts
+    if (eligible.length > 0) return eligible
+    // A replaced backend server may stop under a request, so it doesn't stand in for one that takes requests again soon.
+    return lastResorts.filter(({ role }) => !hasHeldBack || role !== 'replaced').map(({ backend }) => backend)
   }
 
-  function reasonOf (candidate: KnownBackend, nowMs: number, peerCounts: ReadonlyMap<BackendId, SuspectCounts>, retriesSuspects: boolean, claim = defaultClaim): IneligibleReason | undefined {
+  function reasonOf (candidate: KnownBackend, role: VersionRole, nowMs: number, peerCounts: ReadonlyMap<BackendId, SuspectCounts>, retriesSuspects: boolean, claim = defaultClaim): IneligibleReason | undefined {
     const { entry, consecutiveFailures, lastActivityAtMs, pausedUntilMs } = candidate
     const limitEndedAtMs = limits.endedAtMs(entry)
     return ineligibleReason({
@@ -155,6 +160,7 @@
       isLeaving: isLeaving(candidate),
       hasPermit: limits.hasPermit(entry, claim),
       limitEndedAtMs,
+      isReplaced: role === 'replaced',
       // A node that found out by itself goes on to try; the others wait until it succeeds.
       isAvoided: isSuspectedByPeers(peerCounts.get(entry.id)) && consecutiveFailures === 0 && lastActivityAtMs < nowMs - ownActivityMs && !retriesSuspects
     }, nowMs, pausedUntilMs === -Infinity && limitEndedAtMs === -Infinity ? 0 : options.random())
@@ -182,7 +188,8 @@
   }
 
   function liveOf (service: string): KnownBackend[] {
-    return [...known.values()].filter(candidate => candidate.entry.service === service && !isLeaving(candidate) && !candidate.isMisdirected)
+    const roleOf = options.versionRolesOf(service)
+    return [...known.values()].filter(candidate => candidate.entry.service === service && !isLeaving(candidate) && !candidate.isMisdirected && roleOf(candidate.entry.version) !== 'replaced')
   }
 
   function allPausedForMs (service: string): number | undefined {
@@ -192,11 +199,13 @@
     return Math.min(...live.map(({ pausedUntilMs }) => pausedUntilMs)) - nowMs
   }
 
-  function allLimitedForMs (service: string, claim: PermitClaim): number | undefined {
+  function allLimitedForMs (service: string, claim: PermitClaim, excluded: ReadonlySet<BackendId>): number | undefined {
     const nowMs = clock.monotonicMs()
-    const unpaused = liveOf(service).filter(({ pausedUntilMs }) => pausedUntilMs <= nowMs)
-    if (unpaused.length === 0 || unpaused.some(({ entry }) => limits.stateOf(entry) === undefined)) return undefined
-    return limits.onRefused(service, unpaused.map(({ entry }) => entry), claim)
+    const unpaused = liveOf(service).filter(({ pausedUntilMs }) => pausedUntilMs <= nowMs).map(({ entry }) => entry)
+    const limited = unpaused.filter(entry => limits.stateOf(entry) !== undefined)
+    const hasUnlimited = unpaused.some(entry => !excluded.has(entry.id) && limits.stateOf(entry) === undefined)
+    if (limited.length === 0 || hasUnlimited) return undefined
+    return limits.onRefused(service, limited, claim)
   }
 
   function ineligibleCounts (): Map<string, Map<IneligibleReason, number>> {
@@ -204,8 +213,8 @@
     const peerCounts = peerSuspects.counts()
     const counts = new Map<string, Map<IneligibleReason, number>>()
     for (const candidate of known.values()) {
-      const { service } = candidate.entry
-      const reason = reasonOf(candidate, nowMs, peerCounts, false)
+      const { service, version } = candidate.entry
+      const reason = reasonOf(candidate, options.versionRolesOf(service)(version), nowMs, peerCounts, false)
       const byReason = counts.get(service) ?? new Map<IneligibleReason, number>()
       counts.set(service, byReason)
       if (reason !== undefined) byReason.set(reason, (byReason.get(reason) ?? 0) + 1)
--- a/src/core/gateway/eligibility.ts
+++ b/src/core/gateway/eligibility.ts
@@ -33,6 +33,8 @@
   limitEndedAtMs: number
   suspectUntilMs: number
   isAvoided: boolean
+  /** Whether a move to another version has ended, so that it is being stopped. */
+  isReplaced: boolean
 }
 
 /** Time over which the load of a backend server returns after its pause or limit. */
@@ -47,10 +49,16 @@
   if (nowMs < input.unconfirmedUntilMs) return 'unconfirmed'
   if (nowMs < input.suspectUntilMs) return 'suspected'
   if (input.isAvoided) return 'avoided'
+  if (input.isReplaced) return 'replaced'
   const resumesFromMs = Math.max(input.pausedUntilMs, input.limitEndedAtMs)
   return nowMs < resumesFromMs + resumeMs && draw >= (nowMs - resumesFromMs) / resumeMs ? 'resuming' : undefined
 }
 
+/** Whether a backend server with this reason takes requests again by itself, usually within seconds. */
+export function isHeldBack (reason: IneligibleReason): boolean {
+  return reason === 'paused' || reason === 'limited'
+}
+
 /** Whether a backend server with this reason may still be used when no other is eligible: the reason may be wrong, or isn't binding. */
 export function isLastResort (reason: IneligibleReason): boolean {
   return reason === 'suspected' || reason === 'avoided' || reason === 'resuming' || reason === 'replaced'
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -21,6 +21,7 @@
 import type { AttemptEnd } from './attempt.ts'
 import type { RequestHandlerOptions, ActiveRequest } from './active-request.ts'
 import type { GatewayResponse } from './gateway-response.ts'
+import type { UnchosenReason } from './limit-gate.ts'
 import type { GatewayRoute } from './types.ts'
 
 /** Retry time that callers get while the node has no configuration. */
@@ -207,7 +208,7 @@
     }
   }
 
-  /** Makes attempts until the request has ended. */
+  /** Makes attempts until the request has ended. A turn that makes no attempt is the last one, unless the request has just ended. */
   async function attemptUntilDone (active: ActiveRequest): Promise<void> {
     for (;;) {
       if (active.isCallerGone) return
@@ -218,30 +219,28 @@
         continue
       }
       if (admittance.kind === 'refused') return failRequest(active, admittance.reason, admittance.detail, admittance.retryAtMs - clock.wallMs())
-      const usable = limitGate.usable(active)
-      const chosen = router.choose(routeRequest(active), usable)
+      const chosen = limitGate.choose(active, usable => router.choose(routeRequest(active), usable))
       if (chosen.isErr) {
         admittance.release()
-        const pausedForMs = backends.allPausedForMs(active.service)
-        if (pausedForMs !== undefined) return failRequest(active, 'backends-paused', 'All backend servers of the service asked for a pause.', pausedForMs + options.random() * resumeMs)
-        const limitedForMs = usable.length === 0 ? limitGate.retryInMs(active) : undefined
-        if (limitedForMs !== undefined) return failRequest(active, 'backends-limited', 'All backend servers of the service limit their requests, and no permit is left.', limitedForMs)
-        const { reason, detail, retryAtMs } = chosen.error
-        return failRequest(active, reason, detail, Math.max(0, (retryAtMs ?? 0) - clock.wallMs()))
+        return refuseUnchosen(active, chosen.error)
       }
-      const permit = limitGate.takePermit(active, chosen.value)
-      if (permit === undefined) {
-        admittance.release()
-        continue
-      }
-      const end = await attemptOnce(active, chosen.value)
+      const { choice, permit } = chosen.value
+      const end = await attemptOnce(active, choice)
       limitGate.onAttemptEnded(permit, end)
       admittance.release()
       await quarantineGate.onAttemptEnded(active, end)
-      if (handleAttemptEnd(active, chosen.value, end)) return
+      if (handleAttemptEnd(active, choice, end)) return
     }
   }
 
+  function refuseUnchosen (active: ActiveRequest, { refusal, limitedForMs }: UnchosenReason): void {
+    const pausedForMs = backends.allPausedForMs(active.service)
+    if (pausedForMs !== undefined) return failRequest(active, 'backends-paused', 'All backend servers of the service asked for a pause.', pausedForMs + options.random() * resumeMs)
+    if (limitedForMs !== undefined) return failRequest(active, 'backends-limited', 'All backend servers of the service limit their requests, and no permit is left.', limitedForMs)
+    const { reason, detail, retryAtMs } = refusal
+    failRequest(active, reason, detail, Math.max(0, (retryAtMs ?? 0) - clock.wallMs()))
+  }
+
   async function attemptOnce (active: ActiveRequest, choice: RouteChoice): Promise<AttemptEnd> {
     const { route, team, request, response, head, id } = active
     const known = backends.get(choice.backend.id)
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -26,6 +26,8 @@
 
 export type * from './types.ts'
 export { tokensPerBlock } from '../backends/prompt-blocks.ts'
+export { choosePermitted } from './permitted-choice.ts'
+export type { PermittedChoice } from './permitted-choice.ts'
 export { createPromptHasher } from './prompt-hasher.ts'
 
 const defaultSubsetSize = 32
--- a/test/gateway/backend-table.test.ts
+++ b/test/gateway/backend-table.test.ts
@@ -17,8 +17,8 @@
 const peer = toId<NodeId>('peer')
 const idOf = (index: number) => toId<BackendId>(`engine-${index}`)
 
-function createTable (clock: ManualClock, backendCount: number, random = () => 0.5): BackendTable {
-  const table = createBackendTable({ clock, log: createSilentLog(), metrics: createMetrics(), limits: noLimits, random, versionRolesOf: () => () => 'serving', maxPauseMs: 30_000, onRemoved: () => {} })
+function createTable (clock: ManualClock, backendCount: number, random = () => 0.5, changes: Partial<BackendTableOptions> = {}): BackendTable {
+  const table = createBackendTable({ clock, log: createSilentLog(), metrics: createMetrics(), limits: noLimits, random, versionRolesOf: () => () => 'serving', maxPauseMs: 30_000, onRemoved: () => {}, ...changes })
   for (let index = 0; index < backendCount; index += 1) {
     table.put(entryOf(index))
   }
@@ -255,3 +255,18 @@
   t.false(table.hasOtherVersion(service, target))
   t.true(table.hasOtherVersion(service, old))
 })
+
+test('a replaced backend server gets requests only while it has a permit and no other takes requests again soon', t => {
+  const permits = new Set<BackendId>()
+  const limits: BackendTableOptions['limits'] = { ...noLimits, hasPermit: ({ id }) => permits.has(id), stateOf: ({ id }) => permits.has(id) ? undefined : { perSecond: 1, forMs: 0, ownPerSecond: 1, nextPermitInMs: 500 }, onRefused: (_service, { length }) => length }
+  const table = createTable(createManualClock(), 2, () => 0.5, { limits, versionRolesOf: () => version => version === 'v0' ? 'replaced' : 'serving' })
+  table.put(entryOf(0, { version: toId<VersionId>('v0') }))
+  t.deepEqual(usableIds(table), [], 'none has a permit')
+  permits.add(idOf(0))
+  t.deepEqual(usableIds(table), [], 'the other one has a permit soon')
+  t.is(table.allLimitedForMs(service, { rank: 0, isRetry: false }, new Set()), 1, 'only the other one counts')
+  table.markLeaving(idOf(1))
+  t.deepEqual(usableIds(table), [idOf(0)])
+  permits.clear()
+  t.deepEqual(usableIds(table), [])
+})
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -12,7 +12,7 @@
 import { formatResponse, startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 import type { AddressInfo } from 'node:net'
 import type { ExecutionContext } from 'ava'
-import type { AttemptReport, BackendEntry, GatewayConfiguration, GatewayRoute, HeaderCodec } from '../../src/core/gateway/index.ts'
+import type { AttemptReport, BackendEntry, GatewayConfiguration, GatewayRoute, HeaderCodec, RequestHandlerOptions } from '../../src/core/gateway/index.ts'
 import type { BackendId, DomainId, NodeId, PromptPartId, RequestId, TeamId, VersionId } from '../../src/core/ids/index.ts'
 import type { RawRequestHandler, RawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 
@@ -113,7 +113,7 @@
 }
 
 /** Starts a gateway with one fake backend server for each element of `handlers`. */
-export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}) {
+export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'] } = {}) {
   const servers: RawBackend[] = await Promise.all(handlers.map(handler => startRawBackend(handler)))
   const metrics = createMetrics()
   const attempts: AttemptReport[] = []
@@ -143,10 +143,10 @@
     getsAllReports: () => true,
     backendOf: id => backends.get(id)?.entry
   })
-  const backends = createBackendTable({ clock, log, metrics, limits, random: () => 0.5, versionRolesOf: () => () => 'serving', maxPauseMs: 30_000, onRemoved: router.removeBackend })
-  for (const [index, { port }] of servers.entries()) backends.put(entryOf(`b-${index}`, port))
+  const backends = createBackendTable({ clock, log, metrics, limits, random: () => 0.5, versionRolesOf: () => version => version === state.replacedVersion ? 'replaced' : 'serving', maxPauseMs: 30_000, onRemoved: router.removeBackend })
   const table = createRouteTable({ ...configuration, ...changes })
-  const state = { isDraining: false, table: table as typeof table | undefined }
+  const state = { isDraining: false, table: table as typeof table | undefined, replacedVersion: undefined as string | undefined }
+  for (const [index, { port }] of servers.entries()) backends.put(entryOf(`b-${index}`, port))
   const quarantine = createQuarantine({ clock, log, metrics, random: createRandom(4), nodeCount: () => 1, reportDelayMs: () => 100, isDeciding: () => true, claimTrial: async () => false })
   const serve = createRequestHandler({
     clock,
@@ -159,7 +159,7 @@
     retryBudget: createRetryBudget({ clock, minRetriesPerSecond: () => 10 }),
     quarantine,
     backends,
-    limits,
+    limits: { ...limits, take: fakes.takePermit ?? limits.take },
     routeTable: () => state.table,
     canaryShare: () => 0,
     onStarted: () => {},
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -1,10 +1,12 @@
 /** Responses of the gateway to callers when backend servers respond correctly, incorrectly or not at all. */
 import { connect } from 'node:net'
 import test from 'ava'
+import { toId } from '../../src/core/ids/index.ts'
 import { formatResponse, formatChunk } from '../../src/stand-ins/raw-backend/index.ts'
 import { respondNotRun, respondOk, configuration, signed, startGateway } from './deployment.ts'
 import { waitUntil } from './wait-until.ts'
 import type { RawRequest, RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
+import type { VersionId } from '../../src/core/ids/index.ts'
 
 function streamHead (request: string): string {
   const headers = Object.entries({ ...signed(request), 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked' })
@@ -370,6 +372,35 @@
   t.false(events.slice(eventsBefore).some(({ event }) => event === 'backendSuspected'))
 })
 
+test('while the servers of a new version are at their limits, a replaced one at its limit does not keep the node busy', async t => {
+  const limited: RawRequestHandler = ({ headers }, socket) => {
+    socket.write(formatResponse(200, { ...signed(headers['x-request'] ?? ''), 'x-limit': '0.1' }, 'whole'))
+  }
+  const { call, backends, servers, state } = await startGateway(t, [limited, limited])
+  for (const id of ['r-1', 'r-2']) t.is((await call('/register/', id)).status, 200)
+  const { entry } = backends.list()[0]!
+  backends.put({ ...entry, version: toId<VersionId>('v0') })
+  state.replacedVersion = 'v0'
+  const refused = await call('/register/', 'r-3')
+  t.is(refused.status, 503)
+  t.true(refused.body.includes('backends-limited'))
+  t.true(Number(refused.headers.get('retry-after')) > 0)
+  t.is(servers.reduce((sum, { requests }) => sum + requests.length, 0), 2)
+})
+
+test('a backend server whose permit is gone when it was chosen is not chosen again for the request', async t => {
+  const asked: string[] = []
+  const { call, servers } = await startGateway(t, [respondOk, respondOk], {}, {
+    takePermit: ({ id }) => {
+      asked.push(id)
+      return id === asked[0] && asked.length < 1_000 ? undefined : { giveBack: () => {} }
+    }
+  })
+  t.is((await call('/register/', 'r-1')).status, 200)
+  t.is(asked.length, 2)
+  t.deepEqual(servers.map(({ requests }) => requests.length).toSorted(), [0, 1])
+})
+
 test('a request that could not be delivered does not use up the permit of a limited server', async t => {
   const limited: RawRequestHandler = ({ headers }, socket) => {
     socket.write(formatResponse(200, { ...signed(headers['x-request'] ?? ''), 'x-limit': '2', connection: 'close' }, 'whole'))
