Send a draft or call elsewhere when the permit of its chosen server is gone

What callers of the own interface saw: if the permit of the chosen backend server was gone between the choice and its use, the request was refused although another server had one, with a retry time that was already past, so that they came back at once.

`npx ava test/backend-limits/limited-choice.test.ts`: both tests fail before the change.

--- a/src/core/node/choose-backend.ts
+++ b/src/core/node/choose-backend.ts
@@ -16,7 +16,7 @@
 import type { PromptBlocks, PromptHasher, RouteChoice, Router } from '../routing/index.ts'
 import type { Priority, VersionShares } from '../teams/index.ts'
 import type { RecordAttempt } from '../moves/attempt-observation.ts'
-import { choosePermitted } from './limited-choice.ts'
+import { chooseWithinLimits } from './limited-choice.ts'
 import { createFailedVersions } from './failed-versions.ts'
 import type { OwnPathQuarantine } from './own-path-quarantine.ts'
 
@@ -78,7 +78,7 @@
     }
     const remaining = version === undefined ? failedVersions.remaining(draft, shares) : shares
     const claim = { rank: priorityRanks[draft.priority], isRetry: excluded.size > 0 }
-    const chosen = choosePermitted({ clock, router, limits: options.requestLimits }, {
+    const chosen = chooseWithinLimits({ clock, router, limits: options.requestLimits }, {
       request: draft.request,
       team: draft.team,
       shares: remaining,
--- a/src/core/node/send-call.ts
+++ b/src/core/node/send-call.ts
@@ -5,12 +5,11 @@
 import type { AttemptRequest, LookUp, SendAttempt } from '../calls/index.ts'
 import { toId } from '../ids/index.ts'
 import type { BackendId, RequestId } from '../ids/index.ts'
-import type { RouteChoice } from '../routing/index.ts'
-import type { PermitClaim } from '../backend-limits/index.ts'
+import type { PermittedChoice, RouteChoice } from '../routing/index.ts'
+import type { Permit, PermitClaim } from '../backend-limits/index.ts'
 import type { BackendTable } from '../backends/table.ts'
-import { choosePermitted } from './limited-choice.ts'
+import { chooseWithinLimits } from './limited-choice.ts'
 import type { ChooseBackendOptions } from './choose-backend.ts'
-import type { PermittedChoice } from './limited-choice.ts'
 
 /** Calls are not ranked. */
 const callClaim: PermitClaim = { rank: 1, isRetry: false }
@@ -65,11 +64,11 @@
   return { reason: 'connect-failed', mayHaveRun: false, detail, ...(retryAtMs === undefined ? {} : { retryAtMs }) }
 }
 
-function chooseBackend (order: AttemptRequest, options: ChooseBackendOptions): Result<PermittedChoice, AttemptFailure> {
+function chooseBackend (order: AttemptRequest, options: ChooseBackendOptions): Result<PermittedChoice<Permit>, AttemptFailure> {
   const shares = options.sharesOf(order.team)
   if (shares === undefined) return err(notSentFailure('the team is no longer declared'))
   options.requestLimits.recordDemand(order.team)
-  return choosePermitted({ ...options, limits: options.requestLimits }, {
+  return chooseWithinLimits({ ...options, limits: options.requestLimits }, {
     request: toId<RequestId>(order.attempt),
     team: order.team,
     shares,
