End a request when a quarantine aborts its attempt

What callers could see: a request that must run at most once was sent a second time when the quarantine that had aborted its attempt had ended before the next turn of the loop, by its time or by an answer. That is a window of one turn of the event loop, found in the code and not on a run. It was also the only way through the loop of attempts that no count bounded.

The gate records why the request is blocked when it aborts the attempt, and the end of such an attempt ends the request with that reason (502 once a backend server may have run it, else 503).

--- a/src/core/gateway/attempt-end-handler.ts
+++ b/src/core/gateway/attempt-end-handler.ts
@@ -54,7 +54,7 @@
     }
     if (end.kind === 'aborted') {
       if (end.mayHaveRun) active.mayHaveRunOn.add(backend)
-      return false
+      return failIfBlocked(active)
     }
     if (end.kind === 'not-run') {
       if (end.isMisdirected) backends.markMisdirected(backend)
@@ -91,11 +91,7 @@
   function retryOrFail (active: ActiveRequest, choice: RouteChoice, cause: string): boolean {
     const { route, excluded } = active
     excluded.add(choice.backend.id)
-    if (active.blockedBy !== undefined && !active.isCallerGone) {
-      const { reason, detail, retryAtMs } = active.blockedBy
-      failRequest(active, reason, detail, retryAtMs - clock.wallMs())
-      return false
-    }
+    if (failIfBlocked(active)) return false
     const mayRepeat = active.mayHaveRunOn.size === 0 || isRetryable(active)
     const hasAttemptsLeft = active.sentCount < route.maxBackends && active.undeliveredCount <= maxUndelivered
     const isWithinDeadline = clock.wallMs() < active.deadlineAtMs && !active.isCallerGone
@@ -111,6 +107,14 @@
     return false
   }
 
+  /** Ends a request that must not be sent again; returns whether it was ended. */
+  function failIfBlocked (active: ActiveRequest): boolean {
+    const { blockedBy, isCallerGone } = active
+    if (blockedBy === undefined || isCallerGone) return false
+    failRequest(active, blockedBy.reason, blockedBy.detail, blockedBy.retryAtMs - clock.wallMs())
+    return true
+  }
+
   /** Ends the request with 503 when it was certainly not run, with a kept 5xx response, or with 502 when its outcome is unknown. */
   function failRequest (active: ActiveRequest, reason: string, detail: string, retryInMs: number): void {
     const { response, failureResponse, mayHaveRunOn, progress } = active
--- a/src/core/gateway/quarantine-gate.ts
+++ b/src/core/gateway/quarantine-gate.ts
@@ -7,8 +7,8 @@
 import { toId } from '../ids/index.ts'
 import { explainRefusal, isRequestDigest } from '../quarantine/index.ts'
 import type { AttemptId, RequestFeature } from '../ids/index.ts'
-import type { Admittance, QuarantineRequest } from '../quarantine/index.ts'
-import type { ActiveRequest, RequestHandlerOptions } from './active-request.ts'
+import type { Admittance, QuarantineRecord, QuarantineRequest } from '../quarantine/index.ts'
+import type { ActiveRequest, BlockedRequest, RequestHandlerOptions } from './active-request.ts'
 import type { AttemptEnd } from './attempt.ts'
 import type { KnownBackend } from './backend-table-types.ts'
 import type { GatewayResponse } from './gateway-response.ts'
@@ -44,10 +44,18 @@
       const { service, attempt } = active
       const record = quarantine.find(service, featuresOf(active))
       const isRefused = record !== undefined && clock.wallMs() < record.untilMs
-      if (isRefused && attempt !== undefined && attempt.phase() !== 'answering') attempt.abort()
+      if (!isRefused || attempt === undefined || attempt.phase() === 'answering') continue
+      // Decided here, because the quarantine may have ended when the attempt has.
+      active.blockedBy = refusalOf(record)
+      attempt.abort()
     }
   })
 
+  function refusalOf ({ features, untilMs }: QuarantineRecord): BlockedRequest {
+    const reason = features.some(isRequestDigest) ? 'request-quarantined' : 'prompt-quarantined'
+    return { reason, detail: explainRefusal('quarantined', features), retryAtMs: untilMs }
+  }
+
   function featuresOf (active: ActiveRequest): RequestFeature[] {
     const { service, head, body } = active
     const isUnneeded = (body?.length ?? 0) > maxDigestedBytes && quarantine.isQuiet(service)
@@ -135,8 +143,8 @@
       const nowMs = clock.wallMs()
       // From its deadline on, the record lets a trial through, which is decided before the attempt.
       if (record === undefined || nowMs >= record.untilMs) return undefined
-      const reason = record.features.some(isRequestDigest) ? 'request-quarantined' : 'prompt-quarantined'
-      return { status: 503, reason, detail: explainRefusal('quarantined', record.features), retryInMs: record.untilMs - nowMs }
+      const { reason, detail, retryAtMs } = refusalOf(record)
+      return { status: 503, reason, detail, retryInMs: retryAtMs - nowMs }
     },
     admit,
     onFirstEvent: ({ service, head }) => quarantine.recordAnswer(service, head.sharedParts),
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -113,7 +113,7 @@
 }
 
 /** Starts a gateway with one fake backend server for each element of `handlers`. */
-export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'] } = {}) {
+export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'], quarantine?: Partial<RequestHandlerOptions['quarantine']> } = {}) {
   const servers: RawBackend[] = await Promise.all(handlers.map(handler => startRawBackend(handler)))
   const metrics = createMetrics()
   const attempts: AttemptReport[] = []
@@ -157,7 +157,7 @@
     admission: createAdmission({ clock, metrics, random: createRandom(2), maxConcurrent: 100 }),
     quotas: createQuotas({ clock, random: () => 0, hasFullBuckets: true, ownShare: () => 1, reportAgeMs: () => 0, reachableShare: () => 1 }),
     retryBudget: createRetryBudget({ clock, minRetriesPerSecond: () => 10 }),
-    quarantine,
+    quarantine: { ...quarantine, ...fakes.quarantine },
     backends,
     limits: { ...limits, take: fakes.takePermit ?? limits.take },
     routeTable: () => state.table,
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -7,6 +7,7 @@
 import { waitUntil } from './wait-until.ts'
 import type { RawRequest, RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
 import type { VersionId } from '../../src/core/ids/index.ts'
+import type { QuarantineRecord } from '../../src/core/quarantine/index.ts'
 
 function streamHead (request: string): string {
   const headers = Object.entries({ ...signed(request), 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked' })
@@ -401,6 +402,29 @@
   t.deepEqual(servers.map(({ requests }) => requests.length).toSorted(), [0, 1])
 })
 
+const quarantineRecord: QuarantineRecord = { service: 'service', features: [], state: 'quarantined', changedAtMs: 0, sinceMs: 0, untilMs: 0, crashes: 1, backends: [] }
+
+test('a request whose attempt is aborted by a quarantine is not sent again, even if the quarantine has ended by then', async t => {
+  let applyQuarantine = (): void => {}
+  let isQuarantined = false
+  const { call, servers } = await startGateway(t, [() => {}, () => {}], {}, {
+    quarantine: {
+      admit: async () => ({ kind: 'admitted', release: () => {} }),
+      find: (_service, features) => isQuarantined ? { ...quarantineRecord, features, untilMs: Date.now() + 1_000 } : undefined,
+      onQuarantined: listener => { applyQuarantine = listener }
+    }
+  })
+  const arrivals = (): number => servers.reduce((sum, { requests }) => sum + requests.length, 0)
+  const open = call('/register/', 'r-1', { body: 'b' })
+  await waitUntil(() => arrivals() === 1)
+  isQuarantined = true
+  applyQuarantine()
+  isQuarantined = false
+  const { status } = await open
+  t.is(arrivals(), 1)
+  t.is(status, 502)
+})
+
 test('a request that could not be delivered does not use up the permit of a limited server', async t => {
   const limited: RawRequestHandler = ({ headers }, socket) => {
     socket.write(formatResponse(200, { ...signed(headers['x-request'] ?? ''), 'x-limit': '2', connection: 'close' }, 'whole'))
