Cut a broken stream at once when the next server can't go on with it

Callers of resumable streams waited without end, with no line in the log, when the next backend server sent a status from 300 to 499: handleAttemptEnd returned as finished, and nothing ended the response. A 204 ended it as complete. A 200 of another type or with an encoding got the error's text into the stream.

Each way to serve an accepted request now returns how it ends, and endRequest alone carries that out, so that the compiler finds a path without an end. A head that can't continue the stream is recognised when it arrives. Whatever serve leaves open after an unexpected error is cut or gets 502.

--- a/src/core/gateway/attempt-end-handler.ts
+++ b/src/core/gateway/attempt-end-handler.ts
@@ -1,6 +1,7 @@
 /**
- * Decides what follows the end of an attempt: another attempt, or the final
- * response, which reports the request as not run only when that is certain.
+ * Decides what follows the end of an attempt: another attempt, or the end of the
+ * request. `endRequest` is the only place that ends an accepted request; it reports
+ * the request as not run only when that is certain.
  */
 import { cutAnswer } from '../caller-connections/index.ts'
 import { delimitByConnectionClose, isSelfDelimited, forwardedResponseHeaders } from './gateway-response.ts'
@@ -18,6 +19,7 @@
 const maxUndelivered = 3
 
 const unavailableStatus = 503
+const firstServerErrorStatus = 500
 const maxLoggedChars = 40
 
 function retryAfterOf ({ headers }: CompleteResponse): string | undefined {
@@ -25,16 +27,37 @@
   return Array.isArray(value) ? value[0] : value
 }
 
+/** How a request ends. */
+export type RequestEnd =
+  /** An attempt has forwarded the whole response. */
+  | { kind: 'passed-on', status: number }
+  /** The complete response of a backend server is to be forwarded. */
+  | { kind: 'complete', response: CompleteResponse }
+  /** There is no such response; `reason` is a metric label. */
+  | { kind: 'failed', reason: string, detail: string, retryInMs: number }
+  | { kind: 'timed-out' }
+  /** The node stopped first. */
+  | { kind: 'stopped' }
+  | { kind: 'caller-gone' }
+
+/** A request that ends without the response of a backend server. */
+export function failedWith (reason: string, detail: string, retryInMs: number): RequestEnd {
+  return { kind: 'failed', reason, detail, retryInMs }
+}
+
 /** Continues or ends a request after an attempt. */
 export interface AttemptEndHandler {
-  /** Processes the end of an attempt; returns whether the request is finished. */
-  handleAttemptEnd: (active: ActiveRequest, choice: RouteChoice, end: AttemptEnd) => boolean
-  /** Ends a request without a successful response; `reason` is a metric label. */
-  failRequest: (active: ActiveRequest, reason: string, detail: string, retryInMs: number) => void
+  /** Processes the end of an attempt; returns how the request ends, or undefined when another attempt follows. */
+  handleAttemptEnd: (active: ActiveRequest, choice: RouteChoice, end: AttemptEnd) => RequestEnd | undefined
+  /** Ends the request's response, or cuts it if it has begun and can't be completed. */
+  endRequest: (active: ActiveRequest, end: RequestEnd) => void
   /** Counts and logs a forwarded response if it was delivered; called when the response has closed. */
   recordDelivery: (active: ActiveRequest) => void
-  /** Ends a request whose deadline has passed, or whose node stops. */
-  endRequest: (active: ActiveRequest) => void
+}
+
+/** Whether another backend server would answer the same. */
+function isCallersError (status: number): boolean {
+  return status >= 300 && status < firstServerErrorStatus
 }
 
 function isRetryable ({ route }: ActiveRequest): boolean {
@@ -45,36 +68,32 @@
 export function createAttemptEndHandler (options: RequestHandlerOptions, { refuse, withJitter }: Refusals): AttemptEndHandler {
   const { clock, log, metrics, backends } = options
 
-  function handleAttemptEnd (active: ActiveRequest, choice: RouteChoice, end: AttemptEnd): boolean {
+  function handleAttemptEnd (active: ActiveRequest, choice: RouteChoice, end: AttemptEnd): RequestEnd | undefined {
     const { id: backend } = choice.backend
     pauseIfAsked(backend, end)
-    if (end.kind === 'passed-on') {
-      recordResponse(active, end.status)
-      return true
-    }
+    if (end.kind === 'passed-on') return end
     if (end.kind === 'aborted') {
       if (end.mayHaveRun) active.mayHaveRunOn.add(backend)
-      return failIfBlocked(active)
+      return blockedEnd(active)
     }
     if (end.kind === 'not-run') {
       if (end.isMisdirected) backends.markMisdirected(backend)
       else if (end.isUnreachable) backends.markSuspect(backend, end.cause)
       if (end.isMisdirected || end.isUnreachable) active.undeliveredCount += 1
       else active.sentCount += 1
-      return !retryOrFail(active, choice, end.cause)
+      return retryOrFail(active, choice, end.cause)
     }
     active.sentCount += 1
     active.mayHaveRunOn.add(backend)
     if (end.kind === 'complete') {
-      const { response } = end
-      const mayRetry = response.status >= 500 && isRetryable(active)
-      if (mayRetry) active.failureResponse = response
-      if (mayRetry && retryOrFail(active, choice, `the backend server responded with status ${response.status}`)) return false
-      if (!active.response.headersSent) forwardResponse(active, response)
-      return true
+      const mayRetry = end.response.status >= firstServerErrorStatus && isRetryable(active)
+      if (!mayRetry) return end
+      active.failureResponse = end.response
+      return retryOrFail(active, choice, `the backend server responded with status ${end.response.status}`)
     }
+    if (end.kind === 'not-continued' && isCallersError(end.status)) return failedWith('not-continued', end.cause, 0)
     if (end.kind === 'may-have-run' && !end.isUntrusted) backends.markSuspect(backend, end.cause)
-    return !retryOrFail(active, choice, end.cause)
+    return retryOrFail(active, choice, end.cause)
   }
 
   /** A pause is no sign of a fault: it affects neither the suspicion of the backend server nor its reputation. */
@@ -87,32 +106,40 @@
     else if (forMs > 0) backends.pause(backend, forMs)
   }
 
-  /** Returns whether another attempt follows; if not, ends the request. */
-  function retryOrFail (active: ActiveRequest, choice: RouteChoice, cause: string): boolean {
+  /** Returns undefined if another attempt follows. */
+  function retryOrFail (active: ActiveRequest, choice: RouteChoice, cause: string): RequestEnd | undefined {
     const { route, excluded } = active
     excluded.add(choice.backend.id)
-    if (failIfBlocked(active)) return false
+    const blocked = blockedEnd(active)
+    if (blocked !== undefined) return blocked
+    if (active.isCallerGone) return { kind: 'caller-gone' }
     const mayRepeat = active.mayHaveRunOn.size === 0 || isRetryable(active)
     const hasAttemptsLeft = active.sentCount < route.maxBackends && active.undeliveredCount <= maxUndelivered
-    const isWithinDeadline = clock.wallMs() < active.deadlineAtMs && !active.isCallerGone
+    const isWithinDeadline = clock.wallMs() < active.deadlineAtMs
     const wasSent = active.sentCount > 0
     const canRetry = mayRepeat && hasAttemptsLeft && isWithinDeadline && (!wasSent || options.retryBudget.take(choice.backend.id, 'backend-failed'))
     if (canRetry) {
       metrics.countRetry('backend-failed')
       log('gatewayRetried', { ...requestLogFields(active, clock), cause })
-      return true
+      return undefined
     }
-    if (active.isCallerGone) return true
-    failRequest(active, mayRepeat && hasAttemptsLeft ? 'retry-budget' : 'backend-failed', cause, unreachableRetryMs)
-    return false
+    return failedWith(mayRepeat && hasAttemptsLeft ? 'retry-budget' : 'backend-failed', cause, unreachableRetryMs)
+  }
+
+  function endRequest (active: ActiveRequest, end: RequestEnd): void {
+    // The end of the connection was logged when it closed.
+    if (end.kind === 'caller-gone') return
+    if (end.kind === 'passed-on') return recordResponse(active, end.status)
+    if (end.kind === 'timed-out' || end.kind === 'stopped') return endUnanswered(active, end.kind)
+    if (end.kind === 'failed') return failRequest(active, end.reason, end.detail, end.retryInMs)
+    if (active.progress.areHeadersSent) return failRequest(active, 'not-continued', `a response with status ${end.response.status} can't continue the stream`, 0)
+    forwardResponse(active, end.response)
   }
 
-  /** Ends a request that must not be sent again; returns whether it was ended. */
-  function failIfBlocked (active: ActiveRequest): boolean {
-    const { blockedBy, isCallerGone } = active
-    if (blockedBy === undefined || isCallerGone) return false
-    failRequest(active, blockedBy.reason, blockedBy.detail, blockedBy.retryAtMs - clock.wallMs())
-    return true
+  /** The end of a request that must not be sent again; undefined if it may be. */
+  function blockedEnd ({ blockedBy, isCallerGone }: ActiveRequest): RequestEnd | undefined {
+    if (blockedBy === undefined || isCallerGone) return undefined
+    return failedWith(blockedBy.reason, blockedBy.detail, blockedBy.retryAtMs - clock.wallMs())
   }
 
   /** Ends the request with 503 when it was certainly not run, with a kept 5xx response, or with 502 when its outcome is unknown. */
@@ -132,10 +159,10 @@
     refuse(response, refusal, requestLogFields(active, clock))
   }
 
-  function endRequest (active: ActiveRequest): void {
-    const { progress, mayHaveRunOn, response, isTimedOut } = active
-    const reason = isTimedOut ? 'deadline-past' : 'draining'
-    const cause = isTimedOut ? 'The deadline passed' : 'The node stopped'
+  function endUnanswered (active: ActiveRequest, kind: 'timed-out' | 'stopped'): void {
+    const { progress, mayHaveRunOn, response } = active
+    const reason = kind === 'timed-out' ? 'deadline-past' : 'draining'
+    const cause = kind === 'timed-out' ? 'The deadline passed' : 'The node stopped'
     if (progress.areHeadersSent) return failRequest(active, reason, `${cause} before the response was complete.`, 0)
     const status = mayHaveRunOn.size === 0 ? 503 : 504
     refuse(response, { status, reason, detail: `${cause} before there was a response.` }, requestLogFields(active, clock))
@@ -169,5 +196,5 @@
     log('gatewayAnswered', { ...requestLogFields(active, clock), status: forwardedStatus })
   }
 
-  return { handleAttemptEnd, failRequest, endRequest, recordDelivery }
+  return { handleAttemptEnd, endRequest, recordDelivery }
 }
--- a/src/core/gateway/attempt-outcome.ts
+++ b/src/core/gateway/attempt-outcome.ts
@@ -19,6 +19,7 @@
 export function isAttemptOk (end: AttemptEnd, { isTimedOut, isStalled }: AbortCircumstances): boolean | undefined {
   if (end.kind === 'passed-on') return true
   if (end.kind === 'complete') return end.response.status < 500
+  if (end.kind === 'not-continued') return end.status >= 300 && end.status < 500
   if (end.kind === 'aborted') return isTimedOut || isStalled ? false : undefined
   return end.kind === 'not-run' && end.isMisdirected ? undefined : false
 }
--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -3,7 +3,7 @@
  * server responded completely, certainly did not run the request, or may have.
  */
 import { createEventBuffer } from './event-stream.ts'
-import { delimitByConnectionClose, isSelfDelimited, forwardedResponseHeaders } from './gateway-response.ts'
+import { canContinue, delimitByConnectionClose, isSelfDelimited, forwardedResponseHeaders } from './gateway-response.ts'
 import type { ServerResponse } from 'node:http'
 import type { BackendConnections, Exchange, OutgoingRequest } from './backend-connections.ts'
 import type { EventBuffer } from './event-stream.ts'
@@ -29,6 +29,8 @@
   | { kind: 'not-run', cause: string, status?: number, retryAfter?: string, isMisdirected: boolean, isUnreachable: boolean }
   /** It may have run, and this attempt forwarded nothing. `isUntrusted` marks a response that is unsigned or to another request; `isGivenUp` one that the gateway didn't read to its end. */
   | { kind: 'may-have-run', cause: string, isUntrusted: boolean, isGivenUp: boolean }
+  /** The response can't go on with the stream that earlier attempts have begun; it may have run. */
+  | { kind: 'not-continued', status: number, cause: string }
   /** A stream broke after this attempt had forwarded events. */
   | { kind: 'broken', cause: string, isGivenUp: boolean }
   /** The gateway aborted it. */
@@ -148,6 +150,10 @@
       exchange.abort()
       return end({ kind: 'may-have-run', cause: 'received a response without a signature', isUntrusted: true, isGivenUp: true })
     }
+    if (progress.areHeadersSent && !head.isNotRun && !canContinue(response, newStatus, newHeaders)) {
+      exchange.abort()
+      return end({ kind: 'not-continued', status, cause: `a response with status ${status} and type ${firstValueOf(newHeaders['content-type'])} can't continue the stream` })
+    }
     const declaredBytes = Number(firstValueOf(newHeaders['content-length']) ?? 0)
     const hasBody = options.request.method !== 'HEAD'
     if (hasBody && !isStream() && declaredBytes > options.buffers.maxResponseBytes) return failWithBytes(`its response has ${declaredBytes} bytes`)
@@ -157,11 +163,11 @@
 
   function sendHeaders (): void {
     if (progress.areHeadersSent) return
-    progress.areHeadersSent = true
     options.onFirstByte()
     response.statusCode = status
     for (const [name, value] of Object.entries(forwardedResponseHeaders(headers, false))) response.setHeader(name, value)
     if (!isSelfDelimited(status, headers)) delimitByConnectionClose(response)
+    progress.areHeadersSent = true
   }
 
   function onData (chunk: Buffer): boolean {
--- a/src/core/gateway/gateway-response.ts
+++ b/src/core/gateway/gateway-response.ts
@@ -1,5 +1,5 @@
 /** Responses of the gateway itself, and the headers of forwarded responses. */
-import type { ServerResponse } from 'node:http'
+import type { OutgoingHttpHeader, ServerResponse } from 'node:http'
 
 /** Hop-by-hop headers, which are not forwarded. */
 const hopByHopHeaders = new Set([
@@ -17,6 +17,20 @@
   return hasNoBody || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
 }
 
+/** Whether a response can go on with the stream that the caller's response has begun: it must be of the same kind. */
+export function canContinue (response: ServerResponse, status: number, headers: Record<string, string | string[] | undefined>): boolean {
+  const hasSameFormat = formatHeaders.every(name => mediaTypeOf(headers[name]) === mediaTypeOf(response.getHeader(name)))
+  return status === response.statusCode && hasSameFormat
+}
+
+/** Headers that say how to read a body. */
+const formatHeaders = ['content-type', 'content-encoding']
+
+/** The value without its parameters, which don't change the format. */
+function mediaTypeOf (value: OutgoingHttpHeader | undefined): string {
+  return String(value ?? '').split(';')[0]?.trim().toLowerCase() ?? ''
+}
+
 /** Makes the end of the connection delimit the response, as in the response of the backend server. */
 export function delimitByConnectionClose (response: ServerResponse): void {
   response.shouldKeepAlive = false
@@ -49,6 +63,8 @@
 /** Sends a response of the gateway, unless a response has already begun. */
 export function sendGatewayResponse (response: ServerResponse, content: GatewayResponse): void {
   if (response.headersSent || response.destroyed) return
+  // Headers of a backend server's response that could not be forwarded, such as its signature.
+  for (const name of response.getHeaderNames()) response.removeHeader(name)
   const body = JSON.stringify({ reason: content.reason, detail: content.detail })
   response.statusCode = content.status
   response.setHeader('content-type', 'application/json')
--- a/src/core/gateway/ingress.ts
+++ b/src/core/gateway/ingress.ts
@@ -3,7 +3,7 @@
  * graceful shutdown that lets open requests finish.
  */
 import { createServer } from 'node:http'
-import { createCallerConnections } from '../caller-connections/index.ts'
+import { createCallerConnections, cutAnswer } from '../caller-connections/index.ts'
 import type { IncomingHttpHeaders, Server } from 'node:http'
 import type { CallerConnections } from '../caller-connections/index.ts'
 import type { Clock } from '../clock/index.ts'
@@ -83,7 +83,7 @@
     serve(request, response).catch((error: unknown) => {
       log('gatewayFailed', { path: request.url, cause: (error as Error).stack })
       metrics.count('gateway_failures_total')
-      response.destroy()
+      if (!response.writableEnded) cutAnswer(response)
     })
   })
   setLimits(defaultLimits)
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -7,7 +7,7 @@
 import { isAttemptOk } from './attempt-outcome.ts'
 import { readBody } from './read-body.ts'
 import { servingLabel, canaryLabel } from './backend-table.ts'
-import { createAttemptEndHandler } from './attempt-end-handler.ts'
+import { createAttemptEndHandler, failedWith } from './attempt-end-handler.ts'
 import { createLimitGate } from './limit-gate.ts'
 import { createQuarantineGate } from './quarantine-gate.ts'
 import { resumeMs } from './eligibility.ts'
@@ -19,6 +19,7 @@
 import type { AttemptId, RequestId, TeamId } from '../ids/index.ts'
 import type { RouteChoice, RouteRequest } from '../routing/index.ts'
 import type { AttemptEnd } from './attempt.ts'
+import type { RequestEnd } from './attempt-end-handler.ts'
 import type { RequestHandlerOptions, ActiveRequest } from './active-request.ts'
 import type { GatewayResponse } from './gateway-response.ts'
 import type { UnchosenReason } from './limit-gate.ts'
@@ -50,10 +51,10 @@
   const { clock, log, metrics, codec, router, backends, limits } = options
   const refusals = createRefusals(options)
   const buffers = createResponseBuffers({ maxResponseBytes, maxTotalBytes: maxBufferedBytes })
-  const { refuse, withJitter } = refusals
+  const { refuse, withJitter, endUnfinished } = refusals
   const quarantineGate = createQuarantineGate(options)
   const limitGate = createLimitGate(options)
-  const { handleAttemptEnd, failRequest, endRequest, recordDelivery } = createAttemptEndHandler(options, refusals)
+  const { handleAttemptEnd, endRequest, recordDelivery } = createAttemptEndHandler(options, refusals)
 
   /** Finds the route and the team; refuses the request and returns undefined when it is not allowed. */
   function accept (request: IncomingMessage, response: ServerResponse): Pick<ActiveRequest, 'route' | 'team' | 'head' | 'version' | 'id'> | undefined {
@@ -182,7 +183,7 @@
       active.attempt?.abort()
     }, Math.max(0, active.deadlineAtMs - clock.wallMs()))
     try {
-      await attemptUntilDone(active)
+      endRequest(active, await attemptUntilDone(active))
     } finally {
       clearTimeout(timer)
       quarantineGate.onEnded(active)
@@ -208,37 +209,40 @@
     }
   }
 
-  /** Makes attempts until the request has ended. A turn that makes no attempt is the last one, unless the request has just ended. */
-  async function attemptUntilDone (active: ActiveRequest): Promise<void> {
+  /** Makes attempts until it is known how the request ends. A turn that makes no attempt is the last one, unless the request has just ended. */
+  async function attemptUntilDone (active: ActiveRequest): Promise<RequestEnd> {
     for (;;) {
-      if (active.isCallerGone) return
-      if (active.isTimedOut || active.isStopped) return endRequest(active)
+      if (active.isCallerGone) return { kind: 'caller-gone' }
+      if (active.isTimedOut) return { kind: 'timed-out' }
+      if (active.isStopped) return { kind: 'stopped' }
       const admittance = await quarantineGate.admit(active)
       if (active.isCallerGone || active.isTimedOut || active.isStopped) {
         if (admittance.kind === 'admitted') admittance.release()
         continue
       }
-      if (admittance.kind === 'refused') return failRequest(active, admittance.reason, admittance.detail, admittance.retryAtMs - clock.wallMs())
+      if (admittance.kind === 'refused') return failedWith(admittance.reason, admittance.detail, admittance.retryAtMs - clock.wallMs())
       const chosen = limitGate.choose(active, usable => router.choose(routeRequest(active), usable))
       if (chosen.isErr) {
         admittance.release()
-        return refuseUnchosen(active, chosen.error)
+        return unchosenEnd(active, chosen.error)
       }
       const { choice, permit } = chosen.value
       const end = await attemptOnce(active, choice)
       limitGate.onAttemptEnded(permit, end)
       admittance.release()
       await quarantineGate.onAttemptEnded(active, end)
-      if (handleAttemptEnd(active, choice, end)) return
+      const requestEnd = handleAttemptEnd(active, choice, end)
+      if (requestEnd !== undefined) return requestEnd
     }
   }
 
-  function refuseUnchosen (active: ActiveRequest, { refusal, limitedForMs }: UnchosenReason): void {
-    const pausedForMs = backends.allPausedForMs(active.service)
-    if (pausedForMs !== undefined) return failRequest(active, 'backends-paused', 'All backend servers of the service asked for a pause.', pausedForMs + options.random() * resumeMs)
-    if (limitedForMs !== undefined) return failRequest(active, 'backends-limited', 'All backend servers of the service limit their requests, and no permit is left.', limitedForMs)
+  /** The end of a request for which no backend server could be chosen. */
+  function unchosenEnd ({ service }: ActiveRequest, { refusal, limitedForMs }: UnchosenReason): RequestEnd {
+    const pausedForMs = backends.allPausedForMs(service)
+    if (pausedForMs !== undefined) return failedWith('backends-paused', 'All backend servers of the service asked for a pause.', pausedForMs + options.random() * resumeMs)
+    if (limitedForMs !== undefined) return failedWith('backends-limited', 'All backend servers of the service limit their requests, and no permit is left.', limitedForMs)
     const { reason, detail, retryAtMs } = refusal
-    failRequest(active, reason, detail, Math.max(0, (retryAtMs ?? 0) - clock.wallMs()))
+    return failedWith(reason, detail, Math.max(0, (retryAtMs ?? 0) - clock.wallMs()))
   }
 
   async function attemptOnce (active: ActiveRequest, choice: RouteChoice): Promise<AttemptEnd> {
@@ -314,5 +318,5 @@
     return end
   }
 
-  return serve
+  return (request, response) => serve(request, response).finally(() => endUnfinished(response, { path: request.url }))
 }
--- a/test/gateway/unframed-streams.test.ts
+++ b/test/gateway/unframed-streams.test.ts
@@ -1,6 +1,6 @@
 /** Streams of backend servers that have neither a length nor chunks and end with their connection. */
-import { connect } from 'node:net'
 import test from 'ava'
+import { callRaw } from './call-raw.ts'
 import { signed, startGateway } from './deployment.ts'
 import type { Socket } from 'node:net'
 import type { RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
@@ -42,22 +42,6 @@
   }
 }
 
-/** Sends a request on a connection of its own; `broken` when the connection was reset. An HTTP client may take a reset for the regular end. */
-async function callRaw (port: number, path: string, id: string): Promise<{ status: number, body: string, broken: boolean }> {
-  const socket = connect(port, '127.0.0.1')
-  let received = ''
-  socket.setEncoding('utf8').on('data', (text: string) => { received += text })
-  socket.write(`GET ${path} HTTP/1.1\r\nhost: 127.0.0.1\r\nx-request: ${id}\r\nauthorization: Bearer key-1\r\n\r\n`)
-  const broken = await new Promise<boolean>(resolve => {
-    socket.on('error', () => resolve(true)).on('end', () => resolve(false))
-    // A response of the gateway itself has a length, and its connection stays open.
-    socket.on('data', () => { if (received.endsWith('}')) resolve(false) })
-  })
-  socket.destroy()
-  const [head = '', body = ''] = received.split(/\r\n\r\n(.*)/s)
-  return { status: Number(head.split(' ')[1]), body, broken }
-}
-
 for (const [ending, end] of Object.entries(endings)) {
   for (const [place, content] of Object.entries(contents)) {
     const isComplete = ending === 'a regular end' && place === 'between two events'
