Forward events only while their ids increase

The event buffer read ids only to resume after the last one.

The buffer now compares the id of each event with the one before: numbers must increase, other ids must differ, events without an id are left alone. The first event out of order ends the attempt before any of it is forwarded; the stream is then resumed elsewhere or cut. Missing events can't be seen, since ids may leave numbers out.

--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -27,7 +27,7 @@
   | { kind: 'complete', response: CompleteResponse }
   /** Certainly not run: nothing was sent, or the backend server stated that it did not run the request. */
   | { kind: 'not-run', cause: string, status?: number, retryAfter?: string, isMisdirected: boolean, isUnreachable: boolean }
-  /** It may have run, and this attempt forwarded nothing. `isUntrusted` marks a response that is unsigned or to another request; `isGivenUp` one that the gateway didn't read to its end. */
+  /** It may have run, and this attempt forwarded nothing. `isUntrusted` marks a response that is unsigned, to another request or out of order; `isGivenUp` one that the gateway didn't read to its end. */
   | { kind: 'may-have-run', cause: string, isUntrusted: boolean, isGivenUp: boolean }
   /** The response can't go on with the stream that earlier attempts have begun; it may have run. */
   | { kind: 'not-continued', status: number, cause: string }
@@ -115,7 +115,7 @@
   function failWithBytes (cause: string): void {
     exchange.abort()
     if (head?.isNotRun === true) endAsNotRun()
-    else onBroken(cause, true)
+    else onBroken(cause, { isGivenUp: true })
   }
 
   function endAsNotRun (): void {
@@ -179,6 +179,11 @@
       return true
     }
     const events = progress.eventBuffer.push(chunk)
+    if (progress.eventBuffer.isOutOfOrder()) {
+      exchange.abort()
+      onBroken('its events have ids that are not in order', { isGivenUp: true, isUntrusted: true })
+      return true
+    }
     if (progress.eventBuffer.isOverLimit()) {
       failWithBytes('its stream has too many bytes without an event')
       return true
@@ -207,10 +212,10 @@
     end({ kind: 'passed-on', status })
   }
 
-  function onBroken (cause: string, isGivenUp = false): void {
+  function onBroken (cause: string, { isGivenUp = false, isUntrusted = false } = {}): void {
     progress.eventBuffer.discardPartialEvent()
     if (forwardedBytes > 0) end({ kind: 'broken', cause, isGivenUp })
-    else end({ kind: 'may-have-run', cause, isUntrusted: false, isGivenUp })
+    else end({ kind: 'may-have-run', cause, isUntrusted, isGivenUp })
   }
 
   const exchange: Exchange = options.connections.send(options.request, {
@@ -218,7 +223,7 @@
     onData,
     onEnd,
     onFailure: ({ mayHaveRun, cause, isGivenUp }) => {
-      if (mayHaveRun) onBroken(cause, isGivenUp)
+      if (mayHaveRun) onBroken(cause, { isGivenUp })
       else end({ kind: 'not-run', cause, isMisdirected: false, isUnreachable: true })
     }
   })
--- a/src/core/gateway/event-stream.ts
+++ b/src/core/gateway/event-stream.ts
@@ -21,6 +21,8 @@
   push: (chunk: Buffer) => Buffer
   /** Whether bytes of an unfinished event are held back. */
   hasPartialEvent: () => boolean
+  /** Whether an event came whose id doesn't follow the one before; it and what came with it are not forwarded. */
+  isOutOfOrder: () => boolean
   /** Whether the stream sends bytes without an event. */
   isOverLimit: () => boolean
   /** Number of complete events so far; comments don't count. */
@@ -43,6 +45,15 @@
   return 0
 }
 
+const integerPattern = /^\d{1,15}$/
+
+/** Whether an id may come after another one: numbers increase, and other ids at least differ. */
+function mayFollow (id: string, previous: string | undefined): boolean {
+  if (previous === undefined) return true
+  const areNumbers = integerPattern.test(id) && integerPattern.test(previous)
+  return areNumbers ? Number(id) > Number(previous) : id !== previous
+}
+
 /** Creates an empty buffer for one response. */
 export function createEventBuffer (): EventBuffer {
   let partial: Buffer[] = []
@@ -52,29 +63,35 @@
   let comments: Buffer[] = []
   let bytesWithoutEvent = 0
   let lastId: string | undefined
+  let isOutOfOrder = false
   let count = 0
 
-  /** Reads complete events; returns how many there are. */
-  function scanLines (bytes: Buffer): number {
+  /** Reads complete events; returns how many there are, and the id of the last one, or undefined if their ids are out of order. */
+  function scanLines (bytes: Buffer): { events: number, lastId: string | undefined } | undefined {
     let atLineStart = 0
     let events = 0
     let hasField = false
+    let previousId = lastId
+    let id: string | undefined
     while (atLineStart < bytes.length) {
       const end = bytes.indexOf(lineFeed, atLineStart)
       const lineEnd = end === -1 ? bytes.length : end
       const isBlank = lineEnd === atLineStart || (lineEnd === atLineStart + 1 && bytes[atLineStart] === carriageReturn)
       if (isBlank) {
         if (hasField) events += 1
+        if (id !== undefined && !mayFollow(id, previousId)) return undefined
+        previousId = id ?? previousId
+        id = undefined
         hasField = false
       } else if (bytes[atLineStart] !== colon) {
         hasField = true
         if (bytes.subarray(atLineStart, atLineStart + idField.length).equals(idField)) {
-          lastId = bytes.subarray(atLineStart + idField.length, lineEnd).toString('utf8').trim()
+          id = bytes.subarray(atLineStart + idField.length, lineEnd).toString('utf8').trim()
         }
       }
       atLineStart = lineEnd + 1
     }
-    return events
+    return { events, lastId: previousId }
   }
 
   /** Offset in the chunk after the last event that ends there; 0 when none does. */
@@ -112,7 +129,13 @@
       }
       const complete = Buffer.concat([...takePartial(), chunk.subarray(0, end)])
       hold(chunk.subarray(end))
-      const events = scanLines(complete)
+      const scanned = scanLines(complete)
+      if (scanned === undefined) {
+        isOutOfOrder = true
+        return noBytes
+      }
+      const { events } = scanned
+      lastId = scanned.lastId
       count += events
       bytesWithoutEvent = events > 0 ? 0 : bytesWithoutEvent + complete.length
       if (count > 0) return comments.length === 0 ? complete : Buffer.concat([takeComments(), complete])
@@ -120,6 +143,7 @@
       return noBytes
     },
     hasPartialEvent: () => partialBytes > 0,
+    isOutOfOrder: () => isOutOfOrder,
     isOverLimit: () => partialBytes + bytesWithoutEvent > maxBytesWithoutEvent,
     eventCount: () => count,
     lastEventId: () => lastId,
@@ -128,6 +152,7 @@
       takePartial()
       takeComments()
       bytesWithoutEvent = 0
+      isOutOfOrder = false
     }
   }
 }
--- a/test/gateway/broken-streams.test.ts
+++ b/test/gateway/broken-streams.test.ts
@@ -96,6 +96,32 @@
   t.like(await valueOrOpen(deployment.call('/resumable/', 'r-1')), { status: 200, body: event(1) + event(2) + event(3), broken: false })
 })
 
+/** Answers a resumed stream with these events. */
+function resumeWith (events: string): RawRequestHandler {
+  return ({ headers }, socket) => { socket.write(chunkedStream(headers['x-request'] ?? '', events) + endOfChunks) }
+}
+
+const restarts: Record<string, string> = {
+  'its first event': event(1) + event(2) + event(3),
+  'the last event': event(2) + event(3),
+  'an event that comes twice': event(3) + event(3)
+}
+
+for (const [name, events] of Object.entries(restarts)) {
+  test(`a stream that broke is cut, and no event comes twice, when the next server goes on with ${name}`, async t => {
+    const handler = first(breakOff, resumeWith(events))
+    const deployment = await startGateway(t, [handler, handler], changes)
+    t.like(await valueOrOpen(deployment.call('/resumable/', 'r-1')), { status: 200, body: event(1) + event(2), broken: true })
+    t.true(deployment.events.some(({ event, fields }) => event === 'gatewayCut' && String(fields['detail']).includes('order')))
+  })
+}
+
+test('ids of events may leave numbers out, be absent, or not be numbers', async t => {
+  const events = [event(1), 'data: no id\n\n', event(10), 'id: b\ndata: text\n\n', 'id: a\ndata: text\n\n'].join('')
+  const { call } = await startGateway(t, [resumeWith(events)])
+  t.like(await call('/once/', 'r-1'), { status: 200, body: events, broken: false })
+})
+
 test('a request that was handled without an end of its response is cut if it has begun, and gets 502 otherwise', async t => {
   const events: string[] = []
   const refusals = createRefusals({ metrics: createMetrics(), log: event => events.push(event), random: () => 0 })
