Trust a response that names no request on new connections only

A faulty backend server wrote an earlier response once more without its id on a kept connection, after the next request had been sent. Callers then got "not run" for a request that ran (REFUSED), it was sent to a second server (TWICE), or they got an earlier success or error as theirs (MIXED): ids were compared only where a response had one.

Such a response now counts only as the first one on its connection; otherwise the outcome is unknown. Connections are kept only after responses that name their request, so a server that never does is still believed, with a connection for each request; requests without an id get a new connection.

--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -27,7 +27,7 @@
   | { kind: 'complete', response: CompleteResponse }
   /** Certainly not run: nothing was sent, or the backend server stated that it did not run the request. */
   | { kind: 'not-run', cause: string, status?: number, retryAfter?: string, isMisdirected: boolean, isUnreachable: boolean }
-  /** It may have run, and this attempt forwarded nothing. `isUntrusted` marks a response that is unsigned, to another request or out of order; `isGivenUp` one that the gateway didn't read to its end. */
+  /** It may have run, and this attempt forwarded nothing. `isUntrusted` marks a response that is unsigned, out of order or not certainly to this request; `isGivenUp` one that the gateway didn't read to its end. */
   | { kind: 'may-have-run', cause: string, isUntrusted: boolean, isGivenUp: boolean }
   /** The response can't go on with the stream that earlier attempts have begun; it may have run. */
   | { kind: 'not-continued', status: number, cause: string }
@@ -134,27 +134,40 @@
     return kind === 'stream' && status < 300
   }
 
-  function onHead (newStatus: number, newHeaders: Headers): void {
+  /** Why a response doesn't belong to the request for certain; an earlier one may have been written again, or come late. */
+  function foreignCause ({ request }: ResponseHead, isFirst: boolean): string | undefined {
+    if (request === undefined) return isFirst ? undefined : 'received a response that names no request on a connection that was used before'
+    return request === options.requestId ? undefined : 'received a response to another request'
+  }
+
+  /** Returns whether the connection may carry another request: only if its responses name their requests. */
+  function onHead (newStatus: number, newHeaders: Headers, isFirst: boolean): boolean {
     options.onActivity()
     status = newStatus
     headers = newHeaders
     head = codec.readResponse(newStatus, newHeaders)
-    const isMismatched = head.request !== undefined && head.request !== options.requestId
-    if (isMismatched) {
-      // The connection carries a response to another request, so nothing on it can be trusted.
+    const cause = foreignCause(head, isFirst)
+    if (cause !== undefined) {
+      // Nothing on the connection can be trusted.
       exchange.abort()
-      return end({ kind: 'may-have-run', cause: 'received a response to another request', isUntrusted: true, isGivenUp: true })
+      end({ kind: 'may-have-run', cause, isUntrusted: true, isGivenUp: true })
+    } else {
+      beginResponse(head)
     }
+    return head.request !== undefined
+  }
+
+  function beginResponse (head: ResponseHead): void {
     options.onHead(head)
     if (!head.isNotRun && !head.isSigned && status < minErrorStatus) {
       exchange.abort()
       return end({ kind: 'may-have-run', cause: 'received a response without a signature', isUntrusted: true, isGivenUp: true })
     }
-    if (progress.areHeadersSent && !head.isNotRun && !canContinue(response, newStatus, newHeaders)) {
+    if (progress.areHeadersSent && !head.isNotRun && !canContinue(response, status, headers)) {
       exchange.abort()
-      return end({ kind: 'not-continued', status, cause: `a response with status ${status} and type ${firstValueOf(newHeaders['content-type'])} can't continue the stream` })
+      return end({ kind: 'not-continued', status, cause: `a response with status ${status} and type ${firstValueOf(headers['content-type'])} can't continue the stream` })
     }
-    const declaredBytes = Number(firstValueOf(newHeaders['content-length']) ?? 0)
+    const declaredBytes = Number(firstValueOf(headers['content-length']) ?? 0)
     const hasBody = options.request.method !== 'HEAD'
     if (hasBody && !isStream() && declaredBytes > options.buffers.maxResponseBytes) return failWithBytes(`its response has ${declaredBytes} bytes`)
     if (head.isNotRun) notRunTimer = setTimeout(() => failWithBytes('the rest of the response is missing'), notRunBodyTimeoutMs)
--- a/src/core/gateway/backend-connections.ts
+++ b/src/core/gateway/backend-connections.ts
@@ -12,7 +12,8 @@
 
 /** Callbacks of one exchange. */
 export interface ExchangeHandlers {
-  onHead: (status: number, headers: Record<string, string | string[] | undefined>) => void
+  /** `isFirst` is true for the first response on its connection, which can't be an earlier one written again. Returns whether the connection may carry another request. */
+  onHead: (status: number, headers: Record<string, string | string[] | undefined>, isFirst: boolean) => boolean
   /** Returns false to pause reading until `resume` is called. */
   onData: (chunk: Buffer) => boolean
   onEnd: () => void
@@ -37,6 +38,8 @@
   /** Flat list of header names and values. */
   headers: string[]
   body: Buffer | undefined
+  /** Whether only a new connection will do, because the response won't name the request. */
+  needsNewConnection: boolean
 }
 
 /** Connections to one backend server. */
@@ -72,6 +75,8 @@
   const idle: Client[] = []
   /** Clients whose connection was reset; undici reports a reset as the regular end of a response without a length. */
   const resetClients = new WeakSet<Client>()
+  /** Clients whose connection has carried a response. */
+  const usedClients = new WeakSet<Client>()
   const connect = buildConnector({ timeout: connectTimeoutMs })
   let isClosed = false
 
@@ -81,6 +86,7 @@
       connect: (target, opened) => connect(target, (...result) => {
         const [error, socket] = result
         resetClients.delete(client)
+        usedClients.delete(client)
         // This listener runs before undici's own, which ends the response.
         if (error === null) socket.on('error', () => resetClients.add(client))
         opened(...result)
@@ -118,11 +124,12 @@
   }
 
   function send (request: OutgoingRequest, handlers: ExchangeHandlers): Exchange {
-    const client = idle.pop() ?? create()
+    const client = (request.needsNewConnection ? undefined : idle.pop()) ?? create()
     let controller: Dispatcher.DispatchController | undefined
     let isSent = false
     let hasEnded = false
     let isCloseDelimited = false
+    let mayBeReused = false
     let gotDataInThisTick = false
     let informationalCount = 0
 
@@ -168,7 +175,9 @@
           return
         }
         isCloseDelimited = !isSelfDelimited(status, headers)
-        handlers.onHead(status, headers)
+        const isFirst = !usedClients.has(client)
+        usedClients.add(client)
+        mayBeReused = handlers.onHead(status, headers, isFirst)
       },
       onResponseData: (current, chunk) => {
         if (isCloseDelimited) markDataInThisTick()
@@ -178,7 +187,8 @@
         if (resetClients.has(client) || gotDataInThisTick) return fail('the connection was reset before the response was complete')
         if (hasEnded) return
         hasEnded = true
-        releaseClient(client)
+        if (mayBeReused) releaseClient(client)
+        else discard(client)
         handlers.onEnd()
       },
       onResponseError: (_controller, error) => fail(describeError(error), !connectionEndCodes.has((error as NodeJS.ErrnoException).code ?? ''))
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -268,7 +268,7 @@
     const latencies = createLatencyObserver(sentAtMs, latency => options.onLatency({ service: active.service, route: route.name, isCanary, ...latency }))
     const attempt = startAttempt({
       connections: known.connections,
-      request: { method: request.method ?? 'GET', target: request.url ?? '/', headers, body: active.body },
+      request: { method: request.method ?? 'GET', target: request.url ?? '/', headers, body: active.body, needsNewConnection: head.request === undefined },
       requestId: id,
       kind: route.kind,
       codec,
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -37,7 +37,7 @@
 
 const codec: HeaderCodec = {
   readRequest: headers => ({
-    request: toId<RequestId>(String(headers['x-request'] ?? '')),
+    request: headers['x-request'] === undefined ? undefined : toId<RequestId>(String(headers['x-request'])),
     callerTimeoutMs: headers['x-waits-ms'] === undefined ? undefined : Number(headers['x-waits-ms']),
     key: headers.authorization?.replace('Bearer ', ''),
     tokens: headers['x-tokens'] === undefined ? undefined : { prompt: Number(headers['x-tokens']), answer: 0 },
