Don't pass an unstated refusal on as a promise

A 408, 429 or 503 of a backend server without the statement that the request was not run counted as run inside the gateway, but reached the caller with its status, which promises that it was not (REFUSED). Requests that must not be repeated now get 502 without the signature; all others get it unchanged.

--- a/src/core/gateway/attempt-end-handler.ts
+++ b/src/core/gateway/attempt-end-handler.ts
@@ -20,6 +20,8 @@
 
 const unavailableStatus = 503
 const firstServerErrorStatus = 500
+/** Statuses that promise callers that the request was not run; such a response without that statement of its backend server proves nothing. */
+const notRunStatuses = new Set([408, 421, 429, unavailableStatus])
 const maxLoggedChars = 40
 
 function retryAfterOf ({ headers }: CompleteResponse): string | undefined {
@@ -133,6 +135,8 @@
     if (end.kind === 'timed-out' || end.kind === 'stopped') return endUnanswered(active, end.kind)
     if (end.kind === 'failed') return failRequest(active, end.reason, end.detail, end.retryInMs)
     if (active.progress.areHeadersSent) return failRequest(active, 'not-continued', `a response with status ${end.response.status} can't continue the stream`, 0)
+    const mayBeUntrue = notRunStatuses.has(end.response.status) && !isRetryable(active)
+    if (mayBeUntrue) return failRequest(active, 'backend-failed', `the backend server responded with status ${end.response.status} and didn't state that the request was not run`, 0)
     forwardResponse(active, end.response)
   }
 
--- a/test/gateway/repeated-responses.test.ts
+++ b/test/gateway/repeated-responses.test.ts
@@ -72,3 +72,12 @@
     t.deepEqual(servers[0]!.requests.map(({ connection }) => connection), [1, 2, 3])
   })
 }
+
+for (const status of [408, 429, 503]) {
+  test(`a response with status ${status} that doesn't state that the request was not run is no refusal of an at-most-once request`, async t => {
+    const { call } = await startGateway(t, [({ headers }, socket) => { socket.write(formatResponse(status, signed(headers['x-request'] ?? ''), '')) }])
+    const answer = await call('/register/', 'r-1', { body: 'b' })
+    t.deepEqual([answer.status, answer.headers.get('x-seal')], [502, null])
+    t.is((await call('/look-up/', 'r-2')).status, status)
+  })
+}
