Believe a service's response only if it is certainly to the call

On the product's own path, too, a response that a faulty service wrote once more on a kept connection was taken for the one to the next call, without a look at its id: "not run" led to a second attempt at a call that ran, and a success or error became the stored outcome of a call that may not have run.

A response without the call's x-request-id counts only as the first one on its connection, one with another id never; else the outcome is unknown. Connections are kept only after responses with the id, which the stand-in now returns. Look-ups, whose responses name no key, have connections of their own.

--- a/src/core/backends/fresh-connections.ts
+++ b/src/core/backends/fresh-connections.ts
@@ -14,19 +14,26 @@
   connectTimeoutMs: number
 }
 
-/** A pool of connections that carry one call at a time. */
+/** A connection that carries one call at a time. */
+export interface FreshConnection {
+  client: Client
+  /** Whether a response has arrived on it, which a faulty service may write once more. */
+  isUsed: boolean
+}
+
+/** A pool of connections. */
 export interface FreshConnections {
   /** Returns an idle connection that is still fresh, or a new one. */
-  acquire: () => Client
+  acquire: () => FreshConnection
   /** Returns a connection to the pool, immediately after a response has arrived on it. */
-  release: (client: Client) => void
+  release: (connection: FreshConnection) => void
   /** Closes a connection whose call failed. */
-  discard: (client: Client) => void
+  discard: (connection: FreshConnection) => void
   close: () => Promise<void>
 }
 
 interface IdleConnection {
-  client: Client
+  connection: FreshConnection
   lastResponseAtMs: number
 }
 
@@ -36,7 +43,7 @@
   const open = new Set<Client>()
   let idle: IdleConnection[] = []
 
-  function createClient (): Client {
+  function createConnection (): FreshConnection {
     const client = new Client(options.url, {
       pipelining: 1,
       connect: { timeout: options.connectTimeoutMs },
@@ -46,28 +53,28 @@
       bodyTimeout: 0
     })
     open.add(client)
-    return client
+    return { client, isUsed: false }
   }
 
-  function discard (client: Client): void {
+  function discard ({ client }: FreshConnection): void {
     open.delete(client)
     client.destroy().catch(() => {})
   }
 
   function discardStale (): void {
     const oldestResponseAtMs = clock.monotonicMs() - maxIdleMs
-    idle.filter(({ lastResponseAtMs }) => lastResponseAtMs < oldestResponseAtMs).forEach(({ client }) => discard(client))
+    idle.filter(({ lastResponseAtMs }) => lastResponseAtMs < oldestResponseAtMs).forEach(({ connection }) => discard(connection))
     idle = idle.filter(({ lastResponseAtMs }) => lastResponseAtMs >= oldestResponseAtMs)
   }
 
   return {
     acquire: () => {
       discardStale()
-      return idle.pop()?.client ?? createClient()
+      return idle.pop()?.connection ?? createConnection()
     },
-    release: client => {
+    release: connection => {
       discardStale()
-      idle.push({ client, lastResponseAtMs: clock.monotonicMs() })
+      idle.push({ connection: { ...connection, isUsed: true }, lastResponseAtMs: clock.monotonicMs() })
     },
     discard,
     close: async () => { await Promise.all([...open].map(client => client.destroy())) }
--- a/src/core/backends/look-up.ts
+++ b/src/core/backends/look-up.ts
@@ -21,6 +21,8 @@
     const { statusCode, headers, body } = await pool.request({
       method: 'GET',
       path: `/calls/${encodeURIComponent(idempotencyKey)}`,
+      // The response names no key, so a connection with an earlier response can't be used.
+      reset: true,
       signal: AbortSignal.any([signal, timeout])
     })
     const bytes = await readBoundedBody(body, maxResponseBytes)
--- a/src/core/backends/service-call.ts
+++ b/src/core/backends/service-call.ts
@@ -1,15 +1,17 @@
 /**
  * Makes one call to a plain service on one connection. A failed call counts as possibly run from
- * the moment a byte of it may have been sent.
+ * the moment a byte of it may have been sent. A response that isn't certainly to this call proves nothing.
  */
 import { Result } from 'true-myth'
 import { parseNamedLimit, requestLimitHeader } from '../backend-limits/index.ts'
 import { createByteCollector, describeError } from '../connections/index.ts'
 import { parseRetryAfter } from './refusal.ts'
-import type { Client, Dispatcher } from 'undici'
+import type { Dispatcher } from 'undici'
 import type { Clock } from '../clock/index.ts'
 import type { ByteCollector } from '../connections/index.ts'
+import type { AttemptId } from '../ids/index.ts'
 import type { RetryReason } from '../outcomes/index.ts'
+import type { FreshConnection } from './fresh-connections.ts'
 import type { AttemptFailure, OnNamedLimit, ServiceResponse, ServiceRequest } from './types.ts'
 
 /** Response header by which a service states whether it ran a call. */
@@ -17,9 +19,15 @@
 /** Header value: the service refused the call without running it. */
 export const runStateNotRun = 'not-run'
 
+/** Header with the id of an attempt, which services return in their responses. */
+const attemptHeader = 'x-request-id'
+
 /** Header value in the response to a look-up: the response is that of the completed call. */
 export const runStateDone = 'done'
 
+/** Responses with a lower status are informational and precede the response. */
+const firstFinalStatus = 200
+
 /** Longest response of a service. */
 export const maxResponseBytes = 16 * 1024 * 1024
 
@@ -40,6 +48,13 @@
   return Array.isArray(value) ? value[0] : value
 }
 
+/** Why a response isn't certainly to this attempt; a faulty service may write an earlier one once more. */
+function foreignCause ({ headers }: Exchange, attempt: AttemptId, isUsedConnection: boolean): string | undefined {
+  const named = firstHeaderValue(headers[attemptHeader])
+  if (named === undefined) return isUsedConnection ? 'received a response that names no attempt on a connection that was used before' : undefined
+  return named === attempt ? undefined : 'received a response for another attempt'
+}
+
 function toResult ({ status, headers, body }: Exchange, nowMs: number): Result<ServiceResponse, AttemptFailure> {
   if (firstHeaderValue(headers[runStateHeader]) === runStateNotRun) {
     const retryAtMs = parseRetryAfter(firstHeaderValue(headers['retry-after']), nowMs)
@@ -56,7 +71,7 @@
     path: `/calls/${encodeURIComponent(request.route)}`,
     headers: {
       'content-type': request.contentType,
-      'x-request-id': request.attempt,
+      [attemptHeader]: request.attempt,
       'x-deadline-at-ms': String(request.deadlineAtMs),
       ...(request.version === undefined ? {} : { 'x-version': request.version }),
       ...(request.idempotencyKey === undefined ? {} : { 'idempotency-key': request.idempotencyKey })
@@ -65,14 +80,21 @@
   }
 }
 
-/** Makes the call once, without retries. The connection may be reused only if the result is a response. */
+/** The result of a call, and whether its connection may carry another one: only after a response that names its attempt. */
+export interface CallOutcome {
+  result: Result<ServiceResponse, AttemptFailure>
+  isReusable: boolean
+}
+
+/** Makes the call once, without retries. */
 export async function callService (
-  client: Client,
+  connection: FreshConnection,
   clock: Clock,
   request: ServiceRequest,
   signal: AbortSignal,
   onNamedLimit: OnNamedLimit = () => {}
-): Promise<Result<ServiceResponse, AttemptFailure>> {
+): Promise<CallOutcome> {
+  const { client, isUsed } = connection
   const exchange: Exchange = { sent: false, status: 0, headers: {}, body: createByteCollector(maxResponseBytes), controller: undefined }
   const settledController = new AbortController()
   let sentAtMs = clock.monotonicMs()
@@ -81,7 +103,7 @@
     function settle (result: Result<ServiceResponse, AttemptFailure>): void {
       isSettled = true
       settledController.abort()
-      resolve(result)
+      resolve({ result, isReusable: result.isOk && exchange.headers[attemptHeader] !== undefined })
     }
 
     function abandon (reason: RetryReason, detail: string): void {
@@ -110,8 +132,11 @@
         sentAtMs = clock.monotonicMs()
       },
       onResponseStart: (_controller, status, headers) => {
+        if (status < firstFinalStatus) return
         exchange.status = status
         exchange.headers = headers
+        const cause = foreignCause(exchange, request.attempt, isUsed)
+        if (cause !== undefined) return abandon('answer-incomplete', cause)
         onNamedLimit(parseNamedLimit(headers[requestLimitHeader]), sentAtMs)
       },
       onResponseData: (_controller, chunk) => {
--- a/src/core/backends/service-client.ts
+++ b/src/core/backends/service-client.ts
@@ -38,6 +38,7 @@
     connectTimeoutMs: options.connectTimeoutMs ?? defaultConnectTimeoutMs
   })
   const connections = createConnections(url)
+  const lookUpConnections = createConnections(url)
   const { order, state } = createBackendOrders({ backend, connections, clock })
 
   async function call (request: ServiceRequest, signal: AbortSignal): Promise<Result<ServiceResponse, AttemptFailure>> {
@@ -45,17 +46,17 @@
       return Result.err({ reason: 'connect-failed', mayHaveRun: false, detail: 'the deadline passed before the request was sent' })
     }
     const connection = freshConnections.acquire()
-    const result = await callService(connection, clock, request, signal, options.onNamedLimit)
-    if (result.isOk) freshConnections.release(connection)
+    const { result, isReusable } = await callService(connection, clock, request, signal, options.onNamedLimit)
+    if (isReusable) freshConnections.release(connection)
     else freshConnections.discard(connection)
     return result
   }
 
   return {
     call,
-    lookUp: (request, signal) => lookUpCall(connections, request, signal),
+    lookUp: (request, signal) => lookUpCall(lookUpConnections, request, signal),
     order,
     state,
-    close: async () => { await Promise.all([freshConnections.close(), connections.close()]) }
+    close: async () => { await Promise.all([freshConnections.close(), connections.close(), lookUpConnections.close()]) }
   }
 }
--- a/src/stand-ins/service/index.ts
+++ b/src/stand-ins/service/index.ts
@@ -97,7 +97,9 @@
   const app = express()
   const server = await startServer(app, options)
   app.use('/v1', express.json())
-  app.use((_request, response, next) => {
+  app.use((request, response, next) => {
+    const attempt = request.get('x-request-id')
+    if (attempt !== undefined) response.setHeader('x-request-id', attempt)
     if (faults.requestLimitPerSecond !== undefined) response.setHeader(requestLimitHeader, faults.requestLimitPerSecond)
     next()
   })
