Forward answers without a length in chunks

Callers of HTTP/1.1 now get chunks, for streams and collected bodies, and keep their connection; callers of HTTP/1.0 get answers as before, reset when cut.

Changes to tests: the two assertions that no length and no chunks are added were wrong, since an end by the connection claims as much as a last chunk, and are replaced by chunks, no length, and tests that a cut, a closed connection and a SIGKILL are seen as incomplete. callRaw speaks HTTP/1.0, and all its cases run with HTTP/1.1, too.

--- a/src/core/gateway/attempt-end-handler.ts
+++ b/src/core/gateway/attempt-end-handler.ts
@@ -4,7 +4,7 @@
  * the request as not run only when that is certain.
  */
 import { cutAnswer } from '../caller-connections/index.ts'
-import { delimitByConnectionClose, isSelfDelimited, forwardedResponseHeaders } from './gateway-response.ts'
+import { delimitWithoutLength, isSelfDelimited, forwardedResponseHeaders } from './gateway-response.ts'
 import { requestLogFields } from './active-request.ts'
 import { parseRetryAfterMs } from './eligibility.ts'
 import type { BackendId } from '../ids/index.ts'
@@ -177,7 +177,7 @@
     response.statusCode = backendResponse.status
     const isHead = request.method === 'HEAD'
     for (const [name, value] of Object.entries(forwardedResponseHeaders(backendResponse.headers, isHead))) response.setHeader(name, value)
-    if (!isSelfDelimited(backendResponse.status, backendResponse.headers)) delimitByConnectionClose(response)
+    if (!isSelfDelimited(backendResponse.status, backendResponse.headers)) delimitWithoutLength(response)
     else if (!isHead) response.setHeader('content-length', backendResponse.body.length)
     response.end(backendResponse.body)
     recordResponse(active, backendResponse.status)
--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -3,7 +3,7 @@
  * server responded completely, certainly did not run the request, or may have.
  */
 import { createEventBuffer } from './event-stream.ts'
-import { canContinue, delimitByConnectionClose, isSelfDelimited, forwardedResponseHeaders } from './gateway-response.ts'
+import { canContinue, delimitWithoutLength, isSelfDelimited, forwardedResponseHeaders } from './gateway-response.ts'
 import type { ServerResponse } from 'node:http'
 import type { BackendConnections, Exchange, OutgoingRequest } from './backend-connections.ts'
 import type { EventBuffer } from './event-stream.ts'
@@ -179,7 +179,7 @@
     options.onFirstByte()
     response.statusCode = status
     for (const [name, value] of Object.entries(forwardedResponseHeaders(headers, false))) response.setHeader(name, value)
-    if (!isSelfDelimited(status, headers)) delimitByConnectionClose(response)
+    if (!isSelfDelimited(status, headers)) delimitWithoutLength(response)
     progress.areHeadersSent = true
   }
 
--- a/src/core/gateway/gateway-response.ts
+++ b/src/core/gateway/gateway-response.ts
@@ -31,10 +31,18 @@
   return String(value ?? '').split(';')[0]?.trim().toLowerCase() ?? ''
 }
 
-/** Makes the end of the connection delimit the response, as in the response of the backend server. */
-export function delimitByConnectionClose (response: ServerResponse): void {
-  response.shouldKeepAlive = false
-  response.useChunkedEncodingByDefault = false
+/**
+ * Delimits a response whose backend server gave it no length: by chunks, so that no end of
+ * the caller's connection, not even by the death of this process, looks like the end of the
+ * response. Callers of HTTP/1.0 know no chunks; for them the connection ends with the response.
+ */
+export function delimitWithoutLength (response: ServerResponse): void {
+  if (response.req.httpVersion === '1.0') {
+    response.shouldKeepAlive = false
+    response.useChunkedEncodingByDefault = false
+  } else {
+    response.setHeader('transfer-encoding', 'chunked')
+  }
 }
 
 /** Headers of a backend server's response to forward to the caller. */
--- a/test/gateway/broken-streams.test.ts
+++ b/test/gateway/broken-streams.test.ts
@@ -70,11 +70,11 @@
 }
 
 for (const [name, answer] of Object.entries(answers)) {
-  for (const [framing, begin] of Object.entries({ 'in chunks': breakOff, 'without a length': breakOffUnframed })) {
-    test(`a stream ${framing} that broke is cut at once, with nothing added, when the next server sends ${name}`, async t => {
+  for (const [framing, begin, version] of [['in chunks', breakOff, 'HTTP/1.1'], ['without a length', breakOffUnframed, 'HTTP/1.1'], ['without a length', breakOffUnframed, 'HTTP/1.0']] as const) {
+    test(`a stream ${framing} to a caller of ${version} that broke is cut at once, with nothing added, when the next server sends ${name}`, async t => {
       const handler = first(begin, answer)
       const deployment = await startGateway(t, [handler, handler], changes)
-      const response = await valueOrOpen(framing === 'in chunks' ? deployment.call('/resumable/', 'r-1') : callRaw(deployment.port, '/resumable/', 'r-1'))
+      const response = await valueOrOpen<{ status: number, body: string, broken: boolean }>(version === 'HTTP/1.1' ? deployment.call('/resumable/', 'r-1') : callRaw(deployment.port, '/resumable/', 'r-1'))
       t.like(response, { status: 200, body: event(1) + event(2), broken: true })
       const ends = deployment.events.filter(({ event }) => ['gatewayAnswered', 'gatewayCut', 'gatewayLeft', 'gatewayRefused'].includes(event))
       t.deepEqual(ends.map(({ event }) => event), ['gatewayCut'])
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -147,21 +147,20 @@
     socket.end(['HTTP/1.1 200 OK', ...names, 'connection: close', '', 'whole'].join('\r\n'))
   }])
   const answer = await call('/register/', 'r-1', { body: 'b' })
-  t.like(answer, { status: 200, body: 'whole' })
-  // The gateway adds no length or chunked encoding, which would claim that the end of the body is known.
+  t.like(answer, { status: 200, body: 'whole', broken: false })
+  // Chunks, so that no end of the caller's connection looks like the end of the body.
   t.is(answer.headers.get('content-length'), null)
-  t.is(answer.headers.get('transfer-encoding'), null)
-  t.is(answer.headers.get('connection'), 'close')
+  t.is(answer.headers.get('transfer-encoding'), 'chunked')
 })
 
-test('closes the caller\'s connection at the end of a stream that is delimited by its connection', async t => {
+test('forwards a stream that is delimited by the end of its connection in chunks', async t => {
   const { call } = await startGateway(t, [({ headers }, socket) => {
     const names = Object.entries(signed(headers['x-request'] ?? '')).map(([name, value]) => `${name}: ${value}`)
     socket.end(['HTTP/1.1 200 OK', ...names, 'connection: close', '', event(1)].join('\r\n'))
   }])
   const answer = await call('/once/', 'r-1', { body: 'b' })
   t.like(answer, { status: 200, body: event(1), broken: false })
-  t.is(answer.headers.get('transfer-encoding'), null)
+  t.is(answer.headers.get('transfer-encoding'), 'chunked')
 })
 
 test('forwards events as they arrive, and only complete ones', async t => {
--- a/test/gateway/unframed-streams.test.ts
+++ b/test/gateway/unframed-streams.test.ts
@@ -1,7 +1,9 @@
 /** Streams of backend servers that have neither a length nor chunks and end with their connection. */
+import { fork } from 'node:child_process'
+import { once } from 'node:events'
 import test from 'ava'
 import { callRaw } from './call-raw.ts'
-import { signed, startGateway } from './deployment.ts'
+import { configuration, signed, startGateway } from './deployment.ts'
 import type { Socket } from 'node:net'
 import type { RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
 
@@ -42,24 +44,75 @@
   }
 }
 
-for (const [ending, end] of Object.entries(endings)) {
-  for (const [place, content] of Object.entries(contents)) {
-    const isComplete = ending === 'a regular end' && place === 'between two events'
+type Deployment = Awaited<ReturnType<typeof startGateway>>
 
-    test(`a stream that can't be resumed and has ${ending} ${place} reaches the caller as ${isComplete ? 'complete' : 'failed'}`, async t => {
-      const handler = failingOnce(content, end)
-      const { port } = await startGateway(t, [handler])
-      const answer = await callRaw(port, '/once/', 'r-1')
-      if (content === '') t.is(answer.status, 502)
-      else t.deepEqual({ body: answer.body, broken: answer.broken }, { body: event(1), broken: !isComplete })
-      t.like(await callRaw(port, '/once/', 'r-2'), { status: 200, body: event(1) + event(2) })
-    })
+const callers: Record<string, (deployment: Deployment, path: string, id: string) => Promise<{ status: number, body: string, broken: boolean }>> = {
+  'HTTP/1.1': ({ call }, path, id) => call(path, id),
+  'HTTP/1.0': ({ port }, path, id) => callRaw(port, path, id)
+}
+
+for (const [version, call] of Object.entries(callers)) {
+  for (const [ending, end] of Object.entries(endings)) {
+    for (const [place, content] of Object.entries(contents)) {
+      const isComplete = ending === 'a regular end' && place === 'between two events'
+
+      test(`a stream that can't be resumed and has ${ending} ${place} reaches a caller of ${version} as ${isComplete ? 'complete' : 'failed'}`, async t => {
+        const handler = failingOnce(content, end)
+        const deployment = await startGateway(t, [handler])
+        const answer = await call(deployment, '/once/', 'r-1')
+        if (content === '') t.is(answer.status, 502)
+        else t.deepEqual({ body: answer.body, broken: answer.broken }, { body: event(1), broken: !isComplete })
+        t.like(await call(deployment, '/once/', 'r-2'), { status: 200, body: event(1) + event(2), broken: false })
+      })
 
-    test(`a stream that can be resumed and has ${ending} ${place} reaches the caller whole`, async t => {
-      const handler = failingOnce(content, end)
-      const { port } = await startGateway(t, [handler, handler])
-      const answer = await callRaw(port, '/resumable/', 'r-1')
-      t.like(answer, { status: 200, body: isComplete ? event(1) : event(1) + event(2), broken: false })
-    })
+      test(`a stream that can be resumed and has ${ending} ${place} reaches a caller of ${version} whole`, async t => {
+        const handler = failingOnce(content, end)
+        const answer = await call(await startGateway(t, [handler, handler]), '/resumable/', 'r-1')
+        t.like(answer, { status: 200, body: isComplete ? event(1) : event(1) + event(2), broken: false })
+      })
+    }
   }
 }
+
+/** Sends an event and keeps the stream open. */
+const beginOnly: RawRequestHandler = ({ headers }, socket) => { socket.write(headOf(headers['x-request'] ?? '') + event(1)) }
+
+test('a caller of HTTP/1.1 gets chunks on a connection that stays open, one of HTTP/1.0 the end of its connection', async t => {
+  const { call, port } = await startGateway(t, [({ headers }, socket) => { socket.end(headOf(headers['x-request'] ?? '') + event(1)) }])
+  for (const path of ['/once/', '/register/']) {
+    const { headers, body } = await call(path, 'r-1')
+    t.deepEqual(['transfer-encoding', 'content-length', 'connection'].map(name => headers.get(name)), ['chunked', null, 'keep-alive'])
+    t.is(body, event(1))
+    const old = await callRaw(port, path, 'r-2')
+    t.notRegex(old.head, /transfer-encoding|content-length/)
+    t.deepEqual([old.body, old.broken], [event(1), false])
+  }
+})
+
+test('a stream without a length that is cut by its deadline does not look complete', async t => {
+  const routes = configuration.routes.map(route => ({ ...route, timeoutMs: 500 }))
+  const deployment = await startGateway(t, [beginOnly], { routes })
+  for (const call of Object.values(callers)) t.like(await call(deployment, '/once/', 'r-1'), { status: 200, body: event(1), broken: true })
+})
+
+test('a stream without a length whose connection is closed in the regular way before its end does not look complete', async t => {
+  const { call, ingress, events } = await startGateway(t, [beginOnly])
+  const pending = call('/once/', 'r-1')
+  const timer = setInterval(() => { if (ingress.inFlight() === 1 && events.length === 0) ingress.close() }, 200)
+  t.teardown(() => clearInterval(timer))
+  t.like(await pending, { status: 200, body: event(1), broken: true })
+})
+
+for (const path of ['/once/', '/register/']) {
+  test(`a response without a length to ${path} does not look complete when the gateway's process is killed`, async t => {
+    const child = fork(new URL('unframed-gateway.ts', import.meta.url), { execArgv: ['--import=tsx'] })
+    t.teardown(() => child.kill('SIGKILL'))
+    const [port] = await once(child, 'message') as [number]
+    const response = await fetch(`http://127.0.0.1:${port}${path}`, { headers: { 'x-request': 'r-1', authorization: 'Bearer key-1' } })
+    t.is(response.headers.get('transfer-encoding'), 'chunked')
+    const reader = response.body!.getReader()
+    t.true((await reader.read()).value!.length > 0)
+    child.kill('SIGKILL')
+    await t.throwsAsync(async () => { while (!(await reader.read()).done); })
+  })
+}
