Forward nothing in a stream that is no event

A backend server that wrote an error into a stream that had begun got it to the caller, head included: every line that was no comment counted as a field, and the blank line after the head as the end of an event.

Up to a blank line there must now be a field of an event stream (data, event, id or retry) or only comments. Otherwise the attempt ends after the events before, and the stream is resumed elsewhere or cut. The same holds for ids out of order, where events that came in the same chunk before were left out until now.

On the code before, three streams held "HTTP/1.1 503 Service Unavailable" with its header fields, "Internal Server Error" and an error in JSON, and looked complete; the event before a repeated one was left out.

--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -192,24 +192,27 @@
       return true
     }
     const events = progress.eventBuffer.push(chunk)
-    if (progress.eventBuffer.isOutOfOrder()) {
+    const hasRoom = events.length === 0 || forwardEvents(events)
+    const fault = progress.eventBuffer.fault()
+    if (fault !== undefined) {
       exchange.abort()
-      onBroken('its events have ids that are not in order', { isGivenUp: true, isUntrusted: true })
-      return true
-    }
-    if (progress.eventBuffer.isOverLimit()) {
+      onBroken(fault, { isGivenUp: true, isUntrusted: true })
+    } else if (progress.eventBuffer.isOverLimit()) {
       failWithBytes('its stream has too many bytes without an event')
-      return true
+    } else if (!hasRoom) {
+      response.once('drain', exchange.resume)
     }
-    if (events.length === 0) return true
+    return hasRoom
+  }
+
+  /** Returns false if the caller has to read before more is written. */
+  function forwardEvents (events: Buffer): boolean {
     if (forwardedBytes === 0 && progress.areHeadersSent) options.onFirstByte()
     sendHeaders()
     forwardedBytes += events.length
     hasContent = true
     options.onEvents(progress.eventBuffer.eventCount() - eventsBefore)
-    const hasRoom = response.write(events)
-    if (!hasRoom) response.once('drain', exchange.resume)
-    return hasRoom
+    return response.write(events)
   }
 
   function onEnd (): void {
--- a/src/core/gateway/event-stream.ts
+++ b/src/core/gateway/event-stream.ts
@@ -21,8 +21,8 @@
   push: (chunk: Buffer) => Buffer
   /** Whether bytes of an unfinished event are held back. */
   hasPartialEvent: () => boolean
-  /** Whether an event came whose id doesn't follow the one before; it and what came with it are not forwarded. */
-  isOutOfOrder: () => boolean
+  /** What is wrong with the stream, such as an event whose id doesn't follow the one before; `push` has returned what came before it. */
+  fault: () => string | undefined
   /** Whether the stream sends bytes without an event. */
   isOverLimit: () => boolean
   /** Number of complete events so far; comments don't count. */
@@ -45,6 +45,18 @@
   return 0
 }
 
+/** Fields of an event stream. Events may have others, too, but something else than an event, such as an error or its head, has none of these. */
+const eventFields = new Set(['data', 'event', 'id', 'retry'])
+/** Bytes of a line that hold the longest of these names and a colon, after a byte order mark, which may begin a stream. */
+const fieldNameBytes = 9
+const byteOrderMark = '\ufeff'
+
+/** Whether a line has a field of an event stream. */
+function hasEventField (line: Buffer): boolean {
+  const [name = ''] = line.subarray(0, fieldNameBytes).toString('utf8').split(':')
+  return eventFields.has(name.replace(byteOrderMark, '').trimEnd())
+}
+
 const integerPattern = /^\d{1,15}$/
 
 /** Whether an id may come after another one: numbers increase, and other ids at least differ. */
@@ -63,35 +75,41 @@
   let comments: Buffer[] = []
   let bytesWithoutEvent = 0
   let lastId: string | undefined
-  let isOutOfOrder = false
+  let fault: string | undefined
   let count = 0
 
-  /** Reads complete events; returns how many there are, and the id of the last one, or undefined if their ids are out of order. */
-  function scanLines (bytes: Buffer): { events: number, lastId: string | undefined } | undefined {
+  /** Counts complete events and stores the id of the last one, up to a fault; returns how many there are, and where they end. */
+  function scanLines (bytes: Buffer): { events: number, end: number } {
     let atLineStart = 0
     let events = 0
+    let eventsEnd = 0
+    let hasLines = false
     let hasField = false
-    let previousId = lastId
     let id: string | undefined
     while (atLineStart < bytes.length) {
       const end = bytes.indexOf(lineFeed, atLineStart)
       const lineEnd = end === -1 ? bytes.length : end
       const isBlank = lineEnd === atLineStart || (lineEnd === atLineStart + 1 && bytes[atLineStart] === carriageReturn)
       if (isBlank) {
+        if (hasLines && !hasField) fault = 'it sent bytes that are no event'
+        else if (id !== undefined && !mayFollow(id, lastId)) fault = 'its events have ids that are not in order'
+        if (fault !== undefined) break
         if (hasField) events += 1
-        if (id !== undefined && !mayFollow(id, previousId)) return undefined
-        previousId = id ?? previousId
+        lastId = id ?? lastId
+        eventsEnd = lineEnd + 1
         id = undefined
+        hasLines = false
         hasField = false
       } else if (bytes[atLineStart] !== colon) {
-        hasField = true
+        hasLines = true
+        hasField ||= hasEventField(bytes.subarray(atLineStart, lineEnd))
         if (bytes.subarray(atLineStart, atLineStart + idField.length).equals(idField)) {
           id = bytes.subarray(atLineStart + idField.length, lineEnd).toString('utf8').trim()
         }
       }
       atLineStart = lineEnd + 1
     }
-    return { events, lastId: previousId }
+    return { events, end: eventsEnd }
   }
 
   /** Offset in the chunk after the last event that ends there; 0 when none does. */
@@ -130,20 +148,15 @@
       const complete = Buffer.concat([...takePartial(), chunk.subarray(0, end)])
       hold(chunk.subarray(end))
       const scanned = scanLines(complete)
-      if (scanned === undefined) {
-        isOutOfOrder = true
-        return noBytes
-      }
-      const { events } = scanned
-      lastId = scanned.lastId
-      count += events
-      bytesWithoutEvent = events > 0 ? 0 : bytesWithoutEvent + complete.length
-      if (count > 0) return comments.length === 0 ? complete : Buffer.concat([takeComments(), complete])
-      comments.push(complete)
+      const sound = complete.subarray(0, scanned.end)
+      count += scanned.events
+      bytesWithoutEvent = scanned.events > 0 ? 0 : bytesWithoutEvent + sound.length
+      if (count > 0) return comments.length === 0 ? sound : Buffer.concat([takeComments(), sound])
+      comments.push(sound)
       return noBytes
     },
     hasPartialEvent: () => partialBytes > 0,
-    isOutOfOrder: () => isOutOfOrder,
+    fault: () => fault,
     isOverLimit: () => partialBytes + bytesWithoutEvent > maxBytesWithoutEvent,
     eventCount: () => count,
     lastEventId: () => lastId,
@@ -152,7 +165,7 @@
       takePartial()
       takeComments()
       bytesWithoutEvent = 0
-      isOutOfOrder = false
+      fault = undefined
     }
   }
 }
--- a/test/gateway/broken-streams.test.ts
+++ b/test/gateway/broken-streams.test.ts
@@ -101,21 +101,48 @@
   return ({ headers }, socket) => { socket.write(chunkedStream(headers['x-request'] ?? '', events) + endOfChunks) }
 }
 
-const restarts: Record<string, string> = {
-  'its first event': event(1) + event(2) + event(3),
-  'the last event': event(2) + event(3),
-  'an event that comes twice': event(3) + event(3)
+/** The events of the next server, and those of them that follow. */
+const restarts: Record<string, [string, string]> = {
+  'its first event': [event(1) + event(2) + event(3), ''],
+  'the last event': [event(2) + event(3), ''],
+  'an event that comes twice': [event(3) + event(3) + event(4), event(3)]
 }
 
-for (const [name, events] of Object.entries(restarts)) {
+for (const [name, [events, following]] of Object.entries(restarts)) {
   test(`a stream that broke is cut, and no event comes twice, when the next server goes on with ${name}`, async t => {
     const handler = first(breakOff, resumeWith(events))
     const deployment = await startGateway(t, [handler, handler], changes)
-    t.like(await valueOrOpen(deployment.call('/resumable/', 'r-1')), { status: 200, body: event(1) + event(2), broken: true })
+    t.like(await valueOrOpen(deployment.call('/resumable/', 'r-1')), { status: 200, body: event(1) + event(2) + following, broken: true })
     t.true(deployment.events.some(({ event, fields }) => event === 'gatewayCut' && String(fields['detail']).includes('order')))
   })
 }
 
+const foreign: Record<string, string> = {
+  'the head of an error': 'HTTP/1.1 503 Service Unavailable\r\ncontent-length: 9\r\n\r\nno room\n\n',
+  'the text of an error': 'Internal Server Error\n\n',
+  'the text of an error after a comment': ': comment\n{"error":"no room"}\n\n'
+}
+
+for (const [name, text] of Object.entries(foreign)) {
+  test(`a stream is cut, and nothing gets into it, when its server writes ${name} between two events`, async t => {
+    for (const begin of [chunkedStream, (id: string, events: string) => head(200, { ...signed(id), ...eventStream, connection: 'close' }) + events]) {
+      const { call, events } = await startGateway(t, [({ headers }, socket) => {
+        socket.write(begin(headers['x-request'] ?? '', event(1)))
+        setTimeout(() => socket.end(begin === chunkedStream ? formatChunk(text) + endOfChunks : text), 20)
+      }], changes)
+      t.like(await call('/once/', 'r-1'), { status: 200, body: event(1), broken: true })
+      t.true(events.some(({ event, fields }) => event === 'gatewayCut' && String(fields['detail']).includes('no event')))
+    }
+  })
+}
+
+test('events may have other fields, and only a few of their own', async t => {
+  const events = ['\ufeffdata: text\n\n', 'x-version: 3\n', event(1), 'event: ping\n\n', 'retry: 100\n\n', 'data\n\n', 'data\r\n\r\n'].join('')
+  const { call } = await startGateway(t, [resumeWith(events)])
+  // The test's decoder leaves out the byte order mark.
+  t.like(await call('/once/', 'r-1'), { status: 200, body: events.slice(1), broken: false })
+})
+
 test('ids of events may leave numbers out, be absent, or not be numbers', async t => {
   const events = [event(1), 'data: no id\n\n', event(10), 'id: b\ndata: text\n\n', 'id: a\ndata: text\n\n'].join('')
   const { call } = await startGateway(t, [resumeWith(events)])
