Never store a cut response as the outcome of a call

On the product's own path a response without a length whose connection was reset was returned and stored as the outcome of its call, since undici reports a reset as the regular end of such a response; a cut look-up was taken for it, too.

The gateway's way to tell a reset moves to src/core/connections and is used for calls as well: they end as unknown. A service that states in the head that it did not run the call is believed as before. Look-ups need a length or chunks.

--- a/src/core/backends/fresh-connections.ts
+++ b/src/core/backends/fresh-connections.ts
@@ -3,6 +3,7 @@
  * response recently, because a connection that was idle for longer may be dead without notice.
  */
 import { Client } from 'undici'
+import { createResetConnector } from '../connections/response-framing.ts'
 import type { Clock } from '../clock/index.ts'
 
 /** Options of the connections to one service. */
@@ -19,6 +20,8 @@
   client: Client
   /** Whether a response has arrived on it, which a faulty service may write once more. */
   isUsed: boolean
+  /** Whether it was reset; to be asked at the end of a response without a length only. */
+  wasReset: () => boolean
 }
 
 /** A pool of connections. */
@@ -44,16 +47,17 @@
   let idle: IdleConnection[] = []
 
   function createConnection (): FreshConnection {
+    const connector = createResetConnector({ timeoutMs: options.connectTimeoutMs })
     const client = new Client(options.url, {
       pipelining: 1,
-      connect: { timeout: options.connectTimeoutMs },
+      connect: connector.connect,
       keepAliveTimeout: maxIdleMs,
       keepAliveMaxTimeout: maxIdleMs,
       headersTimeout: 0,
       bodyTimeout: 0
     })
     open.add(client)
-    return { client, isUsed: false }
+    return { client, isUsed: false, wasReset: connector.wasReset }
   }
 
   function discard ({ client }: FreshConnection): void {
--- a/src/core/backends/look-up.ts
+++ b/src/core/backends/look-up.ts
@@ -1,6 +1,7 @@
 /** Looks up the response of an earlier call by its idempotency key, without sending the call again. */
 import type { Connections } from '../connections/index.ts'
 import { readBoundedBody } from '../connections/index.ts'
+import { isSelfDelimited } from '../connections/response-framing.ts'
 import { maxResponseBytes, runStateDone, runStateHeader } from './service-call.ts'
 import type { ServiceResponse, ServiceRequest } from './types.ts'
 
@@ -26,6 +27,8 @@
       signal: AbortSignal.any([signal, timeout])
     })
     const bytes = await readBoundedBody(body, maxResponseBytes)
+    // A body that ends with its connection may be cut off.
+    if (!isSelfDelimited(statusCode, headers)) return undefined
     if (statusCode !== okStatus || headers[runStateHeader] !== runStateDone) return undefined
     return { status: statusCode, contentType: String(headers['content-type'] ?? 'application/octet-stream'), body: bytes }
   } catch {
--- a/src/core/backends/service-call.ts
+++ b/src/core/backends/service-call.ts
@@ -5,6 +5,7 @@
 import { Result } from 'true-myth'
 import { parseNamedLimit, requestLimitHeader } from '../backend-limits/index.ts'
 import { createByteCollector, describeError } from '../connections/index.ts'
+import { isSelfDelimited } from '../connections/response-framing.ts'
 import { parseRetryAfter } from './refusal.ts'
 import type { Dispatcher } from 'undici'
 import type { Clock } from '../clock/index.ts'
@@ -142,7 +143,13 @@
       onResponseData: (_controller, chunk) => {
         if (!exchange.body.add(Buffer.from(chunk))) abandonTooLong()
       },
-      onResponseEnd: () => { if (!isSettled) settle(toResult(exchange, clock.wallMs())) },
+      onResponseEnd: () => {
+        if (isSettled) return
+        const result = toResult(exchange, clock.wallMs())
+        const isBroken = result.isOk && !isSelfDelimited(exchange.status, exchange.headers) && connection.wasReset()
+        if (isBroken) abandon('stream-broken', 'the connection was reset before the response was complete')
+        else settle(result)
+      },
       onResponseError: (_controller, error) => abandon('stream-broken', describeError(error))
     })
   })
--- a/src/core/gateway/attempt-end-handler.ts
+++ b/src/core/gateway/attempt-end-handler.ts
@@ -4,7 +4,8 @@
  * the request as not run only when that is certain.
  */
 import { cutAnswer } from '../caller-connections/index.ts'
-import { delimitWithoutLength, isSelfDelimited, forwardedResponseHeaders } from './gateway-response.ts'
+import { isSelfDelimited } from '../connections/response-framing.ts'
+import { delimitWithoutLength, forwardedResponseHeaders } from './gateway-response.ts'
 import { requestLogFields } from './active-request.ts'
 import { parseRetryAfterMs } from './eligibility.ts'
 import type { BackendId } from '../ids/index.ts'
--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -3,7 +3,8 @@
  * server responded completely, certainly did not run the request, or may have.
  */
 import { createEventBuffer } from './event-stream.ts'
-import { canContinue, delimitWithoutLength, isSelfDelimited, forwardedResponseHeaders } from './gateway-response.ts'
+import { isSelfDelimited } from '../connections/response-framing.ts'
+import { canContinue, delimitWithoutLength, forwardedResponseHeaders } from './gateway-response.ts'
 import type { ServerResponse } from 'node:http'
 import type { BackendConnections, Exchange, OutgoingRequest } from './backend-connections.ts'
 import type { EventBuffer } from './event-stream.ts'
--- a/src/core/gateway/backend-connections.ts
+++ b/src/core/gateway/backend-connections.ts
@@ -2,11 +2,11 @@
  * Keep-alive connections to a backend server, each with one request at a time.
  * A connection is closed once a byte arrives that belongs to no response.
  */
-import { buildConnector, Client } from 'undici'
-import type { Socket } from 'node:net'
+import { Client } from 'undici'
 import type { Dispatcher } from 'undici'
+import type { ResetConnector } from '../connections/response-framing.ts'
 import { describeError } from '../connections/index.ts'
-import { isSelfDelimited } from './gateway-response.ts'
+import { createResetConnector, isSelfDelimited } from '../connections/response-framing.ts'
 
 /** Codes of errors that say that the backend server's side ended the connection; after all others this side closes it. */
 const connectionEndCodes = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE'])
@@ -74,33 +74,23 @@
 export function createBackendConnections (options: BackendConnectionsOptions): BackendConnections {
   const clients = new Set<Client>()
   const idle: Client[] = []
-  const sockets = new WeakMap<Client, Socket>()
+  const connectors = new WeakMap<Client, ResetConnector>()
   /** Clients whose connection has carried a response. */
   const usedClients = new WeakSet<Client>()
-  const connect = buildConnector({ timeout: connectTimeoutMs })
   let isClosed = false
 
-  /** Whether the connection of a response without a length was reset, which undici, and libuv if data arrives with it, report as a regular end. */
-  function wasReset (client: Client): boolean {
-    // The system knows no peer of a socket that was reset. Node.js keeps an address once it was read, so it isn't read before.
-    return sockets.get(client)?.remoteAddress === undefined
-  }
-
   function create (): Client {
+    const connector = createResetConnector({ timeoutMs: connectTimeoutMs, onConnected: () => usedClients.delete(client) })
     const client = new Client(`http://${options.host}:${options.port}`, {
       pipelining: 1,
-      connect: (target, opened) => connect(target, (...result) => {
-        const [error, socket] = result
-        usedClients.delete(client)
-        if (error === null) sockets.set(client, socket)
-        opened(...result)
-      }),
+      connect: connector.connect,
       keepAliveTimeout: defaultKeepAliveMs,
       keepAliveMaxTimeout: maxKeepAliveMs,
       keepAliveTimeoutThreshold: keepAliveMarginMs,
       headersTimeout: 0,
       bodyTimeout: 0
     })
+    connectors.set(client, connector)
     client.on('connect', options.onOpened)
     client.on('disconnect', () => discardIfIdle(client))
     clients.add(client)
@@ -179,7 +169,7 @@
         if (!hasEnded && !handlers.onData(chunk)) current.pause()
       },
       onResponseEnd: () => {
-        if (isCloseDelimited && wasReset(client)) return fail('the connection was reset before the response was complete')
+        if (isCloseDelimited && connectors.get(client)?.wasReset() === true) return fail('the connection was reset before the response was complete')
         if (hasEnded) return
         hasEnded = true
         if (mayBeReused) releaseClient(client)
--- a/src/core/gateway/gateway-response.ts
+++ b/src/core/gateway/gateway-response.ts
@@ -11,12 +11,6 @@
   return hopByHopHeaders.has(name)
 }
 
-/** Whether the headers of a response delimit its body; otherwise the end of the connection does. */
-export function isSelfDelimited (status: number, headers: Record<string, string | string[] | undefined>): boolean {
-  const hasNoBody = status === 204 || status === 304
-  return hasNoBody || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-}
-
 /** Whether a response can go on with the stream that the caller's response has begun: it must be of the same kind. */
 export function canContinue (response: ServerResponse, status: number, headers: Record<string, string | string[] | undefined>): boolean {
   const hasSameFormat = formatHeaders.every(name => mediaTypeOf(headers[name]) === mediaTypeOf(response.getHeader(name)))
