Keep a node running when its control port gets a target that is not a URL

`GET //` at the control port or the first peer port ended the process, with every request that the node was serving: new URL throws on such a target, and nothing catches it in the listener. The path and the query are now split without a URL parser.

--- a/src/core/node-reports/view-server.ts
+++ b/src/core/node-reports/view-server.ts
@@ -27,13 +27,14 @@
 export async function serveView (addresses: readonly ViewAddress[], snapshot: () => Snapshot): Promise<Server[]> {
   return await Promise.all(addresses.map(async ({ host, port }) => {
     const server = createServer((request, response) => {
-      const url = new URL(request.url ?? '/', 'http://node')
-      if (url.pathname !== viewPath) {
+      // A request target need not be a valid URL.
+      const [path, query] = (request.url ?? '').split('?')
+      if (path !== viewPath) {
         response.writeHead(404).end()
         return
       }
       const { revision, entries } = snapshot()
-      const isNewer = revision > Number(url.searchParams.get('after') ?? 0)
+      const isNewer = revision > Number(new URLSearchParams(query).get('after') ?? 0)
       const view: ViewResponse = { revision, entries: isNewer ? [...entries].map(([key, { value, modRevision }]) => [key, value, modRevision]) : [] }
       response.setHeader('content-type', 'application/json')
       response.end(JSON.stringify(view))
