Check what a node fetches of another node's copy of the store

A copy whose revision was not a number was taken as newer than any other, so that a node which could not reach the store lost its backend servers and its configuration, and took no later change. Entries and revisions are now checked one by one; an entry that can't be read is left out, and a copy that can't be read is passed over for the next node's.

--- a/src/core/node-reports/view-server.ts
+++ b/src/core/node-reports/view-server.ts
@@ -4,6 +4,7 @@
  */
 import { createServer } from 'node:http'
 import { createConnections, requestJson } from '../connections/index.ts'
+import { isRevision } from '../platform/key-value/revision.ts'
 import type { Server } from 'node:http'
 import type { Clock } from '../clock/index.ts'
 import type { Snapshot } from '../store-view/types.ts'
@@ -47,6 +48,18 @@
   }))
 }
 
+/** Decodes a view, without the entries that can't be read; undefined if it isn't a view. */
+function decodeView (body: unknown): Snapshot | undefined {
+  const { revision, entries } = body as Partial<ViewResponse> | null | undefined ?? {}
+  if (!isRevision(revision) || !Array.isArray(entries)) return undefined
+  const readable = entries.flatMap((entry: unknown) => {
+    if (!Array.isArray(entry)) return []
+    const [key, value, modRevision] = entry as unknown[]
+    return typeof key === 'string' && typeof value === 'string' && isRevision(modRevision) ? [[key, { value, modRevision }] as const] : []
+  })
+  return { revision, entries: new Map(readable) }
+}
+
 /** Fetches views from the nodes one after the other until one has a newer revision; undefined if none has. */
 export async function fetchNewerView (addresses: readonly ViewAddress[], afterRevision: number, clock: Clock): Promise<Snapshot | undefined> {
   for (const { host, port } of addresses) {
@@ -55,9 +68,9 @@
       const { body, status } = await requestJson(connections, clock, {
         method: 'GET', path: `${viewPath}?after=${afterRevision}`, deadlineAtMs: clock.wallMs() + requestTimeoutMs
       })
-      const { revision, entries } = body as ViewResponse
-      if (status !== 200 || revision <= afterRevision) continue
-      return { revision, entries: new Map(entries.map(([key, value, modRevision]) => [key, { value, modRevision }])) }
+      const view = status === 200 ? decodeView(body) : undefined
+      if (view === undefined || view.revision <= afterRevision) continue
+      return view
     } catch {
       // The node can't be reached; try the next one.
       continue
--- a/src/core/platform/key-value/revision.ts
+++ b/src/core/platform/key-value/revision.ts
@@ -26,3 +26,8 @@
 export function revisionInEra (revision: number): number {
   return revision % revisionsPerEra
 }
+
+/** Whether a received value can be a revision. */
+export function isRevision (value: unknown): value is number {
+  return Number.isSafeInteger(value) && value as number >= 0
+}
