Answer a request whose handling fails, and suspect a server without a client

An unexpected error in the handling of a request closed the caller's connection without an answer. By the code (not run) it also kept its permit of a limited backend server, its admittance by the quarantine, its response buffer and the router's open attempt. A stream without a length that had begun ended as if it were complete. One such error came with every request to a backend server whose address is no URL: new Client throws, and nothing kept the server from being chosen again.

What was taken is released on every way out. A failure to create a client counts as a server that could not be reached, so another one is tried and this one waits longer each time. An error at the end of a response no longer leaves the attempt open until the deadline.

--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -175,6 +175,12 @@
   return digestRequest({ method: request.method ?? '', host: request.headers.host ?? '', path: request.url ?? '', team: team?.team, body })
 }
 
+/** Units of its team's quota that a request uses: itself, or its tokens. */
+export function quotaUnitsOf ({ team, head }: Pick<ActiveRequest, 'team' | 'head'>): number {
+  if (team?.quota?.countsTokens !== true) return 1
+  return head.tokens === undefined ? team.defaultTokens : head.tokens.prompt + head.tokens.answer
+}
+
 /** Why a request is not sent, and when a retry may succeed. */
 export type BlockedRequest = Pick<Extract<Admittance, { kind: 'refused' }>, 'reason' | 'detail' | 'retryAtMs'>
 
--- a/src/core/gateway/backend-connections.ts
+++ b/src/core/gateway/backend-connections.ts
@@ -70,6 +70,9 @@
 /** Responses with a status below 200 that may precede a response. */
 const maxInformationalResponses = 16
 
+/** An exchange that failed before anything was sent. */
+const unsentExchange: Exchange = { isSent: () => false, resume: () => {}, abort: () => {} }
+
 /** Creates the connections to one backend server; they are opened on demand. */
 export function createBackendConnections (options: BackendConnectionsOptions): BackendConnections {
   const clients = new Set<Client>()
@@ -117,8 +120,20 @@
     else idle.push(client)
   }
 
+  /** An idle client or a new one; a failure to create one is reported as that of the exchange. */
+  function takeClient ({ needsNewConnection }: OutgoingRequest, handlers: ExchangeHandlers): Client | undefined {
+    try {
+      return (needsNewConnection ? undefined : idle.pop()) ?? create()
+    } catch (error) {
+      handlers.onFailure({ mayHaveRun: false, cause: describeError(error), isGivenUp: true })
+      return undefined
+    }
+  }
+
   function send (request: OutgoingRequest, handlers: ExchangeHandlers): Exchange {
-    const client = (request.needsNewConnection ? undefined : idle.pop()) ?? create()
+    const taken = takeClient(request, handlers)
+    if (taken === undefined) return unsentExchange
+    const client: Client = taken
     let controller: Dispatcher.DispatchController | undefined
     let isSent = false
     let hasEnded = false
@@ -174,7 +189,12 @@
         hasEnded = true
         if (mayBeReused) releaseClient(client)
         else discard(client)
-        handlers.onEnd()
+        try {
+          handlers.onEnd()
+        } catch (error) {
+          // undici would report it as an error of an exchange that has ended.
+          handlers.onFailure({ mayHaveRun: true, cause: describeError(error), isGivenUp: true })
+        }
       },
       onResponseError: (_controller, error) => fail(describeError(error), !connectionEndCodes.has((error as NodeJS.ErrnoException).code ?? ''))
     })
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -6,7 +6,7 @@
 import { startAttempt } from './attempt.ts'
 import { isAttemptOk } from './attempt-outcome.ts'
 import { readBody } from './read-body.ts'
-import { servingLabel, canaryLabel } from './backend-table.ts'
+import { canaryLabel } from './backend-table.ts'
 import { createAttemptEndHandler, failedWith } from './attempt-end-handler.ts'
 import { createLimitGate } from './limit-gate.ts'
 import { createQuarantineGate } from './quarantine-gate.ts'
@@ -14,16 +14,17 @@
 import { createLatencyObserver } from './latency-observer.ts'
 import { createResponseBuffers } from './response-buffers.ts'
 import { createRefusals } from './refusals.ts'
-import { createActiveRequest, requestLogFields } from './active-request.ts'
+import { abandonAttempt, createEndFailedRequest, mayHaveRun } from './failed-request.ts'
+import { createActiveRequest, quotaUnitsOf, requestLogFields } from './active-request.ts'
+import { createRouteRequest, pickService } from './route-request.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { AttemptId, RequestId, TeamId } from '../ids/index.ts'
-import type { RouteChoice, RouteRequest } from '../routing/index.ts'
+import type { AttemptId, TeamId } from '../ids/index.ts'
+import type { RouteChoice } from '../routing/index.ts'
 import type { AttemptEnd } from './attempt.ts'
 import type { RequestEnd } from './attempt-end-handler.ts'
 import type { RequestHandlerOptions, ActiveRequest } from './active-request.ts'
 import type { GatewayResponse } from './gateway-response.ts'
 import type { UnchosenReason } from './limit-gate.ts'
-import type { GatewayRoute } from './types.ts'
 
 /** Retry time that callers get while the node has no configuration. */
 const notReadyRetryMs = 500
@@ -55,6 +56,7 @@
   const quarantineGate = createQuarantineGate(options)
   const limitGate = createLimitGate(options)
   const { handleAttemptEnd, endRequest, recordDelivery } = createAttemptEndHandler(options, refusals)
+  const endFailedRequest = createEndFailedRequest(options, refusals)
 
   /** Finds the route and the team; refuses the request and returns undefined when it is not allowed. */
   function accept (request: IncomingMessage, response: ServerResponse): Pick<ActiveRequest, 'route' | 'team' | 'head' | 'version' | 'id'> | undefined {
@@ -84,22 +86,15 @@
     return { status: 503, reason: 'draining', detail: 'The node is stopping and can not finish the request before.', retryInMs: withJitter(stoppingRetryMs) }
   }
 
-  function pickService (id: string, route: GatewayRoute): string {
-    const total = route.services.reduce((sum, { weight }) => sum + weight, 0)
-    let remaining = options.draw(`${id}/service`) * total
-    for (const { service, weight } of route.services) {
-      remaining -= weight
-      if (remaining < 0) return service
+  async function serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    try {
+      await acceptAndServe(request, response)
+    } catch (error) {
+      endFailedRequest(error, { request, response })
     }
-    return route.services.at(-1)?.service ?? ''
-  }
-
-  function quotaUnitsOf ({ team, head }: Pick<ActiveRequest, 'team' | 'head'>): number {
-    if (team?.quota?.countsTokens !== true) return 1
-    return head.tokens === undefined ? team.defaultTokens : head.tokens.prompt + head.tokens.answer
   }
 
-  async function serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async function acceptAndServe (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAtMs = clock.wallMs()
     const maxBodyBytes = options.routeTable()?.configuration.limits.maxBodyBytes ?? 0
     const fields = { request: codec.readRequest(request.headers).request, path: request.url }
@@ -118,7 +113,7 @@
       return
     }
     const { route, team, version, id } = accepted
-    const active = createActiveRequest({ ...accepted, body: body.body, arrivedAtMs, request, response, service: pickService(id, route) })
+    const active = createActiveRequest({ ...accepted, body: body.body, arrivedAtMs, request, response, service: pickService(route, options.draw(`${id}/service`)) })
     if (!options.stopGate.admits({ route: route.name, answerTokens: active.head.tokens?.answer, deadlineAtMs: active.deadlineAtMs })) return refuse(response, stopRefusal(), requestLogFields(active, clock))
     limits.recordDemand(active.service)
     const quarantined = quarantineGate.refusalOnArrival(active)
@@ -184,28 +179,12 @@
     }, Math.max(0, active.deadlineAtMs - clock.wallMs()))
     try {
       endRequest(active, await attemptUntilDone(active))
+    } catch (error) {
+      endFailedRequest(error, active, active)
     } finally {
       clearTimeout(timer)
-      quarantineGate.onEnded(active)
       permit.value.release(response.writableFinished ? 'done' : 'failed')
-    }
-  }
-
-  function routeRequest (active: ActiveRequest): RouteRequest {
-    const { id, service, head, deadlineAtMs, excluded, route, arrivedAtMs } = active
-    const share = options.canaryShare(service)
-    const isFirstAttempt = !active.progress.areHeadersSent && active.sentCount === 0
-    return {
-      request: toId<RequestId>(id),
-      team: toId<TeamId>(service),
-      shares: { shares: [{ version: servingLabel, share: 1 - share }, { version: canaryLabel, share }] },
-      ...(head.prompt === undefined ? {} : { prompt: head.prompt }),
-      priority: 'normal',
-      deadlineAtMs,
-      ...(isFirstAttempt && route.kind === 'stream' ? { firstTokenDeadlineAtMs: arrivedAtMs + route.latencyTargetMs } : {}),
-      compareAllBackends: options.hasRecentLoads(),
-      isAlwaysCompared: limitGate.hasLimit,
-      excluded
+      quarantineGate.onEnded(active)
     }
   }
 
@@ -221,21 +200,32 @@
         continue
       }
       if (admittance.kind === 'refused') return failedWith(admittance.reason, admittance.detail, admittance.retryAtMs - clock.wallMs())
-      const chosen = limitGate.choose(active, usable => router.choose(routeRequest(active), usable))
-      if (chosen.isErr) {
-        admittance.release()
-        return unchosenEnd(active, chosen.error)
-      }
-      const { choice, permit } = chosen.value
-      const end = await attemptOnce(active, choice)
-      limitGate.onAttemptEnded(permit, end)
-      admittance.release()
+      const attempted = await attemptAdmitted(active).finally(admittance.release)
+      if ('unchosen' in attempted) return unchosenEnd(active, attempted.unchosen)
+      const { choice, end } = attempted
+      if (mayHaveRun(end)) active.mayHaveRunOn.add(choice.backend.id)
       await quarantineGate.onAttemptEnded(active, end)
       const requestEnd = handleAttemptEnd(active, choice, end)
       if (requestEnd !== undefined) return requestEnd
     }
   }
 
+  /** Makes an attempt, unless no backend server can be chosen. */
+  async function attemptAdmitted (active: ActiveRequest): Promise<{ unchosen: UnchosenReason } | { choice: RouteChoice, end: AttemptEnd }> {
+    const comparison = { canaryShare: options.canaryShare(active.service), compareAllBackends: options.hasRecentLoads(), isAlwaysCompared: limitGate.hasLimit }
+    const chosen = limitGate.choose(active, usable => router.choose(createRouteRequest(active, comparison), usable))
+    if (chosen.isErr) return { unchosen: chosen.error }
+    const { choice, permit } = chosen.value
+    try {
+      const end = await attemptOnce(active, choice)
+      limitGate.onAttemptEnded(permit, end)
+      return { choice, end }
+    } catch (error) {
+      if (!active.mayHaveRunOn.has(choice.backend.id)) permit.giveBack()
+      throw error
+    }
+  }
+
   /** The end of a request for which no backend server could be chosen. */
   function unchosenEnd ({ service }: ActiveRequest, { refusal, limitedForMs }: UnchosenReason): RequestEnd {
     const pausedForMs = backends.allPausedForMs(service)
@@ -298,24 +288,31 @@
     const responseTimer = setTimeout(() => {
       if (known.lastActivityAtMs < sentAtMs) backends.markSuspect(choice.backend.id, 'no byte was received since a request was sent')
     }, baseResponseTimeoutMs + expectedWaitFactor * choice.expectedFirstTokenMs)
-    router.onAttemptSent(attemptId, choice)
-    options.onSent({ service: active.service, isCanary, workMs: choice.prefillMs })
-    if (active.sentCount === 0) options.retryBudget.deposit(choice.backend.id)
-    const end = await attempt.ended
-    clearTimeout(responseTimer)
-    active.attempt = undefined
-    active.endedInPhase = attempt.phase()
-    const isServerError = end.kind === 'complete' && end.response.status >= 500
-    const ok = (end.kind === 'passed-on' || end.kind === 'complete') && !isServerError
-    router.onAttemptEnded(attemptId, { ok, attributedToBackend: end.kind !== 'aborted' && !(end.kind === 'not-run' && !end.isUnreachable) })
-    if (end.kind !== 'not-run') latencies.onEnded(end.kind !== 'passed-on' && end.kind !== 'complete', clock.monotonicMs())
-    const targetMs = route.eventGapTargetMs ?? route.latencyTargetMs
-    const isStalled = lastProgressAtMs !== undefined && clock.monotonicMs() - lastProgressAtMs > targetMs
-    const isVersionOk = isAttemptOk(end, { isTimedOut: active.isTimedOut, isStalled })
-    if (isVersionOk !== undefined) {
-      options.onAttempt({ team: team?.team, service: active.service, route: route.name, request: id, backend: choice.backend.id, isCanary, ok: isVersionOk })
+    try {
+      router.onAttemptSent(attemptId, choice)
+      options.onSent({ service: active.service, isCanary, workMs: choice.prefillMs })
+      if (active.sentCount === 0) options.retryBudget.deposit(choice.backend.id)
+      const end = await attempt.ended
+      active.attempt = undefined
+      active.endedInPhase = attempt.phase()
+      const isServerError = end.kind === 'complete' && end.response.status >= 500
+      const ok = (end.kind === 'passed-on' || end.kind === 'complete') && !isServerError
+      router.onAttemptEnded(attemptId, { ok, attributedToBackend: end.kind !== 'aborted' && !(end.kind === 'not-run' && !end.isUnreachable) })
+      if (end.kind !== 'not-run') latencies.onEnded(end.kind !== 'passed-on' && end.kind !== 'complete', clock.monotonicMs())
+      const targetMs = route.eventGapTargetMs ?? route.latencyTargetMs
+      const isStalled = lastProgressAtMs !== undefined && clock.monotonicMs() - lastProgressAtMs > targetMs
+      const isVersionOk = isAttemptOk(end, { isTimedOut: active.isTimedOut, isStalled })
+      if (isVersionOk !== undefined) {
+        options.onAttempt({ team: team?.team, service: active.service, route: route.name, request: id, backend: choice.backend.id, isCanary, ok: isVersionOk })
+      }
+      return end
+    } catch (error) {
+      await abandonAttempt(active, attempt)
+      router.onAttemptEnded(attemptId, { ok: false, attributedToBackend: false })
+      throw error
+    } finally {
+      clearTimeout(responseTimer)
     }
-    return end
   }
 
   return (request, response) => serve(request, response).finally(() => endUnfinished(response, { path: request.url }))
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -112,6 +112,9 @@
   broken: boolean
 }
 
+/** A step of the handling of a request that a test lets throw: the choice of a backend server, after the request was sent, or after its response. */
+export type FailingStep = 'choose' | 'sent' | 'ended'
+
 /** Starts a gateway with one fake backend server for each element of `handlers`. */
 export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'], quarantine?: Partial<RequestHandlerOptions['quarantine']> } = {}) {
   const servers: RawBackend[] = await Promise.all(handlers.map(handler => startRawBackend(handler)))
@@ -145,7 +148,8 @@
   })
   const backends = createBackendTable({ clock, log, metrics, limits, random: () => 0.5, versionRolesOf: () => version => version === state.replacedVersion ? 'replaced' : 'serving', maxPauseMs: 30_000, onRemoved: router.removeBackend })
   const table = createRouteTable({ ...configuration, ...changes })
-  const state = { isDraining: false, table: table as typeof table | undefined, replacedVersion: undefined as string | undefined }
+  const state = { isDraining: false, table: table as typeof table | undefined, replacedVersion: undefined as string | undefined, failingStep: undefined as FailingStep | undefined }
+  const failAt = (step: FailingStep): void => { if (state.failingStep === step) throw new Error(`failed at ${step}`) }
   for (const [index, { port }] of servers.entries()) backends.put(entryOf(`b-${index}`, port))
   const quarantine = createQuarantine({ clock, log, metrics, random: createRandom(4), nodeCount: () => 1, reportDelayMs: () => 100, isDeciding: () => true, claimTrial: async () => false })
   const serve = createRequestHandler({
@@ -153,7 +157,13 @@
     log,
     metrics,
     codec,
-    router,
+    router: {
+      ...router,
+      choose: (request, live) => {
+        failAt('choose')
+        return router.choose(request, live)
+      }
+    },
     admission: createAdmission({ clock, metrics, random: createRandom(2), maxConcurrent: 100 }),
     quotas: createQuotas({ clock, random: () => 0, hasFullBuckets: true, ownShare: () => 1, reportAgeMs: () => 0, reachableShare: () => 1 }),
     retryBudget: createRetryBudget({ clock, minRetriesPerSecond: () => 10 }),
@@ -163,9 +173,12 @@
     routeTable: () => state.table,
     canaryShare: () => 0,
     onStarted: () => {},
-    onSent: () => {},
+    onSent: () => failAt('sent'),
     onLatency: () => {},
-    onAttempt: attempt => attempts.push(attempt),
+    onAttempt: attempt => {
+      attempts.push(attempt)
+      failAt('ended')
+    },
     hasRecentLoads: () => true,
     stopped: new AbortController().signal,
     stopGate: createStopGate({ clock, endsAtMs: () => undefined }),
@@ -200,5 +213,5 @@
     return { status: response.status, headers: response.headers, body, broken }
   }
 
-  return { servers, call, port, events, attempts, state, backends, quarantine, ingress }
+  return { servers, call, port, events, attempts, state, backends, router, quarantine, ingress }
 }
