Check addresses, numbers and names of the entries of backend servers

An entry with the address 127.0.0.1:70000 was taken as a backend server, and so were others that no request can be sent to: octets over 255, octets that a URL reads as octal, port 0, ids that no header can hold. Slots of 0 or 1e308, negative times and names of any length went into the router's profiles and the log. Each part of an entry is now checked where it is decoded, within bounds; an entry that isn't sound names no server and is logged once until it is sound again, however often its writer rewrites it. Two unsound values count as the same content, so that their heartbeats aren't reported to other nodes.

--- a/src/core/log/events/gateway.ts
+++ b/src/core/log/events/gateway.ts
@@ -10,6 +10,7 @@
   answerNotDelivered: { number: 706, level: 'warn', text: 'The connection to the caller ended before the answer was delivered.', remedy: 'See the reason: stop-deadline (the node stopped first), crossed-close (the request was read after the node had ended its side, and was not run) or caller-closed. phase tells how far the answer had come, waitingBytes what the caller had not read.' },
   gatewayFailed: { number: 705, level: 'error', text: 'Handling a request failed unexpectedly.', remedy: 'Report a bug with the fields of this event.' },
   backendChanged: { number: 710, level: 'info', text: 'A backend server registered or changed its state.', remedy: 'none' },
+  backendEntryInvalid: { number: 726, level: 'warn', text: 'An entry among those of the backend servers is not sound; it names no backend server, and the others hold. Logged once until the entry is sound again.', remedy: 'See the cause; correct or delete the entry, or the program that writes it.' },
   backendRemoved: { number: 711, level: 'info', text: 'A backend server is no longer registered.', remedy: 'none' },
   backendSuspected: { number: 712, level: 'warn', text: 'A backend server is suspected to have failed and gets no new requests for a while.', remedy: 'Check the backend server if it remains suspected.' },
   backendLeaving: { number: 714, level: 'info', text: 'A backend server said in a response that it is about to leave, to this node or another one; it gets no new requests.', remedy: 'none' },
--- a/test/platform-adapter/decode.test.ts
+++ b/test/platform-adapter/decode.test.ts
@@ -1,6 +1,7 @@
 /** Decoding of the platform's configuration, backend server entries, headers and settings. */
 import test from 'ava'
-import { decodeBackend, decodeConfiguration, isSameBackend } from '../../platform/configuration.ts'
+import { decodeBackend, isSameBackend } from '../../platform/backend-entry.ts'
+import { decodeConfiguration } from '../../platform/configuration.ts'
 import { decodePromptParts, headerCodec } from '../../platform/headers.ts'
 import { parseSettings } from '../../platform/settings.ts'
 import { isErrorOf } from '../../src/core/errors/index.ts'
--- /dev/null
+++ b/test/platform-adapter/odd-values.test.ts
@@ -0,0 +1,89 @@
+/** Nodes whose store holds values that another writer left: wrong types, numbers out of range, deep nesting. */
+import test from 'ava'
+import { startNode } from '../../platform/node.ts'
+import { parseSettings } from '../../platform/settings.ts'
+import { createSystemClock } from '../../src/core/clock/index.ts'
+import { formatResponse, startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
+import { findFreePorts } from '../free-ports.ts'
+import { startPlatform } from './platform-stand-in.ts'
+import { renderSettings } from './render-settings.ts'
+import type { ExecutionContext } from 'ava'
+
+const clock = createSystemClock()
+const deep = '['.repeat(200_000) + ']'.repeat(200_000)
+
+async function waitUntil (condition: () => boolean | Promise<boolean>): Promise<void> {
+  while (!await condition()) await clock.sleep(20)
+}
+
+function createConfiguration (version: number, changes: Record<string, unknown> = {}) {
+  const route = { name: 'r-1', host: '127.0.0.1', path_prefix: '/x/', kind: 'safe', timeout_ms: 2000, slo_ms: 1000, service: 'registry', max_attempts: 2 }
+  return { version, routes: [route], services: [{ name: 'registry', max_connections: 10 }], tenants: [{ name: 'agency', api_keys: ['key-1'] }], ...changes }
+}
+
+/** Starts a node with one sound backend server beside the given values. */
+async function setUp (t: ExecutionContext, values: Record<string, unknown>) {
+  const platform = await startPlatform()
+  const backend = await startRawBackend(({ headers }, socket) => {
+    socket.write(formatResponse(200, { 'x-cyclamenshunt-attempt-id': headers['x-cyclamenshunt-attempt-id'] ?? '', 'x-cyclamenshunt-response-seal': 's' }, 'whole'))
+  })
+  const entry = { service: 'registry', address: `127.0.0.1:${backend.port}`, zone: 'a', version: 'v1', slots: 4, state: 'ready', sequence: 1 }
+  for (const [key, value] of Object.entries({ 'op/config': createConfiguration(1), ...values })) await platform.put(key, value)
+  await platform.put('servers/sound', entry)
+  const port = await findFreePorts(10)
+  const events: Array<{ event: string, fields: Record<string, unknown> }> = []
+  const node = await startNode(parseSettings(renderSettings({
+    'platform.address': platform.address,
+    'cloud.address': platform.address,
+    'listen.front': `127.0.0.1:${port}`,
+    'listen.readiness': `127.0.0.1:${port + 1}`,
+    'listen.control': `127.0.0.1:${port + 2}`,
+    internal_ports: `${port + 3},${port + 9}`,
+    'bounds.grace_s': '1'
+  }), 'node.conf'), { log: (event, fields = {}) => { events.push({ event, fields }) } })
+  t.teardown(async () => {
+    await node.stop()
+    await backend.close()
+    await platform.close()
+  })
+  const call = (path: string, headers: Record<string, string> = {}) => fetch(`http://127.0.0.1:${port}${path}`, {
+    headers: { 'x-cyclamenshunt-attempt-id': String(Math.random()), authorization: 'Bearer key-1', ...headers }
+  }).then(({ status }) => status, () => 0)
+  const countOf = (event: string): number => events.filter(other => other.event === event).length
+  await waitUntil(async () => await call('/x/') === 200)
+  return { platform, entry, call, events, countOf, port }
+}
+
+test('odd entries of backend servers name none, are logged once each, and later entries are still followed', async t => {
+  const sound = { service: 'registry', address: '127.0.0.1:70000', zone: 'a', version: 'v1', slots: 4, state: 'ready', sequence: 1 }
+  const changes: object[] = [
+    {}, { address: '127.0.0.1:0' }, { address: '127.0.0.256:80' }, { address: '0127.0.0.1:80' }, { address: '127.0.0.1:080' },
+    { address: '127.0.0.1:80', slots: 0 }, { address: '127.0.0.1:80', slots: -1 }, { address: '127.0.0.1:80', slots: 1e308 },
+    { address: '127.0.0.1:80', cold_remaining_ms: -1 }, { address: '127.0.0.1:80', leaves_ms: 1e300 }, { address: '127.0.0.1:80', born: 1e300 },
+    { address: '127.0.0.1:80', version: 'v'.repeat(10_000) }, { address: '127.0.0.1:80', version: '\ufffd' }, { address: '127.0.0.1:80', sequence: '1' }
+  ]
+  const odd: Record<string, unknown> = Object.fromEntries(changes.map((change, index) => [`servers/odd-${index}`, { ...sound, ...change }]))
+  Object.assign(odd, {
+    'servers/deep': deep,
+    'servers/deep-zone': JSON.stringify({ ...sound, zone: 0 }).replace('"zone":0', `"zone":${deep}`),
+    'servers/infinite': JSON.stringify({ ...sound, address: '127.0.0.1:80' }).replace('"slots":4', '"slots":1e999'),
+    'servers/null': null,
+    'servers/bytes': '\u0000\u0001\ufffd',
+    'servers/\u4e2d': { ...sound, address: '127.0.0.1:80' },
+    'servers/': { ...sound, address: '127.0.0.1:80' }
+  })
+  const { platform, entry, call, events, countOf } = await setUp(t, odd)
+  const statuses: number[] = []
+  for (let index = 0; index < 60; index += 1) statuses.push(await call('/x/'))
+  t.is(statuses.filter(status => status !== 200).length, 0)
+  t.deepEqual(events.filter(({ event }) => event === 'backendChanged').map(({ fields }) => fields['backend']), ['sound'])
+  t.is(countOf('backendEntryInvalid'), Object.keys(odd).length)
+  t.true(events.every(({ fields }) => String(fields['cause'] ?? '').length < 300))
+  // A heartbeat of an odd entry isn't logged again, and a change of a sound one is followed.
+  await platform.put('servers/odd-1', { ...sound, address: '127.0.0.1:0', sequence: 2, note: 'x' })
+  await platform.put('servers/other', { ...entry, address: '127.0.0.1:9' })
+  await waitUntil(() => countOf('backendChanged') === 2)
+  await platform.put('servers/sound', { ...entry, state: 'draining' })
+  await waitUntil(() => events.some(({ event, fields }) => event === 'backendChanged' && fields['leaving'] === true))
+  t.is(countOf('backendEntryInvalid'), Object.keys(odd).length)
+})
