Check the responses of the platform's store

A listing, a watch or a transaction whose response had another shape threw where nothing catches it: the follower of the store rejected without a handler, which ends the process, and one item with another type of value did the same for all of them.

--- a/test/platform-adapter/store.test.ts
+++ b/test/platform-adapter/store.test.ts
@@ -1,8 +1,10 @@
 /** The client of the platform's store. */
+import { createServer } from 'node:http'
 import test from 'ava'
 import { createStore } from '../../platform/store.ts'
 import { createSystemClock } from '../../src/core/clock/index.ts'
 import { startPlatform } from './platform-stand-in.ts'
+import type { AddressInfo } from 'node:net'
 import type { ExecutionContext } from 'ava'
 import type { KeyValueChange } from '../../src/core/platform/key-value/types.ts'
 
@@ -86,3 +88,37 @@
   await store.revokeLease(lease!, longDeadline())
   t.false((await store.keepAlive(lease!, longDeadline())).unwrapOr(true))
 })
+
+test('a response that can not be read is an error of its call, and an item that can not be read is left out', async t => {
+  let text = ''
+  const server = createServer((_request, response) => { response.end(text) })
+  await new Promise<void>(resolve => server.listen({ host: '127.0.0.1', port: 0 }, resolve))
+  const store = createStore({ origin: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, clock, watchBatchDelayMs: () => 10 })
+  t.teardown(async () => {
+    await store.close()
+    server.close()
+  })
+  const sound = { key: 'a', value: Buffer.from('1').toString('base64'), revision: 3, lease: 0 }
+  const deletion = { key: 'b', revision: 3, tombstone: true }
+  const oddItems = [null, 5, [], {}, { ...sound, value: 5 }, { ...sound, value: undefined }, { ...sound, key: 5 }, { ...sound, revision: 'x' }, { ...sound, revision: -1 }, { ...sound, revision: 1e300 }, { ...deletion, revision: null }]
+  const watchOnce = (): Promise<readonly KeyValueChange[] | string> => new Promise(resolve => {
+    const watch = store.watch('', 1, {
+      onChanges: changes => {
+        watch.close()
+        resolve(changes)
+      },
+      onLost: ({ kind }) => resolve(kind)
+    })
+  })
+  const odd = ['null', '5', '[]', '{}', '""', '{"items":{},"store_revision":1}', '{"items":[],"store_revision":1e300}', '{"events":[],"store_revision":"1"}', '{"lease":"x","revision":"x"}', '{', '\u0000']
+  for (text of odd) {
+    const reads = [await store.list('', longDeadline()), await store.get('a', longDeadline()), await store.grantLease(1, longDeadline())]
+    t.true(reads.every(({ isErr }) => isErr), text)
+    t.is(await watchOnce(), 'KeyValueUnavailable', text)
+    await t.notThrowsAsync(store.transact({ compares: [{ key: 'a', modRevision: 1 }], puts: [], deletes: [] }, longDeadline()))
+  }
+  text = JSON.stringify({ items: [...oddItems, sound], has_more: false, store_revision: 4 })
+  t.deepEqual((await store.list('', longDeadline())).unwrapOr(undefined), { entries: [{ key: 'a', value: '1', modRevision: 3 }], revision: 4 })
+  text = JSON.stringify({ events: [...oddItems, sound, deletion], store_revision: 4 })
+  t.deepEqual(await watchOnce(), [{ key: 'a', value: '1', modRevision: 3 }, { key: 'b', value: undefined, modRevision: 3 }])
+})
