Go on following the store after an unexpected error

The changes of one update were applied in one loop, so a change that could not be processed took all later ones of the same update with it, and they never came again: backend servers stayed unknown, a configuration was missed. An error in the loop that follows the store ended the loop; by the code (not run in a process of its own) the rejection has no handler, which ends the process. Each change is now applied by itself; the loop logs an error and lists the content anew after a pause; a watch whose handler fails is lost, not silent; and one failed large delta no longer keeps later ones away.

--- a/src/core/store-view/index.ts
+++ b/src/core/store-view/index.ts
@@ -7,9 +7,13 @@
 import type { KeyValueError, Watch } from '../platform/key-value/types.ts'
 import { createRevision, eraOf, revisionInEra } from '../platform/key-value/revision.ts'
 import { createHistory } from './history.ts'
-import type { Snapshot, StoreView, StoreViewOptions, DeltaChange, ViewChange, ViewEntry, ViewSource, ViewDelta } from './types.ts'
+import { logChangeFailure, notifyEach } from './listeners.ts'
+import { readOmittedValues } from './omitted-values.ts'
+import type { ChangeListener } from './listeners.ts'
+import type { Snapshot, StoreView, StoreViewOptions, ViewChange, ViewEntry, ViewSource, ViewDelta } from './types.ts'
 
 export type * from './types.ts'
+export { createChangeListener } from './listeners.ts'
 
 /** Timeout of a list request; several times the usual response time of a slow service. */
 const listTimeoutMs = 1_500
@@ -20,15 +24,13 @@
 /** Longest time after a list for which a node waits for the first changes from others before it watches the service itself; three of their report intervals. */
 const firstPeerUpdateMs = 600
 const firstPeerUpdateCheckMs = 50
-/** Timeout of a read of an omitted value. */
-const readTimeoutMs = 800
 
 /** Creates a view; sends no request before `start` is called. */
 export function createStoreView (options: StoreViewOptions): StoreView {
   const { store, clock, log, hasPeerUpdates = () => false, expectsPeerUpdates = () => false, isSameContent = () => false } = options
   const history = createHistory()
   const closed = new AbortController()
-  const listeners: Array<(changes: readonly ViewChange[]) => void> = []
+  const listeners: ChangeListener[] = []
   const restoreListeners: Array<() => void> = []
   let entries = new Map<string, ViewEntry>()
   let revision = 0
@@ -47,14 +49,7 @@
   const firstContent = new Promise<void>(resolve => { resolveFirstContent = resolve })
 
   function notifyListeners (changes: readonly ViewChange[]): void {
-    if (changes.length === 0) return
-    for (const listener of listeners) {
-      try {
-        listener(changes)
-      } catch (error) {
-        log('viewChangeFailed', { key: changes[0]?.key, changes: changes.length, cause: (error as Error).stack })
-      }
-    }
+    if (changes.length > 0) notifyEach(listeners, changes, log)
   }
 
   function markReachable (reachableForMs: number): void {
@@ -171,29 +166,18 @@
     }).finally(() => { isWatching = false })
   }
 
-  /** Reads the omitted values; undefined if one can't be read. */
-  async function readOmittedValues (changes: readonly DeltaChange[]): Promise<ViewChange[] | undefined> {
-    const complete: ViewChange[] = []
-    for (const change of changes) {
-      if (change.isValueOmitted !== true) {
-        complete.push(change)
-        continue
-      }
-      const read = await store.get(change.key, { deadlineAtMs: clock.wallMs() + readTimeoutMs })
-      if (read.isErr) return undefined
-      const { entry } = read.value
-      complete.push({ ...change, value: entry?.value, modRevision: entry?.modRevision ?? change.modRevision })
-    }
-    return complete
-  }
-
   async function applyLargeDelta ({ changes = [], revision: newRevision }: ViewDelta): Promise<void> {
     if (isApplyingLargeDelta) return
     isApplyingLargeDelta = true
-    const complete = await readOmittedValues(changes)
-    if (complete !== undefined) apply(complete, newRevision, 'peer')
-    else await updateFromPeers()
-    isApplyingLargeDelta = false
+    try {
+      const complete = await readOmittedValues({ store, clock }, changes)
+      if (complete !== undefined) apply(complete, newRevision, 'peer')
+      else await updateFromPeers()
+    } catch (error) {
+      logChangeFailure(log, changes, error)
+    } finally {
+      isApplyingLargeDelta = false
+    }
   }
 
   function applyDelta (delta: ViewDelta): void {
@@ -256,27 +240,34 @@
 
   async function run (): Promise<void> {
     while (!closed.signal.aborted) {
-      if (!needsList && hasPeerUpdates()) {
-        await clock.sleep(peerCheckIntervalMs, closed.signal)
-        continue
-      }
-      const listFailure = await listIfNeeded()
-      if (listFailure === undefined && hasPeerUpdates()) continue
-      const failure = listFailure ?? await watchUntilLost()
-      if (closed.signal.aborted) return
-      if (failure === undefined) continue
-      // A new list is needed only if the service no longer has the history. After a broken connection, the watch resumes at the last revision.
-      if (failure.kind === 'KeyValueRejected') {
+      try {
+        await follow()
+      } catch (error) {
+        // Whatever could not be processed, the node must not stop following the service.
+        logChangeFailure(log, [], error)
         needsList = true
-        log('storeHistoryLost', { revision, cause: failure.message })
-        continue
+        await clock.sleep(options.retryPauseMs?.() ?? defaultRetryPauseMs, closed.signal)
       }
-      markUnreachable(failure)
-      await updateFromPeers()
-      await clock.sleep(options.retryPauseMs?.() ?? defaultRetryPauseMs, closed.signal)
     }
   }
 
+  /** Lists or watches the service until something fails or other nodes report changes. */
+  async function follow (): Promise<void> {
+    if (!needsList && hasPeerUpdates()) return await clock.sleep(peerCheckIntervalMs, closed.signal)
+    const listFailure = await listIfNeeded()
+    if (listFailure === undefined && hasPeerUpdates()) return
+    const failure = listFailure ?? await watchUntilLost()
+    if (closed.signal.aborted || failure === undefined) return
+    // A new list is needed only if the service no longer has the history. After a broken connection, the watch resumes at the last revision.
+    if (failure.kind === 'KeyValueRejected') {
+      needsList = true
+      return log('storeHistoryLost', { revision, cause: failure.message })
+    }
+    markUnreachable(failure)
+    await updateFromPeers()
+    await clock.sleep(options.retryPauseMs?.() ?? defaultRetryPauseMs, closed.signal)
+  }
+
   return {
     get: key => entries.get(key),
     list: prefix => [...entries].filter(([key]) => key.startsWith(prefix)).map(([key, entry]) => ({ key, ...entry })),
--- a/test/store-view/store-view.test.ts
+++ b/test/store-view/store-view.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava'
 import { createManualClock, createSystemClock } from '../../src/core/clock/index.ts'
 import { createMemoryKeyValue } from '../../src/core/platform/key-value/index.ts'
-import { createStoreView } from '../../src/core/store-view/index.ts'
+import { createChangeListener, createStoreView } from '../../src/core/store-view/index.ts'
 import { fetchNewerView, serveView } from '../../src/core/node-reports/index.ts'
 import type { AddressInfo } from 'node:net'
 import type { Snapshot } from '../../src/core/store-view/index.ts'
@@ -224,3 +224,35 @@
   t.deepEqual(seen, ['a', 'b'])
   t.true(events.includes('viewChangeFailed'))
 })
+
+test('each change that can be processed is, also beside one in the same update that can not', async t => {
+  const { view, put, events } = setUp()
+  t.teardown(view.close)
+  const seen: string[] = []
+  view.onChanges(createChangeListener(event => { events.push(event) }, ({ key, value }) => {
+    JSON.parse(value ?? '')
+    seen.push(key)
+  }))
+  for (const [key, value] of [['a', '1'], ['b', '{"malformed":'], ['c', '2']] as const) await put(key, value)
+  await view.start()
+  t.deepEqual(seen, ['a', 'c'])
+  t.is(events.filter(event => event === 'viewChangeFailed').length, 1)
+})
+
+test('a node goes on following the service after an unexpected error', async t => {
+  let failures = 0
+  const { store, view, put, events } = setUp(async () => {
+    failures += 1
+    throw new Error('unexpected')
+  })
+  t.teardown(view.close)
+  await put('a', '1')
+  await view.start()
+  store.setFaults({ down: true })
+  store.breakWatches()
+  await until(() => failures > 1)
+  store.setFaults({ down: false })
+  await put('a', '2')
+  await until(() => view.get('a')?.value === '2')
+  t.true(events.includes('viewChangeFailed'))
+})
