Check the addresses in the registrations of nodes

One registration with the port 70000 ended the process of every node that read it, again after each restart: sending a datagram to such a port throws, in a loop without a handler for it. Ports, hosts, names and bandwidths are now checked where a registration is decoded, and it must be of the node that its key names, so that an entry can't stand in for another node. A datagram that can't be sent counts as unsent, and an error while a report is put together is logged; the next report follows.

The stand-in nodes of test/platform-adapter/node-registry.test.ts had the ports 0, 1, 2...; port 0 can't be sent to and is refused now, so they begin at 1. What the tests check is unchanged. The types of the exchange moved to exchange-types.ts without a change.

--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -9,96 +9,17 @@
 import { createActivityTotals } from './activity-totals.ts'
 import { maxPrefixesOf } from './prefix-limit.ts'
 import type { RemoteInfo } from 'node:dgram'
-import type { Clock } from '../clock/index.ts'
-import type { LimitReport } from '../backend-limits/index.ts'
 import type { NodeId } from '../ids/index.ts'
-import type { Log } from '../log/index.ts'
-import type { Metrics } from '../metrics/index.ts'
-import type { QuarantineReport } from '../quarantine/index.ts'
-import type { ViewDelta } from '../store-view/index.ts'
 import type { CollectorChoice } from './collectors.ts'
-import type { Activity, NodeAddress, NodeDigest, NodeReport } from './types.ts'
+import type { NodeReports, NodeReportsOptions } from './exchange-types.ts'
+import type { Activity, NodeDigest, NodeReport } from './types.ts'
 
 export type * from './types.ts'
+export type * from './exchange-types.ts'
 export { createCollectors } from './collectors.ts'
 export { createActivityTotals } from './activity-totals.ts'
 export { fetchNewerView, serveView } from './view-server.ts'
 
-/** Options of the report exchange. */
-export interface NodeReportsOptions {
-  host: string
-  port: number
-  node: NodeId
-  /** Bandwidth of this node's network link in Mbit/s. */
-  linkMbps: number
-  clock: Clock
-  log: Log
-  metrics: Metrics
-  /** Maps a text to a number in [0, 1), equal on every node. */
-  draw: (text: string) => number
-  /** The other registered nodes. */
-  peers: () => NodeAddress[]
-  /** The node whose duties need all reports. */
-  dutyHolder: () => NodeId | undefined
-  /** Collects the content of this node's report. */
-  collectReport: () => Omit<NodeReport, 'node' | 'bootId' | 'sequence' | 'wantsDigest' | 'digestSource'>
-  /** What a collector knows from all other nodes about prompts that may crash backend servers. */
-  promptsFor: (node: NodeId) => QuarantineReport
-  /** What a collector knows from all other nodes about the limits of backend servers, with the node's shares of them; a new receiver may not know any. */
-  limitsFor: (node: NodeId, isNewReceiver: boolean) => LimitReport
-  /** Called with each report of another node. */
-  onReport: (report: NodeReport) => void
-  /**
-   * Called with the activity of one other node, or with a collector's totals of all
-   * other nodes. With `isFirst` this node has no earlier activity of the source, so its
-   * usage may have been counted from another source, or before this node started.
-   */
-  onActivity: (source: NodeId, bootId: string, activity: Activity, isFirst: boolean) => void
-  /** Called when a source of activity stops reporting or is no longer used. */
-  onSilent: (source: NodeId) => void
-  /** The changes at the key-value service after a revision. */
-  deltaAfter: (revision: number) => ViewDelta
-  /** Called with the delta in each received digest. */
-  onDelta: (delta: ViewDelta) => void
-  /** Id of this start of the node's process. */
-  bootId: string
-}
-
-/** The report exchange of one node. */
-export interface NodeReports {
-  /** Binds the port and starts to send reports; rejects if the port can't be bound. */
-  start: () => Promise<void>
-  /** Nodes that report to this one. */
-  reportingNodes: () => NodeId[]
-  /** Number of other nodes whose activity is known here. */
-  knownNodeCount: () => number
-  /** Whether this node gets the reports of all others itself, and doesn't depend on a collector's digests. */
-  getsAllReports: () => boolean
-  /** Time after which what one node has found out is known to all others, despite the loss of one report. */
-  evidenceDelayMs: () => number
-  /** Number of other nodes whose activity is as recent as a lost report or two allow. */
-  currentNodeCount: () => number
-  /** The current reports of other nodes that don't use the digests of another collector. */
-  ownReports: () => NodeReport[]
-  /** The last report of a node, if it reported recently. */
-  lastReport: (node: NodeId) => NodeReport | undefined
-  /** The collectors to which this node reports. */
-  collectors: () => NodeId[]
-  /** Whether this node receives the reports of all reachable nodes. */
-  isCollector: () => boolean
-  /** Whether a collector that can reach the key-value service has sent a digest recently. */
-  hasPeerUpdates: () => boolean
-  /** Whether nodes report to collectors, so that each learns of the others' activity late. */
-  usesCollectors: () => boolean
-  /** Mean age in ms of the other nodes' activity as this node knows it. */
-  activityAgeMs: () => number
-  /** Sends a report immediately, for example before the node stops. */
-  sendReport: () => void
-  /** Sends a report within some 20 ms instead of at the next interval. */
-  sendSoon: () => void
-  close: () => void
-}
-
 /** Interval between reports; limits the age of what other nodes know. A collector with a third of a CPU core can process those of hundreds of nodes. */
 const reportIntervalMs = 200
 /** Shortest time between two reports that are sent ahead of the interval. */
@@ -138,9 +59,13 @@
   function sendDatagram (kind: 'report' | 'digest', bytes: Buffer, port: number, host: string): void {
     metrics.count('node_reports_sent_total', { kind })
     metrics.count('node_reports_sent_bytes_total', { kind }, bytes.length)
-    socket.send(bytes, port, host, error => {
-      if (error !== null) metrics.count('node_reports_unsent_total')
-    })
+    const countUnsent = (): void => metrics.count('node_reports_unsent_total')
+    try {
+      socket.send(bytes, port, host, error => { if (error !== null) countUnsent() })
+    } catch {
+      // The address of one node must not keep the others from getting their reports.
+      countUnsent()
+    }
   }
 
   /** Sets the choice. If the digest source changes, activity from the previous sources is discarded. */
@@ -250,12 +175,21 @@
     isSendingSoon = true
     await clock.sleep(Math.max(0, lastReportAtMs + minReportIntervalMs - clock.monotonicMs()), closed.signal)
     isSendingSoon = false
-    if (!closed.signal.aborted) sendReport()
+    if (!closed.signal.aborted) trySendReport()
+  }
+
+  /** An error in what one module reports must not end the reports of this node. */
+  function trySendReport (): void {
+    try {
+      sendReport()
+    } catch (error) {
+      log('nodeReportFailed', { cause: (error as Error).stack })
+    }
   }
 
   async function run (): Promise<void> {
     while (!closed.signal.aborted) {
-      sendReport()
+      trySendReport()
       removeSilentNodes()
       await clock.sleep(reportIntervalMs, closed.signal)
     }
@@ -293,7 +227,7 @@
     activityAgeMs: () => choice.usesCollectors ? reportIntervalMs : reportIntervalMs / 2,
     getsAllReports: () => choice.digestSource === undefined,
     evidenceDelayMs: () => (choice.usesCollectors ? 2 : 1) * reportIntervalMs + reportIntervalMs / 2,
-    sendReport,
+    sendReport: trySendReport,
     sendSoon: () => { sendSoon() },
     close: () => {
       closed.abort()
--- a/test/platform-adapter/node-registry.test.ts
+++ b/test/platform-adapter/node-registry.test.ts
@@ -18,7 +18,7 @@
     const store = kv.connect(`node-${index}`)
     const view = createStoreView({ store, clock, log: createSilentLog(), fetchFromPeers: async () => undefined })
     const registry = createNodeRegistry({
-      self: { node: idOf(index), linkMbps: 100, host: '10.0.0.1', reportPort: index, viewPort: index }, store, view, clock, log: createSilentLog(), random: () => 0.5, restoreGraceMs: 4_000
+      self: { node: idOf(index), linkMbps: 100, host: '10.0.0.1', reportPort: index + 1, viewPort: index + 1 }, store, view, clock, log: createSilentLog(), random: () => 0.5, restoreGraceMs: 4_000
     })
     view.onChanges(changes => changes.forEach(registry.applyChange))
     await view.start()
@@ -64,6 +64,15 @@
   t.deepEqual(other!.peers().map(({ node }) => node).toSorted(), [idOf(0), idOf(2)])
 })
 
+test('a registration whose address can not be used, or that is of another node, names no node', async t => {
+  const { clock, registries: [holder, other] } = await setUp(3)
+  const changes = [{}, { reportPort: 70_000 }, { reportPort: 0 }, { viewPort: 1.5 }, { linkMbps: -1 }, { host: '' }, { host: 'h'.repeat(10_000) }, { node: idOf(0) }]
+  const puts = changes.map((change, index) => ({ key: `cyclamenshunt/nodes/odd-${index}`, value: JSON.stringify({ node: `odd-${index}`, host: 'h', linkMbps: 1, reportPort: 1, viewPort: 1, ...change }) }))
+  await holder!.store.transact({ compares: [], puts, deletes: [] }, { deadlineAtMs: clock.wallMs() + 1_000 })
+  await clock.advance(1_000)
+  t.deepEqual(other!.peers().map(({ node }) => node).toSorted(), [idOf(0), idOf(2), 'odd-0'])
+})
+
 test('a holder that hears few of the nodes deletes nothing', async t => {
   const { clock, registries: [holder] } = await setUp(6)
   for (let second = 0; second < 60; second += 1) {
--- a/test/platform-adapter/odd-values.test.ts
+++ b/test/platform-adapter/odd-values.test.ts
@@ -87,3 +87,32 @@
   await waitUntil(() => events.some(({ event, fields }) => event === 'backendChanged' && fields['leaving'] === true))
   t.is(countOf('backendEntryInvalid'), Object.keys(odd).length)
 })
+
+test('odd registrations of nodes, rollouts and stored values of duties keep no node from serving', async t => {
+  const node = { node: 'n', linkMbps: 1, host: '127.0.0.1', reportPort: 9, viewPort: 9 }
+  const { platform, entry, call, countOf } = await setUp(t, {
+    'cyclamenshunt/nodes/port': { ...node, reportPort: 70_000 },
+    'cyclamenshunt/nodes/zero': { ...node, reportPort: 0 },
+    'cyclamenshunt/nodes/view-port': { ...node, viewPort: -1 },
+    'cyclamenshunt/nodes/link': { ...node, linkMbps: -1 },
+    'cyclamenshunt/nodes/host': { ...node, host: '' },
+    'cyclamenshunt/nodes/deep': deep,
+    'op/rollout/number': { service: 5, target: {}, duration_s: 'x' },
+    'op/rollout/registry': { service: 'registry', target: 'v2', duration_s: 1e308 },
+    'op/rollout/deep': `{"service":${deep},"target":"v2","duration_s":3}`,
+    'status/rollout/registry': { state: {}, target: 5 },
+    'cyclamenshunt/moves/registry': { revision: {}, startedAtMs: 'x' },
+    'cyclamenshunt/quarantine': { records: [{ service: 5 }] },
+    'cyclamenshunt/quarantine-trial': { untilMs: {} },
+    'cyclamenshunt/quota-levels': { atMs: 'x' },
+    'cyclamenshunt/usage/x': deep,
+    'cyclamenshunt/usage/1e300': { agency: -1 },
+    'duties/platform': deep
+  })
+  await clock.sleep(1_500)
+  for (let index = 0; index < 20; index += 1) t.is(await call('/x/'), 200)
+  await platform.put('servers/other', { ...entry, address: '127.0.0.1:9' })
+  await waitUntil(() => countOf('backendChanged') === 2)
+  t.is(countOf('nodeEntryUnreadable'), 6)
+  for (const event of ['dutyStepFailed', 'viewChangeFailed', 'gatewayFailed']) t.is(countOf(event), 0, event)
+})
