Check the orders and states of version moves

An order under the key of another service stood for that service's own one. An order that was no JSON was logged at every request.

--- a/test/platform-adapter/odd-values.test.ts
+++ b/test/platform-adapter/odd-values.test.ts
@@ -116,3 +116,23 @@
   t.is(countOf('nodeEntryUnreadable'), 6)
   for (const event of ['dutyStepFailed', 'viewChangeFailed', 'gatewayFailed']) t.is(countOf(event), 0, event)
 })
+
+test('odd orders of version moves are ignored, and a sound one beside them is carried out', async t => {
+  const order = { service: 'registry', target: 'v2', duration_s: 60 }
+  const { events, countOf } = await setUp(t, {
+    'op/rollout/deep': JSON.stringify({ ...order, service: 0 }).replace('"service":0', `"service":${deep}`),
+    'op/rollout/number': { ...order, service: 5 },
+    'op/rollout/other': { ...order, target: 'v3' },
+    'op/rollout/endless': { ...order, service: 'endless', duration_s: 1e308 },
+    'op/rollout/past': { ...order, service: 'past', duration_s: -1 },
+    'op/rollout/long': { ...order, service: 'long', target: 'v'.repeat(10_000) },
+    'status/rollout/registry': { state: {}, target: 5 },
+    'cyclamenshunt/moves/registry': { revision: {}, startedAtMs: 'x' },
+    'op/rollout/registry': order
+  })
+  await waitUntil(() => events.some(({ event, fields }) => event === 'serviceMoveState' && fields['service'] === 'registry' && fields['result'] === 'written'))
+  t.deepEqual(events.flatMap(({ event, fields }) => event === 'serviceMoveSeen' ? [fields['target']] : []), ['v2'])
+  t.is(countOf('dutyStepFailed'), 0)
+  // Six orders, the status and the start: each logged once, although every request asks for them.
+  t.is(countOf('configurationUnreadable'), 8)
+})
