--- a/test/platform-adapter/odd-values.test.ts
+++ b/test/platform-adapter/odd-values.test.ts
@@ -136,3 +136,28 @@
   // Six orders, the status and the start: each logged once, although every request asks for them.
   t.is(countOf('configurationUnreadable'), 8)
 })
+
+test('an invalid route, service, team or limit of a configuration is left out, and the others hold', async t => {
+  const [route] = createConfiguration(1).routes
+  const { platform, call, events, countOf } = await setUp(t, {
+    'op/config': createConfiguration(1, {
+      routes: [
+        { ...route, timeout_ms: 1e308 }, null, { ...route, path_prefix: '/odd/', timeout_ms: -1 }, { ...route, path_prefix: 'none' }, { ...route, path_prefix: '/kind/', kind: 'other' },
+        { ...route, path_prefix: '/split/', traffic_split: [{ service: 'registry', weight: -1 }] }
+      ],
+      services: [{ name: 'registry', max_connections: 10 }, { name: 'other', engine: { slots: 0, kv_capacity: 1 } }, 5],
+      tenants: [{ name: 'agency', api_keys: ['key-1'] }, { name: '\u4e2d', api_keys: ['key-2'] }, { name: 'negative', api_keys: ['key-3'], rate_per_s: -1 }],
+      limits: { idle_timeout_ms: -1, header_timeout_ms: 1e308, max_body_bytes: 'x' }
+    })
+  })
+  for (let index = 0; index < 10; index += 1) t.is(await call('/x/'), 200)
+  t.is(await call('/odd/'), 404)
+  t.is(await call('/x/', { authorization: 'Bearer key-2' }), 401)
+  t.is(countOf('configurationPartInvalid'), 12)
+  t.is(countOf('backendSuspected'), 0)
+  await platform.put('op/config', 'not JSON')
+  await platform.put('op/config', createConfiguration(1e300))
+  await platform.put('op/config', createConfiguration(2))
+  await waitUntil(() => events.some(({ event, fields }) => event === 'configurationTaken' && fields['version'] === 2))
+  t.is(await call('/x/'), 200)
+})
