Check the values in the reports of other nodes

A datagram was decoded without a look at its values. One number of another kind (null, NaN, or a BigInt, which CBOR has for large integers) got into the sums of loads and quota usage, where it stays: the sums became NaN, or adding to them threw at the next report or request. Each value is now checked where it is decoded, in reports, digests, quarantine reports and limits; a datagram that isn't sound is dropped as a whole, as the next one replaces it. The log has at most one such line a second.

--- a/src/core/backend-limits/wire.ts
+++ b/src/core/backend-limits/wire.ts
@@ -1,5 +1,6 @@
 /** Encoding of limit reports as compact arrays for the datagrams between nodes. */
 import { toId } from '../ids/index.ts'
+import { readFields, readList, readNumber, readOptional, readText } from '../wire/index.ts'
 import type { BackendId } from '../ids/index.ts'
 import type { LimitReport } from './types.ts'
 
@@ -16,12 +17,22 @@
   ]
 }
 
-export function decodeLimits (wire: WireLimits | null | undefined): LimitReport | undefined {
+/** Decodes what a node reports; throws if a value is of another kind. */
+export function decodeLimits (wire: unknown): LimitReport | undefined {
   if (wire === undefined || wire === null) return undefined
-  const [limits, demands, shares] = wire
+  const [limits, demands, shares] = readFields(wire)
   return {
-    limits: limits.map(([backend, startedAtMs, perSecond, sentAgeMs, readAgeMs]) => ({ backend: toId<BackendId>(backend), startedAtMs: startedAtMs ?? undefined, perSecond: perSecond ?? undefined, sentAgeMs, readAgeMs })),
-    demands: new Map(demands),
-    shares: shares?.map(([backend, startedAtMs, ratio, burst]) => ({ backend: toId<BackendId>(backend), startedAtMs: startedAtMs ?? undefined, ratio, burst })) ?? undefined
+    limits: readList(limits, item => {
+      const [backend, startedAtMs, perSecond, sentAgeMs, readAgeMs] = readFields(item)
+      return { backend: toId<BackendId>(readText(backend)), startedAtMs: readOptional(startedAtMs, readNumber), perSecond: readOptional(perSecond, readNumber), sentAgeMs: readNumber(sentAgeMs), readAgeMs: readNumber(readAgeMs) }
+    }),
+    demands: new Map(readList(demands, item => {
+      const [service, perSecond] = readFields(item)
+      return [readText(service), readNumber(perSecond)]
+    })),
+    shares: readOptional(shares, all => readList(all, item => {
+      const [backend, startedAtMs, ratio, burst] = readFields(item)
+      return { backend: toId<BackendId>(readText(backend)), startedAtMs: readOptional(startedAtMs, readNumber), ratio: readNumber(ratio), burst: readNumber(burst) }
+    }))
   }
 }
--- a/src/core/log/events/agreement.ts
+++ b/src/core/log/events/agreement.ts
@@ -14,7 +14,7 @@
   declarationUnreadable: { number: 409, level: 'error', text: 'A declaration in the key-value service is invalid; the previous one stays in effect.', remedy: 'Apply the team again with this version of the command line.' },
   nodeHeard: { number: 410, level: 'info', text: 'A report of another node arrived for the first time, or again after a pause.', remedy: 'none' },
   nodeSilent: { number: 411, level: 'warn', text: 'No report of another node arrived for some time.', remedy: 'Check that node and the network between both nodes.' },
-  nodeReportUnreadable: { number: 412, level: 'warn', text: 'A report of another node could not be decoded.', remedy: 'Check that all nodes run the same version.' },
+  nodeReportUnreadable: { number: 412, level: 'warn', text: 'A report of another node could not be decoded; logged at most once a second.', remedy: 'Check that all nodes run the same version; node_reports_unreadable_total counts all of them.' },
   nodeReportFailed: { number: 419, level: 'error', text: 'A report of this node could not be put together; the next one follows at the next interval.', remedy: 'Report a bug with the fields of this event.' },
   viewFromPeer: { number: 413, level: 'info', text: 'The content of the key-value service was copied from another node.', remedy: 'none; check the service if this persists.' },
   collectorChosen: { number: 414, level: 'info', text: 'This node now uses the totals of another collector of reports, or collects the reports itself.', remedy: 'none; if this happens repeatedly, check the network between both nodes.' },
--- a/src/core/node-reports/codec.ts
+++ b/src/core/node-reports/codec.ts
@@ -2,10 +2,13 @@
 import { decode, encode } from 'cbor-x'
 import { decodeLimits, encodeLimits } from '../backend-limits/index.ts'
 import { toId } from '../ids/index.ts'
+import { isRevision } from '../platform/key-value/revision.ts'
 import { decodeQuarantineReport, encodeQuarantineReport } from '../quarantine/index.ts'
+import { readBoolean, readFields, readList, readNumber, readOptional, readText } from '../wire/index.ts'
 import type { WireLimits } from '../backend-limits/index.ts'
 import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
 import type { WireQuarantine } from '../quarantine/index.ts'
+import type { DeltaChange } from '../store-view/index.ts'
 import type { Activity, NodeDigest, NodeReport } from './types.ts'
 
 type WireActivity = [quota: Array<[team: string, quota: number, tolerance: number, asked?: number]>, loads: Array<[string, number, number]>, prefixes: Array<[string, string[]]>, suspects?: Array<[backend: string, suspecting: number, hearing: number]>, levels?: Array<[team: string, quota: number, tolerance: number]> | null, leaving?: Array<[backend: string, startedAtMs: number | null]>, prompts?: WireQuarantine, limits?: WireLimits | null]
@@ -31,16 +34,36 @@
   ]
 }
 
-function decodeActivity ([quota, loads, prefixes, suspects = [], levels, leaving = [], prompts, limits]: WireActivity): Activity {
+function decodeActivity (wire: unknown): Activity {
+  const [quota, loads, prefixes, suspects, levels, leaving, prompts, limits] = readFields(wire)
   return {
-    quotaUsage: new Map(quota.map(([team, fromQuota, tolerance, asked = fromQuota + tolerance]) => [toId<TeamId>(team), { quota: fromQuota, tolerance, asked }])),
-    loads: new Map(loads.map(([backend, requests, pendingTokens]) => [toId<BackendId>(backend), { requests, pendingTokens }])),
-    prefixes: prefixes.map(([backend, hashes]) => ({ backend: toId<BackendId>(backend), hashes })),
-    suspects: new Map(suspects.map(([backend, suspecting, hearing]) => [toId<BackendId>(backend), { suspecting, hearing }])),
+    quotaUsage: new Map(readList(quota, item => {
+      const [team, fromQuota, tolerance, asked] = readFields(item)
+      const usage = { quota: readNumber(fromQuota), tolerance: readNumber(tolerance) }
+      return [toId<TeamId>(readText(team)), { ...usage, asked: readOptional(asked, readNumber) ?? usage.quota + usage.tolerance }]
+    })),
+    loads: new Map(readList(loads, item => {
+      const [backend, requests, pendingTokens] = readFields(item)
+      return [toId<BackendId>(readText(backend)), { requests: readNumber(requests), pendingTokens: readNumber(pendingTokens) }]
+    })),
+    prefixes: readList(prefixes, item => {
+      const [backend, hashes] = readFields(item)
+      return { backend: toId<BackendId>(readText(backend)), hashes: readList(hashes, readText) }
+    }),
+    suspects: new Map(readList(suspects ?? [], item => {
+      const [backend, suspecting, hearing] = readFields(item)
+      return [toId<BackendId>(readText(backend)), { suspecting: readNumber(suspecting), hearing: readNumber(hearing) }]
+    })),
     prompts: decodeQuarantineReport(prompts),
     limits: decodeLimits(limits),
-    leaving: new Map(leaving.map(([backend, startedAtMs]) => [toId<BackendId>(backend), startedAtMs ?? undefined])),
-    quotaLevels: levels === undefined || levels === null ? undefined : new Map(levels.map(([team, quota, tolerance]) => [toId<TeamId>(team), { quota, tolerance }]))
+    leaving: new Map(readList(leaving ?? [], item => {
+      const [backend, startedAtMs] = readFields(item)
+      return [toId<BackendId>(readText(backend)), readOptional(startedAtMs, readNumber)]
+    })),
+    quotaLevels: readOptional(levels, all => new Map(readList(all, item => {
+      const [team, quota, tolerance] = readFields(item)
+      return [toId<TeamId>(readText(team)), { quota: readNumber(quota), tolerance: readNumber(tolerance) }]
+    })))
   }
 }
 
@@ -66,46 +89,67 @@
   return encode(message)
 }
 
-function decodeReport ([, node, bootId, sequence, isDraining, wantsDigest, revision, activity, usage, workMs, evidence, digestSource]: WireReport): NodeReport {
+function readRevision (value: unknown): number {
+  if (!isRevision(value)) throw new TypeError('expected a revision')
+  return value
+}
+
+/** Counts by name. */
+function readCounts<Name extends string> (value: unknown): Map<Name, number> {
+  return new Map(readList(value, item => {
+    const [name, count] = readFields(item)
+    return [readText(name) as Name, readNumber(count)]
+  }))
+}
+
+function decodeReport ([, node, bootId, sequence, isDraining, wantsDigest, revision, activity, usage, workMs, evidence, digestSource]: readonly unknown[]): NodeReport {
   return {
-    node: toId<NodeId>(node),
-    bootId,
-    sequence,
-    isDraining,
-    wantsDigest,
-    digestSource: digestSource === null || digestSource === undefined ? undefined : toId<NodeId>(digestSource),
-    revision,
+    node: toId<NodeId>(readText(node)),
+    bootId: readText(bootId),
+    sequence: readNumber(sequence),
+    isDraining: readBoolean(isDraining),
+    wantsDigest: readBoolean(wantsDigest),
+    digestSource: readOptional(digestSource, source => toId<NodeId>(readText(source))),
+    revision: readRevision(revision),
     ...decodeActivity(activity),
-    usage: new Map(usage.map(([window, counts]) => [window, new Map(counts.map(([team, count]) => [toId<TeamId>(team), count]))])),
-    workMs: new Map(workMs),
+    usage: new Map(readList(usage, item => {
+      const [window, counts] = readFields(item)
+      return [readNumber(window), readCounts<TeamId>(counts)]
+    })),
+    workMs: readCounts(workMs),
     evidence
   }
 }
 
-function decodeDigest ([, node, bootId, isDraining, nodes, revision, reachableForMs, changes, activity]: WireDigest): NodeDigest {
+function decodeChange (wire: unknown): DeltaChange {
+  const [key, value, modRevision, isByRestore] = readFields(wire)
+  return {
+    key: readText(key),
+    value: typeof value === 'string' ? value : undefined,
+    modRevision: readRevision(modRevision),
+    ...(value === omittedValue ? { isValueOmitted: true } : {}),
+    ...(isByRestore === 1 ? { isByRestore: true } : {})
+  }
+}
+
+function decodeDigest ([, node, bootId, isDraining, nodes, revision, reachableForMs, changes, activity]: readonly unknown[]): NodeDigest {
   return {
-    node: toId<NodeId>(node),
-    bootId,
-    isDraining,
-    nodes,
+    node: toId<NodeId>(readText(node)),
+    bootId: readText(bootId),
+    isDraining: readBoolean(isDraining),
+    nodes: readNumber(nodes),
     delta: {
-      revision,
-      reachableForMs: reachableForMs === unreachable ? undefined : reachableForMs,
-      changes: changes?.map(([key, value, modRevision, isByRestore]) => ({
-        key,
-        value: typeof value === 'string' ? value : undefined,
-        modRevision,
-        ...(value === omittedValue ? { isValueOmitted: true } : {}),
-        ...(isByRestore === 1 ? { isByRestore: true } : {})
-      }))
+      revision: readRevision(revision),
+      reachableForMs: reachableForMs === unreachable ? undefined : readNumber(reachableForMs),
+      changes: readOptional(changes, all => readList(all, decodeChange))
     },
-    activity: activity === null ? undefined : decodeActivity(activity)
+    activity: readOptional(activity, decodeActivity)
   }
 }
 
-/** Decodes a datagram; throws on one that is neither a report nor a digest. */
+/** Decodes a datagram; throws on one that is neither a report nor a digest, or has a value of another kind. */
 export function decodeMessage (bytes: Buffer): { report: NodeReport } | { digest: NodeDigest } {
-  const message = decode(bytes) as WireReport | WireDigest
+  const message = readFields(decode(bytes))
   if (message[0] === 'report') return { report: decodeReport(message) }
   if (message[0] === 'digest') return { digest: decodeDigest(message) }
   throw new Error('datagram is neither a report nor a digest')
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -32,6 +32,8 @@
 /** Number of reports of a node since its start, and time after a collector's first digest, for which quota levels are sent to it. */
 const reportsWithLevels = 10
 const levelsAfterNewSourceMs = reportsWithLevels * reportIntervalMs
+/** Interval at which datagrams that can't be decoded are logged; the metric counts all of them. */
+const unreadableLogIntervalMs = 1_000
 /** Maximum age of a collector's last delta for which this node needs no watch of its own; several report intervals. */
 const maxDeltaAgeMs = 2_000
 
@@ -55,6 +57,7 @@
   let sequence = 0
   let lastReportAtMs = -Infinity
   let isSendingSoon = false
+  let unreadableLoggedAtMs = -Infinity
 
   function sendDatagram (kind: 'report' | 'digest', bytes: Buffer, port: number, host: string): void {
     metrics.count('node_reports_sent_total', { kind })
@@ -153,6 +156,9 @@
       else handleDigest(message.digest)
     } catch (error) {
       metrics.count('node_reports_unreadable_total')
+      const nowMs = clock.monotonicMs()
+      if (nowMs < unreadableLoggedAtMs + unreadableLogIntervalMs) return
+      unreadableLoggedAtMs = nowMs
       log('nodeReportUnreadable', { cause: (error as Error).message, sizeBytes: bytes.length })
     }
   }
--- a/src/core/quarantine/wire.ts
+++ b/src/core/quarantine/wire.ts
@@ -1,6 +1,7 @@
 /** Encoding of what nodes tell one another about requests that crash backend servers, as compact CBOR arrays. */
 import { toId } from '../ids/index.ts'
-import type { AttemptId, BackendId, RequestFeature } from '../ids/index.ts'
+import { readBoolean, readFields, readList, readNumber, readOptional, readText } from '../wire/index.ts'
+import type { AttemptId, BackendId, RequestFeature, TeamId } from '../ids/index.ts'
 import type { CrashedAttempt, RequestOrigin, QuarantineReport, QuarantineRecord } from './types.ts'
 
 type WireCrash = [attempt: string, service: string, backend: string, startedAtMs: number | null, features: string[], hasStarted: boolean, crashedAtMs: number, inProgress?: number, origin?: RequestOrigin | null]
@@ -20,40 +21,57 @@
   ]
 }
 
-function decodeCrash ([attempt, service, backend, startedAtMs, features, hasStarted, crashedAtMs, inProgress = 1, origin]: WireCrash): CrashedAttempt {
+function readFeatures (value: unknown): RequestFeature[] {
+  return readList(value, feature => toId<RequestFeature>(readText(feature)))
+}
+
+/** The origin of a request, as a field that is left out when it is missing. */
+function readOrigin (value: unknown): { origin?: RequestOrigin } {
+  if (typeof value !== 'object' || value === null) return {}
+  const { team, route } = value as Record<string, unknown>
+  return { origin: { ...(team === undefined ? {} : { team: toId<TeamId>(readText(team)) }), route: readText(route) } }
+}
+
+function decodeCrash (wire: unknown): CrashedAttempt {
+  const [attempt, service, backend, startedAtMs, features, hasStarted, crashedAtMs, inProgress, origin] = readFields(wire)
   return {
-    attempt: toId<AttemptId>(attempt),
-    service,
-    backend: toId<BackendId>(backend),
-    backendStartedAtMs: startedAtMs ?? undefined,
-    features: features.map(feature => toId<RequestFeature>(feature)),
-    hasStarted,
-    crashedAtMs,
-    inProgress,
-    ...(origin == null ? {} : { origin })
+    attempt: toId<AttemptId>(readText(attempt)),
+    service: readText(service),
+    backend: toId<BackendId>(readText(backend)),
+    backendStartedAtMs: readOptional(startedAtMs, readNumber),
+    features: readFeatures(features),
+    hasStarted: readBoolean(hasStarted),
+    crashedAtMs: readNumber(crashedAtMs),
+    inProgress: readOptional(inProgress, readNumber) ?? 1,
+    ...readOrigin(origin)
   }
 }
 
-function decodeRecord ([service, features, isQuarantined, changedAtMs, sinceMs, untilMs, crashes, backends, origin]: WireRecord): QuarantineRecord {
+function decodeRecord (wire: unknown): QuarantineRecord {
+  const [service, features, isQuarantined, changedAtMs, sinceMs, untilMs, crashes, backends, origin] = readFields(wire)
   return {
-    service,
-    features: features.map(feature => toId<RequestFeature>(feature)),
-    state: isQuarantined ? 'quarantined' : 'lifted',
-    changedAtMs,
-    sinceMs,
-    untilMs,
-    crashes,
-    backends: backends.map(backend => toId<BackendId>(backend)),
-    ...(origin == null ? {} : { origin })
+    service: readText(service),
+    features: readFeatures(features),
+    state: readBoolean(isQuarantined) ? 'quarantined' : 'lifted',
+    changedAtMs: readNumber(changedAtMs),
+    sinceMs: readNumber(sinceMs),
+    untilMs: readNumber(untilMs),
+    crashes: readNumber(crashes),
+    backends: readList(backends, backend => toId<BackendId>(readText(backend))),
+    ...readOrigin(origin)
   }
 }
 
-export function decodeQuarantineReport (wire: WireQuarantine | undefined): QuarantineReport {
-  const [crashed, answered, trials, records] = wire ?? [[], [], [], []]
+/** Decodes what a node reports; throws if a value is of another kind. */
+export function decodeQuarantineReport (wire: unknown): QuarantineReport {
+  const [crashed, answered, trials, records] = readFields(wire ?? [[], [], [], []])
   return {
-    crashed: crashed.map(decodeCrash),
-    answered: new Map(answered.map(([feature, since, before]) => [toId<RequestFeature>(feature), { since, before }])),
-    trials,
-    records: records.map(decodeRecord)
+    crashed: readList(crashed, decodeCrash),
+    answered: new Map(readList(answered, item => {
+      const [feature, since, before] = readFields(item)
+      return [toId<RequestFeature>(readText(feature)), { since: readNumber(since), before: readNumber(before) }]
+    })),
+    trials: readList(trials, readText),
+    records: readList(records, decodeRecord)
   }
 }
