Go on with a stream only after an event id that a header can hold

The id of the last event is sent on in a header. One with control characters, or with text outside Latin-1, was refused by the client for backend servers; the attempt counted as one that could not reach its server, so up to four sound servers were suspected for each stream that broke after such an event. An empty id let the next server begin anew, after events that the caller had already. Ids are now kept byte for byte, so those with other text go on; after one that no header can hold, or without any, the stream is cut.

--- a/src/core/gateway/attempt-end-handler.ts
+++ b/src/core/gateway/attempt-end-handler.ts
@@ -63,8 +63,8 @@
   return status >= 300 && status < firstServerErrorStatus
 }
 
-function isRetryable ({ route }: ActiveRequest): boolean {
-  return route.kind === 'repeatable' || route.isResumable
+function isRetryable ({ route, progress }: ActiveRequest): boolean {
+  return route.kind === 'repeatable' || (route.isResumable && progress.eventBuffer.isResumable())
 }
 
 /** Creates the handler for the ends of attempts. */
--- a/src/core/gateway/event-stream.ts
+++ b/src/core/gateway/event-stream.ts
@@ -14,6 +14,9 @@
 /** Bytes without a complete event, comments included, from which a stream counts as broken. */
 const maxBytesWithoutEvent = 256 * 1024
 const noBytes: Buffer = Buffer.alloc(0)
+const surroundingSpacePattern = /^[ \t\r]+|[ \t\r]+$/g
+/** Ids that fit into the headers of a request; far longer than those of engines. */
+const sendableIdPattern = /^[\x20-\x7e\x80-\xff]{1,1024}$/
 
 /** Holds back the bytes of an unfinished event until the rest of it arrives. */
 export interface EventBuffer {
@@ -28,6 +31,8 @@
   /** Number of complete events so far; comments don't count. */
   eventCount: () => number
   lastEventId: () => string | undefined
+  /** Whether another backend server can be told after which event to go on: no event was forwarded yet, or the last one has an id that a header can hold. */
+  isResumable: () => boolean
   /** Returns the comments of a stream that ended without an event. */
   takeComments: () => Buffer
   /** Discards what is held back, before the stream resumes at another backend server. */
@@ -104,7 +109,8 @@
         hasLines = true
         hasField ||= hasEventField(bytes.subarray(atLineStart, lineEnd))
         if (bytes.subarray(atLineStart, atLineStart + idField.length).equals(idField)) {
-          id = bytes.subarray(atLineStart + idField.length, lineEnd).toString('utf8').trim()
+          // Each byte as one character, as headers are sent.
+          id = bytes.subarray(atLineStart + idField.length, lineEnd).toString('latin1').replace(surroundingSpacePattern, '')
         }
       }
       atLineStart = lineEnd + 1
@@ -160,6 +166,7 @@
     isOverLimit: () => partialBytes + bytesWithoutEvent > maxBytesWithoutEvent,
     eventCount: () => count,
     lastEventId: () => lastId,
+    isResumable: () => count === 0 || (lastId !== undefined && sendableIdPattern.test(lastId)),
     takeComments,
     discardPartialEvent: () => {
       takePartial()
--- a/test/gateway/failed-requests.test.ts
+++ b/test/gateway/failed-requests.test.ts
@@ -92,3 +92,33 @@
   }
   t.false(gateway.events.some(({ event }) => event === 'backendSuspected'))
 })
+
+test('a stream whose last event id no header can hold is cut, and no backend server is suspected or asked to go on from elsewhere', async t => {
+  const breaksAfter = (id: string): RawRequestHandler => ({ headers }, socket) => {
+    const head = Object.entries(signed(headers['x-request'] ?? '')).map(([name, value]) => `${name}: ${value}\r\n`).join('')
+    socket.write(`HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n${head}\r\nid: ${id}\ndata: x\n\n`)
+    setTimeout(() => socket.destroy(), 30)
+  }
+  for (const id of ['\u0000', 'a\u0007', 'x'.repeat(20_000), '']) {
+    const gateway = await startGateway(t, [breaksAfter(id), breaksAfter(id), breaksAfter(id)])
+    t.like(await gateway.call('/resumable/', 'r-1'), { status: 200, broken: true })
+    t.is(gateway.servers.flatMap(({ requests }) => requests).length, 1)
+    t.true(gateway.events.filter(({ event }) => event === 'backendSuspected').length <= 1)
+  }
+})
+
+test('a stream goes on after an event id with any other bytes', async t => {
+  const handler: RawRequestHandler = ({ headers }, socket) => {
+    const isResumed = headers['last-event-id'] !== undefined
+    const head = Object.entries(signed(headers['x-request'] ?? '')).map(([name, value]) => `${name}: ${value}\r\n`).join('')
+    socket.write(`HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n${head}\r\n`)
+    const event = `id: ${isResumed ? 2 : '\u4e2d'}\ndata: x\n\n`
+    socket.write(`${Buffer.byteLength(event).toString(16)}\r\n${event}\r\n`)
+    if (isResumed) socket.write('0\r\n\r\n')
+    else setTimeout(() => socket.destroy(), 30)
+  }
+  const gateway = await startGateway(t, [handler, handler])
+  t.like(await gateway.call('/resumable/', 'r-1'), { status: 200, broken: false })
+  const [, resumed] = gateway.servers.flatMap(({ requests }) => requests)
+  t.is(Buffer.from(resumed?.headers['last-event-id'] ?? '', 'latin1').toString(), '\u4e2d')
+})
