Fit reports into a datagram, whatever prompts callers send

A report tells of up to 24 prompts, with the ids of all their parts as callers sent them. A header of 16 KiB holds some 4,000 parts, so a few such requests made reports larger than a datagram: each was dropped unsent, and with it loads, quota usage and suspects, until the prompts were no longer recent.

The loss of such reports follows from the size; it was not run between nodes.

--- a/src/core/node-reports/codec.ts
+++ b/src/core/node-reports/codec.ts
@@ -16,6 +16,8 @@
 type WireReport = ['report', string, string, number, boolean, boolean, number, WireActivity, Array<[number, Array<[string, number]>]>, Array<[string, number]>, unknown, (string | null)?]
 type WireDigest = ['digest', string, string, boolean, number, number, number, WireChange[] | null, WireActivity | null]
 
+/** Most bytes of a datagram over IPv4. */
+export const maxDatagramBytes = 65_507
 /** Placeholder for the value of a change that is too large for a datagram. */
 const omittedValue = 0
 /** Placeholder for `reachableForMs` while the key-value service doesn't respond to the collector. */
@@ -67,10 +69,22 @@
   }
 }
 
+/** Encodes a message so that it fits into a datagram: callers decide how long prompts and their parts are, and what else it tells must arrive. */
+function encodeFitting (activity: Activity, encodeWith: (activity: Activity) => Buffer): Buffer {
+  const whole = encodeWith(activity)
+  if (whole.length <= maxDatagramBytes) return whole
+  const withoutPrefixes = encodeWith({ ...activity, prefixes: [] })
+  return withoutPrefixes.length <= maxDatagramBytes ? withoutPrefixes : encodeWith({ ...activity, prefixes: [], prompts: undefined })
+}
+
 export function encodeReport (report: NodeReport): Buffer {
+  return encodeFitting(report, activity => encodeReportWith(report, activity))
+}
+
+function encodeReportWith (report: NodeReport, activity: Activity): Buffer {
   const { node, bootId, sequence, isDraining, wantsDigest, revision, usage, workMs, evidence } = report
   const message: WireReport = [
-    'report', node, bootId, sequence, isDraining, wantsDigest, revision, encodeActivity(report),
+    'report', node, bootId, sequence, isDraining, wantsDigest, revision, encodeActivity(activity),
     [...usage].map(([window, counts]) => [window, [...counts]]),
     [...workMs].map(([service, sumMs]) => [service, Math.round(sumMs)]),
     evidence,
@@ -80,7 +94,12 @@
 }
 
 export function encodeDigest (digest: NodeDigest): Buffer {
-  const { node, bootId, isDraining, nodes, delta, activity } = digest
+  const { activity } = digest
+  return activity === undefined ? encodeDigestWith(digest, undefined) : encodeFitting(activity, fitting => encodeDigestWith(digest, fitting))
+}
+
+function encodeDigestWith (digest: NodeDigest, activity: Activity | undefined): Buffer {
+  const { node, bootId, isDraining, nodes, delta } = digest
   const changes = delta.changes?.map(({ key, value, isValueOmitted, modRevision, isByRestore }): WireChange => {
     const sentValue = isValueOmitted === true ? omittedValue : value ?? null
     return isByRestore === true ? [key, sentValue, modRevision, 1] : [key, sentValue, modRevision]
--- a/test/node-reports/odd-reports.test.ts
+++ b/test/node-reports/odd-reports.test.ts
@@ -4,7 +4,7 @@
 import test from 'ava'
 import { createManualClock } from '../../src/core/clock/index.ts'
 import { createActivityTotals } from '../../src/core/node-reports/activity-totals.ts'
-import { decodeMessage, encodeDigest, encodeReport } from '../../src/core/node-reports/codec.ts'
+import { decodeMessage, encodeDigest, encodeReport, maxDatagramBytes } from '../../src/core/node-reports/codec.ts'
 import { toId } from '../../src/core/ids/index.ts'
 import type { NodeDigest, NodeReport } from '../../src/core/node-reports/index.ts'
 import type { BackendId, NodeId, TeamId } from '../../src/core/ids/index.ts'
@@ -77,6 +77,19 @@
   t.like('digest' in other ? other.digest.delta : undefined, digest.delta)
 })
 
+test('a report and a digest fit into a datagram, whatever the length of the prompts that they tell of', t => {
+  const hashes = Array.from({ length: 4_000 }, (_, index) => `a${index}/b${index}`)
+  const prefixes = Array.from({ length: 24 }, (_, index) => ({ backend: toId<BackendId>(`b-${index}`), hashes }))
+  const crashed = [{ ...report.prompts!.crashed[0]!, features: hashes.map(hash => `${hash}${hash}` as never) }]
+  for (const odd of [{ prefixes }, { prefixes, prompts: { ...report.prompts!, crashed } }]) {
+    const sent = encodeReport({ ...report, ...odd })
+    const answered = encodeDigest({ ...digest, activity: { ...report, ...odd } })
+    t.true(sent.length <= maxDatagramBytes && answered.length <= maxDatagramBytes)
+    t.like(decodeMessage(sent), { report: { quotaUsage: report.quotaUsage, loads: report.loads, limits: report.limits } })
+    t.like(decodeMessage(answered), { digest: { delta: digest.delta } })
+  }
+})
+
 test('a message with a value of another kind, or with any bytes, is dropped or decodes to usable numbers', t => {
   const messages = [encodeReport(report), encodeDigest(digest)]
   const messageArbitrary = fc.tuple(fc.nat(1), fc.array(fc.nat(12), { minLength: 1, maxLength: 6 }), oddValue)
--- a/test/platform-adapter/decode.test.ts
+++ b/test/platform-adapter/decode.test.ts
@@ -65,6 +65,13 @@
   t.is(decodePromptParts('', 10), undefined)
 })
 
+test('a prompt with more or longer parts than nodes keep is read up to a bound', t => {
+  const parts = Array.from({ length: 3_000 }, (_, index) => `${index}:1`).join(',')
+  t.true((decodePromptParts(parts, 3_000)?.hashes.length ?? 0) <= 256)
+  t.is(decodePromptParts(parts, 3_000)?.tokens, 3_000)
+  t.is(decodePromptParts(`aa:8,${'b'.repeat(10_000)}:9`, 17)?.hashes.length, 1)
+})
+
 test('headers that only the system sets are removed from a caller\'s request, and other headers are forwarded', t => {
   const rawHeaders = [
     'Host', 'a.example', 'X-Cyclamenshunt-Attempt-Id', 'r-1', 'X-Cyclamenshunt-Deadline-Ms', '6000', 'Authorization', 'Bearer k',
