--- a/test/platform-adapter/decode.test.ts
+++ b/test/platform-adapter/decode.test.ts
@@ -114,6 +114,18 @@
   }
 })
 
+test('a port that is out of range is an error that names its field, and an interval stays within what a timer can wait', t => {
+  for (const [field, value] of [['listen.front', '127.0.0.1:70000'], ['listen.readiness', '127.0.0.1:0'], ['internal_ports', 'x,17615'], ['internal_ports', '70000']] as const) {
+    const error = t.throws(() => parseSettings(renderSettings({ [field]: value }), 'node.conf'))
+    t.true(isErrorOf(error, 'PlatformSettingInvalid') && error.message.includes(field))
+  }
+  t.is(parseSettings(renderSettings({ 'listen.control': '127.0.0.1:70000' }), 'node.conf').control, undefined)
+  for (const value of ['1e308', '-1', '0']) {
+    const { bounds } = parseSettings(renderSettings({ 'bounds.grace_s': value, 'bounds.lease_ms': value }), 'node.conf')
+    t.true([bounds.stopGraceMs, bounds.leaseMs].every(intervalMs => intervalMs > 0 && intervalMs <= 2 ** 31 - 1))
+  }
+})
+
 test('two values of an entry are the same backend server if they differ only in the heartbeat', t => {
   const entry = { service: 'models', address: '10.0.0.1:80', zone: 'a', version: 'v1', slots: 4, state: 'ready', sequence: 1, born: 1_000 }
   const isSame = (changed: object) => isSameBackend('i-1', JSON.stringify(entry), JSON.stringify({ ...entry, ...changed }))
