--- a/src/core/leases/duty.ts
+++ b/src/core/leases/duty.ts
@@ -3,7 +3,7 @@
  * created the key is the fencing number, so it increases with every holder, also
  * when the service was restored from an older copy: a revision contains its era.
  */
-import { createId } from '../ids/index.ts'
+import { createId, toId } from '../ids/index.ts'
 import { eraOf } from '../platform/key-value/revision.ts'
 import type { Clock } from '../clock/index.ts'
 import type { LeaseId, NodeId, WriteId } from '../ids/index.ts'
@@ -60,7 +60,8 @@
 
 /** Returns the holder that the value of a duty's key names. */
 export function readDutyHolder (value: string): NodeId | undefined {
-  return parseValue(value).holder
+  const { holder } = parseValue(value) as { holder?: unknown }
+  return typeof holder === 'string' ? toId<NodeId>(holder) : undefined
 }
 
 /** Starts to campaign for a duty. */
--- a/src/core/log/events/gateway.ts
+++ b/src/core/log/events/gateway.ts
@@ -29,6 +29,6 @@
   promptQuarantined: { number: 730, level: 'error', text: 'The same request (requestDigest), or prompts with all of these parts, crashed backend servers; such requests are refused until untilMs.', remedy: 'Find the callers by team and route, or by the requests of the backendCrashed events with these parts. After the cause is removed, lift the quarantine.' },
   promptReleased: { number: 731, level: 'info', text: 'The same request, or prompts with these parts, are no longer refused.', remedy: 'none; see the cause.' },
   promptTrial: { number: 732, level: 'info', text: 'One request that is quarantined, or has quarantined parts, is sent as a trial.', remedy: 'none' },
-  quarantineUnreadable: { number: 733, level: 'error', text: 'The stored quarantine records can not be read and were ignored.', remedy: 'Correct or delete the stored value.' },
+  quarantineUnreadable: { number: 733, level: 'error', text: 'The stored quarantine records, or as many of them as invalid says, can not be read and were ignored.', remedy: 'Correct or delete the stored value.' },
   linesDropped: { number: 723, level: 'warn', text: 'Log lines were dropped because the log\'s limit was exceeded.', remedy: 'Use the metrics for complete counts.' }
 } satisfies Record<string, LogEventDefinition>
--- a/src/core/quarantine/stored-records.ts
+++ b/src/core/quarantine/stored-records.ts
@@ -43,19 +43,23 @@
 /** Time within which the outcome of a trial is known to all nodes; after it, another node may claim one. */
 const trialMs = 30_000
 
+/** Latest wall time that a date can hold. */
+const maxWallMs = 8.64e15
+const wallSchema = z.number().min(0).max(maxWallMs)
+
 const recordSchema = z.object({
   service: z.string(),
   /** Digests of whole requests, too; the name is of the first release. */
   parts: z.array(z.string()).min(1),
   state: z.enum(['quarantined', 'lifted']),
-  changedAtMs: z.number(),
-  sinceMs: z.number(),
-  untilMs: z.number(),
-  crashes: z.number(),
+  changedAtMs: wallSchema,
+  sinceMs: wallSchema,
+  untilMs: wallSchema,
+  crashes: z.number().min(0),
   backends: z.array(z.string()),
   origin: z.object({ team: z.string().optional(), route: z.string() }).optional()
 })
-const contentSchema = z.object({ records: z.array(recordSchema) })
+const contentSchema = z.object({ records: z.array(z.unknown()) })
 const trialSchema = z.object({ untilMs: z.number() })
 
 function parseJson (text: string): unknown {
@@ -67,16 +71,24 @@
   }
 }
 
-/** Decodes stored records; undefined if they can't be read. */
-export function decodeQuarantine (value: string): QuarantineRecord[] | undefined {
+/** Decodes stored records; undefined if they can't be read. `onInvalid` is called for each record that can't be read, which is left out. */
+export function decodeQuarantine (value: string, onInvalid: () => void = () => {}): QuarantineRecord[] | undefined {
   const content = contentSchema.safeParse(parseJson(value))
   if (!content.success) return undefined
-  return content.data.records.map(({ parts, origin, ...record }) => ({
-    ...record,
-    ...(origin === undefined ? {} : { origin: originOf(origin) }),
-    features: parts.map(feature => toId<RequestFeature>(feature)),
-    backends: record.backends.map(backend => toId<BackendId>(backend))
-  }))
+  return content.data.records.flatMap(stored => {
+    const parsed = recordSchema.safeParse(stored)
+    if (!parsed.success) {
+      onInvalid()
+      return []
+    }
+    const { parts, origin, ...record } = parsed.data
+    return [{
+      ...record,
+      ...(origin === undefined ? {} : { origin: originOf(origin) }),
+      features: parts.map(feature => toId<RequestFeature>(feature)),
+      backends: record.backends.map(backend => toId<BackendId>(backend))
+    }]
+  })
 }
 
 function originOf ({ team, route }: { team?: string | undefined, route: string }): RequestOrigin {
@@ -131,9 +143,10 @@
   return {
     onContent: value => {
       if (value === undefined) return
-      const records = decodeQuarantine(value)
-      if (records === undefined) return log('quarantineUnreadable', { sizeBytes: value.length })
-      quarantine.mergeRecords(records)
+      let invalid = 0
+      const records = decodeQuarantine(value, () => { invalid += 1 })
+      if (records === undefined || invalid > 0) log('quarantineUnreadable', { sizeBytes: value.length, ...(records === undefined ? {} : { invalid }) })
+      if (records !== undefined) quarantine.mergeRecords(records)
     },
     reconcile,
     claimTrial
--- a/src/core/quota/stored-levels.ts
+++ b/src/core/quota/stored-levels.ts
@@ -39,7 +39,8 @@
 const writeIntervalMs = 500
 const callTimeoutMs = 800
 
-const recordSchema = z.object({ era: z.number().default(0), atMs: z.number(), levels: z.record(z.string(), z.object({ quota: z.number(), tolerance: z.number() })) })
+const recordSchema = z.object({ era: z.number().default(0), atMs: z.number(), levels: z.record(z.string(), z.unknown()) })
+const levelsSchema = z.object({ quota: z.number(), tolerance: z.number() })
 
 /** Creates the stored levels; nothing is written before `reconcile`. */
 export function createStoredLevels ({ store, clock, log, quotas, duty }: StoredLevelsOptions): StoredLevels {
@@ -58,7 +59,13 @@
     // An unreadable record tells nothing, so buckets begin empty.
     if (!record.success) return log('quotaLevelsUnreadable', { cause: record.error.message })
     if (record.data.era !== era) return log('quotaLevelsOutdated', { era, recordedEra: record.data.era })
-    const levels = new Map(Object.entries(record.data.levels).map(([team, level]): [TeamId, QuotaLevels] => [toId<TeamId>(team), level]))
+    const levels = new Map<TeamId, QuotaLevels>()
+    for (const [team, stored] of Object.entries(record.data.levels)) {
+      const level = levelsSchema.safeParse(stored)
+      // As little as without a record is known of this team alone.
+      if (level.success) levels.set(toId<TeamId>(team), level.data)
+      else log('quotaLevelsUnreadable', { team, cause: level.error.message })
+    }
     quotas.onStoredLevels(levels, Math.max(0, clock.wallMs() - record.data.atMs))
   }
 
--- a/src/core/usage/reporter.ts
+++ b/src/core/usage/reporter.ts
@@ -18,7 +18,7 @@
 import type { StoreView, ViewChange } from '../store-view/index.ts'
 import type { Usage, WindowCounts } from './types.ts'
 
-const countsSchema = z.record(z.string(), z.number())
+const countsSchema = z.record(z.string(), z.number().int().min(0))
 
 /** Result of a report: accepted, or rejected because another node holds the duty. */
 export type UsageReportResult = 'taken' | 'fenced'
@@ -112,7 +112,7 @@
     for (const { key, value } of changes) {
       if (value === undefined || !key.startsWith(usagePrefix)) continue
       const window = Number(key.slice(usagePrefix.length))
-      const counts = agreedCounts.has(window) ? undefined : parseCounts(value)
+      const counts = !Number.isSafeInteger(window) || agreedCounts.has(window) ? undefined : parseCounts(value)
       if (counts !== undefined) agreedCounts.set(window, counts)
     }
     for (const oldWindow of agreedCounts.keys()) if (oldWindow < usage.windowAt(clock.wallMs()) - 2 * keptWindows) agreedCounts.delete(oldWindow)
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -159,6 +159,16 @@
   t.deepEqual(cluster.nodes[1]!.events, ['quarantineUnreadable', 'quarantineUnreadable'])
 })
 
+test('a stored record that can not be read is left out, and the others hold', async t => {
+  const { nodes: [, node], clock } = await createCluster(2)
+  const nowMs = clock.wallMs()
+  const sound = { service: 'models', parts: ['sound'], state: 'quarantined', changedAtMs: nowMs, sinceMs: nowMs, untilMs: nowMs + 60_000, crashes: 3, backends: ['b-1'] }
+  const odd = [null, 5, {}, { ...sound, parts: [5] }, { ...sound, parts: ['late'], untilMs: 1e300 }, { ...sound, parts: ['negative'], changedAtMs: -1 }]
+  node!.stored.onContent(JSON.stringify({ records: [...odd, sound, ...odd] }))
+  t.deepEqual(node!.quarantine.records().map(({ features }) => features.join()), ['sound'])
+  t.true(node!.events.includes('quarantineUnreadable'))
+})
+
 test('a prompt that nobody sent again is no longer suspected after a minute', async t => {
   const cluster = await createCluster(9)
   cluster.crash(0, 'first', 'suspected')
--- a/test/quota/stored-levels.test.ts
+++ b/test/quota/stored-levels.test.ts
@@ -80,3 +80,10 @@
   stored.onContent(kv.state.get(stored.key)?.value)
   t.deepEqual(received.map(({ levels }) => levels), [[]])
 })
+
+test('levels of one team that can not be read are left out, and those of the others hold', async t => {
+  const { clock, events, received, stored } = setUp()
+  stored.onContent(JSON.stringify({ atMs: clock.wallMs(), levels: { odd: { quota: 'x' }, none: null, agency: { quota: 10, tolerance: 2 } } }))
+  t.deepEqual(received, [{ levels: [['agency', { quota: 10, tolerance: 2 }]], ageMs: 0 }])
+  t.deepEqual(events, ['quotaLevelsUnreadable', 'quotaLevelsUnreadable'])
+})
