Leave out the instances of the list that can't be read

The instance list was taken as it came: an instance with a URL that is none made the client for it throw in the task that reads the list, and a list without instances made the same task throw; nothing catches it there (by the code, not run in a process of its own). The stored load permits and histories of declarations are read in the same way.

--- a/src/core/fleet/load-permits.ts
+++ b/src/core/fleet/load-permits.ts
@@ -30,8 +30,12 @@
 
 function parse (value: string | undefined): Permit[] {
   if (value === undefined) return []
-  const parsed = permitsSchema.safeParse(JSON.parse(value))
-  return parsed.success ? parsed.data : []
+  try {
+    return permitsSchema.safeParse(JSON.parse(value)).data ?? []
+  } catch {
+    // A value that is not JSON holds no permits; the next writer replaces it.
+    return []
+  }
 }
 
 /** Creates the functions that acquire and release permits. */
--- a/src/core/log/events/agreement.ts
+++ b/src/core/log/events/agreement.ts
@@ -9,6 +9,7 @@
   peerJoined: { number: 404, level: 'info', text: 'A peer joined the membership.', remedy: 'none' },
   peerRefuted: { number: 405, level: 'warn', text: 'Other nodes considered this node dead, and it refuted that.', remedy: 'If this happens repeatedly, look for pauses of this process or packet loss on its network.' },
   instanceListFailed: { number: 406, level: 'warn', text: 'The instance list could not be read.', remedy: 'Check the instance list; until it can be read, nodes rely on their connections to each other.' },
+  instancesUnreadable: { number: 419, level: 'warn', text: 'As many instances of the instance list as count says can not be read and were left out; logged when the number changes.', remedy: 'Correct the entries of the list.' },
   feedWatchLost: { number: 407, level: 'warn', text: 'A watch of the key-value service ended.', remedy: 'none; the watch is reopened. If this persists, check the service.' },
   feedDiverged: { number: 408, level: 'error', text: 'Two nodes have different content at the same revision of the key-value service.', remedy: 'Check whether the key-value service was restored from a backup; then restart the nodes.' },
   declarationUnreadable: { number: 409, level: 'error', text: 'A declaration in the key-value service is invalid; the previous one stays in effect.', remedy: 'Apply the team again with this version of the command line.' },
--- a/src/core/node/dependencies.ts
+++ b/src/core/node/dependencies.ts
@@ -34,7 +34,7 @@
 export async function createDependencies ({ settings, clock, log, metrics, random }: NodeContext) {
   const { platform } = settings
   const store = createHttpKeyValue({ endpoints: platform.keyValue.endpoints, clock, clientName: settings.node })
-  const instanceList = createInstanceList({ url: platform.instanceList.url, clock })
+  const instanceList = createInstanceList({ url: platform.instanceList.url, clock, onInvalid: count => log('instancesUnreadable', { count }) })
   const cloud = platform.cloud === undefined ? undefined : createCloud({ url: platform.cloud.url, clock })
 
   const network = await createPeerNetwork({
--- a/src/core/templates/history.ts
+++ b/src/core/templates/history.ts
@@ -34,8 +34,12 @@
 
 function parseStoredEntries (entry: KeyValueEntry | undefined): StoredEntry[] {
   if (entry === undefined) return []
-  const parsed = historySchema.safeParse(JSON.parse(entry.value))
-  return parsed.success ? parsed.data : []
+  try {
+    return historySchema.safeParse(JSON.parse(entry.value)).data ?? []
+  } catch {
+    // A value that is not JSON was not written by a node or the command line.
+    return []
+  }
 }
 
 /** Parses the history of a key, newest write first. A write's revision isn't stored: it is the revision that the next write replaced. */
