Record an ended move again after a restore, so that its order can be repeated

The record of a move from before a restore matches the same order at a later revision, as operators write orders again. If the copy had the order and its result, nothing was written in the new era, and an order with the same target and time that was given hours later passed for the ended one: it got its result at once.

--- a/src/core/moves/order-continuity.ts
+++ b/src/core/moves/order-continuity.ts
@@ -27,6 +27,8 @@
   follow: (order: ServiceMoveOrder) => boolean
   /** Whether registrations have settled since this process first saw the order, and since the last restore that it knows of. */
   isSettled: () => boolean
+  /** Whether a record at this revision must be written again: later orders with the same target and time would pass for this one, though operators have had the time to write theirs again. */
+  isOutdated: (recordedRevision: number | undefined) => boolean
   /** Whether the key-value service was restored since the order was recorded, so that a result may have been lost. */
   isRestored: () => boolean
 }
@@ -61,6 +63,7 @@
     get current () { return current },
     follow,
     isSettled: () => clock.monotonicMs() >= learnedAtMs + settleMs,
+    isOutdated: recorded => recorded !== undefined && recorded !== current.revision && clock.monotonicMs() >= learnedAtMs + rewriteGraceMs,
     isRestored: () => isRestored
   }
 }
--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -209,7 +209,8 @@
 
   async function reconcileMove (move: RunningMove): Promise<void> {
     const state = stateOf(move)
-    if (move.result !== undefined && storedStateOf(move) !== move.result) return await write(move, move.result)
+    const isOutdated = move.continuity.isOutdated(options.record(move.order)?.revision)
+    if (move.result !== undefined && (storedStateOf(move) !== move.result || isOutdated)) return await write(move, move.result)
     if (isEnded(move)) return
     const { durationMs } = move.order
     const isExpired = clock.wallMs() > startOf(move) + durationMs - callTimeoutMs
