Send the last report of a node before its socket closes

What was lost: a node that stops sends a report and closes the socket in the same turn of the event loop. Node.js looks the host up before it sends, an address too, finds the socket closed and drops the datagram without an error. So what a node had counted since its last periodic report, up to 200 ms of usage, quota and evidence of versions, never reached the others at any planned stop. In large clusters the duty holder and the standby collector would also have missed it whenever its number was odd. Found in the code while looking at stops.

The socket is closed once the datagrams have left it, and a report that is asked for goes to all nodes that get any. `npx ava test/node-reports/exchange.test.ts`: the new test fails before the change, and with only the first half of it.

--- a/src/core/node-reports/exchange-types.ts
+++ b/src/core/node-reports/exchange-types.ts
@@ -76,9 +76,10 @@
   usesCollectors: () => boolean
   /** Mean age in ms of the other nodes' activity as this node knows it. */
   activityAgeMs: () => number
-  /** Sends a report immediately, for example before the node stops. */
+  /** Sends a report immediately to all nodes that get any, for example before the node stops. */
   sendReport: () => void
   /** Sends a report within some 20 ms instead of at the next interval. */
   sendSoon: () => void
+  /** Ends the exchange; what was sent before still leaves. */
   close: () => void
 }
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -3,11 +3,11 @@
  * only delays the information, and there are no connections that could stall. In a
  * large cluster reports go to collectors, which respond with digests.
  */
-import { createSocket } from 'node:dgram'
 import { createCollectors } from './collectors.ts'
 import { decodeMessage, encodeDigest, encodeReport } from './codec.ts'
 import { createActivityTotals } from './activity-totals.ts'
 import { maxPrefixesOf } from './prefix-limit.ts'
+import { createReportSocket } from './report-socket.ts'
 import type { RemoteInfo } from 'node:dgram'
 import type { NodeId } from '../ids/index.ts'
 import type { CollectorChoice } from './collectors.ts'
@@ -40,7 +40,7 @@
 /** Creates the report exchange; `start` binds its port. */
 export function createNodeReports (options: NodeReportsOptions): NodeReports {
   const { clock, log, metrics, node, bootId } = options
-  const socket = createSocket('udp4')
+  const socket = createReportSocket({ host: options.host, port: options.port, metrics, onReceived: receive, onError: error => log('nodeReportUnreadable', { cause: error.message }) })
   const closed = new AbortController()
   const reportsByNode = new Map<NodeId, { report: NodeReport, receivedAtMs: number }>()
   const collectors = createCollectors({ node, linkMbps: options.linkMbps, clock, draw: options.draw })
@@ -59,18 +59,6 @@
   let isSendingSoon = false
   let unreadableLoggedAtMs = -Infinity
 
-  function sendDatagram (kind: 'report' | 'digest', bytes: Buffer, port: number, host: string): void {
-    metrics.count('node_reports_sent_total', { kind })
-    metrics.count('node_reports_sent_bytes_total', { kind }, bytes.length)
-    const countUnsent = (): void => metrics.count('node_reports_unsent_total')
-    try {
-      socket.send(bytes, port, host, error => { if (error !== null) countUnsent() })
-    } catch {
-      // The address of one node must not keep the others from getting their reports.
-      countUnsent()
-    }
-  }
-
   /** Sets the choice. If the digest source changes, activity from the previous sources is discarded. */
   function applyChoice (next: CollectorChoice): void {
     const before = choice.digestSource
@@ -82,7 +70,7 @@
     for (const source of before === undefined ? reportsByNode.keys() : [before]) options.onSilent(source)
   }
 
-  function sendReport (): void {
+  function sendReport (isToAll: boolean): void {
     const peers = options.peers()
     const holder = options.dutyHolder()
     applyChoice(collectors.choose(peers, holder === node ? undefined : holder))
@@ -90,14 +78,14 @@
     lastReportAtMs = clock.monotonicMs()
     const report: NodeReport = { ...options.collectReport(), node, bootId, sequence, wantsDigest: choice.usesCollectors, digestSource: choice.digestSource ?? node }
     ownReport = report
-    const targets = new Set([...choice.everyReport, ...(sequence % 2 === 0 ? choice.everySecondReport : [])])
+    const targets = new Set([...choice.everyReport, ...(isToAll || sequence % 2 === 0 ? choice.everySecondReport : [])])
     if (choice.usesCollectors) totals.record(node, bootId, report)
     if (targets.size === 0) return
     const bytes = encodeReport(clock.monotonicMs() < levelsUntilMs ? report : { ...report, quotaLevels: undefined })
     for (const { node: peer, host, reportPort } of peers) {
       if (!targets.has(peer)) continue
       if (choice.usesCollectors) collectors.onReportSent(peer)
-      sendDatagram('report', bytes, reportPort, host)
+      socket.send('report', bytes, reportPort, host)
     }
   }
 
@@ -124,7 +112,7 @@
     totals.record(report.node, report.bootId, report)
     const usesTotals = report.digestSource === undefined || report.digestSource === node
     const isNewReceiver = report.sequence <= reportsWithLevels || before?.digestSource !== report.digestSource
-    sendDatagram('digest', encodeDigest({
+    socket.send('digest', encodeDigest({
       node,
       bootId,
       isDraining: ownReport?.isDraining ?? false,
@@ -181,13 +169,13 @@
     isSendingSoon = true
     await clock.sleep(Math.max(0, lastReportAtMs + minReportIntervalMs - clock.monotonicMs()), closed.signal)
     isSendingSoon = false
-    if (!closed.signal.aborted) trySendReport()
+    if (!closed.signal.aborted) trySendReport(false)
   }
 
   /** An error in what one module reports must not end the reports of this node. */
-  function trySendReport (): void {
+  function trySendReport (isToAll: boolean): void {
     try {
-      sendReport()
+      sendReport(isToAll)
     } catch (error) {
       log('nodeReportFailed', { cause: (error as Error).stack })
     }
@@ -195,23 +183,17 @@
 
   async function run (): Promise<void> {
     while (!closed.signal.aborted) {
-      trySendReport()
+      trySendReport(false)
       removeSilentNodes()
       await clock.sleep(reportIntervalMs, closed.signal)
     }
   }
 
   return {
-    start: () => new Promise((resolve, reject) => {
-      socket.once('error', reject)
-      socket.on('message', receive)
-      socket.bind(options.port, options.host, () => {
-        socket.off('error', reject)
-        socket.on('error', error => log('nodeReportUnreadable', { cause: error.message }))
-        run()
-        resolve()
-      })
-    }),
+    start: async () => {
+      await socket.bind()
+      run()
+    },
     reportingNodes: () => [...reportsByNode.keys()],
     knownNodeCount: () => choice.digestSource === undefined ? reportsByNode.size : digest?.nodes ?? 0,
     currentNodeCount: () => {
@@ -233,7 +215,7 @@
     activityAgeMs: () => choice.usesCollectors ? reportIntervalMs : reportIntervalMs / 2,
     getsAllReports: () => choice.digestSource === undefined,
     evidenceDelayMs: () => (choice.usesCollectors ? 2 : 1) * reportIntervalMs + reportIntervalMs / 2,
-    sendReport: trySendReport,
+    sendReport: () => trySendReport(true),
     sendSoon: () => { sendSoon() },
     close: () => {
       closed.abort()
--- a/test/node-reports/exchange.test.ts
+++ b/test/node-reports/exchange.test.ts
@@ -32,6 +32,7 @@
   firstSources: NodeId[]
   levelsBySource: Map<NodeId, number>
   quarantine: Quarantine
+  state: { isDraining: boolean }
   /** Replaces the node by one that starts anew at the same address. */
   restart: () => Promise<void>
 }
@@ -51,6 +52,7 @@
     const openBySource = new Map<NodeId, number>()
     const deltas: ViewDelta[] = []
     const metrics = createMetrics()
+    const state = { isDraining: false }
     let tokens = 0
     const quarantine: Quarantine = createQuarantine({
       clock, log: () => {}, metrics, random: () => 0.5, nodeCount: () => count, reportDelayMs: () => reports.evidenceDelayMs(), isDeciding: () => reports.getsAllReports(), claimTrial: async () => false
@@ -70,7 +72,7 @@
       collectReport: () => {
         tokens += 10
         return {
-          isDraining: false,
+          isDraining: state.isDraining,
           revision: 10,
           quotaUsage: new Map([[team, { quota: tokens, tolerance: 0, asked: tokens }]]),
           quotaLevels: boot === 0 ? new Map([[team, { quota: 70 + index, tolerance: 5 }]]) : undefined,
@@ -103,7 +105,7 @@
       nodes[index] = restarted
       await restarted.reports.start()
     }
-    return { id, reports, quarantine, openBySource, deltas, metrics, firstSources, levelsBySource, restart }
+    return { id, reports, quarantine, state, openBySource, deltas, metrics, firstSources, levelsBySource, restart }
   }
   const nodes: Node[] = addresses.map((_, index) => createNode(index, 0))
   await Promise.all(nodes.map(({ reports }) => reports.start()))
@@ -185,3 +187,20 @@
   await until(() => (nodes[0]?.levelsBySource.size ?? 0) > 0)
   t.pass()
 })
+
+test.serial('the report that a node sends before it closes arrives, also at nodes that get every second one', async t => {
+  const nodes = await startCluster(t, 24)
+  const [standby, ...stopping] = [nodes[1]!, nodes[5]!, nodes[6]!]
+  await until(() => nodes.every(node => openRequests(node) === 23) && stopping.every(({ id }) => standby.reports.lastReport(id) !== undefined))
+  // So that one of the two stops with an odd report.
+  stopping[0]?.reports.sendReport()
+  for (const { reports, state } of stopping) {
+    state.isDraining = true
+    reports.sendReport()
+    reports.close()
+  }
+  // What was heard of a node is kept until it counts as silent.
+  const isSettled = ({ id }: Node): boolean => standby.reports.lastReport(id)?.isDraining !== false
+  await until(() => stopping.every(isSettled))
+  t.true(stopping.every(({ id }) => standby.reports.lastReport(id)?.isDraining))
+})
