Let a collector that is stopping use the digests of the next one

What follows from the code: from 17 nodes on, all others stop reporting to a collector that says that it is about to stop, but it went on to count as its own collector. 1.4 s later it knew no other node while it still answered requests, up to the end of its grace period: its part of each quota shrank to one node's, so that it refused requests with 429 while quota was left, and its choice of backend servers knew only its own load.

A node that is about to stop no longer counts itself among the collectors; its next report goes to the following one, whose digest comes at once. Before the change `npx ava test/node-reports` fails in the test of the choice, and the test over UDP waits in vain.

--- a/src/core/node-reports/collectors.ts
+++ b/src/core/node-reports/collectors.ts
@@ -32,8 +32,8 @@
 
 /** Chooses collectors and tracks which of them respond. */
 export interface Collectors {
-  /** Chooses among the other nodes, which are ranked anew only when `others` is another array; `dutyHolder` is the node whose duties need all reports, if known. */
-  choose: (others: readonly RankedNode[], dutyHolder: NodeId | undefined) => CollectorChoice
+  /** Chooses among the other nodes, which are ranked anew only when `others` is another array; `dutyHolder` is the node whose duties need all reports, if known. With `isDraining` this node is about to stop, so that the others no longer report to it. */
+  choose: (others: readonly RankedNode[], dutyHolder: NodeId | undefined, isDraining?: boolean) => CollectorChoice
   /** Must be called when a report that wants a digest is sent to a node. */
   onReportSent: (node: NodeId) => void
   /** Must be called when a digest from a node is received. */
@@ -85,14 +85,14 @@
     return clock.monotonicMs() - (states.get(other)?.lastReportSentAtMs ?? -Infinity) >= retryPauseMs
   }
 
-  function choose (others: readonly RankedNode[], dutyHolder: NodeId | undefined): CollectorChoice {
+  function choose (others: readonly RankedNode[], dutyHolder: NodeId | undefined, isDraining = false): CollectorChoice {
     if (others.length < maxAllPairsNodes) return { everyReport: others.map(other => other.node), everySecondReport: [], digestSource: undefined, isCollector: true, usesCollectors: false }
     const collectors: NodeId[] = []
     const everySecondReport: NodeId[] = []
     for (const { node: candidate } of rankNodes(others)) {
       if (collectors.length === collectorCount) break
-      if (candidate === node || isResponding(candidate)) collectors.push(candidate)
-      else if (isDueForRetry(candidate)) everySecondReport.push(candidate)
+      if (candidate === node ? !isDraining : isResponding(candidate)) collectors.push(candidate)
+      else if (candidate !== node && isDueForRetry(candidate)) everySecondReport.push(candidate)
     }
     const [first, ...standby] = collectors
     for (const other of [...standby, ...(dutyHolder === undefined ? [] : [dutyHolder])]) {
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -73,10 +73,11 @@
   function sendReport (isToAll: boolean): void {
     const peers = options.peers()
     const holder = options.dutyHolder()
-    applyChoice(collectors.choose(peers, holder === node ? undefined : holder))
+    const content = options.collectReport()
+    applyChoice(collectors.choose(peers, holder === node ? undefined : holder, content.isDraining))
     sequence += 1
     lastReportAtMs = clock.monotonicMs()
-    const report: NodeReport = { ...options.collectReport(), node, bootId, sequence, wantsDigest: choice.usesCollectors, digestSource: choice.digestSource ?? node }
+    const report: NodeReport = { ...content, node, bootId, sequence, wantsDigest: choice.usesCollectors, digestSource: choice.digestSource ?? node }
     ownReport = report
     const targets = new Set([...choice.everyReport, ...(isToAll || sequence % 2 === 0 ? choice.everySecondReport : [])])
     if (choice.usesCollectors) totals.record(node, bootId, report)
--- a/test/node-reports/collectors.test.ts
+++ b/test/node-reports/collectors.test.ts
@@ -73,6 +73,11 @@
   t.is(collectors.choose(others, undefined).digestSource, idOf(1))
 })
 
+test('a collector that is about to stop uses the totals of the next one, since the others no longer report to it', t => {
+  const { others, collectors } = collectorsOf(0, 60)
+  t.like(collectors.choose(others, undefined, true), { everyReport: [idOf(1)], everySecondReport: [idOf(2)], digestSource: idOf(1), isCollector: false })
+})
+
 test('the totals for a node contain all other nodes, also after restarts and removals', t => {
   const totals = createActivityTotals({ clock: createManualClock(), maxPrefixes: () => 24 })
   for (const index of [0, 1, 2]) totals.record(idOf(index), 'first', activityOf(1_000, index))
--- a/test/node-reports/exchange.test.ts
+++ b/test/node-reports/exchange.test.ts
@@ -204,3 +204,13 @@
   await until(() => stopping.every(isSettled))
   t.true(stopping.every(({ id }) => standby.reports.lastReport(id)?.isDraining))
 })
+
+test.serial('a collector that drains goes on to know the activity of all others', async t => {
+  const nodes = await startCluster(t, 24)
+  const first = nodes[0]!
+  await until(() => nodes.every(node => openRequests(node) === 23))
+  first.state.isDraining = true
+  await until(() => nodes.slice(1).every(({ reports }) => !reports.collectors().includes(first.id)))
+  await until(() => !first.reports.getsAllReports() && openRequests(first) === 23)
+  t.is(first.reports.knownNodeCount(), 23)
+})
