Accept the connections that wait in the queue before the listener is closed

Where connections come faster than turns, they wait in the kernel's queue, and the close of the listener resets all of it.

The owner of callers' connections lets the event loop turn until two turns accept nothing, then closes the listener, and lets the requests that came so be answered.

--- a/src/core/caller-connections/index.ts
+++ b/src/core/caller-connections/index.ts
@@ -6,6 +6,7 @@
  * while it is idle, and nothing that is read after that is handled.
  */
 import { Server as NetServer } from 'node:net'
+import { setImmediate } from 'node:timers/promises'
 import { cutAnswer } from './cut-answer.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
@@ -17,6 +18,10 @@
 /** Time after the end of this side for which bytes of the caller are read and discarded, so that they don't reset the connection before the caller has read its answer. */
 const lingerMs = 2_000
 const pollIntervalMs = 20
+/** Turns of the event loop without a new connection after which none waits to be accepted, and the request of the last one has been read if it had arrived. */
+const quietTurns = 2
+/** Limit of the turns, for connections that come without end. */
+const maxTurns = 1_024
 
 interface Connection {
   socket: Socket
@@ -34,12 +39,14 @@
   const connections = new Map<Socket, Connection>()
   const abortedAnswers = new WeakMap<ServerResponse, AnswerEnd>()
   const deliveredAnswers = new WeakSet<ServerResponse>()
+  let acceptedCount = 0
   /** Monotonic time at which a request was taken or an answer delivered last, or the wait for quiet began. */
   let lastActiveAtMs = clock.monotonicMs()
 
   server.on('connection', socket => {
     const connection: Connection = { socket, open: new Map(), isLast: false, hasEnded: false }
     connections.set(socket, connection)
+    acceptedCount += 1
     socket.on('close', () => connections.delete(socket))
     // Node.js calls this after the last answer of a connection.
     socket.destroySoon = () => endConnection(connection)
@@ -126,6 +133,15 @@
     socket.destroy()
   }
 
+  /** The event loop accepts one connection in each turn; those that wait when the listener is closed are reset, unread. */
+  async function acceptWaiting (): Promise<void> {
+    for (let turns = 0, quiet = 0; turns < maxTurns && quiet < quietTurns; turns += 1) {
+      const before = acceptedCount
+      await setImmediate()
+      quiet = acceptedCount === before ? quiet + 1 : 0
+    }
+  }
+
   const openRequestCount = (): number => [...connections.values()].reduce((sum, { open }) => sum + open.size, 0)
 
   async function pollUntil (condition: () => boolean, deadlineAtMs: number): Promise<void> {
@@ -139,8 +155,11 @@
       if (deliveredAnswers.has(response)) return undefined
       return abortedAnswers.get(response) ?? { reason: 'caller-closed', waitingBytes: response.writableLength }
     },
-    // The close method of an HTTP server also closes connections that only look idle to it.
-    stopListening: () => NetServer.prototype.close.call(server),
+    stopListening: async () => {
+      await acceptWaiting()
+      // The close method of an HTTP server also closes connections that only look idle to it.
+      NetServer.prototype.close.call(server)
+    },
     whenQuiet: (quietMs, deadlineAtMs) => {
       lastActiveAtMs = clock.monotonicMs()
       return pollUntil(() => connections.size === 0 || (openRequestCount() === 0 && clock.monotonicMs() >= lastActiveAtMs + quietMs), deadlineAtMs)
--- a/src/core/caller-connections/types.ts
+++ b/src/core/caller-connections/types.ts
@@ -32,8 +32,8 @@
   openRequestCount: () => number
   /** How the connection of an answer ended, once it has; undefined if the answer was delivered: its last byte was taken by the connection. */
   answerEndOf: (response: ServerResponse) => AnswerEnd | undefined
-  /** Stops listening; open connections stay. */
-  stopListening: () => void
+  /** Accepts the connections that wait, then stops listening; open connections stay. */
+  stopListening: () => Promise<void>
   /** Resolves once all connections have ended, or no request has been open for `quietMs` from this call on; at the monotonic time `deadlineAtMs` at the latest. */
   whenQuiet: (quietMs: number, deadlineAtMs: number) => Promise<void>
   /** Resolves once all answers are delivered, at the monotonic time `deadlineAtMs` at the latest. */
--- a/src/core/gateway/ingress.ts
+++ b/src/core/gateway/ingress.ts
@@ -46,7 +46,7 @@
   /** Serves until no request comes any more, then stops listening and closes the connections. */
   drain: (limits: DrainLimits) => Promise<void>
   /** Stops listening and closes all connections at once. */
-  close: () => void
+  close: () => Promise<void>
 }
 
 /** Limits of a graceful shutdown. Times are monotonic, in ms. */
@@ -111,7 +111,8 @@
   async function drain ({ listenUntilMs, endsAtMs, endRequests }: DrainLimits): Promise<void> {
     await clock.sleep(listenUntilMs - clock.monotonicMs())
     await connections.whenQuiet(quietMs, endsAtMs)
-    connections.stopListening()
+    await connections.stopListening()
+    await connections.whenAnswered(endsAtMs)
     endRequests()
     await connections.whenAnswered(endsAtMs + lastAnswersMs)
     connections.close()
@@ -127,8 +128,8 @@
     inFlight: connections.openRequestCount,
     answerEndOf: connections.answerEndOf,
     drain,
-    close: () => {
-      connections.stopListening()
+    close: async () => {
+      await connections.stopListening()
       connections.close()
     }
   }
--- a/src/core/http/index.ts
+++ b/src/core/http/index.ts
@@ -51,7 +51,8 @@
   async function close (deadlineAtMs: number): Promise<void> {
     const { clock } = options
     await connections.whenQuiet(quietMs, clock.monotonicMs() + deadlineAtMs - clock.wallMs())
-    connections.stopListening()
+    await connections.stopListening()
+    await connections.whenAnswered(clock.monotonicMs() + deadlineAtMs - clock.wallMs())
     connections.close()
   }
 
--- a/test/caller-connections/caller-connections.test.ts
+++ b/test/caller-connections/caller-connections.test.ts
@@ -30,8 +30,8 @@
   })
   server.listen(0, '127.0.0.1')
   await once(server, 'listening')
-  t.teardown(() => {
-    connections.stopListening()
+  t.teardown(async () => {
+    await connections.stopListening()
     connections.close()
   })
   const caller = await connectCaller((server.address() as AddressInfo).port)
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -190,7 +190,7 @@
   await ingress.listen()
   const { port } = ingress.address() as AddressInfo
   t.teardown(async () => {
-    ingress.close()
+    await ingress.close()
     backends.close()
     await Promise.all(servers.map(backend => backend.close()))
   })
