--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -207,7 +207,6 @@
       const attempted = await attemptAdmitted(active).finally(admittance.release)
       if ('unchosen' in attempted) return unchosenEnd(active, attempted.unchosen)
       const { choice, end } = attempted
-      if (mayHaveRun(end)) active.mayHaveRunOn.add(choice.backend.id)
       await quarantineGate.onAttemptEnded(active, end)
       const requestEnd = handleAttemptEnd(active, choice, end)
       if (requestEnd !== undefined) return requestEnd
@@ -222,6 +221,8 @@
     const { choice, permit } = chosen.value
     try {
       const end = await attemptOnce(active, choice)
+      // Before anything else, as what follows may fail.
+      if (mayHaveRun(end)) active.mayHaveRunOn.add(choice.backend.id)
       limitGate.onAttemptEnded(permit, end)
       return { choice, end }
     } catch (error) {
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -112,8 +112,8 @@
   broken: boolean
 }
 
-/** A step of the handling of a request that a test lets throw: the choice of a backend server, after the request was sent, or after its response. */
-export type FailingStep = 'choose' | 'sent' | 'ended'
+/** A step of the handling of a request that a test lets throw: the choice of a backend server, after the request was sent, after its response, or when its admittance is given back. */
+export type FailingStep = 'choose' | 'sent' | 'ended' | 'released'
 
 /** Starts a gateway with one fake backend server for each element of `handlers`. */
 export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'], quarantine?: Partial<RequestHandlerOptions['quarantine']> } = {}) {
@@ -167,7 +167,22 @@
     admission: createAdmission({ clock, metrics, random: createRandom(2), maxConcurrent: 100 }),
     quotas: createQuotas({ clock, random: () => 0, hasFullBuckets: true, ownShare: () => 1, reportAgeMs: () => 0, reachableShare: () => 1 }),
     retryBudget: createRetryBudget({ clock, minRetriesPerSecond: () => 10 }),
-    quarantine: { ...quarantine, ...fakes.quarantine },
+    quarantine: {
+      ...quarantine,
+      ...fakes.quarantine,
+      admit: async request => {
+        const admittance = await quarantine.admit(request)
+        return admittance.kind === 'refused'
+          ? admittance
+          : {
+              kind: 'admitted',
+              release: () => {
+                admittance.release()
+                failAt('released')
+              }
+            }
+      }
+    },
     backends,
     limits: { ...limits, take: fakes.takePermit ?? limits.take },
     routeTable: () => state.table,
--- a/test/gateway/failed-requests.test.ts
+++ b/test/gateway/failed-requests.test.ts
@@ -24,22 +24,22 @@
 
 test('a request whose handling fails gets 503 with a time to retry if the backend server did not get it, and else 502', async t => {
   const gateway = await startGateway(t, [respondOk])
-  for (const [step, status] of [['choose', 503], ['sent', 503], ['ended', 502]] as const) {
+  for (const [step, status] of [['choose', 503], ['sent', 503], ['ended', 502], ['released', 502]] as const) {
     gateway.state.failingStep = step
     const response = await gateway.call('/register/', `r-${step}`)
     t.is(response.status, status, step)
     t.is(response.headers.get('x-seal'), null)
     t.is(Number(response.headers.get('retry-after') ?? -1) > 0, status === 503, step)
   }
-  t.deepEqual(gateway.servers[0]!.requests.map(({ headers }) => headers['x-request']), ['r-ended'])
+  t.deepEqual(gateway.servers[0]!.requests.map(({ headers }) => headers['x-request']), ['r-ended', 'r-released'])
   gateway.state.failingStep = undefined
   t.is((await gateway.call('/register/', 'r-last')).status, 200)
-  t.is(gateway.events.filter(({ event }) => event === 'gatewayFailed').length, 3)
+  t.is(gateway.events.filter(({ event }) => event === 'gatewayFailed').length, 4)
 })
 
 test('a failed request releases what it took, so that many do not use up the node', async t => {
   const gateway = await startGateway(t, [respondOk])
-  for (const step of ['choose', 'sent', 'ended'] as const) {
+  for (const step of ['choose', 'sent', 'ended', 'released'] as const) {
     gateway.state.failingStep = step
     // More than the admission control lets through at the same time.
     for (let index = 0; index < 120; index += 1) t.true((await gateway.call('/register/', `${step}-${index}`)).status >= 502)
