--- a/test/gateway/failed-requests.test.ts
+++ b/test/gateway/failed-requests.test.ts
@@ -3,6 +3,7 @@
 import test from 'ava'
 import { answerToFailure } from '../../src/core/gateway/failed-request.ts'
 import { toId } from '../../src/core/ids/index.ts'
+import { formatResponse } from '../../src/stand-ins/raw-backend/index.ts'
 import { respondOk, signed, startGateway } from './deployment.ts'
 import { waitUntil } from './wait-until.ts'
 import type { BackendId } from '../../src/core/ids/index.ts'
@@ -49,6 +50,21 @@
   t.is(gateway.router.localLoads().get(toId<BackendId>('b-0'))?.requests ?? 0, 0)
 })
 
+test('a failed request that was not sent gives back its permit of a limited backend server', async t => {
+  const limited: RawRequestHandler = ({ headers }, socket) => {
+    socket.write(formatResponse(200, { ...signed(headers['x-request'] ?? ''), 'x-limit': '2', connection: 'close' }, 'whole'))
+  }
+  const gateway = await startGateway(t, [limited])
+  t.is((await gateway.call('/register/', 'r-1')).status, 200)
+  // One permit is earned; without it, the requests would be refused because of the limit.
+  await new Promise(resolve => setTimeout(resolve, 700))
+  gateway.state.failingStep = 'sent'
+  t.is((await gateway.call('/register/', 'r-2')).status, 503)
+  gateway.state.failingStep = undefined
+  t.is((await gateway.call('/register/', 'r-3')).status, 200)
+  t.deepEqual(gateway.servers[0]!.requests.map(({ headers }) => headers['x-request']), ['r-1', 'r-3'])
+})
+
 test('a stream that has begun when its handling fails is cut visibly', async t => {
   // Without a length, a mere end of the connection would look like the end of the stream.
   const breaksOff: RawRequestHandler = ({ headers }, socket) => {
