Hold sleeps and retry times of backend servers within what a timer can wait

Node.js fires a timer of more than 24.8 days at once, so a team's longest request time of 1e308 in a declaration, or a Retry-After of that size, ended waits that should not end; a Retry-After of 1e308 became "Infinity" for callers, and a negative one a time in the past. The system clock now waits as long as a timer can, like the manual clock of the tests, and a Retry-After counts for at most an hour; a negative one is ignored, like a date.

--- a/src/core/backends/refusal.ts
+++ b/src/core/backends/refusal.ts
@@ -1,10 +1,14 @@
 /** Interprets unsuccessful responses of backend servers. */
 import { AttemptError } from './types.ts'
 
-/** Converts a `Retry-After` header in seconds to a wall time; undefined when it is absent or a date. */
+/** Longest time that a backend server may name. */
+const maxRetryAfterSeconds = 3_600
+
+/** Converts a `Retry-After` header in seconds to a wall time; undefined when it is absent, a date or negative. */
 export function parseRetryAfter (retryAfter: string | undefined, nowMs: number): number | undefined {
   const seconds = Number(retryAfter)
-  return retryAfter === undefined || !Number.isFinite(seconds) ? undefined : nowMs + seconds * 1000
+  const isUsable = retryAfter !== undefined && Number.isFinite(seconds) && seconds >= 0
+  return isUsable ? nowMs + Math.min(maxRetryAfterSeconds, seconds) * 1000 : undefined
 }
 
 function parseErrorBody (responseText: string): { message: string, code: string | undefined } {
--- a/src/core/clock/index.ts
+++ b/src/core/clock/index.ts
@@ -8,10 +8,13 @@
   wallMs: () => number
   /** Monotonic time in milliseconds since an arbitrary start. For leases and timeouts within the process. */
   monotonicMs: () => number
-  /** Resolves after `durationMs`, or at once when the signal aborts; never rejects. */
+  /** Resolves after `durationMs`, at most 24 days, or at once when the signal aborts; never rejects. */
   sleep: (durationMs: number, signal?: AbortSignal) => Promise<void>
 }
 
+/** Longest wait of a timer of Node.js; a longer one would end at once. */
+const maxTimerMs = 2 ** 31 - 1
+
 /** The clock of the operating system. */
 export function createSystemClock (): Clock {
   return {
@@ -19,7 +22,7 @@
     monotonicMs: () => performance.now(),
     sleep: async (durationMs, signal) => {
       try {
-        await delay(durationMs, undefined, signal === undefined ? {} : { signal })
+        await delay(Math.min(maxTimerMs, durationMs), undefined, signal === undefined ? {} : { signal })
       } catch {
         // The signal was aborted; the caller checks it.
       }
