Tell the answers of all pipelined requests that their connection has ended

Cause: Node.js emits close for the response whose turn it is, and never for those that are queued behind it. Such a request was neither logged nor aborted, so its backend server went on working for nobody, and it kept its listener for the end of the stop. The owner of callers' connections now tells each open answer that it has closed, by the end of the connection itself.

Evidence: the new test over real sockets; by the code before, the second response never closes.

--- a/src/core/caller-connections/index.ts
+++ b/src/core/caller-connections/index.ts
@@ -10,7 +10,7 @@
 import { cutAnswer } from './cut-answer.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { AnswerEnd, CallerConnections, CallerConnectionsOptions } from './types.ts'
+import type { AnswerClosedListener, AnswerEnd, CallerConnections, CallerConnectionsOptions } from './types.ts'
 
 export { cutAnswer } from './cut-answer.ts'
 export type * from './types.ts'
@@ -23,10 +23,15 @@
 /** Limit of the turns, for connections that come without end. */
 const maxTurns = 1_024
 
+interface OpenRequest {
+  request: IncomingMessage
+  listeners: AnswerClosedListener[]
+}
+
 interface Connection {
   socket: Socket
   /** Requests that were taken and whose answers are not delivered, in the order of arrival. */
-  open: Map<ServerResponse, IncomingMessage>
+  open: Map<ServerResponse, OpenRequest>
   /** Whether no further request is taken: an answer says that the connection ends, or its bytes can't be parsed. */
   isLast: boolean
   /** Whether this side has ended. */
@@ -47,7 +52,10 @@
     const connection: Connection = { socket, open: new Map(), isLast: false, hasEnded: false }
     connections.set(socket, connection)
     acceptedCount += 1
-    socket.on('close', () => connections.delete(socket))
+    socket.on('close', () => {
+      connections.delete(socket)
+      for (const response of [...connection.open.keys()]) closeRequest(connection, response)
+    })
     // Node.js calls this after the last answer of a connection.
     socket.destroySoon = () => endConnection(connection)
   })
@@ -66,7 +74,7 @@
 
   function endIfDelivered (connection: Connection): void {
     // A request that isn't complete is never answered once its bytes can't be parsed.
-    const hasOpen = [...connection.open.values()].some(request => request.complete)
+    const hasOpen = [...connection.open.values()].some(({ request }) => request.complete)
     if (connection.isLast && !hasOpen) endConnection(connection)
   }
 
@@ -77,19 +85,29 @@
       request.resume()
       return false
     }
-    connection.open.set(response, request)
+    connection.open.set(response, { request, listeners: [] })
     lastActiveAtMs = clock.monotonicMs()
     // Node.js also emits this when the connection is closed while bytes of the answer wait.
     response.on('finish', () => { if (!connection.socket.destroyed) deliveredAnswers.add(response) })
-    response.on('close', () => {
-      connection.open.delete(response)
-      lastActiveAtMs = clock.monotonicMs()
-      if (connection.isLast) endIfDelivered(connection)
-    })
+    response.on('close', () => closeRequest(connection, response))
     announceEnd(connection, response)
     return true
   }
 
+  function closeRequest (connection: Connection, response: ServerResponse): void {
+    const closed = connection.open.get(response)
+    if (closed === undefined) return
+    connection.open.delete(response)
+    lastActiveAtMs = clock.monotonicMs()
+    for (const listener of closed.listeners) listener(answerEndOf(response))
+    if (connection.isLast) endIfDelivered(connection)
+  }
+
+  function answerEndOf (response: ServerResponse): AnswerEnd | undefined {
+    if (deliveredAnswers.has(response)) return undefined
+    return abortedAnswers.get(response) ?? { reason: 'caller-closed', waitingBytes: response.writableLength }
+  }
+
   /** Lets the head of the answer say that the connection ends, if it is the last one. */
   function announceEnd (connection: Connection, response: ServerResponse): void {
     const writeHead = response.writeHead.bind(response) as (...parameters: unknown[]) => ServerResponse
@@ -118,7 +136,7 @@
     }
     if (connection.isLast) return
     connection.isLast = true
-    const canAnswer = [...connection.open].every(([response, request]) => !request.complete && !response.headersSent)
+    const canAnswer = [...connection.open].every(([response, { request }]) => !request.complete && !response.headersSent)
     if (canAnswer) socket.write(options.onParserError(error))
     endIfDelivered(connection)
   })
@@ -151,9 +169,10 @@
   return {
     take,
     openRequestCount,
-    answerEndOf: response => {
-      if (deliveredAnswers.has(response)) return undefined
-      return abortedAnswers.get(response) ?? { reason: 'caller-closed', waitingBytes: response.writableLength }
+    onAnswerClosed: (response, listener) => {
+      const open = connections.get(response.req.socket)?.open.get(response)
+      if (open === undefined) listener(answerEndOf(response))
+      else open.listeners.push(listener)
     },
     stopListening: async () => {
       await acceptWaiting()
--- a/src/core/caller-connections/types.ts
+++ b/src/core/caller-connections/types.ts
@@ -11,6 +11,8 @@
   waitingBytes: number
 }
 
+export type AnswerClosedListener = (end: AnswerEnd | undefined) => void
+
 /** Options of the callers' connections. */
 export interface CallerConnectionsOptions {
   /** The server whose connections these are. Its `clientError` and `timeout` events are handled here. */
@@ -30,8 +32,12 @@
   take: (request: IncomingMessage, response: ServerResponse) => boolean
   /** Number of requests that were taken and whose answers are not delivered. */
   openRequestCount: () => number
-  /** How the connection of an answer ended, once it has; undefined if the answer was delivered: its last byte was taken by the connection. */
-  answerEndOf: (response: ServerResponse) => AnswerEnd | undefined
+  /**
+   * Calls the listener once, when the answer was delivered (its last byte was taken by
+   * the connection, `end` is undefined) or its connection has ended before that. Node.js
+   * doesn't tell the response of a request that is queued behind another one.
+   */
+  onAnswerClosed: (response: ServerResponse, listener: AnswerClosedListener) => void
   /** Accepts the connections that wait, then stops listening; open connections stay. */
   stopListening: () => Promise<void>
   /** Resolves once all connections have ended, or no request has been open for `quietMs` from this call on; at the monotonic time `deadlineAtMs` at the latest. */
--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -4,7 +4,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Admission, RetryBudget } from '../admission/types.ts'
 import type { BackendLimits } from '../backend-limits/index.ts'
-import type { AnswerEnd } from '../caller-connections/index.ts'
+import type { AnswerEnd, CallerConnections } from '../caller-connections/index.ts'
 import type { Clock } from '../clock/index.ts'
 import type { BackendId, RequestDigest, TeamId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
@@ -70,8 +70,7 @@
   /** Aborted when the node ends the requests that are still open at the end of a stop. */
   stopped: AbortSignal
   stopGate: StopGate
-  /** How the connection of an answer ended; undefined if the answer was delivered. */
-  answerEndOf: (response: ServerResponse) => AnswerEnd | undefined
+  onAnswerClosed: CallerConnections['onAnswerClosed']
   /** Whether this node learns of the others' load soon enough to compare all backend servers without many nodes choosing the same one. */
   hasRecentLoads: () => boolean
   /** A uniformly distributed number from 0 to 1, the same for the same text. */
@@ -124,8 +123,8 @@
   isCut: boolean
   /** Status of the backend server's response that was forwarded completely. */
   forwardedStatus: number | undefined
-  /** Whether the response was delivered, or its connection has ended. */
-  isClosed: boolean
+  /** Set once the response was delivered (`end` is undefined), or its connection has ended. */
+  closed: { end: AnswerEnd | undefined } | undefined
   isTimedOut: boolean
   /** Whether the node stopped before the request had ended. */
   isStopped: boolean
@@ -162,7 +161,7 @@
     isCallerGone: false,
     isCut: false,
     forwardedStatus: undefined,
-    isClosed: false,
+    closed: undefined,
     isTimedOut: false,
     isStopped: false,
     choice: undefined,
--- a/src/core/gateway/attempt-end-handler.ts
+++ b/src/core/gateway/attempt-end-handler.ts
@@ -187,12 +187,13 @@
   /** The response is counted and logged once it is delivered, which may be before or after this call. */
   function recordResponse (active: ActiveRequest, status: number): void {
     active.forwardedStatus = status
-    if (active.isClosed) recordDelivery(active)
+    recordDelivery(active)
   }
 
   function recordDelivery (active: ActiveRequest): void {
-    const { route, head, firstByteMs, arrivedAtMs, response, forwardedStatus } = active
-    if (forwardedStatus === undefined || options.answerEndOf(response) !== undefined) return
+    const { route, head, firstByteMs, arrivedAtMs, forwardedStatus, closed } = active
+    const isDelivered = closed !== undefined && closed.end === undefined
+    if (!isDelivered || forwardedStatus === undefined) return
     const tookMs = clock.wallMs() - arrivedAtMs
     options.stopGate.recordAnswer(route.name, { firstByteMs: firstByteMs ?? tookMs, tookMs, answerTokens: head.tokens?.answer })
     metrics.count('gateway_answers_total', { status: String(forwardedStatus), reason: 'passed-on' })
--- a/src/core/gateway/ingress.ts
+++ b/src/core/gateway/ingress.ts
@@ -42,7 +42,7 @@
   setLimits: (limits: GatewayConfiguration['limits']) => void
   /** Number of requests without a delivered answer. */
   inFlight: () => number
-  answerEndOf: CallerConnections['answerEndOf']
+  onAnswerClosed: CallerConnections['onAnswerClosed']
   /** Serves until no request comes any more, then stops listening and closes the connections. */
   drain: (limits: DrainLimits) => Promise<void>
   /** Stops listening and closes all connections at once. */
@@ -126,7 +126,7 @@
     address: () => server.address(),
     setLimits,
     inFlight: connections.openRequestCount,
-    answerEndOf: connections.answerEndOf,
+    onAnswerClosed: connections.onAnswerClosed,
     drain,
     close: async () => {
       await connections.stopListening()
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -18,6 +18,7 @@
 import { createActiveRequest, quotaUnitsOf, requestLogFields } from './active-request.ts'
 import { createRouteRequest, isForwardableTarget, pickService } from './route-request.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { AnswerEnd } from '../caller-connections/index.ts'
 import type { AttemptId, TeamId } from '../ids/index.ts'
 import type { RouteChoice } from '../routing/index.ts'
 import type { AttemptEnd } from './attempt.ts'
@@ -139,10 +140,9 @@
   }
 
   /** Called when the answer was delivered or its connection has ended. */
-  function onResponseClosed (active: ActiveRequest): void {
+  function onAnswerClosed (active: ActiveRequest, end: AnswerEnd | undefined): void {
     const { response } = active
-    const end = options.answerEndOf(response)
-    active.isClosed = true
+    active.closed = { end }
     if (end === undefined) return recordDelivery(active)
     if (active.isCut) return
     const { reason, waitingBytes } = end
@@ -157,14 +157,16 @@
 
   async function admitAndServe (active: ActiveRequest): Promise<void> {
     const { response, route } = active
-    response.on('close', () => onResponseClosed(active))
     const onStopped = (): void => {
       active.isStopped = true
       active.ended.abort()
       active.attempt?.abort()
     }
     options.stopped.addEventListener('abort', onStopped)
-    response.on('close', () => options.stopped.removeEventListener('abort', onStopped))
+    options.onAnswerClosed(response, end => {
+      options.stopped.removeEventListener('abort', onStopped)
+      onAnswerClosed(active, end)
+    })
     const permit = await options.admission.admit({
       team: active.team?.team ?? toId<TeamId>(''),
       route: route.name,
--- a/test/caller-connections/caller-connections.test.ts
+++ b/test/caller-connections/caller-connections.test.ts
@@ -8,6 +8,7 @@
 import type { ExecutionContext } from 'ava'
 import type { AddressInfo } from 'node:net'
 import type { ServerResponse } from 'node:http'
+import type { AnswerEnd } from '../../src/core/caller-connections/index.ts'
 
 const clock = createSystemClock()
 const largeBytes = 15 * 1024 * 1024
@@ -116,9 +117,20 @@
   caller.socket.pause()
   response.end(Buffer.alloc(largeBytes, 'x'))
   await clock.sleep(50)
-  const closed = once(response, 'close')
+  const closed = new Promise<AnswerEnd | undefined>(resolve => connections.onAnswerClosed(response, resolve))
   connections.close()
-  await closed
-  t.like(connections.answerEndOf(response), { reason: 'stop-deadline' })
-  t.true(connections.answerEndOf(response)!.waitingBytes > 0)
+  const end = await closed
+  t.is(end?.reason, 'stop-deadline')
+  t.true(end!.waitingBytes > 0)
+})
+
+test('the end of a connection reaches the answers of all its pipelined requests', async t => {
+  const { caller, responseTo, connections } = await startServer(t)
+  caller.write(get('/1') + get('/2'))
+  const responses = [await responseTo('/1'), await responseTo('/2')]
+  const ends = Promise.all(responses.map(response => new Promise<AnswerEnd | undefined>(resolve => connections.onAnswerClosed(response, resolve))))
+  responses[1]!.end('two')
+  caller.socket.resetAndDestroy()
+  t.deepEqual((await ends).map(end => end?.reason), ['caller-closed', 'caller-closed'])
+  t.is(connections.openRequestCount(), 0)
 })
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -197,7 +197,7 @@
     hasRecentLoads: () => true,
     stopped: new AbortController().signal,
     stopGate: createStopGate({ clock, endsAtMs: () => undefined }),
-    answerEndOf: response => ingress.answerEndOf(response),
+    onAnswerClosed: (response, listener) => ingress.onAnswerClosed(response, listener),
     draw: hasher.draw,
     random: createRandom(3)
   })
