Read what has arrived before an idle connection is ended

A caller that sent its next request before the idle timeout got no answer if the node's event loop was busy while the timeout passed: timers run before bytes are read, so the connection was ended, and the request, read right after, was discarded as crossed-close.

The timeout now waits for one turn of the event loop, in which the bytes that have arrived are read, and ends the connection only if there were none.

Evidence: the test blocks the event loop for 1.5 s over an idle timeout of 0.2 s; on the code before, the request is in the list of late ones, with the change it is answered.

--- a/src/core/caller-connections/index.ts
+++ b/src/core/caller-connections/index.ts
@@ -122,9 +122,13 @@
     }
   }
 
-  server.on('timeout', socket => {
+  server.on('timeout', async socket => {
     const connection = connections.get(socket)
-    if (connection !== undefined && connection.open.size === 0) endConnection(connection)
+    const { bytesRead } = socket
+    // Timers run before bytes that have arrived meanwhile are read.
+    await setImmediate()
+    const isIdle = connection?.open.size === 0 && socket.bytesRead === bytesRead
+    if (isIdle) endConnection(connection)
   })
 
   server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
--- a/test/caller-connections/caller-connections.test.ts
+++ b/test/caller-connections/caller-connections.test.ts
@@ -134,3 +134,22 @@
   t.deepEqual((await ends).map(end => end?.reason), ['caller-closed', 'caller-closed'])
   t.is(connections.openRequestCount(), 0)
 })
+
+test('a request that had arrived before the idle timeout is answered, although it is read only then', async t => {
+  const { server, caller, responseTo, late } = await startServer(t)
+  server.keepAliveTimeout = 200
+  caller.write(get('/1'))
+  const first = await responseTo('/1')
+  first.end('one')
+  await caller.nextResponse()
+  await clock.sleep(50)
+  caller.socket.write(get('/2'))
+  const untilMs = performance.now() + 1_500
+  // The event loop is blocked until the timeout has passed.
+  while (performance.now() < untilMs);
+  await clock.sleep(50)
+  t.deepEqual(late, [])
+  const second = await responseTo('/2')
+  second.end('two')
+  t.like(await caller.nextResponse(), { status: 200, body: 'two' })
+})
