Write the last log lines of a node before its process exits

The log never blocks: lines are buffered while a write is in progress. A process that exits drops them, and these are the lines of the end of a stop, such as those of answers that were not delivered.

--- a/src/core/log/bounded-output.ts
+++ b/src/core/log/bounded-output.ts
@@ -9,15 +9,28 @@
 /** Buffer limit; holds several seconds of log lines of a busy node. */
 const maxPendingBytes = 256 * 1024
 
+/** The stream, and the state of what was written to it. */
+export interface BoundedOutput {
+  stream: Writable
+  /** Resolves once the file descriptor has taken all lines that are not dropped, or can't take any. */
+  whenWritten: () => Promise<void>
+}
+
 /**
  * Creates the stream. Each chunk counts as one line. `onDropped` is called
  * with the number of lines dropped since its last call, once a write completes.
  */
-export function createBoundedOutput (fileDescriptor: number, onDropped: (lines: number) => void): Writable {
+export function createBoundedOutput (fileDescriptor: number, onDropped: (lines: number) => void): BoundedOutput {
   let pending: Buffer[] = []
   let pendingBytes = 0
   let isWriting = false
   let droppedLines = 0
+  let waiting: Array<() => void> = []
+
+  function notifyWritten (): void {
+    for (const resolve of waiting) resolve()
+    waiting = []
+  }
 
   function flush (): void {
     if (isWriting || pending.length === 0) return
@@ -34,7 +47,7 @@
       if (error !== null && !isPipeFull) {
         // The reader is gone, so the error can't be reported anywhere either.
         isWriting = false
-        return
+        return notifyWritten()
       }
       const rest = isPipeFull ? bytes : bytes.subarray(written)
       if (rest.length > 0) {
@@ -48,10 +61,11 @@
         onDropped(lines)
       }
       flush()
+      if (!isWriting) notifyWritten()
     })
   }
 
-  return new Writable({
+  const stream = new Writable({
     decodeStrings: true,
     write: (chunk: Buffer, _encoding, done) => {
       if (pendingBytes + chunk.length > maxPendingBytes) {
@@ -64,6 +78,11 @@
       done()
     }
   })
+
+  return {
+    stream,
+    whenWritten: () => isWriting ? new Promise(resolve => { waiting.push(resolve) }) : Promise.resolve()
+  }
 }
 
 /** Pause before the next write to a full pipe. */
--- a/src/core/log/index.ts
+++ b/src/core/log/index.ts
@@ -1,4 +1,5 @@
 /** Structured logging in JSON lines. Each line is a numbered event of the catalogue in `events/`. */
+import { setImmediate } from 'node:timers/promises'
 import winston from 'winston'
 import { createBoundedOutput } from './bounded-output.ts'
 import { eventCatalogue } from './events/index.ts'
@@ -39,17 +40,24 @@
 const maxBurstLines = 1_500
 const msPerSecond = 1_000
 
+/** A log whose lines are written later than they are logged. */
+export interface BoundedLog {
+  log: Log
+  /** Resolves once the lines that were logged are written, or can't be; before that, they don't outlive the process. */
+  whenWritten: () => Promise<void>
+}
+
 /**
  * Creates a log to standard output that never blocks and is limited by rate:
  * lines beyond the limit are dropped, and `linesDropped` later reports how many.
  */
-export function createBoundedLog (options: LogOptions, clock: Clock): Log {
+export function createBoundedLog (options: LogOptions, clock: Clock): BoundedLog {
   const output = createBoundedOutput(stdoutFileDescriptor, lines => { droppedLines += lines })
   const logger = winston.createLogger({
     level: options.level,
     format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
     defaultMeta: options.fields,
-    transports: [new winston.transports.Stream({ stream: output })]
+    transports: [new winston.transports.Stream({ stream: output.stream })]
   })
   let availableLines = maxBurstLines
   let refilledAtMs = clock.monotonicMs()
@@ -60,7 +68,7 @@
     logger.log({ level, message: text, event, number, ...fields })
   }
 
-  return (event, fields = {}) => {
+  const log: Log = (event, fields = {}) => {
     const nowMs = clock.monotonicMs()
     availableLines = Math.min(maxBurstLines, availableLines + (nowMs - refilledAtMs) * maxLinesPerSecond / msPerSecond)
     refilledAtMs = nowMs
@@ -76,6 +84,14 @@
     }
     write(event, fields)
   }
+
+  async function whenWritten (): Promise<void> {
+    // The logger passes lines on to the output within this turn of the event loop.
+    await setImmediate()
+    await output.whenWritten()
+  }
+
+  return { log, whenWritten }
 }
 
 /** Creates a log that discards all events, for tests and short-lived tools. */
--- a/test/log/bounded-log.test.ts
+++ b/test/log/bounded-log.test.ts
@@ -52,3 +52,11 @@
   t.is(result.loggedLines, 1_501)
   t.true(writtenLines(result) + reportedDroppedLines(result) <= result.loggedLines)
 })
+
+test('the lines of the last moments of a process are written before it exits', async t => {
+  // Fewer than the buffer and the pipe hold.
+  const count = 300
+  const child = spawn(process.execPath, ['--import=tsx', fileURLToPath(new URL('exiting-writer.ts', import.meta.url)), String(count)])
+  const text = await readText(child.stdout)
+  t.is(text.trim().split('\n').length, count)
+})
--- a/test/log/busy-writer.ts
+++ b/test/log/busy-writer.ts
@@ -11,7 +11,7 @@
 /** Time after which the log's rate limit allows another line. */
 const refillMs = 1_100
 const clock = createSystemClock()
-const log = createBoundedLog({ level: 'info', fields: { node: 'front-a-1' } }, clock)
+const { log } = createBoundedLog({ level: 'info', fields: { node: 'front-a-1' } }, clock)
 for (let tick = 0; tick < ticks; tick += 1) {
   for (let line = 0; line < lines; line += 1) log('gatewayAnswered', { request: `r-${tick}-${line}`, route: 'registry', totalMs: 12 })
   await clock.sleep(tickIntervalMs)
--- /dev/null
+++ b/test/log/exiting-writer.ts
@@ -0,0 +1,8 @@
+/** A process that logs a number of lines and then exits once they are written. Started by bounded-log.test.ts. */
+import { createSystemClock } from '../../src/core/clock/index.ts'
+import { createBoundedLog } from '../../src/core/log/index.ts'
+
+const { log, whenWritten } = createBoundedLog({ level: 'info', fields: { node: 'front-a-1' } }, createSystemClock())
+for (let line = 0; line < Number(process.argv[2]); line += 1) log('answerNotDelivered', { request: `r-${line}`, reason: 'stop-deadline' })
+await whenWritten()
+process.exit(0)
