Wait at the end of a stop until callers have read their last answers

A stop ended when no request had been open for 1 s. The last bytes of an answer may then still be in the kernel's buffers; they are lost if the process exits and the caller sends more before it has read them (the connection is reset). That this is the cause is inferred, not traced.

The new test fails without it.

--- a/src/core/caller-connections/index.ts
+++ b/src/core/caller-connections/index.ts
@@ -166,6 +166,11 @@
 
   const openRequestCount = (): number => [...connections.values()].reduce((sum, { open }) => sum + open.size, 0)
 
+  /** Whether no answer is open, and none may still be on its way to a caller that hasn't ended its side. */
+  function isQuiet (): boolean {
+    return [...connections.values()].every(({ open, hasEnded }) => open.size === 0 && !hasEnded)
+  }
+
   async function pollUntil (condition: () => boolean, deadlineAtMs: number): Promise<void> {
     while (!condition() && clock.monotonicMs() < deadlineAtMs) await clock.sleep(pollIntervalMs)
   }
@@ -185,7 +190,7 @@
     },
     whenQuiet: (quietMs, deadlineAtMs) => {
       lastActiveAtMs = clock.monotonicMs()
-      return pollUntil(() => connections.size === 0 || (openRequestCount() === 0 && clock.monotonicMs() >= lastActiveAtMs + quietMs), deadlineAtMs)
+      return pollUntil(() => connections.size === 0 || (isQuiet() && clock.monotonicMs() >= lastActiveAtMs + quietMs), deadlineAtMs)
     },
     whenAnswered: deadlineAtMs => pollUntil(() => openRequestCount() === 0, deadlineAtMs),
     close: () => {
--- a/src/core/caller-connections/types.ts
+++ b/src/core/caller-connections/types.ts
@@ -40,7 +40,7 @@
   onAnswerClosed: (response: ServerResponse, listener: AnswerClosedListener) => void
   /** Accepts the connections that wait, then stops listening; open connections stay. */
   stopListening: () => Promise<void>
-  /** Resolves once all connections have ended, or no request has been open for `quietMs` from this call on; at the monotonic time `deadlineAtMs` at the latest. */
+  /** Resolves once all connections have ended, or no request has been open for `quietMs` from this call on and no caller is still reading its last answer; at the monotonic time `deadlineAtMs` at the latest. */
   whenQuiet: (quietMs: number, deadlineAtMs: number) => Promise<void>
   /** Resolves once all answers are delivered, at the monotonic time `deadlineAtMs` at the latest. */
   whenAnswered: (deadlineAtMs: number) => Promise<void>
--- a/test/caller-connections/caller-connections.test.ts
+++ b/test/caller-connections/caller-connections.test.ts
@@ -153,3 +153,19 @@
   second.end('two')
   t.like(await caller.nextResponse(), { status: 200, body: 'two' })
 })
+
+test('the wait for quiet lasts until a caller has read the last answer of its connection', async t => {
+  const { caller, state, responseTo, connections } = await startServer(t)
+  state.isDraining = true
+  caller.write(get('/1'))
+  caller.socket.pause()
+  ;(await responseTo('/1')).end('one')
+  let isQuiet = false
+  const quiet = connections.whenQuiet(50, clock.monotonicMs() + 10_000).then(() => { isQuiet = true })
+  await clock.sleep(500)
+  t.false(isQuiet)
+  caller.socket.resume()
+  t.like(await caller.nextResponse(), { status: 200, body: 'one' })
+  caller.socket.destroy()
+  await quiet
+})
