Refuse requests without a whole body after a stop has ended the open ones

In the last 0.25 s of a stop, while slow callers still read, a whole request on a kept connection got 503, but one whose body was still coming got no answer: its connection was closed under it.

Reading the body listened for the end of open requests, which had passed. It now asks for the state first.

--- a/src/core/gateway/read-body.ts
+++ b/src/core/gateway/read-body.ts
@@ -21,6 +21,7 @@
       signal.removeEventListener('abort', onAbort)
       resolve(outcome)
     }
+    if (signal.aborted) return end({ kind: 'stopped' })
     signal.addEventListener('abort', onAbort)
     request.on('data', (chunk: Buffer) => {
       sizeBytes += chunk.length
