Drain by the monotonic clock, so that a jump of the wall clock cuts nothing

When the wall clock jumped forward while a node of serve drained, all open drafts and calls were ended at once; when it jumped back, the node went on until its supervisor killed it, with the same result.

The end of the drain was kept as a wall time and compared with the wall clock in each step. It is converted once now, and the server's close takes a monotonic time.

--- a/src/core/http/index.ts
+++ b/src/core/http/index.ts
@@ -25,7 +25,7 @@
 export interface CallerServer {
   readonly port: number
   countOpenConnections: () => Promise<number>
-  /** Waits until no request comes any more, at the wall time `deadlineAtMs` at the latest; then stops listening and closes the connections. */
+  /** Waits until no request comes any more, at the monotonic time `deadlineAtMs` at the latest; then stops listening and closes the connections. */
   close: (deadlineAtMs: number) => Promise<void>
 }
 
@@ -49,10 +49,9 @@
   const { port } = server.address() as AddressInfo
 
   async function close (deadlineAtMs: number): Promise<void> {
-    const { clock } = options
-    await connections.whenQuiet(quietMs, clock.monotonicMs() + deadlineAtMs - clock.wallMs())
+    await connections.whenQuiet(quietMs, deadlineAtMs)
     await connections.stopListening()
-    await connections.whenAnswered(clock.monotonicMs() + deadlineAtMs - clock.wallMs())
+    await connections.whenAnswered(deadlineAtMs)
     connections.close()
   }
 
--- a/src/core/node/drain.ts
+++ b/src/core/node/drain.ts
@@ -46,16 +46,18 @@
   drafts.stopAdopting()
   options.calls.leave()
   const leftMs = endAtMs - clock.wallMs()
+  // The wall clock may jump while the node drains.
+  const endsAtMs = clock.monotonicMs() + leftMs
   await clock.sleep(Math.min(options.balancerDelayMs, Math.max(0, leftMs) * maxBalancerDelayRatio))
   shutdown.draining = true
   options.admission.drain()
-  await waitForDrafts(options, endAtMs - handOverReserveMs)
+  await waitForDrafts(options, endsAtMs - handOverReserveMs)
   const notHandedOver = await drafts.handOverAll()
   if (notHandedOver > 0) log('draftsNotHandedOver', { drafts: notHandedOver })
-  await options.calls.drain(endAtMs - callsReserveMs)
-  await options.server.close(endAtMs)
+  await options.calls.drain(clock.wallMs() + endsAtMs - callsReserveMs - clock.monotonicMs())
+  await options.server.close(endsAtMs)
 }
 
-async function waitForDrafts ({ clock, drafts }: DrainOptions, untilAtMs: number): Promise<void> {
-  while (drafts.openCount() > 0 && clock.wallMs() < untilAtMs) await clock.sleep(pollIntervalMs)
+async function waitForDrafts ({ clock, drafts }: DrainOptions, untilMs: number): Promise<void> {
+  while (drafts.openCount() > 0 && clock.monotonicMs() < untilMs) await clock.sleep(pollIntervalMs)
 }
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -50,7 +50,7 @@
     close: async () => {
       shutdown.leaving = true
       shutdown.draining = true
-      await server.close(clock.wallMs())
+      await server.close(clock.monotonicMs())
       await closeComponents()
     }
   }
