Handle the requests of a connection in turn, and answer all of them in turn

After a request that asks for an upgrade, Node.js read no further one.

A request now starts once the answer before it is delivered, so that none runs whose answer can't be sent; a missing host gets 400 and CONNECT 405 in turn.

--- a/src/core/caller-connections/index.ts
+++ b/src/core/caller-connections/index.ts
@@ -23,21 +23,40 @@
 /** Limit of the turns, for connections that come without end. */
 const maxTurns = 1_024
 
-interface OpenRequest {
+interface TakenRequest {
   request: IncomingMessage
+  response: ServerResponse
+  handle: () => void
   listeners: AnswerClosedListener[]
 }
 
 interface Connection {
   socket: Socket
-  /** Requests that were taken and whose answers are not delivered, in the order of arrival. */
-  open: Map<ServerResponse, OpenRequest>
-  /** Whether no further request is taken: an answer says that the connection ends, or its bytes can't be parsed. */
+  /** The request in progress, until its answer is delivered. */
+  current: TakenRequest | undefined
+  /** Requests that were read behind it. They start in turn, so that none runs whose answer can't be sent. */
+  waiting: TakenRequest[]
+  /** Whether the bytes that follow can't be parsed, so that no further request comes. */
+  isBroken: boolean
+  /** Whether an answer says that the connection ends after it. */
   isLast: boolean
   /** Whether this side has ended. */
   hasEnded: boolean
 }
 
+const methodNotAllowed = 'HTTP/1.1 405 Method Not Allowed\r\nallow: GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS\r\ncontent-length: 0\r\nconnection: close\r\n\r\n'
+
+function isHostMissing ({ headers, httpVersion }: IncomingMessage): boolean {
+  return httpVersion === '1.1' && headers.host === undefined
+}
+
+function answerBadRequest (response: ServerResponse): void {
+  response.statusCode = 400
+  response.setHeader('content-length', 0)
+  response.setHeader('connection', 'close')
+  response.end()
+}
+
 /** Creates the owner of a server's connections, before the server listens. */
 export function createCallerConnections (options: CallerConnectionsOptions): CallerConnections {
   const { server, clock } = options
@@ -49,12 +68,13 @@
   let lastActiveAtMs = clock.monotonicMs()
 
   server.on('connection', socket => {
-    const connection: Connection = { socket, open: new Map(), isLast: false, hasEnded: false }
+    const connection: Connection = { socket, current: undefined, waiting: [], isBroken: false, isLast: false, hasEnded: false }
     connections.set(socket, connection)
     acceptedCount += 1
     socket.on('close', () => {
       connections.delete(socket)
-      for (const response of [...connection.open.keys()]) closeRequest(connection, response)
+      connection.waiting = []
+      if (connection.current !== undefined) closeRequest(connection, connection.current)
     })
     // Node.js calls this after the last answer of a connection.
     socket.destroySoon = () => endConnection(connection)
@@ -73,34 +93,47 @@
   }
 
   function endIfDelivered (connection: Connection): void {
+    const { current, waiting, isBroken, isLast } = connection
     // A request that isn't complete is never answered once its bytes can't be parsed.
-    const hasOpen = [...connection.open.values()].some(({ request }) => request.complete)
-    if (connection.isLast && !hasOpen) endConnection(connection)
+    const isAnswerDue = current !== undefined && (current.request.complete || !isBroken)
+    if ((isLast || isBroken) && !isAnswerDue && waiting.length === 0) endConnection(connection)
   }
 
-  function take (request: IncomingMessage, response: ServerResponse): boolean {
+  function take (request: IncomingMessage, response: ServerResponse, handle: () => void): void {
+    const taken: TakenRequest = { request, response, handle, listeners: [] }
     const connection = connections.get(request.socket)
-    if (connection === undefined || connection.isLast) {
-      options.onLateRequest(request)
-      request.resume()
-      return false
-    }
-    connection.open.set(response, { request, listeners: [] })
+    if (connection === undefined || connection.isLast) discard(taken)
+    else if (connection.current !== undefined) connection.waiting.push(taken)
+    else start(connection, taken)
+  }
+
+  /** Leaves a request without an answer, and unhandled. */
+  function discard ({ request }: TakenRequest): void {
+    options.onLateRequest(request)
+    request.resume()
+  }
+
+  function start (connection: Connection, taken: TakenRequest): void {
+    const { response } = taken
+    connection.current = taken
     lastActiveAtMs = clock.monotonicMs()
     // Node.js also emits this when the connection is closed while bytes of the answer wait.
     response.on('finish', () => { if (!connection.socket.destroyed) deliveredAnswers.add(response) })
-    response.on('close', () => closeRequest(connection, response))
-    announceEnd(connection, response)
-    return true
+    response.on('close', () => closeRequest(connection, taken))
+    announceEnd(connection, taken)
+    if (isHostMissing(taken.request)) answerBadRequest(response)
+    else taken.handle()
   }
 
-  function closeRequest (connection: Connection, response: ServerResponse): void {
-    const closed = connection.open.get(response)
-    if (closed === undefined) return
-    connection.open.delete(response)
+  function closeRequest (connection: Connection, closed: TakenRequest): void {
+    if (connection.current !== closed) return
+    connection.current = undefined
     lastActiveAtMs = clock.monotonicMs()
-    for (const listener of closed.listeners) listener(answerEndOf(response))
-    if (connection.isLast) endIfDelivered(connection)
+    for (const listener of closed.listeners) listener(answerEndOf(closed.response))
+    if (connection.isLast) connection.waiting.splice(0).forEach(discard)
+    const next = connection.waiting.shift()
+    if (next === undefined) endIfDelivered(connection)
+    else start(connection, next)
   }
 
   function answerEndOf (response: ServerResponse): AnswerEnd | undefined {
@@ -108,13 +141,13 @@
     return abortedAnswers.get(response) ?? { reason: 'caller-closed', waitingBytes: response.writableLength }
   }
 
-  /** Lets the head of the answer say that the connection ends, if it is the last one. */
-  function announceEnd (connection: Connection, response: ServerResponse): void {
+  /** Lets the head of the answer say that the connection ends, if no other answer has to follow. */
+  function announceEnd (connection: Connection, { request, response }: TakenRequest): void {
     const writeHead = response.writeHead.bind(response) as (...parameters: unknown[]) => ServerResponse
     response.writeHead = (...parameters: unknown[]) => {
-      // An earlier answer must not say so: the requests behind it were taken, too.
-      const isNewest = [...connection.open.keys()].at(-1) === response
-      if (isNewest && (connection.isLast || options.isDraining())) response.setHeader('connection', 'close')
+      // Node.js reads no further request after one that asks for an upgrade.
+      const mustEnd = connection.isBroken || options.isDraining() || request.headers.upgrade !== undefined
+      if (mustEnd && connection.waiting.length === 0) response.setHeader('connection', 'close')
       writeHead(...parameters)
       const saysClose = !response.shouldKeepAlive || String(response.getHeader('connection')).toLowerCase() === 'close'
       if (saysClose) connection.isLast = true
@@ -122,12 +155,28 @@
     }
   }
 
+  // Node.js would answer an expectation that it doesn't know by itself, out of turn.
+  server.on('checkExpectation', (request, response) => server.emit('request', request, response))
+
+  server.on('connect', (_request, stream) => {
+    const socket = stream as Socket
+    const connection = connections.get(socket)
+    // Node.js has given the connection up by now.
+    socket.on('error', () => socket.destroy())
+    socket.on('drain', () => connection?.current?.response.emit('drain'))
+    socket.resume()
+    if (connection === undefined) return socket.destroy()
+    connection.isBroken = true
+    if (connection.current === undefined) socket.write(methodNotAllowed)
+    endIfDelivered(connection)
+  })
+
   server.on('timeout', async socket => {
     const connection = connections.get(socket)
     const { bytesRead } = socket
     // Timers run before bytes that have arrived meanwhile are read.
     await setImmediate()
-    const isIdle = connection?.open.size === 0 && socket.bytesRead === bytesRead
+    const isIdle = connection !== undefined && connection.current === undefined && socket.bytesRead === bytesRead
     if (isIdle) endConnection(connection)
   })
 
@@ -138,20 +187,23 @@
       socket.destroy()
       return
     }
-    if (connection.isLast) return
-    connection.isLast = true
-    const canAnswer = [...connection.open].every(([response, { request }]) => !request.complete && !response.headersSent)
+    if (connection.isLast || connection.isBroken) return
+    connection.isBroken = true
+    // The request whose body is broken off can only be answered if no other answer comes before it.
+    const incomplete = connection.waiting.findIndex(({ request }) => !request.complete)
+    if (incomplete !== -1) connection.waiting.splice(incomplete).forEach(discard)
+    const { current } = connection
+    const canAnswer = current === undefined || (!current.request.complete && !current.response.headersSent)
     if (canAnswer) socket.write(options.onParserError(error))
     endIfDelivered(connection)
   })
 
   function closeConnection (connection: Connection): void {
-    const { socket, open } = connection
-    if (open.size === 0) return endConnection(connection)
-    for (const response of open.keys()) {
-      abortedAnswers.set(response, { reason: 'stop-deadline', waitingBytes: response.writableLength })
-      cutAnswer(response)
-    }
+    const { socket, current, waiting } = connection
+    waiting.splice(0).forEach(discard)
+    if (current === undefined) return endConnection(connection)
+    abortedAnswers.set(current.response, { reason: 'stop-deadline', waitingBytes: current.response.writableLength })
+    cutAnswer(current.response)
     socket.destroy()
   }
 
@@ -164,11 +216,11 @@
     }
   }
 
-  const openRequestCount = (): number => [...connections.values()].reduce((sum, { open }) => sum + open.size, 0)
+  const openRequestCount = (): number => [...connections.values()].filter(({ current }) => current !== undefined).length
 
   /** Whether no answer is open, and none may still be on its way to a caller that hasn't ended its side. */
   function isQuiet (): boolean {
-    return [...connections.values()].every(({ open, hasEnded }) => open.size === 0 && !hasEnded)
+    return [...connections.values()].every(({ current, hasEnded }) => current === undefined && !hasEnded)
   }
 
   async function pollUntil (condition: () => boolean, deadlineAtMs: number): Promise<void> {
@@ -179,9 +231,9 @@
     take,
     openRequestCount,
     onAnswerClosed: (response, listener) => {
-      const open = connections.get(response.req.socket)?.open.get(response)
-      if (open === undefined) listener(answerEndOf(response))
-      else open.listeners.push(listener)
+      const current = connections.get(response.req.socket)?.current
+      if (current?.response === response) current.listeners.push(listener)
+      else listener(answerEndOf(response))
     },
     stopListening: async () => {
       await acceptWaiting()
--- a/src/core/caller-connections/types.ts
+++ b/src/core/caller-connections/types.ts
@@ -15,7 +15,7 @@
 
 /** Options of the callers' connections. */
 export interface CallerConnectionsOptions {
-  /** The server whose connections these are. Its `clientError` and `timeout` events are handled here. */
+  /** The server whose connections these are, created with `requireHostHeader: false`, as a missing host is answered here, in turn. */
   server: Server
   clock: Clock
   /** Whether answers that begin now tell their callers to use another connection. */
@@ -28,14 +28,13 @@
 
 /** The connections of callers. A connection ends by an answer that said so and was delivered, or while it is idle. */
 export interface CallerConnections {
-  /** Takes over a request and its response. Returns false if it must not be handled, because no answer can be sent. */
-  take: (request: IncomingMessage, response: ServerResponse) => boolean
-  /** Number of requests that were taken and whose answers are not delivered. */
+  /** Takes over a request and its response. Calls `handle` in its turn: once the answers before it are delivered, and never if no answer can be sent. */
+  take: (request: IncomingMessage, response: ServerResponse, handle: () => void) => void
+  /** Number of requests in progress whose answers are not delivered. */
   openRequestCount: () => number
   /**
    * Calls the listener once, when the answer was delivered (its last byte was taken by
-   * the connection, `end` is undefined) or its connection has ended before that. Node.js
-   * doesn't tell the response of a request that is queued behind another one.
+   * the connection, `end` is undefined) or its connection has ended before that.
    */
   onAnswerClosed: (response: ServerResponse, listener: AnswerClosedListener) => void
   /** Accepts the connections that wait, then stops listening; open connections stay. */
--- a/src/core/gateway/ingress.ts
+++ b/src/core/gateway/ingress.ts
@@ -77,13 +77,15 @@
     maxHeaderSize: defaultLimits.maxHeaderBytes,
     connectionsCheckingInterval: connectionCheckMs,
     keepAlive: false,
-    noDelay: true
+    noDelay: true,
+    requireHostHeader: false
   }, (request, response) => {
-    if (!connections.take(request, response)) return
-    serve(request, response).catch((error: unknown) => {
-      log('gatewayFailed', { path: request.url, cause: (error as Error).stack })
-      metrics.count('gateway_failures_total')
-      if (!response.writableEnded) cutAnswer(response)
+    connections.take(request, response, () => {
+      serve(request, response).catch((error: unknown) => {
+        log('gatewayFailed', { path: request.url, cause: (error as Error).stack })
+        metrics.count('gateway_failures_total')
+        if (!response.writableEnded) cutAnswer(response)
+      })
     })
   })
   setLimits(defaultLimits)
--- a/src/core/http/index.ts
+++ b/src/core/http/index.ts
@@ -32,8 +32,8 @@
 /** Starts the server; resolves once it listens. */
 export async function createCallerServer (options: CallerServerOptions): Promise<CallerServer> {
   const app = createApp(options)
-  const server = createServer({ requestTimeout: options.maxBodyMs, headersTimeout: options.maxHeaderMs }, (request, response) => {
-    if (connections.take(request, response)) app(request, response)
+  const server = createServer({ requestTimeout: options.maxBodyMs, headersTimeout: options.maxHeaderMs, requireHostHeader: false }, (request, response) => {
+    connections.take(request, response, () => app(request, response))
   })
   const connections = createCallerConnections({
     server,
