Bound the pipelined requests that wait on one connection

Since requests of a connection start in turn, those behind were kept without a bound: a caller that pipelines without end could take a node's memory. At most 64 wait; then the connection ends after their answers, and what comes behind is discarded. The new test of 500 requests never ended before.

--- a/src/core/caller-connections/index.ts
+++ b/src/core/caller-connections/index.ts
@@ -18,6 +18,8 @@
 /** Time after the end of this side for which bytes of the caller are read and discarded, so that they don't reset the connection before the caller has read its answer. */
 const lingerMs = 2_000
 const pollIntervalMs = 20
+/** Maximum pipelined requests that wait on one connection; bounds the node's memory. */
+const maxWaiting = 64
 /** Turns of the event loop without a new connection after which none waits to be accepted, and the request of the last one has been read if it had arrived. */
 const quietTurns = 2
 /** Limit of the turns, for connections that come without end. */
@@ -38,6 +40,8 @@
   waiting: TakenRequest[]
   /** Whether the bytes that follow can't be parsed, so that no further request comes. */
   isBroken: boolean
+  /** Whether as many requests wait as may; the connection ends after their answers. */
+  isFull: boolean
   /** Whether an answer says that the connection ends after it. */
   isLast: boolean
   /** Whether this side has ended. */
@@ -68,7 +72,7 @@
   let lastActiveAtMs = clock.monotonicMs()
 
   server.on('connection', socket => {
-    const connection: Connection = { socket, current: undefined, waiting: [], isBroken: false, isLast: false, hasEnded: false }
+    const connection: Connection = { socket, current: undefined, waiting: [], isBroken: false, isFull: false, isLast: false, hasEnded: false }
     connections.set(socket, connection)
     acceptedCount += 1
     socket.on('close', () => {
@@ -93,18 +97,19 @@
   }
 
   function endIfDelivered (connection: Connection): void {
-    const { current, waiting, isBroken, isLast } = connection
+    const { current, waiting, isBroken, isFull, isLast } = connection
     // A request that isn't complete is never answered once its bytes can't be parsed.
     const isAnswerDue = current !== undefined && (current.request.complete || !isBroken)
-    if ((isLast || isBroken) && !isAnswerDue && waiting.length === 0) endConnection(connection)
+    if ((isLast || isBroken || isFull) && !isAnswerDue && waiting.length === 0) endConnection(connection)
   }
 
   function take (request: IncomingMessage, response: ServerResponse, handle: () => void): void {
     const taken: TakenRequest = { request, response, handle, listeners: [] }
     const connection = connections.get(request.socket)
-    if (connection === undefined || connection.isLast) discard(taken)
-    else if (connection.current !== undefined) connection.waiting.push(taken)
-    else start(connection, taken)
+    if (connection === undefined || connection.isLast || connection.isFull) return discard(taken)
+    if (connection.current === undefined) return start(connection, taken)
+    connection.waiting.push(taken)
+    if (connection.waiting.length === maxWaiting) connection.isFull = true
   }
 
   /** Leaves a request without an answer, and unhandled. */
@@ -146,7 +151,7 @@
     const writeHead = response.writeHead.bind(response) as (...parameters: unknown[]) => ServerResponse
     response.writeHead = (...parameters: unknown[]) => {
       // Node.js reads no further request after one that asks for an upgrade.
-      const mustEnd = connection.isBroken || options.isDraining() || request.headers.upgrade !== undefined
+      const mustEnd = connection.isBroken || connection.isFull || options.isDraining() || request.headers.upgrade !== undefined
       if (mustEnd && connection.waiting.length === 0) response.setHeader('connection', 'close')
       writeHead(...parameters)
       const saysClose = !response.shouldKeepAlive || String(response.getHeader('connection')).toLowerCase() === 'close'
--- a/test/caller-connections/caller-connections.test.ts
+++ b/test/caller-connections/caller-connections.test.ts
@@ -196,3 +196,15 @@
     t.deepEqual({ isComplete, length: body.length }, { isComplete: true, length: largeBytes })
   })
 }
+
+test('a caller that pipelines without end gets a bounded number of answers, the last of which announces the end', async t => {
+  const { caller, responseTo, late } = await startServer(t)
+  caller.write(Array.from({ length: 500 }, (_, index) => get(`/${index}`)).join(''))
+  const heads: string[] = []
+  for (let index = 0; !heads.at(-1)?.includes('connection: close'); index += 1) {
+    ;(await responseTo(`/${index}`)).end('x')
+    heads.push((await caller.nextResponse()).head)
+  }
+  t.is(heads.length, 65)
+  t.is(late.length, 500 - heads.length)
+})
