Reserve the ports of test nodes, and print what a failed test's nodes logged

Cause: findFreePorts looked for ports that were free and gave them back, so that two processes, or two nodes of one test, could find the same ones. A block of ports is now reserved by a listener on its first port for as long as the process lives, and blocks don't overlap.

--- a/test/free-ports.ts
+++ b/test/free-ports.ts
@@ -3,22 +3,36 @@
 
 /** Below the range from which the system takes ports of outgoing connections, and apart from the ports of the soak. */
 const firstPort = 30_000
-const portCount = 2_700
+const blockCount = 225
+/** The first port of a block stays taken as long as the process lives, so that no other process gets a port of the block. */
+const blockPorts = 12
+const usablePorts = blockPorts - 1
 const host = '127.0.0.1'
 
-function isFree (port: number): Promise<boolean> {
+/** Listens on a port; returns undefined if another process does. */
+function takePort (port: number): Promise<{ release: () => Promise<void> } | undefined> {
   return new Promise(resolve => {
     const server = createServer()
-    server.once('error', () => resolve(false))
-    server.listen(port, host, () => server.close(() => resolve(true)))
+    server.once('error', () => resolve(undefined))
+    server.unref().listen(port, host, () => resolve({ release: () => new Promise(done => server.close(() => done())) }))
   })
 }
 
-/** Finds consecutive ports that no process listens on, and returns the first one. Several test processes may search at the same time. */
+async function isFree (port: number): Promise<boolean> {
+  const taken = await takePort(port)
+  await taken?.release()
+  return taken !== undefined
+}
+
+/** Reserves consecutive ports for this process and returns the first one. At most `blockPorts - 1`. */
 export async function findFreePorts (count: number): Promise<number> {
+  if (count > usablePorts) throw new RangeError(`${count} ports are more than the ${usablePorts} of a block`)
   for (;;) {
-    const first = firstPort + Math.floor(Math.random() * (portCount - count))
-    const free = await Promise.all(Array.from({ length: count }, (_, index) => isFree(first + index)))
-    if (free.every(Boolean)) return first
+    const guardPort = firstPort + blockPorts * Math.floor(Math.random() * blockCount)
+    const guard = await takePort(guardPort)
+    if (guard === undefined) continue
+    const free = await Promise.all(Array.from({ length: count }, (_, index) => isFree(guardPort + 1 + index)))
+    if (free.every(Boolean)) return guardPort + 1
+    await guard.release()
   }
 }
--- a/test/node/deployment.ts
+++ b/test/node/deployment.ts
@@ -4,6 +4,7 @@
 import { createSystemClock } from '../../src/core/clock/index.ts'
 import { createId, toId } from '../../src/core/ids/index.ts'
 import { createSilentLog } from '../../src/core/log/index.ts'
+import type { Log } from '../../src/core/log/index.ts'
 import { createNode } from '../../src/core/node/index.ts'
 import type { Node } from '../../src/core/node/index.ts'
 import { createHttpKeyValue } from '../../src/core/platform/key-value/index.ts'
@@ -77,6 +78,8 @@
   cloudUrl?: string
   /** Overrides for the declarations of all teams. */
   declaration?: Partial<TeamDeclaration>
+  /** Creates the log of a node; it discards all events otherwise. */
+  logOf?: (node: string) => Log
 }
 
 /** Starts a deployment and waits until all nodes are ready. `stepMs` is the time of an engine step. */
@@ -133,7 +136,7 @@
 calls: { shards: 3 }
 `, `${name}.yaml`, {})
     if (settings.isErr) throw settings.error
-    nodes.push(await createNode({ settings: settings.value, log: createSilentLog(), random: createRandom(index + 1) }))
+    nodes.push(await createNode({ settings: settings.value, log: options.logOf?.(name) ?? createSilentLog(), random: createRandom(index + 1) }))
   }
   const urlOf = (index: number): string => `http://127.0.0.1:${nodes[index]?.callerPort}`
   for (const index of nodes.keys()) await waitUntil(async () => (await fetch(`${urlOf(index)}/readyz`)).status === 200)
--- a/test/node/version-move.test.ts
+++ b/test/node/version-move.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava'
 import { moveKeyPrefix, parseMoveRecord } from '../../src/core/moves/index.ts'
 import type { MoveRecord } from '../../src/core/moves/index.ts'
+import { createTestDiagnostics } from '../diagnostics.ts'
 import { callerToken, startDeployment, waitUntil } from './deployment.ts'
 
 const moveDurationMs = 18_000
@@ -48,9 +49,11 @@
 }
 
 test.serial('a good version serves all drafts by the deadline of the move, and no draft fails', async t => {
-  const deployment = await startDeployment()
+  const diagnostics = createTestDiagnostics(t)
+  const deployment = await startDeployment(3, 2, diagnostics)
   t.teardown(deployment.close)
   const { record, versions } = await runMoveUnderTraffic(deployment)
+  diagnostics.note(`${JSON.stringify(record)}; ${versions.length} drafts, ${versions.filter(version => version === 'v2').length} of v2`)
   t.like(record?.end, { word: 'done', reason: 'moved' })
   t.true((record?.end?.atMs ?? Infinity) < (record?.deadlineAtMs ?? 0))
   t.deepEqual([...new Set(versions)].sort(), ['v1', 'v2'])
--- a/test/node/whole-path.test.ts
+++ b/test/node/whole-path.test.ts
@@ -3,6 +3,7 @@
 import { connect } from 'node:net'
 import test from 'ava'
 import { generatedAnswer } from '../../src/stand-ins/index.ts'
+import { createTestDiagnostics } from '../diagnostics.ts'
 import { connectCaller } from '../raw-caller.ts'
 import { callerToken, operatorToken, startDeployment, waitUntil } from './deployment.ts'
 
@@ -127,7 +128,7 @@
 })
 
 test('a draft migrates from a reclaimed engine with its KV cache, so the prompt is not computed again', async t => {
-  const deployment = await startDeployment(1, 10)
+  const deployment = await startDeployment(1, 10, createTestDiagnostics(t))
   t.teardown(deployment.close)
   const prompt = 'paragraph of a long case file '.repeat(300)
   const answering = sendDraft(deployment.urlOf(0), { prompt, maxTokens: 600, stream: false })
--- a/test/platform-adapter/request-limits.test.ts
+++ b/test/platform-adapter/request-limits.test.ts
@@ -3,12 +3,13 @@
 import { parseSettings } from '../../platform/settings.ts'
 import { startNode } from '../../platform/node.ts'
 import { createSystemClock } from '../../src/core/clock/index.ts'
-import { createSilentLog } from '../../src/core/log/index.ts'
 import { formatResponse, startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
+import { createTestDiagnostics } from '../diagnostics.ts'
 import { findFreePorts } from '../free-ports.ts'
 import { startPlatform } from './platform-stand-in.ts'
 import { nodeSettings } from './soak-deployment.ts'
 import type { ExecutionContext } from 'ava'
+import type { TestDiagnostics } from '../diagnostics.ts'
 import type { RawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 
 const clock = createSystemClock()
@@ -46,10 +47,10 @@
   return limited
 }
 
-async function startTestNode (t: ExecutionContext, storeAddress: string, index: number) {
+async function startTestNode (t: ExecutionContext, { logOf }: TestDiagnostics, storeAddress: string, index: number) {
   const port = await findFreePorts(10)
   const settings = parseSettings(nodeSettings(`front-a-${index}`, port, Number(storeAddress.split(':')[1]), [], true), 'node.conf')
-  const node = await startNode(settings, { log: createSilentLog() })
+  const node = await startNode(settings, { log: logOf(`front-a-${index}`) })
   t.teardown(node.stop)
   return async (id: string): Promise<number> => {
     const response = await fetch(`http://127.0.0.1:${port}/x/`, { headers: { 'x-cyclamenshunt-attempt-id': id, authorization: 'Bearer key-1' } })
@@ -60,6 +61,7 @@
 
 /** Starts nodes in front of backend servers of one service and sends requests to random nodes until it ends. */
 async function startLoad (t: ExecutionContext, { nodeCount, serverCount, perSecond }: { nodeCount: number, serverCount: number, perSecond: number }) {
+  const diagnostics = createTestDiagnostics(t)
   const platform = await startPlatform()
   const servers = await Promise.all(Array.from({ length: serverCount }, startServer))
   t.teardown(async () => {
@@ -75,7 +77,7 @@
   for (const [index, { server }] of servers.entries()) {
     await platform.put(`servers/i-${index}`, { service: 'registry', address: `127.0.0.1:${server.port}`, zone: 'a', version: 'v1', slots: 4, state: 'ready', sequence: 1, born: 1_000 })
   }
-  const calls = await Promise.all(Array.from({ length: nodeCount }, (_, index) => startTestNode(t, platform.address, index)))
+  const calls = await Promise.all(Array.from({ length: nodeCount }, (_, index) => startTestNode(t, diagnostics, platform.address, index)))
   for (const [index, call] of calls.entries()) while (await call(`start-${index}`) !== 200) await clock.sleep(20)
   const statuses: number[] = []
   let count = 0
