Advance the last steps of a version move when they are due

Cause: the holder of a move's duty reconciled once a second. Each of the last three steps lasts 2.5 % of the time with traffic, 150 to 300 ms in a move of 18 s, so they took a second or more each, of the 5 s between the commit and the deadline. What is left for the last one, whose share of a half shows a version to be good, was too short, and a version that became good within the last second was taken back at the deadline without another look.

While a step is due, the holder reconciles every 250 ms. A last step that waits for attempts is written again only once half of its time until expiry has passed, so the number of writes stays.

--- a/src/core/moves/index.ts
+++ b/src/core/moves/index.ts
@@ -14,7 +14,7 @@
 import { brakeKind, parseBrake, parseReport, reportKind } from './messages.ts'
 import { moveKeyPrefix } from './move-record.ts'
 import { createMoveRecordStore } from './move-record-store.ts'
-import { newVersionShare } from './schedule.ts'
+import { newVersionShare, nextStepAtMs } from './schedule.ts'
 import { createCanaryAnalysis } from './canary-analysis.ts'
 import { createServiceHistory } from './service-history.ts'
 import { expandVersions, sharesAt, effectiveVersion } from './versions.ts'
@@ -64,6 +64,8 @@
 
 /** Interval at which the moves of all teams are reconciled. */
 const reconcileIntervalMs = 1_000
+/** The same while a step of a move is due, of which each lasts a small part of the move. */
+const stepIntervalMs = 250
 /** Interval of the reports to other nodes. */
 const reportIntervalMs = 500
 const barrierPrefix = 'barriers/moves/'
@@ -242,6 +244,12 @@
     if (duty !== undefined) await reconcileMove(declaration, duty)
   }
 
+  /** Whether a running move is due for its next step, or will be before the next usual interval has passed. */
+  function isStepDue (): boolean {
+    const latestMs = clock.wallMs() + reconcileIntervalMs
+    return records.all().some(record => record.end === undefined && record.trafficAtMs !== undefined && nextStepAtMs(record) <= latestMs)
+  }
+
   /** One task per team, so that slow backend servers of one team don't delay the others. */
   const reconciling = new Map<TeamId, Promise<void>>()
   async function runReconciling (): Promise<void> {
@@ -251,7 +259,7 @@
         if (reconciling.has(team)) continue
         reconciling.set(team, reconcileTeam(declaration).finally(() => reconciling.delete(team)))
       }
-      await clock.sleep(reconcileIntervalMs, stop.signal)
+      await clock.sleep(isStepDue() ? stepIntervalMs : reconcileIntervalMs, stop.signal)
     }
     await Promise.all(reconciling.values())
   }
--- a/src/core/moves/reconcile-move.ts
+++ b/src/core/moves/reconcile-move.ts
@@ -5,7 +5,7 @@
  */
 import { createId } from '../ids/index.ts'
 import { createRegressionEnd, createEnd } from './end.ts'
-import { commitAtMs, lastStepIndex, nextStepAtMs } from './schedule.ts'
+import { commitAtMs, lastStepIndex, nextStepAtMs, stepRenewalAtMs } from './schedule.ts'
 import { isStillDeclared, unloadAtMs, effectiveVersion } from './versions.ts'
 import type { Backend } from '../backends/types.ts'
 import type { Clock } from '../clock/index.ts'
@@ -35,7 +35,7 @@
   analysisOf: (record: MoveRecord) => CanaryAnalysis | undefined
 }
 
-/** Does the next due step of a team's move; called about every second on the node that holds `duty`. */
+/** Does the next due step of a team's move; called every second, or more often while a step is due, on the node that holds `duty`. */
 export type ReconcileMove = (declaration: TeamDeclaration, duty: Duty) => Promise<void>
 
 /** Creates the reconciler of a node. */
@@ -159,7 +159,10 @@
     if (record.step < lastStepIndex) return await change(record, duty, { step: record.step + 1, stepAtMs: clock.wallMs() })
     const result = promotionResultOf(declaration, record)
     // The last step is renewed until there are enough attempts; if that fails, the move is taken back at the deadline.
-    if (result === 'too-few-attempts') return await change(record, duty, { stepAtMs: clock.wallMs() })
+    if (result === 'too-few-attempts') {
+      if (clock.wallMs() >= stepRenewalAtMs(record)) await change(record, duty, { stepAtMs: clock.wallMs() })
+      return
+    }
     // A version that isn't shown to be good stays at the last step, too, which expires to the smallest share.
     if (result !== 'good') return
     await change(record, duty, { end: endOf('done', 'moved', `All traffic is on "${record.toVersion}".`) })
--- a/src/core/moves/schedule.ts
+++ b/src/core/moves/schedule.ts
@@ -62,11 +62,19 @@
   return Math.max(plannedAtMs, record.stepAtMs + minStepRatio * stepLengthMs(record, record.step))
 }
 
+function stepExpiryMs (record: MoveRecord): number {
+  return Math.max(minStepExpiryMs, stepExpiryRatio * stepLengthMs(record, record.step))
+}
+
+/** Earliest wall time at which a step that goes on is written again, well before it expires. */
+export function stepRenewalAtMs (record: MoveRecord): number {
+  return record.stepAtMs + stepExpiryMs(record) / 2
+}
+
 /** Traffic share of the new version, from 0 to 1. */
 export function newVersionShare (record: MoveRecord, nowMs: number): number {
   if (record.end !== undefined) return record.end.word === 'done' ? 1 : 0
   if (record.trafficAtMs === undefined || nowMs >= record.deadlineAtMs) return 0
-  const expiresAtMs = record.stepAtMs + Math.max(minStepExpiryMs, stepExpiryRatio * stepLengthMs(record, record.step))
-  const hasExpired = record.step > 0 && nowMs > expiresAtMs
+  const hasExpired = record.step > 0 && nowMs > record.stepAtMs + stepExpiryMs(record)
   return stepAt(hasExpired ? 0 : record.step).share
 }
--- a/test/moves/moves.test.ts
+++ b/test/moves/moves.test.ts
@@ -55,6 +55,15 @@
   }
 })
 
+// Guards against steps that each last a second or more, which take the time in which the last one shows whether the version is good.
+test('finishes the move of a good version within 30 seconds, and takes a failing one back', async t => {
+  for (let seed = 1; seed <= 4; seed += 1) {
+    const plan = { seed, fault: 'none', requestsPerSecond: 60, windowMs: 30_000 } as const
+    t.is((await runTrial({ ...plan, badness: 'good' }, startSystemMoves)).word, 'done', `seed ${seed}`)
+    t.is((await runTrial({ ...plan, badness: 'failing-at-once' }, startSystemMoves)).word, 'taken-back', `seed ${seed}`)
+  }
+})
+
 /** Creates a simulated cluster with a declared move. */
 async function startMove (seed: number, moveMs = windowMs): Promise<MoveCluster> {
   const cluster = createMoveCluster(seed, startSystemMoves)
