Decide at a stop by the present pace, and again before each attempt

Cause: the gate went by the last 256 answers of a route whatever their age, and asked only when a request arrived. A retry, or a request that had waited in a queue or for the quarantine, was sent later without asking.

The gate now prefers the answers of the last three seconds if there are eight of them, and takes at least the time that the attempts in progress show: the longest wait for a first byte, and the present pause between events times the events that are expected. A call that may not be repeated has to fit with its whole deadline, as its caller can't find out whether a cut one has run. It asks before each attempt whose caller has nothing yet; what certainly didn't run gets 503.

Streams keep going by the estimate, also if they can't be resumed: a cut one leaves its events and is visible, and refusing all with deadlines of 15 s from the signal on would refuse most of them needlessly.

--- a/src/core/gateway/acceptance.ts
+++ b/src/core/gateway/acceptance.ts
@@ -2,7 +2,7 @@
  * Accepts requests: reads the body, finds the route and authenticates the team.
  * What can't be accepted is refused as not run.
  */
-import { createActiveRequest, requestLogFields } from './active-request.ts'
+import { createActiveRequest, requestLogFields, toGateRequest } from './active-request.ts'
 import { readBody } from './read-body.ts'
 import { isForwardableTarget, pickService } from './route-request.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
@@ -15,7 +15,7 @@
 /** Retry time that callers get while the node has no configuration. */
 const notReadyRetryMs = 500
 /** Retry time that callers get from a stopping node; their next connection leads to another one. */
-const stoppingRetryMs = 100
+export const stoppingRetryMs = 100
 
 type Accepted = Pick<ActiveRequest, 'route' | 'team' | 'head' | 'version' | 'id'>
 
@@ -86,7 +86,7 @@
     if (accepted === undefined) return undefined
     const { route, id } = accepted
     const active = createActiveRequest({ ...accepted, body: body.body, arrivedAtMs, request, response, service: pickService(route, options.draw(`${id}/service`)) })
-    if (options.stopGate.admits({ route: route.name, answerTokens: active.head.tokens?.answer, deadlineAtMs: active.deadlineAtMs })) return active
+    if (options.stopGate.admits(toGateRequest(active))) return active
     refuse(response, stopRefusal(), requestLogFields(active, clock))
     return undefined
   }
--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -15,7 +15,7 @@
 import type { Attempt, AttemptPhase, StreamProgress, CompleteResponse } from './attempt.ts'
 import type { BackendTable } from './backend-table.ts'
 import type { RouteTable } from './route-table.ts'
-import type { StopGate } from './stop-gate.ts'
+import type { GateRequest, StopGate } from './stop-gate.ts'
 import type { GatewayRoute, GatewayTeam, HeaderCodec, RequestHead } from './types.ts'
 
 /** Result of one attempt, for usage counts and the evaluation of versions. */
@@ -180,6 +180,11 @@
   return head.tokens === undefined ? team.defaultTokens : head.tokens.prompt + head.tokens.answer
 }
 
+/** The request as the gate of a stopping node sees it. */
+export function toGateRequest ({ route, head, deadlineAtMs }: Pick<ActiveRequest, 'route' | 'head' | 'deadlineAtMs'>): GateRequest {
+  return { route: route.name, isAtMostOnce: route.kind === 'at-most-once', answerTokens: head.tokens?.answer, deadlineAtMs }
+}
+
 /** Why a request is not sent, and when a retry may succeed. */
 export type BlockedRequest = Pick<Extract<Admittance, { kind: 'refused' }>, 'reason' | 'detail' | 'retryAtMs'>
 
--- /dev/null
+++ b/src/core/gateway/answer-times.ts
@@ -0,0 +1,156 @@
+/**
+ * How long the answers of each route take: by the latest complete answers, and by
+ * the attempts in progress, which show first that backend servers became slower.
+ */
+import type { Clock } from '../clock/index.ts'
+
+/** Number of answers of a route that are remembered. */
+const rememberedAnswers = 256
+/** Age up to which answers are preferred to older ones, if there are enough of them. */
+const recentMs = 3_000
+/** With fewer answers, nothing is known of a route. */
+const minAnswers = 8
+/** Factor on what the remembered answers took. */
+const safetyFactor = 1.25
+/** Quantile of first bytes and paces; both are rarely high in the same answer. */
+const sizedQuantile = 0.95
+/** Quantile of the paces of streams in progress, of which single ones may have stalled. */
+const openQuantile = 0.75
+/** Answers with fewer tokens count as this many, because a single pause would dominate their pace. */
+const minPaceTokens = 16
+/** Weight of the latest pause in the average pause of a stream. */
+const pauseWeight = 0.25
+
+/** What is known of an answer when it is delivered. Times count from the arrival of its request. */
+export interface AnswerTimes {
+  firstByteMs: number
+  tookMs: number
+  /** Events of a stream; 0 for other answers. */
+  eventCount: number
+  /** Maximum tokens of the answer; undefined if the request doesn't say. */
+  answerTokens: number | undefined
+}
+
+/** An attempt in progress. */
+export interface OpenAttempt {
+  /** Called with the number of events received in this attempt. */
+  onEvents: (count: number) => void
+  end: () => void
+}
+
+/** The answers of all routes. */
+export interface AnswerTimesByRoute {
+  record: (route: string, times: AnswerTimes) => void
+  openAttempt: (route: string) => OpenAttempt
+  /** Time that an answer takes at most, by far most probably; infinite if too little is known. */
+  expectedMs: (route: string, answerTokens: number | undefined) => number
+}
+
+interface RecordedAnswer extends AnswerTimes {
+  /** Monotonic time. */
+  endedAtMs: number
+}
+
+interface AttemptProgress {
+  /** Monotonic times. */
+  startedAtMs: number
+  lastEventAtMs: number | undefined
+  eventCount: number
+  /** Average pause between two events. */
+  pauseMs: number
+}
+
+interface RouteTimes {
+  answers: RecordedAnswer[]
+  next: number
+  open: Set<AttemptProgress>
+}
+
+/** A quantile of some times; 0 if there are none. */
+function quantileOf (times: readonly number[], quantile: number): number {
+  const sorted = times.toSorted((a, b) => a - b)
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * quantile))] ?? 0
+}
+
+function paceTokens (answerTokens: number | undefined): number {
+  return Math.max(minPaceTokens, answerTokens ?? 0)
+}
+
+/** Creates the times of a node. */
+export function createAnswerTimes (clock: Clock): AnswerTimesByRoute {
+  const routes = new Map<string, RouteTimes>()
+
+  function timesOf (route: string): RouteTimes {
+    const known = routes.get(route) ?? { answers: [], next: 0, open: new Set() }
+    routes.set(route, known)
+    return known
+  }
+
+  /** The answers that tell most: recent ones, or all if these are few. */
+  function tellingAnswers ({ answers }: RouteTimes): RecordedAnswer[] {
+    const recent = answers.filter(({ endedAtMs }) => endedAtMs >= clock.monotonicMs() - recentMs)
+    return recent.length >= minAnswers ? recent : answers
+  }
+
+  /** Time to the first byte, and from there to the end, by the answers. */
+  function pastTimes (answers: readonly RecordedAnswer[], answerTokens: number | undefined): { firstByteMs: number, restMs: number, eventCount: number } {
+    const sized = answers.filter(answer => answer.answerTokens !== undefined)
+    if (answerTokens === undefined || sized.length < minAnswers) {
+      const firstByteMs = quantileOf(answers.map(answer => answer.firstByteMs), 1)
+      const tookMs = quantileOf(answers.map(answer => answer.tookMs), 1)
+      return { firstByteMs, restMs: tookMs - firstByteMs, eventCount: quantileOf(answers.map(answer => answer.eventCount), 1) }
+    }
+    const tokens = paceTokens(answerTokens)
+    const perToken = (measure: (answer: RecordedAnswer) => number): number => quantileOf(sized.map(answer => measure(answer) / paceTokens(answer.answerTokens)), sizedQuantile)
+    return {
+      firstByteMs: quantileOf(sized.map(answer => answer.firstByteMs), sizedQuantile),
+      restMs: perToken(answer => answer.tookMs - answer.firstByteMs) * tokens,
+      eventCount: perToken(answer => answer.eventCount) * tokens
+    }
+  }
+
+  /** The same by the attempts in progress, which are not over yet: at least so long. */
+  function presentTimes ({ open }: RouteTimes, eventCount: number): { firstByteMs: number, restMs: number } {
+    const nowMs = clock.monotonicMs()
+    const attempts = [...open]
+    const waitingMs = attempts.flatMap(({ startedAtMs, lastEventAtMs }) => lastEventAtMs === undefined ? [nowMs - startedAtMs] : [])
+    const pausesMs = attempts.flatMap(({ pauseMs, lastEventAtMs }) => lastEventAtMs === undefined ? [] : [Math.max(pauseMs, nowMs - lastEventAtMs)])
+    return { firstByteMs: quantileOf(waitingMs, 1), restMs: quantileOf(pausesMs, openQuantile) * eventCount }
+  }
+
+  function expectedMs (route: string, answerTokens: number | undefined): number {
+    const times = timesOf(route)
+    const answers = tellingAnswers(times)
+    if (answers.length < minAnswers) return Infinity
+    const past = pastTimes(answers, answerTokens)
+    const present = presentTimes(times, past.eventCount)
+    return (Math.max(past.firstByteMs, present.firstByteMs) + Math.max(past.restMs, present.restMs)) * safetyFactor
+  }
+
+  function openAttempt (route: string): OpenAttempt {
+    const { open } = timesOf(route)
+    const attempt: AttemptProgress = { startedAtMs: clock.monotonicMs(), lastEventAtMs: undefined, eventCount: 0, pauseMs: 0 }
+    open.add(attempt)
+    return {
+      onEvents: count => {
+        const nowMs = clock.monotonicMs()
+        const added = count - attempt.eventCount
+        if (added <= 0) return
+        if (attempt.lastEventAtMs !== undefined) attempt.pauseMs += pauseWeight * ((nowMs - attempt.lastEventAtMs) / added - attempt.pauseMs)
+        attempt.lastEventAtMs = nowMs
+        attempt.eventCount = count
+      },
+      end: () => { open.delete(attempt) }
+    }
+  }
+
+  return {
+    record: (route, times) => {
+      const recorded = timesOf(route)
+      recorded.answers[recorded.next] = { ...times, endedAtMs: clock.monotonicMs() }
+      recorded.next = (recorded.next + 1) % rememberedAnswers
+    },
+    openAttempt,
+    expectedMs
+  }
+}
--- a/src/core/gateway/attempt-end-handler.ts
+++ b/src/core/gateway/attempt-end-handler.ts
@@ -191,11 +191,11 @@
   }
 
   function recordDelivery (active: ActiveRequest): void {
-    const { route, head, firstByteMs, arrivedAtMs, forwardedStatus, closed } = active
+    const { route, head, firstByteMs, arrivedAtMs, forwardedStatus, closed, progress } = active
     const isDelivered = closed !== undefined && closed.end === undefined
     if (!isDelivered || forwardedStatus === undefined) return
     const tookMs = clock.wallMs() - arrivedAtMs
-    options.stopGate.recordAnswer(route.name, { firstByteMs: firstByteMs ?? tookMs, tookMs, answerTokens: head.tokens?.answer })
+    options.stopGate.recordAnswer(route.name, { firstByteMs: firstByteMs ?? tookMs, tookMs, eventCount: progress.eventBuffer.eventCount(), answerTokens: head.tokens?.answer })
     metrics.count('gateway_answers_total', { status: String(forwardedStatus), reason: 'passed-on' })
     if (firstByteMs !== undefined) metrics.observe(`gateway_first_byte_ms_${route.kind.replaceAll('-', '_')}`, firstByteMs)
     metrics.observe(`gateway_total_ms_${route.kind.replaceAll('-', '_')}`, tookMs)
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -5,7 +5,7 @@
 import { toId } from '../ids/index.ts'
 import { startAttempt } from './attempt.ts'
 import { isAttemptOk } from './attempt-outcome.ts'
-import { createAcceptance } from './acceptance.ts'
+import { createAcceptance, stoppingRetryMs } from './acceptance.ts'
 import { canaryLabel } from './backend-table.ts'
 import { createAttemptEndHandler, failedWith } from './attempt-end-handler.ts'
 import { createLimitGate } from './limit-gate.ts'
@@ -15,7 +15,7 @@
 import { createResponseBuffers } from './response-buffers.ts'
 import { createRefusals } from './refusals.ts'
 import { abandonAttempt, createEndFailedRequest, mayHaveRun } from './failed-request.ts'
-import { quotaUnitsOf, requestLogFields } from './active-request.ts'
+import { quotaUnitsOf, requestLogFields, toGateRequest } from './active-request.ts'
 import { createRouteRequest } from './route-request.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AnswerEnd } from '../caller-connections/index.ts'
@@ -152,6 +152,10 @@
         continue
       }
       if (admittance.kind === 'refused') return failedWith(admittance.reason, admittance.detail, admittance.retryAtMs - clock.wallMs())
+      if (!canFinishInStop(active)) {
+        admittance.release()
+        return failedWith('draining', 'The node is stopping and can not finish another attempt before.', stoppingRetryMs)
+      }
       const attempted = await attemptAdmitted(active).finally(admittance.release)
       if ('unchosen' in attempted) return unchosenEnd(active, attempted.unchosen)
       const { choice, end } = attempted
@@ -161,6 +165,11 @@
     }
   }
 
+  /** Whether an attempt that is sent now may end before a stop does. The caller of a stream that has begun gets more of it in any case. */
+  function canFinishInStop (active: ActiveRequest): boolean {
+    return active.progress.areHeadersSent || options.stopGate.admits(toGateRequest(active))
+  }
+
   /** Makes an attempt, unless no backend server can be chosen. */
   async function attemptAdmitted (active: ActiveRequest): Promise<{ unchosen: UnchosenReason } | { choice: RouteChoice, end: AttemptEnd }> {
     const comparison = { canaryShare: options.canaryShare(active.service), compareAllBackends: options.hasRecentLoads(), isAlwaysCompared: limitGate.hasLimit }
@@ -233,11 +242,13 @@
       onEvents: count => {
         lastProgressAtMs = clock.monotonicMs()
         latencies.onEvents(count, lastProgressAtMs)
+        openAttempt.onEvents(count)
         if (!hasEvents) quarantineGate.onFirstEvent(active)
         hasEvents = true
       }
     })
     active.attempt = attempt
+    const openAttempt = options.stopGate.openAttempt(route.name)
     const responseTimer = setTimeout(() => {
       if (known.lastActivityAtMs < sentAtMs) backends.markSuspect(choice.backend.id, 'no byte was received since a request was sent')
     }, baseResponseTimeoutMs + expectedWaitFactor * choice.expectedFirstTokenMs)
@@ -265,6 +276,7 @@
       throw error
     } finally {
       clearTimeout(responseTimer)
+      openAttempt.end()
     }
   }
 
