Answer the open requests of the own interface before a drain ends

Calls and drafts without a head at the end of a drain were cut without an answer and without a log line, so a caller could not tell whether its registration had run.

Cause: the server closed the connections at the deadline, and no part of it knew which requests had no answer. It now answers them 250 ms before: 503 'draining' with run 'not-run' for a request that wasn't accepted, such as one whose body is incomplete or that waits for its permit, and 'unknown', with the way to ask for the outcome, for one that was; each with a requestRefused line.

The new test fails before: the connections of all three requests end without a byte.

--- a/src/core/http/call-handler.ts
+++ b/src/core/http/call-handler.ts
@@ -3,6 +3,7 @@
 import { requestContextOf } from './request-context.ts'
 import { sendProblem } from './problem.ts'
 import { refuseRequest } from './refuse.ts'
+import { isAnswered, markAccepted } from './stop-answers.ts'
 import { bodyOf, createDisconnectSignal, idempotencyKeyOf } from './request-parts.ts'
 import type { CallerServerOptions } from './types.ts'
 
@@ -31,10 +32,16 @@
       backendCapacity: options.capacityOf(team.team),
       signal: disconnectSignal
     })
+    if (isAnswered(response)) {
+      if (permit.isOk) permit.value.release('abandoned')
+      return
+    }
     if (permit.isErr) return sendProblem(response, permit.error, options.clock.wallMs())
+    markAccepted(response)
     const contentType = request.header('content-type') ?? 'application/octet-stream'
     const result = await options.runCall({ team, route, key, contentType, body, deadlineAtMs }, disconnectSignal)
     permit.value.release(result.isOk ? 'done' : 'failed')
+    if (isAnswered(response)) return
     if (result.isErr) return sendProblem(response, result.error, options.clock.wallMs())
     response.set({ 'Content-Type': result.value.contentType, 'Cyclamenshunt-Run': 'done', 'Cyclamenshunt-Node': options.node })
     response.status(result.value.status).send(result.value.body)
--- a/src/core/http/draft-handler.ts
+++ b/src/core/http/draft-handler.ts
@@ -15,6 +15,7 @@
 import { bodyOf, createDisconnectSignal, idempotencyKeyOf } from './request-parts.ts'
 import { sendProblem } from './problem.ts'
 import { refuseRequest } from './refuse.ts'
+import { isAnswered, markAccepted } from './stop-answers.ts'
 import type { CallerServerOptions } from './types.ts'
 
 /** Half of the target for the time to the first token; the other half is for the backend server. */
@@ -41,7 +42,8 @@
     const requested = toDraftRequest(context, body.value, key, options)
     const disconnectSignal = createDisconnectSignal(response)
     const draft = await findOrSubmitDraft(request, response, requested, context, disconnectSignal, options)
-    if (draft === undefined) return
+    if (draft === undefined || isAnswered(response)) return
+    markAccepted(response)
     await sendResponse(request, response, draft, body.value, format, disconnectSignal, options)
     if (draft.readers.size === 0) options.drafts.onReaderLeft(draft, key !== undefined)
   }
@@ -98,6 +100,10 @@
     backendCapacity: options.capacityOf(requested.team),
     signal: disconnectSignal
   })
+  if (isAnswered(response)) {
+    if (permit.isOk) permit.value.release('abandoned')
+    return undefined
+  }
   if (permit.isErr) {
     sendProblem(response, permit.error, options.clock.wallMs())
     return undefined
@@ -139,7 +145,7 @@
   draft.readers.add(reader)
   try {
     await waitForStatus(draft, body.stream, disconnectSignal)
-    if (disconnectSignal.aborted) return
+    if (disconnectSignal.aborted || isAnswered(response)) return
     response.set({ 'Idempotency-Key': draft.request.key, 'Cyclamenshunt-Node': options.node })
     const refusal = draft.end?.kind === 'failed' ? draft.end.refusal : undefined
     if (refusal !== undefined && (draft.raws.length === 0 || !body.stream)) return sendProblem(response, refusal, clock.wallMs())
--- a/src/core/http/index.ts
+++ b/src/core/http/index.ts
@@ -12,6 +12,8 @@
 import { parseChatBody, parseDraftBody } from './draft-body.ts'
 import { createDraftHandler } from './draft-handler.ts'
 import { refuseRequest } from './refuse.ts'
+import { createStopAnswers } from './stop-answers.ts'
+import type { StopAnswers } from './stop-answers.ts'
 import type { CallerServerOptions } from './types.ts'
 
 export type * from './types.ts'
@@ -20,6 +22,8 @@
 
 /** Time without an open request after which idle connections are closed. */
 const quietMs = 1_000
+/** Time before the end of a stop at which requests without an answer get one that says whether they may have run; enough to deliver it. */
+const answerReserveMs = 250
 
 /** A running server. */
 export interface CallerServer {
@@ -31,7 +35,8 @@
 
 /** Starts the server; resolves once it listens. */
 export async function createCallerServer (options: CallerServerOptions): Promise<CallerServer> {
-  const app = createApp(options)
+  const stopAnswers = createStopAnswers(options)
+  const app = createApp(options, stopAnswers)
   const server = createServer({ requestTimeout: options.maxBodyMs, headersTimeout: options.maxHeaderMs, requireHostHeader: false }, (request, response) => {
     connections.take(request, response, () => app(request, response))
   })
@@ -49,8 +54,10 @@
   const { port } = server.address() as AddressInfo
 
   async function close (deadlineAtMs: number): Promise<void> {
-    await connections.whenQuiet(quietMs, deadlineAtMs)
+    await connections.whenQuiet(quietMs, deadlineAtMs - answerReserveMs)
     await connections.stopListening()
+    await connections.whenAnswered(deadlineAtMs - answerReserveMs)
+    stopAnswers.answerAll()
     await connections.whenAnswered(deadlineAtMs)
     connections.close()
   }
@@ -62,7 +69,7 @@
   return { port, countOpenConnections, close }
 }
 
-function createApp (options: CallerServerOptions): express.Express {
+function createApp (options: CallerServerOptions, stopAnswers: StopAnswers): express.Express {
   const app = express()
   app.disable('x-powered-by')
   app.disable('etag')
@@ -70,6 +77,7 @@
     response.locals.arrivedAtMs = options.clock.monotonicMs()
     next()
   })
+  app.use(stopAnswers.add)
   const readBody = express.raw({ type: () => true, limit: options.maxBodyBytes })
 
   app.post('/v1/teams/:team/drafts/:route',
@@ -114,6 +122,8 @@
 function createErrorHandler (options: CallerServerOptions) {
   // Express recognises an error handler by its four parameters.
   return (error: unknown, _request: Request, response: Response, _next: NextFunction): void => {
+    // The stop of the node has answered it.
+    if (response.writableEnded) return
     if (response.headersSent) {
       response.destroy()
       return
