--- a/test/gateway/unframed-streams.test.ts
+++ b/test/gateway/unframed-streams.test.ts
@@ -128,3 +128,15 @@
     t.deepEqual([status, body.length, broken], [200, bodyBytes, false])
   }
 })
+
+for (const [ending, isComplete] of [['a regular end', true], ['a reset', false]] as const) {
+  test(`an answer without a length that has ${ending} right after its head is ${isComplete ? 'whole and empty' : 'failed'}, unless it is a stream`, async t => {
+    const { call } = await startGateway(t, [({ headers }, socket) => {
+      socket.write(headOf(headers['x-request'] ?? ''))
+      endings[ending]!(socket)
+    }])
+    const { status, body, broken } = await call('/register/', 'r-1')
+    if (isComplete) t.deepEqual({ status, body, broken }, { status: 200, body: '', broken: false })
+    else t.is(status, 502)
+  })
+}
