Play restores and kills in random orders in the soak, and check usage reports

Each run now plays a drill beside its other faults, from a generator of its own, so that the drawn faults of a seed stay the same: one or two restores and kills of some or all nodes, in a random order. No window may be accepted with different counts; the stand-in of the platform accepts all calls, so the check leaves out those with a fencing number that the platform refuses.

--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -54,6 +54,8 @@
   /** One proxy to the store for each node. */
   storeProxies: Proxy[]
   setStoreFault: Awaited<ReturnType<typeof startPlatform>>['setFault']
+  /** The calls of the platform's API so far. */
+  apiCalls: Awaited<ReturnType<typeof startPlatform>>['apiCalls']
   /** The configuration version that was written last. */
   configurationVersion: () => number
   /** Writes the configuration with the next version. */
@@ -179,6 +181,7 @@
     crashing,
     storeProxies,
     setStoreFault: platform.setFault,
+    apiCalls: platform.apiCalls,
     configurationVersion: () => version,
     publishNextConfiguration,
     restoreStore: async () => {
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -22,12 +22,46 @@
 /** Longer than the window in which requests to a limited backend server are counted. */
 const lastingLimitMs = 4_500
 
+/** Longest time between two steps of a drill. */
+const maxDrillPauseMs = 1_500
+
 /** Starts a node's process again if it has exited; resumes it first if it is paused. */
 async function restart (node: NodeProcess): Promise<void> {
   node.resume()
   node.start()
 }
 
+function shuffle<Value> (values: readonly Value[], random: () => number): Value[] {
+  return values.map(value => ({ value, order: random() })).toSorted((a, b) => a.order - b.order).map(({ value }) => value)
+}
+
+/** Restores the store from an older copy once or twice, and kills some or all nodes before, between or after, in a random order. */
+export async function startDrill ({ nodes, setStoreFault, restoreStore }: SoakDeployment, random: () => number): Promise<Fault> {
+  const isAwayFirst = random() < 0.5
+  const killRatio = pick([0.3, 0.6, 1], random)
+  const kill = (): void => {
+    for (const node of nodes) if (random() < killRatio) node.kill()
+  }
+  const steps = shuffle([
+    { name: 'restore', run: restoreStore },
+    { name: 'kill', run: async () => kill() },
+    ...(random() < 0.5 ? [{ name: 'restore', run: restoreStore }] : []),
+    ...(random() < 0.5 ? [{ name: 'kill', run: async () => kill() }] : [])
+  ], random)
+  const pausesMs = steps.map(() => random() * maxDrillPauseMs)
+  if (isAwayFirst) setStoreFault('silent')
+  async function run (): Promise<void> {
+    for (const [index, step] of steps.entries()) {
+      await step.run()
+      setStoreFault('none')
+      await new Promise(resolve => setTimeout(resolve, pausesMs[index]))
+      await Promise.all(nodes.map(restart))
+    }
+  }
+  const running = run()
+  return { name: `drill: ${[...isAwayFirst ? ['store away'] : [], ...steps.map(({ name }) => name)].join(', ')}`, end: () => running }
+}
+
 const faultKinds: readonly StartFault[] = [
   ({ nodes }, random) => {
     const node = pick(nodes, random)
--- a/bench/soak/index.ts
+++ b/bench/soak/index.ts
@@ -24,28 +24,59 @@
 const msPerMinute = 60_000
 const maxRandomSeed = 2 ** 30
 
-const { values } = parseArgs({
-  options: {
-    seed: { type: 'string', default: String(Math.floor(Math.random() * maxRandomSeed)) },
-    seeds: { type: 'string', default: '1' },
-    seconds: { type: 'string', default: '12' },
-    minutes: { type: 'string' },
-    nodes: { type: 'string', default: '3' },
-    stops: { type: 'boolean', default: false },
-    json: { type: 'boolean', default: false }
+const usage = `Usage: npm run soak -- [options]
+
+  --seed N      first seed; random by default
+  --seeds N     number of seeds, one after the other (1)
+  --minutes N   run seeds for this time instead
+  --seconds N   time with faults for each seed (12)
+  --nodes N     number of nodes, 1 to ${maxNodes} (3)
+  --stops       planned stops only
+  --json        one JSON object for each seed
+  --help        this text
+`
+
+/** Ends the program because of a wrong option. */
+function exitWithUsage (problem: string): never {
+  process.stderr.write(`${problem}\n\n${usage}`)
+  process.exit(2)
+}
+
+function parseOptions () {
+  try {
+    return parseArgs({
+      options: {
+        seed: { type: 'string', default: String(Math.floor(Math.random() * maxRandomSeed)) },
+        seeds: { type: 'string', default: '1' },
+        seconds: { type: 'string', default: '12' },
+        minutes: { type: 'string' },
+        nodes: { type: 'string', default: '3' },
+        stops: { type: 'boolean', default: false },
+        json: { type: 'boolean', default: false },
+        help: { type: 'boolean', default: false }
+      }
+    }).values
+  } catch (error) {
+    return exitWithUsage((error as Error).message)
   }
-})
+}
+
+const values = parseOptions()
+if (values.help) {
+  process.stdout.write(usage)
+  process.exit(0)
+}
 
 function parseWholeNumber (name: string, text: string): number {
   const number = Number(text)
-  if (!Number.isSafeInteger(number) || number < 0) throw new Error(`--${name} takes a whole number, not "${text}".`)
+  if (text.trim() === '' || !Number.isSafeInteger(number) || number < 0) return exitWithUsage(`--${name} takes a whole number, not "${text}".`)
   return number
 }
 
 const firstSeed = parseWholeNumber('seed', values.seed)
 const durationMs = parseWholeNumber('seconds', values.seconds) * msPerSecond
 const nodeCount = parseWholeNumber('nodes', values.nodes)
-if (nodeCount < 1 || nodeCount > maxNodes) throw new Error(`--nodes takes 1 to ${maxNodes}, not ${nodeCount}.`)
+if (nodeCount < 1 || nodeCount > maxNodes) exitWithUsage(`--nodes takes 1 to ${maxNodes}, not ${nodeCount}.`)
 const minutes = values.minutes === undefined ? undefined : parseWholeNumber('minutes', values.minutes)
 const startAtMs = Date.now()
 
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -4,9 +4,10 @@
 import { promptHeaders } from '../../test/platform-adapter/soak-deployment.ts'
 import { createCaller } from './callers.ts'
 import { createChecks } from './checks.ts'
-import { startFault } from './faults.ts'
+import { startDrill, startFault } from './faults.ts'
 import { startSoakDeployment } from './deployment.ts'
 import { isReady, pollUntil, startTimeoutMs } from './readiness.ts'
+import { findConflictingReports } from './usage-check.ts'
 import type { BrokenPromise } from './checks.ts'
 import type { Caller } from './callers.ts'
 import type { Fault } from './faults.ts'
@@ -126,6 +127,15 @@
     await Promise.all(openFaults)
   }
 
+  /** Plays one drill beside the other faults, with a generator of its own, so that the drawn faults of a seed stay the same. */
+  async function playDrill (): Promise<void> {
+    const drillRandom = createRandom(seed + 2)
+    await clock.sleep(drillRandom() * durationMs)
+    const drill = await startDrill(deployment, drillRandom)
+    faults.push(drill.name)
+    await drill.end()
+  }
+
   async function endLater (fault: Fault, afterMs: number): Promise<void> {
     await clock.sleep(afterMs)
     await fault.end()
@@ -154,10 +164,11 @@
   try {
     if (!await pollUntil(areAllNodesReady, startTimeoutMs)) checks.onBrokenPromise({ promise: 'recovery', detail: 'not every node became ready after the start' })
     const callerTasks = Array.from({ length: callerCount }, runCaller)
-    await injectFaults()
+    await Promise.all([injectFaults(), playDrill()])
     await checkRecovery()
     loadStopController.abort()
     await Promise.all(callerTasks)
+    for (const detail of findConflictingReports(deployment.apiCalls)) checks.onBrokenPromise({ promise: 'one-usage-report', detail })
   } finally {
     loadStopController.abort()
     await deployment.close()
