--- a/src/core/gateway/answer-times.ts
+++ b/src/core/gateway/answer-times.ts
@@ -56,8 +56,8 @@
   startedAtMs: number
   lastEventAtMs: number | undefined
   eventCount: number
-  /** Average pause between two events. */
-  pauseMs: number
+  /** Average pause between two events; undefined before the second one. */
+  pauseMs: number | undefined
 }
 
 interface RouteTimes {
@@ -114,7 +114,7 @@
     const nowMs = clock.monotonicMs()
     const attempts = [...open]
     const waitingMs = attempts.flatMap(({ startedAtMs, lastEventAtMs }) => lastEventAtMs === undefined ? [nowMs - startedAtMs] : [])
-    const pausesMs = attempts.flatMap(({ pauseMs, lastEventAtMs }) => lastEventAtMs === undefined ? [] : [Math.max(pauseMs, nowMs - lastEventAtMs)])
+    const pausesMs = attempts.flatMap(({ pauseMs, lastEventAtMs }) => lastEventAtMs === undefined ? [] : [Math.max(pauseMs ?? 0, nowMs - lastEventAtMs)])
     return { firstByteMs: quantileOf(waitingMs, 1), restMs: quantileOf(pausesMs, openQuantile) * eventCount }
   }
 
@@ -129,14 +129,17 @@
 
   function openAttempt (route: string): OpenAttempt {
     const { open } = timesOf(route)
-    const attempt: AttemptProgress = { startedAtMs: clock.monotonicMs(), lastEventAtMs: undefined, eventCount: 0, pauseMs: 0 }
+    const attempt: AttemptProgress = { startedAtMs: clock.monotonicMs(), lastEventAtMs: undefined, eventCount: 0, pauseMs: undefined }
     open.add(attempt)
     return {
       onEvents: count => {
         const nowMs = clock.monotonicMs()
         const added = count - attempt.eventCount
         if (added <= 0) return
-        if (attempt.lastEventAtMs !== undefined) attempt.pauseMs += pauseWeight * ((nowMs - attempt.lastEventAtMs) / added - attempt.pauseMs)
+        if (attempt.lastEventAtMs !== undefined) {
+          const pauseMs = (nowMs - attempt.lastEventAtMs) / added
+          attempt.pauseMs = (attempt.pauseMs ?? pauseMs) * (1 - pauseWeight) + pauseMs * pauseWeight
+        }
         attempt.lastEventAtMs = nowMs
         attempt.eventCount = count
       },
--- a/test/platform-adapter/planned-stop.test.ts
+++ b/test/platform-adapter/planned-stop.test.ts
@@ -234,3 +234,37 @@
   t.is(requestsOf('calls').length, before)
   await stopped
 })
+
+// Guards against an estimate by the quick answers before the stop only.
+test('streams that become slower as a stop begins are whole or refused, and none that comes late is cut', async t => {
+  let pauseMs = 10
+  const { port, stop } = await startStoppableNode(t, {
+    stream: async (request, socket) => {
+      const headers = Object.entries({ ...signed(request), 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked' })
+      socket.write(['HTTP/1.1 200 Status', ...headers.map(([name, value]) => `${name}: ${value}`), '', ''].join('\r\n'))
+      for (let count = 1; socket.writable && count <= 40; count += 1) {
+        socket.write(formatChunk(`id: ${count}\ndata: piece\n\n`))
+        await clock.sleep(pauseMs)
+      }
+      if (socket.writable) socket.write('0\r\n\r\n')
+    }
+  })
+  async function sendStream (id: string) {
+    const caller = await connectCaller(port)
+    caller.write(post('stream', id))
+    return await caller.nextResponse()
+  }
+  await Promise.all(Array.from({ length: 20 }, (_, index) => sendStream(`first-${index}`)))
+  // Each stream takes 2.4 s from now on.
+  pauseMs = 60
+  const stopped = stop()
+  const answers = []
+  for (let index = 0; index < 9; index += 1) {
+    answers.push(sendStream(`late-${index}`))
+    await clock.sleep(300)
+  }
+  for (const [index, { status, isComplete }] of (await Promise.all(answers)).entries()) {
+    t.true(isComplete && (status === 200 || status === 503), `stream ${index}: status ${status}, ${isComplete ? 'whole' : 'cut'}`)
+  }
+  await stopped
+})
