Count on the longest stream of a route for a request that names no tokens

The gate of a stopping node prefers the answers of the last three seconds. For a request that doesn't name its tokens it took the longest of them, of which there may be eight: all may be short, while the route has streams that are four times as long. Lengths are taken from all remembered answers now, and only the pace from recent ones. The new test fails before: a stream of up to 200 events was taken where 4 s were needed and 1.9 s left.

--- a/src/core/gateway/answer-times.ts
+++ b/src/core/gateway/answer-times.ts
@@ -18,6 +18,8 @@
 const openQuantile = 0.75
 /** Answers with fewer tokens count as this many, because a single pause would dominate their pace. */
 const minPaceTokens = 16
+/** The same for events. */
+const minPaceEvents = 5
 /** Weight of the latest pause in the average pause of a stream. */
 const pauseWeight = 0.25
 
@@ -60,6 +62,14 @@
   pauseMs: number | undefined
 }
 
+/** What answers took, and how many events a stream may have. */
+interface PastTimes {
+  firstByteMs: number
+  /** From the first byte to the end. */
+  restMs: number
+  eventCount: number
+}
+
 interface RouteTimes {
   answers: RecordedAnswer[]
   next: number
@@ -92,14 +102,8 @@
     return recent.length >= minAnswers ? recent : answers
   }
 
-  /** Time to the first byte, and from there to the end, by the answers. */
-  function pastTimes (answers: readonly RecordedAnswer[], answerTokens: number | undefined): { firstByteMs: number, restMs: number, eventCount: number } {
-    const sized = answers.filter(answer => answer.answerTokens !== undefined)
-    if (answerTokens === undefined || sized.length < minAnswers) {
-      const firstByteMs = quantileOf(answers.map(answer => answer.firstByteMs), 1)
-      const tookMs = quantileOf(answers.map(answer => answer.tookMs), 1)
-      return { firstByteMs, restMs: tookMs - firstByteMs, eventCount: quantileOf(answers.map(answer => answer.eventCount), 1) }
-    }
+  /** Time to the first byte, and from there to the end, of a request that names its tokens. */
+  function sizedTimes (sized: readonly RecordedAnswer[], answerTokens: number): PastTimes {
     const tokens = paceTokens(answerTokens)
     const perToken = (measure: (answer: RecordedAnswer) => number): number => quantileOf(sized.map(answer => measure(answer) / paceTokens(answer.answerTokens)), sizedQuantile)
     return {
@@ -109,6 +113,15 @@
     }
   }
 
+  /** The same of one that doesn't. A few recent answers tell the pace, but not how long a stream may be. */
+  function unsizedTimes (telling: readonly RecordedAnswer[], all: readonly RecordedAnswer[]): PastTimes {
+    const firstByteMs = quantileOf(telling.map(answer => answer.firstByteMs), 1)
+    const restMs = quantileOf(telling.map(answer => answer.tookMs - answer.firstByteMs), 1)
+    const eventCount = quantileOf(all.map(answer => answer.eventCount), 1)
+    const msPerEvent = quantileOf(telling.map(answer => (answer.tookMs - answer.firstByteMs) / Math.max(minPaceEvents, answer.eventCount)), sizedQuantile)
+    return { firstByteMs, restMs: Math.max(restMs, eventCount * msPerEvent), eventCount }
+  }
+
   /** The same by the attempts in progress, which are not over yet: at least so long. */
   function presentTimes ({ open }: RouteTimes, eventCount: number): { firstByteMs: number, restMs: number } {
     const nowMs = clock.monotonicMs()
@@ -122,7 +135,8 @@
     const times = timesOf(route)
     const answers = tellingAnswers(times)
     if (answers.length < minAnswers) return Infinity
-    const past = pastTimes(answers, answerTokens)
+    const sized = answers.filter(answer => answer.answerTokens !== undefined)
+    const past = answerTokens === undefined || sized.length < minAnswers ? unsizedTimes(answers, times.answers) : sizedTimes(sized, answerTokens)
     const present = presentTimes(times, past.eventCount)
     return (Math.max(past.firstByteMs, present.firstByteMs) + Math.max(past.restMs, present.restMs)) * safetyFactor
   }
--- a/test/gateway/stop-gate.test.ts
+++ b/test/gateway/stop-gate.test.ts
@@ -83,3 +83,14 @@
   for (let count = 0; count < 8; count += 1) gate.recordAnswer('drafts', { tookMs: 100, firstByteMs: 50, eventCount: 0, answerTokens: undefined })
   t.true(admits())
 })
+
+// Guards against an estimate by a few recent answers that happen to be short.
+test('a stopping node counts on the longest stream of a route for a request that names no tokens', async t => {
+  const { clock, gate, admits, stop } = createGate([])
+  const record = (eventCount: number): void => gate.recordAnswer('drafts', { firstByteMs: 100, tookMs: 100 + eventCount * 20, eventCount, answerTokens: undefined })
+  for (const eventCount of [200, ...Array<number>(40).fill(50)]) record(eventCount)
+  stop()
+  await clock.advance(3_100)
+  for (let count = 0; count < 8; count += 1) record(50)
+  t.false(admits())
+})
