--- a/test/free-ports.ts
+++ b/test/free-ports.ts
@@ -11,10 +11,11 @@
 
 /** Listens on a port; returns undefined if another process does. */
 function takePort (port: number): Promise<{ release: () => Promise<void> } | undefined> {
+  const server = createServer().unref()
+  const release = (): Promise<void> => new Promise(resolve => { server.close(() => resolve()) })
   return new Promise(resolve => {
-    const server = createServer()
     server.once('error', () => resolve(undefined))
-    server.unref().listen(port, host, () => resolve({ release: () => new Promise(done => server.close(() => done())) }))
+    server.listen(port, host, () => resolve({ release }))
   })
 }
 
