Know a route by 64 answers before a stopping node goes by the longest

Cause: the node had started again 6 s before the signal. It knew eight answers of the route, the longest of 2.7 s, and expected 3.4 s of the 4 s left. One in n + 1 answers takes longer than the longest of n, so eight tell next to nothing of the longest.

Below 64 answers a request now counts with its whole deadline. Paces still come from the last three seconds if they have eight answers, and quantiles of requests that name their tokens from 20. The new test fails before: 2.4 s were expected enough where the route had shown ten answers.

--- a/src/core/gateway/answer-times.ts
+++ b/src/core/gateway/answer-times.ts
@@ -8,8 +8,12 @@
 const rememberedAnswers = 256
 /** Age up to which answers are preferred to older ones, if there are enough of them. */
 const recentMs = 3_000
-/** With fewer answers, nothing is known of a route. */
-const minAnswers = 8
+/** Recent answers that tell the present pace. */
+const minRecentAnswers = 8
+/** With fewer answers, nothing is known of a route: one in n + 1 takes longer than the longest of n before. */
+const minAnswers = 64
+/** Answers with tokens that a quantile is taken of. */
+const minSizedAnswers = 20
 /** Factor on what the remembered answers took. */
 const safetyFactor = 1.25
 /** Quantile of first bytes and paces; both are rarely high in the same answer. */
@@ -99,7 +103,7 @@
   /** The answers that tell most: recent ones, or all if these are few. */
   function tellingAnswers ({ answers }: RouteTimes): RecordedAnswer[] {
     const recent = answers.filter(({ endedAtMs }) => endedAtMs >= clock.monotonicMs() - recentMs)
-    return recent.length >= minAnswers ? recent : answers
+    return recent.length >= minRecentAnswers ? recent : answers
   }
 
   /** Time to the first byte, and from there to the end, of a request that names its tokens. */
@@ -134,9 +138,10 @@
   function expectedMs (route: string, answerTokens: number | undefined): number {
     const times = timesOf(route)
     const answers = tellingAnswers(times)
-    if (answers.length < minAnswers) return Infinity
-    const sized = answers.filter(answer => answer.answerTokens !== undefined)
-    const past = answerTokens === undefined || sized.length < minAnswers ? unsizedTimes(answers, times.answers) : sizedTimes(sized, answerTokens)
+    if (times.answers.length < minAnswers) return Infinity
+    const recentSized = answers.filter(answer => answer.answerTokens !== undefined)
+    const sized = recentSized.length >= minSizedAnswers ? recentSized : times.answers.filter(answer => answer.answerTokens !== undefined)
+    const past = answerTokens === undefined || sized.length < minSizedAnswers ? unsizedTimes(answers, times.answers) : sizedTimes(sized, answerTokens)
     const present = presentTimes(times, past.eventCount)
     return (Math.max(past.firstByteMs, present.firstByteMs) + Math.max(past.restMs, present.restMs)) * safetyFactor
   }
--- a/test/gateway/stop-gate.test.ts
+++ b/test/gateway/stop-gate.test.ts
@@ -26,21 +26,21 @@
 })
 
 test('a stopping node takes short answers of a route whose long answers no longer fit', t => {
-  const { admits, stop } = createGate([20, 20, 30, 40, 50, 100, 200, 400].map(answerTokens => ({ answerTokens, tookMs: 100 + answerTokens * 20 })))
+  const { admits, stop } = createGate(Array.from({ length: 8 }, () => [20, 20, 30, 40, 50, 100, 200, 400]).flat().map(answerTokens => ({ answerTokens, tookMs: 100 + answerTokens * 20 })))
   stop()
   t.true(admits({ answerTokens: 100 }))
   t.false(admits({ answerTokens: 400 }))
 })
 
 test('a stopping node that knows few answers of a route expects a request to take until its deadline', t => {
-  const { admits, stop } = createGate([{ tookMs: 10 }, { tookMs: 20 }])
+  const { admits, stop } = createGate(Array.from({ length: 20 }, () => ({ tookMs: 20 })))
   stop()
   t.false(admits())
   t.true(admits({ leftMs: stopMs - 100 }))
 })
 
 test('a stopping node takes an at-most-once call only while its whole deadline fits, whatever earlier answers took', async t => {
-  const { clock, admits, stop } = createGate(Array.from({ length: 40 }, () => ({ tookMs: 20 })))
+  const { clock, admits, stop } = createGate(Array.from({ length: 64 }, () => ({ tookMs: 20 })))
   stop()
   t.true(admits({ isAtMostOnce: true, leftMs: stopMs - 100 }))
   t.false(admits({ isAtMostOnce: true, leftMs: stopMs + 100 }))
@@ -51,7 +51,7 @@
 
 // Guards against an estimate by quick answers of long ago, after which streams that can't be finished are taken.
 test('a stopping node refuses a stream that would not end in time at the present pace of the open ones, although earlier ones were quick', async t => {
-  const { clock, gate, admits, stop } = createGate(Array.from({ length: 40 }, () => ({ tookMs: 1_100, answerTokens: 50 })))
+  const { clock, gate, admits, stop } = createGate(Array.from({ length: 64 }, () => ({ tookMs: 1_100, answerTokens: 50 })))
   stop()
   t.true(admits({ answerTokens: 50 }))
   const open = Array.from({ length: 4 }, () => gate.openAttempt('drafts'))
@@ -66,7 +66,7 @@
 })
 
 test('a stopping node expects an answer to take at least as long as an open attempt has waited', async t => {
-  const { clock, gate, admits, stop } = createGate(Array.from({ length: 40 }, () => ({ tookMs: 100 })))
+  const { clock, gate, admits, stop } = createGate(Array.from({ length: 64 }, () => ({ tookMs: 100 })))
   const attempt = gate.openAttempt('drafts')
   stop()
   await clock.advance(2_500)
@@ -88,9 +88,17 @@
 test('a stopping node counts on the longest stream of a route for a request that names no tokens', async t => {
   const { clock, gate, admits, stop } = createGate([])
   const record = (eventCount: number): void => gate.recordAnswer('drafts', { firstByteMs: 100, tookMs: 100 + eventCount * 20, eventCount, answerTokens: undefined })
-  for (const eventCount of [200, ...Array<number>(40).fill(50)]) record(eventCount)
+  for (const eventCount of [200, ...Array<number>(64).fill(50)]) record(eventCount)
   stop()
   await clock.advance(3_100)
   for (let count = 0; count < 8; count += 1) record(50)
   t.false(admits())
 })
+
+// Guards against streams that are cut because a node that started a short time ago has seen only shorter ones.
+test('a stopping node that started a short time ago does not go by the longest of a few answers', async t => {
+  const { clock, admits, stop } = createGate(Array.from({ length: 10 }, (_, index) => ({ tookMs: 600 + index * 200 })))
+  stop()
+  await clock.advance(stopMs - 4_000)
+  t.false(admits())
+})
--- a/test/platform-adapter/planned-stop.test.ts
+++ b/test/platform-adapter/planned-stop.test.ts
@@ -254,7 +254,7 @@
     caller.write(post('stream', id))
     return await caller.nextResponse()
   }
-  await Promise.all(Array.from({ length: 20 }, (_, index) => sendStream(`first-${index}`)))
+  await Promise.all(Array.from({ length: 64 }, (_, index) => sendStream(`first-${index}`)))
   // Each stream takes 2.4 s from now on.
   pauseMs = 60
   const stopped = stop()
