Take a move back only to servers that are proven to run

Cause: after a restore, servers that had stopped because of the completion are registered again in the older copy. A node believed them once 5 s had passed, a constant that stood for three renewals at 1.2 s. An entry is removed three renewal intervals after its last one, so at heartbeat_ms=2000 it may stand for 6 s, and the node took the move back to nothing. No code read the setting.

A server now counts as running only if it answered, or renewed its registration later than 2 s after the restore or the node's start; what is written again at once may be of a stopped one. Only such a server lets a move be taken back. Unreachable servers that don't renew count as gone once registrations have settled, so that requests don't wait for their removal. The times of a replaced version, of restored registrations and of orders for servers follow from heartbeat_ms; at 1,200 ms they are what they were.

The tests of a registration in the copy for 7 and 30 s fail with the rule before (the version with 4 s held). The presence of the old version has three values in the tests where it had two, and what is asserted is the same or more.

--- a/bench/measure/version-moves/play.ts
+++ b/bench/measure/version-moves/play.ts
@@ -3,6 +3,7 @@
 import { toId } from '../../../src/core/ids/index.ts'
 import { createServiceMoves } from '../../../src/core/moves/index.ts'
 import { createMemoryKeyValue } from '../../../src/core/platform/key-value/index.ts'
+import { createRegistrationTimes } from '../../../src/core/registrations/index.ts'
 import { createRandom } from '../../../src/core/random/index.ts'
 import type { BackendId, NodeId, RequestId, VersionId } from '../../../src/core/ids/index.ts'
 import type { Duty } from '../../../src/core/leases/index.ts'
@@ -82,7 +83,9 @@
       orders: () => isOrdered ? [order] : [],
       status: () => status,
       record: ({ revision }) => startedAtMs === undefined ? undefined : { revision, startedAtMs, state: states.at(-1) },
-      hasOldVersion: () => true,
+      oldVersionPresence: () => 'running',
+      areRegistrationsSettled: () => true,
+      registrationTimes: createRegistrationTimes(1_200),
       encode: (_order, state, atMs) => {
         startedAtMs = atMs
         return { compares: [], puts: [{ key: `moves/${service}`, value: state }] }
--- a/src/core/gateway/backend-table-types.ts
+++ b/src/core/gateway/backend-table-types.ts
@@ -7,6 +7,7 @@
 import type { Metrics } from '../metrics/index.ts'
 import type { VersionRole } from '../moves/types.ts'
 import type { SuspectCounts } from '../node-reports/types.ts'
+import type { RegistrationTimes, VersionPresence } from '../registrations/index.ts'
 import type { BackendConnections } from './backend-connections.ts'
 import type { IneligibleReason } from './eligibility.ts'
 import type { BackendEntry } from './types.ts'
@@ -22,6 +23,11 @@
   limits: Pick<BackendLimits, 'hasPermit' | 'recordSkipped' | 'stateOf' | 'endedAtMs' | 'onRefused'>
   /** Random number in [0, 1). */
   random: () => number
+  registrationTimes: RegistrationTimes
+  /** Revision at which this node's copy of the key-value service has a registration; undefined if it has none. */
+  registrationRevision: (backend: BackendId) => number | undefined
+  /** Whether that copy gets the renewals of registrations, too, or only other changes. */
+  seesRenewals: () => boolean
   /** Longest pause that a backend server may ask for. */
   maxPauseMs: number
   /** Called when a backend server is removed from the table. */
@@ -71,8 +77,12 @@
   live: (service: string) => BackendEntry[]
   /** All entries of a service. */
   entries: (service: string) => BackendEntry[]
-  /** Whether a server of a service has another version than this one, and isn't leaving. */
-  hasOtherVersion: (service: string, version: VersionId) => boolean
+  /** What is known of the servers of a service that have another version than this one, without those that are leaving. */
+  otherVersionPresence: (service: string, version: VersionId) => VersionPresence
+  /** Discards what proves that servers run; for the first content of the key-value service, and after each restore. */
+  resetProofs: () => void
+  /** Whether running servers have had the time to register since then, and to prove that they run. */
+  areRegistrationsSettled: () => boolean
   get: (id: BackendId) => KnownBackend | undefined
   list: () => KnownBackend[]
   /** Reports that it could not be reached or stopped responding. */
--- a/src/core/gateway/backend-table.ts
+++ b/src/core/gateway/backend-table.ts
@@ -7,6 +7,7 @@
 import { ineligibleReason, isHeldBack, isLastResort } from './eligibility.ts'
 import { createPeerSuspects, isSuspectedByPeers } from './peer-suspects.ts'
 import { toId } from '../ids/index.ts'
+import { createRegistrationProofs } from '../registrations/index.ts'
 import type { Backend } from '../backends/types.ts'
 import type { BackendId, InstanceId, TeamId, VersionId } from '../ids/index.ts'
 import type { BackendConnections } from './backend-connections.ts'
@@ -14,6 +15,7 @@
 import type { PermitClaim } from '../backend-limits/index.ts'
 import type { VersionRole } from '../moves/types.ts'
 import type { SuspectCounts } from '../node-reports/types.ts'
+import type { VersionPresence } from '../registrations/index.ts'
 import type { BackendEntry } from './types.ts'
 import type { BackendTable, BackendTableOptions, KnownBackend } from './backend-table-types.ts'
 
@@ -35,8 +37,6 @@
 const retrySuspectRatio = 1 / 16
 /** Time after the last sign of life for which this node trusts its own connection more than the suspicions of others. */
 const ownActivityMs = 1_000
-/** Time after a restore of the key-value service within which removed registrations that reappeared expire, unless their backend servers write them again: three of their heartbeats. */
-const restoreConfirmationMs = 4_000
 
 /** Whether a backend server is about to stop, by its registration or by a response. */
 function isLeaving ({ entry, leavingSinceMs }: KnownBackend): boolean {
@@ -48,6 +48,7 @@
   const { clock, log, metrics, limits } = options
   const known = new Map<BackendId, KnownBackend>()
   const departed = createDepartedBackends()
+  const proofs = createRegistrationProofs({ clock, times: options.registrationTimes, revisionOf: options.registrationRevision })
   const peerSuspects = createPeerSuspects({ clock, log, serviceOf: id => known.get(id)?.entry.service })
 
   function toBackend (entry: BackendEntry): Backend {
@@ -110,7 +111,8 @@
       leavingSinceMs: departure?.leavingSinceMs,
       isLeavingHeard: departure?.isLeavingHeard ?? false,
       pausedUntilMs: departure?.pausedUntilMs ?? -Infinity,
-      unconfirmedUntilMs: hasReappeared ? clock.monotonicMs() + restoreConfirmationMs : -Infinity
+      // Within that time it expires, unless its backend server renews it.
+      unconfirmedUntilMs: hasReappeared ? clock.monotonicMs() + options.registrationTimes.expiryMs : -Infinity
     })
   }
 
@@ -118,6 +120,7 @@
     const gone = known.get(id)
     if (gone === undefined) return
     known.delete(id)
+    proofs.remove(id)
     departed.add(gone.entry, { ...gone, wasLeaving: isLeaving(gone) })
     gone.connections.close()
     options.onRemoved(id)
@@ -237,11 +240,24 @@
   function recordActivity (id: BackendId): void {
     const backend = known.get(id)
     if (backend === undefined) return
+    proofs.recordAnswer(id)
     backend.lastActivityAtMs = clock.monotonicMs()
     backend.suspectUntilMs = -Infinity
     backend.consecutiveFailures = 0
   }
 
+  function otherVersionPresence (service: string, version: VersionId): VersionPresence {
+    let presence: VersionPresence = 'absent'
+    for (const candidate of known.values()) {
+      const { entry, isMisdirected, consecutiveFailures } = candidate
+      if (entry.service !== service || entry.version === version || isMisdirected || isLeaving(candidate)) continue
+      if (proofs.isProven(entry.id)) return 'running'
+      // One that runs would renew its registration, even if this node can't reach it.
+      if (consecutiveFailures === 0 || !options.seesRenewals()) presence = 'registered'
+    }
+    return presence
+  }
+
   return {
     put,
     remove,
@@ -251,13 +267,9 @@
       return liveOf(service).filter(({ suspectUntilMs, pausedUntilMs }) => suspectUntilMs <= nowMs && pausedUntilMs <= nowMs).map(({ entry }) => entry)
     },
     entries: service => [...known.values()].filter(({ entry }) => entry.service === service).map(({ entry, leavingSinceMs }) => leavingSinceMs === undefined ? entry : { ...entry, isLeaving: true }),
-    hasOtherVersion: (service, version) => {
-      for (const candidate of known.values()) {
-        const { entry, isMisdirected } = candidate
-        if (entry.service === service && entry.version !== version && !isMisdirected && !isLeaving(candidate)) return true
-      }
-      return false
-    },
+    otherVersionPresence,
+    resetProofs: proofs.reset,
+    areRegistrationsSettled: proofs.isSettled,
     get: id => known.get(id),
     list: () => [...known.values()],
     markSuspect,
--- a/src/core/moves/old-version.ts
+++ b/src/core/moves/old-version.ts
@@ -1,16 +1,15 @@
 /** Observes whether the old version of a service move has backend servers left. */
 import type { Clock } from '../clock/index.ts'
-import type { OrderContinuity } from './order-continuity.ts'
-
-/** Time without a backend server of the old version after which none is expected back: longer than a restart takes. */
-const goneForGoodMs = 10_000
+import type { VersionPresence } from '../registrations/index.ts'
 
 /** Options of `createOldVersion`. */
 export interface OldVersionOptions {
   clock: Clock
-  /** Whether a backend server of the old version is registered and not leaving. */
-  hasServers: () => boolean
-  continuity: Pick<OrderContinuity, 'isSettled' | 'isRestored'>
+  presence: () => VersionPresence
+  /** Whether running backend servers have had the time to register since this node's start or the last restore, and to prove that they run. */
+  areRegistrationsSettled: () => boolean
+  /** Time without a running backend server of the old version after which none is expected back: longer than a restart takes. */
+  goneForGoodMs: number
   /** Called when the old version is found to have no backend server left, or to have one again. */
   onChange: (isGone: boolean) => void
 }
@@ -19,28 +18,28 @@
 export interface OldVersion {
   /** Whether its registrations can be believed; until then it isn't known which version requests fail for. */
   isCertain: () => boolean
-  /** Whether it has backend servers that can take the requests back. After a restore these may have stopped because of a lost result, and only be registered in the copy. */
+  /** Whether a backend server of it runs, to which requests can be taken back. A registration alone may come from an older copy, after its server was stopped because of a result that was lost. */
   canTakeBack: () => boolean
   /** Whether it has no backend server, so that its requests go to the new version. */
   isGone: () => boolean
-  /** Whether that has been so for so long that there is nothing to take the move back to. */
+  /** Whether no backend server of it has run for so long that there is nothing to take the move back to. */
   isGoneForGood: () => boolean
 }
 
 /** Creates the observation; it is up to date whenever one of its functions is called. */
 export function createOldVersion (options: OldVersionOptions): OldVersion {
-  const { clock, continuity } = options
-  let missingSinceMs = Infinity
+  const { clock, areRegistrationsSettled } = options
+  let goneForGoodAtMs = Infinity
   let wasGone = false
 
-  function hasServers (): boolean {
-    const hasAny = options.hasServers()
-    missingSinceMs = hasAny ? Infinity : Math.min(missingSinceMs, clock.monotonicMs())
-    return hasAny
+  function observe (): VersionPresence {
+    const presence = options.presence()
+    goneForGoodAtMs = presence === 'running' ? Infinity : Math.min(goneForGoodAtMs, clock.monotonicMs() + options.goneForGoodMs)
+    return presence
   }
 
   function isGone (): boolean {
-    const isGoneNow = !hasServers() && continuity.isSettled()
+    const isGoneNow = observe() === 'absent' && areRegistrationsSettled()
     if (isGoneNow !== wasGone) {
       wasGone = isGoneNow
       options.onChange(isGoneNow)
@@ -49,13 +48,14 @@
   }
 
   function canTakeBack (): boolean {
-    return hasServers() && (!continuity.isRestored() || continuity.isSettled())
+    return observe() === 'running'
   }
 
+  observe()
   return {
-    isCertain: () => continuity.isSettled() || canTakeBack(),
+    isCertain: () => areRegistrationsSettled() || canTakeBack(),
     canTakeBack,
     isGone,
-    isGoneForGood: () => isGone() && clock.monotonicMs() >= missingSinceMs + goneForGoodMs
+    isGoneForGood: () => isGone() && clock.monotonicMs() >= goneForGoodAtMs
   }
 }
--- a/src/core/moves/order-continuity.ts
+++ b/src/core/moves/order-continuity.ts
@@ -9,8 +9,6 @@
 
 /** Time after a restore within which operators write again what they had written. */
 const rewriteGraceMs = 30_000
-/** Time after a restore or a start within which registrations that were missing come back, and others expire: three heartbeats and a margin. */
-const settleMs = 5_000
 
 /** What identifies an order over restores. */
 export type OrderIdentity = Pick<ServiceMoveOrder, 'target' | 'durationMs' | 'revision'>
@@ -25,12 +23,8 @@
   readonly current: ServiceMoveOrder
   /** Takes an order over as the current one if it is the same; returns whether it is. */
   follow: (order: ServiceMoveOrder) => boolean
-  /** Whether registrations have settled since this process first saw the order, and since the last restore that it knows of. */
-  isSettled: () => boolean
   /** Whether a record at this revision must be written again: later orders with the same target and time would pass for this one, though operators have had the time to write theirs again. */
   isOutdated: (recordedRevision: number | undefined) => boolean
-  /** Whether the key-value service was restored since the order was recorded, so that a result may have been lost. */
-  isRestored: () => boolean
 }
 
 /** Begins to follow an order; `recordedRevision` is its revision in the record of its move, if there is one. */
@@ -38,7 +32,6 @@
   let current = order
   /** The latest revision at which the operator is known to have written the order. */
   let writtenRevision = recordedRevision
-  let isRestored = eraOf(recordedRevision) < eraOf(order.revision)
   let learnedAtMs = clock.monotonicMs()
 
   /** Whether the order is written again although the copy contained it, too. */
@@ -50,10 +43,7 @@
     if (next.revision === current.revision) return true
     const isLaterEra = isSameAfterRestore(current, next)
     if (!isLaterEra && !isWrittenOverCopy(next)) return false
-    if (isLaterEra) {
-      isRestored = true
-      learnedAtMs = clock.monotonicMs()
-    }
+    if (isLaterEra) learnedAtMs = clock.monotonicMs()
     if (revisionInEra(next.revision) !== revisionInEra(current.revision)) writtenRevision = next.revision
     current = next
     return true
@@ -62,8 +52,6 @@
   return {
     get current () { return current },
     follow,
-    isSettled: () => clock.monotonicMs() >= learnedAtMs + settleMs,
-    isOutdated: recorded => recorded !== undefined && recorded !== current.revision && clock.monotonicMs() >= learnedAtMs + rewriteGraceMs,
-    isRestored: () => isRestored
+    isOutdated: recorded => recorded !== undefined && recorded !== current.revision && clock.monotonicMs() >= learnedAtMs + rewriteGraceMs
   }
 }
--- a/src/core/moves/service-move-types.ts
+++ b/src/core/moves/service-move-types.ts
@@ -4,6 +4,7 @@
 import type { Duty } from '../leases/index.ts'
 import type { Log } from '../log/index.ts'
 import type { KeyValueStore, Transaction } from '../platform/key-value/types.ts'
+import type { RegistrationTimes, VersionPresence } from '../registrations/index.ts'
 import type { PackedCounts } from './attempt-counts.ts'
 import type { AttemptObservation } from './attempt-observation.ts'
 import type { LatencyObservation } from './canary-analysis.ts'
@@ -59,8 +60,11 @@
   status: (service: string) => ServiceMoveStatus | undefined
   /** The record of an order's move, also if it is from before a restore of the key-value service. */
   record: (order: ServiceMoveOrder) => ServiceMoveRecord | undefined
-  /** Whether a backend server of another version than the target is registered and not leaving. */
-  hasOldVersion: (order: ServiceMoveOrder) => boolean
+  /** What is known of the backend servers of other versions than the target. */
+  oldVersionPresence: (order: ServiceMoveOrder) => VersionPresence
+  /** Whether running backend servers have had the time to register since this node's start or the last restore, and to prove that they run. */
+  areRegistrationsSettled: () => boolean
+  registrationTimes: RegistrationTimes
   /** The writes for a state and the compares that they require, in addition to the duty's guard. */
   encode: (order: ServiceMoveOrder, state: ServiceMoveState, startedAtMs: number) => Pick<Transaction, 'compares' | 'puts'>
   /** Number of routes to a service, and number of serving nodes. */
--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -34,8 +34,8 @@
 const maxMarginMs = 4_000
 /** Interval between two reports of counts; those in between only tell whether the version is bad. */
 const countsIntervalMs = 600
-/** Time after a move within which the old version's backend servers are stopped and their registrations expire: three heartbeats. */
-const replacedMs = 4_000
+/** Time without a running backend server of the old version after which none is expected back, as a multiple of the time in which registrations settle. */
+const goneForGoodRatio = 2
 /** Longest time for one write. */
 const callTimeoutMs = 1_200
 
@@ -101,8 +101,9 @@
     const continuity = createOrderContinuity(clock, order, options.record(order)?.revision)
     const oldVersion = createOldVersion({
       clock,
-      hasServers: () => options.hasOldVersion(order),
-      continuity,
+      presence: () => options.oldVersionPresence(order),
+      areRegistrationsSettled: options.areRegistrationsSettled,
+      goneForGoodMs: goneForGoodRatio * options.registrationTimes.settleMs,
       onChange: isGone => log('serviceMoveOldVersion', { service: order.service, target: order.target, isGone })
     })
     return {
@@ -242,7 +243,8 @@
       const move = currentMove(service)
       if (move === undefined) return () => 'serving'
       if (stateOf(move) !== 'done') return version => version === move.order.target ? 'evaluated' : 'serving'
-      const isReplacing = clock.monotonicMs() < move.resultAtMs + replacedMs
+      // Until then, its backend servers are stopped and their registrations expire.
+      const isReplacing = clock.monotonicMs() < move.resultAtMs + options.registrationTimes.expiryMs
       return version => isReplacing && version !== move.order.target ? 'replaced' : 'serving'
     },
     canaryShareOf: service => {
--- a/src/core/store-view/index.ts
+++ b/src/core/store-view/index.ts
@@ -279,6 +279,7 @@
     applyDelta,
     onChanges: listener => { listeners.push(listener) },
     onRestored: listener => { restoreListeners.push(listener) },
+    isWatching: () => isWatching,
     start: () => {
       run()
       return firstContent
--- a/src/core/store-view/types.ts
+++ b/src/core/store-view/types.ts
@@ -61,6 +61,8 @@
   onChanges: (listener: (changes: readonly ViewChange[]) => void) => void
   /** Adds a listener that is called after the service was restored from an older copy, also if that changed nothing in the view. */
   onRestored: (listener: () => void) => void
+  /** Whether this node watches the service itself, and so gets all changes, not only those that other nodes pass on. */
+  isWatching: () => boolean
   /** Starts to keep the view up to date; resolves when the first content is available. */
   start: () => Promise<void>
   close: () => void
--- a/test/gateway/backend-table.test.ts
+++ b/test/gateway/backend-table.test.ts
@@ -6,6 +6,7 @@
 import { createSilentLog } from '../../src/core/log/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { createActivityTotals } from '../../src/core/node-reports/index.ts'
+import { createRegistrationTimes } from '../../src/core/registrations/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
 import type { ManualClock } from '../../src/core/clock/index.ts'
 import type { BackendTableOptions } from '../../src/core/gateway/backend-table.ts'
@@ -13,12 +14,13 @@
 import type { BackendId, DomainId, NodeId, VersionId } from '../../src/core/ids/index.ts'
 
 const service = 'engines'
+const registrationTimes = createRegistrationTimes(1_200)
 const noLimits: BackendTableOptions['limits'] = { hasPermit: () => true, recordSkipped: () => {}, stateOf: () => undefined, endedAtMs: () => -Infinity, onRefused: () => 0 }
 const peer = toId<NodeId>('peer')
 const idOf = (index: number) => toId<BackendId>(`engine-${index}`)
 
 function createTable (clock: ManualClock, backendCount: number, random = () => 0.5, changes: Partial<BackendTableOptions> = {}): BackendTable {
-  const table = createBackendTable({ clock, log: createSilentLog(), metrics: createMetrics(), limits: noLimits, random, versionRolesOf: () => () => 'serving', maxPauseMs: 30_000, onRemoved: () => {}, ...changes })
+  const table = createBackendTable({ clock, log: createSilentLog(), metrics: createMetrics(), limits: noLimits, random, versionRolesOf: () => () => 'serving', maxPauseMs: 30_000, onRemoved: () => {}, registrationTimes, registrationRevision: () => undefined, seesRenewals: () => true, ...changes })
   for (let index = 0; index < backendCount; index += 1) {
     table.put(entryOf(index))
   }
@@ -247,13 +249,14 @@
   const table = createTable(createManualClock(), 3)
   const [old, target] = [toId<VersionId>('v1'), toId<VersionId>('v2')]
   table.put(entryOf(3, { version: target }))
-  t.true(table.hasOtherVersion(service, target))
+  for (const index of [0, 1, 2, 3]) table.recordActivity(idOf(index))
+  t.is(table.otherVersionPresence(service, target), 'running')
   table.put(entryOf(0, { isLeaving: true }))
   table.markMisdirected(idOf(1))
-  t.true(table.hasOtherVersion(service, target))
+  t.is(table.otherVersionPresence(service, target), 'running')
   table.remove(idOf(2), 'test')
-  t.false(table.hasOtherVersion(service, target))
-  t.true(table.hasOtherVersion(service, old))
+  t.is(table.otherVersionPresence(service, target), 'absent')
+  t.is(table.otherVersionPresence(service, old), 'running')
 })
 
 test('a replaced backend server gets requests only while it has a permit and no other takes requests again soon', t => {
@@ -270,3 +273,65 @@
   permits.clear()
   t.deepEqual(usableIds(table), [])
 })
+
+/** A table with one backend server of an old version, as its registration in the key-value service changes. */
+function createRegistered (renewalMs: number, changes: Partial<BackendTableOptions> = {}) {
+  const clock = createManualClock()
+  const registration = { revision: 10 }
+  const times = createRegistrationTimes(renewalMs)
+  const table = createTable(clock, 1, () => 0.5, { registrationTimes: times, registrationRevision: () => registration.revision, ...changes })
+  table.resetProofs()
+  return { clock, registration, table, times, presence: () => table.otherVersionPresence(service, toId<VersionId>('v2')) }
+}
+
+// Guards against a decision for good that rests on the registration of a stopped server, which came back with an older copy.
+test('a registration proves that its server runs once it is renewed after a restore, or the server answers', async t => {
+  for (const renewalMs of [500, 1_200, 5_000]) {
+    const { clock, registration, table, times, presence } = createRegistered(renewalMs)
+    t.is(presence(), 'registered')
+    registration.revision += 1
+    t.is(presence(), 'registered', 'what was lost is written again, also for stopped servers')
+    await clock.advance(2_000)
+    t.is(presence(), 'registered')
+    registration.revision += 1
+    t.is(presence(), 'running')
+    await clock.advance(60_000)
+    t.is(presence(), 'running')
+    table.resetProofs()
+    t.is(presence(), 'registered', 'another restore')
+    t.false(table.areRegistrationsSettled())
+    table.recordActivity(idOf(0))
+    t.is(presence(), 'running')
+    await clock.advance(times.settleMs)
+    t.true(table.areRegistrationsSettled())
+  }
+})
+
+test('an unreachable server whose registration is never renewed does not count as present', async t => {
+  const { clock, table, presence } = createRegistered(2_000)
+  await clock.advance(6_000)
+  t.is(presence(), 'registered')
+  table.markSuspect(idOf(0), 'refused')
+  t.is(presence(), 'absent')
+})
+
+test('an unreachable server counts as present if it renews its registration, or this node does not see renewals', async t => {
+  const renewing = createRegistered(2_000)
+  renewing.table.markSuspect(idOf(0), 'refused')
+  await renewing.clock.advance(2_000)
+  renewing.presence()
+  renewing.registration.revision += 1
+  t.is(renewing.presence(), 'running')
+  const unseen = createRegistered(2_000, { seesRenewals: () => false })
+  unseen.table.markSuspect(idOf(0), 'refused')
+  await unseen.clock.advance(20_000)
+  t.is(unseen.presence(), 'registered')
+})
+
+test('another start of a server under the same id has to prove that it runs', t => {
+  const { table, presence } = createRegistered(1_200)
+  table.recordActivity(idOf(0))
+  t.is(presence(), 'running')
+  table.put(entryOf(0, { startedAtMs: 2_000 }))
+  t.is(presence(), 'registered')
+})
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -8,6 +8,7 @@
 import { createQuarantine } from '../../src/core/quarantine/index.ts'
 import { createQuotas } from '../../src/core/quota/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
+import { createRegistrationTimes } from '../../src/core/registrations/index.ts'
 import { createPromptHasher, createRouter } from '../../src/core/routing/index.ts'
 import { formatResponse, startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 import type { AddressInfo } from 'node:net'
@@ -146,7 +147,7 @@
     getsAllReports: () => true,
     backendOf: id => backends.get(id)?.entry
   })
-  const backends = createBackendTable({ clock, log, metrics, limits, random: () => 0.5, versionRolesOf: () => version => version === state.replacedVersion ? 'replaced' : 'serving', maxPauseMs: 30_000, onRemoved: router.removeBackend })
+  const backends = createBackendTable({ clock, log, metrics, limits, random: () => 0.5, versionRolesOf: () => version => version === state.replacedVersion ? 'replaced' : 'serving', maxPauseMs: 30_000, onRemoved: router.removeBackend, registrationTimes: createRegistrationTimes(1_200), registrationRevision: () => undefined, seesRenewals: () => true })
   const table = createRouteTable({ ...configuration, ...changes })
   const state = { isDraining: false, table: table as typeof table | undefined, replacedVersion: undefined as string | undefined, failingStep: undefined as FailingStep | undefined }
   const failAt = (step: FailingStep): void => { if (state.failingStep === step) throw new Error(`failed at ${step}`) }
--- a/test/moves/service-moves.test.ts
+++ b/test/moves/service-moves.test.ts
@@ -7,10 +7,13 @@
 import { isSameAfterRestore } from '../../src/core/moves/order-continuity.ts'
 import { createServiceMoves } from '../../src/core/moves/service-moves.ts'
 import { createMemoryKeyValue, createRevision } from '../../src/core/platform/key-value/index.ts'
+import { createRegistrationTimes } from '../../src/core/registrations/index.ts'
 import type { BackendId, NodeId, RequestId } from '../../src/core/ids/index.ts'
 import type { Duty } from '../../src/core/leases/index.ts'
+import type { VersionPresence } from '../../src/core/registrations/index.ts'
 import type { ServiceMoveOrder, ServiceMoveRecord, ServiceMoves, ServiceMovesOptions, ServiceMoveState, ServiceMoveStatus } from '../../src/core/moves/service-moves.ts'
 
+const registrationTimes = createRegistrationTimes(1_200)
 const usual = { nodes: 8, requestsPerSecond: 60, durationMs: 16_000 }
 
 test('a good version takes over in time, and gets no more than its share until then', async t => {
@@ -85,7 +88,9 @@
     duty,
     status: () => undefined,
     record: () => undefined,
-    hasOldVersion: () => true,
+    oldVersionPresence: () => 'running',
+    areRegistrationsSettled: () => true,
+    registrationTimes,
     encode: (_order, state) => ({ compares: [], puts: [{ key: `moves/${service}`, value: state }] }),
     routes: () => 1,
     nodes: () => 1,
@@ -173,7 +178,8 @@
   const kv = createMemoryKeyValue({ clock })
   const orders = [{ ...order, revision: createRevision(2, 70) }]
   const written: ServiceMoveState[] = []
-  const servers = { hasOld: false, answersOld: true }
+  const servers = { old: 'absent' as VersionPresence, answersOld: true }
+  const settledAtMs = clock.monotonicMs() + registrationTimes.settleMs
   let stored = record
   const moves = createTestMoves({
     clock,
@@ -181,7 +187,8 @@
     orders: () => orders,
     record: latest => stored !== undefined && (stored.revision === latest.revision || isSameAfterRestore({ ...latest, revision: stored.revision }, latest)) ? stored : undefined,
     status: () => written.length === 0 ? status : { state: written.at(-1)!, target, revision: createRevision(2, 70 + written.length) },
-    hasOldVersion: () => servers.hasOld,
+    oldVersionPresence: () => servers.old,
+    areRegistrationsSettled: () => clock.monotonicMs() >= settledAtMs,
     encode: ({ revision }, state, startedAtMs) => {
       written.push(state)
       stored = { revision, startedAtMs, state }
@@ -220,18 +227,21 @@
   }
 })
 
-test('does not take a move back to servers that are only registered in the older copy', async t => {
-  const { servers, written, serve } = createRestarted(lostResult)
-  servers.hasOld = true
-  await serve(4_000, () => true)
-  servers.hasOld = false
-  await serve(30_000, () => true)
-  t.deepEqual(written, ['running', 'done'])
-})
+// Guards against a move that is taken back to stopped servers, however late their registrations in the older copy expire.
+for (const registeredForMs of [4_000, 7_000, 30_000]) {
+  test(`does not take a move back to servers that are only registered in the older copy for ${registeredForMs} ms`, async t => {
+    const { servers, written, serve } = createRestarted(lostResult)
+    Object.assign(servers, { old: 'registered', answersOld: false })
+    await serve(registeredForMs, () => true)
+    servers.old = 'absent'
+    await serve(30_000, () => true)
+    t.deepEqual(written, ['running', 'done'])
+  })
+}
 
 test('takes a move back after its deadline if the old version still has servers after a restore', async t => {
   const { servers, written, serve } = createRestarted(lostResult)
-  servers.hasOld = true
+  servers.old = 'running'
   const sent = await serve(10_000, () => true)
   t.is(sent.toNew, 0)
   t.is(written.at(-1), 'taken-back')
@@ -243,7 +253,7 @@
   t.true(sent.toNew < 50, String(sent.toNew))
   t.is(moves.canaryShareOf(service), 0)
   t.deepEqual(written, ['running'])
-  servers.hasOld = true
+  servers.old = 'running'
   await moves.reconcile()
   t.deepEqual(written, ['running', 'taken-back'])
 })
@@ -254,9 +264,9 @@
     let count = 0
     const isOk = () => (count += 1) % 7 > 0
     // First the servers of the copy, which don't answer.
-    Object.assign(servers, { hasOld: true, answersOld: false })
+    Object.assign(servers, { old: 'registered', answersOld: false })
     await serve(4_000, isOk, 10)
-    servers.hasOld = false
+    servers.old = 'absent'
     await serve(2_000, isOk, 10)
     const later = await serve(30_000, isOk, 10)
     t.is(later.toOld, 0)
@@ -268,13 +278,13 @@
   const { moves, servers, serve } = createRestarted(undefined)
   await serve(6_000, () => true)
   t.is(moves.canaryShareOf(service), 1)
-  servers.hasOld = true
+  servers.old = 'running'
   t.true(moves.canaryShareOf(service) <= maxShare)
 })
 
 test('a recorded result holds for an order that is written again after it, in the copy and over it', async t => {
   const { clock, moves, orders, servers, written } = createRestarted({ ...lostResult, startedAtMs: createManualClock().wallMs(), state: 'taken-back' })
-  servers.hasOld = true
+  servers.old = 'running'
   t.is(moves.canaryShareOf(service), 0)
   await moves.reconcile()
   // The copy had the order, and the operator writes it once more.
@@ -290,7 +300,7 @@
 
 test('an order that only the copy has is recorded anew, so that the same order later is a new one', async t => {
   const { clock, moves, orders, servers, written } = createRestarted({ ...lostResult, state: 'taken-back' }, { state: 'taken-back', target, revision: createRevision(2, 75) })
-  servers.hasOld = true
+  servers.old = 'running'
   await moves.reconcile()
   t.deepEqual(written, [], 'the operator may still write the order again')
   await clock.advance(60_000)
--- a/test/platform-adapter/rollouts.test.ts
+++ b/test/platform-adapter/rollouts.test.ts
@@ -4,6 +4,7 @@
 import { createManualClock } from '../../src/core/clock/index.ts'
 import { createSilentLog } from '../../src/core/log/index.ts'
 import { createMemoryKeyValue, createRevision } from '../../src/core/platform/key-value/index.ts'
+import { createRegistrationTimes } from '../../src/core/registrations/index.ts'
 import type { RolloutsOptions } from '../../platform/rollouts.ts'
 
 const service = 'ledger'
@@ -11,6 +12,8 @@
 /** The moves of a node that was started after a restore, with the order that the operator wrote again and a record from before. */
 function setUp (durationMs: number) {
   const clock = createManualClock()
+  const registrationTimes = createRegistrationTimes(1_200)
+  const settledAtMs = clock.monotonicMs() + registrationTimes.settleMs
   const entries = new Map([
     [`op/rollout/${service}`, { value: JSON.stringify({ service, target: 'v2', duration_s: 12 }), modRevision: createRevision(2, 80) }],
     [`cyclamenshunt/moves/${service}`, { value: JSON.stringify({ revision: createRevision(1, 50), startedAtMs: clock.wallMs(), target: 'v2', durationMs, state: 'taken-back' }), modRevision: createRevision(2, 52) }]
@@ -26,7 +29,8 @@
       onChanges: () => {},
       lastUpdateAtMs: () => clock.monotonicMs()
     },
-    backends: { hasOtherVersion: (_service: string, version: string) => version !== 'v2' },
+    backends: { otherVersionPresence: (_service: string, version: string) => version === 'v2' ? 'absent' : 'running', areRegistrationsSettled: () => clock.monotonicMs() >= settledAtMs },
+    registrationTimes,
     routeTable: () => undefined,
     nodeCount: () => 1
   }
