Answer a watch of the test store with all changes since its revision

The stand-in of the platform's store answered each long poll with one revision, and nodes poll five times a second. The platform's page has a watch return the events that exist; so does the stand-in now.

--- a/test/platform-adapter/platform-stand-in.ts
+++ b/test/platform-adapter/platform-stand-in.ts
@@ -48,11 +48,16 @@
 
   async function watch (prefix: string, after: number, waitMs: number): Promise<{ status: number, body: object }> {
     if (fault === 'no-history' || after > memory.state.revision()) return { status: 410, body: {} }
+    const gathered: KeyValueChange[] = []
     return await new Promise(resolve => {
       const opened = client.watch(prefix, after, {
         onChanges: (changes, revision) => {
-          opened.close()
-          resolve({ status: 200, body: { events: changes.map(toEvent), store_revision: revision } })
+          gathered.push(...changes)
+          // The memory store reports each revision by itself; the platform's answers have all that there are.
+          setImmediate(() => {
+            opened.close()
+            resolve({ status: 200, body: { events: gathered.map(toEvent), store_revision: Math.max(revision, ...gathered.map(({ modRevision }) => modRevision)) } })
+          })
         },
         onLost: () => resolve({ status: 410, body: {} })
       })
@@ -151,6 +156,7 @@
     put: async (key: string, value: unknown) => {
       await client.transact({ compares: [], puts: [{ key, value: typeof value === 'string' ? value : JSON.stringify(value) }], deletes: [] }, longDeadline())
     },
+    get: async (key: string): Promise<string | undefined> => (await client.get(key, longDeadline())).unwrapOr(undefined)?.entry?.value,
     remove: async (key: string) => {
       await client.transact({ compares: [], puts: [], deletes: [key] }, longDeadline())
     },
