Read what has arrived before a request times out or its server is suspected

Its backend server was suspected for a silence that was the node's own.

Cause: after a stall of the event loop, expired timers run before sockets are read. The deadline of a request, and the timer that suspects a silent server, then decided without the bytes that had arrived during the stall.

Evidence: with a stall of 700 ms after a server has begun its answer, and a deadline of 500 ms, the caller got 504 'deadline-past' and the log had backendSuspected, 'no byte was received since a request was sent', each time (2 of 2). With the fix: 200, the event, and a broken end; no suspicion. The new test fails before. Both timers now decide after one turn of the loop has read the sockets.

Ruled out: the end of a stop doesn't decide this way; a stream whose head arrived in a stall across it got its 200 without a change (2 of 2).

--- a/src/core/clock/index.ts
+++ b/src/core/clock/index.ts
@@ -2,6 +2,8 @@
 import { performance } from 'node:perf_hooks'
 import { setTimeout as delay } from 'node:timers/promises'
 
+export { startTimerAfterReads } from './timer-after-reads.ts'
+
 /** Wall clock, monotonic clock and timer of a process. */
 export interface Clock {
   /** Wall time in milliseconds since the epoch; may jump. For deadlines that are sent to other processes. */
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -2,6 +2,7 @@
  * Handles one caller's request: applies quotas and admission control, and makes
  * attempts until the outcome is known.
  */
+import { startTimerAfterReads } from '../clock/index.ts'
 import { toId } from '../ids/index.ts'
 import { startAttempt } from './attempt.ts'
 import { isAttemptOk } from './attempt-outcome.ts'
@@ -124,7 +125,7 @@
       const retryInMs = Math.max(0, (retryAtMs ?? 0) - clock.wallMs())
       return refuse(response, { status: 503, reason, detail, retryInMs }, requestLogFields(active, clock))
     }
-    const timer = setTimeout(() => {
+    const stopTimer = startTimerAfterReads(() => {
       active.isTimedOut = true
       active.ended.abort()
       active.attempt?.abort()
@@ -134,7 +135,7 @@
     } catch (error) {
       endFailedRequest(error, active, active)
     } finally {
-      clearTimeout(timer)
+      stopTimer()
       permit.value.release(response.writableFinished ? 'done' : 'failed')
       quarantineGate.onEnded(active)
     }
@@ -249,7 +250,7 @@
     })
     active.attempt = attempt
     const openAttempt = options.stopGate.openAttempt(route.name)
-    const responseTimer = setTimeout(() => {
+    const stopResponseTimer = startTimerAfterReads(() => {
       if (known.lastActivityAtMs < sentAtMs) backends.markSuspect(choice.backend.id, 'no byte was received since a request was sent')
     }, baseResponseTimeoutMs + expectedWaitFactor * choice.expectedFirstTokenMs)
     try {
@@ -275,7 +276,7 @@
       router.onAttemptEnded(attemptId, { ok: false, attributedToBackend: false })
       throw error
     } finally {
-      clearTimeout(responseTimer)
+      stopResponseTimer()
       openAttempt.end()
     }
   }
--- a/test/gateway/unframed-streams.test.ts
+++ b/test/gateway/unframed-streams.test.ts
@@ -95,6 +95,19 @@
   for (const call of Object.values(callers)) t.like(await call(deployment, '/once/', 'r-1'), { status: 200, body: event(1), broken: true })
 })
 
+// Guards against a 504 for a stream that began in time, on a node that was short of processor time at the deadline.
+test('a deadline takes an answer into account that arrived while the node was stalled, and its server is not suspected', async t => {
+  const routes = configuration.routes.map(route => ({ ...route, timeoutMs: 500 }))
+  const stallAfterBegin: RawRequestHandler = (request, socket) => {
+    beginOnly(request, socket)
+    const untilMs = performance.now() + 700
+    while (performance.now() < untilMs);
+  }
+  const { call, events } = await startGateway(t, [stallAfterBegin], { routes })
+  t.like(await call('/once/', 'r-1'), { status: 200, body: event(1), broken: true })
+  t.false(events.some(({ event: name }) => name === 'backendSuspected'))
+})
+
 test('a stream without a length whose connection is closed in the regular way before its end does not look complete', async t => {
   const { call, ingress, events } = await startGateway(t, [beginOnly])
   const pending = call('/once/', 'r-1')
