--- a/test/platform-adapter/fleet-start.test.ts
+++ b/test/platform-adapter/fleet-start.test.ts
@@ -5,6 +5,7 @@
 import { createSilentLog } from '../../src/core/log/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { createMemoryKeyValue } from '../../src/core/platform/key-value/index.ts'
+import { createRegistrationTimes } from '../../src/core/registrations/index.ts'
 import { startPlatform } from './platform-stand-in.ts'
 import type { PlatformDutiesOptions } from '../../platform/duties.ts'
 
@@ -31,6 +32,7 @@
     store: createMemoryKeyValue({ clock }).connect('node-a'),
     view: { get: () => undefined, list: () => [], onChanges: () => {}, lastUpdateAtMs: () => clock.monotonicMs(), reachableSinceMs: () => state.reachableSinceMs },
     backends: { entries: () => state.domains.map(domain => ({ domain, version: 'v1', isReclaimable: false, isLeaving: false })) },
+    registrationTimes: createRegistrationTimes(1_200),
     quotas: { lowLevels: () => undefined },
     quarantine: { records: () => [] },
     routeTable: () => ({ configuration: { routes: [], services: [{ name: service, scaling }] } }),
