Leave time for the last answers of a stop after a stall

Callers saw: a request that was open at the end of a planned stop got no answer on its connection, though its 504 was due.

Cause: open requests are ended when the time of the stop is over, and 250 ms are kept to write their answers. A node without processor time at that moment came late, found the 250 ms over as well, and closed the connections at once.

The new test fails before. The 250 ms now count from the end of the requests. The own interface waited the same way and is changed alike, without a test of its own.

--- a/src/core/gateway/ingress.ts
+++ b/src/core/gateway/ingress.ts
@@ -116,7 +116,8 @@
     await connections.stopListening()
     await connections.whenAnswered(endsAtMs)
     endRequests()
-    await connections.whenAnswered(endsAtMs + lastAnswersMs)
+    // After a stall, that time may have passed before an answer could be written.
+    await connections.whenAnswered(Math.max(endsAtMs, clock.monotonicMs()) + lastAnswersMs)
     connections.close()
   }
 
--- a/src/core/http/index.ts
+++ b/src/core/http/index.ts
@@ -58,7 +58,8 @@
     await connections.stopListening()
     await connections.whenAnswered(deadlineAtMs - answerReserveMs)
     stopAnswers.answerAll()
-    await connections.whenAnswered(deadlineAtMs)
+    // After a stall, that time may have passed before an answer could be written.
+    await connections.whenAnswered(Math.max(deadlineAtMs, options.clock.monotonicMs() + answerReserveMs))
     connections.close()
   }
 
--- a/test/platform-adapter/planned-stop.test.ts
+++ b/test/platform-adapter/planned-stop.test.ts
@@ -191,6 +191,22 @@
   t.like(ends('r-unfinished'), { length: 1, 0: { event: 'gatewayRefused', reason: 'draining' } })
 })
 
+// Guards against connections that a node closes without an answer, because it was short of processor time at the end of its stop.
+test('requests that are open at the end of a stop get their answers although the node was stalled then', async t => {
+  const { port, stop, requestsOf } = await startStoppableNode(t, { stream: streamUntil(() => false), silent: () => {} })
+  const [stream, silent] = await Promise.all([0, 1].map(() => connectCaller(port)))
+  stream!.write(post('stream', 'r-stream'))
+  silent!.write(post('silent', 'r-silent'))
+  while (requestsOf('stream').length + requestsOf('silent').length < 2) await clock.sleep(10)
+  setTimeout(() => {
+    const untilMs = performance.now() + 600
+    while (performance.now() < untilMs);
+  }, graceMs - 700)
+  await stop()
+  t.like(await stream!.nextResponse(), { status: 200, isComplete: false })
+  t.like(await silent!.nextResponse(), { status: 504, isComplete: true })
+})
+
 test('an idle kept connection stays open during a stop until its next answer, which says that it closes', async t => {
   const { port, stop } = await startStoppableNode(t, { calls: respondOk })
   await sendCalls(port)
