--- a/src/core/moves/old-version.ts
+++ b/src/core/moves/old-version.ts
@@ -10,8 +10,8 @@
   areRegistrationsSettled: () => boolean
   /** Time without a running backend server of the old version after which none is expected back: longer than a restart takes. */
   goneForGoodMs: number
-  /** Called when the old version is found to have no backend server left, or to have one again. */
-  onChange: (isGone: boolean) => void
+  /** Called when what is known of its backend servers has changed. */
+  onChange: (presence: VersionPresence, isGone: boolean) => void
 }
 
 /** The old version of one move, as one node sees it. */
@@ -30,21 +30,22 @@
 export function createOldVersion (options: OldVersionOptions): OldVersion {
   const { clock, areRegistrationsSettled } = options
   let goneForGoodAtMs = Infinity
+  let knownPresence: VersionPresence = 'running'
   let wasGone = false
 
   function observe (): VersionPresence {
     const presence = options.presence()
     goneForGoodAtMs = presence === 'running' ? Infinity : Math.min(goneForGoodAtMs, clock.monotonicMs() + options.goneForGoodMs)
+    const isGoneNow = presence === 'absent' && areRegistrationsSettled()
+    if (presence !== knownPresence || isGoneNow !== wasGone) options.onChange(presence, isGoneNow)
+    knownPresence = presence
+    wasGone = isGoneNow
     return presence
   }
 
   function isGone (): boolean {
-    const isGoneNow = observe() === 'absent' && areRegistrationsSettled()
-    if (isGoneNow !== wasGone) {
-      wasGone = isGoneNow
-      options.onChange(isGoneNow)
-    }
-    return isGoneNow
+    observe()
+    return wasGone
   }
 
   function canTakeBack (): boolean {
--- a/src/core/moves/service-move-types.ts
+++ b/src/core/moves/service-move-types.ts
@@ -22,6 +22,9 @@
 /** State of a move as shown to operators. */
 export type ServiceMoveState = 'running' | 'done' | 'taken-back'
 
+/** Why a state is written; `lost` if the key-value service has lost a result that this node knows. */
+export type StateCause = 'ordered' | 'bad-version' | 'deadline-past' | 'shown-good' | 'old-version-gone' | 'lost'
+
 /** The last written state of a move. */
 export interface ServiceMoveStatus {
   state: ServiceMoveState
--- a/src/core/moves/service-moves.ts
+++ b/src/core/moves/service-moves.ts
@@ -18,7 +18,7 @@
 import type { PromotionResult } from './promotion.ts'
 import type { ServiceHistory } from './service-history.ts'
 import type { RegressionEvidence, MoveRecord } from './types.ts'
-import type { ServiceMoveOrder, ServiceMoves, ServiceMovesOptions, ServiceMoveState } from './service-move-types.ts'
+import type { ServiceMoveOrder, ServiceMoves, ServiceMovesOptions, ServiceMoveState, StateCause } from './service-move-types.ts'
 
 export type * from './service-move-types.ts'
 
@@ -104,7 +104,7 @@
       presence: () => options.oldVersionPresence(order),
       areRegistrationsSettled: options.areRegistrationsSettled,
       goneForGoodMs: goneForGoodRatio * options.registrationTimes.settleMs,
-      onChange: isGone => log('serviceMoveOldVersion', { service: order.service, target: order.target, isGone })
+      onChange: (presence, isGone) => log('serviceMoveOldVersion', { service: order.service, target: order.target, presence, isGone })
     })
     return {
       get order () { return continuity.current },
@@ -198,29 +198,29 @@
     return clock.wallMs() < startOf(move) + move.order.durationMs
   }
 
-  async function write (move: RunningMove, state: ServiceMoveState): Promise<void> {
+  async function write (move: RunningMove, state: ServiceMoveState, cause: StateCause): Promise<void> {
     const guard = duty.guard()
     if (guard === undefined) return
     const { compares, puts } = options.encode(move.order, state, startOf(move))
     const written = await store.transact({ compares: [guard, ...compares], puts, deletes: [] }, { deadlineAtMs: clock.wallMs() + callTimeoutMs })
     const result = written.isErr ? written.error.kind : written.value.applied ? 'written' : 'overtaken'
     if (written.isOk && written.value.applied && state !== 'running') setResult(move, state)
-    log('serviceMoveState', { service: move.order.service, target: move.order.target, state, result, attempts: move.analysis.canaryAttempts(), isDoubtful: move.analysis.isDoubtful(), ...move.analysis.totals() })
+    log('serviceMoveState', { service: move.order.service, target: move.order.target, state, cause, result, attempts: move.analysis.canaryAttempts(), isDoubtful: move.analysis.isDoubtful(), ...move.analysis.totals() })
   }
 
   async function reconcileMove (move: RunningMove): Promise<void> {
     const state = stateOf(move)
     const isOutdated = move.continuity.isOutdated(options.record(move.order)?.revision)
-    if (move.result !== undefined && (storedStateOf(move) !== move.result || isOutdated)) return await write(move, move.result)
+    if (move.result !== undefined && (storedStateOf(move) !== move.result || isOutdated)) return await write(move, move.result, 'lost')
     if (isEnded(move)) return
     const { durationMs } = move.order
     const isExpired = clock.wallMs() > startOf(move) + durationMs - callTimeoutMs
-    if ((move.isBad || isExpired) && move.oldVersion.canTakeBack()) return await write(move, 'taken-back')
-    if (state === undefined) return await write(move, 'running')
+    if ((move.isBad || isExpired) && move.oldVersion.canTakeBack()) return await write(move, 'taken-back', move.isBad ? 'bad-version' : 'deadline-past')
+    if (state === undefined) return await write(move, 'running', 'ordered')
     const decideAtMs = startOf(move) + Math.max(durationMs * evaluationRatio, durationMs - maxMarginMs)
     if (move.isBad || clock.wallMs() < decideAtMs) return
     const isShown = move.oldVersion.isGone() ? move.oldVersion.isGoneForGood() && move.analysis.answersWellAlone() : !isExpired && isShownGood(move)
-    if (isShown) await write(move, 'done')
+    if (isShown) await write(move, 'done', move.oldVersion.isGone() ? 'old-version-gone' : 'shown-good')
   }
 
   /** Records what an attempt showed, with the share at which it was drawn. */
--- a/test/moves/service-moves.test.ts
+++ b/test/moves/service-moves.test.ts
@@ -178,11 +178,13 @@
   const kv = createMemoryKeyValue({ clock })
   const orders = [{ ...order, revision: createRevision(2, 70) }]
   const written: ServiceMoveState[] = []
+  const causes: unknown[] = []
   const servers = { old: 'absent' as VersionPresence, answersOld: true }
   const settledAtMs = clock.monotonicMs() + registrationTimes.settleMs
   let stored = record
   const moves = createTestMoves({
     clock,
+    log: (event, fields) => { if (event === 'serviceMoveState') causes.push(fields?.['cause']) },
     store: { ...kv.connect('holder'), era: () => 2 },
     orders: () => orders,
     record: latest => stored !== undefined && (stored.revision === latest.revision || isSameAfterRestore({ ...latest, revision: stored.revision }, latest)) ? stored : undefined,
@@ -212,7 +214,7 @@
     }
     return sent
   }
-  return { clock, moves, orders, servers, written, serve }
+  return { clock, moves, orders, servers, written, causes, serve }
 }
 
 const lostResult: ServiceMoveRecord = { revision: createRevision(1, 50), startedAtMs: createManualClock().wallMs() - 20_000, state: 'running' }
@@ -230,12 +232,13 @@
 // Guards against a move that is taken back to stopped servers, however late their registrations in the older copy expire.
 for (const registeredForMs of [4_000, 7_000, 30_000]) {
   test(`does not take a move back to servers that are only registered in the older copy for ${registeredForMs} ms`, async t => {
-    const { servers, written, serve } = createRestarted(lostResult)
+    const { servers, written, causes, serve } = createRestarted(lostResult)
     Object.assign(servers, { old: 'registered', answersOld: false })
     await serve(registeredForMs, () => true)
     servers.old = 'absent'
     await serve(30_000, () => true)
     t.deepEqual(written, ['running', 'done'])
+    t.deepEqual(causes, ['ordered', 'old-version-gone'])
   })
 }
 
