Move the stoppable node of the planned-stop tests into a module

No assertion changes; the stream of the test of slower streams has 41 events with 40 pauses, as before: the pause now stands between events.

--- a/test/platform-adapter/planned-stop.test.ts
+++ b/test/platform-adapter/planned-stop.test.ts
@@ -1,93 +1,18 @@
 /** Callers whose connections are open while a node stops as planned: each request is answered completely or refused as not run. */
 import { once } from 'node:events'
 import test from 'ava'
-import { parseSettings } from '../../platform/settings.ts'
-import { startNode } from '../../platform/node.ts'
 import { createSystemClock } from '../../src/core/clock/index.ts'
-import { formatChunk, formatResponse, startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
-import { findFreePorts } from '../free-ports.ts'
-import { startPlatform } from './platform-stand-in.ts'
+import { formatResponse } from '../../src/stand-ins/raw-backend/index.ts'
 import { connectCaller } from '../raw-caller.ts'
-import { renderSettings } from './render-settings.ts'
-import type { ExecutionContext } from 'ava'
-import type { Socket } from 'node:net'
-import type { RawRequest, RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
+import { graceMs, post, requestHead, respondOk, signed, startStoppableNode, streamUntil } from './stoppable-node.ts'
+import type { RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
 
 const clock = createSystemClock()
-/** The node stops listening two seconds after the signal at the earliest, and ends its last connections before this time is over. */
-const graceMs = 4_000
 /** More than the socket buffers hold. */
 const largeBytes = 15 * 1024 * 1024
 
-function signed ({ headers }: RawRequest): Record<string, string> {
-  return { 'x-cyclamenshunt-attempt-id': headers['x-cyclamenshunt-attempt-id'] ?? '', 'x-cyclamenshunt-response-seal': 's' }
-}
-
-const respondOk: RawRequestHandler = (request, socket) => { socket.write(formatResponse(200, signed(request), 'whole')) }
 const respondLarge: RawRequestHandler = (request, socket) => { socket.write(formatResponse(200, signed(request), 'x'.repeat(largeBytes))) }
 
-/** Streams events until `isLast` holds or the connection closes. */
-function streamUntil (isLast: (eventCount: number) => boolean): RawRequestHandler {
-  return async (request, socket: Socket) => {
-    const headers = Object.entries({ ...signed(request), 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked' })
-    socket.write(['HTTP/1.1 200 Status', ...headers.map(([name, value]) => `${name}: ${value}`), '', ''].join('\r\n'))
-    for (let count = 1; socket.writable; count += 1) {
-      socket.write(formatChunk(`id: ${count}\ndata: piece\n\n`))
-      if (isLast(count)) {
-        socket.write('0\r\n\r\n')
-        return
-      }
-      await clock.sleep(20)
-    }
-  }
-}
-
-/** Longest time of an at-most-once call, which has to fit into the rest of a stop. */
-const defaultCallTimeoutMs = 1_000
-const defaultTimeoutMs = 15_000
-
-function createRoute (name: string, kind: string, timeoutMs: number) {
-  return { name, host: '127.0.0.1', path_prefix: `/${name}/`, kind, timeout_ms: timeoutMs, slo_ms: 1_000, service: name, max_attempts: 1 }
-}
-
-/** Starts a node before one backend server for each service. */
-async function startStoppableNode (t: ExecutionContext, handlers: Record<string, RawRequestHandler>, callTimeoutMs = defaultCallTimeoutMs) {
-  const platform = await startPlatform()
-  const services = Object.keys(handlers)
-  const backends = new Map(await Promise.all(services.map(async service => [service, await startRawBackend(handlers[service]!)] as const)))
-  for (const [service, { port }] of backends) await platform.put(`servers/i-${service}`, { service, address: `127.0.0.1:${port}`, zone: 'a', version: 'v1', slots: 16, state: 'ready', sequence: 1 })
-  await platform.put('op/config', {
-    version: 1,
-    routes: services.map(name => createRoute(name, name === 'stream' ? 'streaming' : 'non_idempotent', name === 'calls' ? callTimeoutMs : defaultTimeoutMs)),
-    services: services.map(name => ({ name, max_connections: 100 })),
-    limits: { header_timeout_ms: 10_000 }
-  })
-  const port = await findFreePorts(10)
-  const settings = parseSettings(renderSettings({
-    'platform.address': platform.address,
-    'cloud.address': platform.address,
-    'listen.front': `127.0.0.1:${port}`,
-    'listen.readiness': `127.0.0.1:${port + 1}`,
-    'listen.control': `127.0.0.1:${port + 2}`,
-    internal_ports: `${port + 3},${port + 9}`,
-    'bounds.grace_s': String(graceMs / 1_000)
-  }), 'node.conf')
-  const lines: Array<Record<string, unknown>> = []
-  const node = await startNode(settings, { log: (event, fields) => { lines.push({ event, ...fields }) } })
-  let stopping: Promise<void> | undefined
-  const stop = (): Promise<void> => {
-    stopping ??= node.stop()
-    return stopping
-  }
-  t.teardown(async () => {
-    await stop()
-    for (const backend of backends.values()) await backend.close()
-    await platform.close()
-  })
-  while ((await fetch(`http://127.0.0.1:${port + 1}/cyclamenshunt/ready`)).status !== 200) await clock.sleep(20)
-  return { port, stop, lines, requestsOf: (service: string) => backends.get(service)!.requests }
-}
-
 /** The node takes a request late in a stop if it knows how long the answers of its route take. */
 async function sendCalls (port: number): Promise<void> {
   const caller = await connectCaller(port)
@@ -98,14 +23,6 @@
   caller.socket.destroy()
 }
 
-function requestHead (service: string, id: string, framing: string, method = 'POST'): string {
-  return `${method} /${service}/ HTTP/1.1\r\nhost: 127.0.0.1\r\nx-cyclamenshunt-attempt-id: ${id}\r\n${framing}\r\n\r\n`
-}
-
-function post (service: string, id: string): string {
-  return `${requestHead(service, id, 'content-length: 4')}body`
-}
-
 test('a request that follows a stream on a kept connection during a stop is answered', async t => {
   let isStreamDone = false
   const { port, stop } = await startStoppableNode(t, { stream: streamUntil(() => isStreamDone), calls: respondOk })
@@ -127,7 +44,7 @@
 // The time-out of a call counts from the end of its head.
 for (const [part, split, callTimeoutMs] of [['first byte', 0, 1_000], ['end of the head', 60, 1_000], ['end of the body', undefined, 3_000]] as const) {
   test(`a request whose ${part} comes late in a stop is refused as not run if it can't be finished, and answered otherwise`, async t => {
-    const { port, stop, requestsOf } = await startStoppableNode(t, { stream: streamUntil(count => count === 150), calls: respondOk }, callTimeoutMs)
+    const { port, stop, requestsOf } = await startStoppableNode(t, { stream: streamUntil(count => count === 150), calls: respondOk }, { callTimeoutMs })
     await sendCalls(port)
     const callers = await Promise.all(['stream', 'calls'].map(async service => {
       const caller = await connectCaller(port)
@@ -237,7 +154,7 @@
 
 // Guards against at-most-once calls that are taken late in a stop, by the quick answers before it, and cut at its end without a true answer.
 test('a call that may not be repeated is refused as not run late in a stop if it may outlast it, although the calls before were quick', async t => {
-  const { port, stop, requestsOf } = await startStoppableNode(t, { calls: respondOk }, 15_000)
+  const { port, stop, requestsOf } = await startStoppableNode(t, { calls: respondOk }, { callTimeoutMs: 15_000 })
   await sendCalls(port)
   const caller = await connectCaller(port)
   const before = requestsOf('calls').length
@@ -254,17 +171,7 @@
 // Guards against an estimate by the quick answers before the stop only.
 test('streams that become slower as a stop begins are whole or refused, and none that comes late is cut', async t => {
   let pauseMs = 10
-  const { port, stop } = await startStoppableNode(t, {
-    stream: async (request, socket) => {
-      const headers = Object.entries({ ...signed(request), 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked' })
-      socket.write(['HTTP/1.1 200 Status', ...headers.map(([name, value]) => `${name}: ${value}`), '', ''].join('\r\n'))
-      for (let count = 1; socket.writable && count <= 40; count += 1) {
-        socket.write(formatChunk(`id: ${count}\ndata: piece\n\n`))
-        await clock.sleep(pauseMs)
-      }
-      if (socket.writable) socket.write('0\r\n\r\n')
-    }
-  })
+  const { port, stop } = await startStoppableNode(t, { stream: streamUntil(count => count === 41, () => pauseMs) })
   async function sendStream (id: string) {
     const caller = await connectCaller(port)
     caller.write(post('stream', id))
