Count the attempt in progress in the lines that end requests

Cause: sentCount is raised when an attempt ended without a forwarded response and another attempt may follow. An attempt that is in progress, was aborted by the gateway or forwarded the whole response is not in it.

The lines now add the latest attempt while neither sentCount nor undeliveredCount includes it, if its backend server may have received a part of the request (Exchange.isSent). sentCount itself is unchanged, so attempt ids, the deposit of the retry budget, permits and retries are too.

--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -101,13 +101,15 @@
   mayHaveRunOn: Set<BackendId>
   /** Backend servers that are not chosen again for this request. */
   excluded: Set<BackendId>
-  /** Attempts that a backend server received or may have received. */
+  /** Attempts that a backend server received or may have received, without `uncountedAttempt`. */
   sentCount: number
   /** Attempts that failed to connect, or reached another server than the chosen one. */
   undeliveredCount: number
   /** Backend servers that it was not sent to because of their limits. */
   limitedBackends: Set<BackendId>
   attempt: Attempt | undefined
+  /** The latest attempt, while neither `sentCount` nor `undeliveredCount` includes it. */
+  uncountedAttempt: Attempt | undefined
   /** How far the latest attempt had come when it ended. */
   endedInPhase: AttemptPhase | undefined
   /** Whether a backend server crashed under an attempt without a complete answer. */
@@ -153,6 +155,7 @@
     undeliveredCount: 0,
     limitedBackends: new Set(),
     attempt: undefined,
+    uncountedAttempt: undefined,
     endedInPhase: undefined,
     hasCrashedBackend: false,
     blockedBy: undefined,
@@ -193,7 +196,7 @@
 
 /** Fields for the log events of a request, such as its route and the chosen backend server. Durations are in ms. */
 export function requestLogFields (active: ActiveRequest, clock: Clock): Record<string, unknown> {
-  const { id, team, route, version, service, sentCount, limitedBackends, undeliveredCount, choice, arrivedAtMs, firstByteMs, endedInPhase, head } = active
+  const { id, team, route, version, service, sentCount, uncountedAttempt, limitedBackends, undeliveredCount, choice, arrivedAtMs, firstByteMs, endedInPhase, head } = active
   const hasNoAnswer = endedInPhase === 'waiting' || endedInPhase === 'started'
   return {
     request: id,
@@ -201,7 +204,7 @@
     route: route.name,
     version,
     service,
-    sent: sentCount,
+    sent: sentCount + (uncountedAttempt?.isSent() === true ? 1 : 0),
     unreached: undeliveredCount,
     phase: endedInPhase,
     limited: limitedBackends.size === 0 ? undefined : [...limitedBackends].slice(0, maxLoggedBackends),
--- a/src/core/gateway/attempt-end-handler.ts
+++ b/src/core/gateway/attempt-end-handler.ts
@@ -79,6 +79,7 @@
       if (end.mayHaveRun) active.mayHaveRunOn.add(backend)
       return blockedEnd(active)
     }
+    active.uncountedAttempt = undefined
     if (end.kind === 'not-run') {
       if (end.isMisdirected) backends.markMisdirected(backend)
       else if (end.isUnreachable) backends.markSuspect(backend, end.cause)
--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -75,6 +75,8 @@
 /** An attempt in progress. */
 export interface Attempt {
   phase: () => AttemptPhase
+  /** Whether the backend server may have received a part of the request. */
+  isSent: () => boolean
   ended: Promise<AttemptEnd>
   /** Closes the connection, which also ends the backend server's work. */
   abort: () => void
@@ -247,6 +249,7 @@
 
   return {
     phase: () => head === undefined ? 'waiting' : hasContent ? 'answering' : 'started',
+    isSent: exchange.isSent,
     ended,
     abort: () => {
       const mayHaveRun = exchange.isSent()
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -249,6 +249,7 @@
       }
     })
     active.attempt = attempt
+    active.uncountedAttempt = attempt
     const openAttempt = options.stopGate.openAttempt(route.name)
     const stopResponseTimer = startTimerAfterReads(() => {
       if (known.lastActivityAtMs < sentAtMs) backends.markSuspect(choice.backend.id, 'no byte was received since a request was sent')
