Log and count what a stopping node decides on each request

The gate returns its decision with the figures it was made by instead of a boolean. Answers that the end of a stop cuts, and requests that get 503 or 504 then, also have the time since the latest attempt was sent, the events received and the present pause between them.

--- a/src/core/gateway/acceptance.ts
+++ b/src/core/gateway/acceptance.ts
@@ -2,13 +2,14 @@
  * Accepts requests: reads the body, finds the route and authenticates the team.
  * What can't be accepted is refused as not run.
  */
-import { createActiveRequest, requestLogFields, toGateRequest } from './active-request.ts'
+import { createActiveRequest, requestLogFields } from './active-request.ts'
 import { readBody } from './read-body.ts'
 import { isForwardableTarget, pickService } from './route-request.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { ActiveRequest, RequestHandlerOptions } from './active-request.ts'
 import type { GatewayResponse } from './gateway-response.ts'
 import type { Refusals } from './refusals.ts'
+import type { StopDecisions } from './stop-decisions.ts'
 
 /** Maximum body of a request that arrives before a configuration is known; one with more is refused as not ready. */
 const unconfiguredBodyBytes = 1024 * 1024
@@ -28,7 +29,7 @@
 }
 
 /** Creates the acceptance of a gateway. */
-export function createAcceptance (options: RequestHandlerOptions, { refuse, withJitter }: Refusals): Acceptance {
+export function createAcceptance (options: RequestHandlerOptions, { refuse, withJitter }: Refusals, stopDecisions: Pick<StopDecisions, 'takes'>): Acceptance {
   const { clock, log, codec } = options
 
   function stopRefusal (): GatewayResponse {
@@ -86,7 +87,7 @@
     if (accepted === undefined) return undefined
     const { route, id } = accepted
     const active = createActiveRequest({ ...accepted, body: body.body, arrivedAtMs, request, response, service: pickService(route, options.draw(`${id}/service`)) })
-    if (options.stopGate.admits(toGateRequest(active))) return active
+    if (stopDecisions.takes(active)) return active
     refuse(response, stopRefusal(), requestLogFields(active, clock))
     return undefined
   }
--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -1,6 +1,7 @@
 /** The state of a request that the gateway is serving, and the fields of its log events. */
 import { createStreamProgress } from './attempt.ts'
 import { digestRequest } from '../quarantine/index.ts'
+import { stopDecisionFields } from './stop-decision-fields.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Admission, RetryBudget } from '../admission/types.ts'
 import type { BackendLimits } from '../backend-limits/index.ts'
@@ -15,7 +16,7 @@
 import type { Attempt, AttemptPhase, StreamProgress, CompleteResponse } from './attempt.ts'
 import type { BackendTable } from './backend-table.ts'
 import type { RouteTable } from './route-table.ts'
-import type { GateRequest, StopGate } from './stop-gate.ts'
+import type { GateRequest, OpenAttempt, StopDecision, StopGate } from './stop-gate.ts'
 import type { GatewayRoute, GatewayTeam, HeaderCodec, RequestHead } from './types.ts'
 
 /** Result of one attempt, for usage counts and the evaluation of versions. */
@@ -110,6 +111,10 @@
   attempt: Attempt | undefined
   /** The latest attempt, while neither `sentCount` nor `undeliveredCount` includes it. */
   uncountedAttempt: Attempt | undefined
+  /** The latest attempt as the gate of a stopping node sees it. */
+  openAttempt: OpenAttempt | undefined
+  /** The latest decision of that gate; undefined if the request was sent before the stop. */
+  stopDecision: StopDecision | undefined
   /** How far the latest attempt had come when it ended. */
   endedInPhase: AttemptPhase | undefined
   /** Whether a backend server crashed under an attempt without a complete answer. */
@@ -156,6 +161,8 @@
     limitedBackends: new Set(),
     attempt: undefined,
     uncountedAttempt: undefined,
+    openAttempt: undefined,
+    stopDecision: undefined,
     endedInPhase: undefined,
     hasCrashedBackend: false,
     blockedBy: undefined,
@@ -196,7 +203,7 @@
 
 /** Fields for the log events of a request, such as its route and the chosen backend server. Durations are in ms. */
 export function requestLogFields (active: ActiveRequest, clock: Clock): Record<string, unknown> {
-  const { id, team, route, version, service, sentCount, uncountedAttempt, limitedBackends, undeliveredCount, choice, arrivedAtMs, firstByteMs, endedInPhase, head } = active
+  const { id, team, route, version, service, sentCount, uncountedAttempt, stopDecision, limitedBackends, undeliveredCount, choice, arrivedAtMs, firstByteMs, endedInPhase, head } = active
   const hasNoAnswer = endedInPhase === 'waiting' || endedInPhase === 'started'
   return {
     request: id,
@@ -218,6 +225,7 @@
     fetchFrom: choice?.fetchFrom?.id,
     promptTokens: choice?.promptTokens,
     firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
-    tookMs: Math.round(clock.wallMs() - arrivedAtMs)
+    tookMs: Math.round(clock.wallMs() - arrivedAtMs),
+    stopDecision: stopDecisionFields(stopDecision)
   }
 }
--- a/src/core/gateway/answer-times.ts
+++ b/src/core/gateway/answer-times.ts
@@ -37,19 +37,42 @@
   answerTokens: number | undefined
 }
 
+/** How far an attempt has come. */
+export interface AttemptPace {
+  sinceSentMs: number
+  /** Present pause between two events, or the time since the latest one if it is longer; undefined without an event. */
+  pausePerEventMs: number | undefined
+}
+
 /** An attempt in progress. */
 export interface OpenAttempt {
   /** Called with the number of events received in this attempt. */
   onEvents: (count: number) => void
+  pace: () => AttemptPace
   end: () => void
 }
 
+/** How long an answer is expected to take, and what that is concluded from. */
+export interface AnswerEstimate {
+  /** Time that it takes at most, by far most probably; infinite if too little is known. */
+  expectedMs: number
+  /** Events that a stream may have; undefined if too little is known. */
+  expectedEvents: number | undefined
+  knownAnswers: number
+  /** Those that ended a short time ago. */
+  recentAnswers: number
+  newestAnswerAgeMs: number | undefined
+  /** Attempts in progress that have received an event. */
+  openStreams: number
+  /** Their present pace, a high quantile; undefined if there are none. */
+  pausePerEventMs: number | undefined
+}
+
 /** The answers of all routes. */
 export interface AnswerTimesByRoute {
   record: (route: string, times: AnswerTimes) => void
   openAttempt: (route: string) => OpenAttempt
-  /** Time that an answer takes at most, by far most probably; infinite if too little is known. */
-  expectedMs: (route: string, answerTokens: number | undefined) => number
+  estimate: (route: string, answerTokens: number | undefined) => AnswerEstimate
 }
 
 interface RecordedAnswer extends AnswerTimes {
@@ -100,10 +123,8 @@
     return known
   }
 
-  /** The answers that tell most: recent ones, or all if these are few. */
-  function tellingAnswers ({ answers }: RouteTimes): RecordedAnswer[] {
-    const recent = answers.filter(({ endedAtMs }) => endedAtMs >= clock.monotonicMs() - recentMs)
-    return recent.length >= minRecentAnswers ? recent : answers
+  function recentAnswers ({ answers }: RouteTimes): RecordedAnswer[] {
+    return answers.filter(({ endedAtMs }) => endedAtMs >= clock.monotonicMs() - recentMs)
   }
 
   /** Time to the first byte, and from there to the end, of a request that names its tokens. */
@@ -126,24 +147,48 @@
     return { firstByteMs, restMs: Math.max(restMs, eventCount * msPerEvent), eventCount }
   }
 
-  /** The same by the attempts in progress, which are not over yet: at least so long. */
-  function presentTimes ({ open }: RouteTimes, eventCount: number): { firstByteMs: number, restMs: number } {
+  function paceOf ({ startedAtMs, pauseMs, lastEventAtMs }: AttemptProgress): AttemptPace {
     const nowMs = clock.monotonicMs()
-    const attempts = [...open]
-    const waitingMs = attempts.flatMap(({ startedAtMs, lastEventAtMs }) => lastEventAtMs === undefined ? [nowMs - startedAtMs] : [])
-    const pausesMs = attempts.flatMap(({ pauseMs, lastEventAtMs }) => lastEventAtMs === undefined ? [] : [Math.max(pauseMs ?? 0, nowMs - lastEventAtMs)])
-    return { firstByteMs: quantileOf(waitingMs, 1), restMs: quantileOf(pausesMs, openQuantile) * eventCount }
+    return { sinceSentMs: nowMs - startedAtMs, pausePerEventMs: lastEventAtMs === undefined ? undefined : Math.max(pauseMs ?? 0, nowMs - lastEventAtMs) }
   }
 
-  function expectedMs (route: string, answerTokens: number | undefined): number {
-    const times = timesOf(route)
-    const answers = tellingAnswers(times)
-    if (times.answers.length < minAnswers) return Infinity
+  /** The attempts in progress, which are not over yet: their answers take at least so long. */
+  function presentPace ({ open }: RouteTimes): { firstByteMs: number, openStreams: number, pausePerEventMs: number | undefined } {
+    const paces = [...open].map(paceOf)
+    const waitingMs = paces.flatMap(({ sinceSentMs, pausePerEventMs }) => pausePerEventMs === undefined ? [sinceSentMs] : [])
+    const pausesMs = paces.flatMap(({ pausePerEventMs }) => pausePerEventMs ?? [])
+    return {
+      firstByteMs: quantileOf(waitingMs, 1),
+      openStreams: pausesMs.length,
+      pausePerEventMs: pausesMs.length === 0 ? undefined : quantileOf(pausesMs, openQuantile)
+    }
+  }
+
+  function pastTimes (times: RouteTimes, recent: readonly RecordedAnswer[], answerTokens: number | undefined): PastTimes {
+    // Recent answers tell most, unless they are few.
+    const answers = recent.length >= minRecentAnswers ? recent : times.answers
     const recentSized = answers.filter(answer => answer.answerTokens !== undefined)
     const sized = recentSized.length >= minSizedAnswers ? recentSized : times.answers.filter(answer => answer.answerTokens !== undefined)
-    const past = answerTokens === undefined || sized.length < minSizedAnswers ? unsizedTimes(answers, times.answers) : sizedTimes(sized, answerTokens)
-    const present = presentTimes(times, past.eventCount)
-    return (Math.max(past.firstByteMs, present.firstByteMs) + Math.max(past.restMs, present.restMs)) * safetyFactor
+    return answerTokens === undefined || sized.length < minSizedAnswers ? unsizedTimes(answers, times.answers) : sizedTimes(sized, answerTokens)
+  }
+
+  function estimate (route: string, answerTokens: number | undefined): AnswerEstimate {
+    const times = timesOf(route)
+    const { answers } = times
+    const recent = recentAnswers(times)
+    const { firstByteMs, openStreams, pausePerEventMs } = presentPace(times)
+    const newestAtMs = answers.at(times.next - 1)?.endedAtMs
+    const basis = {
+      knownAnswers: answers.length,
+      recentAnswers: recent.length,
+      newestAnswerAgeMs: newestAtMs === undefined ? undefined : clock.monotonicMs() - newestAtMs,
+      openStreams,
+      pausePerEventMs
+    }
+    if (answers.length < minAnswers) return { expectedMs: Infinity, expectedEvents: undefined, ...basis }
+    const past = pastTimes(times, recent, answerTokens)
+    const restMs = Math.max(past.restMs, (pausePerEventMs ?? 0) * past.eventCount)
+    return { expectedMs: (Math.max(past.firstByteMs, firstByteMs) + restMs) * safetyFactor, expectedEvents: past.eventCount, ...basis }
   }
 
   function openAttempt (route: string): OpenAttempt {
@@ -162,6 +207,7 @@
         attempt.lastEventAtMs = nowMs
         attempt.eventCount = count
       },
+      pace: () => paceOf(attempt),
       end: () => { open.delete(attempt) }
     }
   }
@@ -173,6 +219,6 @@
       recorded.next = (recorded.next + 1) % rememberedAnswers
     },
     openAttempt,
-    expectedMs
+    estimate
   }
 }
--- a/src/core/gateway/attempt-end-handler.ts
+++ b/src/core/gateway/attempt-end-handler.ts
@@ -8,6 +8,7 @@
 import { delimitWithoutLength, forwardedResponseHeaders } from './gateway-response.ts'
 import { requestLogFields } from './active-request.ts'
 import { parseRetryAfterMs } from './eligibility.ts'
+import { stoppedFields } from './stop-decision-fields.ts'
 import type { BackendId } from '../ids/index.ts'
 import type { RouteChoice } from '../routing/index.ts'
 import type { AttemptEnd, CompleteResponse } from './attempt.ts'
@@ -149,11 +150,11 @@
   }
 
   /** Ends the request with 503 when it was certainly not run, with a kept 5xx response, or with 502 when its outcome is unknown. */
-  function failRequest (active: ActiveRequest, reason: string, detail: string, retryInMs: number): void {
+  function failRequest (active: ActiveRequest, reason: string, detail: string, retryInMs: number, moreFields: Record<string, unknown> = {}): void {
     const { response, failureResponse, mayHaveRunOn, progress } = active
     if (progress.areHeadersSent) {
       metrics.count('gateway_answers_total', { status: 'cut', reason })
-      log('gatewayCut', { ...requestLogFields(active, clock), reason, detail, waitingBytes: response.writableLength })
+      log('gatewayCut', { ...requestLogFields(active, clock), ...moreFields, reason, detail, waitingBytes: response.writableLength })
       active.isCut = true
       cutAnswer(response)
       return
@@ -166,12 +167,16 @@
   }
 
   function endUnanswered (active: ActiveRequest, kind: 'timed-out' | 'stopped'): void {
-    const { progress, mayHaveRunOn, response } = active
+    const { progress, mayHaveRunOn, response, stopDecision } = active
     const reason = kind === 'timed-out' ? 'deadline-past' : 'draining'
     const cause = kind === 'timed-out' ? 'The deadline passed' : 'The node stopped'
-    if (progress.areHeadersSent) return failRequest(active, reason, `${cause} before the response was complete.`, 0)
+    const moreFields = kind === 'stopped' ? stoppedFields(active) : {}
+    if (progress.areHeadersSent) {
+      if (kind === 'stopped') metrics.count('answers_cut_at_stop_total', { basis: stopDecision?.basis ?? 'before-stop' })
+      return failRequest(active, reason, `${cause} before the response was complete.`, 0, moreFields)
+    }
     const status = mayHaveRunOn.size === 0 ? 503 : 504
-    refuse(response, { status, reason, detail: `${cause} before there was a response.` }, requestLogFields(active, clock))
+    refuse(response, { status, reason, detail: `${cause} before there was a response.` }, { ...requestLogFields(active, clock), ...moreFields })
   }
 
   function forwardResponse (active: ActiveRequest, backendResponse: CompleteResponse): void {
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -16,8 +16,9 @@
 import { createResponseBuffers } from './response-buffers.ts'
 import { createRefusals } from './refusals.ts'
 import { abandonAttempt, createEndFailedRequest, mayHaveRun } from './failed-request.ts'
-import { quotaUnitsOf, requestLogFields, toGateRequest } from './active-request.ts'
+import { quotaUnitsOf, requestLogFields } from './active-request.ts'
 import { createRouteRequest } from './route-request.ts'
+import { createStopDecisions } from './stop-decisions.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AnswerEnd } from '../caller-connections/index.ts'
 import type { AttemptId, TeamId } from '../ids/index.ts'
@@ -53,7 +54,8 @@
   const limitGate = createLimitGate(options)
   const { handleAttemptEnd, endRequest, recordDelivery } = createAttemptEndHandler(options, refusals)
   const endFailedRequest = createEndFailedRequest(options, refusals)
-  const { acceptRequest, stopRefusal } = createAcceptance(options, refusals)
+  const stopDecisions = createStopDecisions(options)
+  const { acceptRequest, stopRefusal } = createAcceptance(options, refusals, stopDecisions)
 
   async function serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     try {
@@ -153,7 +155,7 @@
         continue
       }
       if (admittance.kind === 'refused') return failedWith(admittance.reason, admittance.detail, admittance.retryAtMs - clock.wallMs())
-      if (!canFinishInStop(active)) {
+      if (!stopDecisions.sends(active)) {
         admittance.release()
         return failedWith('draining', 'The node is stopping and can not finish another attempt before.', stoppingRetryMs)
       }
@@ -166,11 +168,6 @@
     }
   }
 
-  /** Whether an attempt that is sent now may end before a stop does. The caller of a stream that has begun gets more of it in any case. */
-  function canFinishInStop (active: ActiveRequest): boolean {
-    return active.progress.areHeadersSent || options.stopGate.admits(toGateRequest(active))
-  }
-
   /** Makes an attempt, unless no backend server can be chosen. */
   async function attemptAdmitted (active: ActiveRequest): Promise<{ unchosen: UnchosenReason } | { choice: RouteChoice, end: AttemptEnd }> {
     const comparison = { canaryShare: options.canaryShare(active.service), compareAllBackends: options.hasRecentLoads(), isAlwaysCompared: limitGate.hasLimit }
@@ -251,6 +248,7 @@
     active.attempt = attempt
     active.uncountedAttempt = attempt
     const openAttempt = options.stopGate.openAttempt(route.name)
+    active.openAttempt = openAttempt
     const stopResponseTimer = startTimerAfterReads(() => {
       if (known.lastActivityAtMs < sentAtMs) backends.markSuspect(choice.backend.id, 'no byte was received since a request was sent')
     }, baseResponseTimeoutMs + expectedWaitFactor * choice.expectedFirstTokenMs)
--- a/src/core/gateway/stop-gate.ts
+++ b/src/core/gateway/stop-gate.ts
@@ -5,7 +5,7 @@
  */
 import { createAnswerTimes } from './answer-times.ts'
 import type { Clock } from '../clock/index.ts'
-import type { AnswerTimes, OpenAttempt } from './answer-times.ts'
+import type { AnswerEstimate, AnswerTimes, OpenAttempt } from './answer-times.ts'
 
 export type { AnswerTimes, OpenAttempt } from './answer-times.ts'
 
@@ -20,11 +20,31 @@
   deadlineAtMs: number
 }
 
+/** Monotonic times of a planned stop. */
+export interface PlannedStop {
+  requestedAtMs: number
+  /** When open requests are ended. */
+  endsAtMs: number
+}
+
+/** What bounded the time that a request is expected to take; with `nothing-known`, its deadline did. */
+export type DecisionBasis = 'deadline' | 'estimate' | 'nothing-known'
+
+/** What the gate decided on a request, and by what. */
+export interface StopDecision extends AnswerEstimate {
+  isAdmitted: boolean
+  basis: DecisionBasis
+  deadlineInMs: number
+  /** Time to the end of the stop. */
+  leftMs: number
+  sinceStopMs: number
+}
+
 /** Options of the gate. */
 export interface StopGateOptions {
   clock: Clock
-  /** Monotonic time at which open requests are ended; undefined while the node isn't stopping. */
-  endsAtMs: () => number | undefined
+  /** The stop in progress; undefined while the node isn't stopping. */
+  stop: () => PlannedStop | undefined
 }
 
 /** The gate of a node. */
@@ -32,25 +52,42 @@
   recordAnswer: (route: string, times: AnswerTimes) => void
   /** Called when an attempt is sent; its progress shows the present pace of its route. */
   openAttempt: (route: string) => OpenAttempt
-  admits: (request: GateRequest) => boolean
+  /** Returns undefined while the node isn't stopping, and takes all requests. */
+  decide: (request: GateRequest) => StopDecision | undefined
+}
+
+function basisOf (isAtMostOnce: boolean, expectedMs: number, deadlineInMs: number): DecisionBasis {
+  if (isAtMostOnce) return 'deadline'
+  if (expectedMs === Infinity) return 'nothing-known'
+  return expectedMs <= deadlineInMs ? 'estimate' : 'deadline'
 }
 
 /** Creates the gate of a node. */
-export function createStopGate ({ clock, endsAtMs }: StopGateOptions): StopGate {
+export function createStopGate ({ clock, stop }: StopGateOptions): StopGate {
   const times = createAnswerTimes(clock)
 
-  /** Longest time that the request is expected to take. The caller of an at-most-once call that is cut can't find out whether it ran, so nothing but its deadline bounds it. */
-  function longestMs ({ route, isAtMostOnce, answerTokens, deadlineAtMs }: GateRequest): number {
-    const untilDeadlineMs = deadlineAtMs - clock.wallMs()
-    return isAtMostOnce ? untilDeadlineMs : Math.min(times.expectedMs(route, answerTokens), untilDeadlineMs)
+  function decide ({ route, isAtMostOnce, answerTokens, deadlineAtMs }: GateRequest, { requestedAtMs, endsAtMs }: PlannedStop): StopDecision {
+    const nowMs = clock.monotonicMs()
+    const deadlineInMs = deadlineAtMs - clock.wallMs()
+    const estimate = times.estimate(route, answerTokens)
+    // The caller of an at-most-once call that is cut can't find out whether it ran, so nothing but its deadline bounds it.
+    const longestMs = isAtMostOnce ? deadlineInMs : Math.min(estimate.expectedMs, deadlineInMs)
+    return {
+      isAdmitted: nowMs + longestMs <= endsAtMs,
+      basis: basisOf(isAtMostOnce, estimate.expectedMs, deadlineInMs),
+      deadlineInMs,
+      leftMs: endsAtMs - nowMs,
+      sinceStopMs: nowMs - requestedAtMs,
+      ...estimate
+    }
   }
 
   return {
     recordAnswer: times.record,
     openAttempt: times.openAttempt,
-    admits: request => {
-      const endAtMs = endsAtMs()
-      return endAtMs === undefined || clock.monotonicMs() + longestMs(request) <= endAtMs
+    decide: request => {
+      const planned = stop()
+      return planned === undefined ? undefined : decide(request, planned)
     }
   }
 }
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -13,7 +13,7 @@
 import { formatResponse, startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 import type { AddressInfo } from 'node:net'
 import type { ExecutionContext } from 'ava'
-import type { AttemptReport, BackendEntry, GatewayConfiguration, GatewayRoute, HeaderCodec, RequestHandlerOptions } from '../../src/core/gateway/index.ts'
+import type { AttemptReport, BackendEntry, GatewayConfiguration, GatewayRoute, HeaderCodec, PlannedStop, RequestHandlerOptions } from '../../src/core/gateway/index.ts'
 import type { BackendId, DomainId, NodeId, PromptPartId, RequestId, TeamId, VersionId } from '../../src/core/ids/index.ts'
 import type { RawRequestHandler, RawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 
@@ -120,6 +120,7 @@
 export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'], quarantine?: Partial<RequestHandlerOptions['quarantine']> } = {}) {
   const servers: RawBackend[] = await Promise.all(handlers.map(handler => startRawBackend(handler)))
   const metrics = createMetrics()
+  const stopped = new AbortController()
   const attempts: AttemptReport[] = []
   const events: Array<{ event: string, fields: Record<string, unknown>, usable: string[] }> = []
   // Stores with each event the backend servers that were usable at that moment.
@@ -149,7 +150,7 @@
   })
   const backends = createBackendTable({ clock, log, metrics, limits, random: () => 0.5, versionRolesOf: () => version => version === state.replacedVersion ? 'replaced' : 'serving', maxPauseMs: 30_000, onRemoved: router.removeBackend, registrationTimes: createRegistrationTimes(1_200), registrationRevision: () => undefined, seesRenewals: () => true })
   const table = createRouteTable({ ...configuration, ...changes })
-  const state = { isDraining: false, table: table as typeof table | undefined, replacedVersion: undefined as string | undefined, failingStep: undefined as FailingStep | undefined }
+  const state = { isDraining: false, table: table as typeof table | undefined, replacedVersion: undefined as string | undefined, failingStep: undefined as FailingStep | undefined, plannedStop: undefined as PlannedStop | undefined }
   const failAt = (step: FailingStep): void => { if (state.failingStep === step) throw new Error(`failed at ${step}`) }
   for (const [index, { port }] of servers.entries()) backends.put(entryOf(`b-${index}`, port))
   const quarantine = createQuarantine({ clock, log, metrics, random: createRandom(4), nodeCount: () => 1, reportDelayMs: () => 100, isDeciding: () => true, claimTrial: async () => false })
@@ -196,8 +197,8 @@
       failAt('ended')
     },
     hasRecentLoads: () => true,
-    stopped: new AbortController().signal,
-    stopGate: createStopGate({ clock, endsAtMs: () => undefined }),
+    stopped: stopped.signal,
+    stopGate: createStopGate({ clock, stop: () => state.plannedStop }),
     onAnswerClosed: (response, listener) => ingress.onAnswerClosed(response, listener),
     draw: hasher.draw,
     random: createRandom(3)
@@ -229,5 +230,9 @@
     return { status: response.status, headers: response.headers, body, broken }
   }
 
-  return { servers, call, port, events, attempts, state, backends, router, quarantine, ingress }
+  /** Begins a stop whose end the gate expects after `leftMs`; only `endStop` ends it. */
+  const beginStop = (leftMs: number): void => { state.plannedStop = { requestedAtMs: clock.monotonicMs(), endsAtMs: clock.monotonicMs() + leftMs } }
+  const endStop = (): void => stopped.abort()
+
+  return { servers, call, port, events, attempts, state, backends, router, quarantine, ingress, metrics, beginStop, endStop }
 }
--- a/test/gateway/stop-gate.test.ts
+++ b/test/gateway/stop-gate.test.ts
@@ -2,17 +2,26 @@
 import test from 'ava'
 import { createManualClock } from '../../src/core/clock/index.ts'
 import { createStopGate } from '../../src/core/gateway/index.ts'
+import type { PlannedStop, StopDecision } from '../../src/core/gateway/index.ts'
 
 const stopMs = 5_000
 const timeoutMs = 15_000
 
+interface RequestOptions {
+  answerTokens?: number
+  leftMs?: number
+  isAtMostOnce?: boolean
+}
+
 function createGate (answers: ReadonlyArray<{ tookMs: number, answerTokens?: number }>) {
   const clock = createManualClock()
-  let endsAtMs: number | undefined
-  const gate = createStopGate({ clock, endsAtMs: () => endsAtMs })
+  let planned: PlannedStop | undefined
+  const gate = createStopGate({ clock, stop: () => planned })
   for (const { tookMs, answerTokens } of answers) gate.recordAnswer('drafts', { tookMs, firstByteMs: 100, eventCount: answerTokens ?? 0, answerTokens })
-  const admits = ({ answerTokens, leftMs = timeoutMs, isAtMostOnce = false }: { answerTokens?: number, leftMs?: number, isAtMostOnce?: boolean } = {}): boolean => gate.admits({ route: 'drafts', isAtMostOnce, answerTokens, deadlineAtMs: clock.wallMs() + leftMs })
-  return { clock, gate, admits, stop: () => { endsAtMs = clock.monotonicMs() + stopMs } }
+  const decide = ({ answerTokens, leftMs = timeoutMs, isAtMostOnce = false }: RequestOptions = {}): StopDecision | undefined => gate.decide({ route: 'drafts', isAtMostOnce, answerTokens, deadlineAtMs: clock.wallMs() + leftMs })
+  const admits = (request?: RequestOptions): boolean => decide(request)?.isAdmitted ?? true
+  const stop = (): void => { planned = { requestedAtMs: clock.monotonicMs(), endsAtMs: clock.monotonicMs() + stopMs } }
+  return { clock, gate, decide, admits, stop }
 }
 
 test('a stopping node takes a request only while the longest answers of its route still fit', async t => {
@@ -102,3 +111,44 @@
   await clock.advance(stopMs - 4_000)
   t.false(admits())
 })
+
+test('a decision of the gate tells what it was concluded from', async t => {
+  const { clock, gate, decide, stop } = createGate(Array.from({ length: 64 }, () => ({ tookMs: 1_100, answerTokens: 50 })))
+  t.is(decide({ answerTokens: 50 }), undefined)
+  await clock.advance(3_500)
+  gate.recordAnswer('drafts', { tookMs: 1_100, firstByteMs: 100, eventCount: 50, answerTokens: 50 })
+  const [quick, slow, waiting] = [0, 1, 2].map(() => gate.openAttempt('drafts'))
+  stop()
+  for (let count = 1; count <= 3; count += 1) {
+    await clock.advance(60)
+    quick!.onEvents(count * 3)
+    slow!.onEvents(count)
+  }
+  const fields = { knownAnswers: 65, recentAnswers: 1, newestAnswerAgeMs: 180, deadlineInMs: timeoutMs, leftMs: stopMs - 180, sinceStopMs: 180, openStreams: 2, pausePerEventMs: 60, expectedEvents: 50 }
+  t.deepEqual(decide({ answerTokens: 50 }), { isAdmitted: true, basis: 'estimate', expectedMs: (180 + 50 * 60) * 1.25, ...fields })
+  t.like(decide({ answerTokens: 50, isAtMostOnce: true }), { isAdmitted: false, basis: 'deadline' })
+  t.like(decide({ answerTokens: 50, leftMs: 2_000 }), { isAdmitted: true, basis: 'deadline', deadlineInMs: 2_000 })
+  for (const attempt of [quick, slow, waiting]) attempt!.end()
+  t.like(decide({ answerTokens: 50 }), { openStreams: 0, pausePerEventMs: undefined, expectedMs: 1_100 * 1.25 })
+})
+
+test('a decision on a request of a route with few known answers says that nothing is known', t => {
+  const { decide, stop } = createGate(Array.from({ length: 20 }, () => ({ tookMs: 20 })))
+  stop()
+  t.like(decide(), { isAdmitted: false, basis: 'nothing-known', expectedMs: Infinity, expectedEvents: undefined, knownAnswers: 20 })
+  t.like(decide({ leftMs: stopMs }), { isAdmitted: true, basis: 'nothing-known', deadlineInMs: stopMs })
+})
+
+test('an attempt has the pause between its latest events, or the time since the latest one if it is longer', async t => {
+  const { clock, gate } = createGate([])
+  const attempt = gate.openAttempt('drafts')
+  await clock.advance(50)
+  t.deepEqual(attempt.pace(), { sinceSentMs: 50, pausePerEventMs: undefined })
+  attempt.onEvents(1)
+  await clock.advance(20)
+  attempt.onEvents(2)
+  t.deepEqual(attempt.pace(), { sinceSentMs: 70, pausePerEventMs: 20 })
+  await clock.advance(100)
+  attempt.end()
+  t.deepEqual(attempt.pace(), { sinceSentMs: 170, pausePerEventMs: 100 })
+})
