Take a stream late in a stop only if its deadline ends before the stop does

Cause: the gate takes a stream by an estimate of its time, and nothing bounds that time once the stream is taken.

From 2.5 s after the signal on, a stream is now taken only if its deadline ends before the stop does, like an at-most-once call all through the stop. All others get 503 at once, which is true, as nothing was sent.

The new test in stop-gate.test.ts fails before, as an estimate decides.

--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -192,7 +192,7 @@
 
 /** The request as the gate of a stopping node sees it. */
 export function toGateRequest ({ route, head, deadlineAtMs }: Pick<ActiveRequest, 'route' | 'head' | 'deadlineAtMs'>): GateRequest {
-  return { route: route.name, isAtMostOnce: route.kind === 'at-most-once', answerTokens: head.tokens?.answer, deadlineAtMs }
+  return { route: route.name, kind: route.kind, answerTokens: head.tokens?.answer, deadlineAtMs }
 }
 
 /** Why a request is not sent, and when a retry may succeed. */
--- a/src/core/gateway/stop-gate.ts
+++ b/src/core/gateway/stop-gate.ts
@@ -1,19 +1,21 @@
 /**
  * Decides whether a stopping node takes a request, and whether it sends one again:
  * only if it expects to finish before it ends its connections. All others are
- * refused at once, so that their callers can go to another node.
+ * refused at once, so that their callers can go to another node. A backend server
+ * may become slower than estimated, so an estimate doesn't decide on what must not
+ * be cut.
  */
 import { createAnswerTimes } from './answer-times.ts'
 import type { Clock } from '../clock/index.ts'
 import type { AnswerEstimate, AnswerTimes, OpenAttempt } from './answer-times.ts'
+import type { RequestKind } from './types.ts'
 
 export type { AnswerTimes, OpenAttempt } from './answer-times.ts'
 
 /** A request at the gate. */
 export interface GateRequest {
   route: string
-  /** Whether it must not run twice, and its answer comes whole or not at all. */
-  isAtMostOnce: boolean
+  kind: RequestKind
   /** Maximum tokens of the answer; undefined if the request doesn't say. */
   answerTokens: number | undefined
   /** Wall time. */
@@ -23,6 +25,8 @@
 /** Monotonic times of a planned stop. */
 export interface PlannedStop {
   requestedAtMs: number
+  /** From then on, a stream that is taken must not be cut. */
+  streamsCompleteFromMs: number
   /** When open requests are ended. */
   endsAtMs: number
 }
@@ -56,8 +60,16 @@
   decide: (request: GateRequest) => StopDecision | undefined
 }
 
-function basisOf (isAtMostOnce: boolean, expectedMs: number, deadlineInMs: number): DecisionBasis {
-  if (isAtMostOnce) return 'deadline'
+/**
+ * Whether nothing but its deadline bounds the time of the request. The caller of an at-most-once call that gets no
+ * answer can't find out whether it ran. A repeatable request that isn't finished gets an error, and is sent again.
+ */
+function needsDeadline (kind: RequestKind, nowMs: number, { streamsCompleteFromMs }: PlannedStop): boolean {
+  return kind === 'at-most-once' || (kind === 'stream' && nowMs >= streamsCompleteFromMs)
+}
+
+function basisOf (isDeadlineNeeded: boolean, expectedMs: number, deadlineInMs: number): DecisionBasis {
+  if (isDeadlineNeeded) return 'deadline'
   if (expectedMs === Infinity) return 'nothing-known'
   return expectedMs <= deadlineInMs ? 'estimate' : 'deadline'
 }
@@ -66,15 +78,16 @@
 export function createStopGate ({ clock, stop }: StopGateOptions): StopGate {
   const times = createAnswerTimes(clock)
 
-  function decide ({ route, isAtMostOnce, answerTokens, deadlineAtMs }: GateRequest, { requestedAtMs, endsAtMs }: PlannedStop): StopDecision {
+  function decide ({ route, kind, answerTokens, deadlineAtMs }: GateRequest, planned: PlannedStop): StopDecision {
+    const { requestedAtMs, endsAtMs } = planned
     const nowMs = clock.monotonicMs()
     const deadlineInMs = deadlineAtMs - clock.wallMs()
     const estimate = times.estimate(route, answerTokens)
-    // The caller of an at-most-once call that is cut can't find out whether it ran, so nothing but its deadline bounds it.
-    const longestMs = isAtMostOnce ? deadlineInMs : Math.min(estimate.expectedMs, deadlineInMs)
+    const isDeadlineNeeded = needsDeadline(kind, nowMs, planned)
+    const longestMs = isDeadlineNeeded ? deadlineInMs : Math.min(estimate.expectedMs, deadlineInMs)
     return {
       isAdmitted: nowMs + longestMs <= endsAtMs,
-      basis: basisOf(isAtMostOnce, estimate.expectedMs, deadlineInMs),
+      basis: basisOf(isDeadlineNeeded, estimate.expectedMs, deadlineInMs),
       deadlineInMs,
       leftMs: endsAtMs - nowMs,
       sinceStopMs: nowMs - requestedAtMs,
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -231,7 +231,7 @@
   }
 
   /** Begins a stop whose end the gate expects after `leftMs`; only `endStop` ends it. */
-  const beginStop = (leftMs: number): void => { state.plannedStop = { requestedAtMs: clock.monotonicMs(), endsAtMs: clock.monotonicMs() + leftMs } }
+  const beginStop = (leftMs: number): void => { state.plannedStop = { requestedAtMs: clock.monotonicMs(), streamsCompleteFromMs: Infinity, endsAtMs: clock.monotonicMs() + leftMs } }
   const endStop = (): void => stopped.abort()
 
   return { servers, call, port, events, attempts, state, backends, router, quarantine, ingress, metrics, beginStop, endStop }
--- a/test/gateway/stop-gate.test.ts
+++ b/test/gateway/stop-gate.test.ts
@@ -2,15 +2,17 @@
 import test from 'ava'
 import { createManualClock } from '../../src/core/clock/index.ts'
 import { createStopGate } from '../../src/core/gateway/index.ts'
-import type { PlannedStop, StopDecision } from '../../src/core/gateway/index.ts'
+import type { PlannedStop, RequestKind, StopDecision } from '../../src/core/gateway/index.ts'
 
 const stopMs = 5_000
+/** Time after which a stream that is taken must not be cut. */
+const streamsCompleteAfterMs = 2_500
 const timeoutMs = 15_000
 
 interface RequestOptions {
   answerTokens?: number
   leftMs?: number
-  isAtMostOnce?: boolean
+  kind?: RequestKind
 }
 
 function createGate (answers: ReadonlyArray<{ tookMs: number, answerTokens?: number }>) {
@@ -18,9 +20,9 @@
   let planned: PlannedStop | undefined
   const gate = createStopGate({ clock, stop: () => planned })
   for (const { tookMs, answerTokens } of answers) gate.recordAnswer('drafts', { tookMs, firstByteMs: 100, eventCount: answerTokens ?? 0, answerTokens })
-  const decide = ({ answerTokens, leftMs = timeoutMs, isAtMostOnce = false }: RequestOptions = {}): StopDecision | undefined => gate.decide({ route: 'drafts', isAtMostOnce, answerTokens, deadlineAtMs: clock.wallMs() + leftMs })
+  const decide = ({ answerTokens, leftMs = timeoutMs, kind = 'repeatable' }: RequestOptions = {}): StopDecision | undefined => gate.decide({ route: 'drafts', kind, answerTokens, deadlineAtMs: clock.wallMs() + leftMs })
   const admits = (request?: RequestOptions): boolean => decide(request)?.isAdmitted ?? true
-  const stop = (): void => { planned = { requestedAtMs: clock.monotonicMs(), endsAtMs: clock.monotonicMs() + stopMs } }
+  const stop = (): void => { planned = { requestedAtMs: clock.monotonicMs(), streamsCompleteFromMs: clock.monotonicMs() + streamsCompleteAfterMs, endsAtMs: clock.monotonicMs() + stopMs } }
   return { clock, gate, decide, admits, stop }
 }
 
@@ -51,10 +53,10 @@
 test('a stopping node takes an at-most-once call only while its whole deadline fits, whatever earlier answers took', async t => {
   const { clock, admits, stop } = createGate(Array.from({ length: 64 }, () => ({ tookMs: 20 })))
   stop()
-  t.true(admits({ isAtMostOnce: true, leftMs: stopMs - 100 }))
-  t.false(admits({ isAtMostOnce: true, leftMs: stopMs + 100 }))
+  t.true(admits({ kind: 'at-most-once', leftMs: stopMs - 100 }))
+  t.false(admits({ kind: 'at-most-once', leftMs: stopMs + 100 }))
   await clock.advance(stopMs - 500)
-  t.false(admits({ isAtMostOnce: true, leftMs: 600 }))
+  t.false(admits({ kind: 'at-most-once', leftMs: 600 }))
   t.true(admits({ leftMs: 600 }))
 })
 
@@ -126,7 +128,7 @@
   }
   const fields = { knownAnswers: 65, recentAnswers: 1, newestAnswerAgeMs: 180, deadlineInMs: timeoutMs, leftMs: stopMs - 180, sinceStopMs: 180, openStreams: 2, pausePerEventMs: 60, expectedEvents: 50 }
   t.deepEqual(decide({ answerTokens: 50 }), { isAdmitted: true, basis: 'estimate', expectedMs: (180 + 50 * 60) * 1.25, ...fields })
-  t.like(decide({ answerTokens: 50, isAtMostOnce: true }), { isAdmitted: false, basis: 'deadline' })
+  t.like(decide({ answerTokens: 50, kind: 'at-most-once' }), { isAdmitted: false, basis: 'deadline' })
   t.like(decide({ answerTokens: 50, leftMs: 2_000 }), { isAdmitted: true, basis: 'deadline', deadlineInMs: 2_000 })
   for (const attempt of [quick, slow, waiting]) attempt!.end()
   t.like(decide({ answerTokens: 50 }), { openStreams: 0, pausePerEventMs: undefined, expectedMs: 1_100 * 1.25 })
@@ -152,3 +154,15 @@
   attempt.end()
   t.deepEqual(attempt.pace(), { sinceSentMs: 170, pausePerEventMs: 100 })
 })
+
+// Guards against streams that are taken by an estimate and cut because their backend server becomes slower afterwards.
+test('a stopping node whose streams must not be cut any more takes a stream only while its whole deadline fits, however quick streams are', async t => {
+  const { clock, decide, admits, stop } = createGate(Array.from({ length: 64 }, () => ({ tookMs: 100, answerTokens: 50 })))
+  stop()
+  t.true(admits({ kind: 'stream', answerTokens: 50 }))
+  await clock.advance(streamsCompleteAfterMs)
+  t.like(decide({ kind: 'stream', answerTokens: 50 }), { isAdmitted: false, basis: 'deadline' })
+  t.true(admits({ kind: 'stream', leftMs: stopMs - streamsCompleteAfterMs }))
+  t.false(admits({ kind: 'stream', leftMs: stopMs - streamsCompleteAfterMs + 1 }))
+  t.true(admits({ kind: 'repeatable', answerTokens: 50 }))
+})
