Tell callers that a stopping node refuses when a node will serve again

What callers saw: while all nodes of a failure domain were stopping, each refusal said Retry-After 0.1 s.

A node now knows from the reports of the others which are stopping and since when, and from their registrations in which domain they are.

--- a/src/core/gateway/acceptance.ts
+++ b/src/core/gateway/acceptance.ts
@@ -15,8 +15,6 @@
 const unconfiguredBodyBytes = 1024 * 1024
 /** Retry time that callers get while the node has no configuration. */
 const notReadyRetryMs = 500
-/** Retry time that callers get from a stopping node; their next connection leads to another one. */
-export const stoppingRetryMs = 100
 
 type Accepted = Pick<ActiveRequest, 'route' | 'team' | 'head' | 'version' | 'id'>
 
@@ -33,7 +31,7 @@
   const { clock, log, codec } = options
 
   function stopRefusal (): GatewayResponse {
-    return { status: 503, reason: 'draining', detail: 'The node is stopping and can not finish the request before.', retryInMs: withJitter(stoppingRetryMs) }
+    return { status: 503, reason: 'draining', detail: 'The node is stopping and can not finish the request before.', retryInMs: withJitter(options.stoppingRetryMs()) }
   }
 
   function notReadyRefusal (): GatewayResponse {
--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -71,6 +71,8 @@
   /** Aborted when the node ends the requests that are still open at the end of a stop. */
   stopped: AbortSignal
   stopGate: StopGate
+  /** Retry time for the callers that a stopping node refuses. */
+  stoppingRetryMs: () => number
   onAnswerClosed: CallerConnections['onAnswerClosed']
   /** Whether this node learns of the others' load soon enough to compare all backend servers without many nodes choosing the same one. */
   hasRecentLoads: () => boolean
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -6,7 +6,7 @@
 import { toId } from '../ids/index.ts'
 import { startAttempt } from './attempt.ts'
 import { isAttemptOk } from './attempt-outcome.ts'
-import { createAcceptance, stoppingRetryMs } from './acceptance.ts'
+import { createAcceptance } from './acceptance.ts'
 import { canaryLabel } from './backend-table.ts'
 import { createAttemptEndHandler, failedWith } from './attempt-end-handler.ts'
 import { createLimitGate } from './limit-gate.ts'
@@ -157,7 +157,7 @@
       if (admittance.kind === 'refused') return failedWith(admittance.reason, admittance.detail, admittance.retryAtMs - clock.wallMs())
       if (!stopDecisions.sends(active)) {
         admittance.release()
-        return failedWith('draining', 'The node is stopping and can not finish another attempt before.', stoppingRetryMs)
+        return failedWith('draining', 'The node is stopping and can not finish another attempt before.', options.stoppingRetryMs())
       }
       const attempted = await attemptAdmitted(active).finally(admittance.release)
       if ('unchosen' in attempted) return unchosenEnd(active, attempted.unchosen)
--- a/src/core/log/events/agreement.ts
+++ b/src/core/log/events/agreement.ts
@@ -17,6 +17,8 @@
   nodeSilent: { number: 411, level: 'warn', text: 'No report of another node arrived for some time.', remedy: 'Check that node and the network between both nodes.' },
   nodeReportUnreadable: { number: 412, level: 'warn', text: 'A report of another node could not be decoded; logged at most once a second.', remedy: 'Check that all nodes run the same version; node_reports_unreadable_total counts all of them.' },
   nodeReportFailed: { number: 420, level: 'error', text: 'A report of this node could not be put together; the next one follows at the next interval.', remedy: 'Report a bug with the fields of this event.' },
+  nodeStopHeard: { number: 421, level: 'info', text: 'Another node reported that it is stopping.', remedy: 'none' },
+  nodeServesAgain: { number: 422, level: 'info', text: 'Another node serves again after a planned stop.', remedy: 'none' },
   viewFromPeer: { number: 413, level: 'info', text: 'The content of the key-value service was copied from another node.', remedy: 'none; check the service if this persists.' },
   collectorChosen: { number: 414, level: 'info', text: 'This node now uses the totals of another collector of reports, or collects the reports itself.', remedy: 'none; if this happens repeatedly, check the network between both nodes.' },
   quotaLevelsUnreadable: { number: 416, level: 'warn', text: 'The stored levels of quota buckets could not be read; buckets begin empty.', remedy: 'none; the record is written again while a team is near its quota.' },
--- a/src/core/node-reports/types.ts
+++ b/src/core/node-reports/types.ts
@@ -1,6 +1,6 @@
 /** Types of the reports that nodes exchange several times a second; each report replaces the previous one. */
 import type { LimitReport } from '../backend-limits/index.ts'
-import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
+import type { BackendId, DomainId, NodeId, TeamId } from '../ids/index.ts'
 import type { QuotaLevels, QuotaUsage } from '../quota/index.ts'
 import type { QuarantineReport } from '../quarantine/index.ts'
 import type { PeerLoad, PrefixPlacement } from '../routing/index.ts'
@@ -83,4 +83,6 @@
   reportPort: number
   /** TCP port that serves the node's view of the key-value service. */
   viewPort: number
+  /** Nodes of earlier releases don't tell it. */
+  domain?: DomainId | undefined
 }
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -199,6 +199,7 @@
     hasRecentLoads: () => true,
     stopped: stopped.signal,
     stopGate: createStopGate({ clock, stop: () => state.plannedStop }),
+    stoppingRetryMs: () => 100,
     onAnswerClosed: (response, listener) => ingress.onAnswerClosed(response, listener),
     draw: hasher.draw,
     random: createRandom(3)
