Read the answers that have arrived before requests are ended at the end of a stop

Callers could see: 504, or a visible cut, for a request whose whole answer had arrived at the node, if the node was stalled across the end of its stop. It needs a request that came when no other had been open for 1 s, so that the listener had just closed; all others were saved by the turns of the event loop in which the listener accepts its last connections, not by design.

Cause: the last wait of a stop ends by the clock alone. After a stall of the event loop, its timer runs before sockets are read. The gateway and the own interface share that wait.

The wait now ends after two turns of the loop, in which sockets are read.

--- a/src/core/caller-connections/index.ts
+++ b/src/core/caller-connections/index.ts
@@ -22,6 +22,8 @@
 const maxWaiting = 64
 /** Turns of the event loop without a new connection after which none waits to be accepted, and the request of the last one has been read if it had arrived. */
 const quietTurns = 2
+/** Turns of the event loop in which bytes that have arrived are read, and what follows from them is handled. */
+const readTurns = 2
 /** Limit of the turns, for connections that come without end. */
 const maxTurns = 1_024
 
@@ -249,7 +251,11 @@
       lastActiveAtMs = clock.monotonicMs()
       return pollUntil(() => connections.size === 0 || (isQuiet() && clock.monotonicMs() >= lastActiveAtMs + quietMs), deadlineAtMs)
     },
-    whenAnswered: deadlineAtMs => pollUntil(() => openRequestCount() === 0, deadlineAtMs),
+    whenAnswered: async deadlineAtMs => {
+      await pollUntil(() => openRequestCount() === 0, deadlineAtMs)
+      // After a stall of the event loop, timers run before an answer that has arrived is read.
+      for (let turns = 0; turns < readTurns && openRequestCount() > 0; turns += 1) await setImmediate()
+    },
     close: () => {
       for (const connection of connections.values()) closeConnection(connection)
     }
--- a/src/core/caller-connections/types.ts
+++ b/src/core/caller-connections/types.ts
@@ -41,7 +41,7 @@
   stopListening: () => Promise<void>
   /** Resolves once all connections have ended, or no request has been open for `quietMs` from this call on and no caller is still reading its last answer; at the monotonic time `deadlineAtMs` at the latest. */
   whenQuiet: (quietMs: number, deadlineAtMs: number) => Promise<void>
-  /** Resolves once all answers are delivered, at the monotonic time `deadlineAtMs` at the latest. */
+  /** Resolves once all answers are delivered, or at the monotonic time `deadlineAtMs`, when what had arrived by then has been read. */
   whenAnswered: (deadlineAtMs: number) => Promise<void>
   /** Ends idle connections regularly and aborts all others, whose answers are then visibly incomplete. */
   close: () => void
--- a/test/caller-connections/caller-connections.test.ts
+++ b/test/caller-connections/caller-connections.test.ts
@@ -1,12 +1,13 @@
 /** Ends of callers' connections, over real sockets. */
 import { createServer } from 'node:http'
 import { once } from 'node:events'
+import { connect, createServer as createTcpServer } from 'node:net'
 import test from 'ava'
 import { createCallerConnections } from '../../src/core/caller-connections/index.ts'
 import { createSystemClock } from '../../src/core/clock/index.ts'
 import { connectCaller } from '../raw-caller.ts'
 import type { ExecutionContext } from 'ava'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import type { ServerResponse } from 'node:http'
 import type { AnswerEnd } from '../../src/core/caller-connections/index.ts'
 
@@ -15,7 +16,7 @@
 const badRequest = 'HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\nconnection: close\r\n\r\n'
 
 /** Starts a server whose responses are kept until the test ends them. */
-async function startServer (t: ExecutionContext) {
+async function startServer (t: ExecutionContext, connectionsClock = clock) {
   const state = { isDraining: false }
   const responses = new Map<string, ServerResponse>()
   const late: string[] = []
@@ -24,7 +25,7 @@
   })
   const connections = createCallerConnections({
     server,
-    clock,
+    clock: connectionsClock,
     isDraining: () => state.isDraining,
     onLateRequest: ({ url }) => late.push(url ?? ''),
     onParserError: () => badRequest
@@ -208,3 +209,30 @@
   t.is(heads.length, 65)
   t.is(late.length, 500 - heads.length)
 })
+
+// Guards against a request that is ended by the clock alone, although its answer only waits to be read.
+test('an answer that arrived by the end of the wait is delivered although the node was stalled then', async t => {
+  let nowMs = 0
+  let wake = (): void => {}
+  const stallableClock = { ...clock, monotonicMs: () => nowMs, sleep: () => new Promise<void>(resolve => { wake = resolve }) }
+  const { caller, connections, responseTo } = await startServer(t, stallableClock)
+  const backend = createTcpServer().listen(0, '127.0.0.1')
+  await once(backend, 'listening')
+  const upstream = connect((backend.address() as AddressInfo).port, '127.0.0.1')
+  const [serverSide] = await once(backend, 'connection') as [Socket]
+  t.teardown(() => {
+    upstream.destroy()
+    serverSide.destroy()
+    backend.close()
+  })
+  caller.write(get('/'))
+  const response = await responseTo('/')
+  upstream.on('data', () => response.end('whole'))
+  const answered = connections.whenAnswered(100)
+  serverSide.write('answer')
+  nowMs = 200
+  wake()
+  await answered
+  t.is(connections.openRequestCount(), 0)
+  t.like(await caller.nextResponse(), { status: 200, body: 'whole', isComplete: true })
+})
