End a stop in time while connections come without end

Cause: before it closed, the listener accepted waiting connections for up to 1,024 turns of the event loop, with no limit in time, and only then ended the open requests.

Fix: open requests are ended by a timer of their own, whatever is being accepted, and accepting is bounded by the time for the last answers. The server of the own interface, which shares the module, does the same.

--- a/src/core/caller-connections/index.ts
+++ b/src/core/caller-connections/index.ts
@@ -22,8 +22,6 @@
 const maxWaiting = 64
 /** Turns of the event loop without a new connection after which none waits to be accepted, and the request of the last one has been read if it had arrived. */
 const quietTurns = 2
-/** Limit of the turns, for connections that come without end. */
-const maxTurns = 1_024
 
 interface TakenRequest {
   request: IncomingMessage
@@ -212,9 +210,9 @@
     socket.destroy()
   }
 
-  /** The event loop accepts one connection in each turn; those that wait when the listener is closed are reset, unread. */
-  async function acceptWaiting (): Promise<void> {
-    for (let turns = 0, quiet = 0; turns < maxTurns && quiet < quietTurns; turns += 1) {
+  /** The event loop accepts one connection in each turn; those that wait when the listener is closed are reset, unread. New ones may come without end, so `deadlineAtMs` bounds the wait. */
+  async function acceptWaiting (deadlineAtMs: number): Promise<void> {
+    for (let turns = 0, quiet = 0; quiet < quietTurns && (turns < quietTurns || clock.monotonicMs() < deadlineAtMs); turns += 1) {
       const before = acceptedCount
       await setImmediate()
       quiet = acceptedCount === before ? quiet + 1 : 0
@@ -240,8 +238,8 @@
       if (current?.response === response) current.listeners.push(listener)
       else listener(answerEndOf(response))
     },
-    stopListening: async () => {
-      await acceptWaiting()
+    stopListening: async deadlineAtMs => {
+      await acceptWaiting(deadlineAtMs)
       // The close method of an HTTP server also closes connections that only look idle to it.
       NetServer.prototype.close.call(server)
     },
--- a/src/core/gateway/ingress.ts
+++ b/src/core/gateway/ingress.ts
@@ -111,13 +111,21 @@
   }
 
   async function drain ({ listenUntilMs, endsAtMs, endRequests }: DrainLimits): Promise<void> {
+    const drained = new AbortController()
+    let closesAtMs = endsAtMs + lastAnswersMs
+    // Not put off by connections to accept, whose number is unbounded and each of which takes a turn of the event loop.
+    const ended = clock.sleep(endsAtMs - clock.monotonicMs(), drained.signal).then(() => {
+      endRequests()
+      // After a stall, that time may have passed before an answer could be written.
+      closesAtMs = Math.max(endsAtMs, clock.monotonicMs()) + lastAnswersMs
+    })
     await clock.sleep(listenUntilMs - clock.monotonicMs())
     await connections.whenQuiet(quietMs, endsAtMs)
-    await connections.stopListening()
+    await connections.stopListening(Math.max(endsAtMs, clock.monotonicMs()) + lastAnswersMs)
     await connections.whenAnswered(endsAtMs)
-    endRequests()
-    // After a stall, that time may have passed before an answer could be written.
-    await connections.whenAnswered(Math.max(endsAtMs, clock.monotonicMs()) + lastAnswersMs)
+    drained.abort()
+    await ended
+    await connections.whenAnswered(closesAtMs)
     connections.close()
   }
 
@@ -132,7 +140,7 @@
     onAnswerClosed: connections.onAnswerClosed,
     drain,
     close: async () => {
-      await connections.stopListening()
+      await connections.stopListening(clock.monotonicMs())
       connections.close()
     }
   }
--- a/src/core/http/index.ts
+++ b/src/core/http/index.ts
@@ -54,12 +54,21 @@
   const { port } = server.address() as AddressInfo
 
   async function close (deadlineAtMs: number): Promise<void> {
-    await connections.whenQuiet(quietMs, deadlineAtMs - answerReserveMs)
-    await connections.stopListening()
-    await connections.whenAnswered(deadlineAtMs - answerReserveMs)
-    stopAnswers.answerAll()
+    const { clock } = options
+    const endsAtMs = deadlineAtMs - answerReserveMs
+    const closed = new AbortController()
+    // Not put off by connections to accept, whose number is unbounded.
+    const ended = clock.sleep(endsAtMs - clock.monotonicMs(), closed.signal)
+    ended.then(stopAnswers.answerAll)
+    await connections.whenQuiet(quietMs, endsAtMs)
     // After a stall, that time may have passed before an answer could be written.
-    await connections.whenAnswered(Math.max(deadlineAtMs, options.clock.monotonicMs() + answerReserveMs))
+    const lastAnswersAtMs = (): number => Math.max(deadlineAtMs, clock.monotonicMs() + answerReserveMs)
+    await connections.stopListening(lastAnswersAtMs())
+    await connections.whenAnswered(endsAtMs)
+    closed.abort()
+    await ended
+    stopAnswers.answerAll()
+    await connections.whenAnswered(lastAnswersAtMs())
     connections.close()
   }
 
--- a/test/caller-connections/caller-connections.test.ts
+++ b/test/caller-connections/caller-connections.test.ts
@@ -32,7 +32,7 @@
   server.listen(0, '127.0.0.1')
   await once(server, 'listening')
   t.teardown(async () => {
-    await connections.stopListening()
+    await connections.stopListening(clock.monotonicMs())
     connections.close()
   })
   const caller = await connectCaller((server.address() as AddressInfo).port)
