Show that requests behind a cut answer are dropped without a line

What callers see: a pipelined request behind a stream that a stop cuts (7.5 s after SIGTERM, gatewayCut) ends with the connection. It was read and not run, and no line or counter names it, although docs say that each request that isn't answered has a line (answerNotDelivered, crossed-close).

Cause: the close listener of a connection in caller-connections/index.ts empties `waiting` without `discard`, which reports. closeRequest and closeConnection do report, but cutAnswer destroys the socket first, so neither sees the requests.

--- a/test/caller-connections/caller-connections.test.ts
+++ b/test/caller-connections/caller-connections.test.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:http'
 import { once } from 'node:events'
 import test from 'ava'
-import { createCallerConnections } from '../../src/core/caller-connections/index.ts'
+import { createCallerConnections, cutAnswer } from '../../src/core/caller-connections/index.ts'
 import { createSystemClock } from '../../src/core/clock/index.ts'
 import { connectCaller } from '../raw-caller.ts'
 import type { ExecutionContext } from 'ava'
@@ -208,3 +208,17 @@
   t.is(heads.length, 65)
   t.is(late.length, 500 - heads.length)
 })
+
+// Guards against pipelined requests that are dropped without a line when a stop cuts the stream before them.
+test('a request that waits behind an answer that is cut is reported as not handled', async t => {
+  const { caller, responseTo, responses, late } = await startServer(t)
+  caller.write(get('/1'))
+  const response = await responseTo('/1')
+  response.write('event')
+  caller.write(get('/2'))
+  await clock.sleep(50)
+  cutAnswer(response)
+  t.false((await caller.nextResponse()).isComplete)
+  t.false(responses.has('/2'))
+  t.deepEqual(late, ['/2'])
+})
