Show that a node that handles SIGTERM late outlasts its grace period

What callers see: a node that is stalled or short of processor time when SIGTERM comes counts its stop from the time at which it handles the signal. It still takes requests when the platform kills it, and they end without an answer. Its streams are also taken by an estimate for 2.5 s from then on, which is later than the 3 s of the rule LOST if the signal is handled more than 0.5 s late.

Cause: start.ts takes performance.now() in the handler of the signal, and node.ts adds the grace period to that time. Nothing bounds when it was sent.

The test stops a node's process for 1.5 s around the signal, with one request open.

--- a/test/platform-adapter/signals.test.ts
+++ b/test/platform-adapter/signals.test.ts
@@ -7,11 +7,15 @@
 import { createSystemClock } from '../../src/core/clock/index.ts'
 import { createCaller } from '../../bench/soak/callers.ts'
 import { startSoakDeployment } from '../../bench/soak/deployment.ts'
+import { connectCaller } from '../raw-caller.ts'
 import { buildProgram } from './build-program.ts'
+import { graceMs } from './soak-deployment.ts'
 
 const clock = createSystemClock()
 /** Value of `random` for which a backend server takes 900 ms per request. */
 const slowRandomValue = 15
+/** Time from a signal until the node can handle it. */
+const stallMs = 1_500
 
 let program = ''
 test.before(() => {
@@ -72,3 +76,25 @@
   node.stop()
   t.like(await open, { kind: 'answer', status: 200, body: 'open' })
 })
+
+// Guards against a grace period that counts from the time at which the node handled its signal.
+test('a node that was stalled when SIGTERM came ends within its grace period', async t => {
+  let exitedAtMs = Infinity
+  const deployment = await startSoakDeployment({ nodeCount: 1, program, onRun: () => {}, onArrival: () => {}, onPrompt: () => {}, onCrash: () => {}, onRequestCrash: () => {}, onExit: ({ atMs }) => { exitedAtMs = atMs }, random: () => 0 })
+  t.teardown(deployment.close)
+  const node = deployment.nodes[0]!
+  while (!node.log().some(line => line.includes('nodeReady'))) await clock.sleep(20)
+  const caller = await connectCaller(node.callersPort)
+  t.teardown(() => caller.socket.destroy())
+  // A request that is open until the end of the stop.
+  caller.write('POST /look-up/a HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n\r\n')
+  await clock.sleep(100)
+  node.pause()
+  const stoppedAtMs = clock.monotonicMs()
+  node.stop()
+  await clock.sleep(stallMs)
+  node.resume()
+  t.like(await caller.nextResponse(), { status: 503, isComplete: true })
+  while (node.isUp()) await clock.sleep(20)
+  t.true(exitedAtMs - stoppedAtMs <= graceMs, `it ended ${Math.round(exitedAtMs - stoppedAtMs)} ms after the signal`)
+})
