Refuse requests that arrived during a stall before a stop closes connections

What a caller saw: it sent a whole request on a kept connection while the node was stalled around the end of its stop, and the connection ended without an answer; the request was read afterwards and dropped (answerNotDelivered, crossed-close).

Cause: the last wait of a stop ends by a timer, and after a stall timers run before sockets are read; the idle connections were closed at once.

--- a/src/core/gateway/ingress.ts
+++ b/src/core/gateway/ingress.ts
@@ -63,6 +63,8 @@
 const quietMs = 1_000
 /** Time that the last answers get to be written. */
 const lastAnswersMs = 250
+/** Time that the refusals of requests that were read last get. */
+const lateRefusalsMs = 50
 
 const statusOfError: Record<string, string> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -126,6 +128,9 @@
     drained.abort()
     await ended
     await connections.whenAnswered(closesAtMs)
+    // Requests that arrived during a stall are refused before their connections are closed as idle.
+    await connections.whenRead()
+    await connections.whenAnswered(clock.monotonicMs() + lateRefusalsMs)
     connections.close()
   }
 
--- a/src/core/http/index.ts
+++ b/src/core/http/index.ts
@@ -24,6 +24,8 @@
 const quietMs = 1_000
 /** Time before the end of a stop at which requests without an answer get one that says whether they may have run; enough to deliver it. */
 const answerReserveMs = 250
+/** Time that the refusals of requests that were read last get. */
+const lateRefusalsMs = 50
 
 /** A running server. */
 export interface CallerServer {
@@ -68,6 +70,10 @@
     await ended
     stopAnswers.answerAll()
     await connections.whenAnswered(lastAnswersAtMs())
+    // Requests that arrived during a stall are refused before their connections are closed as idle.
+    await connections.whenRead()
+    stopAnswers.answerAll()
+    await connections.whenAnswered(clock.monotonicMs() + lateRefusalsMs)
     connections.close()
   }
 
