Report the requests that wait behind an answer that is cut

What an operator saw: nothing. A pipelined request behind a stream that a stop cuts ends with its connection, read and not run, and no line or counter named it, although each request that isn't answered has a line.

Cause: the close listener of a connection emptied the waiting requests without reporting them. They are reported now if this side aborted the connection; a caller that left needs no line for what it didn't wait for.

--- a/src/core/caller-connections/index.ts
+++ b/src/core/caller-connections/index.ts
@@ -77,7 +77,9 @@
     acceptedCount += 1
     socket.on('close', () => {
       connections.delete(socket)
-      connection.waiting = []
+      const waiting = connection.waiting.splice(0)
+      // Without an end or an error of the caller's side, it is this side that aborted the connection.
+      if (!socket.readableEnded && !socket.errored) waiting.forEach(discard)
       if (connection.current !== undefined) closeRequest(connection, connection.current)
     })
     // Node.js calls this after the last answer of a connection.
--- a/test/caller-connections/caller-connections.test.ts
+++ b/test/caller-connections/caller-connections.test.ts
@@ -248,5 +248,7 @@
   cutAnswer(response)
   t.false((await caller.nextResponse()).isComplete)
   t.false(responses.has('/2'))
+  // The caller may see the end of the connection before the server has closed its side.
+  for (let checks = 0; checks < 100 && late.length === 0; checks += 1) await clock.sleep(5)
   t.deepEqual(late, ['/2'])
 })
