Write a burst of log lines whole that the rate limit allows

What an operator saw: when a stop ended hundreds of requests at once, most of their lines were missing: the rate limit allows 1,500 lines at once, but the buffer before the file descriptor held 256 KiB, some 200 lines of requests with a decision of the stop gate (1.3 KB).

The buffer now holds such a burst, 2 MiB, and only while it isn't written.

--- a/src/core/log/bounded-output.ts
+++ b/src/core/log/bounded-output.ts
@@ -6,8 +6,8 @@
 import { write } from 'node:fs'
 import { Writable } from 'node:stream'
 
-/** Buffer limit; holds several seconds of log lines of a busy node. */
-const maxPendingBytes = 256 * 1024
+/** Buffer limit; holds the longest burst of lines that the rate limit allows, such as when a stop ends all requests at once. */
+const maxPendingBytes = 2 * 1024 * 1024
 
 /** The stream, and the state of what was written to it. */
 export interface BoundedOutput {
--- a/test/log/bounded-log.test.ts
+++ b/test/log/bounded-log.test.ts
@@ -1,8 +1,12 @@
 /** The log of a busy process is limited in volume and never blocks the process, even if nobody reads it. */
 import { spawn } from 'node:child_process'
+import { closeSync, mkdtempSync, openSync, readFileSync, rmSync } from 'node:fs'
 import { once } from 'node:events'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import test from 'ava'
+import { createBoundedOutput } from '../../src/core/log/index.ts'
 import type { Readable } from 'node:stream'
 
 const writer = fileURLToPath(new URL('busy-writer.ts', import.meta.url))
@@ -53,6 +57,25 @@
   t.true(writtenLines(result) + reportedDroppedLines(result) <= result.loggedLines)
 })
 
+// Guards against requests without a line when a stop ends hundreds of them at once.
+test('a burst of as many lines as the rate limit allows is written whole', async t => {
+  const count = 1_500
+  const lineBytes = 1_300
+  const folder = mkdtempSync(join(tmpdir(), 'log-'))
+  const path = join(folder, 'lines')
+  const file = openSync(path, 'w')
+  t.teardown(() => {
+    closeSync(file)
+    rmSync(folder, { recursive: true })
+  })
+  let droppedLines = 0
+  const output = createBoundedOutput(file, lines => { droppedLines += lines })
+  for (let line = 0; line < count; line += 1) output.stream.write(`${'x'.repeat(lineBytes - 1)}\n`)
+  await output.whenWritten()
+  t.is(droppedLines, 0)
+  t.is(readFileSync(path, 'utf8').length, count * lineBytes)
+})
+
 test('the lines of the last moments of a process are written before it exits', async t => {
   // Fewer than the buffer and the pipe hold.
   const count = 300
