Wait for the first bytes of the answers that a stop leaves undelivered

It began the stop as soon as the stand-ins had received three requests, and demanded 200 of the two that answer. A response of 15 MB is forwarded once the gateway has read all of it, and nothing else is due than 504 if the process has no time for that before the end of the stop. So the precondition was missing, and only a quick process made up for it.

The stop now begins when both callers have a part of their answers and the silent server has its request. All that the test demands stays. That a stream whose server has only just begun gets its 200, in spite of a stall, is demanded by the next test, which is unchanged.

--- a/test/platform-adapter/planned-stop.test.ts
+++ b/test/platform-adapter/planned-stop.test.ts
@@ -91,8 +91,10 @@
   large!.write(post('large', 'r-large'))
   silent!.write(post('silent', 'r-silent'))
   unfinished!.write(requestHead('large', 'r-unfinished', 'content-length: 4'))
-  while (requestsOf('stream').length + requestsOf('large').length + requestsOf('silent').length < 3) await clock.sleep(10)
-  large!.socket.pause()
+  // Without a byte of an answer, 504 is due.
+  large!.socket.once('data', () => large!.socket.pause())
+  await Promise.all([stream, large].map(caller => once(caller!.socket, 'data')))
+  while (requestsOf('silent').length === 0) await clock.sleep(10)
   await stop()
   large!.socket.resume()
   t.like(await stream!.nextResponse(), { status: 200, isComplete: false })
