End a stop earlier on a node whose event loop lags

Cause: the end was planned 0.5 s before the kill, whatever a turn of the event loop took. The timer of the end, the answers, their delivery, the close, the wait for the store and the last log lines each wait for a turn.

--- a/src/core/caller-connections/index.ts
+++ b/src/core/caller-connections/index.ts
@@ -226,8 +226,8 @@
     return [...connections.values()].every(({ current, hasEnded }) => current === undefined && !hasEnded)
   }
 
-  async function pollUntil (condition: () => boolean, deadlineAtMs: number): Promise<void> {
-    while (!condition() && clock.monotonicMs() < deadlineAtMs) await clock.sleep(pollIntervalMs)
+  async function pollUntil (condition: () => boolean, deadlineAtMs: () => number): Promise<void> {
+    while (!condition() && clock.monotonicMs() < deadlineAtMs()) await clock.sleep(pollIntervalMs)
   }
 
   return {
--- a/src/core/caller-connections/types.ts
+++ b/src/core/caller-connections/types.ts
@@ -39,10 +39,10 @@
   onAnswerClosed: (response: ServerResponse, listener: AnswerClosedListener) => void
   /** Accepts the connections that wait, until the monotonic time `deadlineAtMs` at most, then stops listening; open connections stay. */
   stopListening: (deadlineAtMs: number) => Promise<void>
-  /** Resolves once all connections have ended, or no request has been open for `quietMs` from this call on and no caller is still reading its last answer; at the monotonic time `deadlineAtMs` at the latest. */
-  whenQuiet: (quietMs: number, deadlineAtMs: number) => Promise<void>
-  /** Resolves once all answers are delivered, at the monotonic time `deadlineAtMs` at the latest. */
-  whenAnswered: (deadlineAtMs: number) => Promise<void>
+  /** Resolves once all connections have ended, or no request has been open for `quietMs` from this call on and no caller is still reading its last answer; at the monotonic time `deadlineAtMs`, which may move, at the latest. */
+  whenQuiet: (quietMs: number, deadlineAtMs: () => number) => Promise<void>
+  /** Resolves once all answers are delivered, at the monotonic time `deadlineAtMs`, which may move, at the latest. */
+  whenAnswered: (deadlineAtMs: () => number) => Promise<void>
   /** Ends idle connections regularly and aborts all others, whose answers are then visibly incomplete. */
   close: () => void
 }
--- a/src/core/gateway/ingress.ts
+++ b/src/core/gateway/ingress.ts
@@ -49,20 +49,23 @@
   close: () => Promise<void>
 }
 
-/** Limits of a graceful shutdown. Times are monotonic, in ms. */
+/** Limits of a graceful shutdown. Times are monotonic, in ms; those that are functions may move meanwhile. */
 export interface DrainLimits {
   /** Until then, new connections may arrive. */
   listenUntilMs: number
   /** Open requests are ended then. */
-  endsAtMs: number
+  endsAtMs: () => number
+  /** Connections are closed then, with the answers that aren't read. */
+  closesAtMs: () => number
   /** Ends all open requests, by an answer if none has begun. */
   endRequests: () => void
 }
 
 /** Time without an open request after which a draining node closes idle connections; callers that send the next request when an answer ends do so sooner. */
 const quietMs = 1_000
-/** Time that the last answers get to be written. */
+/** Shortest time that the last answers get to be written. */
 const lastAnswersMs = 250
+const endCheckMs = 10
 
 const statusOfError: Record<string, string> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -110,23 +113,30 @@
     server.requestTimeout = 0
   }
 
-  async function drain ({ listenUntilMs, endsAtMs, endRequests }: DrainLimits): Promise<void> {
+  async function drain ({ listenUntilMs, endsAtMs, closesAtMs, endRequests }: DrainLimits): Promise<void> {
     const drained = new AbortController()
-    let closesAtMs = endsAtMs + lastAnswersMs
     // Not put off by connections to accept, whose number is unbounded and each of which takes a turn of the event loop.
-    const ended = clock.sleep(endsAtMs - clock.monotonicMs(), drained.signal).then(() => {
-      endRequests()
-      // After a stall, that time may have passed before an answer could be written.
-      closesAtMs = Math.max(endsAtMs, clock.monotonicMs()) + lastAnswersMs
-    })
+    const ended = endInTime()
     await clock.sleep(listenUntilMs - clock.monotonicMs())
     await connections.whenQuiet(quietMs, endsAtMs)
-    await connections.stopListening(Math.max(endsAtMs, clock.monotonicMs()) + lastAnswersMs)
+    await connections.stopListening(lastAnswersAtMs())
     await connections.whenAnswered(endsAtMs)
     drained.abort()
-    await ended
-    await connections.whenAnswered(closesAtMs)
+    const answeredAtMs = await ended
+    await connections.whenAnswered(() => answeredAtMs)
     connections.close()
+
+    /** Ends the requests at the end or once the node has drained; resolves with the time until which their answers may be written. */
+    async function endInTime (): Promise<number> {
+      while (!drained.signal.aborted && clock.monotonicMs() < endsAtMs()) await clock.sleep(endCheckMs, drained.signal)
+      endRequests()
+      return lastAnswersAtMs()
+    }
+
+    /** After a stall, the end may have passed before an answer could be written. */
+    function lastAnswersAtMs (): number {
+      return Math.max(closesAtMs(), clock.monotonicMs() + lastAnswersMs)
+    }
   }
 
   return {
--- a/src/core/http/index.ts
+++ b/src/core/http/index.ts
@@ -60,15 +60,16 @@
     // Not put off by connections to accept, whose number is unbounded.
     const ended = clock.sleep(endsAtMs - clock.monotonicMs(), closed.signal)
     ended.then(stopAnswers.answerAll)
-    await connections.whenQuiet(quietMs, endsAtMs)
+    await connections.whenQuiet(quietMs, () => endsAtMs)
     // After a stall, that time may have passed before an answer could be written.
     const lastAnswersAtMs = (): number => Math.max(deadlineAtMs, clock.monotonicMs() + answerReserveMs)
     await connections.stopListening(lastAnswersAtMs())
-    await connections.whenAnswered(endsAtMs)
+    await connections.whenAnswered(() => endsAtMs)
     closed.abort()
     await ended
     stopAnswers.answerAll()
-    await connections.whenAnswered(lastAnswersAtMs())
+    const closesAtMs = lastAnswersAtMs()
+    await connections.whenAnswered(() => closesAtMs)
     connections.close()
   }
 
