--- a/src/core/gateway/stop-gate.ts
+++ b/src/core/gateway/stop-gate.ts
@@ -27,8 +27,10 @@
   requestedAtMs: number
   /** From then on, a stream that is taken must not be cut. */
   streamsCompleteFromMs: number
-  /** When open requests are ended. */
+  /** When what is taken now must be finished. */
   endsAtMs: number
+  /** Called with the monotonic time before which the stop must not end a request that is taken by its deadline. */
+  holdUntil: (atMs: number) => void
 }
 
 /** What bounded the time that a request is expected to take; with `nothing-known`, its deadline did. */
@@ -85,8 +87,10 @@
     const estimate = times.estimate(route, answerTokens)
     const isDeadlineNeeded = needsDeadline(kind, nowMs, planned)
     const longestMs = isDeadlineNeeded ? deadlineInMs : Math.min(estimate.expectedMs, deadlineInMs)
+    const isAdmitted = nowMs + longestMs <= endsAtMs
+    if (isAdmitted && isDeadlineNeeded) planned.holdUntil(nowMs + deadlineInMs)
     return {
-      isAdmitted: nowMs + longestMs <= endsAtMs,
+      isAdmitted,
       basis: basisOf(isDeadlineNeeded, estimate.expectedMs, deadlineInMs),
       deadlineInMs,
       leftMs: endsAtMs - nowMs,
--- a/src/core/http/index.ts
+++ b/src/core/http/index.ts
@@ -61,19 +61,21 @@
     const closed = new AbortController()
     // Not put off by connections to accept, whose number is unbounded.
     const ended = clock.sleep(endsAtMs - clock.monotonicMs(), closed.signal).then(connections.whenRead).then(stopAnswers.answerAll)
-    await connections.whenQuiet(quietMs, endsAtMs)
+    await connections.whenQuiet(quietMs, () => endsAtMs)
     // After a stall, that time may have passed before an answer could be written.
     const lastAnswersAtMs = (): number => Math.max(deadlineAtMs, clock.monotonicMs() + answerReserveMs)
     await connections.stopListening(lastAnswersAtMs())
-    await connections.whenAnswered(endsAtMs)
+    await connections.whenAnswered(() => endsAtMs)
     closed.abort()
     await ended
     stopAnswers.answerAll()
-    await connections.whenAnswered(lastAnswersAtMs())
+    const closesAtMs = lastAnswersAtMs()
+    await connections.whenAnswered(() => closesAtMs)
     // Requests that arrived during a stall are refused before their connections are closed as idle.
     await connections.whenRead()
     stopAnswers.answerAll()
-    await connections.whenAnswered(clock.monotonicMs() + lateRefusalsMs)
+    const closedAtMs = clock.monotonicMs() + lateRefusalsMs
+    await connections.whenAnswered(() => closedAtMs)
     connections.close()
   }
 
--- a/test/caller-connections/caller-connections.test.ts
+++ b/test/caller-connections/caller-connections.test.ts
@@ -164,7 +164,8 @@
   caller.socket.pause()
   ;(await responseTo('/1')).end('one')
   let isQuiet = false
-  const quiet = connections.whenQuiet(50, clock.monotonicMs() + 10_000).then(() => { isQuiet = true })
+  const deadlineAtMs = clock.monotonicMs() + 10_000
+  const quiet = connections.whenQuiet(50, () => deadlineAtMs).then(() => { isQuiet = true })
   await clock.sleep(500)
   t.false(isQuiet)
   caller.socket.resume()
@@ -228,7 +229,7 @@
   caller.write(get('/'))
   const response = await responseTo('/')
   upstream.on('data', () => response.end('whole'))
-  const answered = connections.whenAnswered(100)
+  const answered = connections.whenAnswered(() => 100)
   serverSide.write('answer')
   nowMs = 200
   wake()
@@ -239,12 +240,12 @@
 
 // Guards against pipelined requests that are dropped without a line when a stop cuts the stream before them.
 test('a request that waits behind an answer that is cut is reported as not handled', async t => {
-  const { caller, responseTo, responses, late } = await startServer(t)
+  const { server, caller, responseTo, responses, late } = await startServer(t)
   caller.write(get('/1'))
   const response = await responseTo('/1')
   response.write('event')
   caller.write(get('/2'))
-  await clock.sleep(50)
+  await once(server, 'request')
   cutAnswer(response)
   t.false((await caller.nextResponse()).isComplete)
   t.false(responses.has('/2'))
--- a/test/gateway/stop-gate.test.ts
+++ b/test/gateway/stop-gate.test.ts
@@ -22,7 +22,7 @@
   for (const { tookMs, answerTokens } of answers) gate.recordAnswer('drafts', { tookMs, firstByteMs: 100, eventCount: answerTokens ?? 0, answerTokens })
   const decide = ({ answerTokens, leftMs = timeoutMs, kind = 'repeatable' }: RequestOptions = {}): StopDecision | undefined => gate.decide({ route: 'drafts', kind, answerTokens, deadlineAtMs: clock.wallMs() + leftMs })
   const admits = (request?: RequestOptions): boolean => decide(request)?.isAdmitted ?? true
-  const stop = (): void => { planned = { requestedAtMs: clock.monotonicMs(), streamsCompleteFromMs: clock.monotonicMs() + streamsCompleteAfterMs, endsAtMs: clock.monotonicMs() + stopMs } }
+  const stop = (): void => { planned = { requestedAtMs: clock.monotonicMs(), streamsCompleteFromMs: clock.monotonicMs() + streamsCompleteAfterMs, endsAtMs: clock.monotonicMs() + stopMs, holdUntil: () => {} } }
   return { clock, gate, decide, admits, stop }
 }
 
--- a/test/gateway/stop-stall.test.ts
+++ b/test/gateway/stop-stall.test.ts
@@ -48,9 +48,11 @@
   open!.write(get('/stream'))
   await once(open!.socket, 'data')
   state.isDraining = true
+  const endsAtMs = clock.monotonicMs() + 200
   await ingress.drain({
     listenUntilMs: clock.monotonicMs(),
-    endsAtMs: clock.monotonicMs() + 200,
+    endsAtMs: () => endsAtMs,
+    closesAtMs: () => endsAtMs + 250,
     endRequests: () => {
       cutAnswer(stream!)
       // Timers that are due run before what arrives during the stall is read.
