--- a/bench/soak/delivery-checks.ts
+++ b/bench/soak/delivery-checks.ts
@@ -6,7 +6,14 @@
 /** A request on a plain connection, as its caller saw it. */
 export interface Delivery {
   id: string
+  /** Id of the request's first try; each try after a refusal has its own. */
+  firstId: string
+  /** Monotonic time until which the caller waits, over all tries. */
+  deadlineAtMs: number
+  /** Whether the caller doesn't send the request again. */
+  isLastTry: boolean
   isIdempotent: boolean
+  isStream: boolean
   node: string
   startCount: number
   /** Number of the request on its connection, from 1, and whether it was sent before the answer to the one before it had ended. */
@@ -16,7 +23,7 @@
   startedAtMs: number
   sentAtMs: number | undefined
   endedAtMs: number
-  /** Timeout of its route. */
+  /** Time for which the caller of this try waits, at most its route's timeout. */
   timeoutMs: number
   /** Time at which a caller that reads slowly would have read the whole answer at its pace; undefined if it reads at once. */
   readEndAtMs: number | undefined
@@ -117,6 +124,43 @@
     return stop !== undefined && (delivery.sentAtMs ?? Infinity) > stop.atMs + lateRequestMs ? 'cut, sent late' : 'cut'
   }
 
+  function isRefused ({ kind, status, isFromBackend }: Delivery): boolean {
+    return kind === 'complete' && status === 503 && !isFromBackend
+  }
+
+  /** What became of a request that was refused with 503; undefined if the end of the run came first. */
+  function outcomeOf (last: Delivery): string | undefined {
+    if (last.endedAtMs >= killedAtMs) return undefined
+    if (last.kind === 'complete' && last.status === 200 && last.endedAtMs <= last.deadlineAtMs) return 'refused, served in time'
+    if (!last.isLastTry && last.deadlineAtMs >= killedAtMs) return undefined
+    return isRefused(last) ? 'refused, unserved' : 'refused, ended otherwise'
+  }
+
+  /** How a node cut a stream that was run. */
+  function streamCutOf (delivery: Delivery): string {
+    if (isLost(delivery)) return 'stream cut, lost'
+    return delivery.endedAtMs >= delivery.startedAtMs + delivery.timeoutMs ? 'stream cut, deadline reached' : 'stream cut, excused'
+  }
+
+  /** Numbers of deliveries, of streams that were cut, and of requests that were refused. */
+  function countCalls (): Record<string, number> {
+    const calls: Record<string, number> = {}
+    const count = (label: string): void => { calls[label] = (calls[label] ?? 0) + 1 }
+    const refused = new Map<string, Delivery>()
+    for (const delivery of deliveries) {
+      const isCut = delivery.kind === 'cut' && delivery.endedAtMs < killedAtMs
+      const isUnread = isCut && !runs.has(delivery.id)
+      count(isUnread ? 'cut, not run' : delivery.kind === 'complete' ? String(delivery.status) : delivery.kind)
+      if (delivery.isStream && isCut && !isUnread) count(streamCutOf(delivery))
+      if (isRefused(delivery) || refused.has(delivery.firstId)) refused.set(delivery.firstId, delivery)
+    }
+    for (const last of refused.values()) {
+      const outcome = outcomeOf(last)
+      if (outcome !== undefined) count(outcome)
+    }
+    return Object.fromEntries(Object.entries(calls).sort())
+  }
+
   function checkDelivery (delivery: Delivery): BrokenPromise[] {
     const { id, isIdempotent, kind, status, isFromBackend, body, endedAtMs } = delivery
     const broken: BrokenPromise[] = []
@@ -163,14 +207,6 @@
       if (lossEvents.includes(event)) loggedLosses.add(String(request))
     },
     onKill: () => { killedAtMs = Math.min(killedAtMs, performance.now()) },
-    finish: () => {
-      const calls: Record<string, number> = {}
-      for (const delivery of deliveries) {
-        const isUnread = delivery.kind === 'cut' && delivery.endedAtMs < killedAtMs && !runs.has(delivery.id)
-        const label = isUnread ? 'cut, not run' : delivery.kind === 'complete' ? String(delivery.status) : delivery.kind
-        calls[label] = (calls[label] ?? 0) + 1
-      }
-      return { broken: [...deliveries.flatMap(checkDelivery), ...exits.flatMap(checkExit)], calls }
-    }
+    finish: () => ({ broken: [...deliveries.flatMap(checkDelivery), ...exits.flatMap(checkExit)], calls: countCalls() })
   }
 }
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -4,14 +4,17 @@
 import { join } from 'node:path'
 import { startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 import {
-  createBackendHandler, createEngineHandler, configurationKey, createConfiguration, backendEntryKey, createBackendEntry, nodeSettings, createNodePorts, startPlatform
+  createBackendHandler, configurationKey, createConfiguration, backendEntryKey, createBackendEntry, nodeSettings, createNodePorts, startPlatform
 } from '../../test/platform-adapter/soak-deployment.ts'
+import { createEngineHandler } from '../../test/platform-adapter/soak-engine.ts'
 import { createNodeProcess } from './node-process.ts'
+import { createPace } from './pace.ts'
 import { takePortBlock } from './port-block.ts'
 import { startProxy } from './proxy.ts'
 import type { BackendMode } from '../../test/platform-adapter/soak-deployment.ts'
 import type { Arrival } from './checks.ts'
 import type { NodeProcess, NodeProcessOptions } from './node-process.ts'
+import type { Pace } from './pace.ts'
 import type { Proxy } from './proxy.ts'
 
 const backendCount = 3
@@ -49,6 +52,8 @@
 export interface SoakDeployment {
   nodes: NodeProcess[]
   backends: SoakBackend[]
+  /** Paces of the streams of engines, and of the other backend servers. */
+  paces: { engines: Pace[], backends: Pace[] }
   /** The part of a prompt that crashes engines, and the path of a look-up that crashes the other backend servers; undefined if none does. */
   crashing: { part: string | undefined, path: string | undefined }
   /** One proxy to the store for each node. */
@@ -107,13 +112,17 @@
 
   const closeFunctions: Array<() => Promise<void>> = []
   const backends: SoakBackend[] = []
+  const paces: SoakDeployment['paces'] = { engines: [], backends: [] }
   const crashing: SoakDeployment['crashing'] = { part: undefined, path: undefined }
   for (let index = 1; index <= backendCount; index += 1) {
     const id = `i-${index}`
     const mode: BackendMode = { isLeaving: false, pauseSeconds: undefined, limit: undefined }
     let startedAtMs = Date.now()
     const handleArrival = (request: string, said: Pick<BackendMode, 'pauseSeconds' | 'limit'>): void => onArrival({ request, backend: id, startedAtMs, ...said, isDisturbed: proxy.lastDisturbedAtMs() >= performance.now() - disturbanceMs })
-    const server = await startRawBackend(createBackendHandler(id, mode, handleArrival, { onRun, onRunEnd }, () => random() * (random() < slowRatio ? maxSlowProcessingMs : maxProcessingMs), { crashesOn: path => path === crashing.path, crash: () => crash() }))
+    const pace = createPace()
+    paces.backends.push(pace)
+    const workMs = (): number => random() * (random() < slowRatio ? maxSlowProcessingMs : maxProcessingMs)
+    const server = await startRawBackend(createBackendHandler(id, mode, handleArrival, { onRun, onRunEnd }, { workMs, work: pace.work }, { crashesOn: path => path === crashing.path, crash: () => crash() }))
     const proxy = await startProxy(server.port)
     let sequence = 0
     const register = async (isDraining: boolean): Promise<void> => {
@@ -153,7 +162,9 @@
       }, crashRestartMs)
     }
     const crashesOn = (parts: readonly string[]): boolean => crashing.part !== undefined && parts.includes(crashing.part)
-    const server = await startRawBackend(createEngineHandler(id, { crashesOn, crash, onArrival: onPrompt, observer: { onRun, onRunEnd }, workMs: () => random() * maxProcessingMs }))
+    const pace = createPace()
+    paces.engines.push(pace)
+    const server = await startRawBackend(createEngineHandler(id, { crashesOn, crash, onArrival: onPrompt, observer: { onRun, onRunEnd }, workMs: () => random() * maxProcessingMs, work: pace.work }))
     const proxy = await startProxy(server.port)
     registerEngines.push(register)
     await register()
@@ -178,6 +189,7 @@
   return {
     nodes,
     backends,
+    paces,
     crashing,
     storeProxies,
     setStoreFault: platform.setFault,
--- a/bench/soak/index.ts
+++ b/bench/soak/index.ts
@@ -6,11 +6,11 @@
  *     npm run soak -- --seed 7 --seeds 10 --seconds 12 --json
  *     npm run soak -- --minutes 5 --nodes 24
  *
- *     npm run soak -- --stops --seed 7 --seconds 20
+ *     npm run soak -- --stops --seed 7 --seconds 20 --steady
  *     npm run soak -- --moves --seed 7 --seeds 10
  *
  * With `--stops`, the only faults are planned ones: nodes are stopped and started again, beside reloads and changes of
- * the configuration, and callers are like the users'. With `--moves`, each seed plays one version move with a restore of the
+ * the configuration, callers are like the users', and the pace of servers changes unless `--steady` is given. With `--moves`, each seed plays one version move with a restore of the
  * store and kills of nodes; its length doesn't depend on `--seconds`. Without `--seed`, the first seed is random. Logs of failed runs are written to .cache/soak.
  */
 import { mkdirSync, writeFileSync } from 'node:fs'
@@ -35,6 +35,7 @@
   --seconds N   time with faults for each seed (12)
   --nodes N     number of nodes, 1 to ${maxNodes} (3)
   --stops       planned stops only
+  --steady      servers keep their pace (with --stops)
   --moves       version moves under restores of the store and kills
   --json        one JSON object for each seed
   --help        this text
@@ -56,6 +57,7 @@
         minutes: { type: 'string' },
         nodes: { type: 'string', default: '3' },
         stops: { type: 'boolean', default: false },
+        steady: { type: 'boolean', default: false },
         moves: { type: 'boolean', default: false },
         json: { type: 'boolean', default: false },
         help: { type: 'boolean', default: false }
@@ -93,7 +95,7 @@
 for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(1))
 
 for (let seed = firstSeed; shouldRunAnotherSeed(seed - firstSeed); seed += 1) {
-  const { logs, ...result } = await (values.moves ? runMove : values.stops ? runStops : runSoak)({ seed, durationMs, nodeCount, program: programPath })
+  const { logs, ...result } = await (values.moves ? runMove : values.stops ? runStops : runSoak)({ seed, durationMs, nodeCount, program: programPath, isPaceSteady: values.steady })
   const text = values.json ? JSON.stringify(result) : `seed ${seed}: ${result.faults.length} faults, ${JSON.stringify(result.calls)}, broken: ${JSON.stringify(result.broken)}`
   process.stdout.write(`${text}\n`)
   if (result.broken.length === 0) continue
--- a/bench/soak/stop-run.ts
+++ b/bench/soak/stop-run.ts
@@ -1,18 +1,26 @@
-/** Runs one seed of planned stops: each node is stopped and started again and again, with reloads and configuration changes beside it. */
+/** Runs one seed of planned stops: each node is stopped and started again and again, with reloads, configuration changes and changes of the servers' paces beside it. */
 import { createSystemClock } from '../../src/core/clock/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
 import { graceMs } from '../../test/platform-adapter/soak-deployment.ts'
 import { startSoakDeployment } from './deployment.ts'
 import { createDeliveryChecks } from './delivery-checks.ts'
+import { createPaceChange } from './pace.ts'
 import { isReady, pollUntil, startTimeoutMs } from './readiness.ts'
 import { runStopCallers } from './stop-callers.ts'
+import { createPacedLoad, longStreamLoad } from './stop-requests.ts'
 import type { NodeProcess } from './node-process.ts'
 import type { SoakOptions, SoakResult } from './run.ts'
 
+export interface StopsOptions extends SoakOptions {
+  /** Whether backend servers keep their pace. */
+  isPaceSteady?: boolean
+}
+
 const clock = createSystemClock()
-const callerCount = 60
-/** Longest time for which a node serves before it is stopped. */
+/** Times for which a node serves before it is stopped; longer where it first has to learn how long streams take. */
 const maxServingMs = 4_000
+const minLearningMs = 6_000
+const maxLearningMs = 11_000
 /** Largest share of the nodes that stop or start at a time. */
 const maxStoppingRatio = 2 / 3
 const maxDownMs = 500
@@ -23,8 +31,10 @@
 const maxEarlyStopMs = 600
 const maxConfigurationIntervalMs = 4_000
 const pollMs = 20
+/** Time after SIGTERM from which on the platform sends no new connections to a node. */
+const balancerDelayMs = 2_700
 
-export async function runStops ({ seed, durationMs, nodeCount, program }: SoakOptions): Promise<SoakResult> {
+export async function runStops ({ seed, durationMs, nodeCount, program, isPaceSteady = false }: StopsOptions): Promise<SoakResult> {
   const checks = createDeliveryChecks()
   const workRandom = createRandom(seed)
   const deployment = await startSoakDeployment({
@@ -42,9 +52,11 @@
   })
   const faults: string[] = []
   const callersEnd = new AbortController()
+  const changePace = createPaceChange({ ...deployment.paces, onChange: change => faults.push(change) })
   const endAtMs = clock.monotonicMs() + durationMs
   const isOver = (): boolean => clock.monotonicMs() >= endAtMs
-  const stopping = new Set<NodeProcess>()
+  /** Monotonic time of SIGTERM of each node that isn't ready again. */
+  const stopping = new Map<NodeProcess, number>()
   const mayStop = (): boolean => stopping.size < Math.max(1, Math.floor(nodeCount * maxStoppingRatio))
 
   function stop (node: NodeProcess, name: string): void {
@@ -78,6 +90,8 @@
     const signals: Array<Promise<void>> = []
     if (random() < secondStopRatio) signals.push(after(random() * graceMs, () => stop(node, 'stop again')))
     if (random() < reloadRatio) signals.push(after(random() * graceMs, () => reload(node)))
+    // Late in a stop more often, when a node has little time left for what it has taken.
+    const paceChange = isPaceSteady ? undefined : clock.sleep(Math.sqrt(random()) * graceMs).then(async () => await changePace(random))
     await waitUntilDown(node)
     await Promise.all(signals)
     await clock.sleep(random() * maxDownMs)
@@ -89,14 +103,15 @@
       node.start()
     }
     await pollUntil(async () => await isReady(node), startTimeoutMs)
+    await paceChange
   }
 
   /** Stops and starts one node again and again. */
   async function restartAgainAndAgain (node: NodeProcess, random: () => number): Promise<void> {
     while (!isOver()) {
-      await clock.sleep(random() * maxServingMs)
+      await clock.sleep(isPaceSteady ? random() * maxServingMs : minLearningMs + random() * (maxLearningMs - minLearningMs))
       while (!mayStop()) await clock.sleep(pollMs)
-      stopping.add(node)
+      stopping.set(node, clock.monotonicMs())
       await restart(node, random)
       stopping.delete(node)
     }
@@ -114,15 +129,17 @@
     const areAllReady = async (): Promise<boolean> => (await Promise.all(deployment.nodes.map(isReady))).every(Boolean)
     const hasStarted = await pollUntil(areAllReady, startTimeoutMs)
     if (!hasStarted) return { seed, faults, calls: {}, broken: [{ promise: 'recovery', detail: 'not every node became ready after the start' }], logs: {} }
+    const load = isPaceSteady ? longStreamLoad : createPacedLoad(createRandom(seed + 1))
+    const nodeSeed = (seed + 1) * load.callerCount * nodeCount
     const callers = runStopCallers({
       nodes: deployment.nodes,
-      callerCount,
-      createRandom: caller => createRandom(seed * callerCount + caller + 1),
+      load,
+      createRandom: caller => createRandom(seed * load.callerCount + caller + 1),
       idPrefix: `s-${seed}`,
       onDelivery: checks.onDelivery,
+      receivesConnections: node => clock.monotonicMs() < (stopping.get(node) ?? Infinity) + balancerDelayMs,
       signal: callersEnd.signal
     })
-    const nodeSeed = (seed + 1) * callerCount * nodeCount
     await Promise.all([
       ...deployment.nodes.map((node, index) => restartAgainAndAgain(node, createRandom(nodeSeed + index))),
       changeConfiguration(createRandom(nodeSeed + nodeCount))
--- a/test/platform-adapter/soak-deployment.ts
+++ b/test/platform-adapter/soak-deployment.ts
@@ -1,18 +1,19 @@
 /** Configuration, backend server entries, headers and node settings of the soak run, in the platform's formats. */
-import { formatChunk, formatResponse } from '../../src/stand-ins/raw-backend/index.ts'
+import { formatResponse } from '../../src/stand-ins/raw-backend/index.ts'
 import { renderSettings } from './render-settings.ts'
-import type { Socket } from 'node:net'
 import type { RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
 
 export { startPlatform } from './platform-stand-in.ts'
 
-const requestIdHeader = 'x-cyclamenshunt-attempt-id'
-const signatureHeader = 'x-cyclamenshunt-response-seal'
+export const requestIdHeader = 'x-cyclamenshunt-attempt-id'
+export const signatureHeader = 'x-cyclamenshunt-response-seal'
 const leavingHeader = 'server-leaving'
 const limitHeader = 'server-limit'
-const misdirectedStatus = 421
+export const misdirectedStatus = 421
 const service = 'registry'
 const engineService = 'models'
+const deadlineHeader = 'x-cyclamenshunt-deadline-ms'
+const tokenCountHeader = 'x-cyclamenshunt-token-count'
 const promptPartsHeader = 'x-cyclamenshunt-prompt-prefix'
 
 /** Request timeout of all routes but those of streams and large answers. */
@@ -75,22 +76,33 @@
   return { service: isEngine ? engineService : service, address: `127.0.0.1:${port}`, zone: 'a', version, slots: 16, state, sequence, born: startedAtMs }
 }
 
-export function requestHeaders (id: string): Record<string, string> {
-  return { [requestIdHeader]: id, authorization: 'Bearer key-1' }
+/** `timeoutMs` is how long the caller waits; undefined if the request doesn't say. */
+export function requestHeaders (id: string, timeoutMs?: number): Record<string, string> {
+  return { [requestIdHeader]: id, authorization: 'Bearer key-1', ...(timeoutMs === undefined ? {} : { [deadlineHeader]: String(timeoutMs) }) }
 }
 
 export function isFromBackend (headers: Record<string, unknown>): boolean {
   return headers[signatureHeader] !== undefined
 }
 
+/** Time after which a refused request may be sent again. */
+export function retryAfterMs (headers: Record<string, string>): number {
+  return Number(headers['retry-after'] ?? 0) * 1_000
+}
+
+/** Headers of a request that names the tokens of its answer. */
+export function tokenHeaders (answerTokens: number): Record<string, string> {
+  return { [tokenCountHeader]: `50,${answerTokens}` }
+}
+
 /** Headers of a request with a prompt. The last part is its own. */
 export function promptHeaders (id: string, sharedParts: readonly string[]): Record<string, string> {
   const parts = [...sharedParts.map(part => `${part}:100`), `${id}:50`]
-  return { 'x-cyclamenshunt-token-count': `${sharedParts.length * 100 + 50},10`, [promptPartsHeader]: parts.join(',') }
+  return { [tokenCountHeader]: `${sharedParts.length * 100 + 50},10`, [promptPartsHeader]: parts.join(',') }
 }
 
 /** The shared parts of a prompt, from its headers. */
-function sharedPartsOf (headers: Record<string, string>): string[] {
+export function sharedPartsOf (headers: Record<string, string>): string[] {
   return (headers[promptPartsHeader] ?? '').split(',').slice(0, -1).map(part => part.split(':')[0] ?? '')
 }
 
@@ -121,6 +133,14 @@
 /** Called for each request that reaches a backend server, with what the server says at that time. */
 export type OnArrival = (id: string, said: Pick<BackendMode, 'pauseSeconds' | 'limit'>) => void
 
+/** How long a backend server works. */
+export interface BackendWork {
+  /** Time of a request at the normal pace. */
+  workMs: () => number
+  /** Waits for work that takes this time at the normal pace. */
+  work: (workMs: number) => Promise<void>
+}
+
 /** How a backend server crashes. */
 export interface BackendCrash {
   /** Whether a request with this path crashes the server that runs it. */
@@ -141,26 +161,12 @@
   return line.repeat(Math.ceil(largeBodyBytes / line.length))
 }
 
-/** Events of a stream, up to the last one. */
-export function formatEvents (id: string, lastEvent: number): string {
-  return Array.from({ length: lastEvent }, (_, index) => formatEvent(id, index + 1)).join('')
-}
-
-function formatEvent (id: string, number: number): string {
-  return `id: ${number}\ndata: ${id}\n\n`
-}
-
-/** Path of a stream. One without a length ends with the engine's connection. */
-export function streamPath ({ isResumable, events, intervalMs, hasLength }: { isResumable: boolean, events: number, intervalMs: number, hasLength: boolean }): string {
-  return `/${isResumable ? 'resumable' : 'stream'}/a?events=${events}&interval=${intervalMs}&length=${hasLength ? 1 : 0}`
-}
-
 /**
- * Creates the handler of a backend server that reports each request that it runs and responds after `workMs` with its
+ * Creates the handler of a backend server that reports each request that it runs and responds after its work with its
  * id, or with a large body.
  */
-export function createBackendHandler (backend: string, mode: BackendMode, onArrival: OnArrival, { onRun, onRunEnd }: RunObserver, workMs: () => number, { crashesOn, crash }: BackendCrash): RawRequestHandler {
-  return ({ target, headers }, socket) => {
+export function createBackendHandler (backend: string, mode: BackendMode, onArrival: OnArrival, { onRun, onRunEnd }: RunObserver, { workMs, work }: BackendWork, { crashesOn, crash }: BackendCrash): RawRequestHandler {
+  return async ({ target, headers }, socket) => {
     const id = headers[requestIdHeader] ?? ''
     const answerHeaders = { [requestIdHeader]: id, [signatureHeader]: backend, ...(mode.isLeaving ? { [leavingHeader]: '1' } : {}), ...(mode.limit === undefined ? {} : { [limitHeader]: String(mode.limit.perSecond) }) }
     if (headers['x-cyclamenshunt-expect-instance'] !== backend) {
@@ -177,11 +183,10 @@
       setTimeout(() => { if (socket.writable) crash() }, crashAfterMs)
       return
     }
-    setTimeout(() => {
-      if (!socket.writable) return
-      socket.write(formatResponse(200, answerHeaders, target.startsWith('/large/') ? formatLargeBody(id) : id))
-      onRunEnd(id)
-    }, workMs())
+    await work(workMs())
+    if (!socket.writable) return
+    socket.write(formatResponse(200, answerHeaders, target.startsWith('/large/') ? formatLargeBody(id) : id))
+    onRunEnd(id)
   }
 }
 
@@ -197,73 +202,8 @@
   }
 }
 
-/** What an engine does with prompts. */
-export interface EngineOptions {
-  /** Whether a prompt with these shared parts crashes the engine when its answer begins. */
-  crashesOn: (sharedParts: readonly string[]) => boolean
-  /** Ends the engine's connections and refuses new ones. */
-  crash: () => void
-  onArrival: (id: string, sharedParts: readonly string[]) => void
-  /** Observes the requests of the routes of streams. */
-  observer: RunObserver
-  workMs: () => number
-}
-
-/** Writes the events of a stream at its interval, until the connection closes. */
-function writeStream (target: string, headers: Record<string, string>, answerHeaders: Record<string, string>, id: string, { onRun, onRunEnd }: RunObserver, socket: Socket): void {
-  const query = new URLSearchParams(target.split('?')[1])
-  const [events, intervalMs] = [Number(query.get('events')), Number(query.get('interval'))]
-  const hasLength = query.get('length') === '1'
-  let written = Number(headers['last-event-id'] ?? 0)
-  onRun(id)
-  socket.write(formatHead({ ...answerHeaders, 'content-type': 'text/event-stream', ...(hasLength ? { 'transfer-encoding': 'chunked' } : { connection: 'close' }) }))
-  const timer = setInterval(() => {
-    if (!socket.writable) return clearInterval(timer)
-    written += 1
-    const event = formatEvent(id, written)
-    socket.write(hasLength ? formatChunk(event) : event)
-    if (written < events) return
-    clearInterval(timer)
-    if (hasLength) socket.write('0\r\n\r\n')
-    else socket.end()
-    onRunEnd(id)
-  }, intervalMs)
-}
-
-function formatHead (headers: Record<string, string>): string {
-  return ['HTTP/1.1 200 OK', ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`), '', ''].join('\r\n')
-}
-
-/** Creates the handler of an engine that streams the request's id in two events, or in as many as a stream's path says. */
-export function createEngineHandler (engine: string, { crashesOn, crash, onArrival, observer, workMs }: EngineOptions): RawRequestHandler {
-  return ({ target, headers }, socket) => {
-    const id = headers[requestIdHeader] ?? ''
-    const answerHeaders = { [requestIdHeader]: id, [signatureHeader]: engine }
-    if (headers['x-cyclamenshunt-expect-instance'] !== engine) {
-      socket.write(formatResponse(misdirectedStatus, answerHeaders, ''))
-      return
-    }
-    if (!target.startsWith('/draft/')) return writeStream(target, headers, answerHeaders, id, observer, socket)
-    const parts = sharedPartsOf(headers)
-    onArrival(id, parts)
-    setTimeout(() => {
-      if (!socket.writable) return
-      socket.write(formatHead({ ...answerHeaders, 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked' }))
-      setTimeout(() => {
-        if (crashesOn(parts)) return crash()
-        const first = Number(headers['last-event-id'] ?? 0) + 1
-        const events = [1, 2].filter(number => number >= first).map(number => formatChunk(formatEvent(id, number)))
-        if (socket.writable) socket.write(`${events.join('')}0\r\n\r\n`)
-      }, engineStartMs)
-    }, workMs())
-  }
-}
-
 /** Time from the begin of a request until the crash that it causes. */
 const crashAfterMs = 20
-/** Time from the head of an engine's answer to its first event. */
-const engineStartMs = 40
-
 /** Ports of one node: ten consecutive ports from the first. */
 export function createNodePorts (firstPort: number) {
   return { callers: firstPort, readiness: firstPort + 1, control: firstPort + 2, firstPeer: firstPort + 3, lastPeer: firstPort + 9 }
--- a/test/soak/delivery-checks.test.ts
+++ b/test/soak/delivery-checks.test.ts
@@ -10,8 +10,12 @@
 function createDelivery (changes: Partial<Delivery>): Delivery {
   return {
     id: 'r-1',
+    firstId: 'r-1',
+    deadlineAtMs: 15_100,
+    isLastTry: true,
     ...process,
     isIdempotent: false,
+    isStream: true,
     connectionIndex: 2,
     isPipelined: false,
     startedAtMs: 100,
@@ -72,6 +76,45 @@
   t.deepEqual(brokenBy(answer, checks => checks.onExit({ ...exit, startCount: 2, code: 0, signal: null })), ['process-end'], 'without SIGTERM')
 })
 
+test('streams that are cut and requests that are refused are counted by how they end', t => {
+  const checks = createDeliveryChecks()
+  checks.onStop({ ...process, atMs: 0, hasLogged: true })
+  const deliver = (id: string, changes: Partial<Delivery>, isRun = true): void => {
+    if (isRun) checks.onRun(id)
+    checks.onDelivery(createDelivery({ id, firstId: id, ...changes }))
+  }
+  const refusal = { kind: 'complete', status: 503 } as const
+  const answer = { kind: 'complete', status: 200, isFromBackend: true, body: 'whole' } as const
+  deliver('lost', { sentAtMs: 3_100 })
+  deliver('excused', {})
+  deliver('at deadline', { timeoutMs: 5_000 })
+  deliver('not run', {}, false)
+  deliver('not a stream', { isStream: false })
+  deliver('served-1', { ...refusal, isLastTry: false }, false)
+  deliver('served-2', { ...answer, firstId: 'served-1' })
+  deliver('late-1', { ...refusal, isLastTry: false, deadlineAtMs: 7_000 }, false)
+  deliver('late-2', { ...answer, firstId: 'late-1', deadlineAtMs: 7_000 })
+  deliver('unserved-1', { ...refusal, isLastTry: false }, false)
+  deliver('unserved-2', { ...refusal, firstId: 'unserved-1' }, false)
+  deliver('given up', { ...refusal, isLastTry: false, deadlineAtMs: -1 }, false)
+  deliver('open at the end', { ...refusal, isLastTry: false, deadlineAtMs: Infinity }, false)
+  checks.onKill()
+  deliver('ended by the kill-1', { ...refusal, isLastTry: false }, false)
+  deliver('ended by the kill-2', { firstId: 'ended by the kill-1', endedAtMs: Infinity })
+  t.deepEqual(checks.finish().calls, {
+    200: 2,
+    503: 7,
+    cut: 5,
+    'cut, not run': 1,
+    'stream cut, lost': 1,
+    'stream cut, excused': 1,
+    'stream cut, deadline reached': 1,
+    'refused, served in time': 1,
+    'refused, ended otherwise': 1,
+    'refused, unserved': 2
+  })
+})
+
 test('an answer is complete only if its framing says so', async t => {
   const head = 'HTTP/1.1 200 OK\r\n'
   const answers: Record<string, string> = {
