Add a model of planned stops that compares what stopping nodes take and tell

`npm run measure -- planned-stops` plays callers at entry nodes that stop, once, in series and in rolls over all nodes, with and without changes of the pace of engines, in virtual time and with the stop gate of the gateway. It compares which requests the gate bounds by their deadline and what Retry-After says.

--- a/bench/measure/index.ts
+++ b/bench/measure/index.ts
@@ -8,7 +8,8 @@
  * `npm run measure -- restores`: views while the key-value service is restored;
  * `npm run measure -- crashing-prompts`: prompts with a part that crashes engines;
  * `npm run measure -- crashing-requests`: one request that crashes the servers of a plain service;
- * `npm run measure -- request-limits`: backend servers that limit the requests that they take.
+ * `npm run measure -- request-limits`: backend servers that limit the requests that they take;
+ * `npm run measure -- planned-stops`: callers of entry nodes that are stopped.
  */
 import { parseArgs } from 'node:util'
 import { createPromptHasher } from '../../src/core/routing/index.ts'
@@ -17,6 +18,7 @@
 import { measureCrashingRequests } from './crashing-requests/index.ts'
 import { measureOrdering } from './ordering/index.ts'
 import { measurePlacement } from './placement/index.ts'
+import { measurePlannedStops } from './planned-stops/index.ts'
 import { measureQuotas } from './quotas/index.ts'
 import { verdictTable, writeReport } from './report.ts'
 import { measureRequestLimits } from './request-limits/index.ts'
@@ -74,6 +76,7 @@
   else if (positionals[0] === 'crashing-prompts') console.log(await measureCrashingPrompts(reportFolder, seed))
   else if (positionals[0] === 'crashing-requests') console.log(await measureCrashingRequests(reportFolder, seed))
   else if (positionals[0] === 'request-limits') console.log(await measureRequestLimits(reportFolder, seed))
+  else if (positionals[0] === 'planned-stops') console.log(await measurePlannedStops(reportFolder, seed))
   else if (positionals[0] === 'restores') console.log(await measureRestores())
   else await measureVersions()
 }
--- /dev/null
+++ b/bench/measure/planned-stops/fleet.ts
@@ -0,0 +1,171 @@
+/** Entry nodes that are stopped and start again, and the balancer before them. */
+import { createStopGate } from '../../../src/core/gateway/stop-gate.ts'
+import type { StopGate } from '../../../src/core/gateway/stop-gate.ts'
+import type { Clock } from '../../../src/core/clock/index.ts'
+import type { Random } from '../../../src/core/random/index.ts'
+import type { OtherNodes, StopView } from './policies.ts'
+
+type NodeState = 'up' | 'stopping' | 'down'
+
+/** One entry node. */
+export interface EntryNode {
+  index: number
+  zone: number
+  state: NodeState
+  /** Changes at each start. */
+  life: number
+  gate: StopGate
+  signalledAtMs: number
+  /** When its state changed to what it is, and what it was before. */
+  changedAtMs: number
+  priorState: NodeState
+  upAgainAtMs: number
+  /** When a request was open last. */
+  lastOpenAtMs: number
+  openCount: number
+  isInRotation: boolean
+  misses: number
+  nextCheckAtMs: number
+  /** When the balancer's decision takes effect; undefined without one. */
+  leavesRotationAtMs: number | undefined
+}
+
+/** The nodes of a play. */
+export interface Fleet {
+  nodes: readonly EntryNode[]
+  /** Nodes to which the balancer sends new connections of callers in a zone. */
+  poolOf: (zone: number) => readonly EntryNode[]
+  stop: (node: EntryNode) => void
+  /** Checks readiness, ends stops and starts nodes; `onEnd` ends the open work of a node. */
+  tick: (onEnd: (node: EntryNode) => void) => void
+  viewOf: (node: EntryNode) => StopView
+}
+
+/** Planned end of a stop after the signal. */
+export const stopMs = 7_500
+const minStopMs = 2_700
+const quietMs = 1_000
+const minRestartMs = 200
+const maxRestartMs = 500
+const expectedRestartMs = (minRestartMs + maxRestartMs) / 2
+const checkEveryMs = 1_000
+const missesUntilOut = 2
+/** Longest time that the balancer takes from the second miss on. */
+const maxRemovalMs = 700
+const outOfRotationMs = missesUntilOut * checkEveryMs + maxRemovalMs
+/** Age of what nodes know of each other. */
+const reportAgeMs = 400
+
+/** Creates nodes that serve. */
+export function createFleet (random: Random, clock: Clock, { nodeCount, zoneCount }: { nodeCount: number, zoneCount: number }): Fleet {
+  const nowMs = clock.monotonicMs
+
+  function createGate (node: () => EntryNode): StopGate {
+    return createStopGate({ clock, endsAtMs: () => node().state === 'up' ? undefined : node().signalledAtMs + stopMs })
+  }
+
+  const nodes: EntryNode[] = Array.from({ length: nodeCount }, (_, index) => {
+    const node: EntryNode = {
+      index,
+      zone: index % zoneCount,
+      state: 'up',
+      life: 0,
+      gate: createGate(() => node),
+      signalledAtMs: -Infinity,
+      changedAtMs: -Infinity,
+      priorState: 'up',
+      upAgainAtMs: -Infinity,
+      lastOpenAtMs: -Infinity,
+      openCount: 0,
+      isInRotation: true,
+      misses: 0,
+      nextCheckAtMs: random() * checkEveryMs,
+      leavesRotationAtMs: undefined
+    }
+    return node
+  })
+
+  function setState (node: EntryNode, state: NodeState): void {
+    node.priorState = node.state
+    node.state = state
+    node.changedAtMs = nowMs()
+  }
+
+  function checkReadiness (node: EntryNode): void {
+    if (nowMs() >= node.nextCheckAtMs) {
+      node.nextCheckAtMs += checkEveryMs
+      node.misses = node.state === 'up' ? 0 : node.misses + 1
+      if (node.misses === 0) {
+        node.isInRotation = true
+        node.leavesRotationAtMs = undefined
+      }
+      if (node.misses === missesUntilOut) node.leavesRotationAtMs = nowMs() + random() * maxRemovalMs
+    }
+    if (node.leavesRotationAtMs !== undefined && nowMs() >= node.leavesRotationAtMs) node.isInRotation = false
+  }
+
+  function isOver (node: EntryNode): boolean {
+    if (nowMs() >= node.signalledAtMs + stopMs) return true
+    return nowMs() >= node.signalledAtMs + minStopMs && node.openCount === 0 && nowMs() >= node.lastOpenAtMs + quietMs
+  }
+
+  function poolOf (zone: number): readonly EntryNode[] {
+    const own = nodes.filter(node => node.zone === zone)
+    const inRotation = own.filter(node => node.isInRotation)
+    if (inRotation.length >= own.length / 2 && inRotation.length > 0) return inRotation
+    if (inRotation.length > 0) return own
+    const elsewhere = nodes.filter(node => node.isInRotation)
+    return elsewhere.length > 0 ? elsewhere : nodes
+  }
+
+  /** As the reports tell it. */
+  function knownState (node: EntryNode): NodeState {
+    return node.changedAtMs <= nowMs() - reportAgeMs ? node.state : node.priorState
+  }
+
+  function backAtMs (node: EntryNode): number {
+    return Math.min(node.signalledAtMs + stopMs, node.state === 'down' ? node.changedAtMs : Infinity) + expectedRestartMs
+  }
+
+  function summaryOf (node: EntryNode, others: readonly EntryNode[]): OtherNodes {
+    const servingCount = others.filter(other => knownState(other) === 'up').length
+    const untilFirstBackMs = servingCount > 0 ? 0 : Math.max(0, Math.min(...[node, ...others].map(backAtMs)) - nowMs())
+    return { count: others.length, servingCount, untilFirstBackMs }
+  }
+
+  return {
+    nodes,
+    poolOf,
+    stop: node => {
+      node.signalledAtMs = nowMs()
+      setState(node, 'stopping')
+    },
+    tick: onEnd => {
+      for (const node of nodes) {
+        if (node.openCount > 0) node.lastOpenAtMs = nowMs()
+        checkReadiness(node)
+        if (node.state === 'stopping' && isOver(node)) {
+          onEnd(node)
+          setState(node, 'down')
+          node.upAgainAtMs = nowMs() + minRestartMs + random() * (maxRestartMs - minRestartMs)
+        } else if (node.state === 'down' && nowMs() >= node.upAgainAtMs) {
+          setState(node, 'up')
+          node.life += 1
+          node.gate = createGate(() => node)
+        }
+      }
+    },
+    viewOf: node => {
+      const others = nodes.filter(other => other !== node)
+      const zoneOthers = others.filter(other => other.zone === node.zone)
+      const zoneOutAtMs = Math.max(...[node, ...zoneOthers].map(({ signalledAtMs }) => signalledAtMs + outOfRotationMs))
+      return {
+        elapsedMs: nowMs() - node.signalledAtMs,
+        untilEndMs: node.signalledAtMs + stopMs - nowMs(),
+        fleet: summaryOf(node, others),
+        zone: summaryOf(node, zoneOthers),
+        untilZoneIsOutMs: Math.max(0, zoneOutAtMs - nowMs())
+      }
+    }
+  }
+}
