--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -1,6 +1,7 @@
 /** The state of a request that the gateway is serving, and the fields of its log events. */
 import { createStreamProgress } from './attempt.ts'
 import { digestRequest } from '../quarantine/index.ts'
+import { stopDecisionFields } from './stop-decision-fields.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Admission, RetryBudget } from '../admission/types.ts'
 import type { BackendLimits } from '../backend-limits/index.ts'
@@ -15,7 +16,7 @@
 import type { Attempt, AttemptPhase, StreamProgress, CompleteResponse } from './attempt.ts'
 import type { BackendTable } from './backend-table.ts'
 import type { RouteTable } from './route-table.ts'
-import type { GateRequest, StopGate } from './stop-gate.ts'
+import type { GateRequest, OpenAttempt, StopDecision, StopGate } from './stop-gate.ts'
 import type { GatewayRoute, GatewayTeam, HeaderCodec, RequestHead } from './types.ts'
 
 /** Result of one attempt, for usage counts and the evaluation of versions. */
@@ -101,13 +102,19 @@
   mayHaveRunOn: Set<BackendId>
   /** Backend servers that are not chosen again for this request. */
   excluded: Set<BackendId>
-  /** Attempts that a backend server received or may have received. */
+  /** Attempts that a backend server received or may have received, without `uncountedAttempt`. */
   sentCount: number
   /** Attempts that failed to connect, or reached another server than the chosen one. */
   undeliveredCount: number
   /** Backend servers that it was not sent to because of their limits. */
   limitedBackends: Set<BackendId>
   attempt: Attempt | undefined
+  /** The latest attempt, while neither `sentCount` nor `undeliveredCount` includes it. */
+  uncountedAttempt: Attempt | undefined
+  /** The latest attempt as the gate of a stopping node sees it. */
+  openAttempt: OpenAttempt | undefined
+  /** The latest decision of that gate; undefined if the request was sent before the stop. */
+  stopDecision: StopDecision | undefined
   /** How far the latest attempt had come when it ended. */
   endedInPhase: AttemptPhase | undefined
   /** Whether a backend server crashed under an attempt without a complete answer. */
@@ -153,6 +160,9 @@
     undeliveredCount: 0,
     limitedBackends: new Set(),
     attempt: undefined,
+    uncountedAttempt: undefined,
+    openAttempt: undefined,
+    stopDecision: undefined,
     endedInPhase: undefined,
     hasCrashedBackend: false,
     blockedBy: undefined,
@@ -182,7 +192,7 @@
 
 /** The request as the gate of a stopping node sees it. */
 export function toGateRequest ({ route, head, deadlineAtMs }: Pick<ActiveRequest, 'route' | 'head' | 'deadlineAtMs'>): GateRequest {
-  return { route: route.name, isAtMostOnce: route.kind === 'at-most-once', answerTokens: head.tokens?.answer, deadlineAtMs }
+  return { route: route.name, kind: route.kind, answerTokens: head.tokens?.answer, deadlineAtMs }
 }
 
 /** Why a request is not sent, and when a retry may succeed. */
@@ -193,7 +203,7 @@
 
 /** Fields for the log events of a request, such as its route and the chosen backend server. Durations are in ms. */
 export function requestLogFields (active: ActiveRequest, clock: Clock): Record<string, unknown> {
-  const { id, team, route, version, service, sentCount, limitedBackends, undeliveredCount, choice, arrivedAtMs, firstByteMs, endedInPhase, head } = active
+  const { id, team, route, version, service, sentCount, uncountedAttempt, stopDecision, limitedBackends, undeliveredCount, choice, arrivedAtMs, firstByteMs, endedInPhase, head } = active
   const hasNoAnswer = endedInPhase === 'waiting' || endedInPhase === 'started'
   return {
     request: id,
@@ -201,7 +211,7 @@
     route: route.name,
     version,
     service,
-    sent: sentCount,
+    sent: sentCount + (uncountedAttempt?.isSent() === true ? 1 : 0),
     unreached: undeliveredCount,
     phase: endedInPhase,
     limited: limitedBackends.size === 0 ? undefined : [...limitedBackends].slice(0, maxLoggedBackends),
@@ -215,6 +225,7 @@
     fetchFrom: choice?.fetchFrom?.id,
     promptTokens: choice?.promptTokens,
     firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
-    tookMs: Math.round(clock.wallMs() - arrivedAtMs)
+    tookMs: Math.round(clock.wallMs() - arrivedAtMs),
+    stopDecision: stopDecisionFields(stopDecision)
   }
 }
--- a/src/core/gateway/stop-gate.ts
+++ b/src/core/gateway/stop-gate.ts
@@ -1,30 +1,54 @@
 /**
  * Decides whether a stopping node takes a request, and whether it sends one again:
  * only if it expects to finish before it ends its connections. All others are
- * refused at once, so that their callers can go to another node.
+ * refused at once, so that their callers can go to another node. A backend server
+ * may become slower than estimated, so an estimate doesn't decide on what must not
+ * be cut.
  */
 import { createAnswerTimes } from './answer-times.ts'
 import type { Clock } from '../clock/index.ts'
-import type { AnswerTimes, OpenAttempt } from './answer-times.ts'
+import type { AnswerEstimate, AnswerTimes, OpenAttempt } from './answer-times.ts'
+import type { RequestKind } from './types.ts'
 
 export type { AnswerTimes, OpenAttempt } from './answer-times.ts'
 
 /** A request at the gate. */
 export interface GateRequest {
   route: string
-  /** Whether it must not run twice, and its answer comes whole or not at all. */
-  isAtMostOnce: boolean
+  kind: RequestKind
   /** Maximum tokens of the answer; undefined if the request doesn't say. */
   answerTokens: number | undefined
   /** Wall time. */
   deadlineAtMs: number
 }
 
+/** Monotonic times of a planned stop. */
+export interface PlannedStop {
+  requestedAtMs: number
+  /** From then on, a stream that is taken must not be cut. */
+  streamsCompleteFromMs: number
+  /** When open requests are ended. */
+  endsAtMs: number
+}
+
+/** What bounded the time that a request is expected to take; with `nothing-known`, its deadline did. */
+export type DecisionBasis = 'deadline' | 'estimate' | 'nothing-known'
+
+/** What the gate decided on a request, and by what. */
+export interface StopDecision extends AnswerEstimate {
+  isAdmitted: boolean
+  basis: DecisionBasis
+  deadlineInMs: number
+  /** Time to the end of the stop. */
+  leftMs: number
+  sinceStopMs: number
+}
+
 /** Options of the gate. */
 export interface StopGateOptions {
   clock: Clock
-  /** Monotonic time at which open requests are ended; undefined while the node isn't stopping. */
-  endsAtMs: () => number | undefined
+  /** The stop in progress; undefined while the node isn't stopping. */
+  stop: () => PlannedStop | undefined
 }
 
 /** The gate of a node. */
@@ -32,25 +56,51 @@
   recordAnswer: (route: string, times: AnswerTimes) => void
   /** Called when an attempt is sent; its progress shows the present pace of its route. */
   openAttempt: (route: string) => OpenAttempt
-  admits: (request: GateRequest) => boolean
+  /** Returns undefined while the node isn't stopping, and takes all requests. */
+  decide: (request: GateRequest) => StopDecision | undefined
+}
+
+/**
+ * Whether nothing but its deadline bounds the time of the request. The caller of an at-most-once call that gets no
+ * answer can't find out whether it ran. A repeatable request that isn't finished gets an error, and is sent again.
+ */
+function needsDeadline (kind: RequestKind, nowMs: number, { streamsCompleteFromMs }: PlannedStop): boolean {
+  return kind === 'at-most-once' || (kind === 'stream' && nowMs >= streamsCompleteFromMs)
+}
+
+function basisOf (isDeadlineNeeded: boolean, expectedMs: number, deadlineInMs: number): DecisionBasis {
+  if (isDeadlineNeeded) return 'deadline'
+  if (expectedMs === Infinity) return 'nothing-known'
+  return expectedMs <= deadlineInMs ? 'estimate' : 'deadline'
 }
 
 /** Creates the gate of a node. */
-export function createStopGate ({ clock, endsAtMs }: StopGateOptions): StopGate {
+export function createStopGate ({ clock, stop }: StopGateOptions): StopGate {
   const times = createAnswerTimes(clock)
 
-  /** Longest time that the request is expected to take. The caller of an at-most-once call that is cut can't find out whether it ran, so nothing but its deadline bounds it. */
-  function longestMs ({ route, isAtMostOnce, answerTokens, deadlineAtMs }: GateRequest): number {
-    const untilDeadlineMs = deadlineAtMs - clock.wallMs()
-    return isAtMostOnce ? untilDeadlineMs : Math.min(times.expectedMs(route, answerTokens), untilDeadlineMs)
+  function decide ({ route, kind, answerTokens, deadlineAtMs }: GateRequest, planned: PlannedStop): StopDecision {
+    const { requestedAtMs, endsAtMs } = planned
+    const nowMs = clock.monotonicMs()
+    const deadlineInMs = deadlineAtMs - clock.wallMs()
+    const estimate = times.estimate(route, answerTokens)
+    const isDeadlineNeeded = needsDeadline(kind, nowMs, planned)
+    const longestMs = isDeadlineNeeded ? deadlineInMs : Math.min(estimate.expectedMs, deadlineInMs)
+    return {
+      isAdmitted: nowMs + longestMs <= endsAtMs,
+      basis: basisOf(isDeadlineNeeded, estimate.expectedMs, deadlineInMs),
+      deadlineInMs,
+      leftMs: endsAtMs - nowMs,
+      sinceStopMs: nowMs - requestedAtMs,
+      ...estimate
+    }
   }
 
   return {
     recordAnswer: times.record,
     openAttempt: times.openAttempt,
-    admits: request => {
-      const endAtMs = endsAtMs()
-      return endAtMs === undefined || clock.monotonicMs() + longestMs(request) <= endAtMs
+    decide: request => {
+      const planned = stop()
+      return planned === undefined ? undefined : decide(request, planned)
     }
   }
 }
