Ask the gate of the product in the model of planned stops by its present interface

The model called the gate's former interface and imitated the rule for late streams by naming them at-most-once. Now the gate itself knows from when on a stream that it takes must not be cut, so that its built policy is the product's own code; the others move that moment or name more requests at-most-once. Policies have names that say what they do.

--- a/bench/measure/planned-stops/callers.ts
+++ b/bench/measure/planned-stops/callers.ts
@@ -2,18 +2,19 @@
 import { between, exponential, weighted } from '../random-draws.ts'
 import type { EntryNode } from './fleet.ts'
 import type { Random } from '../../../src/core/random/index.ts'
-import type { RequestKind } from './policies.ts'
+import type { TrafficKind } from './policies.ts'
 
 /** A connection that a caller keeps. */
 export interface KeptConnection {
   node: EntryNode
+  /** That of the node when the connection was opened; the connection ends with it. */
   life: number
   isBusy: boolean
 }
 
 /** A caller; a request that is due while another one is open goes over a connection of its own. */
 export interface Caller {
-  kind: RequestKind
+  kind: TrafficKind
   zone: number
   /** Nodes in the order in which the balancer chooses for this caller. */
   order: readonly EntryNode[]
@@ -48,21 +49,21 @@
   isMeasured: boolean
 }
 
-const kinds: ReadonlyArray<{ kind: RequestKind, weight: number }> = [
+const kinds: ReadonlyArray<{ kind: TrafficKind, weight: number }> = [
   { kind: 'stream', weight: 0.3 },
   { kind: 'short-stream', weight: 0.15 },
   { kind: 'resumable-stream', weight: 0.15 },
   { kind: 'repeatable-call', weight: 0.25 },
   { kind: 'at-most-once-call', weight: 0.15 }
 ]
-const deadlinesMs: Record<RequestKind, readonly [number, number]> = {
+const deadlinesMs: Record<TrafficKind, readonly [number, number]> = {
   stream: [15_000, 15_000],
   'short-stream': [6_000, 6_000],
   'resumable-stream': [15_000, 15_000],
   'repeatable-call': [2_000, 5_000],
   'at-most-once-call': [2_000, 5_000]
 }
-const eventCounts: Partial<Record<RequestKind, readonly [number, number]>> = { stream: [5, 216], 'short-stream': [5, 91], 'resumable-stream': [5, 216] }
+const eventCounts: Partial<Record<TrafficKind, readonly [number, number]>> = { stream: [5, 216], 'short-stream': [5, 91], 'resumable-stream': [5, 216] }
 const keepingRatio = 0.8
 const impatientRatio = 0.2
 /** For busy and other callers; the latter use kept connections late in a stop. */
@@ -88,13 +89,13 @@
 }
 
 /** Draws the events of a stream, short ones more often; 0 for calls. */
-export function drawEventCount (random: Random, kind: RequestKind): number {
+export function drawEventCount (random: Random, kind: TrafficKind): number {
   const [min, max] = eventCounts[kind] ?? [0, 0]
   return max === 0 ? 0 : Math.round(min * (max / min) ** random())
 }
 
 /** Maximum tokens that a stream with these events names; those of the first kind name none. */
-export function drawAnswerTokens (random: Random, kind: RequestKind, eventCount: number): number | undefined {
+export function drawAnswerTokens (random: Random, kind: TrafficKind, eventCount: number): number | undefined {
   const tokens = Math.ceil(eventCount * (1 + 0.3 * random()))
   return kind === 'short-stream' || kind === 'resumable-stream' ? tokens : undefined
 }
--- a/bench/measure/planned-stops/fleet.ts
+++ b/bench/measure/planned-stops/fleet.ts
@@ -1,6 +1,6 @@
 /** Entry nodes that are stopped and start again, and the balancer before them. */
 import { createStopGate } from '../../../src/core/gateway/stop-gate.ts'
-import type { StopGate } from '../../../src/core/gateway/stop-gate.ts'
+import type { PlannedStop, StopGate } from '../../../src/core/gateway/stop-gate.ts'
 import type { Clock } from '../../../src/core/clock/index.ts'
 import type { Random } from '../../../src/core/random/index.ts'
 import type { OtherNodes, StopView } from './policies.ts'
@@ -12,7 +12,7 @@
   index: number
   zone: number
   state: NodeState
-  /** Changes at each start. */
+  /** Counts the starts; connections end with it. */
   life: number
   gate: StopGate
   signalledAtMs: number
@@ -44,6 +44,7 @@
 /** Planned end of a stop after the signal. */
 export const stopMs = 7_500
 const minStopMs = 2_700
+/** A stop ends early once no request has been open for this time. */
 const quietMs = 1_000
 const minRestartMs = 200
 const maxRestartMs = 500
@@ -56,12 +57,27 @@
 /** Age of what nodes know of each other. */
 const reportAgeMs = 400
 
+/** Options of the nodes. */
+interface FleetOptions {
+  random: Random
+  clock: Clock
+  nodeCount: number
+  zoneCount: number
+  /** From this time after the signal on, a stream that is taken must not be cut. */
+  streamsCompleteAfterMs: number
+}
+
 /** Creates nodes that serve. */
-export function createFleet (random: Random, clock: Clock, { nodeCount, zoneCount }: { nodeCount: number, zoneCount: number }): Fleet {
+export function createFleet ({ random, clock, nodeCount, zoneCount, streamsCompleteAfterMs }: FleetOptions): Fleet {
   const nowMs = clock.monotonicMs
 
+  function stopOf ({ state, signalledAtMs }: EntryNode): PlannedStop | undefined {
+    if (state === 'up') return undefined
+    return { requestedAtMs: signalledAtMs, streamsCompleteFromMs: signalledAtMs + streamsCompleteAfterMs, endsAtMs: signalledAtMs + stopMs }
+  }
+
   function createGate (node: () => EntryNode): StopGate {
-    return createStopGate({ clock, endsAtMs: () => node().state === 'up' ? undefined : node().signalledAtMs + stopMs })
+    return createStopGate({ clock, stop: () => stopOf(node()) })
   }
 
   const nodes: EntryNode[] = Array.from({ length: nodeCount }, (_, index) => {
@@ -109,6 +125,7 @@
     return nowMs() >= node.signalledAtMs + minStopMs && node.openCount === 0 && nowMs() >= node.lastOpenAtMs + quietMs
   }
 
+  /** Nodes of the zone that are in rotation if they are at least half of it, else all of the zone, as few ready nodes would be overloaded; another zone's once none is left. */
   function poolOf (zone: number): readonly EntryNode[] {
     const own = nodes.filter(node => node.zone === zone)
     const inRotation = own.filter(node => node.isInRotation)
@@ -118,7 +135,7 @@
     return elsewhere.length > 0 ? elsewhere : nodes
   }
 
-  /** As the reports tell it. */
+  /** The state that the reports tell other nodes. */
   function knownState (node: EntryNode): NodeState {
     return node.changedAtMs <= nowMs() - reportAgeMs ? node.state : node.priorState
   }
