--- a/src/core/caller-connections/index.ts
+++ b/src/core/caller-connections/index.ts
@@ -22,8 +22,8 @@
 const maxWaiting = 64
 /** Turns of the event loop without a new connection after which none waits to be accepted, and the request of the last one has been read if it had arrived. */
 const quietTurns = 2
-/** Limit of the turns, for connections that come without end. */
-const maxTurns = 1_024
+/** Turns of the event loop in which bytes that have arrived are read, and what follows from them is handled. */
+const readTurns = 2
 
 interface TakenRequest {
   request: IncomingMessage
@@ -212,15 +212,19 @@
     socket.destroy()
   }
 
-  /** The event loop accepts one connection in each turn; those that wait when the listener is closed are reset, unread. */
-  async function acceptWaiting (): Promise<void> {
-    for (let turns = 0, quiet = 0; turns < maxTurns && quiet < quietTurns; turns += 1) {
+  /** The event loop accepts one connection in each turn; those that wait when the listener is closed are reset, unread. New ones may come without end, so `deadlineAtMs` bounds the wait. */
+  async function acceptWaiting (deadlineAtMs: number): Promise<void> {
+    for (let turns = 0, quiet = 0; quiet < quietTurns && (turns < quietTurns || clock.monotonicMs() < deadlineAtMs); turns += 1) {
       const before = acceptedCount
       await setImmediate()
       quiet = acceptedCount === before ? quiet + 1 : 0
     }
   }
 
+  async function whenRead (): Promise<void> {
+    for (let turns = 0; turns < readTurns; turns += 1) await setImmediate()
+  }
+
   const openRequestCount = (): number => [...connections.values()].filter(({ current }) => current !== undefined).length
 
   /** Whether no answer is open, and none may still be on its way to a caller that hasn't ended its side. */
@@ -240,8 +244,8 @@
       if (current?.response === response) current.listeners.push(listener)
       else listener(answerEndOf(response))
     },
-    stopListening: async () => {
-      await acceptWaiting()
+    stopListening: async deadlineAtMs => {
+      await acceptWaiting(deadlineAtMs)
       // The close method of an HTTP server also closes connections that only look idle to it.
       NetServer.prototype.close.call(server)
     },
@@ -249,7 +253,11 @@
       lastActiveAtMs = clock.monotonicMs()
       return pollUntil(() => connections.size === 0 || (isQuiet() && clock.monotonicMs() >= lastActiveAtMs + quietMs), deadlineAtMs)
     },
-    whenAnswered: deadlineAtMs => pollUntil(() => openRequestCount() === 0, deadlineAtMs),
+    whenAnswered: async deadlineAtMs => {
+      await pollUntil(() => openRequestCount() === 0, deadlineAtMs)
+      if (openRequestCount() > 0) await whenRead()
+    },
+    whenRead,
     close: () => {
       for (const connection of connections.values()) closeConnection(connection)
     }
