--- a/bench/measure/planned-stops/callers.ts
+++ b/bench/measure/planned-stops/callers.ts
@@ -15,7 +15,7 @@
 /** A caller; a request that is due while another one is open goes over a connection of its own. */
 export interface Caller {
   kind: TrafficKind
-  zone: number
+  domain: number
   /** Nodes in the order in which the balancer chooses for this caller. */
   order: readonly EntryNode[]
   keepsConnection: boolean
@@ -74,10 +74,10 @@
 }
 
 /** Creates a caller, who begins within the first two seconds; its requests are the same whatever becomes of them. */
-export function createCaller (random: Random, nodes: readonly EntryNode[], zoneCount: number): Caller {
+export function createCaller (random: Random, nodes: readonly EntryNode[], domainCount: number): Caller {
   return {
     kind: kinds[weighted(random, kinds.map(({ weight }) => weight))]!.kind,
-    zone: between(random, 0, zoneCount - 1),
+    domain: between(random, 0, domainCount - 1),
     order: shuffled(random, nodes),
     keepsConnection: random() < keepingRatio,
     isImpatient: random() < impatientRatio,
--- a/bench/measure/planned-stops/fleet.ts
+++ b/bench/measure/planned-stops/fleet.ts
@@ -12,7 +12,7 @@
 /** One entry node. */
 export interface EntryNode {
   index: number
-  zone: number
+  domain: number
   state: NodeState
   /** Counts the starts; connections end with it. */
   life: number
@@ -37,8 +37,8 @@
 /** The nodes of a play. */
 export interface Fleet {
   nodes: readonly EntryNode[]
-  /** Nodes to which the balancer sends new connections of callers in a zone. */
-  poolOf: (zone: number) => readonly EntryNode[]
+  /** Nodes to which the balancer sends new connections of callers in a failure domain. */
+  poolOf: (domain: number) => readonly EntryNode[]
   stop: (node: EntryNode) => void
   /** Checks readiness, ends stops and starts nodes; `onEnd` ends the open work of a node. */
   tick: (onEnd: (node: EntryNode) => void) => void
@@ -66,13 +66,13 @@
   random: Random
   clock: Clock
   nodeCount: number
-  zoneCount: number
+  domainCount: number
   /** From this time after the signal on, a stream that is taken must not be cut. */
   streamsCompleteAfterMs: number
 }
 
 /** Creates nodes that serve. */
-export function createFleet ({ random, clock, nodeCount, zoneCount, streamsCompleteAfterMs }: FleetOptions): Fleet {
+export function createFleet ({ random, clock, nodeCount, domainCount, streamsCompleteAfterMs }: FleetOptions): Fleet {
   const nowMs = clock.monotonicMs
   const reports: Array<{ arrivesAtMs: number, from: EntryNode, isDraining: boolean }> = []
 
@@ -82,21 +82,21 @@
   }
 
   /** What a process has in memory only, new at each start. */
-  function createMemory (node: () => EntryNode, zone: number): Pick<EntryNode, 'gate' | 'stops'> {
+  function createMemory (node: () => EntryNode, domain: number): Pick<EntryNode, 'gate' | 'stops'> {
     return {
       gate: createStopGate({ clock, stop: () => stopOf(node()) }),
-      stops: createReportedStops({ zone, others: () => nodes.filter(other => other !== node()), clock, isReporting: other => knownState(other) !== 'down' })
+      stops: createReportedStops({ domain, others: () => nodes.filter(other => other !== node()), clock, isReporting: other => knownState(other) !== 'down' })
     }
   }
 
   const nodes: EntryNode[] = Array.from({ length: nodeCount }, (_, index) => {
-    const zone = index % zoneCount
+    const domain = index % domainCount
     const node: EntryNode = {
       index,
-      zone,
+      domain,
       state: 'up',
       life: 0,
-      ...createMemory(() => node, zone),
+      ...createMemory(() => node, domain),
       signalledAtMs: -Infinity,
       changedAtMs: -Infinity,
       priorState: 'up',
@@ -121,7 +121,7 @@
   function start (node: EntryNode): void {
     setState(node, 'up')
     node.life += 1
-    Object.assign(node, createMemory(() => node, node.zone))
+    Object.assign(node, createMemory(() => node, node.domain))
     for (const other of nodes) if (other !== node && knownState(other) === 'stopping') deliverReport(node, other, true)
   }
 
@@ -150,9 +150,9 @@
     return nowMs() >= node.signalledAtMs + minStopMs && node.openCount === 0 && nowMs() >= node.lastOpenAtMs + quietMs
   }
 
-  /** Nodes of the zone that are in rotation if they are at least half of it, else all of the zone, as few ready nodes would be overloaded; another zone's once none is left. */
-  function poolOf (zone: number): readonly EntryNode[] {
-    const own = nodes.filter(node => node.zone === zone)
+  /** Nodes of the failure domain that are in rotation if they are at least half of it, else all of the domain, as few ready nodes would be overloaded; another domain's once none is left. */
+  function poolOf (domain: number): readonly EntryNode[] {
+    const own = nodes.filter(node => node.domain === domain)
     const inRotation = own.filter(node => node.isInRotation)
     if (inRotation.length >= own.length / 2 && inRotation.length > 0) return inRotation
     if (inRotation.length > 0) return own
@@ -200,14 +200,14 @@
     },
     viewOf: node => {
       const others = nodes.filter(other => other !== node)
-      const zoneOthers = others.filter(other => other.zone === node.zone)
-      const zoneOutAtMs = Math.max(...[node, ...zoneOthers].map(({ signalledAtMs }) => signalledAtMs + outOfRotationMs))
+      const domainOthers = others.filter(other => other.domain === node.domain)
+      const domainOutAtMs = Math.max(...[node, ...domainOthers].map(({ signalledAtMs }) => signalledAtMs + outOfRotationMs))
       return {
         elapsedMs: nowMs() - node.signalledAtMs,
         untilEndMs: node.signalledAtMs + stopMs - nowMs(),
         fleet: summaryOf(node, others),
-        zone: summaryOf(node, zoneOthers),
-        untilZoneIsOutMs: Math.max(0, zoneOutAtMs - nowMs()),
+        domain: summaryOf(node, domainOthers),
+        untilDomainIsOutMs: Math.max(0, domainOutAtMs - nowMs()),
         builtRetryMs: node.stops.retryAfterMs()
       }
     }
--- a/bench/measure/planned-stops/index.ts
+++ b/bench/measure/planned-stops/index.ts
@@ -16,7 +16,7 @@
   retryPolicy: RetryPolicy
 }
 
-interface Fleet {
+interface FleetCase {
   nodes: string
   nodeCountOf: (seed: number) => number
   seedCount: number
@@ -33,11 +33,11 @@
 }
 
 const stopCases: readonly StopCase[] = ['one stop', 'series', 'rolls']
-/** The smallest number of nodes that has two in each of three zones. */
-const minZonedNodes = 6
+/** The smallest number of nodes that has two in each of three domains. */
+const minThreeDomainNodes = 6
 const smallestFleet = 3
 const largestFleet = 9
-const largeFleetRetries = new Set(['0.1 s', 'zone or rotation'])
+const largeFleetRetries = new Set(['0.1 s', 'domain or rotation'])
 
 function variationsOf (gates: readonly GatePolicy[], retries: readonly RetryPolicy[], hasPaceChanges: boolean): Variation[] {
   return gates.flatMap(gatePolicy => retries.map(retryPolicy => ({ hasPaceChanges, gatePolicy, retryPolicy })))
@@ -46,7 +46,7 @@
 const builtGates = gatePolicies.filter(({ name }) => name === builtGate)
 const [shortRetry, ...otherRetries] = retryPolicies
 
-const fleets: readonly Fleet[] = [
+const fleets: readonly FleetCase[] = [
   {
     nodes: `${smallestFleet} to ${largestFleet}`,
     nodeCountOf: seed => smallestFleet + seed % (largestFleet - smallestFleet + 1),
@@ -68,13 +68,13 @@
   }
 ]
 
-function playFleet ({ nodes, nodeCountOf, seedCount, variations }: Fleet, firstSeed: number, onRow: (row: Row) => void): void {
+function playFleet ({ nodes, nodeCountOf, seedCount, variations }: FleetCase, firstSeed: number, onRow: (row: Row) => void): void {
   for (const stopCase of stopCases) {
     for (const { hasPaceChanges, gatePolicy, retryPolicy } of variations) {
       const tally = sumOf(Array.from({ length: seedCount }, (_, index) => {
         const seed = firstSeed + index
         const nodeCount = nodeCountOf(seed)
-        return playPlannedStops({ nodeCount, zoneCount: nodeCount < minZonedNodes ? 1 : 3, stopCase, hasPaceChanges, gatePolicy, retryPolicy, seed })
+        return playPlannedStops({ nodeCount, domainCount: nodeCount < minThreeDomainNodes ? 1 : 3, stopCase, hasPaceChanges, gatePolicy, retryPolicy, seed })
       }))
       onRow({ nodes, stopCase, hasPaceChanges, gatePolicy: gatePolicy.name, retryPolicy: retryPolicy.name, tally })
     }
--- a/bench/measure/planned-stops/play.ts
+++ b/bench/measure/planned-stops/play.ts
@@ -19,7 +19,7 @@
 /** One play. */
 export interface StopScenario {
   nodeCount: number
-  zoneCount: number
+  domainCount: number
   stopCase: StopCase
   hasPaceChanges: boolean
   gatePolicy: GatePolicy
@@ -62,7 +62,7 @@
 const kinds: readonly TrafficKind[] = ['stream', 'short-stream', 'resumable-stream', 'repeatable-call', 'at-most-once-call']
 
 /** Plays a scenario. */
-export function playPlannedStops ({ nodeCount, zoneCount, stopCase, hasPaceChanges, gatePolicy, retryPolicy, seed }: StopScenario): Tally {
+export function playPlannedStops ({ nodeCount, domainCount, stopCase, hasPaceChanges, gatePolicy, retryPolicy, seed }: StopScenario): Tally {
   // Each part has its own numbers, so that policies meet the same requests, stops and changes.
   const randomOf = (part: number): Random => createRandom(seed * seedsApart + part)
   const random = randomOf(0)
@@ -74,8 +74,8 @@
   const measuredUntilMs = (signals.at(-1)?.atMs ?? 0) + measuredAfterStopsMs
   const endMs = measuredUntilMs + longestDeadlineMs
   const engines = createEngines(randomOf(2), { count: Math.max(2, nodeCount), changesFromMs: hasPaceChanges ? changesFromMs : undefined, untilMs: endMs })
-  const fleet = createFleet({ random: randomOf(3), clock, nodeCount, zoneCount, streamsCompleteAfterMs: gatePolicy.streamsCompleteAfterMs })
-  const callers = Array.from({ length: nodeCount * callersPerNode }, (_, index) => createCaller(randomOf(firstCallerPart + index), fleet.nodes, zoneCount))
+  const fleet = createFleet({ random: randomOf(3), clock, nodeCount, domainCount, streamsCompleteAfterMs: gatePolicy.streamsCompleteAfterMs })
+  const callers = Array.from({ length: nodeCount * callersPerNode }, (_, index) => createCaller(randomOf(firstCallerPart + index), fleet.nodes, domainCount))
   const tally = createTally()
   const open = new Set<OpenWork>()
   const waiting = new Set<CallerRequest>()
@@ -113,7 +113,7 @@
       request.connection = kept
       return kept.node
     }
-    const pool = fleet.poolOf(caller.zone)
+    const pool = fleet.poolOf(caller.domain)
     const inOrder = caller.order.filter(node => pool.includes(node))
     return inOrder.find(node => !request.tried.has(node)) ?? inOrder[request.tries % inOrder.length]!
   }
--- a/bench/measure/planned-stops/policies.ts
+++ b/bench/measure/planned-stops/policies.ts
@@ -12,10 +12,10 @@
   /** Until its own end, at most. */
   untilEndMs: number
   fleet: OtherNodes
-  /** Of its zone. */
-  zone: OtherNodes
-  /** Until the balancer has noticed that no node of the zone is ready, if so; at most. */
-  untilZoneIsOutMs: number
+  /** Of its failure domain. */
+  domain: OtherNodes
+  /** Until the balancer has noticed that no node of the domain is ready, if so; at most. */
+  untilDomainIsOutMs: number
   /** What the product says, by what it knows. */
   builtRetryMs: number
 }
@@ -74,10 +74,10 @@
 /** The policy of the product. */
 export const builtGate = 'late streams'
 
-/** Until a node serves to which the balancer sends callers of this zone: one of the zone, or one elsewhere once all of the zone are out of rotation. */
-function zoneOrRotationMs ({ zone, fleet, untilZoneIsOutMs }: StopView): number {
-  if (zone.servingCount > 0) return shortRetryMs
-  return Math.max(shortRetryMs, Math.min(zone.untilFirstBackMs, fleet.servingCount > 0 ? untilZoneIsOutMs : Infinity))
+/** Until a node serves to which the balancer sends callers of this domain: one of the domain, or one elsewhere once all of the domain are out of rotation. */
+function domainOrRotationMs ({ domain, fleet, untilDomainIsOutMs }: StopView): number {
+  if (domain.servingCount > 0) return shortRetryMs
+  return Math.max(shortRetryMs, Math.min(domain.untilFirstBackMs, fleet.servingCount > 0 ? untilDomainIsOutMs : Infinity))
 }
 
 export const retryPolicies: readonly [RetryPolicy, ...RetryPolicy[]] = [
@@ -85,8 +85,8 @@
   { name: '1 s', retryAfterMs: () => 1_000 },
   { name: 'random until the end', retryAfterMs: ({ untilEndMs }, random) => shortRetryMs + random() * Math.max(0, untilEndMs - shortRetryMs) },
   { name: 'first back anywhere', retryAfterMs: ({ fleet }) => fleet.servingCount > 0 ? shortRetryMs : Math.max(shortRetryMs, fleet.untilFirstBackMs) },
-  { name: 'first back in zone', retryAfterMs: ({ zone }) => zone.servingCount > 0 ? shortRetryMs : Math.max(shortRetryMs, zone.untilFirstBackMs) },
+  { name: 'first back in domain', retryAfterMs: ({ domain }) => domain.servingCount > 0 ? shortRetryMs : Math.max(shortRetryMs, domain.untilFirstBackMs) },
   { name: 'next back unless half serve', retryAfterMs: ({ fleet }) => fleet.servingCount >= fleet.count / 2 ? shortRetryMs : Math.max(shortRetryMs, fleet.untilNextBackMs) },
-  { name: 'zone or rotation', retryAfterMs: zoneOrRotationMs },
+  { name: 'domain or rotation', retryAfterMs: domainOrRotationMs },
   { name: 'as built', retryAfterMs: ({ builtRetryMs }, random) => builtRetryMs * (1 + builtJitter * random()) }
 ]
--- a/bench/measure/planned-stops/reported-stops.ts
+++ b/bench/measure/planned-stops/reported-stops.ts
@@ -14,11 +14,11 @@
 const maxAllPairsNodes = 16
 
 const idOf = ({ index }: EntryNode): NodeId => toId<NodeId>(`node-${index}`)
-const domainOf = (zone: number): DomainId => toId<DomainId>(`zone-${zone}`)
+const domainOf = (domain: number): DomainId => toId<DomainId>(`domain-${domain}`)
 
 /** Options of `createReportedStops`. */
 interface ReportedStopsOptions {
-  zone: number
+  domain: number
   others: () => readonly EntryNode[]
   clock: Clock
   /** Whether reports of the node arrive. */
@@ -26,12 +26,12 @@
 }
 
 /** Creates what a node that starts knows. */
-export function createReportedStops ({ zone, others, clock, isReporting }: ReportedStopsOptions): NodeStops {
+export function createReportedStops ({ domain, others, clock, isReporting }: ReportedStopsOptions): NodeStops {
   return createNodeStops({
     clock,
     log: createSilentLog(),
-    domain: domainOf(zone),
-    peers: () => others().map(other => ({ node: idOf(other), domain: domainOf(other.zone) })),
+    domain: domainOf(domain),
+    peers: () => others().map(other => ({ node: idOf(other), domain: domainOf(other.domain) })),
     reportingNodes: () => others().filter(isReporting).map(idOf),
     getsAllReports: () => others().length < maxAllPairsNodes,
     downtimeMs,
