--- a/test/caller-connections/caller-connections.test.ts
+++ b/test/caller-connections/caller-connections.test.ts
@@ -3,7 +3,7 @@
 import { once } from 'node:events'
 import { connect, createServer as createTcpServer } from 'node:net'
 import test from 'ava'
-import { createCallerConnections } from '../../src/core/caller-connections/index.ts'
+import { createCallerConnections, cutAnswer } from '../../src/core/caller-connections/index.ts'
 import { createSystemClock } from '../../src/core/clock/index.ts'
 import { connectCaller } from '../raw-caller.ts'
 import type { ExecutionContext } from 'ava'
@@ -236,3 +236,19 @@
   t.is(connections.openRequestCount(), 0)
   t.like(await caller.nextResponse(), { status: 200, body: 'whole', isComplete: true })
 })
+
+// Guards against pipelined requests that are dropped without a line when a stop cuts the stream before them.
+test('a request that waits behind an answer that is cut is reported as not handled', async t => {
+  const { caller, responseTo, responses, late } = await startServer(t)
+  caller.write(get('/1'))
+  const response = await responseTo('/1')
+  response.write('event')
+  caller.write(get('/2'))
+  await clock.sleep(50)
+  cutAnswer(response)
+  t.false((await caller.nextResponse()).isComplete)
+  t.false(responses.has('/2'))
+  // The caller may see the end of the connection before the server has closed its side.
+  for (let checks = 0; checks < 100 && late.length === 0; checks += 1) await clock.sleep(5)
+  t.deepEqual(late, ['/2'])
+})
