--- a/test/soak/delivery-checks.test.ts
+++ b/test/soak/delivery-checks.test.ts
@@ -78,10 +78,13 @@
 
 test('streams that are cut and requests that are refused are counted by how they end', t => {
   const checks = createDeliveryChecks()
-  checks.onStop({ ...process, atMs: 0, hasLogged: true })
+  // Everything but the kill is in the past.
+  const stopAtMs = -20_000
+  checks.onStop({ ...process, atMs: stopAtMs, hasLogged: true })
   const deliver = (id: string, changes: Partial<Delivery>, isRun = true): void => {
     if (isRun) checks.onRun(id)
-    checks.onDelivery(createDelivery({ id, firstId: id, ...changes }))
+    const { startedAtMs, sentAtMs, endedAtMs, deadlineAtMs, ...delivery } = createDelivery({ id, firstId: id, ...changes })
+    checks.onDelivery({ ...delivery, startedAtMs: stopAtMs + startedAtMs, sentAtMs: stopAtMs + sentAtMs!, endedAtMs: stopAtMs + endedAtMs, deadlineAtMs: stopAtMs + deadlineAtMs })
   }
   const refusal = { kind: 'complete', status: 503 } as const
   const answer = { kind: 'complete', status: 200, isFromBackend: true, body: 'whole' } as const
@@ -99,7 +102,7 @@
   deliver('given up', { ...refusal, isLastTry: false, deadlineAtMs: -1 }, false)
   deliver('open at the end', { ...refusal, isLastTry: false, deadlineAtMs: Infinity }, false)
   checks.onKill()
-  deliver('ended by the kill-1', { ...refusal, isLastTry: false }, false)
+  deliver('ended by the kill-1', { ...refusal, isLastTry: false, deadlineAtMs: Infinity }, false)
   deliver('ended by the kill-2', { firstId: 'ended by the kill-1', endedAtMs: Infinity })
   t.deepEqual(checks.finish().calls, {
     200: 2,
