--- a/bench/measure/planned-stops/fleet.ts
+++ b/bench/measure/planned-stops/fleet.ts
@@ -78,7 +78,7 @@
 
   function stopOf ({ state, signalledAtMs }: EntryNode): PlannedStop | undefined {
     if (state === 'up') return undefined
-    return { requestedAtMs: signalledAtMs, streamsCompleteFromMs: signalledAtMs + streamsCompleteAfterMs, endsAtMs: signalledAtMs + stopMs }
+    return { requestedAtMs: signalledAtMs, streamsCompleteFromMs: signalledAtMs + streamsCompleteAfterMs, endsAtMs: signalledAtMs + stopMs, holdUntil: () => {} }
   }
 
   /** What a process has in memory only, new at each start. */
