Send no request whose caller had closed its side when it was read

A node that was stalled ran the requests of callers that had given up meanwhile.

Cause: a request was sent to a backend server as soon as its last byte was parsed. The end of the connection is read in the next turn of the event loop, and only then was the work ended.

Fix: two turns of the event loop pass between the end of a request and its handling, so that an end that arrived behind it has been read.

Cost: each request waits two turns more, which counts in a process whose turns are long. Not measured.

--- a/src/core/gateway/read-body.ts
+++ b/src/core/gateway/read-body.ts
@@ -1,13 +1,17 @@
 /** Reads the complete body of a caller's request, up to a maximum size. */
+import { setImmediate } from 'node:timers/promises'
 import type { IncomingMessage } from 'node:http'
 
-/** How reading the body ended; `disconnected` when the caller closed its connection, `stopped` when the signal aborted. */
+/** How reading the body ended; `disconnected` when the caller closed its connection or its sending half, `stopped` when the signal aborted. */
 export type BodyOutcome =
   | { kind: 'complete', body: Buffer | undefined }
   | { kind: 'too-large' }
   | { kind: 'disconnected' }
   | { kind: 'stopped' }
 
+/** Turns of the event loop after which an end of the caller's side that had arrived behind its request has been read. */
+const turnsToReadEnd = 2
+
 /** Reads until the end of the body, the maximum size, a disconnect of the caller or the abort of the signal. */
 export function readBody (request: IncomingMessage, maxBytes: number, signal: AbortSignal): Promise<BodyOutcome> {
   const declared = Number(request.headers['content-length'] ?? 0)
@@ -16,6 +20,7 @@
   return new Promise(resolve => {
     const chunks: Buffer[] = []
     let sizeBytes = 0
+    let isWhole = false
     const onAbort = (): void => end({ kind: 'stopped' })
     function end (outcome: BodyOutcome): void {
       signal.removeEventListener('abort', onAbort)
@@ -28,8 +33,13 @@
       if (sizeBytes > maxBytes) end({ kind: 'too-large' })
       else chunks.push(chunk)
     })
-    request.on('end', () => end({ kind: 'complete', body: hasBody ? Buffer.concat(chunks) : undefined }))
-    request.on('close', () => end({ kind: 'disconnected' }))
+    request.on('end', async () => {
+      isWhole = true
+      for (let turns = 0; turns < turnsToReadEnd; turns += 1) await setImmediate()
+      const { readableEnded, destroyed } = request.socket
+      end(readableEnded || destroyed ? { kind: 'disconnected' } : { kind: 'complete', body: hasBody ? Buffer.concat(chunks) : undefined })
+    })
+    request.on('close', () => { if (!isWhole) end({ kind: 'disconnected' }) })
     request.on('error', () => end({ kind: 'disconnected' }))
   })
 }
