End no stop before the last sixth of the grace period from its signal's handling

What callers could see: on a node whose event loop lags, a stream that was sent within 3 s of the signal could be cut up to 0.1 s before the last sixth of the grace period, from which on the rule LOST excuses that; after a stall at the signal, earlier still.

Cause: a stop counts from a time before its signal, so that it ends before the platform kills the process, and the earliest end by a lag counted from there, too. The signal may have been sent at any time up to its handling, so the earliest end counts from the handling now, and not later than 0.5 s before the kill. Read in the diff; the new test fails before (it ended 0.4 s earlier).

--- a/src/core/gateway/stop-times.ts
+++ b/src/core/gateway/stop-times.ts
@@ -34,7 +34,7 @@
 
 /** Time before the end of the grace period at which open requests are ended on a node without lag. */
 const marginMs = 500
-/** Part of the grace period that the end may take. Answers that take longer than the rest may be cut by the users' rules. */
+/** Part of the grace period that the end may take. The platform's rules excuse no cut before. */
 const maxMarginRatio = 1 / 6
 /** Turns of the event loop that the end may take: its timer, the answers, their delivery, the close, the last log lines and the exit. */
 const endTurns = 6
@@ -47,6 +47,8 @@
   const closed = new AbortController()
   const killedAtMs = requestedAtMs + graceMs
   const startedAtMs = clock.monotonicMs()
+  /** Counts from the handling of the signal, which may have been sent at any time up to it. */
+  const earliestEndAtMs = startedAtMs + graceMs - graceMs * maxMarginRatio
   /** Latest deadline of the requests that were taken because they end by it. */
   let heldUntilMs = -Infinity
   let lags = [{ atMs: startedAtMs, lagMs: startedAtMs - requestedAtMs }]
@@ -67,10 +69,10 @@
     return Math.max(0, sorted[Math.floor((sorted.length - 1) / 2)] ?? 0)
   }
 
-  const usedMarginMs = (): number => Math.min(Math.max(marginMs, lagMs() * endTurns), Math.max(marginMs, graceMs * maxMarginRatio))
+  const endsAtMs = (): number => Math.min(killedAtMs - marginMs, Math.max(killedAtMs - lagMs() * endTurns, earliestEndAtMs, heldUntilMs))
 
   return {
-    endsAtMs: () => Math.min(killedAtMs - marginMs, Math.max(killedAtMs - usedMarginMs(), heldUntilMs)),
+    endsAtMs,
     plannedStop: () => ({
       requestedAtMs,
       streamsCompleteFromMs: requestedAtMs + streamsCompleteAfterMs,
@@ -78,7 +80,7 @@
       endsAtMs: killedAtMs - (lagMs() > marginMs ? lagMs() * endTurns : marginMs),
       holdUntil: atMs => { heldUntilMs = Math.max(heldUntilMs, atMs) }
     }),
-    closesAtMs: () => killedAtMs - usedMarginMs() / 2,
+    closesAtMs: () => (endsAtMs() + killedAtMs) / 2,
     killedAtMs,
     lagMs,
     close: () => closed.abort()
--- a/test/gateway/stop-times.test.ts
+++ b/test/gateway/stop-times.test.ts
@@ -45,3 +45,16 @@
   t.true(times.lagMs() >= lagMs)
   t.is(times.endsAtMs(), graceMs - marginMs)
 })
+
+// Guards against streams that are cut before the last sixth of the grace period, because the stop counts from before the signal.
+test('a stop whose signal may have been sent up to its handling does not end before the last sixth of the grace period from then', async t => {
+  const { clock, state, stopClock } = createLaggingClock()
+  const times = createStopTimes({ clock: stopClock, requestedAtMs: -400, graceMs, streamsCompleteAfterMs: 2_500 })
+  t.teardown(times.close)
+  state.lagMs = 2 * lagMs
+  await advanceWithLag(clock, 4_000)
+  t.is(times.endsAtMs(), graceMs - graceMs / 6)
+  const later = createStopTimes({ clock: stopClock, requestedAtMs: clock.monotonicMs() - 1_500, graceMs, streamsCompleteAfterMs: 2_500 })
+  t.teardown(later.close)
+  t.is(later.endsAtMs(), later.killedAtMs - marginMs)
+})
