--- a/bench/soak/move-run.ts
+++ b/bench/soak/move-run.ts
@@ -11,7 +11,7 @@
   configurationKey, createConfiguration, createMoveOrder, createNodePorts, moveOrderKey, moveResultOf, moveSettings, moveStateKey, nodeSettings, startPlatform
 } from '../../test/platform-adapter/soak-deployment.ts'
 import { createCaller } from './callers.ts'
-import { createNodeProcess } from './node-process.ts'
+import { createNodeProcess, describeOwnEnd } from './node-process.ts'
 import { takePortBlock } from './port-block.ts'
 import { isReady, pollUntil, startTimeoutMs } from './readiness.ts'
 import { startVersionedBackends } from './versioned-backends.ts'
@@ -95,7 +95,16 @@
     const { callers, readiness } = createNodePorts(firstPortOf(index))
     const storePort = Number(platform.address.split(':')[1])
     return createNodeProcess({
-      name, program, folder, callersPort: callers, readinessPort: readiness, settings: isFirstStart => nodeSettings(name, firstPortOf(index), storePort, seeds, isFirstStart, moveSettings(drill.renewalMs))
+      name,
+      program,
+      folder,
+      callersPort: callers,
+      readinessPort: readiness,
+      settings: isFirstStart => nodeSettings(name, firstPortOf(index), storePort, seeds, isFirstStart, moveSettings(drill.renewalMs)),
+      onExit: exit => {
+        const detail = describeOwnEnd(exit)
+        if (detail !== undefined) broken.push({ promise: 'process-end', detail })
+      }
     })
   })
   const killAllNodes = (): void => nodes.forEach(node => node.kill())
--- a/bench/soak/node-process.ts
+++ b/bench/soak/node-process.ts
@@ -41,6 +41,12 @@
   signal: NodeJS.Signals | null
 }
 
+/** Why the end of a process was not asked for; undefined if it was stopped or killed. */
+export function describeOwnEnd ({ node, startCount, code, signal }: NodeExit): string | undefined {
+  const isAskedFor = code === 0 || signal === 'SIGKILL' || signal === 'SIGTERM'
+  return isAskedFor ? undefined : `start ${startCount} of ${node} ended by itself with ${signal ?? `status ${code}`}`
+}
+
 export interface NodeProcessOptions {
   name: string
   /** Path of the built program. */
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -6,6 +6,7 @@
 import { createChecks } from './checks.ts'
 import { startDrill, startFault } from './faults.ts'
 import { startSoakDeployment } from './deployment.ts'
+import { describeOwnEnd } from './node-process.ts'
 import { isReady, pollUntil, startTimeoutMs } from './readiness.ts'
 import { findConflictingReports } from './usage-check.ts'
 import type { BrokenPromise } from './checks.ts'
@@ -64,6 +65,10 @@
     onArrival: arrival => checks.onArrival({ ...arrival, atMs: performance.now() }),
     onPrompt: (id, parts) => checks.onPrompt({ id, parts, atMs: performance.now() }),
     onRequestCrash: path => checks.onRequestCrash(path, performance.now()),
+    onExit: exit => {
+      const detail = describeOwnEnd(exit)
+      if (detail !== undefined) checks.onBrokenPromise({ promise: 'process-end', detail })
+    },
     onCrash: () => checks.onCrash(deployment.crashing.part ?? '', performance.now()),
     random: callRandom
   })
--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -15,6 +15,7 @@
 import type { RouteChoice, Router } from '../routing/index.ts'
 import type { Attempt, AttemptPhase, StreamProgress, CompleteResponse } from './attempt.ts'
 import type { BackendTable } from './backend-table.ts'
+import type { ResponseBuffers } from './response-buffers.ts'
 import type { RouteTable } from './route-table.ts'
 import type { GateRequest, OpenAttempt, StopDecision, StopGate } from './stop-gate.ts'
 import type { GatewayRoute, GatewayTeam, HeaderCodec, RequestHead } from './types.ts'
@@ -57,6 +58,8 @@
   quarantine: Pick<Quarantine, 'admit' | 'find' | 'isQuiet' | 'recordCrash' | 'recordAnswer' | 'onQuarantined'>
   backends: BackendTable
   limits: Pick<BackendLimits, 'recordResponse' | 'recordDemand' | 'take' | 'stateOf'>
+  /** Memory for responses, of all requests together. */
+  buffers: ResponseBuffers
   /** Routes of the configuration in effect; undefined before the first one arrives. */
   routeTable: () => RouteTable | undefined
   /** Share of a service's requests that goes to its canary version, 0 to 1. */
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -13,7 +13,6 @@
 import { createQuarantineGate } from './quarantine-gate.ts'
 import { resumeMs } from './eligibility.ts'
 import { createLatencyObserver } from './latency-observer.ts'
-import { createResponseBuffers } from './response-buffers.ts'
 import { createRefusals } from './refusals.ts'
 import { abandonAttempt, createEndFailedRequest, mayHaveRun } from './failed-request.ts'
 import { quotaUnitsOf, requestLogFields } from './active-request.ts'
@@ -37,18 +36,13 @@
 /** Maximum queued requests of one team at one node. */
 const maxQueuedRequests = 256
 
-/** Limits of the responses that are collected before they are forwarded, each and together; far above those of the services, and below a node's memory. */
-const maxResponseBytes = 16 * 1024 * 1024
-const maxBufferedBytes = 64 * 1024 * 1024
-
 /** Serves one request; resolves when its response has ended or its caller has disconnected. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>
 
 /** Creates the request handler of a gateway. */
 export function createRequestHandler (options: RequestHandlerOptions): RequestHandler {
-  const { clock, log, metrics, codec, router, backends, limits } = options
+  const { clock, log, metrics, codec, router, backends, limits, buffers } = options
   const refusals = createRefusals(options)
-  const buffers = createResponseBuffers({ maxResponseBytes, maxTotalBytes: maxBufferedBytes })
   const { refuse, withJitter, endUnfinished } = refusals
   const quarantineGate = createQuarantineGate(options)
   const limitGate = createLimitGate(options)
--- a/src/core/gateway/response-buffers.ts
+++ b/src/core/gateway/response-buffers.ts
@@ -11,6 +11,10 @@
   maxTotalBytes: number
 }
 
+const mebibyte = 1_024 * 1_024
+/** Far above the responses of the services, and together below a node's memory. */
+const defaultLimits: ResponseBuffersOptions = { maxResponseBytes: 16 * mebibyte, maxTotalBytes: 64 * mebibyte }
+
 /** The buffer of one response. */
 export interface ResponseBuffer {
   /** Adds a chunk; may call `onOverflow` of this buffer or of another one. */
@@ -31,7 +35,7 @@
 interface OpenBuffer { sizeBytes: number, overflow: (cause: string) => void }
 
 /** Creates the buffers of a node. */
-export function createResponseBuffers ({ maxResponseBytes, maxTotalBytes }: ResponseBuffersOptions): ResponseBuffers {
+export function createResponseBuffers ({ maxResponseBytes, maxTotalBytes } = defaultLimits): ResponseBuffers {
   const opened = new Set<OpenBuffer>()
   let totalBytes = 0
 
--- a/src/core/log/index.ts
+++ b/src/core/log/index.ts
@@ -1,4 +1,5 @@
 /** Structured logging in JSON lines. Each line is a numbered event of the catalogue in `events/`. */
+import { writeSync } from 'node:fs'
 import { setImmediate } from 'node:timers/promises'
 import winston from 'winston'
 import { createBoundedOutput } from './bounded-output.ts'
@@ -94,6 +95,17 @@
   return { log, whenWritten }
 }
 
+/** Writes one event to standard output at once, for a process that ends in this turn of the event loop. */
+export function writeLastEvent (event: EventName, fields: Record<string, unknown>): void {
+  const { number, level, text } = eventCatalogue[event]
+  const line = JSON.stringify({ level, message: text, event, number, timestamp: new Date().toISOString(), ...fields })
+  try {
+    writeSync(stdoutFileDescriptor, `${line}\n`)
+  } catch {
+    // Nothing reads the output, or its pipe is full.
+  }
+}
+
 /** Creates a log that discards all events, for tests and short-lived tools. */
 export function createSilentLog (): Log {
   return () => {}
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -2,7 +2,7 @@
 import { createAdmission, createRetryBudget } from '../../src/core/admission/index.ts'
 import { createBackendLimits, parseNamedLimit } from '../../src/core/backend-limits/index.ts'
 import { createSystemClock } from '../../src/core/clock/index.ts'
-import { createBackendTable, createIngress, createRouteTable, createRequestHandler, createStopGate, isConnectionHeader } from '../../src/core/gateway/index.ts'
+import { createBackendTable, createIngress, createRouteTable, createRequestHandler, createResponseBuffers, createStopGate, isConnectionHeader } from '../../src/core/gateway/index.ts'
 import { toId } from '../../src/core/ids/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { createQuarantine } from '../../src/core/quarantine/index.ts'
@@ -187,6 +187,7 @@
     },
     backends,
     limits: { ...limits, take: fakes.takePermit ?? limits.take },
+    buffers: createResponseBuffers(),
     routeTable: () => state.table,
     canaryShare: () => 0,
     onStarted: () => {},
