--- a/bench/soak/node-process.ts
+++ b/bench/soak/node-process.ts
@@ -1,6 +1,6 @@
 /** Runs one node as a separate process that is stopped, paused and killed by signals. */
 import { spawn } from 'node:child_process'
-import { writeFileSync } from 'node:fs'
+import { readFileSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { createInterface } from 'node:readline'
 import type { ChildProcess } from 'node:child_process'
@@ -27,6 +27,8 @@
   pause: () => void
   resume: () => void
   reload: () => void
+  /** The most memory that the current process has occupied; undefined without a process, or where the system doesn't say. */
+  peakMemoryBytes: () => number | undefined
   /** The last lines of standard output and standard error, over all starts. */
   log: () => string[]
 }
@@ -106,6 +108,15 @@
     })
   }
 
+  function peakMemoryBytes (): number | undefined {
+    try {
+      const peakKibibytes = /^VmHWM:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${child?.pid}/status`, 'utf8'))?.[1]
+      return peakKibibytes === undefined ? undefined : Number(peakKibibytes) * 1_024
+    } catch {
+      return undefined
+    }
+  }
+
   return {
     name,
     callersPort: options.callersPort,
@@ -130,6 +141,7 @@
       interrupt('SIGCONT')
     },
     reload: () => sendSignal('SIGHUP'),
+    peakMemoryBytes,
     log: () => log.slice(-maxLogLines)
   }
 }
--- a/src/core/backends/service-call.ts
+++ b/src/core/backends/service-call.ts
@@ -141,7 +141,7 @@
         onNamedLimit(parseNamedLimit(headers[requestLimitHeader]), sentAtMs)
       },
       onResponseData: (_controller, chunk) => {
-        if (!exchange.body.add(Buffer.from(chunk))) abandonTooLong()
+        if (!exchange.body.add(chunk)) abandonTooLong()
       },
       onResponseEnd: () => {
         if (isSettled) return
--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -196,6 +196,9 @@
     }
     const events = progress.eventBuffer.push(chunk)
     const hasRoom = events.length === 0 || forwardEvents(events)
+    buffer.hold(progress.eventBuffer.allocatedBytes())
+    // Given up for the memory of all responses together.
+    if (isSettled) return true
     const fault = progress.eventBuffer.fault()
     if (fault !== undefined) {
       exchange.abort()
--- a/src/core/gateway/event-stream.ts
+++ b/src/core/gateway/event-stream.ts
@@ -4,6 +4,8 @@
  * Comments before the first event are held back, because they are no sign of a
  * response: until an event is forwarded, another backend server may answer.
  */
+import { createByteCollector } from '../connections/bounded-bytes.ts'
+import type { ByteCollector } from '../connections/bounded-bytes.ts'
 
 const lineFeed = 10
 const carriageReturn = 13
@@ -13,6 +15,8 @@
 const maxSplitEndBytes = 2
 /** Bytes without a complete event, comments included, from which a stream counts as broken. */
 const maxBytesWithoutEvent = 256 * 1024
+/** Bytes that can be held back: up to that limit, and one read of a connection beyond it. */
+const maxHeldBytes = 2 * maxBytesWithoutEvent
 const noBytes: Buffer = Buffer.alloc(0)
 const surroundingSpacePattern = /^[ \t\r]+|[ \t\r]+$/g
 /** Ids that fit into the headers of a request; far longer than those of engines. */
@@ -28,6 +32,8 @@
   fault: () => string | undefined
   /** Whether the stream sends bytes without an event. */
   isOverLimit: () => boolean
+  /** Memory that is occupied by what is held back. */
+  allocatedBytes: () => number
   /** Number of complete events so far; comments don't count. */
   eventCount: () => number
   lastEventId: () => string | undefined
@@ -73,12 +79,10 @@
 
 /** Creates an empty buffer for one response. */
 export function createEventBuffer (): EventBuffer {
-  let partial: Buffer[] = []
-  let partialBytes = 0
-  /** The last bytes of `partial`. */
-  let tail = noBytes
-  let comments: Buffer[] = []
+  const partial = createByteCollector(maxHeldBytes)
+  const comments = createByteCollector(maxHeldBytes)
   let bytesWithoutEvent = 0
+  let isTooLong = false
   let lastId: string | undefined
   let fault: string | undefined
   let count = 0
@@ -120,57 +124,43 @@
 
   /** Offset in the chunk after the last event that ends there; 0 when none does. */
   function eventEndIn (chunk: Buffer): number {
+    const tail = partial.tail(maxSplitEndBytes)
     return Math.max(0, endOfLastEvent(tail.length === 0 ? chunk : Buffer.concat([tail, chunk])) - tail.length)
   }
 
-  function hold (chunk: Buffer): void {
-    if (chunk.length === 0) return
-    partial.push(chunk)
-    partialBytes += chunk.length
-    tail = (chunk.length < maxSplitEndBytes ? Buffer.concat([tail, chunk]) : chunk).subarray(-maxSplitEndBytes)
-  }
-
-  function takePartial (): Buffer[] {
-    const taken = partial
-    partial = []
-    partialBytes = 0
-    tail = noBytes
-    return taken
-  }
-
-  function takeComments (): Buffer {
-    const taken = Buffer.concat(comments)
-    comments = []
-    return taken
+  function hold (collector: ByteCollector, bytes: Buffer): void {
+    if (bytes.length > 0 && !collector.add(bytes)) isTooLong = true
   }
 
   return {
     push: chunk => {
       const end = eventEndIn(chunk)
       if (end === 0) {
-        hold(chunk)
+        hold(partial, chunk)
         return noBytes
       }
-      const complete = Buffer.concat([...takePartial(), chunk.subarray(0, end)])
-      hold(chunk.subarray(end))
+      const complete = Buffer.concat([partial.take(), chunk.subarray(0, end)])
+      hold(partial, chunk.subarray(end))
       const scanned = scanLines(complete)
       const sound = complete.subarray(0, scanned.end)
       count += scanned.events
       bytesWithoutEvent = scanned.events > 0 ? 0 : bytesWithoutEvent + sound.length
-      if (count > 0) return comments.length === 0 ? sound : Buffer.concat([takeComments(), sound])
-      comments.push(sound)
+      if (count > 0) return comments.sizeBytes() === 0 ? sound : Buffer.concat([comments.take(), sound])
+      hold(comments, sound)
       return noBytes
     },
-    hasPartialEvent: () => partialBytes > 0,
+    hasPartialEvent: () => partial.sizeBytes() > 0,
     fault: () => fault,
-    isOverLimit: () => partialBytes + bytesWithoutEvent > maxBytesWithoutEvent,
+    isOverLimit: () => isTooLong || partial.sizeBytes() + bytesWithoutEvent > maxBytesWithoutEvent,
+    allocatedBytes: () => partial.allocatedBytes() + comments.allocatedBytes(),
     eventCount: () => count,
     lastEventId: () => lastId,
     isResumable: () => count === 0 || (lastId !== undefined && sendableIdPattern.test(lastId)),
-    takeComments,
+    takeComments: comments.take,
     discardPartialEvent: () => {
-      takePartial()
-      takeComments()
+      partial.take()
+      comments.take()
+      isTooLong = false
       bytesWithoutEvent = 0
       fault = undefined
     }
--- a/src/core/gateway/read-body.ts
+++ b/src/core/gateway/read-body.ts
@@ -1,5 +1,6 @@
 /** Reads the complete body of a caller's request, up to a maximum size. */
 import { setImmediate } from 'node:timers/promises'
+import { createByteCollector } from '../connections/bounded-bytes.ts'
 import type { IncomingMessage } from 'node:http'
 
 /** How reading the body ended; `disconnected` when the caller closed its connection or its sending half, `stopped` when the signal aborted. */
@@ -18,8 +19,7 @@
   if (declared > maxBytes) return Promise.resolve({ kind: 'too-large' })
   const hasBody = declared > 0 || request.headers['transfer-encoding'] !== undefined
   return new Promise(resolve => {
-    const chunks: Buffer[] = []
-    let sizeBytes = 0
+    const collector = createByteCollector(maxBytes)
     let isWhole = false
     const onAbort = (): void => end({ kind: 'stopped' })
     function end (outcome: BodyOutcome): void {
@@ -29,15 +29,13 @@
     if (signal.aborted) return end({ kind: 'stopped' })
     signal.addEventListener('abort', onAbort)
     request.on('data', (chunk: Buffer) => {
-      sizeBytes += chunk.length
-      if (sizeBytes > maxBytes) end({ kind: 'too-large' })
-      else chunks.push(chunk)
+      if (!collector.add(chunk)) end({ kind: 'too-large' })
     })
     request.on('end', async () => {
       isWhole = true
       for (let turns = 0; turns < turnsToReadEnd; turns += 1) await setImmediate()
       const { readableEnded, destroyed } = request.socket
-      end(readableEnded || destroyed ? { kind: 'disconnected' } : { kind: 'complete', body: hasBody ? Buffer.concat(chunks) : undefined })
+      end(readableEnded || destroyed ? { kind: 'disconnected' } : { kind: 'complete', body: hasBody ? collector.bytes() : undefined })
     })
     request.on('close', () => { if (!isWhole) end({ kind: 'disconnected' }) })
     request.on('error', () => end({ kind: 'disconnected' }))
--- a/src/core/gateway/response-buffers.ts
+++ b/src/core/gateway/response-buffers.ts
@@ -1,7 +1,7 @@
 /**
- * Memory for the responses that are collected before they are forwarded. Each
- * response has a limit, and so have all of them together; beyond that the
- * largest one is given up.
+ * Memory for the responses that are collected before they are forwarded, and for
+ * the unfinished events of streams. Each response has a limit, and so have all of
+ * them together; beyond that the largest one is given up.
  */
 import { createByteCollector } from '../connections/bounded-bytes.ts'
 
@@ -19,6 +19,8 @@
 export interface ResponseBuffer {
   /** Adds a chunk; may call `onOverflow` of this buffer or of another one. */
   add: (chunk: Buffer) => void
+  /** Sets the memory that the response occupies elsewhere, such as a stream with an unfinished event; may call `onOverflow` as well. */
+  hold: (heldBytes: number) => void
   bytes: () => Buffer
   /** Releases the memory. */
   close: () => void
@@ -44,6 +46,12 @@
     totalBytes -= buffer.sizeBytes
   }
 
+  function resize (buffer: OpenBuffer, sizeBytes: number): void {
+    totalBytes += sizeBytes - buffer.sizeBytes
+    buffer.sizeBytes = sizeBytes
+    if (totalBytes > maxTotalBytes) overflowLargest()
+  }
+
   function overflowLargest (): void {
     const largest = [...opened].reduce((a, b) => b.sizeBytes > a.sizeBytes ? b : a)
     largest.overflow(`all responses under way have more than ${maxTotalBytes} bytes, and this one has the most`)
@@ -64,9 +72,10 @@
       add: chunk => {
         if (!opened.has(buffer)) return
         if (!collector.add(chunk)) return buffer.overflow(`its response has more than ${maxResponseBytes} bytes`)
-        buffer.sizeBytes += chunk.length
-        totalBytes += chunk.length
-        if (totalBytes > maxTotalBytes) overflowLargest()
+        resize(buffer, collector.allocatedBytes())
+      },
+      hold: heldBytes => {
+        if (opened.has(buffer)) resize(buffer, heldBytes)
       },
       bytes: () => collector.bytes(),
       close: () => release(buffer)
