--- a/src/core/connections/response-framing.ts
+++ b/src/core/connections/response-framing.ts
@@ -15,6 +15,8 @@
 export interface ResetConnectorOptions {
   timeoutMs: number
   onConnected?: () => void
+  /** Called when bytes have arrived, before they are parsed. */
+  onReadable?: () => void
 }
 
 /** Opens the connections of one client, one at a time. */
@@ -22,10 +24,12 @@
   connect: buildConnector.connector
   /** Whether the connection was reset; to be asked at the end of a response without a length only. */
   wasReset: () => boolean
+  /** Bytes that have arrived on the connection. */
+  receivedBytes: () => number
 }
 
 /** Creates the connector of one client. */
-export function createResetConnector ({ timeoutMs, onConnected }: ResetConnectorOptions): ResetConnector {
+export function createResetConnector ({ timeoutMs, onConnected, onReadable }: ResetConnectorOptions): ResetConnector {
   const connect = buildConnector({ timeout: timeoutMs })
   let socket: Socket | undefined
   return {
@@ -33,11 +37,13 @@
       const [error, connected] = result
       if (error === null) {
         socket = connected
+        if (onReadable !== undefined) connected.on('readable', onReadable)
         onConnected?.()
       }
       opened(...result)
     }),
     // The system knows no peer of a socket that was reset. Node.js keeps an address once it was read, so it isn't read before.
-    wasReset: () => socket?.remoteAddress === undefined
+    wasReset: () => socket?.remoteAddress === undefined,
+    receivedBytes: () => socket?.bytesRead ?? 0
   }
 }
--- a/src/core/gateway/backend-connections.ts
+++ b/src/core/gateway/backend-connections.ts
@@ -69,21 +69,34 @@
 
 /** Responses with a status below 200 that may precede a response. */
 const maxInformationalResponses = 16
+/** Bytes beside the body that a response may have, beyond as many as its body has: heads, informational responses, and what delimits chunks. */
+const maxFramingBytes = 1024 * 1024
 
 /** An exchange that failed before anything was sent. */
 const unsentExchange: Exchange = { isSent: () => false, resume: () => {}, abort: () => {} }
 
+/** One connection, with the client that has no other. */
+interface Connection {
+  client: Client
+  connector: ResetConnector
+  /** Whether it has carried a response. */
+  isUsed: boolean
+  /** Called when bytes have arrived for the exchange in progress. */
+  onReadable: () => void
+}
+
 /** Creates the connections to one backend server; they are opened on demand. */
 export function createBackendConnections (options: BackendConnectionsOptions): BackendConnections {
-  const clients = new Set<Client>()
-  const idle: Client[] = []
-  const connectors = new WeakMap<Client, ResetConnector>()
-  /** Clients whose connection has carried a response. */
-  const usedClients = new WeakSet<Client>()
+  const connections = new Set<Connection>()
+  const idle: Connection[] = []
   let isClosed = false
 
-  function create (): Client {
-    const connector = createResetConnector({ timeoutMs: connectTimeoutMs, onConnected: () => usedClients.delete(client) })
+  function create (): Connection {
+    const connector = createResetConnector({
+      timeoutMs: connectTimeoutMs,
+      onConnected: () => { connection.isUsed = false },
+      onReadable: () => connection.onReadable()
+    })
     const client = new Client(`http://${options.host}:${options.port}`, {
       pipelining: 1,
       connect: connector.connect,
@@ -93,35 +106,36 @@
       headersTimeout: 0,
       bodyTimeout: 0
     })
-    connectors.set(client, connector)
+    const connection: Connection = { client, connector, isUsed: false, onReadable: () => {} }
     client.on('connect', options.onOpened)
-    client.on('disconnect', () => discardIfIdle(client))
-    clients.add(client)
-    return client
+    client.on('disconnect', () => discardIfIdle(connection))
+    connections.add(connection)
+    return connection
   }
 
-  function discardIfIdle (client: Client): void {
-    const at = idle.indexOf(client)
+  function discardIfIdle (connection: Connection): void {
+    const at = idle.indexOf(connection)
     // undici would reopen a connection that closed while idle, so its client is discarded.
     if (at === -1) return
     idle.splice(at, 1)
-    discard(client)
+    discard(connection)
   }
 
-  function discard (client: Client): void {
-    clients.delete(client)
-    client.destroy().catch(() => {
+  function discard (connection: Connection): void {
+    connections.delete(connection)
+    connection.client.destroy().catch(() => {
       // The connection is closed whether or not destroy() reports an error.
     })
   }
 
-  function releaseClient (client: Client): void {
-    if (isClosed || client.destroyed) discard(client)
-    else idle.push(client)
+  function release (connection: Connection): void {
+    connection.onReadable = () => {}
+    if (isClosed || connection.client.destroyed) discard(connection)
+    else idle.push(connection)
   }
 
-  /** An idle client or a new one; a failure to create one is reported as that of the exchange. */
-  function takeClient ({ needsNewConnection }: OutgoingRequest, handlers: ExchangeHandlers): Client | undefined {
+  /** An idle connection or a new one; a failure to create one is reported as that of the exchange. */
+  function take ({ needsNewConnection }: OutgoingRequest, handlers: ExchangeHandlers): Connection | undefined {
     try {
       return (needsNewConnection ? undefined : idle.pop()) ?? create()
     } catch (error) {
@@ -131,20 +145,29 @@
   }
 
   function send (request: OutgoingRequest, handlers: ExchangeHandlers): Exchange {
-    const taken = takeClient(request, handlers)
+    const taken = take(request, handlers)
     if (taken === undefined) return unsentExchange
-    const client: Client = taken
+    const connection: Connection = taken
+    const { client, connector } = connection
     let controller: Dispatcher.DispatchController | undefined
     let isSent = false
     let hasEnded = false
     let isCloseDelimited = false
     let mayBeReused = false
     let informationalCount = 0
+    let bodyBytes = 0
+    /** Bytes that had arrived on the connection before the request was sent. */
+    let receivedBefore = 0
+
+    function limitFraming (): void {
+      const framingBytes = connector.receivedBytes() - receivedBefore - bodyBytes
+      if (framingBytes > maxFramingBytes + bodyBytes) failAndClose('it sent too many bytes that belong to no body')
+    }
 
     function fail (cause: string, isGivenUp = false): void {
       if (hasEnded) return
       hasEnded = true
-      discard(client)
+      discard(connection)
       handlers.onFailure({ mayHaveRun: isSent, cause, isGivenUp })
     }
 
@@ -153,6 +176,7 @@
       controller?.abort(new Error(cause))
     }
 
+    connection.onReadable = limitFraming
     const options = {
       method: request.method as Dispatcher.HttpMethod,
       path: request.target,
@@ -167,6 +191,7 @@
         if (hasEnded || isSent) return started.abort(new Error('the request was aborted'))
         controller = started
         isSent = true
+        receivedBefore = connector.receivedBytes()
       },
       onResponseStart: (_controller, status, headers) => {
         if (hasEnded) return
@@ -176,19 +201,20 @@
           return
         }
         isCloseDelimited = !isSelfDelimited(status, headers)
-        const isFirst = !usedClients.has(client)
-        usedClients.add(client)
+        const isFirst = !connection.isUsed
+        connection.isUsed = true
         mayBeReused = handlers.onHead(status, headers, isFirst)
       },
       onResponseData: (current, chunk) => {
+        bodyBytes += chunk.length
         if (!hasEnded && !handlers.onData(chunk)) current.pause()
       },
       onResponseEnd: () => {
-        if (isCloseDelimited && connectors.get(client)?.wasReset() === true) return fail('the connection was reset before the response was complete')
+        if (isCloseDelimited && connector.wasReset()) return fail('the connection was reset before the response was complete')
         if (hasEnded) return
         hasEnded = true
-        if (mayBeReused) releaseClient(client)
-        else discard(client)
+        if (mayBeReused) release(connection)
+        else discard(connection)
         try {
           handlers.onEnd()
         } catch (error) {
@@ -206,17 +232,17 @@
         if (hasEnded) return
         hasEnded = true
         controller?.abort(new Error('the request was aborted'))
-        discard(client)
+        discard(connection)
       }
     }
   }
 
   return {
     send,
-    open: () => clients.size,
+    open: () => connections.size,
     close: () => {
       isClosed = true
-      for (const client of idle.splice(0)) discard(client)
+      for (const connection of idle.splice(0)) discard(connection)
     }
   }
 }
--- a/test/gateway/endless-responses.test.ts
+++ b/test/gateway/endless-responses.test.ts
@@ -48,6 +48,11 @@
   { name: 'header fields', path: '/register/', before: () => 'HTTP/1.1 200 OK\r\n', repeated: 'x-filler: more\r\n' },
   { name: 'one header field', path: '/register/', before: () => 'HTTP/1.1 200 OK\r\nx-filler: ', repeated: filler },
   { name: 'informational responses', path: '/register/', before: () => '', repeated: 'HTTP/1.1 102 Processing\r\n\r\n' },
+  { name: 'a reason in its status line', path: '/register/', before: () => 'HTTP/1.1 200 ', repeated: filler },
+  { name: 'blank lines before its head', path: '/register/', before: () => '', repeated: '\r\n' },
+  { name: 'the extension of a chunk', path: '/register/', before: request => `${head(request, 200, { 'transfer-encoding': 'chunked' })}1;`, repeated: filler },
+  { name: 'extensions of chunks of a stream', path: '/once/', before: request => head(request, 200, eventStream), repeated: `8;${filler}\r\ndata: x\n\r\n` },
+  { name: 'a body in chunks of one byte', path: '/register/', before: request => head(request, 200, { 'transfer-encoding': 'chunked' }), repeated: chunked('x') },
   { name: 'a body of unknown length', path: '/register/', before: request => head(request, 200, { 'transfer-encoding': 'chunked' }), repeated: chunked(filler) },
   { name: 'a body that ends with its connection', path: '/register/', before: request => head(request, 200, {}), repeated: filler },
   { name: 'a body of an absurd length', path: '/register/', before: request => head(request, 200, { 'content-length': '9000000000000' }), repeated: filler },
@@ -72,6 +77,14 @@
   })
 }
 
+test('a response of 200 KB in chunks of one byte is forwarded whole', async t => {
+  const body = 'x'.repeat(200_000)
+  const { call } = await startGateway(t, [({ headers }, socket) => {
+    socket.write(`${head(headers['x-request'] ?? '', 200, { 'transfer-encoding': 'chunked' })}${chunked('x').repeat(body.length)}0\r\n\r\n`)
+  }], longTimeouts)
+  t.like(await call('/register/', 'r-1', { body: 'b' }), { status: 200, body })
+})
+
 test('a repeatable request is answered by another server when the first one sends a body without end', async t => {
   const endless: RawRequestHandler = ({ headers }, socket) => {
     socket.write(head(headers['x-request'] ?? '', 200, { 'transfer-encoding': 'chunked' }))
