--- a/src/core/backends/sse-parser.ts
+++ b/src/core/backends/sse-parser.ts
@@ -2,6 +2,7 @@
  * Parser of server-sent events. Bytes are decoded once per chunk, and the data of
  * an event is passed on unmodified.
  */
+import { createByteCollector } from '../connections/index.ts'
 
 /** Receives one event; `id` is undefined when the event has none. */
 export type SseListener = (data: string, id: string | undefined) => void
@@ -37,29 +38,27 @@
   }
 }
 
-function endsWithFrame (bytes: Buffer): boolean {
-  return bytes[bytes.length - 1] === newline && bytes[bytes.length - 2] === newline
-}
-
-/** Creates the parser of one stream; it must be called with the chunks in order. */
+/** Creates the parser of one stream; it must be called with the chunks in order. Whoever calls it limits the bytes without an event. */
 export function createSseParser (listener: SseListener): (chunk: Buffer) => void {
-  let pending: Buffer | undefined
+  const pending = createByteCollector(Infinity)
 
-  /** Decodes the complete events of the received bytes and keeps the rest for the next chunk. */
-  function decodeCompleteFrames (bytes: Buffer): string {
-    // Fast path: most chunks end with a complete event.
-    if (endsWithFrame(bytes)) return bytes.toString()
-    const lastFrameEndOffset = bytes.lastIndexOf(frameEnd)
-    const completeBytes = lastFrameEndOffset === -1 ? 0 : lastFrameEndOffset + frameEnd.length
-    pending = bytes.subarray(completeBytes)
-    return bytes.toString('utf8', 0, completeBytes)
+  /** Number of received bytes up to the end of the last complete event, which may begin in an earlier chunk; 0 if none is complete. */
+  function completeBytesOf (received: Buffer): number {
+    const lastFrameEndOffset = received.lastIndexOf(frameEnd)
+    if (lastFrameEndOffset !== -1) return lastFrameEndOffset + frameEnd.length
+    return received[0] === newline && pending.tail(1)[0] === newline ? 1 : 0
   }
 
   return chunk => {
-    const bytes = pending === undefined ? chunk : Buffer.concat([pending, chunk])
-    pending = undefined
     // Removes carriage returns. They occur only at line ends, because JSON escapes them in data.
-    const text = decodeCompleteFrames(bytes.includes(carriageReturn) ? Buffer.from(bytes.filter(byte => byte !== carriageReturn)) : bytes)
+    const received = chunk.includes(carriageReturn) ? Buffer.from(chunk.filter(byte => byte !== carriageReturn)) : chunk
+    const completeBytes = completeBytesOf(received)
+    const complete = received.subarray(0, completeBytes)
+    if (completeBytes > 0) parseFrames(pending.sizeBytes() === 0 ? complete.toString() : Buffer.concat([pending.take(), complete]).toString())
+    if (completeBytes < received.length) pending.add(received.subarray(completeBytes))
+  }
+
+  function parseFrames (text: string): void {
     let startOffset = 0
     for (let endOffset = text.indexOf(frameEnd); endOffset !== -1; endOffset = text.indexOf(frameEnd, startOffset)) {
       parseUsualFrame(text, startOffset, endOffset, listener)
