--- a/src/core/gateway/backend-connections.ts
+++ b/src/core/gateway/backend-connections.ts
@@ -70,7 +70,7 @@
 /** Responses with a status below 200 that may precede a response. */
 const maxInformationalResponses = 16
 /** Bytes beside the body that a response may have, beyond as many as its body has: heads, informational responses, and what delimits chunks. */
-const maxFramingBytes = 1024 * 1024
+const maxFramingBytes = 512 * 1024
 
 /** An exchange that failed before anything was sent. */
 const unsentExchange: Exchange = { isSent: () => false, resume: () => {}, abort: () => {} }
--- a/src/core/gateway/response-buffers.ts
+++ b/src/core/gateway/response-buffers.ts
@@ -12,8 +12,16 @@
 }
 
 const mebibyte = 1_024 * 1_024
-/** Far above the responses of the services, and together below a node's memory. */
+/** Far above the responses of the services. */
 const defaultLimits: ResponseBuffersOptions = { maxResponseBytes: 16 * mebibyte, maxTotalBytes: 64 * mebibyte }
+/** Part of a machine's memory for all responses. */
+const memoryRatio = 1 / 8
+
+/** Limits for a machine with this memory. */
+export function responseLimitsFor (memoryBytes: number): ResponseBuffersOptions {
+  const maxTotalBytes = Math.min(defaultLimits.maxTotalBytes, memoryBytes * memoryRatio)
+  return { maxTotalBytes, maxResponseBytes: Math.min(defaultLimits.maxResponseBytes, maxTotalBytes) }
+}
 
 /** The buffer of one response. */
 export interface ResponseBuffer {
