--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -24,7 +24,7 @@
 
 /** One violation of a promise. */
 export interface BrokenPromise {
-  promise: 'limit-kept' | 'one-usage-report' | 'crashing-prompt' | 'sound-prompt' | 'crashing-request' | 'sound-request' | 'leaving-left-alone' | 'pause-kept' | 'own-answer' | 'not-run' | 'at-most-once' | 'planned-stop' | 'whole-answer' | 'not-denied' | 'loss-logged' | 'process-end' | 'an-end' | 'newest-configuration' | 'recovery' | 'move-result'
+  promise: 'limit-kept' | 'one-usage-report' | 'crashing-prompt' | 'sound-prompt' | 'crashing-request' | 'sound-request' | 'leaving-left-alone' | 'pause-kept' | 'own-answer' | 'not-run' | 'at-most-once' | 'planned-stop' | 'whole-answer' | 'not-denied' | 'loss-logged' | 'process-end' | 'memory-kept' | 'an-end' | 'newest-configuration' | 'recovery' | 'move-result'
   detail: string
 }
 
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -11,6 +11,7 @@
 import { createPace } from './pace.ts'
 import { takePortBlock } from './port-block.ts'
 import { startProxy } from './proxy.ts'
+import type { RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
 import type { BackendMode } from '../../test/platform-adapter/soak-deployment.ts'
 import type { Arrival } from './checks.ts'
 import type { NodeProcess, NodeProcessOptions } from './node-process.ts'
@@ -74,6 +75,10 @@
   nodeCount: number
   /** Path of the built program that the nodes run. */
   program: string
+  /** Settings of the nodes beside the usual ones. */
+  settings?: Record<string, string>
+  /** Replaces the handler of a backend server. */
+  wrapHandler?: (handler: RawRequestHandler, backend: string) => RawRequestHandler
   /** Called with the id of every request that a backend server runs, prompts aside, and when its work is done. */
   onRun: (id: string) => void
   onRunEnd?: (id: string) => void
@@ -92,7 +97,7 @@
 }
 
 /** Starts the deployment and the processes of its nodes; they may not be ready yet. */
-export async function startSoakDeployment ({ nodeCount, program, onRun, onRunEnd = () => {}, onArrival, onPrompt, onCrash, onRequestCrash, onLogLine, onExit, random }: SoakDeploymentOptions): Promise<SoakDeployment> {
+export async function startSoakDeployment ({ nodeCount, program, settings = {}, wrapHandler = handler => handler, onRun, onRunEnd = () => {}, onArrival, onPrompt, onCrash, onRequestCrash, onLogLine, onExit, random }: SoakDeploymentOptions): Promise<SoakDeployment> {
   const folder = mkdtempSync(join(tmpdir(), 'soak-'))
   const portBlock = await takePortBlock()
   const basePort = portBlock.firstPort
@@ -122,7 +127,7 @@
     const pace = createPace()
     paces.backends.push(pace)
     const workMs = (): number => random() * (random() < slowRatio ? maxSlowProcessingMs : maxProcessingMs)
-    const server = await startRawBackend(createBackendHandler(id, mode, handleArrival, { onRun, onRunEnd }, { workMs, work: pace.work }, { crashesOn: path => path === crashing.path, crash: () => crash() }))
+    const server = await startRawBackend(wrapHandler(createBackendHandler(id, mode, handleArrival, { onRun, onRunEnd }, { workMs, work: pace.work }, { crashesOn: path => path === crashing.path, crash: () => crash() }), id))
     const proxy = await startProxy(server.port)
     let sequence = 0
     const register = async (isDraining: boolean): Promise<void> => {
@@ -164,7 +169,7 @@
     const crashesOn = (parts: readonly string[]): boolean => crashing.part !== undefined && parts.includes(crashing.part)
     const pace = createPace()
     paces.engines.push(pace)
-    const server = await startRawBackend(createEngineHandler(id, { crashesOn, crash, onArrival: onPrompt, observer: { onRun, onRunEnd }, workMs: () => random() * maxProcessingMs, work: pace.work }))
+    const server = await startRawBackend(wrapHandler(createEngineHandler(id, { crashesOn, crash, onArrival: onPrompt, observer: { onRun, onRunEnd }, workMs: () => random() * maxProcessingMs, work: pace.work }), id))
     const proxy = await startProxy(server.port)
     registerEngines.push(register)
     await register()
@@ -179,7 +184,7 @@
     const firstPort = basePort + index * portsPerNode
     const { callers, readiness } = createNodePorts(firstPort)
     return createNodeProcess({
-      name, program, folder, callersPort: callers, readinessPort: readiness, settings: isFirstStart => nodeSettings(name, firstPort, storeProxies[index]!.port, seeds, isFirstStart), ...(onLogLine === undefined ? {} : { onLogLine }), ...(onExit === undefined ? {} : { onExit })
+      name, program, folder, callersPort: callers, readinessPort: readiness, settings: isFirstStart => nodeSettings(name, firstPort, storeProxies[index]!.port, seeds, isFirstStart, settings), ...(onLogLine === undefined ? {} : { onLogLine }), ...(onExit === undefined ? {} : { onExit })
     })
   })
   const killAllNodes = (): void => nodes.forEach(node => node.kill())
--- a/bench/soak/index.ts
+++ b/bench/soak/index.ts
@@ -8,14 +8,17 @@
  *
  *     npm run soak -- --stops --seed 7 --seconds 20 --steady
  *     npm run soak -- --moves --seed 7 --seeds 10
+ *     npm run soak -- --faulty --seed 7 --seeds 10
  *
  * With `--stops`, the only faults are planned ones: nodes are stopped and started again, beside reloads and changes of
  * the configuration, callers are like the users', and the pace of servers changes unless `--steady` is given. With `--moves`, each seed plays one version move with a restore of the
- * store and kills of nodes; its length doesn't depend on `--seconds`. Without `--seed`, the first seed is random. Logs of failed runs are written to .cache/soak.
+ * store and kills of nodes; its length doesn't depend on `--seconds`. With `--faulty`, backend servers send faulty responses,
+ * such as bytes without end, while nodes are stopped and killed. Without `--seed`, the first seed is random. Logs of failed runs are written to .cache/soak.
  */
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { parseArgs } from 'node:util'
+import { runFaultyResponses } from './faulty-run.ts'
 import { runMove } from './move-run.ts'
 import { runSoak } from './run.ts'
 import { runStops } from './stop-run.ts'
@@ -37,6 +40,7 @@
   --stops       planned stops only
   --steady      servers keep their pace (with --stops)
   --moves       version moves under restores of the store and kills
+  --faulty      faulty responses of backend servers, beside stops and kills
   --json        one JSON object for each seed
   --help        this text
 `
@@ -59,6 +63,7 @@
         stops: { type: 'boolean', default: false },
         steady: { type: 'boolean', default: false },
         moves: { type: 'boolean', default: false },
+        faulty: { type: 'boolean', default: false },
         json: { type: 'boolean', default: false },
         help: { type: 'boolean', default: false }
       }
@@ -92,10 +97,12 @@
   return minutes === undefined ? completedSeeds < parseWholeNumber('seeds', values.seeds) : Date.now() < startAtMs + minutes * msPerMinute
 }
 
+const runSeed = values.moves ? runMove : values.stops ? runStops : values.faulty ? runFaultyResponses : runSoak
+
 for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(1))
 
 for (let seed = firstSeed; shouldRunAnotherSeed(seed - firstSeed); seed += 1) {
-  const { logs, ...result } = await (values.moves ? runMove : values.stops ? runStops : runSoak)({ seed, durationMs, nodeCount, program: programPath, isPaceSteady: values.steady })
+  const { logs, ...result } = await runSeed({ seed, durationMs, nodeCount, program: programPath, isPaceSteady: values.steady })
   const text = values.json ? JSON.stringify(result) : `seed ${seed}: ${result.faults.length} faults, ${JSON.stringify(result.calls)}, broken: ${JSON.stringify(result.broken)}`
   process.stdout.write(`${text}\n`)
   if (result.broken.length === 0) continue
--- a/bench/soak/proxy.ts
+++ b/bench/soak/proxy.ts
@@ -32,8 +32,8 @@
       else to.write(bytes)
     })
     from.on('end', () => to.end())
-    // An error on one side closes the other, as it would without the proxy.
-    from.on('error', () => to.destroy())
+    // A reset of one side resets the other, as it would without the proxy.
+    from.on('error', () => to.resetAndDestroy())
     from.on('close', () => {
       sockets.delete(from)
       if (mode !== 'silent') to.destroy()
