--- a/src/core/log/index.ts
+++ b/src/core/log/index.ts
@@ -30,7 +30,7 @@
   })
   return (event, fields = {}) => {
     const { number, level, text } = eventCatalogue[event]
-    logger.log({ level, message: text, event, number, ...fields })
+    logger.log({ ...fields, level, message: text, event, number })
   }
 }
 
@@ -66,7 +66,7 @@
 
   function write (event: EventName, fields: Record<string, unknown>): void {
     const { number, level, text } = eventCatalogue[event]
-    logger.log({ level, message: text, event, number, ...fields })
+    logger.log({ ...fields, level, message: text, event, number })
   }
 
   const log: Log = (event, fields = {}) => {
@@ -98,7 +98,7 @@
 /** Writes one event to standard output at once, for a process that ends in this turn of the event loop. */
 export function writeLastEvent (event: EventName, fields: Record<string, unknown>): void {
   const { number, level, text } = eventCatalogue[event]
-  const line = JSON.stringify({ level, message: text, event, number, timestamp: new Date().toISOString(), ...fields })
+  const line = JSON.stringify({ ...fields, level, message: text, event, number, timestamp: new Date().toISOString() })
   try {
     writeSync(stdoutFileDescriptor, `${line}\n`)
   } catch {
--- a/test/log/bounded-log.test.ts
+++ b/test/log/bounded-log.test.ts
@@ -83,3 +83,12 @@
   const text = await readText(child.stdout)
   t.is(text.trim().split('\n').length, count)
 })
+
+// Guards against lines that are lost because a field of an event is named like a part of every line.
+test('a field that is named like the level, the message or the number of a line does not replace it', async t => {
+  for (const name of ['level', 'message', 'event', 'number']) {
+    const child = spawn(process.execPath, ['--import=tsx', fileURLToPath(new URL('exiting-writer.ts', import.meta.url)), '1', name])
+    const text = await readText(child.stdout)
+    t.like(JSON.parse(text), { level: 'warn', event: 'answerNotDelivered', number: 706, request: 'r-0' }, name)
+  }
+})
--- a/test/log/exiting-writer.ts
+++ b/test/log/exiting-writer.ts
@@ -3,6 +3,8 @@
 import { createBoundedLog } from '../../src/core/log/index.ts'
 
 const { log, whenWritten } = createBoundedLog({ level: 'info', fields: { node: 'front-a-1' } }, createSystemClock())
-for (let line = 0; line < Number(process.argv[2]); line += 1) log('answerNotDelivered', { request: `r-${line}`, reason: 'stop-deadline' })
+/** A field whose name the second argument gives. */
+const oddFields = process.argv[3] === undefined ? {} : { [process.argv[3]]: 7 }
+for (let line = 0; line < Number(process.argv[2]); line += 1) log('answerNotDelivered', { request: `r-${line}`, reason: 'stop-deadline', ...oddFields })
 await whenWritten()
 process.exit(0)
