Keep what a backend server said when the store returns with its earlier start

Trace (log of front-a-2, seconds of 16:29): i-3, which had started again, asks for a pause at 3.82; at 5.36 the store is restored from a copy that has the entry of its earlier start, which replaces the later one and its pause; at 5.38 a request is sent to it and gets the pause again, now kept for the earlier start; at 5.86 i-3 registers its later start again, and four requests reach it from 6.12 to 6.25.

An entry that a restore brings back is now ignored if it is of an earlier start than the known one: that server registers again, or the entry expires. The same held for servers that had said that they were leaving. Other places that key by the start of a server (what departed ones said, crashes, limits) look up one start and are not changed by another one.

The test fails before (the paused and the leaving server get requests).

--- a/src/core/gateway/backend-table.ts
+++ b/src/core/gateway/backend-table.ts
@@ -4,6 +4,7 @@
  */
 import { createBackendConnections } from './backend-connections.ts'
 import { createDepartedBackends } from './departed-backends.ts'
+import { isEarlierStart, isSameRegistration } from './backend-starts.ts'
 import { ineligibleReason, isHeldBack, isLastResort } from './eligibility.ts'
 import { createPeerSuspects, isSuspectedByPeers } from './peer-suspects.ts'
 import { toId } from '../ids/index.ts'
@@ -79,13 +80,10 @@
     })
   }
 
-  function isSameRegistration (before: BackendEntry, after: BackendEntry): boolean {
-    return before.startedAtMs === after.startedAtMs && before.service === after.service &&
-      before.address.host === after.address.host && before.address.port === after.address.port
-  }
-
   function put (registered: BackendEntry, isByRestore = false): void {
     const before = known.get(registered.id)
+    // The later start registers again, or the entry of the earlier one expires.
+    if (before !== undefined && isByRestore && isEarlierStart(before.entry, registered)) return
     if (before !== undefined && isSameRegistration(before.entry, registered)) {
       const entry = isByRestore && before.entry.isLeaving ? { ...registered, isLeaving: true } : registered
       if (before.entry.isLeaving !== entry.isLeaving) log('backendChanged', { backend: entry.id, service: entry.service, leaving: entry.isLeaving, leavesInMs: entry.leavesInMs })
--- a/test/gateway/backend-table.test.ts
+++ b/test/gateway/backend-table.test.ts
@@ -245,6 +245,25 @@
   t.deepEqual(usableIds(table), [idOf(1)])
 })
 
+// Guards against requests to a paused server after a restore whose copy has the registration of its earlier start.
+test('what a backend server said of itself holds when the key-value service is restored with its earlier start', async t => {
+  const clock = createManualClock()
+  const table = createTable(clock, 3)
+  for (const index of [0, 1]) table.put(entryOf(index, { startedAtMs: 3_000 }))
+  table.pause(idOf(0), 3_000)
+  table.markLeaving(idOf(1))
+  for (const index of [0, 1]) table.put(entryOf(index, { startedAtMs: 2_000 }), true)
+  t.deepEqual(usableIds(table), [idOf(2)], 'the copy')
+  table.pause(idOf(0), 5_000)
+  for (const index of [0, 1]) table.put(entryOf(index, { startedAtMs: 3_000 }))
+  await clock.advance(4_000)
+  t.deepEqual(usableIds(table), [idOf(2)], 'registered again')
+  await clock.advance(4_000)
+  t.deepEqual(usableIds(table).toSorted(), [idOf(0), idOf(2)], 'the pause is over')
+  for (const index of [0, 1]) table.put(entryOf(index, { startedAtMs: 4_000 }), true)
+  t.is(usableIds(table).length, 3, 'a later start')
+})
+
 test('a version has no servers left when all of its are leaving, misdirected or removed', t => {
   const table = createTable(createManualClock(), 3)
   const [old, target] = [toId<VersionId>('v1'), toId<VersionId>('v2')]
