Run the tests of stalled stops one after the other

Cause: both tests of the file ran at once in one process, and each stalls the event loop that the other one measures: 200 ms and 800 ms add up to a second a turn, beyond what the first one states. Checks and bounds are unchanged.

--- a/bench/soak/faulty-responses.ts
+++ b/bench/soak/faulty-responses.ts
@@ -75,7 +75,7 @@
   const isEndless = random() < endlessRatio
   const sentLimit = isEndless ? maxSentBytes : Math.floor(random() ** 4 * maxCutBytes)
   const stall = (): void => {}
-  // Node.js ends a connection regularly before it resets it, which would make such a response whole, too.
+  // The proxies pass about half of the resets on as a regular end, which would make such a response whole.
   const finish = endsWithConnection ? stall : pick([stall, () => socket.resetAndDestroy(), () => socket.end()], random)
   let sentBytes = 0
   function writeNext (): void {
--- a/test/platform-adapter/stalled-stop.test.ts
+++ b/test/platform-adapter/stalled-stop.test.ts
@@ -1,4 +1,4 @@
-/** Planned stops of a node that is short of processor time. */
+/** Planned stops of a node that is short of processor time. One after the other, as each test stalls the event loop for all. */
 import { once } from 'node:events'
 import test from 'ava'
 import { createSystemClock } from '../../src/core/clock/index.ts'
@@ -27,7 +27,7 @@
 }
 
 // Guards against a process that is killed while it still answers, because each step of its end waits for a slow event loop.
-test('a stop whose event loop lags ends within the grace period, after all requests are answered, and not before its last sixth', async t => {
+test.serial('a stop whose event loop lags ends within the grace period, after all requests are answered, and not before its last sixth', async t => {
   const { port, stop, requestsOf, lines } = await startStoppableNode(t, { stream: streamUntil(() => false), silent: () => {} }, { stopGraceMs })
   const [stream, silent] = await Promise.all([0, 1].map(() => connectCaller(port)))
   stream!.write(post('stream', 'r-stream'))
@@ -46,7 +46,7 @@
 })
 
 // Guards against requests that a node takes although its event loop is too slow to finish them.
-test('a request that comes late in a stop whose event loop lags is refused as not run', async t => {
+test.serial('a request that comes late in a stop whose event loop lags is refused as not run', async t => {
   const { port, stop, requestsOf } = await startStoppableNode(t, { stream: streamUntil(() => false), calls: respondOk }, { stopGraceMs })
   const [caller, stream] = await Promise.all([0, 1].map(() => connectCaller(port)))
   for (let count = 0; count < 70; count += 1) {
