--- a/src/core/backends/engine-client.ts
+++ b/src/core/backends/engine-client.ts
@@ -62,11 +62,12 @@
     attempt: AttemptId,
     firstEventIndex: number,
     signal: AbortSignal,
-    request: { method: 'GET' | 'POST', path: string, headers: Record<string, string>, body: string | null }
+    request: { method: 'GET' | 'POST', path: string, headers: Record<string, string>, body: string | null },
+    maxEvents?: number
   ): AsyncIterable<GenerateEvent> {
     const dispatcher = connections.currentPool()
     return streamEngineEvents({
-      dispatcher, clock, idleMonitor, idleTimeoutMs, request, attempt, firstEventIndex, signal, onNamedLimit: options.onNamedLimit, onIdleTimeout: () => connections.replacePool(dispatcher)
+      dispatcher, clock, idleMonitor, idleTimeoutMs, request, attempt, firstEventIndex, maxEvents, signal, onNamedLimit: options.onNamedLimit, onIdleTimeout: () => connections.replacePool(dispatcher)
     })
   }
 
@@ -77,7 +78,7 @@
       'x-request-id': request.attempt,
       'x-deadline-at-ms': String(request.deadlineAtMs)
     }
-    return stream(request.attempt, 0, signal, { method: 'POST', path: '/v1/chat/completions', headers, body: toCompletionBody(request) })
+    return stream(request.attempt, 0, signal, { method: 'POST', path: '/v1/chat/completions', headers, body: toCompletionBody(request) }, request.maxTokens)
   }
 
   function resume (attempt: AttemptId, fromEventIndex: number, signal: AbortSignal): AsyncIterable<GenerateEvent> {
--- a/src/core/backends/engine-events.ts
+++ b/src/core/backends/engine-events.ts
@@ -50,12 +50,13 @@
 
 /**
  * Creates the converter of one stream. It must be called with each event's data and id in order,
- * emits generate events, and throws an `AttemptError` when the answer is incomplete or the engine failed.
+ * emits generate events, and throws an `AttemptError` when the answer is incomplete, has more than `maxEvents` tokens, or the engine failed.
  */
 export function createEventReader (
   attempt: AttemptId,
   firstIndex: number,
-  emit: (event: GenerateEvent) => void
+  emit: (event: GenerateEvent) => void,
+  maxEvents = Infinity
 ): (data: string, id: string | undefined) => void {
   let nextIndex = firstIndex
   let finishReason: string | undefined
@@ -64,6 +65,7 @@
   function emitToken (text: string, raw: string, id: string | undefined): void {
     const index = id === undefined ? nextIndex : Number(id)
     if (index !== nextIndex) throw attemptError('answer-incomplete', `expected event ${nextIndex}, received event ${index}`)
+    if (index >= firstIndex + maxEvents) throw attemptError('answer-incomplete', `received more events than the ${maxEvents} tokens that were asked for`)
     nextIndex += 1
     emit({ kind: 'token', index, text, raw })
   }
--- a/src/core/backends/engine-stream.ts
+++ b/src/core/backends/engine-stream.ts
@@ -21,6 +21,8 @@
   request: { method: 'GET' | 'POST', path: string, headers: Record<string, string>, body: string | null }
   attempt: AttemptId
   firstEventIndex: number
+  /** Largest number of token events; unlimited if undefined. */
+  maxEvents?: number | undefined
   signal: AbortSignal
   onNamedLimit?: OnNamedLimit | undefined
   /** Called when no byte arrived within the idle timeout. */
@@ -115,7 +117,7 @@
 
 function dispatch (options: EngineStreamOptions, state: StreamState, watchedStream: WatchedStream): void {
   const { clock, attempt } = options
-  const readEvent = createEventReader(attempt, options.firstEventIndex, event => { state.events.push(event) })
+  const readEvent = createEventReader(attempt, options.firstEventIndex, event => { state.events.push(event) }, options.maxEvents)
   const parse = createSseParser(readEvent)
   let status = 0
   let retryAfter: string | undefined
--- a/test/connections/endless-bodies.test.ts
+++ b/test/connections/endless-bodies.test.ts
@@ -133,3 +133,16 @@
     await assertCutOff(t, server)
   })
 }
+
+// Guards against an answer that is kept in memory for as long as its engine sends events.
+test('an engine that goes on sending events after the tokens that were asked for is cut off', async t => {
+  const server = await startEndless(t, 200, { 'content-type': 'text/event-stream' }, `data: {"id":"${attempt}","choices":[{"delta":{"content":"x"}}]}\n\n`)
+  const client = createEngineClient({ backend: toId<BackendId>('e1'), url: server.origin, clock })
+  t.teardown(client.close)
+  const events = client.generate({ attempt, model: 'm', prompt: 'p', generatedText: '', maxTokens: 8, priority: 'normal', ...deadline() }, new AbortController().signal)
+  let received = 0
+  const error = await t.throwsAsync(async () => { for await (const { kind } of events) received += kind === 'token' ? 1 : 0 })
+  t.is((error as AttemptError | undefined)?.failure.reason, 'answer-incomplete')
+  t.true(received <= 8, `${received} events`)
+  await assertCutOff(t, server)
+})
