--- a/bench/soak/node-process.ts
+++ b/bench/soak/node-process.ts
@@ -3,6 +3,7 @@
 import { readFileSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { createInterface } from 'node:readline'
+import { readNodeFlags } from '../../scripts/node-flags.ts'
 import type { ChildProcess } from 'node:child_process'
 
 const settingsEnvVar = 'CYCLAMENSHUNT_SETTINGS'
@@ -97,7 +98,7 @@
     isPaused = false
     isKilled = false
     writeFileSync(settingsFile, options.settings(startCount === 1))
-    const started = spawn(process.execPath, [program], { env: { [settingsEnvVar]: settingsFile }, stdio: ['ignore', 'pipe', 'pipe'] })
+    const started = spawn(process.execPath, [...readNodeFlags(), program], { env: { [settingsEnvVar]: settingsFile }, stdio: ['ignore', 'pipe', 'pipe'] })
     child = started
     hasLogged = false
     for (const input of [started.stdout, started.stderr]) createInterface({ input }).on('line', appendLine)
--- a/scripts/build-platform.ts
+++ b/scripts/build-platform.ts
@@ -7,6 +7,7 @@
 import { join } from 'node:path'
 import { build } from 'esbuild'
 import { bundleOptions } from './bundle-options.ts'
+import { readNodeFlags } from './node-flags.ts'
 import type { Plugin } from 'esbuild'
 
 const outputFolder = process.argv[2] ?? 'target'
@@ -33,5 +34,5 @@
 
 await build({ ...bundleOptions, entryPoints: ['platform/main.ts'], outfile: bundleFile, plugins: [trimLibraries] })
 await build({ ...bundleOptions, entryPoints: ['platform/start.ts'], outfile: starterFile })
-// V8 accepts compiled code only under the flags it was compiled with: none here, because deploy/system.toml starts the node without flags.
-execFileSync(process.execPath, [starterFile, 'compile'], { stdio: 'inherit' })
+// V8 accepts compiled code only under the flags it was compiled with.
+execFileSync(process.execPath, [...readNodeFlags(), starterFile, 'compile'], { stdio: 'inherit' })
--- a/test/platform-adapter/endless-memory.test.ts
+++ b/test/platform-adapter/endless-memory.test.ts
@@ -7,6 +7,7 @@
 import { createNodeProcess } from '../../bench/soak/node-process.ts'
 import { takePortBlock } from '../../bench/soak/port-block.ts'
 import { isReady, pollUntil, startTimeoutMs } from '../../bench/soak/readiness.ts'
+import { readNodeFlags } from '../../scripts/node-flags.ts'
 import { formatChunk, startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 import { buildProgram } from './build-program.ts'
 import { backendEntryKey, configurationKey, createBackendEntry, createConfiguration, createNodePorts, nodeSettings, requestHeaders, requestIdHeader, signatureHeader, startPlatform } from './soak-deployment.ts'
@@ -14,6 +15,7 @@
 
 /** Memory of the users' machines. */
 const machineMegabytes = 350
+const smallestMachineMegabytes = 250
 const callerCount = 8
 const callsPerCaller = 2
 const readBytes = 64 * 1_024
@@ -58,6 +60,12 @@
   })
 }
 
+// Guards against a heap that grows beyond the machine's memory before garbage is collected, as V8 sizes it by that of the host.
+test('the heap of a node is limited below the memory of the smallest machine, with room for buffers', t => {
+  const [, heapMegabytes] = readNodeFlags().map(flag => /^--max-old-space-size=(\d+)$/.exec(flag)).find(match => match !== null) ?? []
+  t.true(Number(heapMegabytes) <= smallestMachineMegabytes * 0.7, `${heapMegabytes} MB`)
+})
+
 for (const { name, path, method, status, headers, repeated } of cases) {
   // Guards against a process that runs out of memory, and loses all its requests, because of one faulty server.
   test.serial(`a node whose backend servers send ${name} in tiny chunks without end stays within the memory of its machine`, async t => {
