--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,6 +1,7 @@
 /** Short soak runs with regression seeds, and tests of the soak's own checks. */
 import test from 'ava'
 import { createChecks } from '../../bench/soak/checks.ts'
+import { runFaultyResponses } from '../../bench/soak/faulty-run.ts'
 import { runMove } from '../../bench/soak/move-run.ts'
 import { takePortBlock } from '../../bench/soak/port-block.ts'
 import { runSoak } from '../../bench/soak/run.ts'
@@ -13,6 +14,8 @@
 const seeds = [1, 4]
 /** A good version is completed, all nodes are killed, and stopped servers stay registered in the copy for longer than 5 s. */
 const moveSeed = 12
+/** Each of the first nodes meets endless responses in tiny chunks. */
+const faultySeed = 2
 /** All engines become several times slower while the last node is stopped. */
 const paceSeed = 501
 
@@ -53,6 +56,14 @@
   t.true((calls['200'] ?? 0) > 0)
 })
 
+// Guards against a node that runs out of memory, or ends, because of what backend servers send.
+test.serial('while backend servers send faulty responses and nodes are stopped and killed, all promises hold', async t => {
+  const { broken, calls, faults, logs } = await runFaultyResponses({ seed: faultySeed, durationMs, nodeCount: 3, program })
+  if (broken.length > 0) t.log(faults, logs)
+  t.deepEqual(broken, [])
+  t.true((calls['200'] ?? 0) > 0)
+})
+
 function createCall (result: CallResult, changes: Partial<CompletedCall> = {}): CompletedCall {
   return { id: 'r-1', isIdempotent: false, crashingPath: undefined, node: 'front-a-1', startCount: 1, wasInterrupted: false, result, ...changes }
 }
