--- a/test/process-memory/process-memory.test.ts
+++ b/test/process-memory/process-memory.test.ts
@@ -1,8 +1,10 @@
 /** The watch of the memory that a process uses. */
 import test from 'ava'
+import { parseSettings } from '../../platform/settings.ts'
 import { createManualClock } from '../../src/core/clock/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { watchMemory } from '../../src/core/process-memory/index.ts'
+import { renderSettings } from '../platform-adapter/render-settings.ts'
 
 const megabyte = 1_000_000
 
@@ -33,3 +35,11 @@
   watch.close()
   t.pass()
 })
+
+// Guards against a node that gives up every response because the platform states no memory.
+test('a machine without a stated memory, or one of 0, has no limit', t => {
+  const limitOf = (fields: Record<string, string>): number => parseSettings(renderSettings(fields), 'node.conf').memoryLimitBytes
+  t.is(limitOf({ 'limits.memory_mb': '350' }), 350 * megabyte)
+  t.is(limitOf({}), Infinity)
+  t.is(limitOf({ 'limits.memory_mb': '0' }), Infinity)
+})
