Name the platform's headers of the soak in one place

The faulty responses of the soak spelled two of them; the names that speak to the platform stand in test/platform-adapter/soak-deployment.ts.

--- a/bench/soak/faulty-responses.ts
+++ b/bench/soak/faulty-responses.ts
@@ -1,6 +1,6 @@
 /** Backend servers whose responses are faulty: bytes without end or that are no response, in a head or in a body, cut off, reset or stalled at any point. */
 import { formatChunk } from '../../src/stand-ins/raw-backend/index.ts'
-import { requestIdHeader, signatureHeader } from '../../test/platform-adapter/soak-deployment.ts'
+import { expectedBackendHeader, notRunHeader, requestIdHeader, signatureHeader } from '../../test/platform-adapter/soak-deployment.ts'
 import type { Socket } from 'node:net'
 import type { RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
 
@@ -61,7 +61,7 @@
     () => response(`${chunkedHead(500)}0\r\n`, 'a:\r\n'),
     () => response(head(200, {}), filler, { endsWithConnection: true }),
     () => response(head(200, { 'content-length': '9000000000000' }), filler),
-    () => response(chunkedHead(503, { 'x-cyclamenshunt-not-executed': '1' }), formatChunk(filler), { isRefusal: true }),
+    () => response(chunkedHead(503, { [notRunHeader]: '1' }), formatChunk(filler), { isRefusal: true }),
     () => response(chunkedHead(200, eventStream), formatChunk(filler)),
     () => response(chunkedHead(200, eventStream), formatChunk(':\n\n')),
     () => response(chunkedHead(200, eventStream), formatChunk(':') + formatChunk('\n') + formatChunk('\n')),
@@ -95,7 +95,7 @@
 export function withFaultyResponses (handler: RawRequestHandler, { backend, random, faultyRatio, onRun }: FaultyResponsesOptions): RawRequestHandler {
   return (request, socket) => {
     const { headers } = request
-    const isMisdirected = headers['x-cyclamenshunt-expect-instance'] !== backend
+    const isMisdirected = headers[expectedBackendHeader] !== backend
     if (isMisdirected || random() >= faultyRatio()) return handler(request, socket)
     const id = headers[requestIdHeader] ?? ''
     const response = drawResponse(id, backend, random)
--- a/test/platform-adapter/endless-memory.test.ts
+++ b/test/platform-adapter/endless-memory.test.ts
@@ -10,7 +10,7 @@
 import { readNodeFlags } from '../../scripts/node-flags.ts'
 import { formatChunk, startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 import { buildProgram } from './build-program.ts'
-import { backendEntryKey, configurationKey, createBackendEntry, createConfiguration, createNodePorts, nodeSettings, requestHeaders, requestIdHeader, signatureHeader, startPlatform } from './soak-deployment.ts'
+import { backendEntryKey, configurationKey, createBackendEntry, createConfiguration, createNodePorts, nodeSettings, notRunHeader, requestHeaders, requestIdHeader, signatureHeader, startPlatform } from './soak-deployment.ts'
 import type { RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
 
 /** Memory of the users' machines. */
@@ -43,7 +43,7 @@
 const cases: Array<{ name: string, path: string, method: string, status: number, headers: Record<string, string>, repeated: string }> = [
   { name: 'a body', path: '/look-up/a', method: 'GET', status: 200, headers: {}, repeated: formatChunk('x') },
   { name: 'the body of an error', path: '/register/a', method: 'POST', status: 500, headers: {}, repeated: formatChunk('x') },
-  { name: 'the body of a refusal', path: '/register/a', method: 'POST', status: 503, headers: { 'x-cyclamenshunt-not-executed': '1' }, repeated: formatChunk('x') },
+  { name: 'the body of a refusal', path: '/register/a', method: 'POST', status: 503, headers: { [notRunHeader]: '1' }, repeated: formatChunk('x') },
   { name: 'one line of a stream', path: '/stream/a', method: 'POST', status: 200, headers: eventStream, repeated: formatChunk('x') },
   { name: 'comments of a stream', path: '/stream/a', method: 'POST', status: 200, headers: eventStream, repeated: formatChunk(':\n\n') }
 ]
--- a/test/platform-adapter/soak-deployment.ts
+++ b/test/platform-adapter/soak-deployment.ts
@@ -7,6 +7,8 @@
 
 export const requestIdHeader = 'x-cyclamenshunt-attempt-id'
 export const signatureHeader = 'x-cyclamenshunt-response-seal'
+export const notRunHeader = 'x-cyclamenshunt-not-executed'
+export const expectedBackendHeader = 'x-cyclamenshunt-expect-instance'
 const leavingHeader = 'server-leaving'
 const limitHeader = 'server-limit'
 export const misdirectedStatus = 421
@@ -169,13 +171,13 @@
   return async ({ target, headers }, socket) => {
     const id = headers[requestIdHeader] ?? ''
     const answerHeaders = { [requestIdHeader]: id, [signatureHeader]: backend, ...(mode.isLeaving ? { [leavingHeader]: '1' } : {}), ...(mode.limit === undefined ? {} : { [limitHeader]: String(mode.limit.perSecond) }) }
-    if (headers['x-cyclamenshunt-expect-instance'] !== backend) {
+    if (headers[expectedBackendHeader] !== backend) {
       socket.write(formatResponse(misdirectedStatus, answerHeaders, ''))
       return
     }
     onArrival(id, { pauseSeconds: mode.pauseSeconds, limit: mode.limit })
     if (mode.pauseSeconds !== undefined) {
-      socket.write(formatResponse(503, { ...answerHeaders, 'x-cyclamenshunt-not-executed': '1', 'retry-after': String(mode.pauseSeconds) }, ''))
+      socket.write(formatResponse(503, { ...answerHeaders, [notRunHeader]: '1', 'retry-after': String(mode.pauseSeconds) }, ''))
       return
     }
     onRun(id)
@@ -195,7 +197,7 @@
   return ({ headers }, socket) => {
     const id = headers[requestIdHeader] ?? ''
     const answerHeaders = { [requestIdHeader]: id, [signatureHeader]: backend }
-    const isMisdirected = headers['x-cyclamenshunt-expect-instance'] !== backend
+    const isMisdirected = headers[expectedBackendHeader] !== backend
     setTimeout(() => {
       if (socket.writable) socket.write(formatResponse(isMisdirected ? misdirectedStatus : fails() ? 500 : 200, answerHeaders, id))
     }, isMisdirected ? 0 : workMs())
--- a/test/platform-adapter/soak-engine.ts
+++ b/test/platform-adapter/soak-engine.ts
@@ -1,6 +1,6 @@
 /** The engines of the soak run: streams at the engine's pace, and prompts that may crash it. */
 import { formatChunk, formatResponse } from '../../src/stand-ins/raw-backend/index.ts'
-import { misdirectedStatus, requestIdHeader, sharedPartsOf, signatureHeader } from './soak-deployment.ts'
+import { expectedBackendHeader, misdirectedStatus, requestIdHeader, sharedPartsOf, signatureHeader } from './soak-deployment.ts'
 import type { Socket } from 'node:net'
 import type { RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
 import type { BackendWork, RunObserver } from './soak-deployment.ts'
@@ -64,7 +64,7 @@
   return ({ target, headers }, socket) => {
     const id = headers[requestIdHeader] ?? ''
     const answerHeaders = { [requestIdHeader]: id, [signatureHeader]: engine }
-    if (headers['x-cyclamenshunt-expect-instance'] !== engine) {
+    if (headers[expectedBackendHeader] !== engine) {
       socket.write(formatResponse(misdirectedStatus, answerHeaders, ''))
       return
     }
