--- a/bench/soak/proxy.ts
+++ b/bench/soak/proxy.ts
@@ -32,7 +32,7 @@
       else to.write(bytes)
     })
     from.on('end', () => to.end())
-    // A reset of one side resets the other, as it would without the proxy.
+    // An error on one side closes the other, by a reset or, in about half of the cases, regularly.
     from.on('error', () => to.resetAndDestroy())
     from.on('close', () => {
       sockets.delete(from)
