Take a response without a length as incomplete if its connection closes during the upload

A backend server that answered an upload before it had read it, without a length, and then closed its connection in the regular way left callers with a part of the answer that looked complete, on the platform's path and in calls to services. The end of such a connection counted as the end of the response unless it was a reset.

It now counts as cut, too, while bytes of the request are still unwritten; the system tells no more than that, so that an upload that fits into the sockets on the way still ends with a regular close. Resets were recognised before.

--- a/src/core/backends/fresh-connections.ts
+++ b/src/core/backends/fresh-connections.ts
@@ -20,8 +20,8 @@
   client: Client
   /** Whether a response has arrived on it, which a faulty service may write once more. */
   isUsed: boolean
-  /** Whether it was reset; to be asked at the end of a response without a length only. */
-  wasReset: () => boolean
+  /** Whether it was reset, or closed while the request was still being written; to be asked at the end of a response without a length only. */
+  wasCut: () => boolean
 }
 
 /** A pool of connections. */
@@ -57,7 +57,7 @@
       bodyTimeout: 0
     })
     open.add(client)
-    return { client, isUsed: false, wasReset: connector.wasReset }
+    return { client, isUsed: false, wasCut: connector.wasCut }
   }
 
   function discard ({ client }: FreshConnection): void {
--- a/src/core/backends/service-call.ts
+++ b/src/core/backends/service-call.ts
@@ -146,8 +146,8 @@
       onResponseEnd: () => {
         if (isSettled) return
         const result = toResult(exchange, clock.wallMs())
-        const isBroken = result.isOk && !isSelfDelimited(exchange.status, exchange.headers) && connection.wasReset()
-        if (isBroken) abandon('stream-broken', 'the connection was reset before the response was complete')
+        const isBroken = result.isOk && !isSelfDelimited(exchange.status, exchange.headers) && connection.wasCut()
+        if (isBroken) abandon('stream-broken', 'the connection was reset or closed before the exchange was complete')
         else settle(result)
       },
       onResponseError: (_controller, error) => abandon('stream-broken', describeError(error))
--- a/src/core/connections/response-framing.ts
+++ b/src/core/connections/response-framing.ts
@@ -22,8 +22,8 @@
 /** Opens the connections of one client, one at a time. */
 export interface ResetConnector {
   connect: buildConnector.connector
-  /** Whether the connection was reset; to be asked at the end of a response without a length only. */
-  wasReset: () => boolean
+  /** Whether the connection was reset, or closed by the server while the request was still being written; to be asked at the end of a response without a length only. */
+  wasCut: () => boolean
   /** Bytes that have arrived on the connection. */
   receivedBytes: () => number
 }
@@ -43,7 +43,7 @@
       opened(...result)
     }),
     // The system knows no peer of a socket that was reset. Node.js keeps an address once it was read, so it isn't read before.
-    wasReset: () => socket?.remoteAddress === undefined,
+    wasCut: () => socket === undefined || socket.writableLength > 0 || socket.remoteAddress === undefined,
     receivedBytes: () => socket?.bytesRead ?? 0
   }
 }
--- a/src/core/gateway/backend-connections.ts
+++ b/src/core/gateway/backend-connections.ts
@@ -210,7 +210,7 @@
         if (!hasEnded && !handlers.onData(chunk)) current.pause()
       },
       onResponseEnd: () => {
-        if (isCloseDelimited && connector.wasReset()) return fail('the connection was reset before the response was complete')
+        if (isCloseDelimited && connector.wasCut()) return fail('the connection was reset or closed before the exchange was complete')
         if (hasEnded) return
         hasEnded = true
         if (mayBeReused) release(connection)
--- a/test/backends/unframed-responses.test.ts
+++ b/test/backends/unframed-responses.test.ts
@@ -3,6 +3,7 @@
 import { createServiceClient } from '../../src/core/backends/index.ts'
 import { createSystemClock } from '../../src/core/clock/index.ts'
 import { createId, toId } from '../../src/core/ids/index.ts'
+import { earlyEndings, startEarlyBackend, uploadBytes } from '../early-backend.ts'
 import { startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 import type { ExecutionContext } from 'ava'
 import type { ServiceRequest } from '../../src/core/backends/index.ts'
@@ -42,3 +43,14 @@
   const client = await setUp(t, (_request, socket) => { socket.end(`${head}part`) })
   t.is(await client.lookUp?.(createRequest(), signal), undefined)
 })
+
+for (const [ending, end] of Object.entries(earlyEndings)) {
+  // Guards against a part of a response that is taken for the whole one.
+  test.serial(`a response without a length to a call that is still being written leaves it unknown if the service ${ending}`, async t => {
+    const port = await startEarlyBackend(t, () => `${head}part`, end)
+    const client = createServiceClient({ backend: toId<BackendId>('s1'), url: `http://127.0.0.1:${port}`, clock: createSystemClock() })
+    t.teardown(async () => await client.close())
+    const result = await client.call({ ...createRequest(), body: Buffer.alloc(uploadBytes) }, signal)
+    t.like(result.isErr ? result.error : {}, { reason: 'stream-broken', mayHaveRun: true })
+  })
+}
