Treat a response with a status above 599 as a broken one

Callers got 600, 700 and 999 as answers, on all four kinds of routes; the own interface took 600 and 999 as the outcome of a call, and believed an engine's statement in such a response that it had not run a prompt. RFC 9110, section 15, knows no such status.

--- a/src/core/backends/engine-stream.ts
+++ b/src/core/backends/engine-stream.ts
@@ -1,6 +1,7 @@
 /** One stream of an engine's answer, from its request to its end event. */
 import { parseNamedLimit, requestLimitHeader } from '../backend-limits/index.ts'
 import { createByteCollector, describeError, isConnectError } from '../connections/index.ts'
+import { lastFinalStatus } from '../connections/response-framing.ts'
 import { attemptError, createEventReader } from './engine-events.ts'
 import { createSseParser } from './sse-parser.ts'
 import { toRefusalError } from './refusal.ts'
@@ -168,6 +169,7 @@
     },
     onResponseStart: (_controller, statusCode, headers) => {
       watchedStream.lastByteAtMs = clock.monotonicMs()
+      if (statusCode > lastFinalStatus) throw attemptError('answer-incomplete', `received a response with the invalid status ${statusCode}`)
       status = statusCode
       retryAfter = headers['retry-after']?.toString()
       const responseAttempt = headers['x-request-id']
--- a/src/core/backends/service-call.ts
+++ b/src/core/backends/service-call.ts
@@ -5,7 +5,7 @@
 import { Result } from 'true-myth'
 import { parseNamedLimit, requestLimitHeader } from '../backend-limits/index.ts'
 import { createByteCollector, describeError } from '../connections/index.ts'
-import { isSelfDelimited } from '../connections/response-framing.ts'
+import { isSelfDelimited, lastFinalStatus } from '../connections/response-framing.ts'
 import { parseRetryAfter } from './refusal.ts'
 import type { Dispatcher } from 'undici'
 import type { Clock } from '../clock/index.ts'
@@ -136,7 +136,7 @@
         if (status < firstFinalStatus) return
         exchange.status = status
         exchange.headers = headers
-        const cause = foreignCause(exchange, request.attempt, isUsed)
+        const cause = status <= lastFinalStatus ? foreignCause(exchange, request.attempt, isUsed) : `received a response with the invalid status ${status}`
         if (cause !== undefined) return abandon('answer-incomplete', cause)
         onNamedLimit(parseNamedLimit(headers[requestLimitHeader]), sentAtMs)
       },
--- a/src/core/connections/response-framing.ts
+++ b/src/core/connections/response-framing.ts
@@ -1,4 +1,4 @@
-/** How responses end. One without a length ends with its connection, whether regularly or by a reset, which undici reports as a regular end, too. */
+/** Which statuses responses may have, and how responses end. One without a length ends with its connection, whether regularly or by a reset, which undici reports as a regular end, too. */
 import { buildConnector } from 'undici'
 import type { Socket } from 'node:net'
 
@@ -11,6 +11,9 @@
   return hasNoBody || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
 }
 
+/** Highest status of a response (RFC 9110, section 15). A response with a higher one is broken, whatever it states. */
+export const lastFinalStatus = 599
+
 /** Options of a connector. */
 export interface ResetConnectorOptions {
   timeoutMs: number
--- a/src/core/gateway/attempt.ts
+++ b/src/core/gateway/attempt.ts
@@ -3,7 +3,7 @@
  * server responded completely, certainly did not run the request, or may have.
  */
 import { createEventBuffer } from './event-stream.ts'
-import { isSelfDelimited } from '../connections/response-framing.ts'
+import { isSelfDelimited, lastFinalStatus } from '../connections/response-framing.ts'
 import { canContinue, delimitWithoutLength, forwardedResponseHeaders } from './gateway-response.ts'
 import type { ServerResponse } from 'node:http'
 import type { BackendConnections, Exchange, OutgoingRequest } from './backend-connections.ts'
@@ -149,7 +149,7 @@
     status = newStatus
     headers = newHeaders
     head = codec.readResponse(newStatus, newHeaders)
-    const cause = foreignCause(head, isFirst)
+    const cause = status <= lastFinalStatus ? foreignCause(head, isFirst) : `received a response with the invalid status ${status}`
     if (cause !== undefined) {
       // Nothing on the connection can be trusted.
       exchange.abort()
--- a/test/backends/engine-client.test.ts
+++ b/test/backends/engine-client.test.ts
@@ -3,6 +3,7 @@
 import { AttemptError, createEngineClient } from '../../src/core/backends/index.ts'
 import { createId, toId } from '../../src/core/ids/index.ts'
 import { createEngineStandIn, generatedAnswer } from '../../src/stand-ins/engine/index.ts'
+import { formatResponse, startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 import { immediateEngineTimings } from '../../src/stand-ins/timings.ts'
 import type { ExecutionContext } from 'ava'
 import type { AttemptFailure, EngineClient, GenerateEvent, GenerateRequest } from '../../src/core/backends/index.ts'
@@ -167,3 +168,14 @@
     t.is((await client.state(deadlineInFuture())).unwrapOr(undefined)?.highestFencingNumber, 7)
   }
 })
+
+// Guards against an engine that counts as not having run a prompt because of what a broken response states.
+test('a response with an invalid status leaves it unknown whether the engine ran the prompt', async t => {
+  const engine = await startRawBackend((_request, socket) => { socket.end(formatResponse(600, {}, JSON.stringify({ error: { code: 'overloaded', message: 'full' } }))) })
+  const client = createEngineClient({ backend: toId<BackendId>('e1'), url: `http://127.0.0.1:${engine.port}`, clock, idleTimeoutMs: 1500 })
+  t.teardown(async () => {
+    await client.close()
+    await engine.close()
+  })
+  t.like(await generateFailure(client), { reason: 'answer-incomplete', mayHaveRun: true })
+})
--- a/test/backends/unframed-responses.test.ts
+++ b/test/backends/unframed-responses.test.ts
@@ -54,3 +54,12 @@
     t.like(result.isErr ? result.error : {}, { reason: 'stream-broken', mayHaveRun: true })
   })
 }
+
+for (const status of ['000', '199', '600', '999']) {
+  // Guards against a response with an invalid status that is taken for the outcome of a call.
+  test(`a response with the status ${status} leaves the call unknown`, async t => {
+    const client = await setUp(t, (_request, socket) => { socket.end(`${head}part`.replace(' 200 ', ` ${status} `)) })
+    const result = await client.call(createRequest(), signal)
+    t.true(result.isErr && result.error.mayHaveRun)
+  })
+}
