--- a/test/platform-adapter/endless-memory.test.ts
+++ b/test/platform-adapter/endless-memory.test.ts
@@ -1,5 +1,6 @@
 /** The memory of a node's process beside backend servers that send bytes without end. */
-import { mkdtempSync, rmSync } from 'node:fs'
+import { spawnSync } from 'node:child_process'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { request as httpRequest } from 'node:http'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -66,6 +67,18 @@
   t.true(Number(heapMegabytes) <= smallestMachineMegabytes * 0.7, `${heapMegabytes} MB`)
 })
 
+// Guards against a heap without its limit, as the program resets the flag that sets it.
+test('the heap of a node keeps its limit when the program is loaded', t => {
+  const folder = mkdtempSync(join(tmpdir(), 'heap-limit-'))
+  t.teardown(() => rmSync(folder, { recursive: true }))
+  const reporter = join(folder, 'reporter.cjs')
+  writeFileSync(reporter, 'process.on(\'exit\', () => require(\'node:fs\').writeSync(2, \'limit \' + require(\'node:v8\').getHeapStatistics().heap_size_limit))')
+  // Without its settings, the node ends as soon as it is loaded.
+  const { stderr } = spawnSync(process.execPath, [...readNodeFlags(), '--require', reporter, program], { env: { CYCLAMENSHUNT_SETTINGS: join(folder, 'missing') }, encoding: 'utf8' })
+  const limitBytes = Number(/^limit (\d+)$/m.exec(stderr)?.[1])
+  t.true(limitBytes <= smallestMachineMegabytes * 1_000_000, `${limitBytes} bytes`)
+})
+
 for (const { name, path, method, status, headers, repeated } of cases) {
   // Guards against a process that runs out of memory, and loses all its requests, because of one faulty server.
   test.serial(`a node whose backend servers send ${name} in tiny chunks without end stays within the memory of its machine`, async t => {
