--- a/src/core/gateway/backend-table-types.ts
+++ b/src/core/gateway/backend-table-types.ts
@@ -2,6 +2,7 @@
 import type { BackendLimits, PermitClaim } from '../backend-limits/index.ts'
 import type { Backend } from '../backends/types.ts'
 import type { Clock } from '../clock/index.ts'
+import type { Evacuations } from '../evacuations/index.ts'
 import type { BackendId, NodeId, VersionId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
@@ -21,6 +22,8 @@
   versionRolesOf: (service: string) => (version: VersionId) => VersionRole
   /** The limits that backend servers name for their requests. */
   limits: Pick<BackendLimits, 'hasPermit' | 'recordSkipped' | 'stateOf' | 'endedAtMs' | 'onRefused'>
+  /** The evacuated failure domains; none by default. */
+  evacuations?: Pick<Evacuations, 'isEvacuated' | 'endedAtMs'>
   /** Random number in [0, 1). */
   random: () => number
   registrationTimes: RegistrationTimes
@@ -71,7 +74,7 @@
   put: (entry: BackendEntry, isByRestore?: boolean) => void
   /** Removes an entry; requests in flight may finish. */
   remove: (id: BackendId, cause: string) => void
-  /** Backend servers of a service that may be chosen now for a request, by default a first attempt of the highest priority; suspected ones only if no other is live, and replaced ones only if none takes requests again soon. Calls `onLimited` for those that it may not be sent to because of their limits. */
+  /** Backend servers of a service that may be chosen now for a request, by default a first attempt of the highest priority; suspected ones only if no other is live, and replaced ones only if none takes requests again soon. Those of an evacuated failure domain are never among them. Calls `onLimited` for those that it may not be sent to because of their limits. */
   usable: (service: string, claim?: PermitClaim, onLimited?: (backend: BackendId) => void) => Backend[]
   /** The entries of a service whose servers take requests, as far as this node knows. */
   live: (service: string) => BackendEntry[]
@@ -105,6 +108,8 @@
   pause: (id: BackendId, forMs: number) => void
   /** Time until the first of a service's paused backend servers resumes; undefined unless all that are live are paused. */
   allPausedForMs: (service: string) => number | undefined
+  /** Whether every backend server of a service that could otherwise be chosen is in an evacuated failure domain; false if it has none. */
+  isEvacuated: (service: string) => boolean
   /** Time after which to retry, for a request that is refused because of limits; undefined unless all live backend servers that are neither paused nor excluded limit their requests. */
   allLimitedForMs: (service: string, claim: PermitClaim, excluded: ReadonlySet<BackendId>) => number | undefined
   /** Whether a version of a service is being stopped after a move. */
--- a/src/core/gateway/backend-table.ts
+++ b/src/core/gateway/backend-table.ts
@@ -27,6 +27,7 @@
 /** Version label of the backend servers that run the canary version of a move. */
 export const canaryLabel = toId<VersionId>('trial')
 
+const noEvacuations: NonNullable<BackendTableOptions['evacuations']> = { isEvacuated: () => false, endedAtMs: () => -Infinity }
 const defaultClaim: PermitClaim = { rank: 0, isRetry: false }
 /** Longest time for which an unreachable backend server gets no requests. */
 const maxSuspectMs = 4_000
@@ -46,7 +47,7 @@
 
 /** Creates an empty table. */
 export function createBackendTable (options: BackendTableOptions): BackendTable {
-  const { clock, log, metrics, limits } = options
+  const { clock, log, metrics, limits, evacuations = noEvacuations } = options
   const known = new Map<BackendId, KnownBackend>()
   const departed = createDepartedBackends()
   const proofs = createRegistrationProofs({ clock, times: options.registrationTimes, revisionOf: options.registrationRevision })
@@ -156,15 +157,18 @@
   function reasonOf (candidate: KnownBackend, role: VersionRole, nowMs: number, peerCounts: ReadonlyMap<BackendId, SuspectCounts>, retriesSuspects: boolean, claim = defaultClaim): IneligibleReason | undefined {
     const { entry, consecutiveFailures, lastActivityAtMs, pausedUntilMs } = candidate
     const limitEndedAtMs = limits.endedAtMs(entry)
+    const evacuationEndedAtMs = evacuations.endedAtMs(entry.domain)
     return ineligibleReason({
       ...candidate,
       isLeaving: isLeaving(candidate),
       hasPermit: limits.hasPermit(entry, claim),
       limitEndedAtMs,
+      isEvacuated: evacuations.isEvacuated(entry.domain),
+      evacuationEndedAtMs,
       isReplaced: role === 'replaced',
       // A node that found out by itself goes on to try; the others wait until it succeeds.
       isAvoided: isSuspectedByPeers(peerCounts.get(entry.id)) && consecutiveFailures === 0 && lastActivityAtMs < nowMs - ownActivityMs && !retriesSuspects
-    }, nowMs, pausedUntilMs === -Infinity && limitEndedAtMs === -Infinity ? 0 : options.random())
+    }, nowMs, Math.max(pausedUntilMs, limitEndedAtMs, evacuationEndedAtMs) === -Infinity ? 0 : options.random())
   }
 
   function setLeaving (candidate: KnownBackend, source: 'response' | 'other-node'): void {
@@ -188,9 +192,24 @@
     log('backendPaused', { backend: id, service, forMs: boundedMs, ...(boundedMs < forMs ? { askedMs: forMs } : {}) })
   }
 
+  function isCandidate (candidate: KnownBackend, service: string): boolean {
+    return candidate.entry.service === service && !isLeaving(candidate) && !candidate.isMisdirected
+  }
+
   function liveOf (service: string): KnownBackend[] {
     const roleOf = options.versionRolesOf(service)
-    return [...known.values()].filter(candidate => candidate.entry.service === service && !isLeaving(candidate) && !candidate.isMisdirected && roleOf(candidate.entry.version) !== 'replaced')
+    return [...known.values()].filter(candidate => isCandidate(candidate, service) && !evacuations.isEvacuated(candidate.entry.domain) && roleOf(candidate.entry.version) !== 'replaced')
+  }
+
+  function isEvacuated (service: string): boolean {
+    let hasEvacuated = false
+    for (const candidate of known.values()) {
+      if (!isCandidate(candidate, service)) continue
+      // A replaced one in another domain may still be the last resort.
+      if (!evacuations.isEvacuated(candidate.entry.domain)) return false
+      hasEvacuated = true
+    }
+    return hasEvacuated
   }
 
   function allPausedForMs (service: string): number | undefined {
@@ -300,6 +319,7 @@
     },
     pause,
     allPausedForMs,
+    isEvacuated,
     allLimitedForMs,
     isReplaced: (service, version) => options.versionRolesOf(service)(version) === 'replaced',
     ineligibleCounts,
--- a/src/core/gateway/eligibility.ts
+++ b/src/core/gateway/eligibility.ts
@@ -4,11 +4,13 @@
 export type IneligibleReason =
   /** It is about to stop, by its registration, its own responses or those that other nodes got. */
   | 'leaving'
+  /** Its failure domain is evacuated. */
+  | 'evacuated'
   /** It asked this node for a pause. */
   | 'paused'
   /** It limits its requests, and this node has no permit for this one. */
   | 'limited'
-  /** Its pause or its limit has ended, and its load returns gradually. */
+  /** Its pause, its limit or the evacuation of its failure domain has ended, and its load returns gradually. */
   | 'resuming'
   /** Another backend server was found at its address. */
   | 'misdirected'
@@ -25,6 +27,9 @@
 export interface EligibilityInput {
   isLeaving: boolean
   isMisdirected: boolean
+  /** Whether its failure domain is evacuated, and the time at which the latest evacuation ended; -Infinity if there was none. */
+  isEvacuated: boolean
+  evacuationEndedAtMs: number
   unconfirmedUntilMs: number
   pausedUntilMs: number
   /** Whether the limit that it named allows this request now; true without a limit. */
@@ -37,20 +42,21 @@
   isReplaced: boolean
 }
 
-/** Time over which the load of a backend server returns after its pause or limit. */
+/** Time over which the load of a backend server returns after its pause, its limit or an evacuation. */
 export const resumeMs = 2_000
 
 /** Returns why a backend server should get no request, the strongest reason first; undefined if it may get one. `draw` is a random number in [0, 1). */
 export function ineligibleReason (input: EligibilityInput, nowMs: number, draw: number): IneligibleReason | undefined {
   if (input.isMisdirected) return 'misdirected'
   if (input.isLeaving) return 'leaving'
+  if (input.isEvacuated) return 'evacuated'
   if (nowMs < input.pausedUntilMs) return 'paused'
   if (!input.hasPermit) return 'limited'
   if (nowMs < input.unconfirmedUntilMs) return 'unconfirmed'
   if (nowMs < input.suspectUntilMs) return 'suspected'
   if (input.isAvoided) return 'avoided'
   if (input.isReplaced) return 'replaced'
-  const resumesFromMs = Math.max(input.pausedUntilMs, input.limitEndedAtMs)
+  const resumesFromMs = Math.max(input.pausedUntilMs, input.limitEndedAtMs, input.evacuationEndedAtMs)
   return nowMs < resumesFromMs + resumeMs && draw >= (nowMs - resumesFromMs) / resumeMs ? 'resuming' : undefined
 }
 
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -31,6 +31,9 @@
 const baseResponseTimeoutMs = 250
 /** That multiple; estimates of queueing times are inaccurate. */
 const expectedWaitFactor = 3
+/** Retry time that callers get while every backend server of a service is evacuated; nothing tells when the evacuation ends. */
+const evacuatedRetryMs = 2_000
+const evacuatedRefusal = { reason: 'backends-evacuated', detail: 'All backend servers of the service are in evacuated failure domains.' }
 /** Maximum concurrent requests of one team at one node; bounds the node's memory. */
 const maxRequestsInFlight = 512
 /** Maximum queued requests of one team at one node. */
@@ -66,6 +69,7 @@
     limits.recordDemand(active.service)
     const quarantined = quarantineGate.refusalOnArrival(active)
     if (quarantined !== undefined) return refuse(response, quarantined, requestLogFields(active, clock))
+    if (backends.isEvacuated(active.service)) return refuse(response, { status: 503, ...evacuatedRefusal, retryInMs: withJitter(evacuatedRetryMs) }, requestLogFields(active, clock))
     if (team?.quota !== undefined) {
       const waitMs = options.quotas.take(team.team, team.quota, quotaUnitsOf(active))
       if (waitMs > 0) {
@@ -182,6 +186,7 @@
 
   /** The end of a request for which no backend server could be chosen. */
   function unchosenEnd ({ service }: ActiveRequest, { refusal, limitedForMs }: UnchosenReason): RequestEnd {
+    if (backends.isEvacuated(service)) return failedWith(evacuatedRefusal.reason, evacuatedRefusal.detail, evacuatedRetryMs)
     const pausedForMs = backends.allPausedForMs(service)
     if (pausedForMs !== undefined) return failedWith('backends-paused', 'All backend servers of the service asked for a pause.', pausedForMs + options.random() * resumeMs)
     if (limitedForMs !== undefined) return failedWith('backends-limited', 'All backend servers of the service limit their requests, and no permit is left.', limitedForMs)
--- a/src/core/log/events/gateway.ts
+++ b/src/core/log/events/gateway.ts
@@ -31,5 +31,8 @@
   promptReleased: { number: 731, level: 'info', text: 'The same request, or prompts with these parts, are no longer refused.', remedy: 'none; see the cause.' },
   promptTrial: { number: 732, level: 'info', text: 'One request that is quarantined, or has quarantined parts, is sent as a trial.', remedy: 'none' },
   quarantineUnreadable: { number: 733, level: 'error', text: 'The stored quarantine records, or as many of them as invalid says, can not be read and were ignored.', remedy: 'Correct or delete the stored value.' },
+  domainEvacuated: { number: 740, level: 'warn', text: 'An operator requested that the backend servers of a failure domain get no requests; this node sends them none, and running requests are finished.', remedy: 'none; isByRestore is set if a restore of the key-value service brought the request back. Delete its key to end it.' },
+  domainEvacuationEnded: { number: 741, level: 'info', text: 'The evacuation of a failure domain has ended; its load returns gradually.', remedy: 'none; isByRestore is set if the restored content of the key-value service does not have the request. Write it again if it is still wanted.' },
+  evacuatedDomainUnknown: { number: 742, level: 'warn', text: 'No backend server is known in an evacuated failure domain, so the evacuation has no effect. Logged once for each domain.', remedy: 'Check the name of the domain in the key.' },
   linesDropped: { number: 723, level: 'warn', text: 'Log lines were dropped because the log\'s limit was exceeded.', remedy: 'Use the metrics for complete counts.' }
 } satisfies Record<string, LogEventDefinition>
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -2,6 +2,7 @@
 import { createAdmission, createRetryBudget } from '../../src/core/admission/index.ts'
 import { createBackendLimits, parseNamedLimit } from '../../src/core/backend-limits/index.ts'
 import { createSystemClock } from '../../src/core/clock/index.ts'
+import { createEvacuations } from '../../src/core/evacuations/index.ts'
 import { createBackendTable, createIngress, createRouteTable, createRequestHandler, createResponseBuffers, createStopGate, isConnectionHeader } from '../../src/core/gateway/index.ts'
 import { toId } from '../../src/core/ids/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
@@ -91,12 +92,12 @@
   ]
 }
 
-function entryOf (name: string, port: number): BackendEntry {
+function entryOf (name: string, port: number, domain = 'domain-a'): BackendEntry {
   return {
     id: toId<BackendId>(name),
     service: 'service',
     address: { host: '127.0.0.1', port },
-    domain: toId<DomainId>('domain-a'),
+    domain: toId<DomainId>(domain),
     version: toId<VersionId>('v1'),
     slots: 4,
     isLeaving: false,
@@ -116,8 +117,8 @@
 /** A step of the handling of a request that a test lets throw: the choice of a backend server, after the request was sent, after its response, or when its admittance is given back. */
 export type FailingStep = 'choose' | 'sent' | 'ended' | 'released'
 
-/** Starts a gateway with one fake backend server for each element of `handlers`. */
-export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'], quarantine?: Partial<RequestHandlerOptions['quarantine']> } = {}) {
+/** Starts a gateway with one fake backend server for each element of `handlers`, each in the failure domain that `domains` names for it. */
+export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'], quarantine?: Partial<RequestHandlerOptions['quarantine']>, domains?: string[] } = {}) {
   const servers: RawBackend[] = await Promise.all(handlers.map(handler => startRawBackend(handler)))
   const metrics = createMetrics()
   const stopped = new AbortController()
@@ -148,11 +149,12 @@
     getsAllReports: () => true,
     backendOf: id => backends.get(id)?.entry
   })
-  const backends = createBackendTable({ clock, log, metrics, limits, random: () => 0.5, versionRolesOf: () => version => version === state.replacedVersion ? 'replaced' : 'serving', maxPauseMs: 30_000, onRemoved: router.removeBackend, registrationTimes: createRegistrationTimes(1_200), registrationRevision: () => undefined, seesRenewals: () => true })
+  const evacuations = createEvacuations({ clock, log, metrics, serverCount: () => 1 })
+  const backends = createBackendTable({ clock, log, metrics, limits, evacuations, random: () => 0.5, versionRolesOf: () => version => version === state.replacedVersion ? 'replaced' : 'serving', maxPauseMs: 30_000, onRemoved: router.removeBackend, registrationTimes: createRegistrationTimes(1_200), registrationRevision: () => undefined, seesRenewals: () => true })
   const table = createRouteTable({ ...configuration, ...changes })
   const state = { isDraining: false, table: table as typeof table | undefined, replacedVersion: undefined as string | undefined, failingStep: undefined as FailingStep | undefined, plannedStop: undefined as PlannedStop | undefined }
   const failAt = (step: FailingStep): void => { if (state.failingStep === step) throw new Error(`failed at ${step}`) }
-  for (const [index, { port }] of servers.entries()) backends.put(entryOf(`b-${index}`, port))
+  for (const [index, { port }] of servers.entries()) backends.put(entryOf(`b-${index}`, port, fakes.domains?.[index]))
   const quarantine = createQuarantine({ clock, log, metrics, random: createRandom(4), nodeCount: () => 1, reportDelayMs: () => 100, isDeciding: () => true, claimTrial: async () => false })
   const serve = createRequestHandler({
     clock,
@@ -236,5 +238,7 @@
   const beginStop = (leftMs: number): void => { state.plannedStop = { requestedAtMs: clock.monotonicMs(), streamsCompleteFromMs: Infinity, endsAtMs: clock.monotonicMs() + leftMs, holdUntil: () => {} } }
   const endStop = (): void => stopped.abort()
 
-  return { servers, call, port, events, attempts, state, backends, router, quarantine, ingress, metrics, beginStop, endStop }
+  const evacuate = (domain: string, isRequested = true): void => evacuations.set(toId<DomainId>(domain), isRequested)
+
+  return { servers, call, port, events, attempts, state, backends, evacuate, router, quarantine, ingress, metrics, beginStop, endStop }
 }
--- a/test/platform-adapter/store.test.ts
+++ b/test/platform-adapter/store.test.ts
@@ -122,3 +122,16 @@
   text = JSON.stringify({ events: [...oddItems, sound, deletion], store_revision: 4 })
   t.deepEqual(await watchOnce(), [{ key: 'a', value: '1', modRevision: 3 }, { key: 'b', value: undefined, modRevision: 3 }])
 })
+
+test('a key that requests an evacuation is listed whatever its value, without the value', async t => {
+  const items = [null, 7, 'not base64 %', undefined].map((value, index) => ({ key: `op/evacuate/${index}`, value, revision: index + 1 }))
+  const server = createServer((_request, response) => { response.end(JSON.stringify({ items: [...items, { key: 'other', value: 7, revision: 9 }], has_more: false, store_revision: 9 })) })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const store = createStore({ origin: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, clock })
+  t.teardown(async () => {
+    await store.close()
+    server.close()
+  })
+  const listed = (await store.list('', longDeadline())).unwrapOr(undefined)
+  t.deepEqual(listed?.entries.map(({ key, value }) => [key, value]), items.map(({ key }) => [key, '']))
+})
