--- a/src/core/fleet/counts.ts
+++ b/src/core/fleet/counts.ts
@@ -21,6 +21,8 @@
 /** Input of a plan of counts. */
 export interface CountPlanInput {
   domains: Array<{ domain: DomainId, price: number }>
+  /** Domains whose backend servers get no load, such as evacuated ones: they count as without capacity, and nothing is planned there. None by default. */
+  isWithoutCapacity?: (domain: DomainId) => boolean
   /** Bounds for the backend servers of both purchase options in each domain. */
   minPerDomain: number
   maxPerDomain: number
@@ -50,10 +52,18 @@
   return [...reclaimable].sort((a, b) => b - a).slice(survivedReclaims).reduce((sum, count) => sum + count, 0)
 }
 
-/** Reclaimable backend servers in each domain. With up to two domains on-demand ones carry the load, because nothing remains of two reclaims. */
-function reclaimablePerDomainOf ({ domains, needed, neededWithoutHeadroom }: CountPlanInput): number {
-  if (domains.length <= survivedReclaims) return Math.max(0, needed - neededWithoutHeadroom)
-  return Math.ceil(needed / (domains.length - 1))
+/** Reclaimable backend servers in each of `domainCount` domains. With up to two domains on-demand ones carry the load, because nothing remains of two reclaims. */
+function reclaimablePerDomainOf (domainCount: number, { needed, neededWithoutHeadroom }: CountPlanInput): number {
+  if (domainCount <= survivedReclaims) return Math.max(0, needed - neededWithoutHeadroom)
+  return Math.ceil(needed / (domainCount - 1))
+}
+
+/** The plan's input without the domains that get no load. */
+function withoutUnusable (input: CountPlanInput): CountPlanInput {
+  const { isWithoutCapacity } = input
+  if (isWithoutCapacity === undefined) return input
+  const isUsable = ({ domain }: { domain: DomainId }): boolean => !isWithoutCapacity(domain)
+  return { ...input, domains: input.domains.filter(isUsable), serving: input.serving.filter(isUsable), starting: input.starting.filter(isUsable) }
 }
 
 /**
@@ -62,10 +72,15 @@
  * the part of the load that the loss of two domains would leave without a server.
  * With five domains that is almost nothing, with three less than half of the load.
  * After a reclaim without replacements, on-demand ones take over before the next one.
+ * Returns no counts for domains without capacity, so that no order is sent for them.
  */
-export function planCounts (input: CountPlanInput): DomainCount[] {
+export function planCounts (all: CountPlanInput): DomainCount[] {
+  const input = withoutUnusable(all)
   const { domains, neededWithoutHeadroom, maxPerDomain, minPerDomain, serving, starting } = input
-  const reclaimablePerDomain = input.offersReclaimable ? reclaimablePerDomainOf(input) : 0
+  const reclaimablePerDomain = input.offersReclaimable
+    // The others keep at least what they have with all domains, as their reclaimable ones serve while more start.
+    ? Math.max(reclaimablePerDomainOf(all.domains.length, all), reclaimablePerDomainOf(domains.length, all))
+    : 0
   const servingOf = (domain: DomainId, purchase: Purchase): number => countIn(serving, { domain, purchase })
   const servingReclaimable = domains.map(({ domain }) => Math.min(reclaimablePerDomain, servingOf(domain, 'reclaimable')))
   const expectedReclaimable = domains.map(({ domain }, index) => Math.min(reclaimablePerDomain, (servingReclaimable[index] ?? 0) + countIn(starting, { domain, purchase: 'reclaimable' })))
--- a/test/fleet/counts.test.ts
+++ b/test/fleet/counts.test.ts
@@ -157,3 +157,17 @@
   t.is(squareRootStaffing(36, 3), 54)
   t.true(squareRootStaffing(100, 3) < 10 * squareRootStaffing(10, 3))
 })
+
+for (const [name, domainCount] of [['three', 3], ['five', 5]] as const) {
+  test(`when one of ${name} domains is evacuated, the others take over, none of their servers is given up, and no order is sent for it`, t => {
+    const all = ['a', 'b', 'c', 'd', 'e'].slice(0, domainCount).map(domain => ({ domain: toId<DomainId>(domain), price: 1 }))
+    const input = { ...base, domains: all, maxPerDomain: 40, needed: 14, neededWithoutHeadroom: 8 }
+    const serving = planCounts({ ...input, serving: planCounts(input).filter(({ purchase }) => purchase === 'reclaimable') })
+    const plan = planCounts({ ...input, serving, isWithoutCapacity: domain => domain === 'a' })
+    t.false(plan.some(({ domain }) => domain === 'a'))
+    t.true(sumOf(plan, 'on-demand') + sumOf(plan, 'reclaimable') >= input.needed)
+    const lost = serving.filter(({ domain }) => domain !== 'a').filter(before => before.count > (plan.find(({ domain, purchase }) => domain === before.domain && purchase === before.purchase)?.count ?? 0))
+    t.deepEqual(lost, [])
+    t.deepEqual(planCounts({ ...input, isWithoutCapacity: () => true, serving }), [])
+  })
+}
--- a/test/platform-adapter/fleet-start.test.ts
+++ b/test/platform-adapter/fleet-start.test.ts
@@ -33,6 +33,7 @@
     view: { get: () => undefined, list: () => [], onChanges: () => {}, lastUpdateAtMs: () => clock.monotonicMs(), reachableSinceMs: () => state.reachableSinceMs },
     backends: { entries: () => state.domains.map(domain => ({ domain, version: 'v1', isReclaimable: false, isLeaving: false })) },
     registrationTimes: createRegistrationTimes(1_200),
+    evacuations: { isWithoutCapacity: () => false },
     quotas: { lowLevels: () => undefined },
     quarantine: { records: () => [] },
     routeTable: () => ({ configuration: { routes: [], services: [{ name: service, scaling }] } }),
