--- a/src/core/gateway/acceptance.ts
+++ b/src/core/gateway/acceptance.ts
@@ -3,6 +3,7 @@
  * What can't be accepted is refused as not run.
  */
 import { createActiveRequest, requestLogFields } from './active-request.ts'
+import { allowedDomains } from './allowed-domains.ts'
 import { readBody } from './read-body.ts'
 import { isForwardableTarget, pickService } from './route-request.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
@@ -83,8 +84,16 @@
     // Looked up only now, so that a configuration that took effect while the body was read already applies.
     const accepted = findRoute(request, response)
     if (accepted === undefined) return undefined
-    const { route, id } = accepted
-    const active = createActiveRequest({ ...accepted, body: body.body, arrivedAtMs, request, response, service: pickService(route, options.draw(`${id}/service`)) })
+    const { route, team, id } = accepted
+    const active = createActiveRequest({
+      ...accepted,
+      body: body.body,
+      arrivedAtMs,
+      request,
+      response,
+      service: pickService(route, options.draw(`${id}/service`)),
+      mayUseDomain: allowedDomains(route, team, options.regionOf)
+    })
     if (stopDecisions.takes(active)) return active
     refuse(response, stopRefusal(), requestLogFields(active, clock))
     return undefined
--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -7,12 +7,13 @@
 import type { BackendLimits } from '../backend-limits/index.ts'
 import type { AnswerEnd, CallerConnections } from '../caller-connections/index.ts'
 import type { Clock } from '../clock/index.ts'
-import type { BackendId, RequestDigest, TeamId } from '../ids/index.ts'
+import type { BackendId, DomainId, RequestDigest, TeamId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { Quotas } from '../quota/index.ts'
 import type { Admittance, Quarantine } from '../quarantine/index.ts'
 import type { RouteChoice, Router } from '../routing/index.ts'
+import type { MayUseDomain } from './allowed-domains.ts'
 import type { Attempt, AttemptPhase, StreamProgress, CompleteResponse } from './attempt.ts'
 import type { BackendTable } from './backend-table.ts'
 import type { ResponseBuffers } from './response-buffers.ts'
@@ -62,6 +63,8 @@
   buffers: ResponseBuffers
   /** Routes of the configuration in effect; undefined before the first one arrives. */
   routeTable: () => RouteTable | undefined
+  /** The region of a failure domain; undefined if it isn't known. */
+  regionOf: (domain: DomainId) => string | undefined
   /** Share of a service's requests that goes to its canary version, 0 to 1. */
   canaryShare: (service: string) => number
   /** Called when a backend server begins to respond to a request of a team. */
@@ -102,6 +105,8 @@
   request: IncomingMessage
   response: ServerResponse
   service: string
+  /** The failure domains whose backend servers it may be sent to. */
+  mayUseDomain: MayUseDomain
   progress: StreamProgress
   /** Backend servers that may have executed the request. */
   mayHaveRunOn: Set<BackendId>
@@ -148,7 +153,7 @@
 }
 
 /** Creates the state of an accepted request, before its first attempt. */
-export function createActiveRequest (accepted: Pick<ActiveRequest, 'id' | 'route' | 'team' | 'head' | 'version' | 'body' | 'arrivedAtMs' | 'request' | 'response' | 'service'>): ActiveRequest {
+export function createActiveRequest (accepted: Pick<ActiveRequest, 'id' | 'route' | 'team' | 'head' | 'version' | 'body' | 'arrivedAtMs' | 'request' | 'response' | 'service' | 'mayUseDomain'>): ActiveRequest {
   const { arrivedAtMs, route, head } = accepted
   let digest: RequestDigest | undefined
   return {
--- a/src/core/gateway/backend-table-types.ts
+++ b/src/core/gateway/backend-table-types.ts
@@ -9,6 +9,7 @@
 import type { VersionRole } from '../moves/types.ts'
 import type { SuspectCounts } from '../node-reports/types.ts'
 import type { RegistrationTimes, VersionPresence } from '../registrations/index.ts'
+import type { MayUseDomain } from './allowed-domains.ts'
 import type { BackendConnections } from './backend-connections.ts'
 import type { IneligibleReason } from './eligibility.ts'
 import type { BackendEntry } from './types.ts'
@@ -68,16 +69,23 @@
   startedAtMs: number | undefined
 }
 
-/** The registered backend servers by id. */
+/** Why a service has no backend server for a request until an operator or the registrations change that. */
+export type Unavailability =
+  /** All that the request may be sent to are in evacuated failure domains. */
+  | 'evacuated'
+  /** The request may be sent to none of them. */
+  | 'not-allowed'
+
+/** The registered backend servers by id. Where `mayUse` is given, only those of the domains for which it returns true count. */
 export interface BackendTable {
   /** Adds or updates an entry. An entry with another start time, service or address replaces the old one. `isByRestore` marks one from an older copy of the key-value service. */
   put: (entry: BackendEntry, isByRestore?: boolean) => void
   /** Removes an entry; requests in flight may finish. */
   remove: (id: BackendId, cause: string) => void
   /** Backend servers of a service that may be chosen now for a request, by default a first attempt of the highest priority; suspected ones only if no other is live, and replaced ones only if none takes requests again soon. Those of an evacuated failure domain are never among them. Calls `onLimited` for those that it may not be sent to because of their limits. */
-  usable: (service: string, claim?: PermitClaim, onLimited?: (backend: BackendId) => void) => Backend[]
+  usable: (service: string, claim?: PermitClaim, onLimited?: (backend: BackendId) => void, mayUse?: MayUseDomain) => Backend[]
   /** The entries of a service whose servers take requests, as far as this node knows. */
-  live: (service: string) => BackendEntry[]
+  live: (service: string, mayUse?: MayUseDomain) => BackendEntry[]
   /** All entries of a service. */
   entries: (service: string) => BackendEntry[]
   /** What is known of the servers of a service that have another version than this one, without those that are leaving. */
@@ -107,11 +115,11 @@
   /** Reports that it wants no requests from this node for a time. */
   pause: (id: BackendId, forMs: number) => void
   /** Time until the first of a service's paused backend servers resumes; undefined unless all that are live are paused. */
-  allPausedForMs: (service: string) => number | undefined
-  /** Whether every backend server of a service that could otherwise be chosen is in an evacuated failure domain; false if it has none. */
-  isEvacuated: (service: string) => boolean
+  allPausedForMs: (service: string, mayUse?: MayUseDomain) => number | undefined
+  /** Returns undefined if a service has no backend servers that could be chosen, or some for which no such reason holds. */
+  unavailability: (service: string, mayUse: MayUseDomain) => Unavailability | undefined
   /** Time after which to retry, for a request that is refused because of limits; undefined unless all live backend servers that are neither paused nor excluded limit their requests. */
-  allLimitedForMs: (service: string, claim: PermitClaim, excluded: ReadonlySet<BackendId>) => number | undefined
+  allLimitedForMs: (service: string, claim: PermitClaim, excluded: ReadonlySet<BackendId>, mayUse?: MayUseDomain) => number | undefined
   /** Whether a version of a service is being stopped after a move. */
   isReplaced: (service: string, version: VersionId) => boolean
   /** How many backend servers of each service get no requests, by reason. */
--- a/src/core/gateway/backend-table.ts
+++ b/src/core/gateway/backend-table.ts
@@ -2,6 +2,7 @@
  * The backend servers that this node may send to, as they registered
  * themselves, with the connections to each and its observed health.
  */
+import { anyDomain } from './allowed-domains.ts'
 import { createBackendConnections } from './backend-connections.ts'
 import { createDepartedBackends } from './departed-backends.ts'
 import { isEarlierStart, isSameRegistration } from './backend-starts.ts'
@@ -11,6 +12,7 @@
 import { createRegistrationProofs } from '../registrations/index.ts'
 import type { Backend } from '../backends/types.ts'
 import type { BackendId, InstanceId, TeamId, VersionId } from '../ids/index.ts'
+import type { MayUseDomain } from './allowed-domains.ts'
 import type { BackendConnections } from './backend-connections.ts'
 import type { IneligibleReason } from './eligibility.ts'
 import type { PermitClaim } from '../backend-limits/index.ts'
@@ -18,7 +20,7 @@
 import type { SuspectCounts } from '../node-reports/types.ts'
 import type { VersionPresence } from '../registrations/index.ts'
 import type { BackendEntry } from './types.ts'
-import type { BackendTable, BackendTableOptions, KnownBackend } from './backend-table-types.ts'
+import type { BackendTable, BackendTableOptions, KnownBackend, Unavailability } from './backend-table-types.ts'
 
 export type * from './backend-table-types.ts'
 
@@ -126,7 +128,7 @@
     log('backendRemoved', { backend: id, service: gone.entry.service, cause })
   }
 
-  function usable (service: string, claim = defaultClaim, onLimited: (backend: BackendId) => void = () => {}): Backend[] {
+  function usable (service: string, claim = defaultClaim, onLimited: (backend: BackendId) => void = () => {}, mayUse = anyDomain): Backend[] {
     const nowMs = clock.monotonicMs()
     const peerCounts = peerSuspects.counts()
     const retriesSuspects = peerCounts.size > 0 && options.random() < retrySuspectRatio
@@ -136,7 +138,7 @@
     let hasHeldBack = false
     for (const candidate of known.values()) {
       const { entry, backend } = candidate
-      if (entry.service !== service) continue
+      if (entry.service !== service || !mayUse(entry.domain)) continue
       const role = roleOf(entry.version)
       const reason = reasonOf(candidate, role, nowMs, peerCounts, retriesSuspects, claim)
       if (reason === 'limited') {
@@ -196,32 +198,34 @@
     return candidate.entry.service === service && !isLeaving(candidate) && !candidate.isMisdirected
   }
 
-  function liveOf (service: string): KnownBackend[] {
+  function liveOf (service: string, mayUse = anyDomain): KnownBackend[] {
     const roleOf = options.versionRolesOf(service)
-    return [...known.values()].filter(candidate => isCandidate(candidate, service) && !evacuations.isEvacuated(candidate.entry.domain) && roleOf(candidate.entry.version) !== 'replaced')
+    return [...known.values()].filter(candidate => isCandidate(candidate, service) && mayUse(candidate.entry.domain) && !evacuations.isEvacuated(candidate.entry.domain) && roleOf(candidate.entry.version) !== 'replaced')
   }
 
-  function isEvacuated (service: string): boolean {
-    let hasEvacuated = false
+  function unavailability (service: string, mayUse: MayUseDomain): Unavailability | undefined {
+    let reason: Unavailability | undefined
     for (const candidate of known.values()) {
       if (!isCandidate(candidate, service)) continue
+      const { domain } = candidate.entry
       // A replaced one in another domain may still be the last resort.
-      if (!evacuations.isEvacuated(candidate.entry.domain)) return false
-      hasEvacuated = true
+      if (mayUse(domain) && !evacuations.isEvacuated(domain)) return undefined
+      if (mayUse(domain)) reason = 'evacuated'
+      else reason ??= 'not-allowed'
     }
-    return hasEvacuated
+    return reason
   }
 
-  function allPausedForMs (service: string): number | undefined {
+  function allPausedForMs (service: string, mayUse = anyDomain): number | undefined {
     const nowMs = clock.monotonicMs()
-    const live = liveOf(service)
+    const live = liveOf(service, mayUse)
     if (live.length === 0 || live.some(({ pausedUntilMs }) => pausedUntilMs <= nowMs)) return undefined
     return Math.min(...live.map(({ pausedUntilMs }) => pausedUntilMs)) - nowMs
   }
 
-  function allLimitedForMs (service: string, claim: PermitClaim, excluded: ReadonlySet<BackendId>): number | undefined {
+  function allLimitedForMs (service: string, claim: PermitClaim, excluded: ReadonlySet<BackendId>, mayUse = anyDomain): number | undefined {
     const nowMs = clock.monotonicMs()
-    const unpaused = liveOf(service).filter(({ pausedUntilMs }) => pausedUntilMs <= nowMs).map(({ entry }) => entry)
+    const unpaused = liveOf(service, mayUse).filter(({ pausedUntilMs }) => pausedUntilMs <= nowMs).map(({ entry }) => entry)
     const limited = unpaused.filter(entry => limits.stateOf(entry) !== undefined)
     const hasUnlimited = unpaused.some(entry => !excluded.has(entry.id) && limits.stateOf(entry) === undefined)
     if (limited.length === 0 || hasUnlimited) return undefined
@@ -279,9 +283,9 @@
     put,
     remove,
     usable,
-    live: service => {
+    live: (service, mayUse) => {
       const nowMs = clock.monotonicMs()
-      return liveOf(service).filter(({ suspectUntilMs, pausedUntilMs }) => suspectUntilMs <= nowMs && pausedUntilMs <= nowMs).map(({ entry }) => entry)
+      return liveOf(service, mayUse).filter(({ suspectUntilMs, pausedUntilMs }) => suspectUntilMs <= nowMs && pausedUntilMs <= nowMs).map(({ entry }) => entry)
     },
     entries: service => [...known.values()].filter(({ entry }) => entry.service === service).map(({ entry, leavingSinceMs }) => leavingSinceMs === undefined ? entry : { ...entry, isLeaving: true }),
     otherVersionPresence,
@@ -319,7 +323,7 @@
     },
     pause,
     allPausedForMs,
-    isEvacuated,
+    unavailability,
     allLimitedForMs,
     isReplaced: (service, version) => options.versionRolesOf(service)(version) === 'replaced',
     ineligibleCounts,
--- a/src/core/gateway/limit-gate.ts
+++ b/src/core/gateway/limit-gate.ts
@@ -41,10 +41,10 @@
 
   return {
     choose: (active, choose) => {
-      const { service, excluded, limitedBackends } = active
-      const usable = backends.usable(service, claimOf(active), backend => limitedBackends.add(backend)).filter(({ id }) => !excluded.has(id))
+      const { service, excluded, limitedBackends, mayUseDomain } = active
+      const usable = backends.usable(service, claimOf(active), backend => limitedBackends.add(backend), mayUseDomain).filter(({ id }) => !excluded.has(id))
       return choosePermitted(usable, choose, choice => takePermit(active, choice)).mapErr(({ refusal, hasPermitsLeft }) => {
-        return { refusal, limitedForMs: hasPermitsLeft ? undefined : backends.allLimitedForMs(service, claimOf(active), excluded) }
+        return { refusal, limitedForMs: hasPermitsLeft ? undefined : backends.allLimitedForMs(service, claimOf(active), excluded, mayUseDomain) }
       })
     },
     hasLimit: id => {
--- a/src/core/gateway/quarantine-gate.ts
+++ b/src/core/gateway/quarantine-gate.ts
@@ -63,12 +63,12 @@
   }
 
   function toQuarantineRequest (active: ActiveRequest): QuarantineRequest {
-    const { service, hasCrashedBackend, ended } = active
+    const { service, hasCrashedBackend, mayUseDomain, ended } = active
     return {
       service,
       features: featuresOf(active),
       isRetryAfterCrash: hasCrashedBackend,
-      liveBackends: () => backends.live(service),
+      liveBackends: () => backends.live(service, mayUseDomain),
       signal: ended.signal
     }
   }
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -23,6 +23,7 @@
 import type { AttemptId, TeamId } from '../ids/index.ts'
 import type { RouteChoice } from '../routing/index.ts'
 import type { AttemptEnd } from './attempt.ts'
+import type { Unavailability } from './backend-table.ts'
 import type { RequestEnd } from './attempt-end-handler.ts'
 import type { RequestHandlerOptions, ActiveRequest } from './active-request.ts'
 import type { UnchosenReason } from './limit-gate.ts'
@@ -31,9 +32,12 @@
 const baseResponseTimeoutMs = 250
 /** That multiple; estimates of queueing times are inaccurate. */
 const expectedWaitFactor = 3
-/** Retry time that callers get while every backend server of a service is evacuated; nothing tells when the evacuation ends. */
-const evacuatedRetryMs = 2_000
-const evacuatedRefusal = { reason: 'backends-evacuated', detail: 'All backend servers of the service are in evacuated failure domains.' }
+/** Retry time that callers get while a service has no backend server for their requests; nothing tells when that ends. */
+const unavailableRetryMs = 2_000
+const unavailableRefusals: Record<Unavailability, { reason: string, detail: string }> = {
+  evacuated: { reason: 'backends-evacuated', detail: 'All backend servers of the service that the request may be sent to are in evacuated failure domains.' },
+  'not-allowed': { reason: 'region-not-allowed', detail: 'No backend server of the service is in the regions that the route and the team allow.' }
+}
 /** Maximum concurrent requests of one team at one node; bounds the node's memory. */
 const maxRequestsInFlight = 512
 /** Maximum queued requests of one team at one node. */
@@ -69,7 +73,8 @@
     limits.recordDemand(active.service)
     const quarantined = quarantineGate.refusalOnArrival(active)
     if (quarantined !== undefined) return refuse(response, quarantined, requestLogFields(active, clock))
-    if (backends.isEvacuated(active.service)) return refuse(response, { status: 503, ...evacuatedRefusal, retryInMs: withJitter(evacuatedRetryMs) }, requestLogFields(active, clock))
+    const unavailability = backends.unavailability(active.service, active.mayUseDomain)
+    if (unavailability !== undefined) return refuse(response, { status: 503, ...unavailableRefusals[unavailability], retryInMs: withJitter(unavailableRetryMs) }, requestLogFields(active, clock))
     if (team?.quota !== undefined) {
       const waitMs = options.quotas.take(team.team, team.quota, quotaUnitsOf(active))
       if (waitMs > 0) {
@@ -185,9 +190,10 @@
   }
 
   /** The end of a request for which no backend server could be chosen. */
-  function unchosenEnd ({ service }: ActiveRequest, { refusal, limitedForMs }: UnchosenReason): RequestEnd {
-    if (backends.isEvacuated(service)) return failedWith(evacuatedRefusal.reason, evacuatedRefusal.detail, evacuatedRetryMs)
-    const pausedForMs = backends.allPausedForMs(service)
+  function unchosenEnd ({ service, mayUseDomain }: ActiveRequest, { refusal, limitedForMs }: UnchosenReason): RequestEnd {
+    const unavailability = backends.unavailability(service, mayUseDomain)
+    if (unavailability !== undefined) return failedWith(unavailableRefusals[unavailability].reason, unavailableRefusals[unavailability].detail, unavailableRetryMs)
+    const pausedForMs = backends.allPausedForMs(service, mayUseDomain)
     if (pausedForMs !== undefined) return failedWith('backends-paused', 'All backend servers of the service asked for a pause.', pausedForMs + options.random() * resumeMs)
     if (limitedForMs !== undefined) return failedWith('backends-limited', 'All backend servers of the service limit their requests, and no permit is left.', limitedForMs)
     const { reason, detail, retryAtMs } = refusal
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -39,6 +39,8 @@
   /** Maximum number of backend servers that one request is sent to. */
   maxBackends: number
   allowsAnonymous: boolean
+  /** Regions whose backend servers may get its requests; undefined without a restriction. */
+  allowedRegions?: ReadonlySet<string>
 }
 
 /** Limits and prices for ordering backend servers of a service. */
@@ -68,6 +70,8 @@
   keys: string[]
   /** Overrides the rank of the route. */
   rank?: number
+  /** Regions whose backend servers may get its requests, in addition to the restriction of the route; undefined without one. */
+  allowedRegions?: ReadonlySet<string>
   /** Tokens that a request without a token count is charged. */
   defaultTokens: number
   /** Quota over all nodes together; undefined without a limit. */
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -118,7 +118,7 @@
 export type FailingStep = 'choose' | 'sent' | 'ended' | 'released'
 
 /** Starts a gateway with one fake backend server for each element of `handlers`, each in the failure domain that `domains` names for it. */
-export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'], quarantine?: Partial<RequestHandlerOptions['quarantine']>, domains?: string[] } = {}) {
+export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'], quarantine?: Partial<RequestHandlerOptions['quarantine']>, domains?: string[], regions?: Record<string, string> } = {}) {
   const servers: RawBackend[] = await Promise.all(handlers.map(handler => startRawBackend(handler)))
   const metrics = createMetrics()
   const stopped = new AbortController()
@@ -191,6 +191,7 @@
     limits: { ...limits, take: fakes.takePermit ?? limits.take },
     buffers: createResponseBuffers(),
     routeTable: () => state.table,
+    regionOf: domain => fakes.regions?.[domain],
     canaryShare: () => 0,
     onStarted: () => {},
     onSent: () => failAt('sent'),
--- a/test/platform-adapter/decode.test.ts
+++ b/test/platform-adapter/decode.test.ts
@@ -132,3 +132,21 @@
   t.true(isSame({ sequence: 2 }))
   for (const changed of [{ state: 'draining' }, { address: '10.0.0.2:80' }, { born: 2_000 }, { version: 'v2' }, { state: 'unknown' }]) t.false(isSame(changed), JSON.stringify(changed))
 })
+
+test('allowed regions are decoded, an empty list is no restriction, and a value that is not a list of strings leaves out its part', t => {
+  const [route] = storedConfiguration.routes
+  const [team] = storedConfiguration.tenants
+  const decode = (regions: unknown, onInvalid?: (part: string) => void) => {
+    const text = JSON.stringify({ ...storedConfiguration, routes: [{ ...route, allowed_regions: regions }], tenants: [{ ...team, allowed_regions: regions }] })
+    const decoded = decodeConfiguration(text, onInvalid).unwrapOr(undefined)
+    return [...decoded?.routes ?? [], ...decoded?.teams ?? []].map(({ allowedRegions }) => allowedRegions)
+  }
+  t.deepEqual(decode(['r-1', 'r-2']), [new Set(['r-1', 'r-2']), new Set(['r-1', 'r-2'])])
+  for (const none of [[], undefined]) t.deepEqual(decode(none), [undefined, undefined])
+  for (const odd of ['r-1', [1], [['r-1']], null, { 0: 'r-1' }, [null]]) {
+    const invalid: string[] = []
+    t.deepEqual(decode(odd, part => { invalid.push(part) }), [])
+    t.deepEqual(invalid, ['routes.0', 'tenants.0'])
+  }
+  t.deepEqual([...parseSettings(renderSettings({ 'zones.a': 'r-1', 'zones.b-2': 'r-2', 'zones.c': '' }), '').regions].map(([domain, region]) => [domain as string, region]), [['a', 'r-1'], ['b-2', 'r-2']])
+})
