--- a/bench/measure/request-limits/naive.ts
+++ b/bench/measure/request-limits/naive.ts
@@ -26,6 +26,9 @@
       held.bucket.take()
       return { giveBack: held.bucket.giveBack }
     },
+    recordRegistration: () => {},
+    removeRegistration: () => {},
+    isLimited: ({ id }) => buckets.has(id),
     stateOf: ({ id }) => {
       const held = buckets.get(id)
       return held === undefined ? undefined : { perSecond: held.perSecond, forMs: 0, ownPerSecond: 0, nextPermitInMs: 0 }
--- a/src/core/backend-limits/index.ts
+++ b/src/core/backend-limits/index.ts
@@ -3,9 +3,11 @@
  * another what they were told, divide each limit among the nodes that hear one another, and
  * every attempt takes a permit at the moment it is sent. A node in doubt sends less: one that
  * hears few others has a small part of the limit, and one that has just learned of it begins
- * without a permit.
+ * without a permit. A backend server that is cold has a limit from the configuration in addition
+ * (`cold-servers.ts`); a request needs a permit of each limit.
  */
 import { effectiveLimit } from './allocation.ts'
+import { createColdServers } from './cold-servers.ts'
 import { createDemandMeter } from './demand.ts'
 import { addResponse, isInForce, reportDelayMs } from './evidence.ts'
 import { createPermitBucket } from './permits.ts'
@@ -66,6 +68,7 @@
   const reportedInvalid = new Set<string>()
   const demand = createDemandMeter(clock)
   const refusals = createDemandMeter(clock)
+  const coldServers = options.cold === undefined ? undefined : createColdServers({ ...options, cold: options.cold })
   const shares = createLimitShares({ ...options, ownDemand: demand.perSecond })
 
   function serviceOf ({ id }: Pick<LimitedBackend, 'id'>): string | undefined {
@@ -184,13 +187,26 @@
     shares.remove(key)
   }
 
+  /** The buckets of all limits of a backend server. */
+  function bucketsOf (backend: LimitedBackend): PermitBucket[] {
+    return [limitOf(backend)?.bucket, coldServers?.find(backend)?.bucket].filter(bucket => bucket !== undefined)
+  }
+
   function hasPermit (backend: LimitedBackend, claim: PermitClaim): boolean {
     const limit = limitOf(backend)
-    if (limit === undefined) return true
-    return limit.bucket.waitMs(classOf(claim), clock.monotonicMs()) === 0
+    const spell = coldServers?.find(backend)
+    // Asked for each backend server at each choice.
+    if (limit === undefined && spell === undefined) return true
+    const nowMs = clock.monotonicMs()
+    return [limit, spell].every(item => item === undefined || item.bucket.waitMs(classOf(claim), nowMs) === 0)
   }
 
   function recordSkipped (backend: LimitedBackend): void {
+    const spell = coldServers?.find(backend)
+    if (spell !== undefined) {
+      spell.skippedCount += 1
+      metrics.count('cold_backend_skips_total', { service: backend.service })
+    }
     const limit = limitOf(backend)
     if (limit === undefined) return
     const nowMs = clock.monotonicMs()
@@ -203,16 +219,22 @@
 
   function take (backend: LimitedBackend, claim: PermitClaim): Permit | undefined {
     const limit = limitOf(backend)
-    if (limit === undefined) return noPermitNeeded
-    if (limit.bucket.waitMs(classOf(claim), clock.monotonicMs()) > 0) return undefined
-    const { bucket } = limit
-    bucket.take()
-    limit.sentCount += 1
-    metrics.count('limited_backend_requests_total', { service: backend.service })
+    const spell = coldServers?.find(backend)
+    if (limit === undefined && spell === undefined) return noPermitNeeded
+    if (!hasPermit(backend, claim)) return undefined
+    const counted = [limit, spell].filter(item => item !== undefined).map(item => ({ item, bucket: item.bucket }))
+    for (const { item, bucket } of counted) {
+      bucket.take()
+      item.sentCount += 1
+    }
+    if (limit !== undefined) metrics.count('limited_backend_requests_total', { service: backend.service })
+    if (spell !== undefined) metrics.count('cold_backend_requests_total', { service: backend.service })
     return {
       giveBack: () => {
-        bucket.giveBack()
-        limit.sentCount -= 1
+        for (const { item, bucket } of counted) {
+          bucket.giveBack()
+          item.sentCount -= 1
+        }
       }
     }
   }
@@ -229,6 +251,13 @@
     }
   }
 
+  /** The lower one of a backend server's limits; 0 without one. */
+  function bindingLimit (backend: LimitedBackend): number {
+    const named = limitOf(backend)?.evidence.named.perSecond
+    const limits = [named === undefined ? undefined : effectiveLimit(named), coldServers?.find(backend)?.perSecond].filter(limit => limit !== undefined)
+    return limits.length === 0 ? 0 : Math.min(...limits)
+  }
+
   /**
    * With more callers than permits, those that were refused lately would use up the permits of a
    * longer time, so they are spread over it; the nodes are assumed to refuse alike.
@@ -236,9 +265,8 @@
   function onRefused (service: string, backends: readonly LimitedBackend[], claim: PermitClaim): number {
     const nowMs = clock.monotonicMs()
     refusals.record(service)
-    const limits = backends.map(limitOf).filter(limit => limit !== undefined)
-    for (const { bucket } of limits) bucket.reserve(classOf(claim), nowMs)
-    const totalPerSecond = limits.reduce((sum, { evidence }) => sum + effectiveLimit(evidence.named.perSecond), 0)
+    for (const bucket of backends.flatMap(bucketsOf)) bucket.reserve(classOf(claim), nowMs)
+    const totalPerSecond = backends.reduce((sum, backend) => sum + bindingLimit(backend), 0)
     if (totalPerSecond === 0) return 0
     const refusedPerSecond = refusals.perSecond(service) * (otherNodes().length + 1)
     const spreadMs = Math.min(maxRetryMs, refusedPerSecond / totalPerSecond * secondMs)
@@ -249,6 +277,7 @@
 
   function report (): LimitReport {
     deleteUnregistered()
+    coldServers?.update()
     // Also without a limit: it must be known from the first one on who else is asked for its service.
     return { limits: selectLimits(known.values(), clock.monotonicMs()), demands: demand.highest(), shares: undefined }
   }
@@ -264,12 +293,15 @@
   }
 
   return {
+    recordRegistration: (backend, source) => coldServers?.recordRegistration(backend, source),
+    removeRegistration: id => coldServers?.remove(id),
     recordResponse,
     recordDemand: demand.record,
     demandPerSecond: demand.perSecond,
     hasPermit,
     recordSkipped,
     take,
+    isLimited: backend => limitOf(backend) !== undefined || coldServers?.find(backend) !== undefined,
     stateOf,
     endedAtMs: backend => known.size === 0 ? -Infinity : known.get(keyOf(backend))?.endedAtMs ?? -Infinity,
     onRefused,
--- a/src/core/backend-limits/types.ts
+++ b/src/core/backend-limits/types.ts
@@ -1,6 +1,6 @@
-/** Types of the request limits that backend servers name for all nodes together. */
+/** Types of the request limits of backend servers, which they name for all nodes together or which hold while they are cold. */
 import type { Clock } from '../clock/index.ts'
-import type { BackendId, NodeId } from '../ids/index.ts'
+import type { BackendId, DomainId, NodeId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { NamedLimit } from './parse.ts'
@@ -13,6 +13,34 @@
   startedAtMs?: number | undefined
 }
 
+/** A backend server as it registered itself. */
+export interface RegisteredBackend extends LimitedBackend {
+  domain: DomainId
+  /** Remaining time for which it calls itself cold. */
+  warmUpMs: number
+}
+
+/** Limit of each cold backend server of a service. */
+export interface ColdLimit {
+  /** Time for which a backend server is cold after it appears, starts again or its failure domain returns. */
+  startMs: number
+  /** Requests a second that it takes from all nodes together. */
+  perSecond: number
+}
+
+/** Limits of cold backend servers. */
+export interface ColdOptions {
+  /** Whether any service has such a limit. */
+  isEnabled: () => boolean
+  /** Undefined for a service without one. */
+  limitOf: (service: string) => ColdLimit | undefined
+  /** In any second, a cold backend server may get `perSecond` times this ratio, and `slackCount` requests in addition. */
+  overrunRatio: number
+  slackCount: number
+  /** Monotonic time at which the evacuation of a failure domain ended; -Infinity if it never did. */
+  domainReturnedAtMs: (domain: DomainId) => number
+}
+
 /** Part of a limit that one node may use. */
 export interface LimitShare {
   /** Part of the limit, 0 to 1. */
@@ -78,6 +106,8 @@
   getsAllReports: () => boolean
   /** The registered backend server with an id. */
   backendOf: (id: BackendId) => LimitedBackend | undefined
+  /** Without it, no backend server counts as cold. */
+  cold?: ColdOptions
 }
 
 /** When a limited backend server takes requests from this node. */
@@ -93,6 +123,13 @@
 
 /** The limits of backend servers, as one node knows and keeps them. */
 export interface BackendLimits {
+  /**
+   * Records a registration. `hasAppeared` says that this start of the backend server wasn't known before, so that
+   * it is assumed to be cold; `isByRestore` that the registration comes from an older copy of the key-value service.
+   */
+  recordRegistration: (backend: RegisteredBackend, source: { hasAppeared: boolean, isByRestore: boolean }) => void
+  /** Records that a backend server is no longer registered. */
+  removeRegistration: (id: BackendId) => void
   /** Records what the head of a response said; `sentAtMs` is the monotonic time at which its request was sent. */
   recordResponse: (backend: LimitedBackend, named: NamedLimit, sentAtMs: number) => void
   /** Counts a request that a caller asks a service for. */
@@ -105,7 +142,9 @@
   recordSkipped: (backend: LimitedBackend) => void
   /** Takes the permit to send one request now; undefined if there is none. */
   take: (backend: LimitedBackend, claim: PermitClaim) => Permit | undefined
-  /** The limit in force; undefined without one. */
+  /** Whether it takes a permit to send a request there, because the backend server named a limit or is cold. */
+  isLimited: (backend: LimitedBackend) => boolean
+  /** The limit in force that it named; undefined without one. */
   stateOf: (backend: LimitedBackend) => LimitState | undefined
   /** Monotonic time at which a limit ended; -Infinity if there was none lately. */
   endedAtMs: (backend: LimitedBackend) => number
--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -57,7 +57,7 @@
   /** Refuses requests that crash backend servers. */
   quarantine: Pick<Quarantine, 'admit' | 'find' | 'isQuiet' | 'recordCrash' | 'recordAnswer' | 'onQuarantined'>
   backends: BackendTable
-  limits: Pick<BackendLimits, 'recordResponse' | 'recordDemand' | 'take' | 'stateOf'>
+  limits: Pick<BackendLimits, 'recordResponse' | 'recordDemand' | 'take' | 'isLimited'>
   /** Memory for responses, of all requests together. */
   buffers: ResponseBuffers
   /** Routes of the configuration in effect; undefined before the first one arrives. */
--- a/src/core/gateway/backend-table-types.ts
+++ b/src/core/gateway/backend-table-types.ts
@@ -19,8 +19,10 @@
   metrics: Metrics
   /** The roles of a service's versions. */
   versionRolesOf: (service: string) => (version: VersionId) => VersionRole
-  /** The limits that backend servers name for their requests. */
-  limits: Pick<BackendLimits, 'hasPermit' | 'recordSkipped' | 'stateOf' | 'endedAtMs' | 'onRefused'>
+  /** The limits that backend servers name for their requests, and those of cold ones. */
+  limits: Pick<BackendLimits, 'recordRegistration' | 'removeRegistration' | 'hasPermit' | 'recordSkipped' | 'isLimited' | 'endedAtMs' | 'onRefused'>
+  /** Whether a backend server that appears may have run before, as this node has just started; it isn't assumed to be cold then. */
+  hasJustStarted?: () => boolean
   /** Random number in [0, 1). */
   random: () => number
   registrationTimes: RegistrationTimes
--- a/src/core/gateway/backend-table.ts
+++ b/src/core/gateway/backend-table.ts
@@ -86,6 +86,7 @@
     if (before !== undefined && isByRestore && isEarlierStart(before.entry, registered)) return
     if (before !== undefined && isSameRegistration(before.entry, registered)) {
       const entry = isByRestore && before.entry.isLeaving ? { ...registered, isLeaving: true } : registered
+      limits.recordRegistration(entry, { hasAppeared: false, isByRestore })
       if (before.entry.isLeaving !== entry.isLeaving) log('backendChanged', { backend: entry.id, service: entry.service, leaving: entry.isLeaving, leavesInMs: entry.leavesInMs })
       before.entry = entry
       before.backend = before.leavingSinceMs === undefined ? toBackend(entry) : { ...toBackend(entry), state: 'leaving' }
@@ -96,6 +97,7 @@
     const departure = departed.find(entry)
     const hasReappeared = isByRestore && departure !== undefined
     if (before !== undefined) remove(entry.id, 'replaced by a new registration')
+    limits.recordRegistration(entry, { hasAppeared: options.hasJustStarted?.() !== true, isByRestore })
     log('backendChanged', { backend: entry.id, service: entry.service, domain: entry.domain, version: entry.version, leaving: entry.isLeaving })
     known.set(entry.id, {
       entry,
@@ -120,6 +122,7 @@
     known.delete(id)
     proofs.remove(id)
     departed.add(gone.entry, { ...gone, wasLeaving: isLeaving(gone) })
+    limits.removeRegistration(id)
     gone.connections.close()
     options.onRemoved(id)
     log('backendRemoved', { backend: id, service: gone.entry.service, cause })
@@ -203,8 +206,8 @@
   function allLimitedForMs (service: string, claim: PermitClaim, excluded: ReadonlySet<BackendId>): number | undefined {
     const nowMs = clock.monotonicMs()
     const unpaused = liveOf(service).filter(({ pausedUntilMs }) => pausedUntilMs <= nowMs).map(({ entry }) => entry)
-    const limited = unpaused.filter(entry => limits.stateOf(entry) !== undefined)
-    const hasUnlimited = unpaused.some(entry => !excluded.has(entry.id) && limits.stateOf(entry) === undefined)
+    const limited = unpaused.filter(limits.isLimited)
+    const hasUnlimited = unpaused.some(entry => !excluded.has(entry.id) && !limits.isLimited(entry))
     if (limited.length === 0 || hasUnlimited) return undefined
     return limits.onRefused(service, limited, claim)
   }
--- a/src/core/gateway/limit-gate.ts
+++ b/src/core/gateway/limit-gate.ts
@@ -49,7 +49,7 @@
     },
     hasLimit: id => {
       const known = backends.get(id)
-      return known !== undefined && limits.stateOf(known.entry) !== undefined
+      return known !== undefined && limits.isLimited(known.entry)
     },
     onAttemptEnded: (permit, end) => {
       const isUnsent = (end.kind === 'not-run' && end.isUnreachable) || (end.kind === 'aborted' && !end.mayHaveRun)
--- a/src/core/gateway/route-table.ts
+++ b/src/core/gateway/route-table.ts
@@ -1,4 +1,5 @@
 /** Finds the route of a request: by host, then by the longest path prefix. */
+import type { ColdLimit } from '../backend-limits/index.ts'
 import type { TeamId } from '../ids/index.ts'
 import type { QuotaLimit } from '../quota/index.ts'
 import type { GatewayConfiguration, GatewayRoute, GatewayTeam } from './types.ts'
@@ -12,6 +13,8 @@
   team: (key: string) => GatewayTeam | undefined
   /** The quota of a team; undefined for an unlimited or unknown one. */
   quotaOf: (team: TeamId) => QuotaLimit | undefined
+  /** The limits of cold backend servers, by service. */
+  coldLimits: ReadonlyMap<string, ColdLimit>
 }
 
 /** Path of a request target, without the query. */
@@ -25,6 +28,7 @@
   const byHost = new Map<string, Map<string, GatewayRoute>>()
   const byKey = new Map<string, GatewayTeam>()
   const quotas = new Map<TeamId, QuotaLimit>()
+  const coldLimits = new Map(configuration.services.flatMap(({ name, cold }) => cold === undefined ? [] : [[name, cold] as const]))
   for (const route of configuration.routes) {
     const prefixes = byHost.get(route.host) ?? new Map<string, GatewayRoute>()
     prefixes.set(route.pathPrefix, route)
@@ -47,5 +51,5 @@
     return undefined
   }
 
-  return { configuration, route: find, team: key => byKey.get(key), quotaOf: team => quotas.get(team) }
+  return { configuration, route: find, team: key => byKey.get(key), quotaOf: team => quotas.get(team), coldLimits }
 }
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -3,7 +3,7 @@
  * byte for byte.
  */
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
-import type { NamedLimit } from '../backend-limits/index.ts'
+import type { ColdLimit, NamedLimit } from '../backend-limits/index.ts'
 import type { BackendId, DomainId, PromptPartId, RequestId, TeamId, VersionId } from '../ids/index.ts'
 import type { QuotaLimit } from '../quota/index.ts'
 import type { PromptBlocks } from '../routing/index.ts'
@@ -59,6 +59,8 @@
   maxConnections: number
   /** Set for model engines: requests in a batch, tokens in the KV cache, and the time to fetch the cache of one token from another engine. */
   engine?: { slots: number, cacheTokens: number, fetchMsPerToken?: number }
+  /** Limit of each cold backend server; undefined without one. */
+  cold?: ColdLimit
   scaling?: ServiceScaling
 }
 
@@ -93,7 +95,7 @@
   version: VersionId
   slots: number
   isLeaving: boolean
-  /** Remaining time for which it is slow after its start. */
+  /** Remaining time for which it calls itself cold. */
   warmUpMs: number
   /** Whether the cloud may reclaim it. */
   isReclaimable: boolean
--- a/src/core/log/events/gateway.ts
+++ b/src/core/log/events/gateway.ts
@@ -21,6 +21,8 @@
   backendLimitEnded: { number: 719, level: 'info', text: 'A backend server no longer limits the requests that it takes.', remedy: 'none' },
   backendLimitSkipped: { number: 725, level: 'info', text: 'Requests were not sent to a backend server because of its limit; logged at most every five seconds for each one.', remedy: 'none; skipped and sent count since the limit was named.' },
   backendLimitInvalid: { number: 724, level: 'warn', text: 'A backend server named a request limit that is not a decimal number; it is ignored.', remedy: 'Correct the backend server.' },
+  backendCold: { number: 728, level: 'info', text: 'A backend server counts as cold, because it appeared or started again, because its failure domain returned, or by its registration; until it is warm it takes few requests a second from all nodes together.', remedy: 'none; see the cause.' },
+  backendColdEnded: { number: 729, level: 'info', text: 'A backend server no longer counts as cold, or is gone.', remedy: 'none; sent and skipped count the requests that this node sent there and elsewhere meanwhile.' },
   backendAvoided: { number: 713, level: 'warn', text: 'Other nodes can not reach a backend server, so this node avoids it, or no longer does.', remedy: 'Check the backend server if it remains avoided.' },
   backendCrashed: { number: 717, level: 'warn', text: 'A backend server crashed before it had answered this request; the request and the parts of its prompt are suspected until they are answered elsewhere.', remedy: 'Check the log of the backend server. If it happens repeatedly, see promptQuarantined.' },
   configurationTaken: { number: 720, level: 'info', text: 'A new configuration is in effect on this node.', remedy: 'none' },
--- a/test/gateway/backend-table.test.ts
+++ b/test/gateway/backend-table.test.ts
@@ -15,7 +15,7 @@
 
 const service = 'engines'
 const registrationTimes = createRegistrationTimes(1_200)
-const noLimits: BackendTableOptions['limits'] = { hasPermit: () => true, recordSkipped: () => {}, stateOf: () => undefined, endedAtMs: () => -Infinity, onRefused: () => 0 }
+const noLimits: BackendTableOptions['limits'] = { recordRegistration: () => {}, removeRegistration: () => {}, hasPermit: () => true, recordSkipped: () => {}, isLimited: () => false, endedAtMs: () => -Infinity, onRefused: () => 0 }
 const peer = toId<NodeId>('peer')
 const idOf = (index: number) => toId<BackendId>(`engine-${index}`)
 
@@ -280,7 +280,7 @@
 
 test('a replaced backend server gets requests only while it has a permit and no other takes requests again soon', t => {
   const permits = new Set<BackendId>()
-  const limits: BackendTableOptions['limits'] = { ...noLimits, hasPermit: ({ id }) => permits.has(id), stateOf: ({ id }) => permits.has(id) ? undefined : { perSecond: 1, forMs: 0, ownPerSecond: 1, nextPermitInMs: 500 }, onRefused: (_service, { length }) => length }
+  const limits: BackendTableOptions['limits'] = { ...noLimits, hasPermit: ({ id }) => permits.has(id), isLimited: ({ id }) => !permits.has(id), onRefused: (_service, { length }) => length }
   const table = createTable(createManualClock(), 2, () => 0.5, { limits, versionRolesOf: () => version => version === 'v0' ? 'replaced' : 'serving' })
   table.put(entryOf(0, { version: toId<VersionId>('v0') }))
   t.deepEqual(usableIds(table), [], 'none has a permit')
@@ -293,6 +293,20 @@
   t.deepEqual(usableIds(table), [])
 })
 
+test('a backend server counts as new when it appears, reappears or starts again, but not after each renewal or when the node has just started', t => {
+  const recorded: string[] = []
+  let hasJustStarted = true
+  const limits: BackendTableOptions['limits'] = { ...noLimits, recordRegistration: ({ startedAtMs }, { hasAppeared }) => { recorded.push(`${startedAtMs} ${hasAppeared}`) }, removeRegistration: () => { recorded.push('removed') } }
+  const table = createTable(createManualClock(), 0, () => 0.5, { limits, hasJustStarted: () => hasJustStarted })
+  table.put(entryOf(0))
+  hasJustStarted = false
+  table.put(entryOf(0, { warmUpMs: 900 }))
+  table.put(entryOf(0, { startedAtMs: 2_000 }))
+  table.remove(idOf(0), 'test')
+  table.put(entryOf(0, { startedAtMs: 2_000 }))
+  t.deepEqual(recorded, ['1000 false', '1000 false', 'removed', '2000 true', 'removed', '2000 true'])
+})
+
 /** A table with one backend server of an old version, as its registration in the key-value service changes. */
 function createRegistered (renewalMs: number, changes: Partial<BackendTableOptions> = {}) {
   const clock = createManualClock()
--- a/test/platform-adapter/decode.test.ts
+++ b/test/platform-adapter/decode.test.ts
@@ -30,6 +30,15 @@
   t.like(decoded?.teams?.[0], { team: 't', keys: ['k'], defaultTokens: 200, quota: { perSecond: 10, burst: 20, countsTokens: true } })
 })
 
+test('the limit of cold backend servers is decoded where `cold_per_s` is above 0, and without bounds the platform\'s usual ones hold', t => {
+  const coldOf = (changes: object) => decodeConfiguration(JSON.stringify({ version: 1, routes: [], services: [{ name: 'models', ...changes }] })).unwrapOr(undefined)?.services[0]?.cold
+  t.deepEqual(coldOf({ cold_start_s: 3, cold_per_s: 11 }), { startMs: 3_000, perSecond: 11 })
+  t.deepEqual(coldOf({ cold_per_s: 0.5 }), { startMs: 0, perSecond: 0.5 })
+  for (const changes of [{}, { cold_start_s: 3 }, { cold_start_s: 3, cold_per_s: 0 }]) t.is(coldOf(changes), undefined)
+  t.like(parseSettings(renderSettings({}), 'node.conf').bounds, { coldOverrunRatio: 1.5, coldSlackCount: 5 })
+  t.like(parseSettings(renderSettings({ 'bounds.cold_overrun': '2', 'bounds.cold_slack': '0' }), 'node.conf').bounds, { coldOverrunRatio: 2, coldSlackCount: 0 })
+})
+
 test('a request is routed by its host and the longest matching path prefix', t => {
   const table = createRouteTable(decodeConfiguration(JSON.stringify(storedConfiguration)).unwrapOr(undefined)!)
   t.is(table.route('A.example:80', '/x/y/z?q=/x/')?.name, 'r-2')
