Leave out of the node's bundle what its libraries load and the node never uses

Cause: at each start hdr-histogram-js created a number formatter for its text format (15 ms with its data of locales) and loaded pako, base64 and its WebAssembly; undici loaded its client of HTTP/2 with node:http2 (12 to 20 ms); prom-client loaded its cluster registry, push gateway, default metrics and OpenTelemetry.

Change: the build replaces their entry points by ones that export what the node uses, as it did for undici.

--- a/scripts/build-platform.ts
+++ b/scripts/build-platform.ts
@@ -27,6 +27,20 @@
         exports.Pool = require('undici/lib/dispatcher/pool.js')`,
       resolveDir: process.cwd()
     }))
+    // The node sends only HTTP/1.1, so the client of HTTP/2 and its modules of Node.js are never used.
+    builder.onLoad({ filter: /undici\/lib\/dispatcher\/client-h2\.js$/ }, () => ({ contents: 'module.exports = () => { throw new Error(\'HTTP/2 is not part of this program\') }' }))
+    // Of histograms, the node uses neither their text and wire formats nor those in WebAssembly.
+    builder.onResolve({ filter: /^hdr-histogram-js$/ }, () => ({ path: 'hdr-histogram-js', namespace: 'slim' }))
+    builder.onLoad({ filter: /^hdr-histogram-js$/, namespace: 'slim' }, () => ({ contents: 'exports.build = require(\'hdr-histogram-js/dist/HistogramBuilder.js\').build', resolveDir: process.cwd() }))
+    builder.onLoad({ filter: /hdr-histogram-js\/dist\/wasm\/index\.js$/ }, () => ({ contents: 'exports.webAssemblyAvailable = false' }))
+    builder.onResolve({ filter: /^prom-client$/ }, () => ({ path: 'prom-client', namespace: 'slim' }))
+    builder.onLoad({ filter: /^prom-client$/, namespace: 'slim' }, () => ({
+      contents: `
+        exports.Counter = require('prom-client/lib/counter.js')
+        exports.Gauge = require('prom-client/lib/gauge.js')
+        exports.Registry = require('prom-client/lib/registry.js')`,
+      resolveDir: process.cwd()
+    }))
     // Only used by the log of the product's own interface, which the bundle doesn't contain.
     builder.onResolve({ filter: /^winston$/ }, ({ path, resolveDir, pluginData }) => pluginData === 'resolved' ? undefined : builder.resolve(path, { resolveDir, kind: 'import-statement', pluginData: 'resolved' }).then(({ path: resolved }) => ({ path: resolved, sideEffects: false })))
     // The node shows English messages only, and zod doesn't load those through this table of locales.
