End a sleep on an aborted signal without an error

Cause: the system clock used node:timers/promises, which creates an AbortError with its stack for each timer that is aborted, several of them a request.

Change: plain timers, with the same results: at the time, at once on an abort, never a rejection.

Tests: test/clock, node-reports, store-view, leases.

--- a/src/core/clock/index.ts
+++ b/src/core/clock/index.ts
@@ -1,6 +1,5 @@
 /** Clocks that are passed in as values, so that tests can control time. */
 import { performance } from 'node:perf_hooks'
-import { setTimeout as delay } from 'node:timers/promises'
 
 export { startTimerAfterReads } from './timer-after-reads.ts'
 
@@ -17,18 +16,28 @@
 /** Longest wait of a timer of Node.js; a longer one would end at once. */
 const maxTimerMs = 2 ** 31 - 1
 
+/** Implemented without the timers of node:timers/promises, which create an error with its stack for each one that is aborted. */
+function sleepUntilAborted (durationMs: number, signal?: AbortSignal): Promise<void> {
+  return new Promise(resolve => {
+    if (signal?.aborted === true) return resolve()
+    const timer = setTimeout(() => {
+      signal?.removeEventListener('abort', onAbort)
+      resolve()
+    }, Math.min(maxTimerMs, durationMs))
+    function onAbort (): void {
+      clearTimeout(timer)
+      resolve()
+    }
+    signal?.addEventListener('abort', onAbort)
+  })
+}
+
 /** The clock of the operating system. */
 export function createSystemClock (): Clock {
   return {
     wallMs: () => Date.now(),
     monotonicMs: () => performance.now(),
-    sleep: async (durationMs, signal) => {
-      try {
-        await delay(Math.min(maxTimerMs, durationMs), undefined, signal === undefined ? {} : { signal })
-      } catch {
-        // The signal was aborted; the caller checks it.
-      }
-    }
+    sleep: sleepUntilAborted
   }
 }
 
