Send reports and digests without a look-up of their address

Cause: the socket passed every address to the resolver of Node.js, which calls back in a later turn.

Change: an IPv4 address is used at once; host names are looked up as before.

Tests: test/node-reports.

--- a/src/core/node-reports/report-socket.ts
+++ b/src/core/node-reports/report-socket.ts
@@ -1,6 +1,8 @@
 /** The UDP socket of the reports; its close doesn't drop what was sent just before. */
 import { createSocket } from 'node:dgram'
-import type { RemoteInfo } from 'node:dgram'
+import { lookup } from 'node:dns'
+import { isIPv4 } from 'node:net'
+import type { RemoteInfo, SocketOptions } from 'node:dgram'
 import type { Metrics } from '../metrics/index.ts'
 
 /** Options of the socket. */
@@ -23,9 +25,15 @@
   close: () => void
 }
 
+/** Looks a host up; an address, which nodes usually register, at once and not in a later turn of the event loop. */
+const lookUp: NonNullable<SocketOptions['lookup']> = (host, options, callback) => {
+  if (isIPv4(host)) callback(null, host, 4)
+  else lookup(host, options, callback)
+}
+
 /** Creates the socket; `bind` binds it. */
 export function createReportSocket ({ host, port, metrics, onReceived, onError }: ReportSocketOptions): ReportSocket {
-  const socket = createSocket('udp4')
+  const socket = createSocket({ type: 'udp4', lookup: lookUp })
   let isClosed = false
   let waitingCount = 0
 
