Choose among backend servers without a copy of each one's state

Cause: for each backend server of the service, each choice copied its whole state to add four fields for the decision.

Change: the four fields of the state that the decision reads are passed by name.

A node with 80 backend servers spent 0.5 ms a request there (profile).

Tests: test/routing, test/gateway/backend-table, gateway and failed-requests.

--- a/src/core/gateway/backend-table.ts
+++ b/src/core/gateway/backend-table.ts
@@ -154,10 +154,14 @@
   }
 
   function reasonOf (candidate: KnownBackend, role: VersionRole, nowMs: number, peerCounts: ReadonlyMap<BackendId, SuspectCounts>, retriesSuspects: boolean, claim = defaultClaim): IneligibleReason | undefined {
-    const { entry, consecutiveFailures, lastActivityAtMs, pausedUntilMs } = candidate
+    const { entry, consecutiveFailures, lastActivityAtMs, isMisdirected, unconfirmedUntilMs, pausedUntilMs, suspectUntilMs } = candidate
     const limitEndedAtMs = limits.endedAtMs(entry)
+    // Named one by one, as this runs for every backend server at every choice, and a copy of all fields costs several times as much.
     return ineligibleReason({
-      ...candidate,
+      isMisdirected,
+      unconfirmedUntilMs,
+      pausedUntilMs,
+      suspectUntilMs,
       isLeaving: isLeaving(candidate),
       hasPermit: limits.hasPermit(entry, claim),
       limitEndedAtMs,
