Record a prefix without new lists for each of its blocks

Cause: every prefix that any node sends is recorded in the index of all nodes. Each of its blocks took three new lists, and its entry was looked up, deleted and set, also when new.

Change: the list of holders is changed in place; a new block is set only. The order of eviction stays.

Tests: test/routing.

--- a/src/core/routing/prefix-index.ts
+++ b/src/core/routing/prefix-index.ts
@@ -79,15 +79,34 @@
     }
   }
 
+  /** Makes a backend server the latest holder of a block. Changes the list in place: thousands of blocks a second are recorded from the reports of large clusters. */
+  function addHolder (holders: Holder[], generation: Generation, usedAtMs: number): void {
+    let kept = 0
+    for (const holder of holders) {
+      if (holder.generation === generation || !isCurrent(holder.generation)) continue
+      holders[kept] = holder
+      kept += 1
+    }
+    holders.length = kept
+    holders.push({ generation, usedAtMs })
+    if (holders.length > maxHoldersPerBlock) holders.shift()
+  }
+
   // Inserts the last block first, so that eviction removes the ends of prefixes before their beginnings.
   function record (backend: BackendId, hashes: readonly string[]): void {
     const usedAtMs = expiry.nowMs()
     const generation = generationOf(backend)
     for (let index = hashes.length - 1; index >= 0; index -= 1) {
       const hash = hashes[index] as string
-      const others = (entries.get(hash) ?? []).filter(other => other.generation !== generation && isCurrent(other.generation))
+      const holders = entries.get(hash)
+      if (holders === undefined) {
+        entries.set(hash, [{ generation, usedAtMs }])
+        continue
+      }
+      addHolder(holders, generation, usedAtMs)
+      // The latest entry is the last one to be evicted.
       entries.delete(hash)
-      entries.set(hash, [...others, { generation, usedAtMs }].slice(-maxHoldersPerBlock))
+      entries.set(hash, holders)
     }
     evict()
   }
