--- a/bench/measure/placement/play.ts
+++ b/bench/measure/placement/play.ts
@@ -3,11 +3,13 @@
  * and placements through a collector and therefore late. No network is involved.
  */
 import { setMaxListeners } from 'node:events'
+import { createBackendSpeeds } from '../../../src/core/backend-speeds/index.ts'
 import { createMetrics } from '../../../src/core/metrics/index.ts'
 import { createActivityTotals } from '../../../src/core/node-reports/index.ts'
 import { createRandom } from '../../../src/core/random/index.ts'
 import { createRouter } from '../../../src/core/routing/index.ts'
 import { toId } from '../../../src/core/ids/index.ts'
+import { exponential } from '../random-draws.ts'
 import { createVirtualClock } from '../virtual-clock.ts'
 import { createBatchEngine } from './batch-engine.ts'
 import { drawRequests } from './workload.ts'
@@ -30,6 +32,14 @@
   hasher: PromptHasher
   /** Engines that are this many times slower in the second half. */
   slowEngines: { count: number, factor: number }
+  /** Engines whose steps and prefills always take this many times as long, by index. */
+  slowdownOf?: (index: number) => number
+  /** Short periods in which a random engine is slower. */
+  slowPeriods?: { perSecond: number, durationMs: number, factor: number }
+  /** Whether the nodes learn the speeds of the engines together. */
+  learnsSpeeds?: boolean
+  /** What the routers assume of engines, instead of their true figures; with it, they compare few of them. */
+  assumed?: EngineProfile
   create?: (options: RouterOptions) => Router
   /** Changes each request to the router, for comparisons. */
   adapt?: (request: RouteRequest) => RouteRequest
@@ -46,6 +56,8 @@
   againRatio: number
   /** Largest number of requests at one engine relative to the mean. */
   busiestRatio: number
+  /** Prompt tokens that each engine prefilled. */
+  prefilledByEngine: number[]
 }
 
 interface CallerRecord {
@@ -86,12 +98,18 @@
   const knownParts = new Set<string>()
   const backends = Array.from({ length: options.engines }, (_, index) => toBackend(index))
   const engines = new Map<BackendId, BatchEngine>(backends.map(({ id }) => [id, createBatchEngine(clock, options.engine, knownParts)]))
-  const profile = toProfile(options.engine)
+  const slowdownOf = (index: number): number => options.slowdownOf?.(index) ?? 1
+  for (const [index, { id }] of backends.entries()) engines.get(id)?.setSlowdown(slowdownOf(index))
+  const profile = options.assumed ?? toProfile(options.engine)
   const totals = createActivityTotals({ clock, maxPrefixes: () => 64 })
   const stopped = new AbortController()
   // Every node waits on this signal.
   setMaxListeners(options.nodes + 1, stopped.signal)
   const arrivalsByEngine = new Map<BackendId, number>()
+  const metrics = createMetrics()
+  const speeds = Array.from({ length: options.nodes }, () => options.learnsSpeeds === true
+    ? createBackendSpeeds({ clock, log: () => {}, metrics, backendOf: () => ({ service: 'engine', startedAtMs: 1 }), isLogging: () => false })
+    : undefined)
   const routers = Array.from({ length: options.nodes }, (_, index) => create({
     node: toId<NodeId>(`node-${index}`),
     clock,
@@ -99,21 +117,37 @@
     hasher: options.hasher,
     random: createRandom(options.seed * 1_000 + index),
     profileOf: () => profile,
-    prefixTtlMs: 20_000
+    prefixTtlMs: 20_000,
+    ...(options.assumed === undefined ? {} : { subsetSize: 8 }),
+    ...(speeds[index] === undefined ? {} : { speeds: speeds[index] })
   }))
 
   async function report (router: Router, index: number): Promise<void> {
     const node = toId<NodeId>(`node-${index}`)
     await clock.sleep(index * options.reportIntervalMs / options.nodes, stopped.signal)
     while (!stopped.signal.aborted) {
-      totals.record(node, 'boot', { quotaUsage: new Map(), loads: router.localLoads(), prefixes: router.recentPrefixes(), suspects: new Map() })
-      const { loads, prefixes } = totals.totalsExcept(node)
+      totals.record(node, 'boot', { quotaUsage: new Map(), loads: router.localLoads(), prefixes: router.recentPrefixes(), suspects: new Map(), speeds: speeds[index]?.report() })
+      const { loads, prefixes, speeds: measured } = totals.totalsExcept(node)
+      if (measured !== undefined) speeds[index]?.merge(collector, measured)
       router.onPeerLoad(collector, loads)
       router.onPeerPrefixes(prefixes)
       await clock.sleep(options.reportIntervalMs, stopped.signal)
     }
   }
 
+  async function slowDownAtRandom (): Promise<void> {
+    const { slowPeriods } = options
+    if (slowPeriods === undefined) return
+    const draw = createRandom(options.seed + 1)
+    while (!stopped.signal.aborted) {
+      await clock.sleep(exponential(draw, 1_000 / slowPeriods.perSecond), stopped.signal)
+      const index = Math.floor(draw() * backends.length)
+      const engine = engines.get(backends[index]?.id as BackendId)
+      engine?.setSlowdown(slowdownOf(index) * slowPeriods.factor)
+      clock.sleep(slowPeriods.durationMs).then(() => engine?.setSlowdown(slowdownOf(index)))
+    }
+  }
+
   const records: CallerRecord[] = []
 
   async function serve (request: PlacedRequest, number: number, random: () => number): Promise<void> {
@@ -143,11 +177,14 @@
       arrivalsByEngine.set(choice.backend.id, (arrivalsByEngine.get(choice.backend.id) ?? 0) + 1)
       router.onAttemptSent(id, choice)
       const fetchFrom = choice.fetchFrom === undefined ? undefined : engines.get(choice.fetchFrom.id)
+      let firstTokenAtMs = 0
       await engine.run({ prompt: request.prompt, answerTokens: request.answerTokens, fetchFrom }, () => {
         router.onFirstToken(id)
+        router.onFirstEvent(id)
+        firstTokenAtMs = clock.monotonicMs()
         records.push({ kind: request.kind, outcome: clock.wallMs() - sentAtMs <= request.targetMs ? 'in-time' : 'late' })
       })
-      router.onAttemptEnded(id, { ok: true })
+      router.onAttemptEnded(id, { ok: true, eventGaps: { count: request.answerTokens / options.engine.tokensPerEvent, sumMs: clock.monotonicMs() - firstTokenAtMs } })
       return
     }
     records.push({ kind: request.kind, outcome: 'refused' })
@@ -160,9 +197,10 @@
   clock.sleep(options.seconds * 500).then(() => {
     for (const { id } of backends.slice(0, options.slowEngines.count)) engines.get(id)?.setSlowdown(options.slowEngines.factor)
   })
+  slowDownAtRandom()
   await clock.runUntil(options.seconds * 1_000 + 20_000)
   stopped.abort()
-  return summarise(records, requests.length, [...engines.values()], [...arrivalsByEngine.values()], backends.length)
+  return summarise(records, requests.length, [...engines.values()], backends.map(({ id }) => arrivalsByEngine.get(id) ?? 0), backends.length)
 }
 
 function summarise (records: readonly CallerRecord[], offered: number, engines: readonly BatchEngine[], arrivals: readonly number[], engineCount: number): PlacementResult {
@@ -177,6 +215,7 @@
     refusedRatio: ratioOf(records, 'refused'),
     inTimeByKind: Object.fromEntries(kinds.map(kind => [kind, ratioOf(records.filter(record => record.kind === kind), 'in-time')])),
     againRatio: prefilled.reduce((sum, { againTokens }) => sum + againTokens, 0) / prefilled.reduce((sum, { tokens }) => sum + tokens, 0),
-    busiestRatio: Math.max(...arrivals) / (arrivalCount / engineCount)
+    busiestRatio: Math.max(...arrivals) / (arrivalCount / engineCount),
+    prefilledByEngine: prefilled.map(({ tokens }) => tokens)
   }
 }
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -208,7 +208,8 @@
     const isCanary = choice.version === canaryLabel
     const sentAtMs = clock.monotonicMs()
     let lastProgressAtMs: number | undefined
-    let hasEvents = false
+    let firstEvents: { count: number, atMs: number } | undefined
+    let eventGaps: { count: number, sumMs: number } | undefined
     const latencies = createLatencyObserver(sentAtMs, latency => options.onLatency({ service: active.service, route: route.name, isCanary, ...latency }))
     const attempt = startAttempt({
       connections: known.connections,
@@ -235,8 +236,12 @@
         lastProgressAtMs = clock.monotonicMs()
         latencies.onEvents(count, lastProgressAtMs)
         openAttempt.onEvents(count)
-        if (!hasEvents) quarantineGate.onFirstEvent(active)
-        hasEvents = true
+        if (firstEvents === undefined) {
+          router.onFirstEvent(attemptId)
+          quarantineGate.onFirstEvent(active)
+        }
+        firstEvents ??= { count, atMs: lastProgressAtMs }
+        eventGaps = { count: count - firstEvents.count, sumMs: lastProgressAtMs - firstEvents.atMs }
       }
     })
     active.attempt = attempt
@@ -255,7 +260,7 @@
       active.endedInPhase = attempt.phase()
       const isServerError = end.kind === 'complete' && end.response.status >= 500
       const ok = (end.kind === 'passed-on' || end.kind === 'complete') && !isServerError
-      router.onAttemptEnded(attemptId, { ok, attributedToBackend: end.kind !== 'aborted' && !(end.kind === 'not-run' && !end.isUnreachable) })
+      router.onAttemptEnded(attemptId, { ok, attributedToBackend: end.kind !== 'aborted' && !(end.kind === 'not-run' && !end.isUnreachable), ...(eventGaps === undefined ? {} : { eventGaps }) })
       if (end.kind !== 'not-run') latencies.onEnded(end.kind !== 'passed-on' && end.kind !== 'complete', clock.monotonicMs())
       const targetMs = route.eventGapTargetMs ?? route.latencyTargetMs
       const isStalled = lastProgressAtMs !== undefined && clock.monotonicMs() - lastProgressAtMs > targetMs
--- a/src/core/node-reports/activity-totals.ts
+++ b/src/core/node-reports/activity-totals.ts
@@ -1,4 +1,5 @@
 /** The totals of all nodes' reported activity, as a collector maintains them. */
+import { createSpeedTotals } from '../backend-speeds/index.ts'
 import type { Clock } from '../clock/index.ts'
 import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
 import type { QuotaUsage } from '../quota/index.ts'
@@ -59,6 +60,7 @@
 /** Creates empty totals. */
 export function createActivityTotals ({ clock, maxPrefixes }: ActivityTotalsOptions): ActivityTotals {
   const reportedByNode = new Map<NodeId, ReportedActivity>()
+  const speeds = createSpeedTotals(clock)
   const totalLoads = new Map<BackendId, PeerLoad>()
   const totalUsage = new Map<TeamId, QuotaUsage>()
   /** Quota usage that was added for each node; kept after the node is removed, so that no total ever decreases. */
@@ -115,6 +117,7 @@
     for (const [backend, load] of activity.loads) addLoad(totalLoads, backend, load, 1)
     reportedByNode.set(node, { bootId, quotaUsage: new Map(activity.quotaUsage), loads: new Map(activity.loads), suspects: activity.suspects, leaving: activity.leaving ?? new Map() })
     recordPrefixes(node, activity.prefixes)
+    speeds.record(node, bootId, activity.speeds)
   }
 
   function suspectsExcept (node: NodeId): Map<BackendId, SuspectCounts> {
@@ -151,7 +154,7 @@
     const lastSent = lastSentNumbers.get(node) ?? 0
     lastSentNumbers.set(node, prefixNumber)
     const newPrefixes = prefixes.filter(({ from, number }) => number > lastSent && from !== node).slice(-Math.max(1, maxPrefixes()))
-    return { quotaUsage, loads, prefixes: newPrefixes.map(({ backend, hashes }) => ({ backend, hashes })), suspects: suspectsExcept(node), leaving: allLeaving() }
+    return { quotaUsage, loads, prefixes: newPrefixes.map(({ backend, hashes }) => ({ backend, hashes })), suspects: suspectsExcept(node), leaving: allLeaving(), speeds: speeds.totalsExcept(node) }
   }
 
   return {
@@ -159,6 +162,7 @@
     remove: node => {
       subtractLoads(node)
       reportedByNode.delete(node)
+      speeds.remove(node)
     },
     totalsExcept,
     nodeCountExcept: node => reportedByNode.size - (reportedByNode.has(node) ? 1 : 0)
--- a/src/core/node-reports/codec.ts
+++ b/src/core/node-reports/codec.ts
@@ -1,17 +1,19 @@
 /** Encoding of the datagrams: compact CBOR arrays, because each should fit into one packet. */
 import { decode, encode } from 'cbor-x'
 import { decodeLimits, encodeLimits } from '../backend-limits/index.ts'
+import { decodeSpeeds, encodeSpeeds } from '../backend-speeds/index.ts'
 import { toId } from '../ids/index.ts'
 import { isRevision } from '../platform/key-value/revision.ts'
 import { decodeQuarantineReport, encodeQuarantineReport } from '../quarantine/index.ts'
 import { readBoolean, readFields, readList, readNumber, readOptional, readText } from '../wire/index.ts'
 import type { WireLimits } from '../backend-limits/index.ts'
+import type { WireSpeeds } from '../backend-speeds/index.ts'
 import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
 import type { WireQuarantine } from '../quarantine/index.ts'
 import type { DeltaChange } from '../store-view/index.ts'
 import type { Activity, NodeDigest, NodeReport } from './types.ts'
 
-type WireActivity = [quota: Array<[team: string, quota: number, tolerance: number, asked?: number]>, loads: Array<[string, number, number]>, prefixes: Array<[string, string[]]>, suspects?: Array<[backend: string, suspecting: number, hearing: number]>, levels?: Array<[team: string, quota: number, tolerance: number]> | null, leaving?: Array<[backend: string, startedAtMs: number | null]>, prompts?: WireQuarantine, limits?: WireLimits | null]
+type WireActivity = [quota: Array<[team: string, quota: number, tolerance: number, asked?: number]>, loads: Array<[string, number, number]>, prefixes: Array<[string, string[]]>, suspects?: Array<[backend: string, suspecting: number, hearing: number]>, levels?: Array<[team: string, quota: number, tolerance: number]> | null, leaving?: Array<[backend: string, startedAtMs: number | null]>, prompts?: WireQuarantine, limits?: WireLimits | null, speeds?: WireSpeeds | null]
 type WireChange = [key: string, value: string | null | 0, modRevision: number, isByRestore?: 1]
 type WireReport = ['report', string, string, number, boolean, boolean, number, WireActivity, Array<[number, Array<[string, number]>]>, Array<[string, number]>, unknown, (string | null)?]
 type WireDigest = ['digest', string, string, boolean, number, number, number, WireChange[] | null, WireActivity | null]
@@ -23,7 +25,7 @@
 /** Placeholder for `reachableForMs` while the key-value service doesn't respond to the collector. */
 const unreachable = -1
 
-function encodeActivity ({ quotaUsage, loads, prefixes, suspects, quotaLevels, leaving = new Map(), prompts, limits }: Activity): WireActivity {
+function encodeActivity ({ quotaUsage, loads, prefixes, suspects, quotaLevels, leaving = new Map(), prompts, limits, speeds }: Activity): WireActivity {
   return [
     [...quotaUsage].map(([team, { quota, tolerance, asked }]) => [team, Math.round(quota), Math.round(tolerance), asked]),
     [...loads].map(([backend, load]) => [backend, load.requests, Math.round(load.pendingTokens)]),
@@ -32,12 +34,13 @@
     quotaLevels === undefined ? null : [...quotaLevels].map(([team, { quota, tolerance }]) => [team, Math.round(quota), Math.round(tolerance)]),
     [...leaving].map(([backend, startedAtMs]) => [backend, startedAtMs ?? null]),
     encodeQuarantineReport(prompts),
-    encodeLimits(limits)
+    encodeLimits(limits),
+    encodeSpeeds(speeds)
   ]
 }
 
 function decodeActivity (wire: unknown): Activity {
-  const [quota, loads, prefixes, suspects, levels, leaving, prompts, limits] = readFields(wire)
+  const [quota, loads, prefixes, suspects, levels, leaving, prompts, limits, speeds] = readFields(wire)
   return {
     quotaUsage: new Map(readList(quota, item => {
       const [team, fromQuota, tolerance, asked] = readFields(item)
@@ -58,6 +61,7 @@
     })),
     prompts: decodeQuarantineReport(prompts),
     limits: decodeLimits(limits),
+    speeds: decodeSpeeds(speeds),
     leaving: new Map(readList(leaving ?? [], item => {
       const [backend, startedAtMs] = readFields(item)
       return [toId<BackendId>(readText(backend)), readOptional(startedAtMs, readNumber)]
@@ -73,8 +77,8 @@
 function encodeFitting (activity: Activity, encodeWith: (activity: Activity) => Buffer): Buffer {
   const whole = encodeWith(activity)
   if (whole.length <= maxDatagramBytes) return whole
-  const withoutPrefixes = encodeWith({ ...activity, prefixes: [] })
-  return withoutPrefixes.length <= maxDatagramBytes ? withoutPrefixes : encodeWith({ ...activity, prefixes: [], prompts: undefined })
+  const withoutPrefixes = encodeWith({ ...activity, prefixes: [], speeds: undefined })
+  return withoutPrefixes.length <= maxDatagramBytes ? withoutPrefixes : encodeWith({ ...activity, prefixes: [], speeds: undefined, prompts: undefined })
 }
 
 export function encodeReport (report: NodeReport): Buffer {
--- a/src/core/node-reports/types.ts
+++ b/src/core/node-reports/types.ts
@@ -1,5 +1,6 @@
 /** Types of the reports that nodes exchange several times a second; each report replaces the previous one. */
 import type { LimitReport } from '../backend-limits/index.ts'
+import type { SpeedReport } from '../backend-speeds/index.ts'
 import type { BackendId, DomainId, NodeId, TeamId } from '../ids/index.ts'
 import type { QuotaLevels, QuotaUsage } from '../quota/index.ts'
 import type { QuarantineReport } from '../quarantine/index.ts'
@@ -23,6 +24,8 @@
   prompts?: QuarantineReport | undefined
   /** Request limits that backend servers named. */
   limits?: LimitReport | undefined
+  /** Measured speeds of backend servers; a part of them in each message. */
+  speeds?: SpeedReport | undefined
 }
 
 /** What nodes say of a backend server that some of them suspect. */
--- a/src/core/routing/cost.ts
+++ b/src/core/routing/cost.ts
@@ -16,7 +16,7 @@
 export function expectedFirstTokenMs (load: BackendLoad, profile: EngineProfile, uncachedTokens: number): number {
   const prefillTokens = load.pendingTokens + uncachedTokens
   const responseMs = profile.respondsAtEnd === true ? profile.slotMs : 0
-  return (expectedSlotWaitMs(load, profile) + prefillTokens * profile.prefillMsPerToken + responseMs) * load.latencyRatio
+  return (expectedSlotWaitMs(load, profile) + prefillTokens * profile.prefillMsPerToken + responseMs + (profile.setUpMs ?? 0)) * load.latencyRatio
 }
 
 /**
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -13,6 +13,7 @@
 import { err, ok } from 'true-myth/result'
 import type { Backend } from '../backends/types.ts'
 import type { AttemptId, BackendId, VersionId } from '../ids/index.ts'
+import type { SpeedSample } from '../backend-speeds/index.ts'
 import type { Refusal } from '../outcomes/index.ts'
 import { candidatesOf, servesOwnTeam } from './candidates.ts'
 import { candidateCostMs, expectedFirstTokenMs } from './cost.ts'
@@ -20,6 +21,7 @@
 import { createLoadTracker } from './load-tracker.ts'
 import { createPrefixIndex } from './prefix-index.ts'
 import { tokensPerBlock } from '../backends/prompt-blocks.ts'
+import type { BackendLoad } from './load-tracker.ts'
 import { createRendezvous, affinityKeyOf } from './rendezvous.ts'
 import { drawVersion, eligibleVersions } from './version-draw.ts'
 import type { EngineProfile, PrefixPlacement, PromptBlocks, RouteChoice, RouteOutcome, RouteRequest, Router, RouterOptions } from './types.ts'
@@ -69,12 +71,27 @@
   costMs: number
   /** Position among the affinity backend servers of the prompt; -1 for the others. */
   affinityRank: number
+  measured: MeasuredAttempt
 }
 
-/** The data about an open attempt that is needed to update the affinity hit ratios when it ends. */
+/** The data about an open attempt that is needed to update the affinity hit ratios when it ends, and the speed at its first event. */
 interface OpenRequest {
   request: RouteRequest
   affinityRank: number
+  measured: MeasuredAttempt
+}
+
+/** What an attempt can tell of its backend server's speed. */
+interface MeasuredAttempt {
+  /** Whether the learned speed was used for its expected times. */
+  hasLearnedSpeed: boolean
+  /** Undefined if the time to its first token depends on more than what is known. */
+  sample: Omit<SpeedSample, 'measuredMs'> | undefined
+}
+
+/** Whether the time to the first token shows the speed of a server instead of its load: no request waits for a slot, and most of the prompt tokens ahead are the request's own. */
+function isLightlyLoaded ({ requests, pendingTokens }: BackendLoad, { slots }: EngineProfile, uncachedTokens: number): boolean {
+  return requests < slots && pendingTokens <= uncachedTokens
 }
 
 /** Creates the router of one node. */
@@ -88,7 +105,7 @@
   const rendezvous = createRendezvous(hasher)
   const openRequests = new WeakMap<RouteChoice, OpenRequest>()
   let recentPlacements: Array<PrefixPlacement & { sentAtMs: number }> = []
-  const openAttempts = new Map<AttemptId, { choice: RouteChoice, openRequest: OpenRequest | undefined }>()
+  const openAttempts = new Map<AttemptId, { choice: RouteChoice, openRequest: OpenRequest | undefined, sentAtMs: number }>()
 
   function versionsOf (request: RouteRequest): VersionId[] {
     if (request.requiredVersion !== undefined) return [request.requiredVersion]
@@ -123,8 +140,12 @@
     const estimatedTokens = affinityRank === -1 ? 0 : affinityHitRatios.ratio(request.team, affinityRank) * sharedTokens(prompt)
     const cachedTokens = tokensOfBlocks(prompt, cachedBlocks.get(backend.id) ?? 0)
     const localTokens = Math.round(Math.max(cachedTokens, estimatedTokens))
-    const load = loads.read(backend.id, clock.wallMs())
-    const profile = profileOf(backend.machineClass)
+    const stated = profileOf(backend.machineClass)
+    const learned = options.speeds?.profileOf(backend.id, stated)
+    const profile = learned ?? stated
+    const known = loads.read(backend.id, clock.wallMs())
+    // The learned profile is that of this server, so this node's own ratios don't correct it again.
+    const load = learned === undefined ? known : { ...known, slotMs: undefined, latencyRatio: 1 }
     const fetched = planFetch(source, backend, cachedTokens, profile)
     const expectedCachedTokens = fetched === undefined ? localTokens : fetched.tokens
     const uncachedTokens = promptTokens - expectedCachedTokens
@@ -138,20 +159,23 @@
       expectedCachedTokens,
       fetchFrom: fetched === undefined ? undefined : source?.backend,
       expectedFirstTokenMs: firstTokenMs,
-      prefillMs: uncachedTokens * profile.prefillMsPerToken,
+      prefillMs: uncachedTokens * stated.prefillMsPerToken,
       requestsAhead: load.requests,
       prompt
     }
     const costMs = candidateCostMs(load, profile, firstTokenMs, uncachedTokens) + (fetched?.durationMs ?? 0) * transferCostRatio
-    return { choice, costMs, affinityRank }
+    const isSample = options.speeds !== undefined && request.firstTokenDeadlineAtMs !== undefined && estimatedTokens <= cachedTokens && isLightlyLoaded(load, stated, uncachedTokens)
+    const sample = isSample ? { backend: backend.id, stated, tokens: uncachedTokens + load.pendingTokens, linkMs: fetched?.linkMs } : undefined
+    return { choice, costMs, affinityRank, measured: { hasLearnedSpeed: learned !== undefined, sample } }
   }
 
   /** Plans the fetch of missing tokens from the source; undefined when it is impossible or not worth its set-up. */
-  function planFetch (source: PrefixSource | undefined, backend: Backend, cachedTokens: number, { fetch }: EngineProfile): { tokens: number, durationMs: number } | undefined {
+  function planFetch (source: PrefixSource | undefined, backend: Backend, cachedTokens: number, { fetch }: EngineProfile): { tokens: number, durationMs: number, linkMs: number } | undefined {
     if (source === undefined || fetch === undefined || source.backend.id === backend.id) return undefined
     const missingTokens = source.tokens - cachedTokens
     if (missingTokens < minFetchTokens) return undefined
-    return { tokens: source.tokens, durationMs: fetch.setUpMs + missingTokens * fetch.msPerToken }
+    const linkMs = missingTokens * fetch.msPerToken
+    return { tokens: source.tokens, durationMs: fetch.setUpMs + linkMs, linkMs }
   }
 
   /** Finds the backend server with the longest cached prefix of the prompt. */
@@ -213,11 +237,11 @@
       const live = candidatesOf(request, version, backends, mayServe)
       const chosen = chooseInTime(request, live)
       if (chosen === undefined) continue
-      const { choice, affinityRank } = chosen
+      const { choice, affinityRank, measured } = chosen
       const lateMs = latenessMs(request, choice)
       if (lateMs > 0) return refuse('deadline-unreachable', lateMs)
       metrics.count('routed_total', { reason: choice.reason })
-      openRequests.set(choice, { request, affinityRank })
+      openRequests.set(choice, { request, affinityRank, measured })
       return ok(choice)
     }
     return refuse('no-backend', noBackendRetryMs)
@@ -225,8 +249,9 @@
 
   function onAttemptSent (attempt: AttemptId, choice: RouteChoice): void {
     const uncachedTokens = choice.promptTokens - choice.expectedCachedTokens
-    loads.recordSent(attempt, choice.backend.id, uncachedTokens, choice.expectedFirstTokenMs, clock.wallMs())
-    openAttempts.set(attempt, { choice, openRequest: openRequests.get(choice) })
+    const openRequest = openRequests.get(choice)
+    loads.recordSent(attempt, choice.backend.id, uncachedTokens, openRequest?.measured.hasLearnedSpeed === true ? undefined : choice.expectedFirstTokenMs, clock.wallMs())
+    openAttempts.set(attempt, { choice, openRequest, sentAtMs: clock.monotonicMs() })
     if (choice.prompt === undefined) return
     index.record(choice.backend.id, choice.prompt.hashes)
     if (choice.prompt.affinityKey !== undefined && choice.prompt.hashes.length > 1) {
@@ -241,9 +266,19 @@
     return recentPlacements.map(({ backend, hashes }) => ({ backend, hashes }))
   }
 
+  function onFirstEvent (attempt: AttemptId): void {
+    const open = openAttempts.get(attempt)
+    const sample = open?.openRequest?.measured.sample
+    if (open !== undefined && sample !== undefined) options.speeds?.record({ ...sample, measuredMs: clock.monotonicMs() - open.sentAtMs })
+  }
+
   function onAttemptEnded (attempt: AttemptId, outcome: RouteOutcome): void {
     const ended = openAttempts.get(attempt)
     openAttempts.delete(attempt)
+    if (outcome.eventGaps !== undefined && ended !== undefined) {
+      const { backend } = ended.choice
+      options.speeds?.recordPace({ backend: backend.id, stated: profileOf(backend.machineClass), gaps: outcome.eventGaps.count, sumMs: outcome.eventGaps.sumMs })
+    }
     loads.recordEnded(attempt, !outcome.ok && outcome.attributedToBackend !== false, clock.wallMs())
     if (ended?.openRequest === undefined || ended.choice.reason !== 'prefix-home') return
     const { cachedTokens, promptTokens } = outcome
@@ -260,6 +295,7 @@
     choose,
     onAttemptSent,
     onFirstToken: attempt => loads.recordFirstToken(attempt, clock.wallMs()),
+    onFirstEvent,
     onAttemptEnded,
     onLoadReport: report => loads.recordReport(report),
     onPeerLoad: loads.setPeerLoads,
--- a/src/core/routing/load-tracker.ts
+++ b/src/core/routing/load-tracker.ts
@@ -27,8 +27,8 @@
 /** An attempt of this node that hasn't ended. */
 export interface OpenAttempt {
   backend: BackendId
-  /** Time to the first token that was expected when the attempt was sent, including the correction by the latency ratio at that time. */
-  expectedFirstTokenMs: number
+  /** Time to the first token that was expected when the attempt was sent, including the correction by the latency ratio at that time; undefined if that ratio wasn't used. */
+  expectedFirstTokenMs: number | undefined
   sentAtMs: number
   /** Prompt tokens that the engine has yet to compute; 0 once the first token has arrived. */
   pendingTokens: number
@@ -68,7 +68,7 @@
 /** Tracks the load of all backend servers that this node uses. All times are wall times, because load reports carry wall times. */
 export interface LoadTracker {
   read: (backend: BackendId, nowMs: number) => BackendLoad
-  recordSent: (attempt: AttemptId, backend: BackendId, pendingTokens: number, expectedFirstTokenMs: number, nowMs: number) => void
+  recordSent: (attempt: AttemptId, backend: BackendId, pendingTokens: number, expectedFirstTokenMs: number | undefined, nowMs: number) => void
   recordFirstToken: (attempt: AttemptId, nowMs: number) => void
   recordEnded: (attempt: AttemptId, failed: boolean, nowMs: number) => void
   recordReport: (report: LoadReport) => void
@@ -147,7 +147,7 @@
   }
 
   function updateLatencyRatio (state: BackendState, { expectedFirstTokenMs, sentAtMs }: OpenAttempt, nowMs: number): void {
-    if (expectedFirstTokenMs < minExpectedFirstTokenMs) return
+    if (expectedFirstTokenMs === undefined || expectedFirstTokenMs < minExpectedFirstTokenMs) return
     const before = latencyRatioAt(state, nowMs)
     const sample = Math.min(maxLatencyRatio, Math.max(minLatencyRatio, (nowMs - sentAtMs) / expectedFirstTokenMs))
     // The expected time already contains the latency ratio (see cost.ts), so the product of sample and ratio relates the measured time to the uncorrected one.
@@ -156,7 +156,7 @@
     state.latencyRatioAtMs = nowMs
   }
 
-  function recordSent (attempt: AttemptId, backend: BackendId, pendingTokens: number, expectedFirstTokenMs: number, nowMs: number): void {
+  function recordSent (attempt: AttemptId, backend: BackendId, pendingTokens: number, expectedFirstTokenMs: number | undefined, nowMs: number): void {
     const openAttempt = { backend, sentAtMs: nowMs, pendingTokens, expectedFirstTokenMs }
     attempts.set(attempt, openAttempt)
     stateOf(backend).open.add(openAttempt)
--- a/src/core/routing/naive.ts
+++ b/src/core/routing/naive.ts
@@ -56,6 +56,7 @@
     choose,
     onAttemptSent: () => {},
     onFirstToken: () => {},
+    onFirstEvent: () => {},
     onAttemptEnded: () => {},
     onLoadReport: report => { reports.set(report.backend, report) },
     onPeerLoad: () => {},
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -3,6 +3,7 @@
  * the router receives about attempts, load and caches.
  */
 import type { Result } from 'true-myth'
+import type { BackendSpeeds } from '../backend-speeds/types.ts'
 import type { Backend, CacheEvent, LoadReport } from '../backends/types.ts'
 import type { AttemptId, BackendId, NodeId, RequestId, TeamId, VersionId } from '../ids/index.ts'
 import type { Refusal } from '../outcomes/index.ts'
@@ -89,7 +90,7 @@
   fetchFrom: Backend | undefined
   /** Expected time from sending the attempt to its first token, or to the response of a plain service. */
   expectedFirstTokenMs: number
-  /** Expected time to compute the prompt tokens that aren't cached; part of `expectedFirstTokenMs`. */
+  /** Expected time to compute the prompt tokens that aren't cached, at the speed that the service's profile states. */
   prefillMs: number
   /** Requests that were running or waiting there, as far as known. */
   requestsAhead: number
@@ -104,6 +105,8 @@
   /** Prompt tokens that the engine found in its cache, if it reported them. */
   cachedTokens?: number
   promptTokens?: number
+  /** Number of gaps between the events of a stream, and the time from its first to its last event. */
+  eventGaps?: { count: number, sumMs: number }
 }
 
 /** Chooses backend servers and keeps the state that the choice needs. All functions are synchronous and do no I/O. */
@@ -113,6 +116,8 @@
   onAttemptSent: (attempt: AttemptId, choice: RouteChoice) => void
   /** Records that the attempt's first token, or the response of a plain service, has arrived. */
   onFirstToken: (attempt: AttemptId) => void
+  /** Records the first event of a stream, which is a sample of the backend server's speed. */
+  onFirstEvent: (attempt: AttemptId) => void
   onAttemptEnded: (attempt: AttemptId, outcome: RouteOutcome) => void
   onLoadReport: (report: LoadReport) => void
   /** Replaces the load that another node causes, by backend server. An empty map removes the node. */
@@ -131,6 +136,8 @@
 
 /** Performance of an engine or service on a machine class; the basis of the estimates. */
 export interface EngineProfile {
+  /** Time up to the first token apart from that for prompt tokens; 0 by default. */
+  setUpMs?: number
   /** Time to compute one prompt token that isn't cached. */
   prefillMsPerToken: number
   /** Requests that run concurrently; further ones wait. */
@@ -152,6 +159,8 @@
   /** Returns an evenly distributed number from 0 (inclusive) to 1 (exclusive), from a seeded source. */
   random: () => number
   profileOf: (machineClass: string) => EngineProfile
+  /** The learned speeds of backend servers; without them, only this node's own recent latency ratios correct the profiles. */
+  speeds?: Pick<BackendSpeeds, 'record' | 'recordPace' | 'profileOf'>
   /** Decides whether a backend server may serve a team; by default, only the team that it was started for. */
   mayServe?: (backend: Backend, team: TeamId) => boolean
   /** Largest number of backend servers from which the two random candidates are picked. */
--- a/test/node-reports/odd-reports.test.ts
+++ b/test/node-reports/odd-reports.test.ts
@@ -37,6 +37,10 @@
     demands: new Map([['s', 4.5]]),
     shares: [{ backend: toId<BackendId>('b-1'), startedAtMs: 7, ratio: 0.5, burst: 2 }]
   },
+  speeds: {
+    servers: [{ backend: toId<BackendId>('b-1'), startedAtMs: 7, sums: [1.5, 2_000, 60, 20, 300] }],
+    services: [{ service: 's', sums: [1.5, 2, 60, 4, 90, 1, 2, 50, 20, 300, 1] }]
+  },
   usage: new Map([[7, new Map([[toId<TeamId>('agency'), 3]])]]),
   workMs: new Map([['s', 12]]),
   evidence: [{ any: 'thing' }]
