--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -15,6 +15,7 @@
 import type { ExecutionContext } from 'ava'
 import type { AttemptReport, BackendEntry, GatewayConfiguration, GatewayRoute, HeaderCodec, PlannedStop, RequestHandlerOptions } from '../../src/core/gateway/index.ts'
 import type { BackendId, DomainId, NodeId, PromptPartId, RequestId, TeamId, VersionId } from '../../src/core/ids/index.ts'
+import type { RouterOptions } from '../../src/core/routing/index.ts'
 import type { RawRequestHandler, RawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 
 const hasher = await createPromptHasher()
@@ -117,7 +118,7 @@
 export type FailingStep = 'choose' | 'sent' | 'ended' | 'released'
 
 /** Starts a gateway with one fake backend server for each element of `handlers`. */
-export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'], quarantine?: Partial<RequestHandlerOptions['quarantine']> } = {}) {
+export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'], quarantine?: Partial<RequestHandlerOptions['quarantine']>, speeds?: RouterOptions['speeds'] } = {}) {
   const servers: RawBackend[] = await Promise.all(handlers.map(handler => startRawBackend(handler)))
   const metrics = createMetrics()
   const stopped = new AbortController()
@@ -133,7 +134,8 @@
     metrics,
     hasher,
     random: createRandom(1),
-    profileOf: () => ({ prefillMsPerToken: 0.1, slots: 4, slotMs: 20 })
+    profileOf: () => ({ prefillMsPerToken: 0.1, slots: 4, slotMs: 20 }),
+    ...(fakes.speeds === undefined ? {} : { speeds: fakes.speeds })
   })
   const limits = createBackendLimits({
     clock,
