--- a/src/core/node-reports/activity-totals.ts
+++ b/src/core/node-reports/activity-totals.ts
@@ -7,8 +7,8 @@
 
 /** The totals at one collector. */
 export interface ActivityTotals {
-  /** Replaces a node's activity. Quota usage since its previous report, or since its restart, is added to the totals. */
-  record: (node: NodeId, bootId: string, activity: Activity) => void
+  /** Replaces a node's activity. Quota usage since its previous report, or since its restart, is added to the totals; that of an unknown node only if its process started recently. */
+  record: (node: NodeId, bootId: string, activity: Activity, hasJustStarted?: boolean) => void
   /** Removes the open requests of a node that no longer reports; its quota usage stays in the totals. */
   remove: (node: NodeId) => void
   /** The total activity of all nodes except one, with the latest prefixes that were added since the previous call for that node. */
@@ -70,13 +70,13 @@
   let leavingBackends = new Map<BackendId, number | undefined>()
   let leavingUntilMs = -Infinity
 
-  function recordUsage (node: NodeId, bootId: string, quotaUsage: Map<TeamId, QuotaUsage>, before: ReportedActivity | undefined): void {
-    // It is unknown when the usage in a node's first report occurred, so it isn't added.
-    if (before === undefined) return
+  function recordUsage (node: NodeId, bootId: string, quotaUsage: Map<TeamId, QuotaUsage>, before: ReportedActivity | undefined, hasJustStarted: boolean): void {
+    // It is unknown when the usage in a node's first report occurred, so it isn't added, unless all of it is recent.
+    if (before === undefined && !hasJustStarted) return
     const nodeUsage = usageByNode.get(node) ?? new Map<TeamId, QuotaUsage>()
     usageByNode.set(node, nodeUsage)
     for (const [team, reported] of quotaUsage) {
-      const previous = before.bootId === bootId ? before.quotaUsage.get(team) : undefined
+      const previous = before?.bootId === bootId ? before.quotaUsage.get(team) : undefined
       const added = sumUsage(reported, previous ?? noUsage, -1)
       if (added.asked === 0) continue
       addQuotaUsage(totalUsage, team, added)
@@ -108,9 +108,9 @@
     }
   }
 
-  function record (node: NodeId, bootId: string, activity: Activity): void {
+  function record (node: NodeId, bootId: string, activity: Activity, hasJustStarted = false): void {
     const before = reportedByNode.get(node)
-    recordUsage(node, bootId, activity.quotaUsage, before)
+    recordUsage(node, bootId, activity.quotaUsage, before, hasJustStarted)
     subtractLoads(node)
     for (const [backend, load] of activity.loads) addLoad(totalLoads, backend, load, 1)
     reportedByNode.set(node, { bootId, quotaUsage: new Map(activity.quotaUsage), loads: new Map(activity.loads), suspects: activity.suspects, leaving: activity.leaving ?? new Map() })
--- a/src/core/quota/index.ts
+++ b/src/core/quota/index.ts
@@ -6,14 +6,18 @@
  * admits a random part of its own requests, so that all of them together use up the
  * bucket and no more. The part of rate and burst that belongs to nodes without current
  * reports is left to them. A node that restarts continues with the levels that the others
- * know or have stored; while there are none, its buckets begin empty.
+ * know or have stored; while there are none, its buckets begin empty. With collectors, one of
+ * them decides instead, see `cluster-quotas.ts`.
  */
+import { createWindowUse } from './window-use.ts'
 import type { NodeId, TeamId } from '../ids/index.ts'
 import type { QuotaLevels, QuotaLimit, QuotaOptions, QuotaReport, Quotas, QuotaUsage } from './types.ts'
 
 export type * from './types.ts'
 export { createStoredLevels } from './stored-levels.ts'
 export type { StoredLevels } from './stored-levels.ts'
+export { createClusterQuotas } from './cluster-quotas.ts'
+export type { ClusterQuotas, ClusterQuotasOptions } from './cluster-quotas.ts'
 
 /** Token bucket of a team's quota and of the tolerance beyond it. */
 interface Bucket {
@@ -24,6 +28,8 @@
   limit: QuotaLimit
   /** Whether other nodes know the level, too, so that they subtract what this one admits. */
   isKnownByAll: boolean
+  /** What is left to nodes that aren't heard, if it may be taken back when they are: what they used is subtracted then. */
+  reserved: QuotaLevels
 }
 
 const secondMs = 1_000
@@ -42,6 +48,17 @@
 const settleMs = 600
 /** Longest delay for a request that was refused although tokens were left. */
 const maxExcessDelayMs = 4_000
+/** Part of what the window has left that all nodes together may admit before a collector hears of it. */
+const allowanceRatio = 0.75
+/** Longest time until a collector's digest contains what this node admitted: an interval of reports and half a second for the digest, rounded up. */
+const accountedAfterMs = 1_000
+/** Slots before the current one whose own admissions may not be accounted for yet: between one and two seconds with a window of 8 s. */
+const unaccountedSlots = 1
+/** Time without a report after which a collector leaves a node's share to it. */
+const silentAfterMs = 600
+/** Part of the refill, and of the tolerance, that nodes use while the collector doesn't respond: the next one doesn't know yet what they admit meanwhile. */
+const aloneRefillRatio = 1.15
+const aloneToleranceRatio = 0.6
 
 /** A team's usage in the last report of a source. */
 interface PeerTeamUsage extends QuotaUsage {
@@ -60,7 +77,7 @@
 
 /** Creates the quotas of one node. A team's bucket is created at its first request or the first report of one. */
 export function createQuotas (options: QuotaOptions): Quotas {
-  const { clock, random, reachableShare, reportAgeMs, tolerance = { windowMs: secondMs, share: 0, extra: 0 }, limitOf = () => undefined } = options
+  const { clock, random, reachableShare, reportAgeMs, tolerance = { windowMs: secondMs, share: 0, extra: 0 }, limitOf = () => undefined, isExact = false, keepsReserve = () => isExact } = options
   const buckets = new Map<TeamId, Bucket>()
   const usage = new Map<TeamId, QuotaUsage>()
   const peerReports = new Map<NodeId, PeerReport>()
@@ -68,6 +85,11 @@
   const reportedLevels = new Map<TeamId, QuotaLevels & { receivedAtMs: number, isKnownByAll: boolean }>()
   let isInformed = options.hasFullBuckets
   const startedAtMs = clock.monotonicMs()
+  /** What this node knows to be admitted in the last window, and what it admitted itself without the collector. */
+  const knownUse = createWindowUse(clock, tolerance.windowMs)
+  const unaccountedUse = createWindowUse(clock, tolerance.windowMs)
+  /** Monotonic time from which on no admission is missing in `knownUse`. */
+  let knownSinceMs = options.hasFullBuckets ? -Infinity : startedAtMs
   const informedAtMs = startedAtMs + tolerance.windowMs
 
   /** Returns how many tokens may be taken beyond a quota in one window. */
@@ -82,9 +104,27 @@
     const refilledTokens = bucket.limit.perSecond * effectiveElapsedMs / secondMs
     const toleranceTokens = toleranceOf(bucket.limit)
     const capacity = capacityOf(bucket.limit, share)
-    bucket.level = Math.min(capacity.quota, bucket.level + refilledTokens)
-    bucket.toleranceLevel = Math.min(capacity.tolerance, bucket.toleranceLevel + toleranceTokens * toleranceRefillRatio * effectiveElapsedMs / tolerance.windowMs)
+    bucket.level += refilledTokens
+    bucket.toleranceLevel += toleranceTokens * toleranceRefillRatio * effectiveElapsedMs / tolerance.windowMs
     bucket.updatedAtMs = nowMs
+    if (keepsReserve()) moveReserved(bucket, capacity)
+    bucket.level = Math.min(capacity.quota, bucket.level)
+    bucket.toleranceLevel = Math.min(capacity.tolerance, bucket.toleranceLevel)
+  }
+
+  /** Moves tokens between the levels and what is left to nodes that aren't heard, according to the part of the burst that both may have. */
+  function moveReserved (bucket: Bucket, capacity: QuotaLevels): void {
+    const whole = capacityOf(bucket.limit, 1)
+    const available = { quota: bucket.level, tolerance: bucket.toleranceLevel }
+    for (const part of ['quota', 'tolerance'] as const) {
+      const maxReserved = whole[part] - capacity[part]
+      const returned = Math.max(0, bucket.reserved[part] - maxReserved)
+      available[part] += returned
+      const excess = Math.max(0, available[part] - capacity[part])
+      bucket.reserved[part] = Math.min(maxReserved, bucket.reserved[part] - returned + excess)
+    }
+    bucket.level = available.quota
+    bucket.toleranceLevel = available.tolerance
   }
 
   /** After a start of all nodes a low level is left to each node in part, until the others' reports tell what they are asked for. */
@@ -105,12 +145,13 @@
 
   function createBucket (team: TeamId, limit: QuotaLimit): Bucket {
     const nowMs = clock.monotonicMs()
-    const capacity = capacityOf(limit)
+    const capacity = capacityOf(limit, keepsReserve() ? 1 : reachableShare())
+    const reserved: QuotaLevels = { quota: 0, tolerance: 0 }
     const reported = reportedLevels.get(team)
     reportedLevels.delete(team)
     const bucket: Bucket = reported === undefined
-      ? { level: knowsUsage() ? capacity.quota : 0, toleranceLevel: capacity.tolerance, updatedAtMs: nowMs, limit, isKnownByAll: knowsUsage() }
-      : { level: reported.quota, toleranceLevel: reported.tolerance, updatedAtMs: reported.receivedAtMs, limit, isKnownByAll: reported.isKnownByAll }
+      ? { level: knowsUsage() ? capacity.quota : 0, toleranceLevel: capacity.tolerance, updatedAtMs: nowMs, limit, isKnownByAll: knowsUsage(), reserved }
+      : { level: reported.quota, toleranceLevel: reported.tolerance, updatedAtMs: reported.receivedAtMs, limit, isKnownByAll: reported.isKnownByAll, reserved }
     refresh(bucket)
     buckets.set(team, bucket)
     options.onBucketCreated?.({ team, level: bucket.level, isFromPeer: reported !== undefined, knowsUsage: knowsUsage() })
@@ -126,6 +167,7 @@
   }
 
   function recordUsage (team: TeamId, quota: number, tolerance: number, asked: number): void {
+    knownUse.add(team, quota + tolerance)
     const before = usage.get(team) ?? { quota: 0, tolerance: 0, asked: 0 }
     usage.set(team, { quota: before.quota + quota, tolerance: before.tolerance + tolerance, asked: before.asked + asked })
   }
@@ -158,7 +200,8 @@
     const largestTokens = capacity.quota + capacity.tolerance
     // A request larger than the burst needs both parts, and one larger than both a full bucket, which it leaves in debt.
     const requiredTokens = Math.min(tokens, largestTokens)
-    const admissible = admissibleRatio(team, limit, availableTokens)
+    // Every other admission is subtracted at once, so nothing has to be left for those that aren't known yet.
+    const admissible = isExact ? 1 : admissibleRatio(team, limit, availableTokens)
     if (availableTokens >= requiredTokens && random() < admissible) {
       const fromQuota = Math.max(0, Math.min(tokens, bucket.level))
       bucket.level -= fromQuota
@@ -170,9 +213,52 @@
     const missingTokens = Math.max(0, requiredTokens - availableTokens)
     // The tolerance may already be at its maximum, so only the quota is certain to be refilled.
     const refillMs = missingTokens / limit.perSecond * secondMs
-    // Time in which the excess of one second is worked off.
-    const excessMs = admissible < 1 ? Math.min(maxExcessDelayMs, (1 / Math.max(admissible, Number.EPSILON) - 1) * secondMs) : 0
-    return Math.ceil(Math.max(refillMs, excessMs, 1))
+    return Math.ceil(Math.max(refillMs, excessMs(admissible), 1))
+  }
+
+  /** Time in which the excess of one second is worked off. */
+  function excessMs (admissible: number): number {
+    return admissible < 1 ? Math.min(maxExcessDelayMs, (1 / Math.max(admissible, Number.EPSILON) - 1) * secondMs) : 0
+  }
+
+  function takeAllowance (team: TeamId, limit: QuotaLimit, tokens: number): boolean {
+    const bucket = bucketOf(team, limit)
+    if (bucket.level < tokens || clock.monotonicMs() < knownSinceMs + tolerance.windowMs) return false
+    const windowTokens = limit.perSecond * tolerance.windowMs / secondMs + limit.burst + toleranceOf(limit)
+    // The collector may admit as much until its digest shows what nodes admit now.
+    const collectorTokens = bucket.level + limit.perSecond * accountedAfterMs / secondMs
+    const allowance = (windowTokens - knownUse.sum(team) - collectorTokens) * allowanceRatio * options.ownShare()
+    if (unaccountedUse.sum(team, unaccountedSlots) + tokens > allowance) return false
+    unaccountedUse.add(team, tokens)
+    bucket.level -= tokens
+    recordUsage(team, tokens, 0, tokens)
+    return true
+  }
+
+  function takeAlone (team: TeamId, limit: QuotaLimit, tokens: number): number {
+    const bucket = bucketOf(team, limit)
+    const availableTokens = bucket.level + Math.max(0, bucket.toleranceLevel * aloneToleranceRatio)
+    const askedPerSecond = askedPerSecondElsewhere(team)
+    const refillRatio = askedPerSecond === 0 ? 1 : limit.perSecond * aloneRefillRatio / askedPerSecond
+    const admissible = Math.min(admissibleRatio(team, limit, availableTokens), refillRatio)
+    // A node that is cut off has less than one large request. It is admitted with the probability
+    // that makes the mean right, and the tokens are used up either way.
+    const chargedTokens = Math.min(tokens, availableTokens)
+    if (chargedTokens > 0 && random() < admissible) {
+      bucket.level -= chargedTokens
+      if (random() * tokens < chargedTokens) {
+        unaccountedUse.add(team, tokens)
+        recordUsage(team, tokens, 0, tokens)
+        return 0
+      }
+    }
+    return recordRefusal(team, limit, tokens)
+  }
+
+  function recordRefusal (team: TeamId, limit: QuotaLimit, tokens: number): number {
+    recordUsage(team, 0, 0, tokens)
+    const { level, toleranceLevel } = bucketOf(team, limit)
+    return Math.ceil(Math.max(1, excessMs(admissibleRatio(team, limit, level + toleranceLevel))))
   }
 
   /** Replaces the report of a source and returns the one before, if it was of the same process. */
@@ -180,6 +266,10 @@
     const nowMs = clock.monotonicMs()
     const known = peerReports.get(node)
     const previous = known?.bootId === bootId ? known : undefined
+    if (isExact) {
+      peerReports.set(node, { bootId, firstReceivedAtMs: nowMs, receivedAtMs: nowMs, teams: withoutDemand(taken) })
+      return previous
+    }
     const intervalMs = previous === undefined ? 0 : nowMs - previous.receivedAtMs
     const firstReceivedAtMs = previous?.firstReceivedAtMs ?? nowMs
     // The first reports of a source have a larger weight, or the average would begin far too low.
@@ -241,23 +331,43 @@
     }
   }
 
+  /** Time for which the refill of a node was left to it, because it was silent; what it used of it isn't subtracted a second time. */
+  function reservedMs ({ receivedAtMs }: PeerReport): number {
+    return isExact ? Math.max(0, clock.monotonicMs() - receivedAtMs - silentAfterMs) : 0
+  }
+
   function onPeerReport ({ source, bootId, usage: taken, levels, isFirst }: QuotaReport): void {
     const previous = replaceReport(source, bootId, taken)
     if (levels !== undefined && !knowsUsage()) takeOverLevels(levels, clock.monotonicMs(), true)
     else if (levels !== undefined && isFirst) lowerLevels(levels)
-    if (isFirst) return
+    if (isFirst) {
+      knownSinceMs = clock.monotonicMs()
+      return
+    }
     for (const [team, { quota, tolerance }] of taken) {
       const existing = previous?.teams.get(team)
+      knownUse.add(team, quota + tolerance - (existing?.quota ?? 0) - (existing?.tolerance ?? 0))
       const limit = limitOf(team) ?? buckets.get(team)?.limit
       if (limit === undefined) continue
       const bucket = bucketOf(team, limit)
-      bucket.level -= quota - (existing?.quota ?? 0)
+      const reservedTokens = previous === undefined ? 0 : limit.perSecond * reservedMs(previous) / secondMs * options.ownShare()
+      const added = quota - (existing?.quota ?? 0)
+      bucket.level -= Math.max(Math.min(0, added), added - reservedTokens)
       bucket.toleranceLevel -= tolerance - (existing?.tolerance ?? 0)
     }
   }
 
   return {
     take,
+    takeAllowance,
+    takeAlone,
+    recordGrant: (team, limit, grant, tokens) => {
+      const bucket = bucketOf(team, limit)
+      bucket.level -= grant.quota
+      bucket.toleranceLevel -= grant.tolerance
+      recordUsage(team, grant.quota, grant.tolerance, tokens)
+    },
+    recordRefusal,
     localUsage: () => usage,
     levels: () => {
       if (!knowsUsage()) return undefined
@@ -282,3 +392,8 @@
     }
   }
 }
+
+/** An exact bucket doesn't estimate what nodes are asked for. */
+function withoutDemand (usage: ReadonlyMap<TeamId, QuotaUsage>): Map<TeamId, PeerTeamUsage> {
+  return new Map([...usage].map(([team, used]) => [team, { ...used, askedPerSecond: 0 }]))
+}
