Exchange quota requests and decisions over the report socket

Nodes ask the collector whose totals they use, and only if its digests say that it decides; collectors of earlier releases are never asked, and their decoder rejects both messages as a whole, as this one does for another version. Reports say what collectors granted. A collector counts the current reports at most every 20 ms, because the quotas need the number for every report.

--- a/src/core/node-reports/codec.ts
+++ b/src/core/node-reports/codec.ts
@@ -9,12 +9,16 @@
 import type { BackendId, NodeId, TeamId } from '../ids/index.ts'
 import type { WireQuarantine } from '../quarantine/index.ts'
 import type { DeltaChange } from '../store-view/index.ts'
+import type { QuotaDecision, QuotaGrants, QuotaRequest } from '../quota/index.ts'
 import type { Activity, NodeDigest, NodeReport } from './types.ts'
 
 type WireActivity = [quota: Array<[team: string, quota: number, tolerance: number, asked?: number]>, loads: Array<[string, number, number]>, prefixes: Array<[string, string[]]>, suspects?: Array<[backend: string, suspecting: number, hearing: number]>, levels?: Array<[team: string, quota: number, tolerance: number]> | null, leaving?: Array<[backend: string, startedAtMs: number | null]>, prompts?: WireQuarantine, limits?: WireLimits | null]
 type WireChange = [key: string, value: string | null | 0, modRevision: number, isByRestore?: 1]
-type WireReport = ['report', string, string, number, boolean, boolean, number, WireActivity, Array<[number, Array<[string, number]>]>, Array<[string, number]>, unknown, (string | null)?]
-type WireDigest = ['digest', string, string, boolean, number, number, number, WireChange[] | null, WireActivity | null]
+type WireReport = ['report', string, string, number, boolean, boolean, number, WireActivity, Array<[number, Array<[string, number]>]>, Array<[string, number]>, unknown, (string | null)?, WireGrants?]
+type WireDigest = ['digest', string, string, boolean, number, number, number, WireChange[] | null, WireActivity | null, boolean?]
+type WireGrants = Array<[collectorBootId: string, byTeam: Array<[team: string, quota: number, tolerance: number]>]>
+type WireQuotaRequest = ['quota-request', version: number, node: string, bootId: string, number: number, team: string, tokens: number]
+type WireQuotaDecision = ['quota-decision', version: number, bootId: string, requesterBootId: string, number: number, quota: number, tolerance: number, waitMs: number | null]
 
 /** Most bytes of a datagram over IPv4. */
 export const maxDatagramBytes = 65_507
@@ -22,6 +26,8 @@
 const omittedValue = 0
 /** Placeholder for `reachableForMs` while the key-value service doesn't respond to the collector. */
 const unreachable = -1
+/** Version of quota requests and decisions; messages of another one are rejected. */
+const quotaVersion = 1
 
 function encodeActivity ({ quotaUsage, loads, prefixes, suspects, quotaLevels, leaving = new Map(), prompts, limits }: Activity): WireActivity {
   return [
@@ -88,7 +94,8 @@
     [...usage].map(([window, counts]) => [window, [...counts]]),
     [...workMs].map(([service, sumMs]) => [service, Math.round(sumMs)]),
     evidence,
-    report.digestSource ?? null
+    report.digestSource ?? null,
+    [...report.quotaGrants ?? []].map(([collectorBootId, byTeam]) => [collectorBootId, [...byTeam].map(([team, { quota, tolerance }]) => [team, quota, tolerance])])
   ]
   return encode(message)
 }
@@ -99,12 +106,12 @@
 }
 
 function encodeDigestWith (digest: NodeDigest, activity: Activity | undefined): Buffer {
-  const { node, bootId, isDraining, nodes, delta } = digest
+  const { node, bootId, isDraining, nodes, delta, decidesQuotas } = digest
   const changes = delta.changes?.map(({ key, value, isValueOmitted, modRevision, isByRestore }): WireChange => {
     const sentValue = isValueOmitted === true ? omittedValue : value ?? null
     return isByRestore === true ? [key, sentValue, modRevision, 1] : [key, sentValue, modRevision]
   })
-  const message: WireDigest = ['digest', node, bootId, isDraining, nodes, delta.revision, delta.reachableForMs ?? unreachable, changes ?? null, activity === undefined ? null : encodeActivity(activity)]
+  const message: WireDigest = ['digest', node, bootId, isDraining, nodes, delta.revision, delta.reachableForMs ?? unreachable, changes ?? null, activity === undefined ? null : encodeActivity(activity), decidesQuotas]
   return encode(message)
 }
 
@@ -121,7 +128,7 @@
   }))
 }
 
-function decodeReport ([, node, bootId, sequence, isDraining, wantsDigest, revision, activity, usage, workMs, evidence, digestSource]: readonly unknown[]): NodeReport {
+function decodeReport ([, node, bootId, sequence, isDraining, wantsDigest, revision, activity, usage, workMs, evidence, digestSource, grants]: readonly unknown[]): NodeReport {
   return {
     node: toId<NodeId>(readText(node)),
     bootId: readText(bootId),
@@ -136,10 +143,52 @@
       return [readNumber(window), readCounts<TeamId>(counts)]
     })),
     workMs: readCounts(workMs),
-    evidence
+    evidence,
+    quotaGrants: readOptional(grants, decodeGrants)
   }
 }
 
+function decodeGrants (wire: unknown): QuotaGrants {
+  return new Map(readList(wire, grant => {
+    const [collectorBootId, byTeam] = readFields(grant)
+    return [readText(collectorBootId), new Map(readList(byTeam, item => {
+      const [team, quota, tolerance] = readFields(item)
+      return [toId<TeamId>(readText(team)), { quota: readAmount(quota), tolerance: readAmount(tolerance) }]
+    }))]
+  }))
+}
+
+/** A negative amount would give a team tokens. */
+function readAmount (value: unknown): number {
+  const amount = readNumber(value)
+  if (amount < 0) throw new TypeError('expected an amount of at least 0')
+  return amount
+}
+
+export function encodeQuotaRequest ({ node, bootId, number, team, tokens }: QuotaRequest): Buffer {
+  const message: WireQuotaRequest = ['quota-request', quotaVersion, node, bootId, number, team, tokens]
+  return encode(message)
+}
+
+export function encodeQuotaDecision ({ bootId, requesterBootId, number, granted, waitMs }: QuotaDecision): Buffer {
+  const message: WireQuotaDecision = ['quota-decision', quotaVersion, bootId, requesterBootId, number, granted.quota, granted.tolerance, waitMs ?? null]
+  return encode(message)
+}
+
+function readQuotaVersion (version: unknown): void {
+  if (version !== quotaVersion) throw new Error('quota message has an unknown version')
+}
+
+function decodeQuotaRequest ([, version, node, bootId, number, team, tokens]: readonly unknown[]): QuotaRequest {
+  readQuotaVersion(version)
+  return { node: toId<NodeId>(readText(node)), bootId: readText(bootId), number: readNumber(number), team: toId<TeamId>(readText(team)), tokens: readAmount(tokens) }
+}
+
+function decodeQuotaDecision ([, version, bootId, requesterBootId, number, quota, tolerance, waitMs]: readonly unknown[]): QuotaDecision {
+  readQuotaVersion(version)
+  return { bootId: readText(bootId), requesterBootId: readText(requesterBootId), number: readNumber(number), granted: { quota: readAmount(quota), tolerance: readAmount(tolerance) }, waitMs: readOptional(waitMs, readAmount) }
+}
+
 function decodeChange (wire: unknown): DeltaChange {
   const [key, value, modRevision, isByRestore] = readFields(wire)
   return {
@@ -151,7 +200,7 @@
   }
 }
 
-function decodeDigest ([, node, bootId, isDraining, nodes, revision, reachableForMs, changes, activity]: readonly unknown[]): NodeDigest {
+function decodeDigest ([, node, bootId, isDraining, nodes, revision, reachableForMs, changes, activity, decidesQuotas]: readonly unknown[]): NodeDigest {
   return {
     node: toId<NodeId>(readText(node)),
     bootId: readText(bootId),
@@ -162,14 +211,20 @@
       reachableForMs: reachableForMs === unreachable ? undefined : readNumber(reachableForMs),
       changes: readOptional(changes, all => readList(all, decodeChange))
     },
-    activity: readOptional(activity, decodeActivity)
+    activity: readOptional(activity, decodeActivity),
+    decidesQuotas: readOptional(decidesQuotas, readBoolean) ?? false
   }
 }
 
-/** Decodes a datagram; throws on one that is neither a report nor a digest, or has a value of another kind. */
-export function decodeMessage (bytes: Buffer): { report: NodeReport } | { digest: NodeDigest } {
+/** A decoded datagram. */
+export type Message = { report: NodeReport } | { digest: NodeDigest } | { quotaRequest: QuotaRequest } | { quotaDecision: QuotaDecision }
+
+/** Decodes a datagram; throws on one of an unknown kind, or with a value of another kind. */
+export function decodeMessage (bytes: Buffer): Message {
   const message = readFields(decode(bytes))
   if (message[0] === 'report') return { report: decodeReport(message) }
   if (message[0] === 'digest') return { digest: decodeDigest(message) }
-  throw new Error('datagram is neither a report nor a digest')
+  if (message[0] === 'quota-request') return { quotaRequest: decodeQuotaRequest(message) }
+  if (message[0] === 'quota-decision') return { quotaDecision: decodeQuotaDecision(message) }
+  throw new Error('datagram is of an unknown kind')
 }
--- a/src/core/node-reports/exchange-types.ts
+++ b/src/core/node-reports/exchange-types.ts
@@ -4,6 +4,7 @@
 import type { NodeId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
+import type { QuotaDecider, QuotaDecision, QuotaRequest } from '../quota/index.ts'
 import type { QuarantineReport } from '../quarantine/index.ts'
 import type { ViewDelta } from '../store-view/index.ts'
 import type { Activity, NodeAddress, NodeReport } from './types.ts'
@@ -44,6 +45,12 @@
   deltaAfter: (revision: number) => ViewDelta
   /** Called with the delta in each received digest. */
   onDelta: (delta: ViewDelta) => void
+  /** Decides as a collector about another node's quota request. Without it, digests say that this node doesn't. */
+  decideQuota?: (request: QuotaRequest) => QuotaDecision
+  /** Called with a collector's response to a quota request. */
+  onQuotaDecision?: (decision: QuotaDecision) => void
+  /** Called with this node's own report before it is sent, unless all nodes report to each other. */
+  onOwnReport?: (report: NodeReport) => void
   /** Id of this start of the node's process. */
   bootId: string
 }
@@ -76,6 +83,10 @@
   usesCollectors: () => boolean
   /** Mean age in ms of the other nodes' activity as this node knows it. */
   activityAgeMs: () => number
+  /** Which node decides about quotas now. */
+  quotaDecider: () => QuotaDecider
+  /** Sends a quota request to the collector whose digests this node uses. */
+  sendQuotaRequest: (request: QuotaRequest) => void
   /** Sends a report immediately to all nodes that get any, for example before the node stops. */
   sendReport: () => void
   /** Sends a report within some 20 ms instead of at the next interval. */
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -4,12 +4,13 @@
  * large cluster reports go to collectors, which respond with digests.
  */
 import { createCollectors } from './collectors.ts'
-import { decodeMessage, encodeDigest, encodeReport } from './codec.ts'
+import { decodeMessage, encodeDigest, encodeQuotaDecision, encodeQuotaRequest, encodeReport } from './codec.ts'
 import { createActivityTotals } from './activity-totals.ts'
 import { maxPrefixesOf } from './prefix-limit.ts'
 import { createReportSocket } from './report-socket.ts'
 import type { RemoteInfo } from 'node:dgram'
 import type { NodeId } from '../ids/index.ts'
+import type { QuotaDecider, QuotaRequest } from '../quota/index.ts'
 import type { CollectorChoice } from './collectors.ts'
 import type { NodeReports, NodeReportsOptions } from './exchange-types.ts'
 import type { Activity, NodeDigest, NodeReport } from './types.ts'
@@ -17,6 +18,7 @@
 export type * from './types.ts'
 export type * from './exchange-types.ts'
 export { createCollectors } from './collectors.ts'
+export type { ActivityTotals } from './activity-totals.ts'
 export { createActivityTotals } from './activity-totals.ts'
 export { fetchNewerView, serveView } from './view-server.ts'
 
@@ -31,9 +33,13 @@
 const maxCurrentDigestAgeMs = 5 * reportIntervalMs
 /** Number of reports of a node since its start, and time after a collector's first digest, for which quota levels are sent to it. */
 const reportsWithLevels = 10
+/** Number of reports during which a process counts as just started: those of 8 s, the window of quotas. */
+const reportsAfterStart = 40
 const levelsAfterNewSourceMs = reportsWithLevels * reportIntervalMs
 /** Interval at which datagrams that can't be decoded are logged; the metric counts all of them. */
 const unreadableLogIntervalMs = 1_000
+/** Interval at which a collector counts the current reports, as quotas need the number for each report of hundreds of nodes. */
+const countIntervalMs = 20
 /** Maximum age of a collector's last delta for which this node needs no watch of its own; several report intervals. */
 const maxDeltaAgeMs = 2_000
 
@@ -47,12 +53,16 @@
   const totals = createActivityTotals({ clock, maxPrefixes: () => maxPrefixesOf(options.linkMbps, reportsByNode.size, reportIntervalMs) })
   let choice: CollectorChoice = collectors.choose([], undefined)
   let digest: { nodes: number, receivedAtMs: number } | undefined
+  /** The last digest of each collector, with or without totals. */
+  const collectorStates = new Map<NodeId, { receivedAtMs: number, decidesQuotas: boolean }>()
   let lastDeltaAtMs = -Infinity
   /** Sources whose activity was applied since the digest source last changed. */
   const countedSources = new Set<NodeId>()
   const collectorBoots = new Map<NodeId, string>()
   /** Monotonic time until which reports include quota levels, because a receiver may have just started. */
   let levelsUntilMs = 0
+  let reportingCount = 0
+  let reportingCountedAtMs = -Infinity
   let ownReport: NodeReport | undefined
   let sequence = 0
   let lastReportAtMs = -Infinity
@@ -80,7 +90,10 @@
     const report: NodeReport = { ...content, node, bootId, sequence, wantsDigest: choice.usesCollectors, digestSource: choice.digestSource ?? node }
     ownReport = report
     const targets = new Set([...choice.everyReport, ...(isToAll || sequence % 2 === 0 ? choice.everySecondReport : [])])
-    if (choice.usesCollectors) totals.record(node, bootId, report)
+    if (choice.usesCollectors) {
+      totals.record(node, bootId, report, sequence <= reportsAfterStart)
+      options.onOwnReport?.(report)
+    }
     if (targets.size === 0) return
     const bytes = encodeReport(clock.monotonicMs() < levelsUntilMs ? report : { ...report, quotaLevels: undefined })
     for (const { node: peer, host, reportPort } of peers) {
@@ -110,13 +123,14 @@
     options.onReport(report)
     if (choice.digestSource === undefined) applyActivity(report.node, report.bootId, report)
     if (!report.wantsDigest) return
-    totals.record(report.node, report.bootId, report)
+    totals.record(report.node, report.bootId, report, report.sequence <= reportsAfterStart)
     const usesTotals = report.digestSource === undefined || report.digestSource === node
     const isNewReceiver = report.sequence <= reportsWithLevels || before?.digestSource !== report.digestSource
     socket.send('digest', encodeDigest({
       node,
       bootId,
       isDraining: ownReport?.isDraining ?? false,
+      decidesQuotas: options.decideQuota !== undefined,
       nodes: totals.nodeCountExcept(report.node),
       delta: options.deltaAfter(report.revision),
       activity: usesTotals ? { ...totals.totalsExcept(report.node), prompts: options.promptsFor(report.node), limits: options.limitsFor(report.node, isNewReceiver), quotaLevels: isNewReceiver ? ownReport?.quotaLevels : undefined } : undefined
@@ -131,6 +145,7 @@
     if (collectorBoots.get(received.node) !== received.bootId) expectNewReceiver()
     collectorBoots.set(received.node, received.bootId)
     collectors.onDigestReceived(received.node, received.isDraining)
+    collectorStates.set(received.node, { receivedAtMs: clock.monotonicMs(), decidesQuotas: received.decidesQuotas })
     if (received.delta.reachableForMs !== undefined) lastDeltaAtMs = clock.monotonicMs()
     options.onDelta(received.delta)
     if (received.node !== choice.digestSource || received.activity === undefined) return
@@ -142,7 +157,9 @@
     try {
       const message = decodeMessage(bytes)
       if ('report' in message) handleReport(message.report, from)
-      else handleDigest(message.digest)
+      else if ('digest' in message) handleDigest(message.digest)
+      else if ('quotaDecision' in message) options.onQuotaDecision?.(message.quotaDecision)
+      else if (options.decideQuota !== undefined) socket.send('quota', encodeQuotaDecision(options.decideQuota(message.quotaRequest)), from.port, from.address)
     } catch (error) {
       metrics.count('node_reports_unreadable_total')
       const nowMs = clock.monotonicMs()
@@ -152,6 +169,25 @@
     }
   }
 
+  function countReporting (nowMs: number): number {
+    let count = 0
+    for (const { receivedAtMs } of reportsByNode.values()) if (receivedAtMs >= nowMs - maxCurrentAgeMs) count += 1
+    return count
+  }
+
+  function quotaDecider (): QuotaDecider {
+    if (!choice.usesCollectors) return 'each-node'
+    if (choice.digestSource === undefined) return 'this-node'
+    const collector = collectorStates.get(choice.digestSource)
+    if (collector === undefined || collector.receivedAtMs < clock.monotonicMs() - maxCurrentDigestAgeMs) return 'unreachable'
+    return collector.decidesQuotas ? 'collector' : 'each-node'
+  }
+
+  function sendQuotaRequest (request: QuotaRequest): void {
+    const collector = options.peers().find(peer => peer.node === choice.digestSource)
+    if (collector !== undefined) socket.send('quota', encodeQuotaRequest(request), collector.reportPort, collector.host)
+  }
+
   function removeSilentNodes (): void {
     const oldestAtMs = clock.monotonicMs() - maxMissedIntervals * reportIntervalMs
     for (const [peer, { receivedAtMs }] of reportsByNode) {
@@ -200,7 +236,12 @@
     currentNodeCount: () => {
       const nowMs = clock.monotonicMs()
       if (choice.digestSource !== undefined) return digest !== undefined && digest.receivedAtMs >= nowMs - maxCurrentDigestAgeMs ? digest.nodes : 0
-      return [...reportsByNode.values()].filter(({ receivedAtMs }) => receivedAtMs >= nowMs - maxCurrentAgeMs).length
+      if (!choice.usesCollectors) return countReporting(nowMs)
+      if (nowMs >= reportingCountedAtMs + countIntervalMs) {
+        reportingCountedAtMs = nowMs
+        reportingCount = countReporting(nowMs)
+      }
+      return reportingCount
     },
     ownReports: () => {
       const oldestAtMs = clock.monotonicMs() - maxCurrentAgeMs
@@ -216,6 +257,8 @@
     activityAgeMs: () => choice.usesCollectors ? reportIntervalMs : reportIntervalMs / 2,
     getsAllReports: () => choice.digestSource === undefined,
     evidenceDelayMs: () => (choice.usesCollectors ? 2 : 1) * reportIntervalMs + reportIntervalMs / 2,
+    quotaDecider,
+    sendQuotaRequest,
     sendReport: () => trySendReport(true),
     sendSoon: () => { sendSoon() },
     close: () => {
--- a/src/core/node-reports/report-socket.ts
+++ b/src/core/node-reports/report-socket.ts
@@ -18,7 +18,7 @@
   /** Rejects if the port can't be bound. */
   bind: () => Promise<void>
   /** Sends one datagram, without waiting for it; does nothing once the socket is closed. */
-  send: (kind: 'report' | 'digest', bytes: Buffer, port: number, host: string) => void
+  send: (kind: 'report' | 'digest' | 'quota', bytes: Buffer, port: number, host: string) => void
   /** Closes the socket as soon as the datagrams that were sent before have left it. */
   close: () => void
 }
--- a/src/core/node-reports/types.ts
+++ b/src/core/node-reports/types.ts
@@ -1,7 +1,7 @@
 /** Types of the reports that nodes exchange several times a second; each report replaces the previous one. */
 import type { LimitReport } from '../backend-limits/index.ts'
 import type { BackendId, DomainId, NodeId, TeamId } from '../ids/index.ts'
-import type { QuotaLevels, QuotaUsage } from '../quota/index.ts'
+import type { QuotaGrants, QuotaLevels, QuotaUsage } from '../quota/index.ts'
 import type { QuarantineReport } from '../quarantine/index.ts'
 import type { PeerLoad, PrefixPlacement } from '../routing/index.ts'
 import type { ViewDelta } from '../store-view/index.ts'
@@ -51,6 +51,8 @@
   usage: Map<number, Map<TeamId, number>>
   /** Work sent to backend servers since the node started, by service, in milliseconds of one backend server's time. */
   workMs: Map<string, number>
+  /** What collectors granted to the node from teams' quotas, which its quota usage contains; undefined in reports of earlier versions. */
+  quotaGrants?: QuotaGrants | undefined
   /** Outcomes of attempts by version, for the evaluation of version moves; opaque here. */
   evidence: unknown
 }
@@ -61,6 +63,8 @@
   node: NodeId
   bootId: string
   isDraining: boolean
+  /** Whether the collector responds to quota requests; those of earlier versions don't. */
+  decidesQuotas: boolean
   /** Number of nodes in the totals, with the collector and without the receiver. */
   nodes: number
   /** The total activity of all nodes except the one that reported; undefined for a node that uses another collector's totals. */
--- a/test/node-reports/exchange.test.ts
+++ b/test/node-reports/exchange.test.ts
@@ -28,6 +28,8 @@
   openBySource: Map<NodeId, number>
   deltas: ViewDelta[]
   metrics: Metrics
+  /** Numbers of the quota requests that were decided, and whose decisions arrived. */
+  quotas: { decided: number[], received: number[] }
   /** Sources whose first report was marked as such, and quota levels that arrived, by source. */
   firstSources: NodeId[]
   levelsBySource: Map<NodeId, number>
@@ -41,7 +43,8 @@
   while (!condition()) await clock.sleep(20)
 }
 
-async function startCluster (t: ExecutionContext, count: number): Promise<Node[]> {
+/** `earlierRelease` is a node whose release doesn't decide about quotas. */
+async function startCluster (t: ExecutionContext, count: number, earlierRelease?: number): Promise<Node[]> {
   const addresses = Array.from({ length: count }, (_, index) => ({
     node: toId<NodeId>(`node-${String(index).padStart(2, '0')}`), linkMbps: 100, host: '127.0.0.1', reportPort: firstPort + index, viewPort: 1
   }))
@@ -53,6 +56,7 @@
     const deltas: ViewDelta[] = []
     const metrics = createMetrics()
     const state = { isDraining: false }
+    const quotas: Node['quotas'] = { decided: [], received: [] }
     let tokens = 0
     const quarantine: Quarantine = createQuarantine({
       clock, log: () => {}, metrics, random: () => 0.5, nodeCount: () => count, reportDelayMs: () => reports.evidenceDelayMs(), isDeciding: () => reports.getsAllReports(), claimTrial: async () => false
@@ -87,6 +91,15 @@
       },
       promptsFor: quarantine.digestFor,
       limitsFor: () => ({ limits: [], demands: new Map(), shares: undefined }),
+      ...(index === earlierRelease
+        ? {}
+        : {
+            decideQuota: ({ bootId, number }) => {
+              quotas.decided.push(number)
+              return { bootId: `boot-${index}-${boot}`, requesterBootId: bootId, number, granted: { quota: 5, tolerance: 0 }, waitMs: 0 }
+            }
+          }),
+      onQuotaDecision: ({ number }) => { quotas.received.push(number) },
       onReport: () => {},
       onActivity: (source, _life, { loads, quotaLevels, prompts }, isFirst) => {
         if (prompts !== undefined) quarantine.merge(source, prompts)
@@ -105,7 +118,7 @@
       nodes[index] = restarted
       await restarted.reports.start()
     }
-    return { id, reports, quarantine, state, openBySource, deltas, metrics, firstSources, levelsBySource, restart }
+    return { id, reports, quarantine, state, quotas, openBySource, deltas, metrics, firstSources, levelsBySource, restart }
   }
   const nodes: Node[] = addresses.map((_, index) => createNode(index, 0))
   await Promise.all(nodes.map(({ reports }) => reports.start()))
@@ -214,3 +227,23 @@
   await until(() => !first.reports.getsAllReports() && openRequests(first) === 23)
   t.is(first.reports.knownNodeCount(), 23)
 })
+
+test.serial('a quota request goes to the collector whose totals the node uses, and its decision comes back', async t => {
+  const nodes = await startCluster(t, 24)
+  await until(() => nodes.every(node => openRequests(node) === 23))
+  t.deepEqual(nodes.map(({ reports }) => reports.quotaDecider()), nodes.map((_, index) => index === 0 ? 'this-node' : 'collector'))
+  nodes[9]?.reports.sendQuotaRequest({ node: nodes[9].id, bootId: 'boot-9-0', number: 4, team, tokens: 5 })
+  await until(() => nodes[9]?.quotas.received.length === 1)
+  t.deepEqual(nodes.flatMap(({ quotas }) => quotas.decided), [4])
+  t.deepEqual(nodes[9]?.quotas.received, [4])
+})
+
+test.serial('nodes decide by themselves about quotas in a small cluster, and under a collector of an earlier release', async t => {
+  const nodes = await startCluster(t, 24, 0)
+  await until(() => nodes.every(node => openRequests(node) === 23))
+  t.true(nodes.slice(1).every(({ reports }) => reports.quotaDecider() === 'each-node'))
+  for (const { reports } of nodes) reports.close()
+  const small = await startCluster(t, 5)
+  await until(() => small.every(node => openRequests(node) === 4))
+  t.true(small.every(({ reports }) => reports.quotaDecider() === 'each-node'))
+})
--- a/test/node-reports/odd-reports.test.ts
+++ b/test/node-reports/odd-reports.test.ts
@@ -4,7 +4,7 @@
 import test from 'ava'
 import { createManualClock } from '../../src/core/clock/index.ts'
 import { createActivityTotals } from '../../src/core/node-reports/activity-totals.ts'
-import { decodeMessage, encodeDigest, encodeReport, maxDatagramBytes } from '../../src/core/node-reports/codec.ts'
+import { decodeMessage, encodeDigest, encodeQuotaDecision, encodeQuotaRequest, encodeReport, maxDatagramBytes } from '../../src/core/node-reports/codec.ts'
 import { toId } from '../../src/core/ids/index.ts'
 import type { NodeDigest, NodeReport } from '../../src/core/node-reports/index.ts'
 import type { BackendId, NodeId, TeamId } from '../../src/core/ids/index.ts'
@@ -39,12 +39,14 @@
   },
   usage: new Map([[7, new Map([[toId<TeamId>('agency'), 3]])]]),
   workMs: new Map([['s', 12]]),
-  evidence: [{ any: 'thing' }]
+  evidence: [{ any: 'thing' }],
+  quotaGrants: new Map([['life-2', new Map([[toId<TeamId>('agency'), { quota: 4, tolerance: 1 }]])]])
 }
 const digest: NodeDigest = {
   node: toId<NodeId>('n-2'),
   bootId: 'life-2',
   isDraining: false,
+  decidesQuotas: true,
   nodes: 4,
   activity: report,
   delta: { revision: 12, reachableForMs: 5, changes: [{ key: 'a', value: 'v', modRevision: 10 }, { key: 'b', value: undefined, modRevision: 11, isValueOmitted: true }] }
@@ -98,7 +100,7 @@
     const sound = decode(messages[kind]!) as unknown
     const decoded = tryDecode(encode(replaceAt(sound, path, value)))
     if (decoded === undefined) return
-    const activity = 'report' in decoded ? decoded.report : decoded.digest.activity
+    const activity = 'report' in decoded ? decoded.report : 'digest' in decoded ? decoded.digest.activity : undefined
     if (activity === undefined) return
     // A collector adds up what it decoded; a value of another kind would spoil its totals or throw there.
     const totals = createActivityTotals({ clock: createManualClock(), maxPrefixes: () => 8 })
@@ -109,3 +111,23 @@
   fc.assert(fc.property(fc.uint8Array({ maxLength: 200 }), bytes => { tryDecode(Buffer.from(bytes)) }), { seed, numRuns })
   t.is(tryDecode(Buffer.alloc(60_000, 0x81)), undefined, 'arrays nested as deeply as a datagram allows')
 })
+
+test('quota requests and decisions are decoded as they were encoded; those of another version or with negative amounts are rejected', t => {
+  const request = { node: toId<NodeId>('n-1'), bootId: 'life-1', number: 7, team: toId<TeamId>('agency'), tokens: 9_000 }
+  const decision = { bootId: 'life-2', requesterBootId: 'life-1', number: 7, granted: { quota: 8_000, tolerance: 1_000 }, waitMs: 0 }
+  t.deepEqual(decodeMessage(encodeQuotaRequest(request)), { quotaRequest: request })
+  t.deepEqual(decodeMessage(encodeQuotaDecision(decision)), { quotaDecision: decision })
+  t.deepEqual(decodeMessage(encodeQuotaDecision({ ...decision, waitMs: undefined })), { quotaDecision: { ...decision, waitMs: undefined } })
+  for (const bytes of [encodeQuotaRequest(request), encodeQuotaDecision(decision)]) {
+    t.is(tryDecode(encode(replaceAt(decode(bytes), [1], 2))), undefined)
+  }
+  t.is(tryDecode(encodeQuotaRequest({ ...request, tokens: -1 })), undefined)
+  t.is(tryDecode(encodeQuotaDecision({ ...decision, granted: { quota: -1, tolerance: 0 } })), undefined)
+})
+
+test('reports and digests of releases without quota requests are decoded, and say so', t => {
+  const earlierReport = (decode(encodeReport(report)) as unknown[]).slice(0, 12)
+  const earlierDigest = (decode(encodeDigest(digest)) as unknown[]).slice(0, 9)
+  t.like(decodeMessage(encode(earlierReport)), { report: { node: report.node, quotaGrants: undefined } })
+  t.like(decodeMessage(encode(earlierDigest)), { digest: { node: digest.node, decidesQuotas: false } })
+})
