--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -10,7 +10,7 @@
 import type { BackendId, RequestDigest, TeamId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
-import type { Quotas } from '../quota/index.ts'
+import type { ClusterQuotas } from '../quota/index.ts'
 import type { Admittance, Quarantine } from '../quarantine/index.ts'
 import type { RouteChoice, Router } from '../routing/index.ts'
 import type { Attempt, AttemptPhase, StreamProgress, CompleteResponse } from './attempt.ts'
@@ -52,7 +52,7 @@
   codec: HeaderCodec
   router: Router
   admission: Admission
-  quotas: Quotas
+  quotas: Pick<ClusterQuotas, 'take' | 'explain'>
   retryBudget: RetryBudget
   /** Refuses requests that crash backend servers. */
   quarantine: Pick<Quarantine, 'admit' | 'find' | 'isQuiet' | 'recordCrash' | 'recordAnswer' | 'onQuarantined'>
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -67,7 +67,11 @@
     const quarantined = quarantineGate.refusalOnArrival(active)
     if (quarantined !== undefined) return refuse(response, quarantined, requestLogFields(active, clock))
     if (team?.quota !== undefined) {
-      const waitMs = options.quotas.take(team.team, team.quota, quotaUnitsOf(active))
+      let waitMs = options.quotas.take(team.team, team.quota, quotaUnitsOf(active))
+      if (typeof waitMs !== 'number') {
+        waitMs = await waitMs
+        if (options.stopped.aborted) return refuse(response, stopRefusal(), requestLogFields(active, clock))
+      }
       if (waitMs > 0) {
         const detail = 'The team has used up its quota.'
         return refuse(response, { status: 429, reason: 'team-quota', detail, retryInMs: withJitter(waitMs) }, { request: id, team: team.team, route: route.name, version, ...options.quotas.explain(team.team) })
--- a/src/core/quota/cluster-quotas.ts
+++ b/src/core/quota/cluster-quotas.ts
@@ -213,6 +213,7 @@
     take,
     grants: () => new Map([...grants].map(([collectorBootId, byTeam]) => [collectorBootId, new Map(byTeam)])),
     onPeerReport,
+    explain: team => decider() === 'each-node' ? quotas.explain(team) : { ...quotas.explain(team), decider: decider() },
     onNodeReport,
     decide,
     onDecision
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -117,10 +117,11 @@
 export type FailingStep = 'choose' | 'sent' | 'ended' | 'released'
 
 /** Starts a gateway with one fake backend server for each element of `handlers`. */
-export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'], quarantine?: Partial<RequestHandlerOptions['quarantine']> } = {}) {
+export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'], takeQuota?: RequestHandlerOptions['quotas']['take'], quarantine?: Partial<RequestHandlerOptions['quarantine']> } = {}) {
   const servers: RawBackend[] = await Promise.all(handlers.map(handler => startRawBackend(handler)))
   const metrics = createMetrics()
   const stopped = new AbortController()
+  const quotas = createQuotas({ clock, random: () => 0, hasFullBuckets: true, ownShare: () => 1, reportAgeMs: () => 0, reachableShare: () => 1 })
   const attempts: AttemptReport[] = []
   const events: Array<{ event: string, fields: Record<string, unknown>, usable: string[] }> = []
   // Stores with each event the backend servers that were usable at that moment.
@@ -167,7 +168,7 @@
       }
     },
     admission: createAdmission({ clock, metrics, random: createRandom(2), maxConcurrent: 100 }),
-    quotas: createQuotas({ clock, random: () => 0, hasFullBuckets: true, ownShare: () => 1, reportAgeMs: () => 0, reachableShare: () => 1 }),
+    quotas: { ...quotas, take: fakes.takeQuota ?? quotas.take },
     retryBudget: createRetryBudget({ clock, minRetriesPerSecond: () => 10 }),
     quarantine: {
       ...quarantine,
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -239,6 +239,28 @@
   t.true(Number(refused.headers.get('retry-after')) >= 0.9)
 })
 
+test('a request waits for the collector\'s decision about its quota, and is refused as not run if the node has stopped meanwhile', async t => {
+  const waiting: Array<(waitMs: number) => void> = []
+  const { call, servers, endStop } = await startGateway(t, [respondOk], {}, { takeQuota: () => new Promise(resolve => { waiting.push(resolve) }) })
+  const headers = { authorization: 'Bearer key-2', 'x-tokens': '5' }
+  async function answerAfter (id: string, decide: (resolve: (waitMs: number) => void) => void): Promise<number> {
+    const answer = call('/register/', id, { headers })
+    await waitUntil(() => waiting.length > 0)
+    decide(waiting.pop()!)
+    return (await answer).status
+  }
+  t.is(await answerAfter('r-1', resolve => {
+    t.is(servers[0]!.requests.length, 0)
+    resolve(0)
+  }), 200)
+  t.is(await answerAfter('r-2', resolve => resolve(1_500)), 429)
+  t.is(await answerAfter('r-3', resolve => {
+    endStop()
+    resolve(0)
+  }), 503)
+  t.is(servers[0]!.requests.length, 1)
+})
+
 test('responds with 503 at once when there is no backend server', async t => {
   const { call, backends } = await startGateway(t, [respondOk])
   for (const { entry } of backends.list()) backends.remove(entry.id, 'test')
