Set the metrics of speeds also on a node without samples of its own

A node that had sent no measured request knew the speeds from the others, but set no gauge and logged nothing.

--- a/src/core/backend-speeds/index.ts
+++ b/src/core/backend-speeds/index.ts
@@ -90,6 +90,7 @@
     if (!isMeasured(stated)) return undefined
     const known = backendOf(backend)
     if (known?.startedAtMs === undefined) return undefined
+    statedProfiles.set(known.service, stated)
     const fit = fitOf(known.service, stated)
     if (fit === undefined) return undefined
     const ratio = ratioOf(store.servers.total(serverKey(backend, known.startedAtMs)), fit)
