Let requests wait for the first configuration of a node that has just started

What callers saw: after a kill of all nodes, the new processes refuse everything that arrives before they have read the store. Each refusal costs a caller one of its few retries.

--- a/src/core/gateway/acceptance.ts
+++ b/src/core/gateway/acceptance.ts
@@ -61,6 +61,14 @@
     return { id, route, team, head, version }
   }
 
+  async function waitForConfiguration (response: ServerResponse): Promise<void> {
+    const closed = new AbortController()
+    const onClosed = (): void => closed.abort()
+    response.once('close', onClosed)
+    await options.whenConfigured(AbortSignal.any([closed.signal, options.stopped]))
+    response.off('close', onClosed)
+  }
+
   async function acceptRequest (request: IncomingMessage, response: ServerResponse): Promise<ActiveRequest | undefined> {
     const arrivedAtMs = clock.wallMs()
     const configuredBytes = options.routeTable()?.configuration.limits.maxBodyBytes
@@ -81,6 +89,7 @@
     if (body.kind === 'too-large') {
       return refuseWith(configuredBytes === undefined ? notReadyRefusal() : { status: 413, reason: 'body-too-large', detail: `The body may have at most ${maxBodyBytes} bytes.` })
     }
+    if (options.routeTable() === undefined) await waitForConfiguration(response)
     // Looked up only now, so that a configuration that took effect while the body was read already applies.
     const accepted = findRoute(request, response)
     if (accepted === undefined) return undefined
--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -63,6 +63,8 @@
   buffers: ResponseBuffers
   /** Routes of the configuration in effect; undefined before the first one arrives. */
   routeTable: () => RouteTable | undefined
+  /** Resolves once there is a configuration, at the latest when it is no use to wait for it or `ended` is aborted. */
+  whenConfigured: (ended: AbortSignal) => Promise<void>
   /** The region of a failure domain; undefined if it isn't known. */
   regionOf: (domain: DomainId) => string | undefined
   /** Share of a service's requests that goes to its canary version, 0 to 1. */
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -5,6 +5,7 @@
 export type * from './types.ts'
 export { createBackendTable, servingLabel, canaryLabel } from './backend-table.ts'
 export { createRouteTable } from './route-table.ts'
+export { createConfigurationWait } from './configuration-wait.ts'
 export { createRequestHandler } from './request-handler.ts'
 export { createResponseBuffers, responseLimitsFor } from './response-buffers.ts'
 export { createIngress } from './ingress.ts'
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -119,7 +119,7 @@
 export type FailingStep = 'choose' | 'sent' | 'ended' | 'released'
 
 /** Starts a gateway with one fake backend server for each element of `handlers`, each in the failure domain that `domains` names for it. */
-export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'], takeQuota?: RequestHandlerOptions['quotas']['take'], quarantine?: Partial<RequestHandlerOptions['quarantine']>, domains?: string[], regions?: Record<string, string>, speeds?: RouterOptions['speeds'] } = {}) {
+export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'], takeQuota?: RequestHandlerOptions['quotas']['take'], whenConfigured?: RequestHandlerOptions['whenConfigured'], quarantine?: Partial<RequestHandlerOptions['quarantine']>, domains?: string[], regions?: Record<string, string>, speeds?: RouterOptions['speeds'] } = {}) {
   const servers: RawBackend[] = await Promise.all(handlers.map(handler => startRawBackend(handler)))
   const metrics = createMetrics()
   const stopped = new AbortController()
@@ -194,6 +194,7 @@
     limits: { ...limits, take: fakes.takePermit ?? limits.take },
     buffers: createResponseBuffers(),
     routeTable: () => state.table,
+    whenConfigured: fakes.whenConfigured ?? (async () => {}),
     regionOf: domain => fakes.regions?.[domain],
     canaryShare: () => 0,
     onStarted: () => {},
