Bound the measured times of a stream by the order of its events in the test of speeds

The test compared times with fixed numbers of milliseconds and failed once beside other work (129.85 ms instead of 130 between the first and the last event, as both are read when the process gets to it). Each event is now sent after the one before was received, and the measured times must lie between those of what must have come before and after: a bound on both sides, independent of the load.

--- a/test/backend-speeds/gateway.test.ts
+++ b/test/backend-speeds/gateway.test.ts
@@ -3,15 +3,20 @@
  * arrives at the end of the work, and an error at once; as times to the first token, both
  * would make a server look slower or faster than it is.
  */
+import { setTimeout as sleep } from 'node:timers/promises'
 import test from 'ava'
+import { createSystemClock } from '../../src/core/clock/index.ts'
 import { formatChunk, formatResponse } from '../../src/stand-ins/raw-backend/index.ts'
 import { signed, startGateway } from '../gateway/deployment.ts'
 import { waitUntil } from '../gateway/wait-until.ts'
 import type { PaceSample, SpeedSample } from '../../src/core/backend-speeds/index.ts'
 import type { RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
 
-const stepMs = 50
 const events = 4
+const clock = createSystemClock()
+
+/** The request in progress: when it arrived, and a function that sends an event of its stream; the last event also ends the stream. */
+const current: { arrivedAtMs: number, sendEvent: ((number: number) => void) | undefined } = { arrivedAtMs: 0, sendEvent: undefined }
 
 const respond: RawRequestHandler = ({ target, headers }, socket) => {
   const { 'x-request': id = '' } = headers
@@ -19,26 +24,52 @@
     socket.write(formatResponse(target === '/once/fails' ? 500 : 200, signed(id), 'whole'))
     return
   }
-  const head = ['HTTP/1.1 200 OK', ...Object.entries(signed(id)).map(([name, value]) => `${name}: ${value}`), 'content-type: text/event-stream', 'transfer-encoding: chunked', '', ''].join('\r\n')
-  socket.write(head)
-  for (let number = 1; number <= events; number += 1) setTimeout(() => socket.write(formatChunk(`id: ${number}\ndata: piece\n\n`)), number * stepMs)
-  setTimeout(() => socket.write('0\r\n\r\n'), events * stepMs + 10)
+  current.arrivedAtMs = clock.monotonicMs()
+  socket.write(['HTTP/1.1 200 OK', ...Object.entries(signed(id)).map(([name, value]) => `${name}: ${value}`), 'content-type: text/event-stream', 'transfer-encoding: chunked', '', ''].join('\r\n'))
+  current.sendEvent = number => {
+    socket.write(formatChunk(`id: ${number}\ndata: piece\n\n`))
+    if (number === events) socket.write('0\r\n\r\n')
+  }
+}
+
+/** Reads a stream whose events are sent one by one, each after the one before has been received. Returns times between which the first event, and all events, must have passed the gateway. */
+async function readStream (port: number, headers: Record<string, string>): Promise<Record<'calledAtMs' | 'firstSentAtMs' | 'firstReceivedAtMs' | 'lastSentAtMs' | 'endedAtMs', number>> {
+  current.sendEvent = undefined
+  const calledAtMs = clock.monotonicMs()
+  const pending = fetch(`http://127.0.0.1:${port}/once/stream`, { headers: { authorization: 'Bearer key-1', ...headers } })
+  await waitUntil(() => current.sendEvent !== undefined)
+  const firstSentAtMs = clock.monotonicMs()
+  current.sendEvent?.(1)
+  const reader = (await pending).body!.getReader()
+  await reader.read()
+  const firstReceivedAtMs = clock.monotonicMs()
+  let lastSentAtMs = firstReceivedAtMs
+  for (let number = 2; number <= events; number += 1) {
+    await sleep(5)
+    lastSentAtMs = clock.monotonicMs()
+    current.sendEvent?.(number)
+    await reader.read()
+  }
+  while (!(await reader.read()).done);
+  return { calledAtMs, firstSentAtMs, firstReceivedAtMs, lastSentAtMs, endedAtMs: clock.monotonicMs() }
 }
 
 test('the first event and the pace of a stream are samples, and other responses are not', async t => {
   const samples: SpeedSample[] = []
   const paces: PaceSample[] = []
   const speeds = { record: (sample: SpeedSample) => { samples.push(sample) }, recordPace: (pace: PaceSample) => { paces.push(pace) }, profileOf: () => undefined }
-  const { call } = await startGateway(t, [respond], {}, { speeds })
+  const { call, port } = await startGateway(t, [respond], {}, { speeds })
   for (const path of ['/look-up/a', '/once/fails']) await call(path, path)
   t.deepEqual([samples, paces], [[], []])
-  await call('/once/stream', 'r-3')
+  await readStream(port, { 'x-request': 'r-3' })
   await waitUntil(() => paces.length > 0)
   t.is(samples.length, 0, 'the tokens of its prompt are unknown')
-  t.is((await call('/once/stream', 'r-4', { headers: { 'x-prompt': 'p' } })).status, 200)
+  const times = await readStream(port, { 'x-request': 'r-4', 'x-prompt': 'p' })
   await waitUntil(() => paces.length > 1)
   t.is(samples.length, 1)
-  t.true(samples[0]!.measuredMs >= stepMs - 5 && samples[0]!.measuredMs < events * stepMs, String(samples[0]!.measuredMs))
-  t.is(paces[0]!.gaps, events - 1)
-  t.true(paces[0]!.sumMs >= (events - 1) * stepMs - 20, String(paces[0]!.sumMs))
+  const { measuredMs } = samples[0]!
+  t.true(measuredMs >= times.firstSentAtMs - current.arrivedAtMs && measuredMs <= times.firstReceivedAtMs - times.calledAtMs, String(measuredMs))
+  const { gaps, sumMs } = paces[1]!
+  t.is(gaps, events - 1)
+  t.true(sumMs >= times.lastSentAtMs - times.firstReceivedAtMs && sumMs <= times.endedAtMs - times.firstSentAtMs, String(sumMs))
 })
