Move the code of planned stops from the gateway into a folder of its own

Cause: src/core/gateway had 32 files, and what a stopping node decides was spread among them. stop-decision-fields imported the request state of active-request, which imported it in turn.

Change: src/core/planned-stops has the stop gate, the stop times, the decisions with their log fields and the answer times; no behaviour changes. The gateway imports it, and it imports nothing of the gateway: what it reads of a request is StoppableRequest, and RequestKind is declared there and exported by the gateway as before. toGateRequest moves with its only caller. Their tests move unchanged except for import paths; test/gateway/stop-stall.test.ts checks the ingress and stays.

--- a/bench/measure/planned-stops/fleet.ts
+++ b/bench/measure/planned-stops/fleet.ts
@@ -1,7 +1,7 @@
 /** Entry nodes that are stopped and start again, and the balancer before them. */
-import { createStopGate } from '../../../src/core/gateway/stop-gate.ts'
+import { createStopGate } from '../../../src/core/planned-stops/index.ts'
 import { createReportedStops, deliverReport } from './reported-stops.ts'
-import type { PlannedStop, StopGate } from '../../../src/core/gateway/stop-gate.ts'
+import type { PlannedStop, StopGate } from '../../../src/core/planned-stops/index.ts'
 import type { Clock } from '../../../src/core/clock/index.ts'
 import type { NodeStops } from '../../../src/core/node-stops/index.ts'
 import type { Random } from '../../../src/core/random/index.ts'
--- a/src/core/gateway/acceptance.ts
+++ b/src/core/gateway/acceptance.ts
@@ -7,10 +7,10 @@
 import { readBody } from './read-body.ts'
 import { isForwardableTarget, pickService } from './route-request.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { StopDecisions } from '../planned-stops/index.ts'
 import type { ActiveRequest, RequestHandlerOptions } from './active-request.ts'
 import type { GatewayResponse } from './gateway-response.ts'
 import type { Refusals } from './refusals.ts'
-import type { StopDecisions } from './stop-decisions.ts'
 
 /** Maximum body of a request that arrives before a configuration is known; one with more is refused as not ready. */
 const unconfiguredBodyBytes = 1024 * 1024
--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -1,7 +1,7 @@
 /** The state of a request that the gateway is serving, and the fields of its log events. */
 import { createStreamProgress } from './attempt.ts'
+import { stopDecisionFields } from '../planned-stops/index.ts'
 import { digestRequest } from '../quarantine/index.ts'
-import { stopDecisionFields } from './stop-decision-fields.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Admission, RetryBudget } from '../admission/types.ts'
 import type { BackendLimits } from '../backend-limits/index.ts'
@@ -10,6 +10,7 @@
 import type { BackendId, DomainId, RequestDigest, TeamId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
+import type { OpenAttempt, StopDecision, StopGate } from '../planned-stops/index.ts'
 import type { Quotas } from '../quota/index.ts'
 import type { Admittance, Quarantine } from '../quarantine/index.ts'
 import type { RouteChoice, Router } from '../routing/index.ts'
@@ -18,7 +19,6 @@
 import type { BackendTable } from './backend-table.ts'
 import type { ResponseBuffers } from './response-buffers.ts'
 import type { RouteTable } from './route-table.ts'
-import type { GateRequest, OpenAttempt, StopDecision, StopGate } from './stop-gate.ts'
 import type { GatewayRoute, GatewayTeam, HeaderCodec, RequestHead } from './types.ts'
 
 /** Result of one attempt, for usage counts and the evaluation of versions. */
@@ -200,11 +200,6 @@
   return head.tokens === undefined ? team.defaultTokens : head.tokens.prompt + head.tokens.answer
 }
 
-/** The request as the gate of a stopping node sees it. */
-export function toGateRequest ({ route, head, deadlineAtMs }: Pick<ActiveRequest, 'route' | 'head' | 'deadlineAtMs'>): GateRequest {
-  return { route: route.name, kind: route.kind, answerTokens: head.tokens?.answer, deadlineAtMs }
-}
-
 /** Why a request is not sent, and when a retry may succeed. */
 export type BlockedRequest = Pick<Extract<Admittance, { kind: 'refused' }>, 'reason' | 'detail' | 'retryAtMs'>
 
--- a/src/core/gateway/attempt-end-handler.ts
+++ b/src/core/gateway/attempt-end-handler.ts
@@ -5,10 +5,10 @@
  */
 import { cutAnswer } from '../caller-connections/index.ts'
 import { isSelfDelimited } from '../connections/response-framing.ts'
+import { stoppedFields } from '../planned-stops/index.ts'
 import { delimitWithoutLength, forwardedResponseHeaders } from './gateway-response.ts'
 import { requestLogFields } from './active-request.ts'
 import { parseRetryAfterMs } from './eligibility.ts'
-import { stoppedFields } from './stop-decision-fields.ts'
 import type { BackendId } from '../ids/index.ts'
 import type { RouteChoice } from '../routing/index.ts'
 import type { AttemptEnd, CompleteResponse } from './attempt.ts'
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -5,11 +5,11 @@
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import type { ColdLimit, NamedLimit } from '../backend-limits/index.ts'
 import type { BackendId, DomainId, PromptPartId, RequestId, TeamId, VersionId } from '../ids/index.ts'
+import type { RequestKind } from '../planned-stops/index.ts'
 import type { QuotaLimit } from '../quota/index.ts'
 import type { PromptBlocks } from '../routing/index.ts'
 
-/** Which requests may be retried: `repeatable` always, `at-most-once` never, `stream` only where the route can resume it. */
-export type RequestKind = 'repeatable' | 'at-most-once' | 'stream'
+export type { RequestKind } from '../planned-stops/index.ts'
 
 /** Share of a route's requests that a service gets. */
 export interface ServiceWeight {
--- a/src/core/gateway/answer-times.ts
+++ b/src/core/planned-stops/answer-times.ts
@@ -3,6 +3,7 @@
  * the attempts in progress, which show first that backend servers became slower.
  */
 import type { Clock } from '../clock/index.ts'
+import type { AnswerEstimate, AnswerTimes, AttemptPace, OpenAttempt } from './types.ts'
 
 /** Number of answers of a route that are remembered. */
 const rememberedAnswers = 256
@@ -27,47 +28,6 @@
 /** Weight of the latest pause in the average pause of a stream. */
 const pauseWeight = 0.25
 
-/** What is known of an answer when it is delivered. Times count from the arrival of its request. */
-export interface AnswerTimes {
-  firstByteMs: number
-  tookMs: number
-  /** Events of a stream; 0 for other answers. */
-  eventCount: number
-  /** Maximum tokens of the answer; undefined if the request doesn't say. */
-  answerTokens: number | undefined
-}
-
-/** How far an attempt has come. */
-export interface AttemptPace {
-  sinceSentMs: number
-  /** Present pause between two events, or the time since the latest one if it is longer; undefined without an event. */
-  pausePerEventMs: number | undefined
-}
-
-/** An attempt in progress. */
-export interface OpenAttempt {
-  /** Called with the number of events received in this attempt. */
-  onEvents: (count: number) => void
-  pace: () => AttemptPace
-  end: () => void
-}
-
-/** How long an answer is expected to take, and what that is concluded from. */
-export interface AnswerEstimate {
-  /** Time that it takes at most, by far most probably; infinite if too little is known. */
-  expectedMs: number
-  /** Events that a stream may have; undefined if too little is known. */
-  expectedEvents: number | undefined
-  knownAnswers: number
-  /** Those that ended a short time ago. */
-  recentAnswers: number
-  newestAnswerAgeMs: number | undefined
-  /** Attempts in progress that have received an event. */
-  openStreams: number
-  /** Their present pace, a high quantile; undefined if there are none. */
-  pausePerEventMs: number | undefined
-}
-
 /** The answers of all routes. */
 export interface AnswerTimesByRoute {
   record: (route: string, times: AnswerTimes) => void
--- a/src/core/gateway/stop-decision-fields.ts
+++ b/src/core/planned-stops/stop-decision-fields.ts
@@ -1,6 +1,5 @@
 /** Log fields that tell what a stopping node decided on a request, and how the request fared afterwards. */
-import type { ActiveRequest } from './active-request.ts'
-import type { StopDecision } from './stop-gate.ts'
+import type { StopDecision, StoppableRequest } from './types.ts'
 
 function rounded (value: number | undefined): number | undefined {
   return value === undefined || !Number.isFinite(value) ? undefined : Math.round(value)
@@ -27,7 +26,7 @@
 }
 
 /** How far a request had come when a stop ended it: its latest attempt, and its events in all of them. */
-export function stoppedFields ({ openAttempt, progress }: Pick<ActiveRequest, 'openAttempt' | 'progress'>): Record<string, unknown> {
+export function stoppedFields ({ openAttempt, progress }: Pick<StoppableRequest, 'openAttempt' | 'progress'>): Record<string, unknown> {
   const pace = openAttempt?.pace()
   return {
     sinceSentMs: rounded(pace?.sinceSentMs),
--- a/src/core/gateway/stop-gate.ts
+++ b/src/core/planned-stops/stop-gate.ts
@@ -7,44 +7,7 @@
  */
 import { createAnswerTimes } from './answer-times.ts'
 import type { Clock } from '../clock/index.ts'
-import type { AnswerEstimate, AnswerTimes, OpenAttempt } from './answer-times.ts'
-import type { RequestKind } from './types.ts'
-
-export type { AnswerTimes, OpenAttempt } from './answer-times.ts'
-
-/** A request at the gate. */
-export interface GateRequest {
-  route: string
-  kind: RequestKind
-  /** Maximum tokens of the answer; undefined if the request doesn't say. */
-  answerTokens: number | undefined
-  /** Wall time. */
-  deadlineAtMs: number
-}
-
-/** Monotonic times of a planned stop. */
-export interface PlannedStop {
-  requestedAtMs: number
-  /** From then on, a stream that is taken must not be cut. */
-  streamsCompleteFromMs: number
-  /** When what is taken now must be finished. */
-  endsAtMs: number
-  /** Called with the monotonic time before which the stop must not end a request that is taken by its deadline. */
-  holdUntil: (atMs: number) => void
-}
-
-/** What bounded the time that a request is expected to take; with `nothing-known`, its deadline did. */
-export type DecisionBasis = 'deadline' | 'estimate' | 'nothing-known'
-
-/** What the gate decided on a request, and by what. */
-export interface StopDecision extends AnswerEstimate {
-  isAdmitted: boolean
-  basis: DecisionBasis
-  deadlineInMs: number
-  /** Time to the end of the stop. */
-  leftMs: number
-  sinceStopMs: number
-}
+import type { AnswerTimes, DecisionBasis, GateRequest, OpenAttempt, PlannedStop, RequestKind, StopDecision } from './types.ts'
 
 /** Options of the gate. */
 export interface StopGateOptions {
--- a/src/core/gateway/stop-times.ts
+++ b/src/core/planned-stops/stop-times.ts
@@ -4,7 +4,7 @@
  * end then waits for its turn.
  */
 import type { Clock } from '../clock/index.ts'
-import type { PlannedStop } from './stop-gate.ts'
+import type { PlannedStop } from './types.ts'
 
 /** Options of the times of a stop. */
 export interface StopTimesOptions {
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -3,9 +3,10 @@
 import { createBackendLimits, parseNamedLimit } from '../../src/core/backend-limits/index.ts'
 import { createSystemClock } from '../../src/core/clock/index.ts'
 import { createEvacuations } from '../../src/core/evacuations/index.ts'
-import { createBackendTable, createIngress, createRouteTable, createRequestHandler, createResponseBuffers, createStopGate, isConnectionHeader } from '../../src/core/gateway/index.ts'
+import { createBackendTable, createIngress, createRouteTable, createRequestHandler, createResponseBuffers, isConnectionHeader } from '../../src/core/gateway/index.ts'
 import { toId } from '../../src/core/ids/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
+import { createStopGate } from '../../src/core/planned-stops/index.ts'
 import { createQuarantine } from '../../src/core/quarantine/index.ts'
 import { createQuotas } from '../../src/core/quota/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
@@ -14,8 +15,9 @@
 import { formatResponse, startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 import type { AddressInfo } from 'node:net'
 import type { ExecutionContext } from 'ava'
-import type { AttemptReport, BackendEntry, GatewayConfiguration, GatewayRoute, HeaderCodec, PlannedStop, RequestHandlerOptions } from '../../src/core/gateway/index.ts'
+import type { AttemptReport, BackendEntry, GatewayConfiguration, GatewayRoute, HeaderCodec, RequestHandlerOptions } from '../../src/core/gateway/index.ts'
 import type { BackendId, DomainId, NodeId, PromptPartId, RequestId, TeamId, VersionId } from '../../src/core/ids/index.ts'
+import type { PlannedStop } from '../../src/core/planned-stops/index.ts'
 import type { RawRequestHandler, RawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 
 const hasher = await createPromptHasher()
--- a/test/gateway/stop-gate.test.ts
+++ b/test/planned-stops/stop-gate.test.ts
@@ -1,8 +1,8 @@
 /** Which requests a stopping node takes. */
 import test from 'ava'
 import { createManualClock } from '../../src/core/clock/index.ts'
-import { createStopGate } from '../../src/core/gateway/index.ts'
-import type { PlannedStop, RequestKind, StopDecision } from '../../src/core/gateway/index.ts'
+import { createStopGate } from '../../src/core/planned-stops/index.ts'
+import type { PlannedStop, RequestKind, StopDecision } from '../../src/core/planned-stops/index.ts'
 
 const stopMs = 5_000
 /** Time after which a stream that is taken must not be cut. */
--- a/test/gateway/stop-lines.test.ts
+++ b/test/planned-stops/stop-lines.test.ts
@@ -1,8 +1,8 @@
 /** What the log and the counters tell of requests during a stop. */
 import test from 'ava'
 import { formatChunk, formatResponse } from '../../src/stand-ins/raw-backend/index.ts'
-import { configuration, respondNotRun, respondOk, signed, startGateway } from './deployment.ts'
-import { waitUntil } from './wait-until.ts'
+import { configuration, respondNotRun, respondOk, signed, startGateway } from '../gateway/deployment.ts'
+import { waitUntil } from '../gateway/wait-until.ts'
 import type { RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
 
 /** Longer than the timeout of each route, and shorter. */
--- a/test/gateway/stop-times.test.ts
+++ b/test/planned-stops/stop-times.test.ts
@@ -1,7 +1,7 @@
 /** The times of a stop on a node whose event loop lags. */
 import test from 'ava'
 import { createManualClock } from '../../src/core/clock/index.ts'
-import { createStopGate, createStopTimes } from '../../src/core/gateway/index.ts'
+import { createStopGate, createStopTimes } from '../../src/core/planned-stops/index.ts'
 
 const graceMs = 8_000
 const lagMs = 150
