Cut the import circle between the soak's checks and its limit check

Cause: limit-check.ts took the type Arrival from checks.ts, which calls it.

Change: Arrival stands in bench/soak/arrival.ts; no behaviour changes.

--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -1,5 +1,6 @@
 /** Checks the system's promises during a soak run, from what callers and backend servers observe. */
 import { findExceededLimits } from './limit-check.ts'
+import type { Arrival } from './arrival.ts'
 
 /** How a caller's request ended. */
 export type CallResult =
@@ -28,20 +29,6 @@
   detail: string
 }
 
-/** A request that reached one start of a backend server. */
-export interface Arrival {
-  request: string
-  backend: string
-  startedAtMs: number
-  /** Pause that the backend server asked for in its response. */
-  pauseSeconds: number | undefined
-  /** The limit that the backend server named at that time, and the time since which it named it; undefined without one. */
-  limit?: { perSecond: number, sinceMs: number } | undefined
-  /** Whether the connections to the backend server were disturbed shortly before. */
-  isDisturbed: boolean
-  atMs: number
-}
-
 /** A request as it was sent to a node. */
 export interface SentRequest {
   id: string
--- a/bench/soak/limit-check.ts
+++ b/bench/soak/limit-check.ts
@@ -1,5 +1,5 @@
 /** Checks the users' rule on request limits: what a limited backend server gets from nodes that had passed on its limit. */
-import type { Arrival } from './checks.ts'
+import type { Arrival } from './arrival.ts'
 
 /** A request that reached a backend server while it named a limit. */
 export interface LimitedArrival extends Pick<Arrival, 'backend' | 'startedAtMs' | 'atMs'> {
