Cut the import circle between the fleet of played stops and its reports

Cause: reported-stops.ts took the type EntryNode from fleet.ts, which calls it.

Change: EntryNode and NodeState stand in entry-node.ts of bench/measure/planned-stops; no behaviour changes.

--- a/bench/measure/planned-stops/callers.ts
+++ b/bench/measure/planned-stops/callers.ts
@@ -1,6 +1,6 @@
 /** Callers, each of which sends one request after another, and what the requests of a kind are. */
 import { between, exponential, weighted } from '../random-draws.ts'
-import type { EntryNode } from './fleet.ts'
+import type { EntryNode } from './entry-node.ts'
 import type { Random } from '../../../src/core/random/index.ts'
 import type { TrafficKind } from './policies.ts'
 
--- a/bench/measure/planned-stops/fleet.ts
+++ b/bench/measure/planned-stops/fleet.ts
@@ -1,39 +1,12 @@
 /** Entry nodes that are stopped and start again, and the balancer before them. */
 import { createStopGate } from '../../../src/core/planned-stops/index.ts'
 import { createReportedStops, deliverReport } from './reported-stops.ts'
-import type { PlannedStop, StopGate } from '../../../src/core/planned-stops/index.ts'
 import type { Clock } from '../../../src/core/clock/index.ts'
-import type { NodeStops } from '../../../src/core/node-stops/index.ts'
+import type { PlannedStop } from '../../../src/core/planned-stops/index.ts'
 import type { Random } from '../../../src/core/random/index.ts'
+import type { EntryNode, NodeState } from './entry-node.ts'
 import type { OtherNodes, StopView } from './policies.ts'
 
-type NodeState = 'up' | 'stopping' | 'down'
-
-/** One entry node. */
-export interface EntryNode {
-  index: number
-  domain: number
-  state: NodeState
-  /** Counts the starts; connections end with it. */
-  life: number
-  gate: StopGate
-  /** What it knows of the stops of others. */
-  stops: NodeStops
-  signalledAtMs: number
-  /** When its state changed to what it is, and what it was before. */
-  changedAtMs: number
-  priorState: NodeState
-  upAgainAtMs: number
-  /** When a request was open last. */
-  lastOpenAtMs: number
-  openCount: number
-  isInRotation: boolean
-  misses: number
-  nextCheckAtMs: number
-  /** When the balancer's decision takes effect; undefined without one. */
-  leavesRotationAtMs: number | undefined
-}
-
 /** The nodes of a play. */
 export interface Fleet {
   nodes: readonly EntryNode[]
--- a/bench/measure/planned-stops/play.ts
+++ b/bench/measure/planned-stops/play.ts
@@ -12,7 +12,7 @@
 import type { CallerRequest } from './callers.ts'
 import type { StopCase } from './cases.ts'
 import type { Engine } from './engines.ts'
-import type { EntryNode } from './fleet.ts'
+import type { EntryNode } from './entry-node.ts'
 import type { GatePolicy, RetryPolicy, TrafficKind } from './policies.ts'
 import type { Tally } from './tally.ts'
 
--- a/bench/measure/planned-stops/reported-stops.ts
+++ b/bench/measure/planned-stops/reported-stops.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../../../src/core/clock/index.ts'
 import type { DomainId, NodeId } from '../../../src/core/ids/index.ts'
 import type { NodeStops } from '../../../src/core/node-stops/index.ts'
-import type { EntryNode } from './fleet.ts'
+import type { EntryNode } from './entry-node.ts'
 
 /** As in the product. */
 const downtimeMs = 8_500
