--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -18,6 +18,7 @@
 import type { AttemptReport, BackendEntry, GatewayConfiguration, GatewayRoute, HeaderCodec, RequestHandlerOptions } from '../../src/core/gateway/index.ts'
 import type { BackendId, DomainId, NodeId, PromptPartId, RequestId, TeamId, VersionId } from '../../src/core/ids/index.ts'
 import type { PlannedStop } from '../../src/core/planned-stops/index.ts'
+import type { RouterOptions } from '../../src/core/routing/index.ts'
 import type { RawRequestHandler, RawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 
 const hasher = await createPromptHasher()
@@ -120,7 +121,7 @@
 export type FailingStep = 'choose' | 'sent' | 'ended' | 'released'
 
 /** Starts a gateway with one fake backend server for each element of `handlers`, each in the failure domain that `domains` names for it. */
-export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'], quarantine?: Partial<RequestHandlerOptions['quarantine']>, domains?: string[], regions?: Record<string, string> } = {}) {
+export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'], quarantine?: Partial<RequestHandlerOptions['quarantine']>, domains?: string[], regions?: Record<string, string>, speeds?: RouterOptions['speeds'] } = {}) {
   const servers: RawBackend[] = await Promise.all(handlers.map(handler => startRawBackend(handler)))
   const metrics = createMetrics()
   const stopped = new AbortController()
@@ -136,7 +137,8 @@
     metrics,
     hasher,
     random: createRandom(1),
-    profileOf: () => ({ prefillMsPerToken: 0.1, slots: 4, slotMs: 20 })
+    profileOf: () => ({ prefillMsPerToken: 0.1, slots: 4, slotMs: 20 }),
+    ...(fakes.speeds === undefined ? {} : { speeds: fakes.speeds })
   })
   const limits = createBackendLimits({
     clock,
