--- a/src/core/gateway/active-request.ts
+++ b/src/core/gateway/active-request.ts
@@ -11,7 +11,7 @@
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { OpenAttempt, StopDecision, StopGate } from '../planned-stops/index.ts'
-import type { Quotas } from '../quota/index.ts'
+import type { ClusterQuotas } from '../quota/index.ts'
 import type { Admittance, Quarantine } from '../quarantine/index.ts'
 import type { RouteChoice, Router } from '../routing/index.ts'
 import type { MayUseDomain } from './allowed-domains.ts'
@@ -53,7 +53,7 @@
   codec: HeaderCodec
   router: Router
   admission: Admission
-  quotas: Quotas
+  quotas: Pick<ClusterQuotas, 'take' | 'explain'>
   retryBudget: RetryBudget
   /** Refuses requests that crash backend servers. */
   quarantine: Pick<Quarantine, 'admit' | 'find' | 'isQuiet' | 'recordCrash' | 'recordAnswer' | 'onQuarantined'>
@@ -63,6 +63,8 @@
   buffers: ResponseBuffers
   /** Routes of the configuration in effect; undefined before the first one arrives. */
   routeTable: () => RouteTable | undefined
+  /** Resolves once there is a configuration, at the latest when it is no use to wait for it or `ended` is aborted. */
+  whenConfigured: (ended: AbortSignal) => Promise<void>
   /** The region of a failure domain; undefined if it isn't known. */
   regionOf: (domain: DomainId) => string | undefined
   /** Share of a service's requests that goes to its canary version, 0 to 1. */
--- a/test/gateway/deployment.ts
+++ b/test/gateway/deployment.ts
@@ -46,7 +46,7 @@
     callerTimeoutMs: headers['x-waits-ms'] === undefined ? undefined : Number(headers['x-waits-ms']),
     key: headers.authorization?.replace('Bearer ', ''),
     tokens: headers['x-tokens'] === undefined ? undefined : { prompt: Number(headers['x-tokens']), answer: 0 },
-    prompt: undefined,
+    prompt: headers['x-prompt'] === undefined ? undefined : { hashes: [String(headers['x-prompt'])], tokens: 100, affinityKey: 'a' },
     sharedParts: headers['x-parts'] === undefined ? [] : String(headers['x-parts']).split(',').map(part => toId<PromptPartId>(part)),
     lastEventId: undefined
   }),
@@ -121,10 +121,11 @@
 export type FailingStep = 'choose' | 'sent' | 'ended' | 'released'
 
 /** Starts a gateway with one fake backend server for each element of `handlers`, each in the failure domain that `domains` names for it. */
-export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'], quarantine?: Partial<RequestHandlerOptions['quarantine']>, domains?: string[], regions?: Record<string, string>, speeds?: RouterOptions['speeds'] } = {}) {
+export async function startGateway (t: ExecutionContext, handlers: RawRequestHandler[], changes: Partial<GatewayConfiguration> = {}, fakes: { takePermit?: RequestHandlerOptions['limits']['take'], takeQuota?: RequestHandlerOptions['quotas']['take'], whenConfigured?: RequestHandlerOptions['whenConfigured'], quarantine?: Partial<RequestHandlerOptions['quarantine']>, domains?: string[], regions?: Record<string, string>, speeds?: RouterOptions['speeds'] } = {}) {
   const servers: RawBackend[] = await Promise.all(handlers.map(handler => startRawBackend(handler)))
   const metrics = createMetrics()
   const stopped = new AbortController()
+  const quotas = createQuotas({ clock, random: () => 0, hasFullBuckets: true, ownShare: () => 1, reportAgeMs: () => 0, reachableShare: () => 1 })
   const attempts: AttemptReport[] = []
   const events: Array<{ event: string, fields: Record<string, unknown>, usable: string[] }> = []
   // Stores with each event the backend servers that were usable at that moment.
@@ -173,7 +174,7 @@
       }
     },
     admission: createAdmission({ clock, metrics, random: createRandom(2), maxConcurrent: 100 }),
-    quotas: createQuotas({ clock, random: () => 0, hasFullBuckets: true, ownShare: () => 1, reportAgeMs: () => 0, reachableShare: () => 1 }),
+    quotas: { ...quotas, take: fakes.takeQuota ?? quotas.take },
     retryBudget: createRetryBudget({ clock, minRetriesPerSecond: () => 10 }),
     quarantine: {
       ...quarantine,
@@ -195,6 +196,7 @@
     limits: { ...limits, take: fakes.takePermit ?? limits.take },
     buffers: createResponseBuffers(),
     routeTable: () => state.table,
+    whenConfigured: fakes.whenConfigured ?? (async () => {}),
     regionOf: domain => fakes.regions?.[domain],
     canaryShare: () => 0,
     onStarted: () => {},
