--- a/test/backend-speeds/gateway.test.ts
+++ b/test/backend-speeds/gateway.test.ts
@@ -15,8 +15,8 @@
 const events = 4
 const clock = createSystemClock()
 
-/** The request in progress: when it arrived, and a function that sends an event of its stream; the last event also ends the stream. */
-const current: { arrivedAtMs: number, sendEvent: ((number: number) => void) | undefined } = { arrivedAtMs: 0, sendEvent: undefined }
+/** The stream in progress: when its request arrived, and a function that sends an event; the last event also ends the stream. */
+const streams: Array<{ arrivedAtMs: number, sendEvent: (number: number) => void }> = []
 
 const respond: RawRequestHandler = ({ target, headers }, socket) => {
   const { 'x-request': id = '' } = headers
@@ -24,22 +24,26 @@
     socket.write(formatResponse(target === '/once/fails' ? 500 : 200, signed(id), 'whole'))
     return
   }
-  current.arrivedAtMs = clock.monotonicMs()
+  const arrivedAtMs = clock.monotonicMs()
   socket.write(['HTTP/1.1 200 OK', ...Object.entries(signed(id)).map(([name, value]) => `${name}: ${value}`), 'content-type: text/event-stream', 'transfer-encoding: chunked', '', ''].join('\r\n'))
-  current.sendEvent = number => {
-    socket.write(formatChunk(`id: ${number}\ndata: piece\n\n`))
-    if (number === events) socket.write('0\r\n\r\n')
-  }
+  streams.push({
+    arrivedAtMs,
+    sendEvent: number => {
+      socket.write(formatChunk(`id: ${number}\ndata: piece\n\n`))
+      if (number === events) socket.write('0\r\n\r\n')
+    }
+  })
 }
 
 /** Reads a stream whose events are sent one by one, each after the one before has been received. Returns times between which the first event, and all events, must have passed the gateway. */
 async function readStream (port: number, headers: Record<string, string>): Promise<Record<'calledAtMs' | 'firstSentAtMs' | 'firstReceivedAtMs' | 'lastSentAtMs' | 'endedAtMs', number>> {
-  current.sendEvent = undefined
+  const streamsBefore = streams.length
   const calledAtMs = clock.monotonicMs()
   const pending = fetch(`http://127.0.0.1:${port}/once/stream`, { headers: { authorization: 'Bearer key-1', ...headers } })
-  await waitUntil(() => current.sendEvent !== undefined)
+  await waitUntil(() => streams.length > streamsBefore)
+  const { sendEvent } = streams.at(-1)!
   const firstSentAtMs = clock.monotonicMs()
-  current.sendEvent?.(1)
+  sendEvent(1)
   const reader = (await pending).body!.getReader()
   await reader.read()
   const firstReceivedAtMs = clock.monotonicMs()
@@ -47,7 +51,7 @@
   for (let number = 2; number <= events; number += 1) {
     await sleep(5)
     lastSentAtMs = clock.monotonicMs()
-    current.sendEvent?.(number)
+    sendEvent(number)
     await reader.read()
   }
   while (!(await reader.read()).done);
@@ -68,7 +72,7 @@
   await waitUntil(() => paces.length > 1)
   t.is(samples.length, 1)
   const { measuredMs } = samples[0]!
-  t.true(measuredMs >= times.firstSentAtMs - current.arrivedAtMs && measuredMs <= times.firstReceivedAtMs - times.calledAtMs, String(measuredMs))
+  t.true(measuredMs >= times.firstSentAtMs - streams.at(-1)!.arrivedAtMs && measuredMs <= times.firstReceivedAtMs - times.calledAtMs, String(measuredMs))
   const { gaps, sumMs } = paces[1]!
   t.is(gaps, events - 1)
   t.true(sumMs >= times.lastSentAtMs - times.firstReceivedAtMs && sumMs <= times.endedAtMs - times.firstSentAtMs, String(sumMs))
