Cut the import circles of the quotas and the speeds of backend servers

The buckets of a node stand in node-quotas.ts beside cluster-quotas.ts, which uses them, and the engine profile in a file of its own. No change of behaviour.

--- a/src/core/backend-speeds/fit.ts
+++ b/src/core/backend-speeds/fit.ts
@@ -3,7 +3,7 @@
  * per prompt token. The sums of all nodes can be added, so the fit is the same as that
  * of all samples together.
  */
-import type { EngineProfile } from '../routing/types.ts'
+import type { EngineProfile } from '../routing/engine-profile.ts'
 import type { ServerSums, ServiceSums } from './types.ts'
 
 /** Number of samples of a service from which its profile is learned; fewer don't outweigh the stated one. */
--- a/src/core/backend-speeds/index.ts
+++ b/src/core/backend-speeds/index.ts
@@ -8,7 +8,7 @@
 import { boundSample, fitService, ratioOf } from './fit.ts'
 import { createRotation, createSpeedStore, readReport, readServerKey, serverKey } from './speed-store.ts'
 import type { BackendId, NodeId } from '../ids/index.ts'
-import type { EngineProfile } from '../routing/types.ts'
+import type { EngineProfile } from '../routing/engine-profile.ts'
 import type { ServiceFit } from './fit.ts'
 import type { BackendSpeeds, BackendSpeedsOptions, PaceSample, SpeedReport, SpeedSample } from './types.ts'
 
--- a/src/core/backend-speeds/types.ts
+++ b/src/core/backend-speeds/types.ts
@@ -3,7 +3,7 @@
 import type { BackendId, NodeId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
-import type { EngineProfile } from '../routing/types.ts'
+import type { EngineProfile } from '../routing/engine-profile.ts'
 
 /**
  * Sums over the samples of one start of a backend server. Tokens are those ahead of the
--- a/src/core/quota/cluster-quotas.ts
+++ b/src/core/quota/cluster-quotas.ts
@@ -7,7 +7,7 @@
  * decides alone, and a grant that arrives later is given back with the next report.
  */
 import { toId } from '../ids/index.ts'
-import { createQuotas } from './index.ts'
+import { createQuotas } from './node-quotas.ts'
 import type { NodeId, TeamId } from '../ids/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
