Let the soak evacuate failure domains

The soak had all backend servers in one domain and no evacuations, so no run met them beside stops, kills, cuts and a restored store. The backend servers now stand in two domains; a stand-in of the operator evacuates one at a time at seeded times, and all engines of the domain restart at the end. The check fails if an attempt arrives later than 5,000 ms after the store accepted the key, from a node that ran and wasn't cut off from the store for 3 s. A restore starts the 5,000 ms anew. Answers with 421 don't count.

--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -24,7 +24,7 @@
 
 /** One violation of a promise. */
 export interface BrokenPromise {
-  promise: 'limit-kept' | 'one-usage-report' | 'crashing-prompt' | 'sound-prompt' | 'crashing-request' | 'sound-request' | 'leaving-left-alone' | 'pause-kept' | 'own-answer' | 'not-run' | 'at-most-once' | 'planned-stop' | 'whole-answer' | 'not-denied' | 'loss-logged' | 'process-end' | 'memory-kept' | 'an-end' | 'newest-configuration' | 'recovery' | 'move-result'
+  promise: 'evacuated-left-alone' | 'limit-kept' | 'one-usage-report' | 'crashing-prompt' | 'sound-prompt' | 'crashing-request' | 'sound-request' | 'leaving-left-alone' | 'pause-kept' | 'own-answer' | 'not-run' | 'at-most-once' | 'planned-stop' | 'whole-answer' | 'not-denied' | 'loss-logged' | 'process-end' | 'memory-kept' | 'an-end' | 'newest-configuration' | 'recovery' | 'move-result'
   detail: string
 }
 
@@ -42,6 +42,14 @@
   atMs: number
 }
 
+/** A request that reached a backend server, which answered it with another status than 421. */
+export interface Attempt extends Pick<Arrival, 'request' | 'backend' | 'startedAtMs' | 'atMs'> {
+  /** Time since the store had the request to evacuate the server's domain; negative if it didn't. */
+  evacuatedForMs: number
+  /** Nodes that were cut off from the store shortly before. */
+  cutOffNodes: readonly string[]
+}
+
 /** A request as it was sent to a node. */
 export interface SentRequest {
   id: string
@@ -66,6 +74,7 @@
   onRun: (id: string) => void
   onSent: (sent: SentRequest) => void
   onArrival: (arrival: Arrival) => void
+  onAttempt: (attempt: Attempt) => void
   onCall: (call: CompletedCall) => void
   /** Called for each prompt that reaches an engine. */
   onPrompt: (prompt: { id: string, parts: readonly string[], atMs: number }) => void
@@ -92,6 +101,9 @@
 const pauseNoticeMs = 500
 const maxPausedRequests = 2
 
+/** Time after the store accepted an evacuation from which nothing may reach a backend server of the domain. */
+export const evacuationBoundMs = 5_000
+
 /** Crashes by one part of a prompt, and the time after them, from which no more than `maxLatePrompts` with it may reach engines. */
 const crashesBeforeRefusal = 5
 const contactMs = 3_000
@@ -112,6 +124,7 @@
   const newestVersions = new Map<string, number>()
   const sentRequests = new Map<string, SentRequest>()
   const arrivals: Arrival[] = []
+  const attempts: Attempt[] = []
   const prompts: Array<{ id: string, parts: readonly string[], atMs: number }> = []
   const crashes = new Map<string, number[]>()
   const requestCrashes = new Map<string, number[]>()
@@ -182,13 +195,21 @@
     }
   }
 
-  function isInContact ({ node, atMs }: SentRequest): boolean {
+  function isInContact ({ node, atMs }: Pick<SentRequest, 'node' | 'atMs'>): boolean {
     const lives = new Set([...sentRequests.values()].flatMap(sent => {
       return sent.node === node && sent.atMs > atMs - contactMs && sent.atMs <= atMs ? [`${sent.startCount}/${sent.interruptionCount}`] : []
     }))
     return lives.size === 1
   }
 
+  function checkEvacuations (): void {
+    for (const { request, backend, evacuatedForMs, cutOffNodes, atMs } of attempts) {
+      const node = evacuatedForMs > evacuationBoundMs ? sentRequests.get(request)?.node : undefined
+      if (node === undefined || cutOffNodes.includes(node) || !isInContact({ node, atMs })) continue
+      broken.push({ promise: 'evacuated-left-alone', detail: `${request} reached ${backend} from ${node} ${Math.round(evacuatedForMs)} ms after the evacuation of its domain` })
+    }
+  }
+
   function checkCall ({ id, isIdempotent, crashingPath, node, wasInterrupted, result }: CompletedCall): void {
     if (!isIdempotent) nonIdempotentIds.add(id)
     if (crashingPath !== undefined) crashingPaths.set(id, crashingPath)
@@ -215,6 +236,7 @@
     onRun: id => { runCounts.set(id, (runCounts.get(id) ?? 0) + 1) },
     onSent: sent => { sentRequests.set(sent.id, sent) },
     onArrival: arrival => { arrivals.push(arrival) },
+    onAttempt: attempt => { attempts.push(attempt) },
     onCall: call => {
       if (call.result.kind === 'answer') {
         recordPassedOn(call.id, call.result.leavingBackend, leavingPassedOn)
@@ -245,6 +267,7 @@
       checkLeaving()
       checkPauses()
       checkLimits()
+      checkEvacuations()
       checkCrashingPrompts()
       checkCrashingRequests()
       for (const id of nonIdempotentIds) {
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path'
 import { startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 import {
-  createBackendHandler, configurationKey, createConfiguration, backendEntryKey, createBackendEntry, nodeSettings, createNodePorts, startPlatform
+  createBackendHandler, configurationKey, createConfiguration, backendEntryKey, createBackendEntry, evacuationKey, nodeSettings, createNodePorts, startPlatform
 } from '../../test/platform-adapter/soak-deployment.ts'
 import { createEngineHandler } from '../../test/platform-adapter/soak-engine.ts'
 import { createNodeProcess } from './node-process.ts'
@@ -13,7 +13,7 @@
 import { startProxy } from './proxy.ts'
 import type { RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
 import type { BackendMode } from '../../test/platform-adapter/soak-deployment.ts'
-import type { Arrival } from './checks.ts'
+import type { Arrival, Attempt } from './checks.ts'
 import type { NodeProcess, NodeProcessOptions } from './node-process.ts'
 import type { Pace } from './pace.ts'
 import type { Proxy } from './proxy.ts'
@@ -27,6 +27,8 @@
 const copyIntervalMs = 1_000
 /** Time after a disturbance of the connections for which the arrival of a request is no evidence. */
 const disturbanceMs = 3_000
+/** Failure domains of the backend servers; each has servers of both services. */
+export const zones = ['a', 'b'] as const
 /** Time after a restore within which the operator and the backend servers write again. */
 const writeAgainMs = 700
 const portsPerNode = 20
@@ -68,6 +70,10 @@
   publishNextConfiguration: () => Promise<void>
   /** Restores the store from the oldest copy, some seconds old; the operator and the backend servers then write again. */
   restoreStore: () => Promise<void>
+  /** Evacuates a failure domain; one at a time. */
+  evacuate: (zone: string) => Promise<void>
+  /** Restarts all engines of the evacuated domain and ends its evacuation. */
+  endEvacuation: () => Promise<void>
   close: () => Promise<void>
 }
 
@@ -84,6 +90,8 @@
   onRunEnd?: (id: string) => void
   /** Called for each request that reaches a start of a backend server. */
   onArrival: (arrival: Omit<Arrival, 'atMs'>) => void
+  /** Called for each look-up, registration and prompt that reaches a backend server. */
+  onAttempt?: (attempt: Omit<Attempt, 'atMs'>) => void
   /** Called for each prompt that reaches an engine. */
   onPrompt: (request: string, sharedParts: readonly string[]) => void
   /** Called when an engine crashes. */
@@ -97,7 +105,7 @@
 }
 
 /** Starts the deployment and the processes of its nodes; they may not be ready yet. */
-export async function startSoakDeployment ({ nodeCount, program, settings = {}, wrapHandler = handler => handler, onRun, onRunEnd = () => {}, onArrival, onPrompt, onCrash, onRequestCrash, onLogLine, onExit, random }: SoakDeploymentOptions): Promise<SoakDeployment> {
+export async function startSoakDeployment ({ nodeCount, program, settings = {}, wrapHandler = handler => handler, onRun, onRunEnd = () => {}, onArrival, onAttempt = () => {}, onPrompt, onCrash, onRequestCrash, onLogLine, onExit, random }: SoakDeploymentOptions): Promise<SoakDeployment> {
   const folder = mkdtempSync(join(tmpdir(), 'soak-'))
   const portBlock = await takePortBlock()
   const basePort = portBlock.firstPort
@@ -108,6 +116,33 @@
     copies.push(platform.copy())
     if (copies.length > copyCount) copies.shift()
   }, copyIntervalMs)
+  /** The evacuated domain, and since when the store has had its key; Infinity while a restore has reverted it. */
+  let evacuation: { zone: string, sinceMs: number } | undefined
+  const writeEvacuations = async (): Promise<void> => {
+    for (const zone of zones) {
+      if (evacuation?.zone !== zone) {
+        await platform.remove(evacuationKey(zone))
+        continue
+      }
+      await platform.put(evacuationKey(zone), '')
+      evacuation.sinceMs = performance.now()
+    }
+  }
+  let storeDisturbedAtMs = -Infinity
+  let isStoreAway = false
+  const setStoreFault: typeof platform.setFault = fault => {
+    if (isStoreAway) storeDisturbedAtMs = performance.now()
+    isStoreAway = fault !== 'none' && fault !== 'no-history'
+    platform.setFault(fault)
+  }
+  const cutOffNodes = (): string[] => {
+    const disturbedAtMs = isStoreAway ? Infinity : storeDisturbedAtMs
+    return nodes.filter((_, index) => Math.max(disturbedAtMs, storeProxies[index]!.lastDisturbedAtMs()) >= performance.now() - disturbanceMs).map(({ name }) => name)
+  }
+  const observeAttempt = (request: string, backend: string, zone: string, startedAtMs: number): void => {
+    const evacuatedForMs = evacuation?.zone === zone ? performance.now() - evacuation.sinceMs : -Infinity
+    onAttempt({ request, backend, startedAtMs, evacuatedForMs, cutOffNodes: cutOffNodes() })
+  }
   let version = 0
   const publishNextConfiguration = async (): Promise<void> => {
     version += 1
@@ -121,9 +156,13 @@
   const crashing: SoakDeployment['crashing'] = { part: undefined, path: undefined }
   for (let index = 1; index <= backendCount; index += 1) {
     const id = `i-${index}`
+    const zone = zones[index % zones.length]!
     const mode: BackendMode = { isLeaving: false, pauseSeconds: undefined, limit: undefined }
     let startedAtMs = Date.now()
-    const handleArrival = (request: string, said: Pick<BackendMode, 'pauseSeconds' | 'limit'>): void => onArrival({ request, backend: id, startedAtMs, ...said, isDisturbed: proxy.lastDisturbedAtMs() >= performance.now() - disturbanceMs })
+    const handleArrival = (request: string, said: Pick<BackendMode, 'pauseSeconds' | 'limit'>): void => {
+      observeAttempt(request, id, zone, startedAtMs)
+      onArrival({ request, backend: id, startedAtMs, ...said, isDisturbed: proxy.lastDisturbedAtMs() >= performance.now() - disturbanceMs })
+    }
     const pace = createPace()
     paces.backends.push(pace)
     const workMs = (): number => random() * (random() < slowRatio ? maxSlowProcessingMs : maxProcessingMs)
@@ -132,7 +171,7 @@
     let sequence = 0
     const register = async (isDraining: boolean): Promise<void> => {
       sequence += 1
-      await platform.put(backendEntryKey(id), createBackendEntry(proxy.port, isDraining ? 'draining' : 'ready', sequence, startedAtMs))
+      await platform.put(backendEntryKey(id), createBackendEntry(proxy.port, isDraining ? 'draining' : 'ready', sequence, startedAtMs, false, 'v1', zone))
     }
     await register(false)
     const restart = async (): Promise<void> => {
@@ -152,26 +191,28 @@
     closeFunctions.push(proxy.close, server.close)
   }
 
-  const registerEngines: Array<() => Promise<void>> = []
+  const engines: Array<{ zone: string, register: () => Promise<void>, crash: () => void, restart: () => Promise<void> }> = []
   for (let index = 1; index <= engineCount; index += 1) {
     let startedAtMs = Date.now()
     const id = `e-${index}`
-    const register = async (): Promise<void> => await platform.put(backendEntryKey(id), createBackendEntry(proxy.port, 'ready', 1, startedAtMs, true))
+    const zone = zones[index % zones.length]!
+    const register = async (): Promise<void> => await platform.put(backendEntryKey(id), createBackendEntry(proxy.port, 'ready', 1, startedAtMs, true, 'v1', zone))
+    const restart = async (): Promise<void> => {
+      startedAtMs = Date.now()
+      await proxy.restart()
+      await register()
+    }
     const crash = (): void => {
       onCrash()
       proxy.crash()
-      setTimeout(async () => {
-        startedAtMs = Date.now()
-        await proxy.restart()
-        await register()
-      }, crashRestartMs)
+      setTimeout(restart, crashRestartMs)
     }
     const crashesOn = (parts: readonly string[]): boolean => crashing.part !== undefined && parts.includes(crashing.part)
     const pace = createPace()
     paces.engines.push(pace)
-    const server = await startRawBackend(wrapHandler(createEngineHandler(id, { crashesOn, crash, onArrival: onPrompt, observer: { onRun, onRunEnd }, workMs: () => random() * maxProcessingMs, work: pace.work }), id))
+    const server = await startRawBackend(wrapHandler(createEngineHandler(id, { crashesOn, crash, onArrival: (request, parts) => { observeAttempt(request, id, zone, startedAtMs); onPrompt(request, parts) }, observer: { onRun, onRunEnd }, workMs: () => random() * maxProcessingMs, work: pace.work }), id))
     const proxy = await startProxy(server.port)
-    registerEngines.push(register)
+    engines.push({ zone, register, crash: proxy.crash, restart })
     await register()
     closeFunctions.push(proxy.close, server.close)
   }
@@ -197,17 +238,30 @@
     paces,
     crashing,
     storeProxies,
-    setStoreFault: platform.setFault,
+    setStoreFault,
     apiCalls: platform.apiCalls,
     configurationVersion: () => version,
     publishNextConfiguration,
     restoreStore: async () => {
       platform.restore(copies[0]!)
+      if (evacuation !== undefined) evacuation.sinceMs = Infinity
       copies.length = 1
       await new Promise(resolve => setTimeout(resolve, writeAgainMs))
       await platform.put(configurationKey, createConfiguration(version))
       for (const { register } of backends) await register(false)
-      for (const register of registerEngines) await register()
+      for (const { register } of engines) await register()
+      await writeEvacuations()
+    },
+    evacuate: async zone => {
+      evacuation = { zone, sinceMs: Infinity }
+      await writeEvacuations()
+    },
+    endEvacuation: async () => {
+      const evacuated = engines.filter(({ zone }) => zone === evacuation?.zone)
+      evacuation = undefined
+      for (const { crash } of evacuated) crash()
+      for (const { restart } of evacuated) await restart()
+      await writeEvacuations()
     },
     close: async () => {
       clearInterval(copying)
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -3,9 +3,9 @@
 import { createRandom } from '../../src/core/random/index.ts'
 import { promptHeaders } from '../../test/platform-adapter/soak-deployment.ts'
 import { createCaller } from './callers.ts'
-import { createChecks } from './checks.ts'
+import { createChecks, evacuationBoundMs } from './checks.ts'
 import { startDrill, startFault } from './faults.ts'
-import { startSoakDeployment } from './deployment.ts'
+import { startSoakDeployment, zones } from './deployment.ts'
 import { describeOwnEnd } from './node-process.ts'
 import { isReady, pollUntil, startTimeoutMs } from './readiness.ts'
 import { findConflictingReports } from './usage-check.ts'
@@ -39,6 +39,9 @@
 const minFaultMs = 300
 const maxFaultMs = 2_500
 const maxFaultIntervalMs = 900
+const maxEvacuationPauseMs = 3_000
+/** Longest time for which an evacuation goes on after its bound. */
+const maxEvacuationRestMs = 6_000
 /** Time after the last fault within which all nodes must serve again; the platform's deployments set the same limit. */
 const recoveryTimeoutMs = 15_000
 /** Share of calls that go to a probe route, which exists in one configuration version only. */
@@ -63,6 +66,7 @@
     program,
     onRun: checks.onRun,
     onArrival: arrival => checks.onArrival({ ...arrival, atMs: performance.now() }),
+    onAttempt: attempt => checks.onAttempt({ ...attempt, atMs: performance.now() }),
     onPrompt: (id, parts) => checks.onPrompt({ id, parts, atMs: performance.now() }),
     onRequestCrash: path => checks.onRequestCrash(path, performance.now()),
     onExit: exit => {
@@ -141,6 +145,21 @@
     await drill.end()
   }
 
+  /** Evacuates failure domains one after the other, with a generator of its own. */
+  async function playEvacuations (): Promise<void> {
+    const evacuationRandom = createRandom(seed + 3)
+    const endAtMs = clock.monotonicMs() + durationMs
+    for (;;) {
+      await clock.sleep(evacuationRandom() * maxEvacuationPauseMs)
+      if (clock.monotonicMs() >= endAtMs) return
+      const zone = zones[Math.floor(evacuationRandom() * zones.length)]!
+      await deployment.evacuate(zone)
+      faults.push(`domain ${zone} is evacuated`)
+      await clock.sleep(evacuationBoundMs + (1 + evacuationRandom()) / 2 * maxEvacuationRestMs)
+      await deployment.endEvacuation()
+    }
+  }
+
   async function endLater (fault: Fault, afterMs: number): Promise<void> {
     await clock.sleep(afterMs)
     await fault.end()
@@ -169,7 +188,7 @@
   try {
     if (!await pollUntil(areAllNodesReady, startTimeoutMs)) checks.onBrokenPromise({ promise: 'recovery', detail: 'not every node became ready after the start' })
     const callerTasks = Array.from({ length: callerCount }, runCaller)
-    await Promise.all([injectFaults(), playDrill()])
+    await Promise.all([injectFaults(), playDrill(), playEvacuations()])
     await checkRecovery()
     loadStopController.abort()
     await Promise.all(callerTasks)
--- a/test/platform-adapter/soak-deployment.ts
+++ b/test/platform-adapter/soak-deployment.ts
@@ -70,12 +70,17 @@
   return state === 'completed' ? 'done' : state === 'rolled_back' ? 'taken-back' : undefined
 }
 
+/** Key by which the operator evacuates a failure domain. */
+export function evacuationKey (zone: string): string {
+  return `op/evacuate/${zone}`
+}
+
 export function backendEntryKey (backend: string): string {
   return `servers/${backend}`
 }
 
-export function createBackendEntry (port: number, state: 'ready' | 'draining', sequence: number, startedAtMs: number, isEngine = false, version = 'v1') {
-  return { service: isEngine ? engineService : service, address: `127.0.0.1:${port}`, zone: 'a', version, slots: 16, state, sequence, born: startedAtMs }
+export function createBackendEntry (port: number, state: 'ready' | 'draining', sequence: number, startedAtMs: number, isEngine = false, version = 'v1', zone = 'a') {
+  return { service: isEngine ? engineService : service, address: `127.0.0.1:${port}`, zone, version, slots: 16, state, sequence, born: startedAtMs }
 }
 
 /** `timeoutMs` is how long the caller waits; undefined if the request doesn't say. */
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -115,6 +115,17 @@
   }), ['pause-kept'])
 })
 
+// Guards against a check that passes when nodes ignore evacuations, or fails for nodes that could not know of them.
+test('requests to an evacuated domain are detected after the bound, from nodes that ran and had the store', t => {
+  const brokenAfter = (evacuatedForMs: number, cutOffNodes: string[], startCount = 1): string[] => brokenPromisesOf(checks => {
+    checks.onSent({ id: 'r-1', node: 'front-a-1', startCount: 1, interruptionCount: 0, atMs: 6_000 })
+    checks.onSent({ id: 'r-2', node: 'front-a-1', startCount, interruptionCount: 0, atMs: 6_100 })
+    checks.onAttempt({ request: 'r-2', backend: 'i-1', startedAtMs: 5, evacuatedForMs, cutOffNodes, atMs: 6_200 })
+  })
+  t.deepEqual(brokenAfter(5_100, ['front-a-2']), ['evacuated-left-alone'])
+  t.deepEqual([brokenAfter(4_900, []), brokenAfter(5_100, ['front-a-1']), brokenAfter(5_100, [], 2)], [[], [], []])
+})
+
 test('prompts that crash engines and go on reaching them, and sound prompts that are quarantined, are detected', t => {
   t.deepEqual(brokenPromisesOf(checks => {
     for (let index = 0; index < 5; index += 1) checks.onCrash('bad', index)
