End evacuations in the soak only after their check took effect

A restore of the store starts the bound of 5,000 ms anew, so an evacuation of fixed length could end before any attempt was checked. It now lasts for 3 to 6 s after the bound, counted from the last restore.

--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -72,6 +72,8 @@
   restoreStore: () => Promise<void>
   /** Evacuates a failure domain; one at a time. */
   evacuate: (zone: string) => Promise<void>
+  /** Time since the store has had the key of the evacuated domain; negative without one. */
+  evacuatedForMs: () => number
   /** Restarts all engines of the evacuated domain and ends its evacuation. */
   endEvacuation: () => Promise<void>
   close: () => Promise<void>
@@ -252,6 +254,7 @@
       for (const { register } of engines) await register()
       await writeEvacuations()
     },
+    evacuatedForMs: () => evacuation === undefined ? -Infinity : performance.now() - evacuation.sinceMs,
     evacuate: async zone => {
       evacuation = { zone, sinceMs: Infinity }
       await writeEvacuations()
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -42,6 +42,7 @@
 const maxEvacuationPauseMs = 3_000
 /** Longest time for which an evacuation goes on after its bound. */
 const maxEvacuationRestMs = 6_000
+const pollMs = 50
 /** Time after the last fault within which all nodes must serve again; the platform's deployments set the same limit. */
 const recoveryTimeoutMs = 15_000
 /** Share of calls that go to a probe route, which exists in one configuration version only. */
@@ -155,7 +156,9 @@
       const zone = zones[Math.floor(evacuationRandom() * zones.length)]!
       await deployment.evacuate(zone)
       faults.push(`domain ${zone} is evacuated`)
-      await clock.sleep(evacuationBoundMs + (1 + evacuationRandom()) / 2 * maxEvacuationRestMs)
+      // A restore of the store starts the bound anew.
+      const forMs = evacuationBoundMs + (1 + evacuationRandom()) / 2 * maxEvacuationRestMs
+      while (deployment.evacuatedForMs() < forMs) await clock.sleep(pollMs)
       await deployment.endEvacuation()
     }
   }
