Let the soak check the limit of cold engines

No soak run met cold backend servers. The engines of the soak's own run are now cold for 3 s after a restart, by crashes and at the end of an evacuation, with a limit of 1 request a second, so that their part of the load exceeds what the rule allows. The check fails if one start of an engine gets more than limit * 1.5 + 5 requests in a second, summed over the nodes that weren't cut off from the store for 3 s. Engines that run from the beginning aren't counted.

Tests of the checks pass.

--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -24,7 +24,7 @@
 
 /** One violation of a promise. */
 export interface BrokenPromise {
-  promise: 'evacuated-left-alone' | 'limit-kept' | 'one-usage-report' | 'crashing-prompt' | 'sound-prompt' | 'crashing-request' | 'sound-request' | 'leaving-left-alone' | 'pause-kept' | 'own-answer' | 'not-run' | 'at-most-once' | 'planned-stop' | 'whole-answer' | 'not-denied' | 'loss-logged' | 'process-end' | 'memory-kept' | 'an-end' | 'newest-configuration' | 'recovery' | 'move-result'
+  promise: 'cold-limit-kept' | 'evacuated-left-alone' | 'limit-kept' | 'one-usage-report' | 'crashing-prompt' | 'sound-prompt' | 'crashing-request' | 'sound-request' | 'leaving-left-alone' | 'pause-kept' | 'own-answer' | 'not-run' | 'at-most-once' | 'planned-stop' | 'whole-answer' | 'not-denied' | 'loss-logged' | 'process-end' | 'memory-kept' | 'an-end' | 'newest-configuration' | 'recovery' | 'move-result'
   detail: string
 }
 
@@ -46,6 +46,7 @@
 export interface Attempt extends Pick<Arrival, 'request' | 'backend' | 'startedAtMs' | 'atMs'> {
   /** Time since the store had the request to evacuate the server's domain; negative if it didn't. */
   evacuatedForMs: number
+  isCold: boolean
   /** Nodes that were cut off from the store shortly before. */
   cutOffNodes: readonly string[]
 }
@@ -104,6 +105,11 @@
 /** Time after the store accepted an evacuation from which nothing may reach a backend server of the domain. */
 export const evacuationBoundMs = 5_000
 
+/** Requests a second that a cold engine takes; low, so that its part of the load exceeds what the rule allows. */
+export const coldPerSecond = 1
+const allowedWhileCold = coldPerSecond * 1.5 + 5
+const coldWindowMs = 1_000
+
 /** Crashes by one part of a prompt, and the time after them, from which no more than `maxLatePrompts` with it may reach engines. */
 const crashesBeforeRefusal = 5
 const contactMs = 3_000
@@ -210,6 +216,19 @@
     }
   }
 
+  /** Counts the requests of all nodes that weren't cut off from the store; reports the first window of each start of a server. */
+  function checkColdLimits (): void {
+    const timesMs = new Map<string, number[]>()
+    for (const { request, backend, startedAtMs, isCold, cutOffNodes, atMs } of attempts) {
+      const key = `${backend}/${startedAtMs}`
+      if (isCold && !cutOffNodes.includes(sentRequests.get(request)?.node ?? '')) timesMs.set(key, [...timesMs.get(key) ?? [], atMs])
+    }
+    for (const [key, all] of timesMs) {
+      const count = all.map(fromMs => all.filter(atMs => atMs >= fromMs && atMs < fromMs + coldWindowMs).length).find(inWindow => inWindow > allowedWhileCold)
+      if (count !== undefined) broken.push({ promise: 'cold-limit-kept', detail: `${key} got ${count} requests in ${coldWindowMs} ms while it was cold, allowed ${allowedWhileCold}` })
+    }
+  }
+
   function checkCall ({ id, isIdempotent, crashingPath, node, wasInterrupted, result }: CompletedCall): void {
     if (!isIdempotent) nonIdempotentIds.add(id)
     if (crashingPath !== undefined) crashingPaths.set(id, crashingPath)
@@ -268,6 +287,7 @@
       checkPauses()
       checkLimits()
       checkEvacuations()
+      checkColdLimits()
       checkCrashingPrompts()
       checkCrashingRequests()
       for (const id of nonIdempotentIds) {
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -12,7 +12,7 @@
 import { takePortBlock } from './port-block.ts'
 import { startProxy } from './proxy.ts'
 import type { RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
-import type { BackendMode } from '../../test/platform-adapter/soak-deployment.ts'
+import type { BackendMode, ColdEngines } from '../../test/platform-adapter/soak-deployment.ts'
 import type { Arrival, Attempt } from './checks.ts'
 import type { NodeProcess, NodeProcessOptions } from './node-process.ts'
 import type { Pace } from './pace.ts'
@@ -103,11 +103,13 @@
   /** Called for each line that a node logs, and when its process ends. */
   onLogLine?: NodeProcessOptions['onLogLine']
   onExit?: NodeProcessOptions['onExit']
+  /** Without it, engines are never cold. */
+  coldEngines?: ColdEngines
   random: () => number
 }
 
 /** Starts the deployment and the processes of its nodes; they may not be ready yet. */
-export async function startSoakDeployment ({ nodeCount, program, settings = {}, wrapHandler = handler => handler, onRun, onRunEnd = () => {}, onArrival, onAttempt = () => {}, onPrompt, onCrash, onRequestCrash, onLogLine, onExit, random }: SoakDeploymentOptions): Promise<SoakDeployment> {
+export async function startSoakDeployment ({ nodeCount, program, settings = {}, wrapHandler = handler => handler, onRun, onRunEnd = () => {}, onArrival, onAttempt = () => {}, onPrompt, onCrash, onRequestCrash, onLogLine, onExit, coldEngines, random }: SoakDeploymentOptions): Promise<SoakDeployment> {
   const folder = mkdtempSync(join(tmpdir(), 'soak-'))
   const portBlock = await takePortBlock()
   const basePort = portBlock.firstPort
@@ -141,14 +143,14 @@
     const disturbedAtMs = isStoreAway ? Infinity : storeDisturbedAtMs
     return nodes.filter((_, index) => Math.max(disturbedAtMs, storeProxies[index]!.lastDisturbedAtMs()) >= performance.now() - disturbanceMs).map(({ name }) => name)
   }
-  const observeAttempt = (request: string, backend: string, zone: string, startedAtMs: number): void => {
+  const observeAttempt = (request: string, backend: string, zone: string, startedAtMs: number, coldMs = 0): void => {
     const evacuatedForMs = evacuation?.zone === zone ? performance.now() - evacuation.sinceMs : -Infinity
-    onAttempt({ request, backend, startedAtMs, evacuatedForMs, cutOffNodes: cutOffNodes() })
+    onAttempt({ request, backend, startedAtMs, evacuatedForMs, isCold: coldMs > 0, cutOffNodes: cutOffNodes() })
   }
   let version = 0
   const publishNextConfiguration = async (): Promise<void> => {
     version += 1
-    await platform.put(configurationKey, createConfiguration(version))
+    await platform.put(configurationKey, createConfiguration(version, coldEngines))
   }
   await publishNextConfiguration()
 
@@ -198,9 +200,12 @@
     let startedAtMs = Date.now()
     const id = `e-${index}`
     const zone = zones[index % zones.length]!
-    const register = async (): Promise<void> => await platform.put(backendEntryKey(id), createBackendEntry(proxy.port, 'ready', 1, startedAtMs, true, 'v1', zone))
+    let coldUntilMs = -Infinity
+    const coldMs = (): number => Math.max(0, coldUntilMs - Date.now())
+    const register = async (): Promise<void> => await platform.put(backendEntryKey(id), createBackendEntry(proxy.port, 'ready', 1, startedAtMs, true, 'v1', zone, coldMs()))
     const restart = async (): Promise<void> => {
       startedAtMs = Date.now()
+      coldUntilMs = startedAtMs + (coldEngines?.startMs ?? 0)
       await proxy.restart()
       await register()
     }
@@ -212,7 +217,7 @@
     const crashesOn = (parts: readonly string[]): boolean => crashing.part !== undefined && parts.includes(crashing.part)
     const pace = createPace()
     paces.engines.push(pace)
-    const server = await startRawBackend(wrapHandler(createEngineHandler(id, { crashesOn, crash, onArrival: (request, parts) => { observeAttempt(request, id, zone, startedAtMs); onPrompt(request, parts) }, observer: { onRun, onRunEnd }, workMs: () => random() * maxProcessingMs, work: pace.work }), id))
+    const server = await startRawBackend(wrapHandler(createEngineHandler(id, { crashesOn, crash, onArrival: (request, parts) => { observeAttempt(request, id, zone, startedAtMs, coldMs()); onPrompt(request, parts) }, observer: { onRun, onRunEnd }, workMs: () => random() * maxProcessingMs, work: pace.work }), id))
     const proxy = await startProxy(server.port)
     engines.push({ zone, register, crash: proxy.crash, restart })
     await register()
@@ -249,7 +254,7 @@
       if (evacuation !== undefined) evacuation.sinceMs = Infinity
       copies.length = 1
       await new Promise(resolve => setTimeout(resolve, writeAgainMs))
-      await platform.put(configurationKey, createConfiguration(version))
+      await platform.put(configurationKey, createConfiguration(version, coldEngines))
       for (const { register } of backends) await register(false)
       for (const { register } of engines) await register()
       await writeEvacuations()
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -3,7 +3,7 @@
 import { createRandom } from '../../src/core/random/index.ts'
 import { promptHeaders } from '../../test/platform-adapter/soak-deployment.ts'
 import { createCaller } from './callers.ts'
-import { createChecks, evacuationBoundMs } from './checks.ts'
+import { coldPerSecond, createChecks, evacuationBoundMs } from './checks.ts'
 import { startDrill, startFault } from './faults.ts'
 import { startSoakDeployment, zones } from './deployment.ts'
 import { describeOwnEnd } from './node-process.ts'
@@ -43,6 +43,7 @@
 /** Longest time for which an evacuation goes on after its bound. */
 const maxEvacuationRestMs = 6_000
 const pollMs = 50
+const coldEngines = { startMs: 3_000, perSecond: coldPerSecond }
 /** Time after the last fault within which all nodes must serve again; the platform's deployments set the same limit. */
 const recoveryTimeoutMs = 15_000
 /** Share of calls that go to a probe route, which exists in one configuration version only. */
@@ -75,6 +76,7 @@
       if (detail !== undefined) checks.onBrokenPromise({ promise: 'process-end', detail })
     },
     onCrash: () => checks.onCrash(deployment.crashing.part ?? '', performance.now()),
+    coldEngines,
     random: callRandom
   })
   const faults: string[] = []
--- a/test/platform-adapter/soak-deployment.ts
+++ b/test/platform-adapter/soak-deployment.ts
@@ -32,8 +32,14 @@
   return { name, host: '127.0.0.1', path_prefix: path, kind, timeout_ms: timeoutMs, slo_ms: 1_000, service: routeService, max_attempts: attempts }
 }
 
+/** For how long engines are cold after a restart, and how many requests a second they take meanwhile. */
+export interface ColdEngines {
+  startMs: number
+  perSecond: number
+}
+
 /** Creates the configuration with the given version: the routes of the load, and a probe route that only this version has. */
-export function createConfiguration (version: number) {
+export function createConfiguration (version: number, cold: ColdEngines = { startMs: 0, perSecond: 0 }) {
   return {
     version,
     routes: [
@@ -45,7 +51,7 @@
       createRoute('probe', `/version-${version}/`, 'safe', 1),
       { ...createRoute('draft', '/draft/', 'streaming', 3, engineService), stream_resume: true, gap_slo_ms: 500 }
     ],
-    services: [{ name: service, max_connections: 100 }, { name: engineService, max_connections: 100, engine: { slots: 16, kv_capacity: 100_000 } }],
+    services: [{ name: service, max_connections: 100 }, { name: engineService, max_connections: 100, engine: { slots: 16, kv_capacity: 100_000 }, cold_start_s: cold.startMs / 1_000, cold_per_s: cold.perSecond }],
     tenants: [{ name: 'agency', api_keys: ['key-1'], unit: 'token', uncached_tokens: 1, rate_per_s: 100_000, burst: 100_000 }]
   }
 }
@@ -79,8 +85,8 @@
   return `servers/${backend}`
 }
 
-export function createBackendEntry (port: number, state: 'ready' | 'draining', sequence: number, startedAtMs: number, isEngine = false, version = 'v1', zone = 'a') {
-  return { service: isEngine ? engineService : service, address: `127.0.0.1:${port}`, zone, version, slots: 16, state, sequence, born: startedAtMs }
+export function createBackendEntry (port: number, state: 'ready' | 'draining', sequence: number, startedAtMs: number, isEngine = false, version = 'v1', zone = 'a', coldMs = 0) {
+  return { service: isEngine ? engineService : service, address: `127.0.0.1:${port}`, zone, version, slots: 16, state, sequence, born: startedAtMs, cold_remaining_ms: coldMs }
 }
 
 /** `timeoutMs` is how long the caller waits; undefined if the request doesn't say. */
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -120,12 +120,24 @@
   const brokenAfter = (evacuatedForMs: number, cutOffNodes: string[], startCount = 1): string[] => brokenPromisesOf(checks => {
     checks.onSent({ id: 'r-1', node: 'front-a-1', startCount: 1, interruptionCount: 0, atMs: 6_000 })
     checks.onSent({ id: 'r-2', node: 'front-a-1', startCount, interruptionCount: 0, atMs: 6_100 })
-    checks.onAttempt({ request: 'r-2', backend: 'i-1', startedAtMs: 5, evacuatedForMs, cutOffNodes, atMs: 6_200 })
+    checks.onAttempt({ request: 'r-2', backend: 'i-1', startedAtMs: 5, evacuatedForMs, isCold: false, cutOffNodes, atMs: 6_200 })
   })
   t.deepEqual(brokenAfter(5_100, ['front-a-2']), ['evacuated-left-alone'])
   t.deepEqual([brokenAfter(4_900, []), brokenAfter(5_100, ['front-a-1']), brokenAfter(5_100, [], 2)], [[], [], []])
 })
 
+// Guards against a check that counts the requests of each node by itself, or those of nodes that could not know of the restart.
+test('requests to a cold engine beyond its limit in one second are detected, summed over all nodes', t => {
+  const brokenWith = (count: number, cutOffNodes: string[], isCold = true): string[] => brokenPromisesOf(checks => {
+    for (let index = 0; index < count; index += 1) {
+      checks.onSent({ id: `r-${index}`, node: `front-a-${index % 2}`, startCount: 1, interruptionCount: 0, atMs: index })
+      checks.onAttempt({ request: `r-${index}`, backend: 'e-1', startedAtMs: 5, evacuatedForMs: -Infinity, isCold, cutOffNodes, atMs: index * 100 })
+    }
+  })
+  t.deepEqual(brokenWith(7, []), ['cold-limit-kept'])
+  t.deepEqual([brokenWith(6, []), brokenWith(7, ['front-a-1']), brokenWith(7, [], false)], [[], [], []])
+})
+
 test('prompts that crash engines and go on reaching them, and sound prompts that are quarantined, are detected', t => {
   t.deepEqual(brokenPromisesOf(checks => {
     for (let index = 0; index < 5; index += 1) checks.onCrash('bad', index)
