--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -25,10 +25,19 @@
 
 /** One violation of a promise. */
 export interface BrokenPromise {
-  promise: 'limit-kept' | 'one-usage-report' | 'crashing-prompt' | 'sound-prompt' | 'crashing-request' | 'sound-request' | 'leaving-left-alone' | 'pause-kept' | 'own-answer' | 'not-run' | 'at-most-once' | 'planned-stop' | 'whole-answer' | 'not-denied' | 'loss-logged' | 'process-end' | 'memory-kept' | 'an-end' | 'newest-configuration' | 'recovery' | 'move-result'
+  promise: 'cold-limit-kept' | 'evacuated-left-alone' | 'limit-kept' | 'one-usage-report' | 'crashing-prompt' | 'sound-prompt' | 'crashing-request' | 'sound-request' | 'leaving-left-alone' | 'pause-kept' | 'own-answer' | 'not-run' | 'at-most-once' | 'planned-stop' | 'whole-answer' | 'not-denied' | 'loss-logged' | 'process-end' | 'memory-kept' | 'an-end' | 'newest-configuration' | 'recovery' | 'move-result'
   detail: string
 }
 
+/** A request that reached a backend server, which answered it with another status than 421. */
+export interface Attempt extends Pick<Arrival, 'request' | 'backend' | 'startedAtMs' | 'atMs'> {
+  /** Time since the store had the request to evacuate the server's domain; negative if it didn't. */
+  evacuatedForMs: number
+  isCold: boolean
+  /** Nodes that were cut off from the store shortly before. */
+  cutOffNodes: readonly string[]
+}
+
 /** A request as it was sent to a node. */
 export interface SentRequest {
   id: string
@@ -53,6 +62,7 @@
   onRun: (id: string) => void
   onSent: (sent: SentRequest) => void
   onArrival: (arrival: Arrival) => void
+  onAttempt: (attempt: Attempt) => void
   onCall: (call: CompletedCall) => void
   /** Called for each prompt that reaches an engine. */
   onPrompt: (prompt: { id: string, parts: readonly string[], atMs: number }) => void
@@ -79,6 +89,14 @@
 const pauseNoticeMs = 500
 const maxPausedRequests = 2
 
+/** Time after the store accepted an evacuation from which nothing may reach a backend server of the domain. */
+export const evacuationBoundMs = 5_000
+
+/** Requests a second that a cold engine takes; low, so that its part of the load exceeds what the rule allows. */
+export const coldPerSecond = 1
+const allowedWhileCold = coldPerSecond * 1.5 + 5
+const coldWindowMs = 1_000
+
 /** Crashes by one part of a prompt, and the time after them, from which no more than `maxLatePrompts` with it may reach engines. */
 const crashesBeforeRefusal = 5
 const contactMs = 3_000
@@ -99,6 +117,7 @@
   const newestVersions = new Map<string, number>()
   const sentRequests = new Map<string, SentRequest>()
   const arrivals: Arrival[] = []
+  const attempts: Attempt[] = []
   const prompts: Array<{ id: string, parts: readonly string[], atMs: number }> = []
   const crashes = new Map<string, number[]>()
   const requestCrashes = new Map<string, number[]>()
@@ -169,13 +188,34 @@
     }
   }
 
-  function isInContact ({ node, atMs }: SentRequest): boolean {
+  function isInContact ({ node, atMs }: Pick<SentRequest, 'node' | 'atMs'>): boolean {
     const lives = new Set([...sentRequests.values()].flatMap(sent => {
       return sent.node === node && sent.atMs > atMs - contactMs && sent.atMs <= atMs ? [`${sent.startCount}/${sent.interruptionCount}`] : []
     }))
     return lives.size === 1
   }
 
+  function checkEvacuations (): void {
+    for (const { request, backend, evacuatedForMs, cutOffNodes, atMs } of attempts) {
+      const node = evacuatedForMs > evacuationBoundMs ? sentRequests.get(request)?.node : undefined
+      if (node === undefined || cutOffNodes.includes(node) || !isInContact({ node, atMs })) continue
+      broken.push({ promise: 'evacuated-left-alone', detail: `${request} reached ${backend} from ${node} ${Math.round(evacuatedForMs)} ms after the evacuation of its domain` })
+    }
+  }
+
+  /** Counts the requests of all nodes that weren't cut off from the store; reports the first window of each start of a server. */
+  function checkColdLimits (): void {
+    const timesMs = new Map<string, number[]>()
+    for (const { request, backend, startedAtMs, isCold, cutOffNodes, atMs } of attempts) {
+      const key = `${backend}/${startedAtMs}`
+      if (isCold && !cutOffNodes.includes(sentRequests.get(request)?.node ?? '')) timesMs.set(key, [...timesMs.get(key) ?? [], atMs])
+    }
+    for (const [key, all] of timesMs) {
+      const count = all.map(fromMs => all.filter(atMs => atMs >= fromMs && atMs < fromMs + coldWindowMs).length).find(inWindow => inWindow > allowedWhileCold)
+      if (count !== undefined) broken.push({ promise: 'cold-limit-kept', detail: `${key} got ${count} requests in ${coldWindowMs} ms while it was cold, allowed ${allowedWhileCold}` })
+    }
+  }
+
   function checkCall ({ id, isIdempotent, crashingPath, node, wasInterrupted, result }: CompletedCall): void {
     if (!isIdempotent) nonIdempotentIds.add(id)
     if (crashingPath !== undefined) crashingPaths.set(id, crashingPath)
@@ -202,6 +242,7 @@
     onRun: id => { runCounts.set(id, (runCounts.get(id) ?? 0) + 1) },
     onSent: sent => { sentRequests.set(sent.id, sent) },
     onArrival: arrival => { arrivals.push(arrival) },
+    onAttempt: attempt => { attempts.push(attempt) },
     onCall: call => {
       if (call.result.kind === 'answer') {
         recordPassedOn(call.id, call.result.leavingBackend, leavingPassedOn)
@@ -232,6 +273,8 @@
       checkLeaving()
       checkPauses()
       checkLimits()
+      checkEvacuations()
+      checkColdLimits()
       checkCrashingPrompts()
       checkCrashingRequests()
       for (const id of nonIdempotentIds) {
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path'
 import { startRawBackend } from '../../src/stand-ins/raw-backend/index.ts'
 import {
-  createBackendHandler, configurationKey, createConfiguration, backendEntryKey, createBackendEntry, nodeSettings, createNodePorts, startPlatform
+  createBackendHandler, configurationKey, createConfiguration, backendEntryKey, createBackendEntry, evacuationKey, nodeSettings, createNodePorts, startPlatform
 } from '../../test/platform-adapter/soak-deployment.ts'
 import { createEngineHandler } from '../../test/platform-adapter/soak-engine.ts'
 import { createNodeProcess } from './node-process.ts'
@@ -12,8 +12,9 @@
 import { takePortBlock } from './port-block.ts'
 import { startProxy } from './proxy.ts'
 import type { RawRequestHandler } from '../../src/stand-ins/raw-backend/index.ts'
-import type { BackendMode } from '../../test/platform-adapter/soak-deployment.ts'
+import type { BackendMode, ColdEngines } from '../../test/platform-adapter/soak-deployment.ts'
 import type { Arrival } from './arrival.ts'
+import type { Attempt } from './checks.ts'
 import type { NodeProcess, NodeProcessOptions } from './node-process.ts'
 import type { Pace } from './pace.ts'
 import type { Proxy } from './proxy.ts'
@@ -27,6 +28,8 @@
 const copyIntervalMs = 1_000
 /** Time after a disturbance of the connections for which the arrival of a request is no evidence. */
 const disturbanceMs = 3_000
+/** Failure domains of the backend servers; each has servers of both services. */
+export const zones = ['a', 'b'] as const
 /** Time after a restore within which the operator and the backend servers write again. */
 const writeAgainMs = 700
 const portsPerNode = 20
@@ -68,6 +71,12 @@
   publishNextConfiguration: () => Promise<void>
   /** Restores the store from the oldest copy, some seconds old; the operator and the backend servers then write again. */
   restoreStore: () => Promise<void>
+  /** Evacuates a failure domain; one at a time. */
+  evacuate: (zone: string) => Promise<void>
+  /** Time since the store has had the key of the evacuated domain; negative without one. */
+  evacuatedForMs: () => number
+  /** Restarts all engines of the evacuated domain and ends its evacuation. */
+  endEvacuation: () => Promise<void>
   close: () => Promise<void>
 }
 
@@ -84,6 +93,8 @@
   onRunEnd?: (id: string) => void
   /** Called for each request that reaches a start of a backend server. */
   onArrival: (arrival: Omit<Arrival, 'atMs'>) => void
+  /** Called for each look-up, registration and prompt that reaches a backend server. */
+  onAttempt?: (attempt: Omit<Attempt, 'atMs'>) => void
   /** Called for each prompt that reaches an engine. */
   onPrompt: (request: string, sharedParts: readonly string[]) => void
   /** Called when an engine crashes. */
@@ -93,11 +104,13 @@
   /** Called for each line that a node logs, and when its process ends. */
   onLogLine?: NodeProcessOptions['onLogLine']
   onExit?: NodeProcessOptions['onExit']
+  /** Without it, engines are never cold. */
+  coldEngines?: ColdEngines
   random: () => number
 }
 
 /** Starts the deployment and the processes of its nodes; they may not be ready yet. */
-export async function startSoakDeployment ({ nodeCount, program, settings = {}, wrapHandler = handler => handler, onRun, onRunEnd = () => {}, onArrival, onPrompt, onCrash, onRequestCrash, onLogLine, onExit, random }: SoakDeploymentOptions): Promise<SoakDeployment> {
+export async function startSoakDeployment ({ nodeCount, program, settings = {}, wrapHandler = handler => handler, onRun, onRunEnd = () => {}, onArrival, onAttempt = () => {}, onPrompt, onCrash, onRequestCrash, onLogLine, onExit, coldEngines, random }: SoakDeploymentOptions): Promise<SoakDeployment> {
   const folder = mkdtempSync(join(tmpdir(), 'soak-'))
   const portBlock = await takePortBlock()
   const basePort = portBlock.firstPort
@@ -108,10 +121,37 @@
     copies.push(platform.copy())
     if (copies.length > copyCount) copies.shift()
   }, copyIntervalMs)
+  /** The evacuated domain, and since when the store has had its key; Infinity while a restore has reverted it. */
+  let evacuation: { zone: string, sinceMs: number } | undefined
+  const writeEvacuations = async (): Promise<void> => {
+    for (const zone of zones) {
+      if (evacuation?.zone !== zone) {
+        await platform.remove(evacuationKey(zone))
+        continue
+      }
+      await platform.put(evacuationKey(zone), '')
+      evacuation.sinceMs = performance.now()
+    }
+  }
+  let storeDisturbedAtMs = -Infinity
+  let isStoreAway = false
+  const setStoreFault: typeof platform.setFault = fault => {
+    if (isStoreAway) storeDisturbedAtMs = performance.now()
+    isStoreAway = fault !== 'none' && fault !== 'no-history'
+    platform.setFault(fault)
+  }
+  const cutOffNodes = (): string[] => {
+    const disturbedAtMs = isStoreAway ? Infinity : storeDisturbedAtMs
+    return nodes.filter((_, index) => Math.max(disturbedAtMs, storeProxies[index]!.lastDisturbedAtMs()) >= performance.now() - disturbanceMs).map(({ name }) => name)
+  }
+  const observeAttempt = (request: string, backend: string, zone: string, startedAtMs: number, coldMs = 0): void => {
+    const evacuatedForMs = evacuation?.zone === zone ? performance.now() - evacuation.sinceMs : -Infinity
+    onAttempt({ request, backend, startedAtMs, evacuatedForMs, isCold: coldMs > 0, cutOffNodes: cutOffNodes() })
+  }
   let version = 0
   const publishNextConfiguration = async (): Promise<void> => {
     version += 1
-    await platform.put(configurationKey, createConfiguration(version))
+    await platform.put(configurationKey, createConfiguration(version, coldEngines))
   }
   await publishNextConfiguration()
 
@@ -121,9 +161,13 @@
   const crashing: SoakDeployment['crashing'] = { part: undefined, path: undefined }
   for (let index = 1; index <= backendCount; index += 1) {
     const id = `i-${index}`
+    const zone = zones[index % zones.length]!
     const mode: BackendMode = { isLeaving: false, pauseSeconds: undefined, limit: undefined }
     let startedAtMs = Date.now()
-    const handleArrival = (request: string, said: Pick<BackendMode, 'pauseSeconds' | 'limit'>): void => onArrival({ request, backend: id, startedAtMs, ...said, isDisturbed: proxy.lastDisturbedAtMs() >= performance.now() - disturbanceMs })
+    const handleArrival = (request: string, said: Pick<BackendMode, 'pauseSeconds' | 'limit'>): void => {
+      observeAttempt(request, id, zone, startedAtMs)
+      onArrival({ request, backend: id, startedAtMs, ...said, isDisturbed: proxy.lastDisturbedAtMs() >= performance.now() - disturbanceMs })
+    }
     const pace = createPace()
     paces.backends.push(pace)
     const workMs = (): number => random() * (random() < slowRatio ? maxSlowProcessingMs : maxProcessingMs)
@@ -132,7 +176,7 @@
     let sequence = 0
     const register = async (isDraining: boolean): Promise<void> => {
       sequence += 1
-      await platform.put(backendEntryKey(id), createBackendEntry(proxy.port, isDraining ? 'draining' : 'ready', sequence, startedAtMs))
+      await platform.put(backendEntryKey(id), createBackendEntry(proxy.port, isDraining ? 'draining' : 'ready', sequence, startedAtMs, false, 'v1', zone))
     }
     await register(false)
     const restart = async (): Promise<void> => {
@@ -152,26 +196,31 @@
     closeFunctions.push(proxy.close, server.close)
   }
 
-  const registerEngines: Array<() => Promise<void>> = []
+  const engines: Array<{ zone: string, register: () => Promise<void>, crash: () => void, restart: () => Promise<void> }> = []
   for (let index = 1; index <= engineCount; index += 1) {
     let startedAtMs = Date.now()
     const id = `e-${index}`
-    const register = async (): Promise<void> => await platform.put(backendEntryKey(id), createBackendEntry(proxy.port, 'ready', 1, startedAtMs, true))
+    const zone = zones[index % zones.length]!
+    let coldUntilMs = -Infinity
+    const coldMs = (): number => Math.max(0, coldUntilMs - Date.now())
+    const register = async (): Promise<void> => await platform.put(backendEntryKey(id), createBackendEntry(proxy.port, 'ready', 1, startedAtMs, true, 'v1', zone, coldMs()))
+    const restart = async (): Promise<void> => {
+      startedAtMs = Date.now()
+      coldUntilMs = startedAtMs + (coldEngines?.startMs ?? 0)
+      await proxy.restart()
+      await register()
+    }
     const crash = (): void => {
       onCrash()
       proxy.crash()
-      setTimeout(async () => {
-        startedAtMs = Date.now()
-        await proxy.restart()
-        await register()
-      }, crashRestartMs)
+      setTimeout(restart, crashRestartMs)
     }
     const crashesOn = (parts: readonly string[]): boolean => crashing.part !== undefined && parts.includes(crashing.part)
     const pace = createPace()
     paces.engines.push(pace)
-    const server = await startRawBackend(wrapHandler(createEngineHandler(id, { crashesOn, crash, onArrival: onPrompt, observer: { onRun, onRunEnd }, workMs: () => random() * maxProcessingMs, work: pace.work }), id))
+    const server = await startRawBackend(wrapHandler(createEngineHandler(id, { crashesOn, crash, onArrival: (request, parts) => { observeAttempt(request, id, zone, startedAtMs, coldMs()); onPrompt(request, parts) }, observer: { onRun, onRunEnd }, workMs: () => random() * maxProcessingMs, work: pace.work }), id))
     const proxy = await startProxy(server.port)
-    registerEngines.push(register)
+    engines.push({ zone, register, crash: proxy.crash, restart })
     await register()
     closeFunctions.push(proxy.close, server.close)
   }
@@ -197,17 +246,31 @@
     paces,
     crashing,
     storeProxies,
-    setStoreFault: platform.setFault,
+    setStoreFault,
     apiCalls: platform.apiCalls,
     configurationVersion: () => version,
     publishNextConfiguration,
     restoreStore: async () => {
       platform.restore(copies[0]!)
+      if (evacuation !== undefined) evacuation.sinceMs = Infinity
       copies.length = 1
       await new Promise(resolve => setTimeout(resolve, writeAgainMs))
-      await platform.put(configurationKey, createConfiguration(version))
+      await platform.put(configurationKey, createConfiguration(version, coldEngines))
       for (const { register } of backends) await register(false)
-      for (const register of registerEngines) await register()
+      for (const { register } of engines) await register()
+      await writeEvacuations()
+    },
+    evacuatedForMs: () => evacuation === undefined ? -Infinity : performance.now() - evacuation.sinceMs,
+    evacuate: async zone => {
+      evacuation = { zone, sinceMs: Infinity }
+      await writeEvacuations()
+    },
+    endEvacuation: async () => {
+      const evacuated = engines.filter(({ zone }) => zone === evacuation?.zone)
+      evacuation = undefined
+      for (const { crash } of evacuated) crash()
+      for (const { restart } of evacuated) await restart()
+      await writeEvacuations()
     },
     close: async () => {
       clearInterval(copying)
