--- a/src/core/backend-limits/cold-servers.ts
+++ b/src/core/backend-limits/cold-servers.ts
@@ -13,7 +13,7 @@
 type ColdCause = 'appeared' | 'domain-returned' | 'registered'
 
 /** The time for which a backend server is cold without a break. */
-export interface ColdSpell {
+export interface ColdPeriod {
   perSecond: number
   bucket: PermitBucket
   /** Requests that this node sent there, and that it sent elsewhere. */
@@ -29,7 +29,7 @@
   recordRegistration: BackendLimits['recordRegistration']
   remove: (id: BackendId) => void
   /** The present cold time of a backend server, with this node's share; undefined if it isn't cold. */
-  find: (backend: Pick<LimitedBackend, 'id' | 'service'>) => ColdSpell | undefined
+  find: (backend: Pick<LimitedBackend, 'id' | 'service'>) => ColdPeriod | undefined
   /** Notes changes of the registered nodes, and cold times that have ended. Must be called several times a second. */
   update: () => void
 }
@@ -44,10 +44,10 @@
   appearedAtMs: number
   /** Monotonic time until which its registration calls it cold. */
   registeredUntilMs: number
-  spell: Spell | undefined
+  period: OwnColdPeriod | undefined
 }
 
-interface Spell extends ColdSpell {
+interface OwnColdPeriod extends ColdPeriod {
   sinceMs: number
   ownPerSecond: number
   /** What the bucket's rate was computed from. */
@@ -58,7 +58,7 @@
 export function createColdServers (options: ColdServersOptions): ColdServers {
   const { clock, log, metrics, random, cold } = options
   const servers = new Map<BackendId, KnownServer>()
-  const inSpell = new Set<KnownServer>()
+  const inColdPeriod = new Set<KnownServer>()
   const shares = createColdShares({ ...options, ...cold })
 
   /** Monotonic time until which a backend server is cold. */
@@ -66,36 +66,36 @@
     return Math.max(appearedAtMs + startMs, cold.domainReturnedAtMs(backend.domain) + startMs, registeredUntilMs)
   }
 
-  function begin (server: KnownServer, { startMs, perSecond }: ColdLimit, untilMs: number, nowMs: number): Spell {
-    const spell: Spell = { perSecond, bucket: createPermitBucket(random()), sentCount: 0, skippedCount: 0, sinceMs: nowMs, ownPerSecond: 0, shareVersion: -1 }
+  function begin (server: KnownServer, { startMs, perSecond }: ColdLimit, untilMs: number, nowMs: number): OwnColdPeriod {
+    const period: OwnColdPeriod = { perSecond, bucket: createPermitBucket(random()), sentCount: 0, skippedCount: 0, sinceMs: nowMs, ownPerSecond: 0, shareVersion: -1 }
     const { id, service, domain } = server.backend
     const cause: ColdCause = untilMs === server.appearedAtMs + startMs ? 'appeared' : untilMs === cold.domainReturnedAtMs(domain) + startMs ? 'domain-returned' : 'registered'
-    server.spell = spell
-    inSpell.add(server)
+    server.period = period
+    inColdPeriod.add(server)
     metrics.count('backends_cold_total', { service, cause })
     log('backendCold', { backend: id, service, cause, perSecond, forMs: Math.round(untilMs - nowMs) })
-    return spell
+    return period
   }
 
   function end (server: KnownServer, nowMs: number): void {
-    const { backend, spell } = server
-    if (spell === undefined) return
-    server.spell = undefined
-    inSpell.delete(server)
-    log('backendColdEnded', { backend: backend.id, service: backend.service, forMs: Math.round(nowMs - spell.sinceMs), sent: spell.sentCount, skipped: spell.skippedCount, ownPerSecond: spell.ownPerSecond })
+    const { backend, period } = server
+    if (period === undefined) return
+    server.period = undefined
+    inColdPeriod.delete(server)
+    log('backendColdEnded', { backend: backend.id, service: backend.service, forMs: Math.round(nowMs - period.sinceMs), sent: period.sentCount, skipped: period.skippedCount, ownPerSecond: period.ownPerSecond })
   }
 
-  function refreshShare (spell: Spell, id: BackendId, limit: ColdLimit, nowMs: number): void {
+  function refreshShare (period: OwnColdPeriod, id: BackendId, limit: ColdLimit, nowMs: number): void {
     shares.update()
-    if (spell.shareVersion === shares.version() && spell.perSecond === limit.perSecond) return
+    if (period.shareVersion === shares.version() && period.perSecond === limit.perSecond) return
     const share = shares.shareOf(id, limit) ?? noPermits
-    spell.perSecond = limit.perSecond
-    spell.shareVersion = shares.version()
-    spell.ownPerSecond = Math.round(share.perSecond * 100) / 100
-    spell.bucket.setRate(share, nowMs)
+    period.perSecond = limit.perSecond
+    period.shareVersion = shares.version()
+    period.ownPerSecond = Math.round(share.perSecond * 100) / 100
+    period.bucket.setRate(share, nowMs)
   }
 
-  function find ({ id, service }: Pick<LimitedBackend, 'id' | 'service'>): ColdSpell | undefined {
+  function find ({ id, service }: Pick<LimitedBackend, 'id' | 'service'>): ColdPeriod | undefined {
     const limit = cold.limitOf(service)
     const server = limit === undefined ? undefined : servers.get(id)
     if (limit === undefined || server === undefined) return undefined
@@ -105,9 +105,9 @@
       end(server, nowMs)
       return undefined
     }
-    const spell = server.spell ?? begin(server, limit, untilMs, nowMs)
-    refreshShare(spell, id, limit, nowMs)
-    return spell
+    const period = server.period ?? begin(server, limit, untilMs, nowMs)
+    refreshShare(period, id, limit, nowMs)
+    return period
   }
 
   return {
@@ -115,7 +115,7 @@
       const nowMs = clock.monotonicMs()
       const startMs = cold.limitOf(backend.service)?.startMs ?? 0
       const untilMs = backend.warmUpMs > 0 ? nowMs + Math.min(backend.warmUpMs, Math.max(maxRegisteredMs, startMs)) : -Infinity
-      const known = servers.get(backend.id) ?? { backend, appearedAtMs: -Infinity, registeredUntilMs: -Infinity, spell: undefined }
+      const known = servers.get(backend.id) ?? { backend, appearedAtMs: -Infinity, registeredUntilMs: -Infinity, period: undefined }
       servers.set(backend.id, known)
       known.backend = backend
       if (hasAppeared) known.appearedAtMs = nowMs
@@ -130,7 +130,7 @@
     find,
     update: () => {
       if (cold.isEnabled()) shares.update()
-      for (const server of inSpell) {
+      for (const server of inColdPeriod) {
         // Also ends it if its service has no such limit any more.
         if (find(server.backend) === undefined) end(server, clock.monotonicMs())
       }
--- a/src/core/backend-limits/index.ts
+++ b/src/core/backend-limits/index.ts
@@ -194,17 +194,17 @@
 
   function hasPermit (backend: LimitedBackend, claim: PermitClaim): boolean {
     const limit = limitOf(backend)
-    const spell = coldServers?.find(backend)
+    const period = coldServers?.find(backend)
     // Asked for each backend server at each choice.
-    if (limit === undefined && spell === undefined) return true
+    if (limit === undefined && period === undefined) return true
     const nowMs = clock.monotonicMs()
-    return [limit, spell].every(item => item === undefined || item.bucket.waitMs(classOf(claim), nowMs) === 0)
+    return [limit, period].every(item => item === undefined || item.bucket.waitMs(classOf(claim), nowMs) === 0)
   }
 
   function recordSkipped (backend: LimitedBackend): void {
-    const spell = coldServers?.find(backend)
-    if (spell !== undefined) {
-      spell.skippedCount += 1
+    const period = coldServers?.find(backend)
+    if (period !== undefined) {
+      period.skippedCount += 1
       metrics.count('cold_backend_skips_total', { service: backend.service })
     }
     const limit = limitOf(backend)
@@ -219,16 +219,16 @@
 
   function take (backend: LimitedBackend, claim: PermitClaim): Permit | undefined {
     const limit = limitOf(backend)
-    const spell = coldServers?.find(backend)
-    if (limit === undefined && spell === undefined) return noPermitNeeded
+    const period = coldServers?.find(backend)
+    if (limit === undefined && period === undefined) return noPermitNeeded
     if (!hasPermit(backend, claim)) return undefined
-    const counted = [limit, spell].filter(item => item !== undefined).map(item => ({ item, bucket: item.bucket }))
+    const counted = [limit, period].filter(item => item !== undefined).map(item => ({ item, bucket: item.bucket }))
     for (const { item, bucket } of counted) {
       bucket.take()
       item.sentCount += 1
     }
     if (limit !== undefined) metrics.count('limited_backend_requests_total', { service: backend.service })
-    if (spell !== undefined) metrics.count('cold_backend_requests_total', { service: backend.service })
+    if (period !== undefined) metrics.count('cold_backend_requests_total', { service: backend.service })
     return {
       giveBack: () => {
         for (const { item, bucket } of counted) {
