Run the tests of planned stops one after the other

Cause: they ran at the same time in one process and reach the late request at the same moment, 2.4 s after the signal; a call with a time-out of 1 s is taken up to 2.5 s after it, so that one stall of the shared event loop by more than 100 ms, such as by the test that reads 15 MB beside them, turns all of them into refusals, which the gate rightly gives. Nodes don't share a process.

No bound is changed.

--- a/test/platform-adapter/planned-stop.test.ts
+++ b/test/platform-adapter/planned-stop.test.ts
@@ -23,7 +23,7 @@
   caller.socket.destroy()
 }
 
-test('a request that follows a stream on a kept connection during a stop is answered', async t => {
+test.serial('a request that follows a stream on a kept connection during a stop is answered', async t => {
   let isStreamDone = false
   const { port, stop } = await startStoppableNode(t, { stream: streamUntil(() => isStreamDone), calls: respondOk })
   await sendCalls(port)
@@ -43,7 +43,7 @@
 
 // The time-out of a call counts from the end of its head.
 for (const [part, split, callTimeoutMs] of [['first byte', 0, 1_000], ['end of the head', 60, 1_000], ['end of the body', undefined, 3_000]] as const) {
-  test(`a request whose ${part} comes late in a stop is refused as not run if it can't be finished, and answered otherwise`, async t => {
+  test.serial(`a request whose ${part} comes late in a stop is refused as not run if it can't be finished, and answered otherwise`, async t => {
     const { port, stop, requestsOf } = await startStoppableNode(t, { stream: streamUntil(count => count === 150), calls: respondOk }, { callTimeoutMs })
     await sendCalls(port)
     const callers = await Promise.all(['stream', 'calls'].map(async service => {
@@ -68,7 +68,7 @@
   })
 }
 
-test('a caller that reads slowly during a stop gets its whole answer', async t => {
+test.serial('a caller that reads slowly during a stop gets its whole answer', async t => {
   const { port, stop, requestsOf, lines } = await startStoppableNode(t, { large: respondLarge })
   const caller = await connectCaller(port)
   caller.write(post('large', 'r-1'))
@@ -84,7 +84,7 @@
   t.like(lines.find(({ event }) => event === 'gatewayAnswered'), { request: 'r-1' })
 })
 
-test('an answer that is not delivered by the end of a stop is visibly incomplete and has one line that names it', async t => {
+test.serial('an answer that is not delivered by the end of a stop is visibly incomplete and has one line that names it', async t => {
   const { port, stop, requestsOf, lines } = await startStoppableNode(t, { stream: streamUntil(() => false), large: respondLarge, silent: () => {} })
   const [stream, large, silent, unfinished] = await Promise.all([0, 1, 2, 3].map(() => connectCaller(port)))
   stream!.write(post('stream', 'r-stream'))
@@ -111,7 +111,7 @@
 })
 
 // Guards against connections that a node closes without an answer, because it was short of processor time at the end of its stop.
-test('requests that are open at the end of a stop get their answers although the node was stalled then', async t => {
+test.serial('requests that are open at the end of a stop get their answers although the node was stalled then', async t => {
   const { port, stop, requestsOf } = await startStoppableNode(t, { stream: streamUntil(() => false), silent: () => {} })
   const [stream, silent] = await Promise.all([0, 1].map(() => connectCaller(port)))
   stream!.write(post('stream', 'r-stream'))
@@ -126,7 +126,7 @@
   t.like(await silent!.nextResponse(), { status: 504, isComplete: true })
 })
 
-test('an idle kept connection stays open during a stop until its next answer, which says that it closes', async t => {
+test.serial('an idle kept connection stays open during a stop until its next answer, which says that it closes', async t => {
   const { port, stop } = await startStoppableNode(t, { calls: respondOk })
   await sendCalls(port)
   const caller = await connectCaller(port)
@@ -141,7 +141,7 @@
   await stopped
 })
 
-test('a new connection late in a stop is answered, not reset', async t => {
+test.serial('a new connection late in a stop is answered, not reset', async t => {
   const { port, stop } = await startStoppableNode(t, { calls: respondOk })
   await sendCalls(port)
   const idle = await connectCaller(port)
@@ -155,7 +155,7 @@
 })
 
 // Guards against at-most-once calls that are taken late in a stop, by the quick answers before it, and cut at its end without a true answer.
-test('a call that may not be repeated is refused as not run late in a stop if it may outlast it, although the calls before were quick', async t => {
+test.serial('a call that may not be repeated is refused as not run late in a stop if it may outlast it, although the calls before were quick', async t => {
   const { port, stop, requestsOf } = await startStoppableNode(t, { calls: respondOk }, { callTimeoutMs: 15_000 })
   await sendCalls(port)
   const caller = await connectCaller(port)
@@ -171,7 +171,7 @@
 })
 
 // Guards against an estimate by the quick answers before the stop only.
-test('streams that become slower as a stop begins are whole or refused, and none that comes late is cut', async t => {
+test.serial('streams that become slower as a stop begins are whole or refused, and none that comes late is cut', async t => {
   let pauseMs = 10
   const { port, stop } = await startStoppableNode(t, { stream: streamUntil(count => count === 41, () => pauseMs) })
   async function sendStream (id: string) {
