--- a/src/core/quota/node-quotas.ts
+++ b/src/core/quota/node-quotas.ts
@@ -9,39 +9,21 @@
  * know or have stored; while there are none, its buckets begin empty. With collectors, one of
  * them decides instead, see `cluster-quotas.ts`.
  */
+import { createBucketRules, excessDelayMs } from './buckets.ts'
+import { createPeerUsage } from './peer-usage.ts'
 import { createWindowUse } from './window-use.ts'
-import type { NodeId, TeamId } from '../ids/index.ts'
+import type { TeamId } from '../ids/index.ts'
+import type { Bucket } from './buckets.ts'
+import type { PeerReport } from './peer-usage.ts'
 import type { QuotaLevels, QuotaLimit, QuotaOptions, QuotaReport, Quotas, QuotaUsage } from './types.ts'
 
-/** Token bucket of a team's quota and of the tolerance beyond it. */
-interface Bucket {
-  /** Available tokens; negative when peers reported more than was left. */
-  level: number
-  toleranceLevel: number
-  updatedAtMs: number
-  limit: QuotaLimit
-  /** Whether other nodes know the level, too, so that they subtract what this one admits. */
-  isKnownByAll: boolean
-  /** What is left to nodes that aren't heard, if it may be taken back when they are: what they used is subtracted then. */
-  reserved: QuotaLevels
-}
-
 const secondMs = 1_000
-/** Parts of the tolerance that may be used at once and over one window. The rest covers admissions that other nodes haven't reported yet. */
-const toleranceBurstRatio = 0.2
-const toleranceRefillRatio = 0.45
 /** Part of the tolerance that may be used again after all nodes have forgotten it. */
 const forgettableRatio = 0.3
-/** Time constant of the moving average of what nodes are asked for. */
-const askedTimeConstantMs = 1_000
-/** Age from which a report no longer tells what its source is asked for; several report intervals. */
-const maxReportAgeMs = 1_500
 /** Time over which all nodes together use up what is available, in ages of their reports; below three the admissions would oscillate. */
 const spendingHorizonAges = 3
 /** Time after a start without knowledge of others for which a node uses only its own share, until the others' reports tell what they are asked for. */
 const settleMs = 600
-/** Longest delay for a request that was refused although tokens were left. */
-const maxExcessDelayMs = 4_000
 /** Part of what the window has left that all nodes together may admit before a collector hears of it. */
 const allowanceRatio = 0.75
 /** Longest time until a collector's digest contains what this node admitted: an interval of reports and half a second for the digest, rounded up. */
@@ -54,27 +36,13 @@
 const aloneRefillRatio = 1.15
 const aloneToleranceRatio = 0.6
 
-/** A team's usage in the last report of a source. */
-interface PeerTeamUsage extends QuotaUsage {
-  /** Moving average of the tokens that the source is asked for; an exact bucket doesn't need it. */
-  askedPerSecond?: number
-}
-
-/** The last report of one source: a node, or a collector with the totals of several. */
-interface PeerReport {
-  bootId: string
-  /** Monotonic times of the first report of this boot and of this one. */
-  firstReceivedAtMs: number
-  receivedAtMs: number
-  teams: ReadonlyMap<TeamId, PeerTeamUsage>
-}
-
 /** Creates the quotas of one node. A team's bucket is created at its first request or the first report of one. */
 export function createQuotas (options: QuotaOptions): Quotas {
   const { clock, random, reachableShare, reportAgeMs, tolerance = { windowMs: secondMs, share: 0, extra: 0 }, limitOf = () => undefined, isExact = false, keepsReserve = () => isExact } = options
   const buckets = new Map<TeamId, Bucket>()
   const usage = new Map<TeamId, QuotaUsage>()
-  const peerReports = new Map<NodeId, PeerReport>()
+  const peerUsage = createPeerUsage({ clock, countsAsked: !isExact })
+  const { toleranceOf, refillPerSecond, ...rules } = createBucketRules(tolerance)
   /** Levels that others reported before this node had the bucket. */
   const reportedLevels = new Map<TeamId, QuotaLevels & { receivedAtMs: number, isKnownByAll: boolean }>()
   let isInformed = options.hasFullBuckets
@@ -86,39 +54,8 @@
   let knownSinceMs = options.hasFullBuckets ? -Infinity : startedAtMs
   const informedAtMs = startedAtMs + tolerance.windowMs
 
-  /** Returns how many tokens may be taken beyond a quota in one window. */
-  function toleranceOf ({ perSecond, burst }: QuotaLimit): number {
-    return (perSecond * tolerance.windowMs / secondMs + burst) * tolerance.share + tolerance.extra
-  }
-
   function refresh (bucket: Bucket): void {
-    const nowMs = clock.monotonicMs()
-    const share = usableShare(bucket)
-    const effectiveElapsedMs = (nowMs - bucket.updatedAtMs) * share
-    const refilledTokens = bucket.limit.perSecond * effectiveElapsedMs / secondMs
-    const toleranceTokens = toleranceOf(bucket.limit)
-    const capacity = capacityOf(bucket.limit, share)
-    bucket.level += refilledTokens
-    bucket.toleranceLevel += toleranceTokens * toleranceRefillRatio * effectiveElapsedMs / tolerance.windowMs
-    bucket.updatedAtMs = nowMs
-    if (keepsReserve()) moveReserved(bucket, capacity)
-    bucket.level = Math.min(capacity.quota, bucket.level)
-    bucket.toleranceLevel = Math.min(capacity.tolerance, bucket.toleranceLevel)
-  }
-
-  /** Moves tokens between the levels and what is left to nodes that aren't heard, according to the part of the burst that both may have. */
-  function moveReserved (bucket: Bucket, capacity: QuotaLevels): void {
-    const whole = capacityOf(bucket.limit, 1)
-    const available = { quota: bucket.level, tolerance: bucket.toleranceLevel }
-    for (const part of ['quota', 'tolerance'] as const) {
-      const maxReserved = whole[part] - capacity[part]
-      const returned = Math.max(0, bucket.reserved[part] - maxReserved)
-      available[part] += returned
-      const excess = Math.max(0, available[part] - capacity[part])
-      bucket.reserved[part] = Math.min(maxReserved, bucket.reserved[part] - returned + excess)
-    }
-    bucket.level = available.quota
-    bucket.toleranceLevel = available.tolerance
+    rules.refresh(bucket, usableShare(bucket), clock.monotonicMs(), keepsReserve())
   }
 
   /** After a start of all nodes a low level is left to each node in part, until the others' reports tell what they are asked for. */
@@ -129,7 +66,7 @@
 
   /** This node and those it hears use no more than their part of the burst, as the others may use theirs. */
   function capacityOf (limit: QuotaLimit, share = reachableShare()): QuotaLevels {
-    return { quota: limit.burst * share, tolerance: toleranceOf(limit) * toleranceBurstRatio * share }
+    return rules.capacityOf(limit, share)
   }
 
   /** Whether this node knows what all nodes admitted in the last window, from others or because it has run for so long. */
@@ -166,24 +103,10 @@
     usage.set(team, { quota: before.quota + quota, tolerance: before.tolerance + tolerance, asked: before.asked + asked })
   }
 
-  function askedPerSecondElsewhere (team: TeamId): number {
-    const oldestAtMs = clock.monotonicMs() - maxReportAgeMs
-    let perSecond = 0
-    for (const { teams, receivedAtMs } of peerReports.values()) {
-      if (receivedAtMs >= oldestAtMs) perSecond += teams.get(team)?.askedPerSecond ?? 0
-    }
-    return perSecond
-  }
-
-  /** Rate at which quota and tolerance are refilled together. */
-  function refillPerSecond (limit: QuotaLimit): number {
-    return limit.perSecond + toleranceOf(limit) * toleranceRefillRatio * secondMs / tolerance.windowMs
-  }
-
   /** Part of its own requests that this node may admit, so that all nodes use up what is available over the horizon; 1 or more while there is enough for all. */
   function admissibleRatio (team: TeamId, limit: QuotaLimit, availableTokens: number): number {
     const horizonSeconds = spendingHorizonAges * reportAgeMs() / secondMs
-    const askedTokens = askedPerSecondElsewhere(team) * horizonSeconds
+    const askedTokens = peerUsage.askedPerSecond(team) * horizonSeconds
     return askedTokens === 0 ? 1 : (availableTokens + refillPerSecond(limit) * horizonSeconds) / askedTokens
   }
 
@@ -208,12 +131,7 @@
     const missingTokens = Math.max(0, requiredTokens - availableTokens)
     // The tolerance may already be at its maximum, so only the quota is certain to be refilled.
     const refillMs = missingTokens / limit.perSecond * secondMs
-    return Math.ceil(Math.max(refillMs, excessMs(admissible), 1))
-  }
-
-  /** Time in which the excess of one second is worked off. */
-  function excessMs (admissible: number): number {
-    return admissible < 1 ? Math.min(maxExcessDelayMs, (1 / Math.max(admissible, Number.EPSILON) - 1) * secondMs) : 0
+    return Math.ceil(Math.max(refillMs, excessDelayMs(admissible), 1))
   }
 
   function takeAllowance (team: TeamId, limit: QuotaLimit, tokens: number): boolean {
@@ -250,7 +168,7 @@
   function takeAlone (team: TeamId, limit: QuotaLimit, tokens: number): number {
     const bucket = bucketOf(team, limit)
     const availableTokens = bucket.level + Math.max(0, bucket.toleranceLevel * aloneToleranceRatio)
-    const askedPerSecond = askedPerSecondElsewhere(team)
+    const askedPerSecond = peerUsage.askedPerSecond(team)
     const refillRatio = askedPerSecond === 0 ? 1 : limit.perSecond * aloneRefillRatio / askedPerSecond
     const admissible = Math.min(admissibleRatio(team, limit, availableTokens), refillRatio)
     if (random() < admissible && drawFromShare(bucket, tokens, availableTokens)) {
@@ -264,31 +182,7 @@
   function recordRefusal (team: TeamId, limit: QuotaLimit, tokens: number): number {
     recordUsage(team, 0, 0, tokens)
     const { level, toleranceLevel } = bucketOf(team, limit)
-    return Math.ceil(Math.max(1, excessMs(admissibleRatio(team, limit, level + toleranceLevel))))
-  }
-
-  /** Replaces the report of a source and returns the one before, if it was of the same process. */
-  function replaceReport (node: NodeId, bootId: string, taken: ReadonlyMap<TeamId, QuotaUsage>): PeerReport | undefined {
-    const nowMs = clock.monotonicMs()
-    const known = peerReports.get(node)
-    const previous = known?.bootId === bootId ? known : undefined
-    if (isExact) {
-      peerReports.set(node, { bootId, firstReceivedAtMs: nowMs, receivedAtMs: nowMs, teams: taken })
-      return previous
-    }
-    const intervalMs = previous === undefined ? 0 : nowMs - previous.receivedAtMs
-    const firstReceivedAtMs = previous?.firstReceivedAtMs ?? nowMs
-    // The first reports of a source have a larger weight, or the average would begin far too low.
-    const weight = Math.max(1 - Math.exp(-intervalMs / askedTimeConstantMs), intervalMs / Math.max(1, nowMs - firstReceivedAtMs))
-    const teams = new Map<TeamId, PeerTeamUsage>()
-    for (const [team, { quota, tolerance, asked }] of taken) {
-      const before = previous?.teams.get(team)
-      const averagePerSecond = before?.askedPerSecond ?? 0
-      const latestPerSecond = intervalMs === 0 ? averagePerSecond : (asked - (before?.asked ?? asked)) / intervalMs * secondMs
-      teams.set(team, { quota, tolerance, asked, askedPerSecond: averagePerSecond + weight * (latestPerSecond - averagePerSecond) })
-    }
-    peerReports.set(node, { bootId, firstReceivedAtMs, receivedAtMs: nowMs, teams })
-    return previous
+    return Math.ceil(Math.max(1, excessDelayMs(admissibleRatio(team, limit, level + toleranceLevel))))
   }
 
   /** Sets the levels to those of a source that has heard of all usage, less what this node has admitted since its start. */
@@ -343,7 +237,7 @@
   }
 
   function onPeerReport ({ source, bootId, usage: taken, levels, isFirst }: QuotaReport): void {
-    const previous = replaceReport(source, bootId, taken)
+    const previous = peerUsage.replace(source, bootId, taken)
     if (levels !== undefined && !knowsUsage()) takeOverLevels(levels, clock.monotonicMs(), true)
     else if (levels !== undefined && isFirst) lowerLevels(levels)
     if (isFirst) {
@@ -393,7 +287,7 @@
       return {
         quotaLevel: Math.round(bucket.level),
         toleranceLevel: Math.round(bucket.toleranceLevel),
-        askedElsewherePerSecond: Math.round(askedPerSecondElsewhere(team)),
+        askedElsewherePerSecond: Math.round(peerUsage.askedPerSecond(team)),
         quotaPerSecond: bucket.limit.perSecond,
         heardShare: reachableShare()
       }
