Take the availability of services out of the table of backend servers

Which backend servers of a service take requests at all, and when the others will again, is asked apart from the choice of one and stands in a file of its own. No change of behaviour: 274 tests of test/gateway pass before and after.

--- a/src/core/gateway/backend-table.ts
+++ b/src/core/gateway/backend-table.ts
@@ -8,11 +8,11 @@
 import { isEarlierStart, isSameRegistration } from './backend-starts.ts'
 import { ineligibleReason, isHeldBack, isLastResort } from './eligibility.ts'
 import { createPeerSuspects, isSuspectedByPeers } from './peer-suspects.ts'
+import { createServiceAvailability, isLeaving } from './service-availability.ts'
 import { toId } from '../ids/index.ts'
 import { createRegistrationProofs } from '../registrations/index.ts'
 import type { Backend } from '../backends/types.ts'
 import type { BackendId, InstanceId, TeamId, VersionId } from '../ids/index.ts'
-import type { MayUseDomain } from './allowed-domains.ts'
 import type { BackendConnections } from './backend-connections.ts'
 import type { IneligibleReason } from './eligibility.ts'
 import type { PermitClaim } from '../backend-limits/index.ts'
@@ -20,7 +20,7 @@
 import type { SuspectCounts } from '../node-reports/types.ts'
 import type { VersionPresence } from '../registrations/index.ts'
 import type { BackendEntry } from './types.ts'
-import type { BackendTable, BackendTableOptions, KnownBackend, Unavailability } from './backend-table-types.ts'
+import type { BackendTable, BackendTableOptions, KnownBackend } from './backend-table-types.ts'
 
 export type * from './backend-table-types.ts'
 
@@ -42,17 +42,13 @@
 /** Time after the last sign of life for which this node trusts its own connection more than the suspicions of others. */
 const ownActivityMs = 1_000
 
-/** Whether a backend server is about to stop, by its registration or by a response. */
-function isLeaving ({ entry, leavingSinceMs }: KnownBackend): boolean {
-  return entry.isLeaving || leavingSinceMs !== undefined
-}
-
 /** Creates an empty table. */
 export function createBackendTable (options: BackendTableOptions): BackendTable {
   const { clock, log, metrics, limits, evacuations = noEvacuations } = options
   const known = new Map<BackendId, KnownBackend>()
   const departed = createDepartedBackends()
   const proofs = createRegistrationProofs({ clock, times: options.registrationTimes, revisionOf: options.registrationRevision })
+  const availability = createServiceAvailability({ ...options, evacuations, known: () => known.values() })
   const peerSuspects = createPeerSuspects({ clock, log, serviceOf: id => known.get(id)?.entry.service })
 
   function toBackend (entry: BackendEntry): Backend {
@@ -201,44 +197,6 @@
     log('backendPaused', { backend: id, service, forMs: boundedMs, ...(boundedMs < forMs ? { askedMs: forMs } : {}) })
   }
 
-  function isCandidate (candidate: KnownBackend, service: string): boolean {
-    return candidate.entry.service === service && !isLeaving(candidate) && !candidate.isMisdirected
-  }
-
-  function liveOf (service: string, mayUse = anyDomain): KnownBackend[] {
-    const roleOf = options.versionRolesOf(service)
-    return [...known.values()].filter(candidate => isCandidate(candidate, service) && mayUse(candidate.entry.domain) && !evacuations.isEvacuated(candidate.entry.domain) && roleOf(candidate.entry.version) !== 'replaced')
-  }
-
-  function unavailability (service: string, mayUse: MayUseDomain): Unavailability | undefined {
-    let reason: Unavailability | undefined
-    for (const candidate of known.values()) {
-      if (!isCandidate(candidate, service)) continue
-      const { domain } = candidate.entry
-      // A replaced one in another domain may still be the last resort.
-      if (mayUse(domain) && !evacuations.isEvacuated(domain)) return undefined
-      if (mayUse(domain)) reason = 'evacuated'
-      else reason ??= 'not-allowed'
-    }
-    return reason
-  }
-
-  function allPausedForMs (service: string, mayUse = anyDomain): number | undefined {
-    const nowMs = clock.monotonicMs()
-    const live = liveOf(service, mayUse)
-    if (live.length === 0 || live.some(({ pausedUntilMs }) => pausedUntilMs <= nowMs)) return undefined
-    return Math.min(...live.map(({ pausedUntilMs }) => pausedUntilMs)) - nowMs
-  }
-
-  function allLimitedForMs (service: string, claim: PermitClaim, excluded: ReadonlySet<BackendId>, mayUse = anyDomain): number | undefined {
-    const nowMs = clock.monotonicMs()
-    const unpaused = liveOf(service, mayUse).filter(({ pausedUntilMs }) => pausedUntilMs <= nowMs).map(({ entry }) => entry)
-    const limited = unpaused.filter(limits.isLimited)
-    const hasUnlimited = unpaused.some(entry => !excluded.has(entry.id) && !limits.isLimited(entry))
-    if (limited.length === 0 || hasUnlimited) return undefined
-    return limits.onRefused(service, limited, claim)
-  }
-
   function ineligibleCounts (): Map<string, Map<IneligibleReason, number>> {
     const nowMs = clock.monotonicMs()
     const peerCounts = peerSuspects.counts()
@@ -292,7 +250,7 @@
     usable,
     live: (service, mayUse) => {
       const nowMs = clock.monotonicMs()
-      return liveOf(service, mayUse).filter(({ suspectUntilMs, pausedUntilMs }) => suspectUntilMs <= nowMs && pausedUntilMs <= nowMs).map(({ entry }) => entry)
+      return availability.liveOf(service, mayUse).filter(({ suspectUntilMs, pausedUntilMs }) => suspectUntilMs <= nowMs && pausedUntilMs <= nowMs).map(({ entry }) => entry)
     },
     entries: service => [...known.values()].filter(({ entry }) => entry.service === service).map(({ entry, leavingSinceMs }) => leavingSinceMs === undefined ? entry : { ...entry, isLeaving: true }),
     otherVersionPresence,
@@ -329,9 +287,9 @@
       }
     },
     pause,
-    allPausedForMs,
-    unavailability,
-    allLimitedForMs,
+    allPausedForMs: availability.allPausedForMs,
+    unavailability: availability.unavailability,
+    allLimitedForMs: availability.allLimitedForMs,
     isReplaced: (service, version) => options.versionRolesOf(service)(version) === 'replaced',
     ineligibleCounts,
     close: () => {
