Split the entry files of request limits and routing

What is kept of a limit, and what an attempt tells of a server's speed, stand in files of their own. No change of behaviour; test/routing, test/backend-speeds and test/backend-limits pass.

--- a/src/core/backend-limits/index.ts
+++ b/src/core/backend-limits/index.ts
@@ -10,16 +10,17 @@
 import { createColdServers } from './cold-servers.ts'
 import { createDemandMeter } from './demand.ts'
 import { addResponse, isInForce, reportDelayMs } from './evidence.ts'
+import { classOf, createKnownLimit, keyOf } from './known-limit.ts'
 import { createPermitBucket } from './permits.ts'
 import { maxReportedLimits, selectLimits } from './report-selection.ts'
 import { allocationTtlMs, createLimitShares } from './shares.ts'
 import type { NodeId } from '../ids/index.ts'
 import type { LimitEvidence, LimitResponse } from './evidence.ts'
 import type { NamedLimit } from './parse.ts'
+import type { KnownLimit } from './known-limit.ts'
 import type { PermitBucket } from './permits.ts'
-import type { ReportableLimit } from './report-selection.ts'
 import type { DividedLimit } from './shares.ts'
-import type { BackendLimits, BackendLimitsOptions, LimitedBackend, LimitReport, LimitShare, LimitState, Permit, PermitClaim, ReportedLimit, ReportedShare } from './types.ts'
+import type { BackendLimits, BackendLimitsOptions, LimitedBackend, LimitReport, LimitState, Permit, PermitClaim, ReportedLimit, ReportedShare } from './types.ts'
 
 export type * from './types.ts'
 export { parseNamedLimit, requestLimitHeader } from './parse.ts'
@@ -37,28 +38,6 @@
 /** Interval at which requests that were sent elsewhere are logged, for each backend server. */
 const skipLogIntervalMs = 5_000
 
-/** What this node knows of one start of a backend server. */
-interface KnownLimit extends ReportableLimit {
-  /** Monotonic time since which the backend server isn't registered; undefined if it is. */
-  unregisteredSinceMs: number | undefined
-  bucket: PermitBucket
-  share: LimitShare | undefined
-  shareUntilMs: number
-  /** Requests that this node sent since the limit was named, and that it sent elsewhere. */
-  sentCount: number
-  skippedCount: number
-  skipLoggedAtMs: number
-}
-
-function keyOf ({ id, startedAtMs }: Pick<LimitedBackend, 'id' | 'startedAtMs'>): string {
-  return `${id}/${startedAtMs ?? ''}`
-}
-
-/** Requests of a lower class get the next permit first: by priority, and first attempts before retries. */
-function classOf ({ rank, isRetry }: PermitClaim): number {
-  return rank * 2 + (isRetry ? 1 : 0)
-}
-
 const noPermitNeeded: Permit = { giveBack: () => {} }
 
 /** Creates the limits of one node. */
@@ -98,20 +77,7 @@
   }
 
   function create (backend: KnownLimit['backend'], evidence: LimitEvidence): KnownLimit {
-    const limit: KnownLimit = {
-      backend: { id: backend.id, startedAtMs: backend.startedAtMs },
-      evidence,
-      changedAtMs: -Infinity,
-      sinceMs: undefined,
-      endedAtMs: -Infinity,
-      unregisteredSinceMs: undefined,
-      bucket: createPermitBucket(),
-      share: undefined,
-      shareUntilMs: -Infinity,
-      sentCount: 0,
-      skippedCount: 0,
-      skipLoggedAtMs: -Infinity
-    }
+    const limit = createKnownLimit(backend, evidence)
     known.set(keyOf(backend), limit)
     return limit
   }
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -13,15 +13,15 @@
 import { err, ok } from 'true-myth/result'
 import type { Backend } from '../backends/types.ts'
 import type { AttemptId, BackendId, VersionId } from '../ids/index.ts'
-import type { SpeedSample } from '../backend-speeds/index.ts'
 import type { Refusal } from '../outcomes/index.ts'
 import { candidatesOf, servesOwnTeam } from './candidates.ts'
 import { candidateCostMs, expectedFirstTokenMs } from './cost.ts'
 import { createAffinityHitRatios, affinityBackendCount } from './affinity-hit-ratios.ts'
 import { createLoadTracker } from './load-tracker.ts'
+import { isLightlyLoaded } from './measured-attempt.ts'
 import { createPrefixIndex } from './prefix-index.ts'
 import { tokensPerBlock } from '../backends/prompt-blocks.ts'
-import type { BackendLoad } from './load-tracker.ts'
+import type { MeasuredAttempt } from './measured-attempt.ts'
 import { createRendezvous, affinityKeyOf } from './rendezvous.ts'
 import { drawVersion, eligibleVersions } from './version-draw.ts'
 import type { EngineProfile, PrefixPlacement, PromptBlocks, RouteChoice, RouteOutcome, RouteRequest, Router, RouterOptions } from './types.ts'
@@ -81,19 +81,6 @@
   measured: MeasuredAttempt
 }
 
-/** What an attempt can tell of its backend server's speed. */
-interface MeasuredAttempt {
-  /** Whether the learned speed was used for its expected times. */
-  hasLearnedSpeed: boolean
-  /** Undefined if the time to its first token depends on more than what is known. */
-  sample: Omit<SpeedSample, 'measuredMs'> | undefined
-}
-
-/** Whether the time to the first token shows the speed of a server instead of its load: no request waits for a slot, and most of the prompt tokens ahead are the request's own. */
-function isLightlyLoaded ({ requests, pendingTokens }: BackendLoad, { slots }: EngineProfile, uncachedTokens: number): boolean {
-  return requests < slots && pendingTokens <= uncachedTokens
-}
-
 /** Creates the router of one node. */
 export function createRouter (options: RouterOptions): Router {
   const { node, clock, metrics, hasher, random, profileOf } = options
