--- a/review/stand-ins-2/store.mjs
+++ b/review/stand-ins-2/store.mjs
@@ -154,7 +154,7 @@
         }
         if (!url.pathname.startsWith(pathPrefix)) {
           return readJson(request).then(body => {
-            apiCalls.push({ atMs: Date.now(), path: url.pathname, fencingNumber: Number(request.headers['x-cyclamenshunt-fence-token']), body })
+            apiCalls.push({ atMs: Date.now(), path: url.pathname, holder: request.headers['x-cyclamenshunt-duty-holder'], fencingNumber: Number(request.headers['x-cyclamenshunt-fence-token']), body })
             answer({ status: 200, body: {} })
           })
         }
