Review case 6: the leaving runner ends while nodes still use it

Calls that may not be repeated, half of them with the key that stays, so that the loss is seen; the runner serves for drain_ms and a second.

--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -1,6 +1,7 @@
 /**
  * The store leaves a third of 18 machines without a response, among them the two that
- * watch it for the others. A runner then says that it is leaving, and a key is taken away.
+ * watch it for the others. A runner then says that it is leaving, and ends a second
+ * more than drain_ms later; a key is taken away.
  */
 import { createClient } from '../stand-ins-2/client.mjs'
 import { configurationOf, hasTrouble, openRecord, runCase, startBeats } from '../stand-ins-2/case.mjs'
@@ -12,6 +13,8 @@
 const refusedCount = 6
 const drainMs = 2_000
 const configApplyMs = 2_000
+/** The runner serves on for drain_ms and a little longer, at times many seconds. */
+const servesOnMs = drainMs + 1_000
 const refusedForMs = 7_000
 const keptKey = 'i9n73hh2b9wu3fexd9dn'
 const revokedKey = 'n2ctnfzs989anu6wsjnb'
@@ -20,11 +23,11 @@
 await runCase(record, async onClose => {
   const store = createStore()
   const runs = []
-  const runners = await Promise.all([0, 1, 2].map(index => startRunner({ id: `i-${index}`, host: `127.61.1.${10 + index}`, onRun: run => runs.push(run) })))
+  const runners = await Promise.all([0, 1, 2].map(index => startRunner({ id: `i-${index}`, host: `127.61.1.${10 + index}`, workMs: 60, onRun: run => runs.push(run) })))
   const configure = (version, keys) => store.put('op/config', configurationOf({
     version,
     service: 'ledger',
-    routes: ['lookup', 'rights', 'holders', 'works', 'shares', 'terms', 'areas', 'names'].map(name => ({ name })),
+    routes: ['grant', 'rights', 'holders', 'works', 'shares', 'terms', 'areas', 'names'].map(name => ({ name, kind: 'non_idempotent', attempts: 1 })),
     tenants: [{ name: 'hule930', api_keys: keys, priority: 1, rate_per_s: 0, burst: 0 }]
   }))
   configure(7, [keptKey, revokedKey])
@@ -54,14 +57,14 @@
 
   const stopped = new AbortController()
   const answers = []
-  const callers = nodes.machines.map(async machine => {
+  const callers = nodes.machines.flatMap(machine => [keptKey, revokedKey].map(async key => {
     const client = createClient(machine.front)
     while (!stopped.signal.aborted) {
-      answers.push({ machine, ...await client.send({ path: '/lookup/x', hostName: 'a.example', key: revokedKey, deadlineMs: 1_500 }) })
+      answers.push({ machine, key, ...await client.send({ method: 'POST', path: '/grant/x', hostName: 'a.example', key, deadlineMs: 1_500, body: Buffer.alloc(200, 'g') }) })
       await sleep(50)
     }
     client.close()
-  })
+  }))
   await sleep(1_500)
 
   const chosen = [...watching, ...nodes.machines.filter(machine => !watching.includes(machine))].slice(0, refusedCount)
@@ -73,8 +76,11 @@
   await sleep(100)
   configure(9, [keptKey])
   const revokedAtMs = Date.now()
-  record.write('version 9 without the key of these callers, acknowledged')
-  await sleep(refusedForMs)
+  record.write('version 9 without the key of half of the callers, acknowledged')
+  await sleep(leavingAtMs + servesOnMs - Date.now())
+  record.write(`${runners[0].id} ends`)
+  await runners[0].stop()
+  await sleep(refusedForMs - servesOnMs)
   refused.clear()
   record.write('the store serves all machines')
   await sleep(500)
@@ -82,21 +88,23 @@
   await Promise.all(callers)
 
   const sentBy = new Map(answers.map(answer => [answer.attempt, answer]))
-  for (const { attempt, machine, sentAtMs, tookMs, status, error } of answers) record.write('sent at', record.since(sentAtMs), attempt, 'to', machine.name, 'answered', status ?? error, 'after', tookMs)
+  for (const { attempt, machine, key, sentAtMs, tookMs, status, error } of answers) record.write('sent at', record.since(sentAtMs), attempt, 'with the', key === keptKey ? 'kept key' : 'revoked key', 'to', machine.name, 'answered', status ?? error, 'after', tookMs)
   for (const { attempt, runner, atMs } of runs) record.write('run at', record.since(atMs), attempt, 'by', runner)
 
   let lateRuns = 0
   let oldKeyRuns = 0
+  let lostCount = 0
   for (const machine of nodes.machines) {
     const isServed = !hasTrouble || !chosen.includes(machine)
     const atLeaving = runs.filter(({ attempt, runner, atMs }) => runner === runners[0].id && sentBy.get(attempt)?.machine === machine && atMs > leavingAtMs).map(({ atMs }) => atMs - leavingAtMs)
-    const withOldKey = answers.filter(answer => answer.machine === machine && answer.status === 200 && answer.sentAtMs > revokedAtMs).map(({ sentAtMs }) => sentAtMs - revokedAtMs)
+    const withOldKey = answers.filter(answer => answer.machine === machine && answer.key === revokedKey && answer.status === 200 && answer.sentAtMs > revokedAtMs).map(({ sentAtMs }) => sentAtMs - revokedAtMs)
     record.write(machine.name, isServed ? 'in touch:' : 'refused, not judged:', `last run at the leaving runner ${Math.max(0, ...atLeaving)} ms after its acknowledgement, last run with the revoked key ${Math.max(0, ...withOldKey)} ms after that of version 9`)
     if (!isServed) continue
     lateRuns += atLeaving.filter(ms => ms > drainMs).length
+    lostCount += runs.filter(({ attempt, runner, atMs }) => runner === runners[0].id && atMs > leavingAtMs + drainMs && sentBy.get(attempt)?.machine === machine && sentBy.get(attempt).status !== 200).length
     oldKeyRuns += withOldKey.filter(ms => ms > configApplyMs).length
   }
-  const verdict = `machines in touch: ${lateRuns} requests reached the leaving runner later than drain_ms, ${oldKeyRuns} requests with the revoked key ran that were sent later than config_apply_ms`
+  const verdict = `machines in touch: ${lateRuns} requests reached the leaving runner later than drain_ms, ${lostCount} of them ran and were broken off; ${oldKeyRuns} requests with the revoked key ran that were sent later than config_apply_ms`
   record.write(verdict)
   console.log(verdict)
   return lateRuns === 0 && oldKeyRuns === 0
