Bound the whole time until nodes act on a change at the store

Cause: "the store responds" stood for "the content is recent". A collector said that the store responds while its own long poll had no response, also when only a peer had told it so; two collectors kept that up between them. Beside that, the times in which the others notice (1.4, 2.0 and 0.4 s) exceeded the bound of 2.0 s, and nothing compared them with it.

Change: digests tell the age of a node's content, counted from its own responses of the store. Nodes depend on others while the least age is below a limit. The limit and the duration of long polls follow from drain_ms and config_apply_ms in propagation-times.ts.

--- a/src/core/node-reports/codec.ts
+++ b/src/core/node-reports/codec.ts
@@ -17,7 +17,7 @@
 type WireActivity = [quota: Array<[team: string, quota: number, tolerance: number, asked?: number]>, loads: Array<[string, number, number]>, prefixes: Array<[string, string[]]>, suspects?: Array<[backend: string, suspecting: number, hearing: number]>, levels?: Array<[team: string, quota: number, tolerance: number]> | null, leaving?: Array<[backend: string, startedAtMs: number | null]>, prompts?: WireQuarantine, limits?: WireLimits | null, speeds?: WireSpeeds | null]
 type WireChange = [key: string, value: string | null | 0, modRevision: number, isByRestore?: 1]
 type WireReport = ['report', string, string, number, boolean, boolean, number, WireActivity, Array<[number, Array<[string, number]>]>, Array<[string, number]>, unknown, (string | null)?, WireGrants?]
-type WireDigest = ['digest', string, string, boolean, number, number, number, WireChange[] | null, WireActivity | null, boolean?]
+type WireDigest = ['digest', string, string, boolean, number, number, number, WireChange[] | null, WireActivity | null, boolean?, (number | null)?]
 type WireGrants = Array<[collectorBootId: string, byTeam: Array<[team: string, quota: number, tolerance: number]>]>
 type WireQuotaRequest = ['quota-request', version: number, node: string, bootId: string, number: number, team: string, tokens: number]
 type WireQuotaDecision = ['quota-decision', version: number, bootId: string, requesterBootId: string, number: number, quota: number, tolerance: number, waitMs: number | null]
@@ -115,7 +115,7 @@
     const sentValue = isValueOmitted === true ? omittedValue : value ?? null
     return isByRestore === true ? [key, sentValue, modRevision, 1] : [key, sentValue, modRevision]
   })
-  const message: WireDigest = ['digest', node, bootId, isDraining, nodes, delta.revision, delta.reachableForMs ?? unreachable, changes ?? null, activity === undefined ? null : encodeActivity(activity), decidesQuotas]
+  const message: WireDigest = ['digest', node, bootId, isDraining, nodes, delta.revision, delta.reachableForMs ?? unreachable, changes ?? null, activity === undefined ? null : encodeActivity(activity), decidesQuotas, delta.contentAgeMs === undefined ? null : Math.ceil(delta.contentAgeMs)]
   return encode(message)
 }
 
@@ -204,7 +204,7 @@
   }
 }
 
-function decodeDigest ([, node, bootId, isDraining, nodes, revision, reachableForMs, changes, activity, decidesQuotas]: readonly unknown[]): NodeDigest {
+function decodeDigest ([, node, bootId, isDraining, nodes, revision, reachableForMs, changes, activity, decidesQuotas, contentAgeMs]: readonly unknown[]): NodeDigest {
   return {
     node: toId<NodeId>(readText(node)),
     bootId: readText(bootId),
@@ -213,6 +213,7 @@
     delta: {
       revision: readRevision(revision),
       reachableForMs: reachableForMs === unreachable ? undefined : readNumber(reachableForMs),
+      contentAgeMs: readOptional(contentAgeMs, readAmount),
       changes: readOptional(changes, all => readList(all, decodeChange))
     },
     activity: readOptional(activity, decodeActivity),
--- a/src/core/node-reports/collectors.ts
+++ b/src/core/node-reports/collectors.ts
@@ -36,8 +36,10 @@
   choose: (others: readonly RankedNode[], dutyHolder: NodeId | undefined, isDraining?: boolean) => CollectorChoice
   /** Must be called when a report that wants a digest is sent to a node. */
   onReportSent: (node: NodeId) => void
-  /** Must be called when a digest from a node is received. */
-  onDigestReceived: (node: NodeId, isDraining: boolean) => void
+  /** Must be called when a digest from a node is received; `contentAgeMs` is the age of its content, undefined if the digest has only a part of it. */
+  onDigestReceived: (node: NodeId, isDraining: boolean, contentAgeMs: number | undefined) => void
+  /** Age of the most recent content that other nodes reported. */
+  peerContentAgeMs: () => number
 }
 
 /** Maximum number of nodes with reports between all pairs; up to it, these datagrams cost less than totals. */
@@ -60,6 +62,7 @@
 /** Creates the collector choice; every node counts as responding until it fails to respond. */
 export function createCollectors ({ node, linkMbps, clock, draw }: CollectorsOptions): Collectors {
   const states = new Map<NodeId, CollectorState>()
+  let peerContentAtMs = -Infinity
   let rankedOthers: readonly RankedNode[] = []
   let ranked: RankedNode[] = []
 
@@ -115,10 +118,12 @@
       state.unanswered += 1
       state.lastReportSentAtMs = clock.monotonicMs()
     },
-    onDigestReceived: (other, isDraining) => {
+    onDigestReceived: (other, isDraining, contentAgeMs) => {
       const state = stateOf(other)
       state.unanswered = 0
       state.isDraining = isDraining
-    }
+      if (contentAgeMs !== undefined) peerContentAtMs = Math.max(peerContentAtMs, clock.monotonicMs() - contentAgeMs)
+    },
+    peerContentAgeMs: () => clock.monotonicMs() - peerContentAtMs
   }
 }
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -17,13 +17,14 @@
 
 export type * from './types.ts'
 export type * from './exchange-types.ts'
+export type { CollectorChoice } from './collectors.ts'
 export { createCollectors } from './collectors.ts'
 export type { ActivityTotals } from './activity-totals.ts'
 export { createActivityTotals } from './activity-totals.ts'
 export { fetchNewerView, serveView } from './view-server.ts'
 
 /** Interval between reports; limits the age of what other nodes know. A collector with a third of a CPU core can process those of hundreds of nodes. */
-const reportIntervalMs = 200
+export const reportIntervalMs = 200
 /** Shortest time between two reports that are sent ahead of the interval. */
 const minReportIntervalMs = 20
 /** Number of intervals without a report after which a node counts as silent; some datagrams are lost. */
@@ -40,8 +41,6 @@
 const unreadableLogIntervalMs = 1_000
 /** Interval at which a collector counts the current reports, as quotas need the number for each report of hundreds of nodes. */
 const countIntervalMs = 20
-/** Maximum age of a collector's last delta for which this node needs no watch of its own; several report intervals. */
-const maxDeltaAgeMs = 2_000
 
 /** Creates the report exchange; `start` binds its port. */
 export function createNodeReports (options: NodeReportsOptions): NodeReports {
@@ -55,7 +54,6 @@
   let digest: { nodes: number, receivedAtMs: number } | undefined
   /** The last digest of each collector, with or without totals. */
   const collectorStates = new Map<NodeId, { receivedAtMs: number, decidesQuotas: boolean }>()
-  let lastDeltaAtMs = -Infinity
   /** Sources whose activity was applied since the digest source last changed. */
   const countedSources = new Set<NodeId>()
   const collectorBoots = new Map<NodeId, string>()
@@ -144,9 +142,8 @@
   function handleDigest (received: NodeDigest): void {
     if (collectorBoots.get(received.node) !== received.bootId) expectNewReceiver()
     collectorBoots.set(received.node, received.bootId)
-    collectors.onDigestReceived(received.node, received.isDraining)
+    collectors.onDigestReceived(received.node, received.isDraining, received.delta.contentAgeMs)
     collectorStates.set(received.node, { receivedAtMs: clock.monotonicMs(), decidesQuotas: received.decidesQuotas })
-    if (received.delta.reachableForMs !== undefined) lastDeltaAtMs = clock.monotonicMs()
     options.onDelta(received.delta)
     if (received.node !== choice.digestSource || received.activity === undefined) return
     digest = { nodes: received.nodes, receivedAtMs: clock.monotonicMs() }
@@ -251,7 +248,7 @@
     lastReport: peer => reportsByNode.get(peer)?.report,
     collectors: () => choice.usesCollectors ? [...choice.everyReport] : [],
     isCollector: () => choice.isCollector,
-    hasPeerUpdates: () => choice.usesCollectors && !choice.isCollector && clock.monotonicMs() - lastDeltaAtMs <= maxDeltaAgeMs,
+    hasPeerUpdates: () => choice.usesCollectors && !choice.isCollector && collectors.peerContentAgeMs() < options.maxPeerContentAgeMs,
     usesCollectors: () => choice.usesCollectors,
     // With a collector, a report waits for half an interval there and its digest for half an interval here.
     activityAgeMs: () => choice.usesCollectors ? reportIntervalMs : reportIntervalMs / 2,
--- a/src/core/platform/key-value/types.ts
+++ b/src/core/platform/key-value/types.ts
@@ -61,7 +61,8 @@
 
 /** Callbacks of a watch. */
 export interface WatchHandlers {
-  onChanges: (changes: KeyValueChange[], revision: number) => void
+  /** `contentAtMs` is a monotonic time up to which all acknowledged changes are known with these; without it, that is the time of the call. */
+  onChanges: (changes: KeyValueChange[], revision: number, contentAtMs?: number) => void
   /** Called once when the watch ends with its connection lost or its start revision compacted. The owner then lists the keys again and opens a new watch. */
   onLost: (error: KeyValueError) => void
 }
--- a/src/core/store-view/index.ts
+++ b/src/core/store-view/index.ts
@@ -9,18 +9,18 @@
 import { createHistory } from './history.ts'
 import { logChangeFailure, notifyEach } from './listeners.ts'
 import { readOmittedValues } from './omitted-values.ts'
+import { peerCheckIntervalMs } from './propagation-times.ts'
 import type { ChangeListener } from './listeners.ts'
 import type { Snapshot, StoreView, StoreViewOptions, ViewChange, ViewEntry, ViewSource, ViewDelta } from './types.ts'
 
 export type * from './types.ts'
 export { createChangeListener } from './listeners.ts'
+export { createPropagationTimes, maxLongPollMs, serviceResponseMs, watchBatchDelayMs } from './propagation-times.ts'
 
 /** Timeout of a list request; several times the usual response time of a slow service. */
 const listTimeoutMs = 1_500
 /** Delay before the next request to the service after a failure. */
 const defaultRetryPauseMs = 250
-/** Interval at which to check whether other nodes still report changes; a fraction of the time after which they count as silent. */
-const peerCheckIntervalMs = 400
 /** Longest time after a list for which a node waits for the first changes from others before it watches the service itself; three of their report intervals. */
 const firstPeerUpdateMs = 600
 const firstPeerUpdateCheckMs = 50
@@ -37,6 +37,10 @@
   let source: ViewSource = 'none'
   let lastUpdateAtMs = -Infinity
   let reachableSinceMs: number | undefined
+  /** Monotonic time since which the service has responded to this node itself; undefined while it doesn't. */
+  let ownReachableSinceMs: number | undefined
+  /** Monotonic time up to which all changes are known from the service itself. */
+  let ownContentAtMs = -Infinity
   let hasFailed = false
   let watch: Watch | undefined
   let isApplyingLargeDelta = false
@@ -59,17 +63,24 @@
   }
 
   function markUpdated (from: ViewSource): void {
-    lastUpdateAtMs = clock.monotonicMs()
     source = from
-    if (from === 'store') markReachable(0)
+    if (from === 'store') markResponse()
     resolveFirstContent()
   }
 
+  /** Records that the service responded to this node. */
+  function markResponse (): void {
+    lastUpdateAtMs = clock.monotonicMs()
+    markReachable(0)
+    ownReachableSinceMs ??= reachableSinceMs
+  }
+
   function markUnreachable (error: KeyValueError): void {
     const isChange = reachableSinceMs !== undefined || !hasFailed
     hasFailed = true
     if (isChange) log('keyValueDown', { kind: error.kind, cause: error.message, revision })
     reachableSinceMs = undefined
+    ownReachableSinceMs = undefined
   }
 
   /** Whether a revision is of a later era than the view, which therefore has content that the service lost. */
@@ -82,6 +93,7 @@
     log('storeRestored', { era: eraOf(newRevision), revision: revisionInEra(newRevision), before: revisionInEra(revision), changes: changeCount, from: source })
     store.observeEra(eraOf(newRevision))
     reachableSinceMs = clock.monotonicMs()
+    if (ownReachableSinceMs !== undefined) ownReachableSinceMs = reachableSinceMs
   }
 
   function isChanged (key: string, after: ViewEntry, isRestored: boolean): boolean {
@@ -154,8 +166,9 @@
     isWatching = true
     return new Promise<KeyValueError | undefined>(resolve => {
       const opened = store.watch('', revision, {
-        onChanges: (changes, newRevision) => {
+        onChanges: (changes, newRevision, contentAtMs = clock.monotonicMs()) => {
           apply(changes, newRevision, 'store')
+          ownContentAtMs = contentAtMs
           if (!hasPeerUpdates()) return
           opened.close()
           resolve(undefined)
@@ -193,19 +206,23 @@
     }
     if (delta.reachableForMs === undefined || needsList) return
     markReachable(delta.reachableForMs)
-    lastUpdateAtMs = clock.monotonicMs()
+    if (delta.contentAgeMs !== undefined) lastUpdateAtMs = Math.max(lastUpdateAtMs, clock.monotonicMs() - delta.contentAgeMs)
   }
 
   function deltaAfter (knownRevision: number): ViewDelta {
     const part = knownRevision >= revision ? { changes: [], upToRevision: undefined } : history.after(knownRevision)
+    const isComplete = part !== undefined && part.upToRevision === undefined && ownContentAtMs !== -Infinity
+    // Only what the service itself responded: nodes that took over from each other that it responds would keep that up between them.
     return {
       revision: part?.upToRevision ?? revision,
-      reachableForMs: isWatching && reachableSinceMs !== undefined ? clock.monotonicMs() - reachableSinceMs : undefined,
+      reachableForMs: isWatching && ownReachableSinceMs !== undefined ? clock.monotonicMs() - ownReachableSinceMs : undefined,
+      contentAgeMs: isComplete ? clock.monotonicMs() - ownContentAtMs : undefined,
       changes: part?.changes
     }
   }
 
   async function listContent (): Promise<KeyValueError | undefined> {
+    const sentAtMs = clock.monotonicMs()
     const listed = await store.list('', { deadlineAtMs: clock.wallMs() + listTimeoutMs })
     if (listed.isErr) return listed.error
     // A list that is older than content from a peer contains nothing new.
@@ -213,6 +230,7 @@
     if (listed.value.revision < revision) return undefined
     const listedEntries = new Map(listed.value.entries.map(({ key, value, modRevision }) => [key, { value, modRevision }]))
     replace({ revision: listed.value.revision, entries: listedEntries }, 'store')
+    ownContentAtMs = sentAtMs
     return undefined
   }
 
--- a/src/core/store-view/types.ts
+++ b/src/core/store-view/types.ts
@@ -33,8 +33,10 @@
 export interface ViewDelta {
   /** Revision up to which the changes are complete; the rest of a large delta follows with the next one. */
   revision: number
-  /** Time for which that node has reached the service without interruption; undefined while it can't. A duration, because the clocks of nodes differ. */
+  /** Time for which the service has responded to that node without interruption; undefined while it doesn't. A duration, because the clocks of nodes differ. */
   reachableForMs: number | undefined
+  /** Time since the latest moment at which that node, from the service itself, knew all changes; undefined if this delta is only a part of them. */
+  contentAgeMs: number | undefined
   /** The changes since the requested revision; undefined if that node no longer stores all of them. */
   changes: DeltaChange[] | undefined
 }
@@ -51,7 +53,7 @@
   source: () => ViewSource
   /** Monotonic time since which the service has been reachable without interruption; undefined while it isn't. */
   reachableSinceMs: () => number | undefined
-  /** Monotonic time of the last update from the service or a peer. */
+  /** Monotonic time of the last response of the service, to this node or to a peer that told its content. */
   lastUpdateAtMs: () => number
   /** The changes after a revision, for a node that knows the content up to it. */
   deltaAfter: (revision: number) => ViewDelta
--- a/test/backend-speeds/speeds.test.ts
+++ b/test/backend-speeds/speeds.test.ts
@@ -102,7 +102,7 @@
   const node = toId<NodeId>('new')
   totals.record(node, 'boot', { quotaUsage: new Map(), loads: new Map(), prefixes: [], suspects: new Map() })
   const first = totals.totalsExcept(node)
-  const bytes = encodeDigest({ node: collector, bootId: 'b', isDraining: false, nodes: 73, activity: first, decidesQuotas: true, delta: { revision: 1, reachableForMs: 1, changes: undefined } }).length
+  const bytes = encodeDigest({ node: collector, bootId: 'b', isDraining: false, nodes: 73, activity: first, decidesQuotas: true, delta: { revision: 1, reachableForMs: 1, contentAgeMs: 0, changes: undefined } }).length
   t.is(first.speeds?.servers.length, 98)
   t.true(bytes < 6_000, String(bytes))
   t.true(totals.totalsExcept(node).speeds!.servers.length <= 25)
--- a/test/node-reports/collectors.test.ts
+++ b/test/node-reports/collectors.test.ts
@@ -58,18 +58,18 @@
 test('a collector that does not respond is skipped and tried again later', async t => {
   const { clock, others, collectors } = collectorsOf(9, 60)
   for (let count = 0; count < 3; count += 1) collectors.onReportSent(idOf(0))
-  collectors.onDigestReceived(idOf(1), false)
+  collectors.onDigestReceived(idOf(1), false, 0)
   t.is(collectors.choose(others, undefined).digestSource, idOf(1))
   t.false(collectors.choose(others, undefined).everySecondReport.includes(idOf(0)))
   await clock.advance(2_100)
   t.true(collectors.choose(others, undefined).everySecondReport.includes(idOf(0)))
-  collectors.onDigestReceived(idOf(0), false)
+  collectors.onDigestReceived(idOf(0), false, 0)
   t.is(collectors.choose(others, undefined).digestSource, idOf(0))
 })
 
 test('a collector that is about to stop is replaced before it is gone', t => {
   const { others, collectors } = collectorsOf(9, 60)
-  collectors.onDigestReceived(idOf(0), true)
+  collectors.onDigestReceived(idOf(0), true, 0)
   t.is(collectors.choose(others, undefined).digestSource, idOf(1))
 })
 
--- a/test/node-reports/exchange.test.ts
+++ b/test/node-reports/exchange.test.ts
@@ -71,6 +71,7 @@
       log: () => {},
       metrics,
       draw: text => Number(text.slice(-2)) / 100,
+      maxPeerContentAgeMs: 1_500,
       peers: () => addresses.filter(({ node }) => node !== id),
       dutyHolder: () => undefined,
       collectReport: () => {
@@ -109,7 +110,7 @@
         if (level !== undefined) levelsBySource.set(source, level)
       },
       onSilent: source => { openBySource.delete(source) },
-      deltaAfter: () => ({ revision, reachableForMs: 5_000, changes: [change] }),
+      deltaAfter: () => ({ revision, reachableForMs: 5_000, contentAgeMs: 0, changes: [change] }),
       onDelta: delta => { deltas.push(delta) }
     })
     async function restart (): Promise<void> {
@@ -134,7 +135,7 @@
   t.deepEqual(nodes.map(({ reports }) => reports.isCollector()), nodes.map((_, index) => index < 2))
   t.true(nodes.every(({ reports }) => reports.knownNodeCount() === 23))
   t.true(nodes.slice(2).every(({ openBySource }) => openBySource.size === 1))
-  t.deepEqual(nodes[9]?.deltas[0], { revision, reachableForMs: 5_000, changes: [change] })
+  t.deepEqual(nodes[9]?.deltas[0], { revision, reachableForMs: 5_000, contentAgeMs: 0, changes: [change] })
   t.true(nodes.slice(2).every(({ reports }) => reports.hasPeerUpdates()))
   t.false(nodes[0]?.reports.hasPeerUpdates())
 })
--- a/test/node-reports/odd-reports.test.ts
+++ b/test/node-reports/odd-reports.test.ts
@@ -53,7 +53,7 @@
   decidesQuotas: true,
   nodes: 4,
   activity: report,
-  delta: { revision: 12, reachableForMs: 5, changes: [{ key: 'a', value: 'v', modRevision: 10 }, { key: 'b', value: undefined, modRevision: 11, isValueOmitted: true }] }
+  delta: { revision: 12, reachableForMs: 5, contentAgeMs: 40, changes: [{ key: 'a', value: 'v', modRevision: 10 }, { key: 'b', value: undefined, modRevision: 11, isValueOmitted: true }] }
 }
 
 function tryDecode (bytes: Buffer): ReturnType<typeof decodeMessage> | undefined {
--- a/test/platform-adapter/store.test.ts
+++ b/test/platform-adapter/store.test.ts
@@ -135,3 +135,25 @@
   const listed = (await store.list('', longDeadline())).unwrapOr(undefined)
   t.deepEqual(listed?.entries.map(({ key, value }) => [key, value]), items.map(({ key }) => [key, '']))
 })
+
+test('the content of a watch counts as no younger than the poll that returned it, however late its response arrives', async t => {
+  const sentAtMs: number[] = []
+  const server = createServer((request, response) => {
+    const waitMs = Number(new URL(request.url ?? '', 'http://store').searchParams.get('wait_ms'))
+    sentAtMs.push(clock.monotonicMs())
+    const events = sentAtMs.length === 1 ? [{ key: 'a', value: '', revision: 3, lease: 0 }] : []
+    setTimeout(() => response.end(JSON.stringify({ events, store_revision: 3 })), events.length === 0 ? waitMs + 150 : 150)
+  })
+  await new Promise<void>(resolve => server.listen({ host: '127.0.0.1', port: 0 }, resolve))
+  const longPollMs = 100
+  const store = createStore({ origin: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, clock, watchBatchDelayMs: () => 10, longPollMs: () => longPollMs })
+  t.teardown(async () => {
+    await store.close()
+    server.close()
+  })
+  const contentAtMs: number[] = []
+  store.watch('', 1, { onChanges: (_changes, _revision, atMs = Infinity) => contentAtMs.push(atMs), onLost: () => t.fail() })
+  while (contentAtMs.length < 2) await clock.sleep(10)
+  t.true(contentAtMs[0]! <= sentAtMs[0]!)
+  t.true(contentAtMs[1]! <= sentAtMs[1]! + longPollMs)
+})
--- a/test/quota/collector-play.ts
+++ b/test/quota/collector-play.ts
@@ -213,7 +213,7 @@
     function onDigest (from: number, fromBoot: number, total: { usage: Map<TeamId, QuotaUsage>, levels: Map<TeamId, QuotaLevels> | undefined, nodes: number } | undefined): void {
       if (collectorBoots.get(from) !== fromBoot) levelsUntilMs = now() + reportsWithLevels * reportIntervalMs
       collectorBoots.set(from, fromBoot)
-      collectors.onDigestReceived(ids[from] as NodeId, false)
+      collectors.onDigestReceived(ids[from] as NodeId, false, 0)
       digestAtMs.set(from, now())
       if (from !== source || total === undefined) return
       digest = { nodes: total.nodes, atMs: now() }
--- a/test/store-view/restore.test.ts
+++ b/test/store-view/restore.test.ts
@@ -45,7 +45,7 @@
   const copy = service.copy()
   const { views, exchange } = await createCluster(clock, service, 5)
   const revision = views[2]!.snapshot().revision
-  views[2]!.applyDelta({ revision: revision + 1, reachableForMs: 1_000, changes: [{ key: 'servers/lost', value: 'x', modRevision: revision + 1 }] })
+  views[2]!.applyDelta({ revision: revision + 1, reachableForMs: 1_000, contentAgeMs: 0, changes: [{ key: 'servers/lost', value: 'x', modRevision: revision + 1 }] })
   t.is(views[2]!.get('servers/lost')?.value, 'x')
   service.restore(copy)
   await exchange(4)
