Let the next nodes by rank watch the store for collectors without it

Now the first two by rank that respond and whose content is recent watch it for the others. They begin two report intervals before the others would watch it, and have a second to tell their first content. The first eight by rank are asked at most. Reports, totals and quotas stay with the collectors.

--- a/src/core/node-reports/collectors.ts
+++ b/src/core/node-reports/collectors.ts
@@ -4,6 +4,10 @@
  * totals, so that the number of datagrams grows linearly with the number of nodes,
  * not quadratically. All nodes rank the candidates in the same way, so they agree on
  * the collectors without communication as long as the same nodes respond to them.
+ *
+ * The collectors also watch the key-value service for the others. If the service doesn't
+ * respond to them, the next nodes by rank watch it in their place, and the collectors
+ * stay what else they are.
  */
 import type { Clock } from '../clock/index.ts'
 import type { NodeId } from '../ids/index.ts'
@@ -14,18 +18,22 @@
   clock: Clock
   /** Maps a text to a number in [0, 1), equal on every node. */
   draw: (text: string) => number
+  /** Age of a node's content from which another one watches the key-value service in its place. */
+  takeoverAgeMs: number
 }
 
 /** The nodes to report to. */
 export interface CollectorChoice {
   /** Nodes that get every report. */
   everyReport: NodeId[]
-  /** Nodes that get every second report: standby collectors, the duty holder and failed collectors that are tried again. */
+  /** Nodes that get every second report: standby collectors, other nodes that watch the key-value service, the duty holder and failed ones that are tried again. */
   everySecondReport: NodeId[]
   /** The collector whose digests this node uses; undefined if it uses the reports that it receives itself. */
   digestSource: NodeId | undefined
   /** Whether this node is one of the collectors. */
   isCollector: boolean
+  /** Whether this node watches the key-value service for the others. */
+  isWatcher: boolean
   /** Whether the cluster is so large that nodes report to collectors instead of to each other. */
   usesCollectors: boolean
 }
@@ -50,17 +58,27 @@
 const sufficientLinkMbps = 100
 /** Number of reports without a digest after which a collector counts as failed; one or two datagrams may be lost. */
 const maxUnanswered = 3
-/** Interval at which a collector that doesn't respond is tried again; about the time in which a node restarts. */
+/** Interval at which a collector that doesn't respond, or a watching node without current content, is tried again; about the time in which a node restarts. */
 const retryPauseMs = 2_000
+/** Number of nodes, in the order of their rank, among which those that watch the key-value service are chosen. Bounds the reports while it responds to none. */
+const maxWatcherCandidates = 8
+/** Time that a node has to report content after others begin to depend on it: a report, its own first read of the service, and another report. */
+const takeoverMs = 1_000
+/** Longest pause between the reports to a node that is only tried again. */
+const maxReportPauseMs = 1.5 * retryPauseMs
 
 interface CollectorState {
   unanswered: number
   lastReportSentAtMs: number
   isDraining: boolean
+  /** Time up to which the node knew all changes. */
+  contentAtMs: number
+  /** Time until which the node counts as one with current content, because others have just begun to depend on it. */
+  takesOverUntilMs: number
 }
 
 /** Creates the collector choice; every node counts as responding until it fails to respond. */
-export function createCollectors ({ node, linkMbps, clock, draw }: CollectorsOptions): Collectors {
+export function createCollectors ({ node, linkMbps, clock, draw, takeoverAgeMs }: CollectorsOptions): Collectors {
   const states = new Map<NodeId, CollectorState>()
   let peerContentAtMs = -Infinity
   let rankedOthers: readonly RankedNode[] = []
@@ -88,8 +106,34 @@
     return clock.monotonicMs() - (states.get(other)?.lastReportSentAtMs ?? -Infinity) >= retryPauseMs
   }
 
+  function isCurrent (other: NodeId): boolean {
+    const nowMs = clock.monotonicMs()
+    const { contentAtMs, takesOverUntilMs } = stateOf(other)
+    return nowMs - contentAtMs < takeoverAgeMs || nowMs < takesOverUntilMs
+  }
+
+  /** Gives a node to which no reports went of late the time to watch the service. */
+  function startTakeover (other: NodeId): void {
+    const nowMs = clock.monotonicMs()
+    const state = stateOf(other)
+    if (nowMs - state.lastReportSentAtMs > maxReportPauseMs) state.takesOverUntilMs = nowMs + takeoverMs
+  }
+
+  /** Chooses the nodes that watch the service: the first by rank with current content, or those that may have it soon. */
+  function chooseWatchers (isDraining: boolean): { watchers: NodeId[], retried: NodeId[] } {
+    const watchers: NodeId[] = []
+    const retried: NodeId[] = []
+    for (const { node: candidate } of ranked.slice(0, maxWatcherCandidates)) {
+      if (watchers.length === collectorCount) break
+      if (candidate !== node) startTakeover(candidate)
+      if (candidate === node ? !isDraining : isResponding(candidate) && isCurrent(candidate)) watchers.push(candidate)
+      else if (candidate !== node && isDueForRetry(candidate)) retried.push(candidate)
+    }
+    return { watchers, retried }
+  }
+
   function choose (others: readonly RankedNode[], dutyHolder: NodeId | undefined, isDraining = false): CollectorChoice {
-    if (others.length < maxAllPairsNodes) return { everyReport: others.map(other => other.node), everySecondReport: [], digestSource: undefined, isCollector: true, usesCollectors: false }
+    if (others.length < maxAllPairsNodes) return { everyReport: others.map(other => other.node), everySecondReport: [], digestSource: undefined, isCollector: true, isWatcher: true, usesCollectors: false }
     const collectors: NodeId[] = []
     const everySecondReport: NodeId[] = []
     for (const { node: candidate } of rankNodes(others)) {
@@ -98,15 +142,16 @@
       else if (candidate !== node && isDueForRetry(candidate)) everySecondReport.push(candidate)
     }
     const [first, ...standby] = collectors
-    for (const other of [...standby, ...(dutyHolder === undefined ? [] : [dutyHolder])]) {
+    const { watchers, retried } = chooseWatchers(isDraining)
+    for (const other of [...standby, ...watchers, ...retried, ...(dutyHolder === undefined ? [] : [dutyHolder])]) {
       if (other !== node && other !== first && !everySecondReport.includes(other)) everySecondReport.push(other)
     }
     const digestSource = first === node ? undefined : first
-    return { everyReport: digestSource === undefined ? [] : [digestSource], everySecondReport, digestSource, isCollector: collectors.includes(node), usesCollectors: true }
+    return { everyReport: digestSource === undefined ? [] : [digestSource], everySecondReport, digestSource, isCollector: collectors.includes(node), isWatcher: watchers.includes(node), usesCollectors: true }
   }
 
   function stateOf (other: NodeId): CollectorState {
-    const state = states.get(other) ?? { unanswered: 0, lastReportSentAtMs: -Infinity, isDraining: false }
+    const state = states.get(other) ?? { unanswered: 0, lastReportSentAtMs: -Infinity, isDraining: false, contentAtMs: -Infinity, takesOverUntilMs: -Infinity }
     states.set(other, state)
     return state
   }
@@ -122,7 +167,9 @@
       const state = stateOf(other)
       state.unanswered = 0
       state.isDraining = isDraining
-      if (contentAgeMs !== undefined) peerContentAtMs = Math.max(peerContentAtMs, clock.monotonicMs() - contentAgeMs)
+      if (contentAgeMs === undefined) return
+      state.contentAtMs = Math.max(state.contentAtMs, clock.monotonicMs() - contentAgeMs)
+      peerContentAtMs = Math.max(peerContentAtMs, state.contentAtMs)
     },
     peerContentAgeMs: () => clock.monotonicMs() - peerContentAtMs
   }
--- a/src/core/node-reports/exchange-types.ts
+++ b/src/core/node-reports/exchange-types.ts
@@ -21,6 +21,8 @@
   metrics: Metrics
   /** Maps a text to a number in [0, 1), equal on every node. */
   draw: (text: string) => number
+  /** Age of a node's content from which another one watches the key-value service in its place. */
+  takeoverAgeMs: number
   /** Age of all other nodes' content from which this node watches the service itself. */
   maxPeerContentAgeMs: number
   /** The other registered nodes. */
@@ -79,6 +81,8 @@
   collectors: () => NodeId[]
   /** Whether this node receives the reports of all reachable nodes. */
   isCollector: () => boolean
+  /** Whether this node watches the key-value service for the others. */
+  isWatcher: () => boolean
   /** Whether other nodes report changes at the key-value service, and their content is recent enough that this node needs no watch of its own. */
   hasPeerUpdates: () => boolean
   /** Whether nodes report to collectors, so that each learns of the others' activity late. */
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -48,7 +48,7 @@
   const socket = createReportSocket({ host: options.host, port: options.port, metrics, onReceived: receive, onError: error => log('nodeReportUnreadable', { cause: error.message }) })
   const closed = new AbortController()
   const reportsByNode = new Map<NodeId, { report: NodeReport, receivedAtMs: number }>()
-  const collectors = createCollectors({ node, linkMbps: options.linkMbps, clock, draw: options.draw })
+  const collectors = createCollectors({ node, linkMbps: options.linkMbps, clock, draw: options.draw, takeoverAgeMs: options.takeoverAgeMs })
   const totals = createActivityTotals({ clock, maxPrefixes: () => maxPrefixesOf(options.linkMbps, reportsByNode.size, reportIntervalMs) })
   let choice: CollectorChoice = collectors.choose([], undefined)
   let digest: { nodes: number, receivedAtMs: number } | undefined
@@ -248,7 +248,8 @@
     lastReport: peer => reportsByNode.get(peer)?.report,
     collectors: () => choice.usesCollectors ? [...choice.everyReport] : [],
     isCollector: () => choice.isCollector,
-    hasPeerUpdates: () => choice.usesCollectors && !choice.isCollector && collectors.peerContentAgeMs() < options.maxPeerContentAgeMs,
+    isWatcher: () => choice.isWatcher,
+    hasPeerUpdates: () => choice.usesCollectors && !choice.isWatcher && collectors.peerContentAgeMs() < options.maxPeerContentAgeMs,
     usesCollectors: () => choice.usesCollectors,
     // With a collector, a report waits for half an interval there and its digest for half an interval here.
     activityAgeMs: () => choice.usesCollectors ? reportIntervalMs : reportIntervalMs / 2,
--- a/src/core/store-view/propagation-times.ts
+++ b/src/core/store-view/propagation-times.ts
@@ -10,6 +10,8 @@
 export interface PropagationTimes {
   /** Longest duration of a long poll on behalf of other nodes. */
   longPollMs: number
+  /** Age of a watching node's content from which the next node by rank watches the service, too. */
+  takeoverAgeMs: number
   /** Age of all watching nodes' content from which a node watches the service itself; 0 if the bound leaves no time to depend on others. */
   maxPeerContentAgeMs: number
 }
@@ -41,8 +43,9 @@
 export function createPropagationTimes ({ boundMs, reportIntervalMs }: PropagationTimesOptions): PropagationTimes {
   // The last steps of a node that no longer gets changes from others: it notices that, and reads the service.
   const maxPeerContentAgeMs = boundMs - peerCheckIntervalMs - serviceResponseMs
+  const takeoverAgeMs = maxPeerContentAgeMs - lostReports * reportIntervalMs
   // A response with changes proves what was known when its poll began. Before the next one come the pause, another poll, and the wait for a report.
-  const longPollMs = Math.min(maxLongPollMs, Math.floor((maxPeerContentAgeMs - (lostReports + 1) * reportIntervalMs - watchBatchDelayMs - usualResponseMs) / 2))
-  if (longPollMs < minLongPollMs) return { longPollMs: maxLongPollMs, maxPeerContentAgeMs: 0 }
-  return { longPollMs, maxPeerContentAgeMs }
+  const longPollMs = Math.min(maxLongPollMs, Math.floor((takeoverAgeMs - reportIntervalMs - watchBatchDelayMs - usualResponseMs) / 2))
+  if (longPollMs < minLongPollMs) return { longPollMs: maxLongPollMs, takeoverAgeMs: 0, maxPeerContentAgeMs: 0 }
+  return { longPollMs, takeoverAgeMs, maxPeerContentAgeMs }
 }
--- a/test/node-reports/collectors.test.ts
+++ b/test/node-reports/collectors.test.ts
@@ -17,7 +17,7 @@
   const clock = createManualClock()
   const node = idOf(index)
   const others = clusterOf(count).filter(other => other.node !== node)
-  return { clock, others, collectors: createCollectors({ node, linkMbps, clock, draw: drawByNumber }) }
+  return { clock, others, collectors: createCollectors({ node, linkMbps, clock, draw: drawByNumber, takeoverAgeMs: 1_100 }) }
 }
 
 function activityOf (quota: number, requests: number, hashes: string[] = [], suspects = new Map<BackendId, SuspectCounts>()): Activity {
@@ -78,6 +78,43 @@
   t.like(collectors.choose(others, undefined, true), { everyReport: [idOf(1)], everySecondReport: [idOf(2)], digestSource: idOf(1), isCollector: false })
 })
 
+// While both collectors were cut off, each of the others would watch the service: 195 nodes and more for hundreds of reads a second.
+test('the next nodes by rank watch the service in place of collectors without recent content, and are given back to them later', async t => {
+  const { clock, others, collectors } = collectorsOf(9, 60)
+  const receive = (index: number, contentAgeMs: number | undefined): void => {
+    collectors.onReportSent(idOf(index))
+    collectors.onDigestReceived(idOf(index), false, contentAgeMs)
+  }
+  for (const index of [0, 1]) receive(index, 10)
+  t.deepEqual(collectors.choose(others, undefined).everySecondReport, [idOf(1)])
+  await clock.advance(1_200)
+  for (const index of [0, 1]) receive(index, 1_210)
+  t.like(collectors.choose(others, undefined), { digestSource: idOf(0), everyReport: [idOf(0)], everySecondReport: [idOf(1), idOf(2), idOf(3)], isCollector: false, isWatcher: false })
+  receive(2, undefined)
+  receive(3, 20)
+  await clock.advance(1_000)
+  receive(3, 20)
+  t.deepEqual(collectors.choose(others, undefined).everySecondReport, [idOf(1), idOf(3), idOf(4)])
+  receive(0, 30)
+  t.deepEqual(collectors.choose(others, undefined).everySecondReport, [idOf(1), idOf(3)])
+  receive(1, 30)
+  t.deepEqual(collectors.choose(others, undefined).everySecondReport, [idOf(1)])
+})
+
+test('a node takes its turn to watch the service by its rank', async t => {
+  const { clock, others, collectors } = collectorsOf(3, 60)
+  const receive = (index: number, contentAgeMs: number): void => {
+    collectors.onReportSent(idOf(index))
+    collectors.onDigestReceived(idOf(index), false, contentAgeMs)
+  }
+  for (const index of [0, 1]) receive(index, 10)
+  t.false(collectors.choose(others, undefined).isWatcher)
+  await clock.advance(1_200)
+  for (const index of [0, 1]) receive(index, 1_210)
+  t.true(collectors.choose(others, undefined).isWatcher)
+  t.false(collectors.choose(others, undefined, true).isWatcher)
+})
+
 test('the totals for a node contain all other nodes, also after restarts and removals', t => {
   const totals = createActivityTotals({ clock: createManualClock(), maxPrefixes: () => 24 })
   for (const index of [0, 1, 2]) totals.record(idOf(index), 'first', activityOf(1_000, index))
--- a/test/node-reports/exchange.test.ts
+++ b/test/node-reports/exchange.test.ts
@@ -71,6 +71,7 @@
       log: () => {},
       metrics,
       draw: text => Number(text.slice(-2)) / 100,
+      takeoverAgeMs: 1_100,
       maxPeerContentAgeMs: 1_500,
       peers: () => addresses.filter(({ node }) => node !== id),
       dutyHolder: () => undefined,
--- a/test/quota/collector-play.ts
+++ b/test/quota/collector-play.ts
@@ -117,7 +117,7 @@
 
   function createNode (index: number, boot: number) {
     const startedAtMs = now()
-    const collectors = createCollectors({ node: ids[index] as NodeId, linkMbps: 100, clock, draw: text => Number(text.slice(5)) / 10_000 })
+    const collectors = createCollectors({ node: ids[index] as NodeId, linkMbps: 100, clock, draw: text => Number(text.slice(5)) / 10_000, takeoverAgeMs: 2_000 })
     const others = ids.filter((_, other) => other !== index).map(id => ({ node: id, linkMbps: 100 }))
     const totals = createActivityTotals({ clock, maxPrefixes: () => 0 })
     const heard = new Map<number, { boot: number, atMs: number }>()
--- a/test/store-view/propagation-cluster.ts
+++ b/test/store-view/propagation-cluster.ts
@@ -99,7 +99,7 @@
   function createNode (index: number): Node {
     const id = ids[index] as NodeId
     const others = ids.filter(other => other !== id).map(node => ({ node, linkMbps }))
-    const collectors = createCollectors({ node: id, linkMbps, clock, draw: text => Number(text.slice(5)) / 10_000 })
+    const collectors = createCollectors({ node: id, linkMbps, clock, draw: text => Number(text.slice(5)) / 10_000, takeoverAgeMs: times.takeoverAgeMs })
     let choice = collectors.choose(others, undefined)
     let sequence = 0
     const view = createStoreView({
@@ -107,9 +107,9 @@
       clock,
       log: createSilentLog(),
       fetchFromPeers: async () => undefined,
-      hasPeerUpdates: () => !choice.isCollector && collectors.peerContentAgeMs() < times.maxPeerContentAgeMs,
-      expectsPeerUpdates: () => !choice.isCollector,
-      retryPauseMs: () => choice.isCollector ? 250 : 1_000
+      hasPeerUpdates: () => !choice.isWatcher && collectors.peerContentAgeMs() < times.maxPeerContentAgeMs,
+      expectsPeerUpdates: () => !choice.isWatcher,
+      retryPauseMs: () => choice.isWatcher ? 250 : 1_000
     })
     const seenAtMs = new Map<string, number>()
     view.onChanges(received => received.forEach(({ key }) => { if (!seenAtMs.has(key)) seenAtMs.set(key, clock.monotonicMs()) }))
--- a/test/store-view/propagation.test.ts
+++ b/test/store-view/propagation.test.ts
@@ -7,11 +7,11 @@
 
 test('a node without recent content from others has read the service before the bound', t => {
   for (let boundMs = 100; boundMs < 10_000; boundMs += 100) {
-    const { longPollMs, maxPeerContentAgeMs } = createPropagationTimes({ boundMs, reportIntervalMs })
+    const { longPollMs, takeoverAgeMs, maxPeerContentAgeMs } = createPropagationTimes({ boundMs, reportIntervalMs })
     t.true(maxPeerContentAgeMs + serviceResponseMs < Math.max(boundMs, serviceResponseMs + 1))
     if (maxPeerContentAgeMs === 0) continue
     const calmAgeMs = longPollMs + watchBatchDelayMs + longPollMs
-    t.true(calmAgeMs < maxPeerContentAgeMs)
+    t.true(calmAgeMs < takeoverAgeMs && takeoverAgeMs < maxPeerContentAgeMs)
   }
   t.is(createPropagationTimes({ boundMs: 1_000, reportIntervalMs }).maxPeerContentAgeMs, 0)
   t.true(createPropagationTimes({ boundMs: 2_000, reportIntervalMs }).maxPeerContentAgeMs > 0)
@@ -63,7 +63,7 @@
         const slowest = changeTimesMs.map(atMs => Math.round(cluster.slowestMs(`change ${atMs}`, cutAtMs + atMs, inTouch)))
         t.true(Math.max(...slowest) <= boundMs, `${count} nodes, ${hasOtherChanges ? 'other' : 'no other'} changes: ${slowest.join(', ')} ms`)
         await clock.advance(6_000)
-        t.deepEqual(cluster.nodes.flatMap(({ choice }, index) => choice().isCollector ? [index] : []), bothCollectors)
+        t.deepEqual(cluster.nodes.flatMap(({ choice }, index) => choice().isWatcher ? [index] : []), bothCollectors)
         cluster.close()
       }
     }
@@ -82,3 +82,27 @@
     cluster.close()
   }
 })
+
+test('while both collectors are cut off, the next nodes by rank watch the service, and not all', async t => {
+  const cluster = createPropagationCluster(84, 3_000)
+  await cluster.clock.advance(8_000)
+  cluster.treat(bothCollectors, 'silent')
+  await cluster.clock.advance(4_500)
+  cluster.calls.watch = 0
+  await cluster.clock.advance(2_000)
+  t.deepEqual(cluster.nodes.slice(2).flatMap(({ view }, index) => view.isWatching() ? [index + 2] : []), [2, 3])
+  t.true(cluster.calls.watch <= 20, `${cluster.calls.watch} polls`)
+  cluster.close()
+})
+
+test('while the service responds to no node, the reports of each go to a few others', async t => {
+  const cluster = createPropagationCluster(84, 3_000)
+  await cluster.clock.advance(8_000)
+  cluster.treat(cluster.nodes.map((_, index) => index), 'reject')
+  await cluster.clock.advance(10_000)
+  t.true(cluster.nodes.every(({ choice }) => choice().everyReport.length + choice().everySecondReport.length <= 8))
+  cluster.treat(cluster.nodes.map((_, index) => index), 'serve')
+  await cluster.clock.advance(6_000)
+  t.deepEqual(cluster.nodes.flatMap(({ view }, index) => view.isWatching() ? [index] : []), [0, 1])
+  cluster.close()
+})
