Report what changed between two pages of a list to other nodes

The watch then returned the same change, the view took it as known, and its history didn't contain it. Nodes that take their changes from this one moved on to the later revision and never heard of it: a configuration, a leaving server or an evacuation was missing there until its next change.

Such changes are added to the history now, and still announced once.

--- a/src/core/store-view/index.ts
+++ b/src/core/store-view/index.ts
@@ -128,23 +128,29 @@
 
   function apply (changes: readonly ViewChange[], newRevision: number, from: ViewSource): void {
     // Changes from peers may be ahead of the watch, and the watch may be ahead of the peers.
-    const newer = changes.filter(change => change.modRevision > revision && change.modRevision > (entries.get(change.key)?.modRevision ?? 0))
+    const newer = changes.filter(change => change.modRevision > revision && change.modRevision >= (entries.get(change.key)?.modRevision ?? 0))
     const isRestored = isAfterRestore(newRevision)
     const previousRevision = revision
     const relevant: ViewChange[] = []
+    /** Changes that a later page of a list, or a read of a single value, contained ahead of the view's revision; other nodes may not know them. */
+    const known: ViewChange[] = []
     for (const change of newer) {
       const { key, value, modRevision } = change
-      const before = entries.get(key)?.value
+      const before = entries.get(key)
+      if (value !== undefined && before?.modRevision === modRevision) {
+        known.push(change)
+        continue
+      }
       if (value === undefined) entries.delete(key)
       else entries.set(key, { value, modRevision })
-      if (value === undefined || before === undefined || !isSameContent(key, before, value)) relevant.push(change)
+      if (value === undefined || before === undefined || !isSameContent(key, before.value, value)) relevant.push(change)
     }
     markUpdated(from)
     if (isRestored) {
       keepUnchangedEntries(eraOf(newRevision))
       markRestored(newRevision, relevant.length)
       history.addRestore(relevant, previousRevision)
-    } else history.add(relevant)
+    } else history.add([...known, ...relevant])
     revision = Math.max(revision, newRevision)
     notifyListeners(relevant)
     if (isRestored) notifyRestored()
--- a/test/store-view/store-view.test.ts
+++ b/test/store-view/store-view.test.ts
@@ -1,10 +1,12 @@
 /** The store view during outages, after compaction, and with updates from peers. */
 import test from 'ava'
+import { Result } from 'true-myth'
 import { createManualClock, createSystemClock } from '../../src/core/clock/index.ts'
 import { createMemoryKeyValue } from '../../src/core/platform/key-value/index.ts'
 import { createChangeListener, createStoreView } from '../../src/core/store-view/index.ts'
 import { fetchNewerView, serveView } from '../../src/core/node-reports/index.ts'
 import type { AddressInfo } from 'node:net'
+import type { KeyValueStore, WatchHandlers } from '../../src/core/platform/key-value/types.ts'
 import type { Snapshot } from '../../src/core/store-view/index.ts'
 
 const clock = createSystemClock()
@@ -298,3 +300,27 @@
   t.true(part.revision < view.snapshot().revision)
   t.is(part.contentAgeMs, undefined)
 })
+
+// Nodes that took their changes from one that had listed the content in pages never learned of a key that changed meanwhile.
+test('a change between two pages of a list is reported to other nodes, and announced once', async t => {
+  const { store } = setUp()
+  const handlers: WatchHandlers[] = []
+  const paged: KeyValueStore = {
+    ...store,
+    list: async () => Result.ok({ entries: [{ key: 'a', value: '1', modRevision: 3 }, { key: 'b', value: 'new', modRevision: 7 }], revision: 5 }),
+    watch: (_prefix, _revision, opened) => {
+      handlers.push(opened)
+      return { close: () => {} }
+    }
+  }
+  const view = createStoreView({ store: paged, clock, log: () => {}, fetchFromPeers: async () => undefined })
+  t.teardown(view.close)
+  const announced: string[] = []
+  view.onChanges(changes => announced.push(...changes.map(({ key }) => key)))
+  await view.start()
+  await until(() => handlers.length > 0)
+  handlers[0]?.onChanges([{ key: 'b', value: 'between', modRevision: 6 }, { key: 'b', value: 'new', modRevision: 7 }], 8)
+  t.deepEqual(view.deltaAfter(5).changes, [{ key: 'b', value: 'new', modRevision: 7 }])
+  t.deepEqual(announced, ['a', 'b'])
+  t.is(view.get('b')?.value, 'new')
+})
