Trim the ids of events in time that grows with their length

Cause: the id was trimmed by /^[ \t\r]+|[ \t\r]+$/g. The second half is tried again from each blank, so that its time grows with their square, and the event loop has nothing else meanwhile. An event may have 256 KiB.

Change: blanks are skipped byte by byte from both ends.

Evidence: test/outside-bytes measures the processor time of one turn for each shape of a long response, against the shortest timeout less a usual answer.

--- a/src/core/gateway/event-stream.ts
+++ b/src/core/gateway/event-stream.ts
@@ -10,6 +10,8 @@
 const lineFeed = 10
 const carriageReturn = 13
 const colon = 58
+const space = 32
+const tab = 9
 const idField = Buffer.from('id:')
 /** Longest end of an event that may begin in an earlier chunk: a line feed, and a carriage return. */
 const maxSplitEndBytes = 2
@@ -18,7 +20,6 @@
 /** Bytes that can be held back: up to that limit, and one read of a connection beyond it. */
 const maxHeldBytes = 2 * maxBytesWithoutEvent
 const noBytes: Buffer = Buffer.alloc(0)
-const surroundingSpacePattern = /^[ \t\r]+|[ \t\r]+$/g
 /** Ids that fit into the headers of a request; far longer than those of engines. */
 const sendableIdPattern = /^[\x20-\x7e\x80-\xff]{1,1024}$/
 
@@ -68,6 +69,19 @@
   return eventFields.has(name.replace(byteOrderMark, '').trimEnd())
 }
 
+function isBlank (byte: number | undefined): boolean {
+  return byte === space || byte === tab || byte === carriageReturn
+}
+
+/** The text between two offsets without surrounding blanks, each byte as one character, as headers are sent. */
+function trimmedText (bytes: Buffer, startOffset: number, endOffset: number): string {
+  let start = startOffset
+  let end = endOffset
+  while (start < end && isBlank(bytes[start])) start += 1
+  while (end > start && isBlank(bytes[end - 1])) end -= 1
+  return bytes.toString('latin1', start, end)
+}
+
 const integerPattern = /^\d{1,15}$/
 
 /** Whether an id may come after another one: numbers increase, and other ids at least differ. */
@@ -112,10 +126,7 @@
       } else if (bytes[atLineStart] !== colon) {
         hasLines = true
         hasField ||= hasEventField(bytes.subarray(atLineStart, lineEnd))
-        if (bytes.subarray(atLineStart, atLineStart + idField.length).equals(idField)) {
-          // Each byte as one character, as headers are sent.
-          id = bytes.subarray(atLineStart + idField.length, lineEnd).toString('latin1').replace(surroundingSpacePattern, '')
-        }
+        if (bytes.subarray(atLineStart, atLineStart + idField.length).equals(idField)) id = trimmedText(bytes, atLineStart + idField.length, lineEnd)
       }
       atLineStart = lineEnd + 1
     }
--- /dev/null
+++ b/test/outside-bytes/long-inputs.test.ts
@@ -0,0 +1,69 @@
+/**
+ * The processor time that reading long inputs from callers and backend servers takes in
+ * one turn of the event loop. A node answers nobody else meanwhile, so the bound is the
+ * shortest timeout of a deployment's routes less the usual time of an answer.
+ */
+import test from 'ava'
+import { createEventBuffer } from '../../src/core/gateway/event-stream.ts'
+
+const shortestTimeoutMs = 800
+const usualAnswerMs = 30
+const maxTurnMs = shortestTimeoutMs - usualAnswerMs
+/** Most bytes of an event, and more than the headers of any configuration. */
+const longBytes = 255 * 1024
+const readBytes = 64 * 1024
+
+function processorMs (run: () => void): number {
+  const before = process.cpuUsage()
+  run()
+  const { user, system } = process.cpuUsage(before)
+  return (user + system) / 1_000
+}
+
+function repeat (text: string): string {
+  return text.repeat(Math.floor(longBytes / text.length))
+}
+
+/** The ways to read long inputs, each with the shapes that it may get; `read` takes the whole input in one turn. */
+const readers: Array<{ name: string, shapes: Record<string, string>, read: (text: string) => void }> = [
+  {
+    name: 'events of a response',
+    shapes: {
+      // 2026-12-07: a backend server sent this, and its node answered nobody for 17 s.
+      'blanks within an id': `id: 2${repeat(' ')}x`,
+      'blanks behind an id': `id: 2${repeat(' ')}`,
+      'carriage returns within an id': `id: 2${repeat('\r')}x`,
+      'one long line': `data: ${repeat('x')}`,
+      'many short lines': repeat('a\n'),
+      'many lines of data': repeat('data:\n'),
+      'many ids': repeat('id:1\n'),
+      'many blank lines': repeat('\r\n'),
+      'many comments': repeat(':\n\n'),
+      'many events': repeat('data\n\n'),
+      'many things that are no event': repeat('a\n\n')
+    },
+    read: text => {
+      const bytes = Buffer.from(`${text}\n\n`)
+      const buffer = createEventBuffer()
+      for (let offset = 0; offset < bytes.length; offset += readBytes) buffer.push(bytes.subarray(offset, offset + readBytes))
+    }
+  }
+]
+
+for (const { name, shapes, read } of readers) {
+  for (const [shape, text] of Object.entries(shapes)) {
+    test(`${name}: ${shape} take no longer than callers wait`, t => {
+      const tookMs = processorMs(() => read(text))
+      t.true(tookMs < maxTurnMs, `${Math.round(tookMs)} ms`)
+    })
+  }
+}
+
+test('a read of a response in pieces of one byte takes no longer than callers wait', t => {
+  for (const text of [`data: ${repeat('x')}`, repeat(':\n\n'), repeat('data\n\n')]) {
+    const bytes = Buffer.from(text).subarray(0, readBytes)
+    const buffer = createEventBuffer()
+    const tookMs = processorMs(() => { for (let offset = 0; offset < bytes.length; offset += 1) buffer.push(bytes.subarray(offset, offset + 1)) })
+    t.true(tookMs < maxTurnMs, `${Math.round(tookMs)} ms`)
+  }
+})
