Parse the limits of backend servers in time that grows with their length

The digits behind the point need a point now. The least of many limits is found without passing all of them as arguments, which fails from some 120,000 on; headers of 16 KiB don't hold as many.

--- a/src/core/backend-limits/parse.ts
+++ b/src/core/backend-limits/parse.ts
@@ -12,7 +12,7 @@
 /** A limit above this is as good as none; it keeps later arithmetic finite. */
 const maxPerSecond = 1_000_000
 const maxLoggedChars = 40
-const decimalPattern = /^(\d+\.?\d*|\.\d+)(e[+-]?\d{1,3})?$/i
+const decimalPattern = /^(\d+(\.\d*)?|\.\d+)(e[+-]?\d{1,3})?$/i
 
 function parseDecimal (text: string): number | undefined {
   return decimalPattern.test(text) ? Math.min(maxPerSecond, Number(text)) : undefined
@@ -24,5 +24,5 @@
   const texts = [values].flat().flatMap(value => value.split(',')).map(text => text.trim())
   const limits = texts.map(parseDecimal).filter(limit => limit !== undefined)
   if (limits.length === 0) return { kind: 'invalid', text: texts.join(',').slice(0, maxLoggedChars) }
-  return { kind: 'named', perSecond: Math.min(...limits) }
+  return { kind: 'named', perSecond: limits.reduce((least, limit) => Math.min(least, limit)) }
 }
--- a/test/outside-bytes/long-inputs.test.ts
+++ b/test/outside-bytes/long-inputs.test.ts
@@ -4,6 +4,7 @@
  * shortest timeout of a deployment's routes less the usual time of an answer.
  */
 import test from 'ava'
+import { parseNamedLimit } from '../../src/core/backend-limits/index.ts'
 import { createEventBuffer } from '../../src/core/gateway/event-stream.ts'
 
 const shortestTimeoutMs = 800
@@ -47,6 +48,16 @@
       const buffer = createEventBuffer()
       for (let offset = 0; offset < bytes.length; offset += readBytes) buffer.push(bytes.subarray(offset, offset + readBytes))
     }
+  },
+  {
+    name: 'a limit that a backend server names',
+    shapes: {
+      'digits before a letter': `${repeat('1')}x`,
+      'digits behind a point': `.${repeat('1')}x`,
+      'many limits': repeat('1,'),
+      'blanks around a limit': `${repeat(' ')}1${repeat(' ')}x`
+    },
+    read: parseNamedLimit
   }
 ]
 
