--- a/test/outside-bytes/long-inputs.test.ts
+++ b/test/outside-bytes/long-inputs.test.ts
@@ -4,10 +4,17 @@
  * shortest timeout of a deployment's routes less the usual time of an answer.
  */
 import test from 'ava'
+import { encode } from 'cbor-x'
+import { decodeBackend, isSameBackend } from '../../platform/backend-entry.ts'
+import { decodeConfiguration } from '../../platform/configuration.ts'
+import { headerCodec } from '../../platform/headers.ts'
+import { wireHeaders } from '../../platform/wire.ts'
 import { parseNamedLimit } from '../../src/core/backend-limits/index.ts'
+import { createSseParser } from '../../src/core/backends/sse-parser.ts'
 import { readServerSentEvents } from '../../src/core/client/server-sent-events.ts'
 import { createEventBuffer } from '../../src/core/gateway/event-stream.ts'
 import { createRouteTable } from '../../src/core/gateway/index.ts'
+import { decodeMessage, maxDatagramBytes } from '../../src/core/node-reports/codec.ts'
 
 const shortestTimeoutMs = 800
 const usualAnswerMs = 30
@@ -38,6 +45,8 @@
   limits: { maxHeaderBytes: longBytes, maxBodyBytes: longBytes, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
 })
 
+const storedRoute = JSON.stringify({ name: 'r', host: 'a.example', path_prefix: '/route/', kind: 'safe', timeout_ms: shortestTimeoutMs, slo_ms: 150, priority: 1, service: 's', max_attempts: 1 })
+
 /** The ways to read long inputs, each with the shapes that it may get; `read` takes the whole input in one turn. */
 const readers: Array<{ name: string, shapes: Record<string, string>, read: (text: string) => void }> = [
   {
@@ -81,6 +90,50 @@
       'a long query': `/route/?${'/'.repeat(targetBytes)}`
     },
     read: target => { for (let request = 0; request < 16; request += 1) routes.route('a.example', target) }
+  },
+  {
+    name: 'headers of a request',
+    shapes: {
+      'blanks before a key': `Bearer ${repeat(' ')}`,
+      'a key before blanks': `Bearer ${repeat('k')}${repeat(' ')} k`,
+      'many parts': repeat('a:1,'),
+      'many colons': repeat(':'),
+      'one long number': repeat('1')
+    },
+    read: text => { headerCodec.readRequest({ authorization: text, [wireHeaders.promptParts]: text, [wireHeaders.tokens]: text, [wireHeaders.deadline]: text }) }
+  },
+  {
+    name: 'events of an engine',
+    shapes: {
+      'one long line': `data: ${repeat('x')}`,
+      'many colons': `data: ${repeat(':')}`,
+      'many lines of data': repeat('data:x\n'),
+      'carriage returns': `data: ${repeat('\r')}`,
+      'many events': repeat('data:x\n\n')
+    },
+    read: text => {
+      const bytes = Buffer.from(`${text}\n\n`)
+      const parse = createSseParser(() => {})
+      for (let offset = 0; offset < bytes.length; offset += readBytes) parse(bytes.subarray(offset, offset + readBytes))
+    }
+  },
+  {
+    name: 'a value of the key-value service',
+    shapes: {
+      // The service accepts no configuration with invalid routes.
+      'many routes': `{"version":1,"routes":[${Array.from({ length: longBytes / 150 }, () => storedRoute).join()}]}`,
+      'many teams': `{"version":1,"routes":[],"tenants":[${repeat('{"name":"a"},')}{"name":"a"}]}`,
+      'many unknown fields': `{${Array.from({ length: longBytes / 10 }, (_, index) => `"a${index}":1`).join()}}`,
+      'deep nesting': `${'['.repeat(longBytes / 2)}${']'.repeat(longBytes / 2)}`,
+      'one long text': `"${repeat('x')}"`,
+      'blanks before a number': `"sequence":${repeat(' ')}x`,
+      'many sequences': repeat('"sequence": ')
+    },
+    read: text => {
+      decodeConfiguration(text)
+      decodeBackend('i-1', text)
+      isSameBackend('i-1', text, `${text} `)
+    }
   }
 ]
 
@@ -93,6 +146,16 @@
   }
 }
 
+test('a datagram takes no longer than callers wait', t => {
+  const nested = (depth: number): unknown => depth === 0 ? [] : [nested(depth - 1)]
+  for (const message of [['digest', nested(1_000)], ['report', ...Array.from({ length: 60_000 }, () => 0)], 'x'.repeat(maxDatagramBytes - 10)]) {
+    const bytes = encode(message)
+    t.true(bytes.length <= maxDatagramBytes)
+    const tookMs = processorMs(() => { t.throws(() => decodeMessage(bytes)) })
+    t.true(tookMs < maxTurnMs, `${Math.round(tookMs)} ms`)
+  }
+})
+
 test('a read of a response in pieces of one byte takes no longer than callers wait', t => {
   for (const text of [`data: ${repeat('x')}`, repeat(':\n\n'), repeat('data\n\n')]) {
     const bytes = Buffer.from(text).subarray(0, readBytes)
