--- a/src/core/node-reports/collectors.ts
+++ b/src/core/node-reports/collectors.ts
@@ -32,6 +32,8 @@
   digestSource: NodeId | undefined
   /** Whether this node is one of the collectors. */
   isCollector: boolean
+  /** The nodes that watch the key-value service for the others, by rank; may contain this node. */
+  watchers: NodeId[]
   /** Whether this node watches the key-value service for the others. */
   isWatcher: boolean
   /** Whether the cluster is so large that nodes report to collectors instead of to each other. */
@@ -133,7 +135,7 @@
   }
 
   function choose (others: readonly RankedNode[], dutyHolder: NodeId | undefined, isDraining = false): CollectorChoice {
-    if (others.length < maxAllPairsNodes) return { everyReport: others.map(other => other.node), everySecondReport: [], digestSource: undefined, isCollector: true, isWatcher: true, usesCollectors: false }
+    if (others.length < maxAllPairsNodes) return { everyReport: others.map(other => other.node), everySecondReport: [], digestSource: undefined, isCollector: true, watchers: [], isWatcher: true, usesCollectors: false }
     const collectors: NodeId[] = []
     const everySecondReport: NodeId[] = []
     for (const { node: candidate } of rankNodes(others)) {
@@ -147,7 +149,7 @@
       if (other !== node && other !== first && !everySecondReport.includes(other)) everySecondReport.push(other)
     }
     const digestSource = first === node ? undefined : first
-    return { everyReport: digestSource === undefined ? [] : [digestSource], everySecondReport, digestSource, isCollector: collectors.includes(node), isWatcher: watchers.includes(node), usesCollectors: true }
+    return { everyReport: digestSource === undefined ? [] : [digestSource], everySecondReport, digestSource, isCollector: collectors.includes(node), watchers, isWatcher: watchers.includes(node), usesCollectors: true }
   }
 
   function stateOf (other: NodeId): CollectorState {
--- a/src/core/node-reports/index.ts
+++ b/src/core/node-reports/index.ts
@@ -57,6 +57,7 @@
   /** Sources whose activity was applied since the digest source last changed. */
   const countedSources = new Set<NodeId>()
   const collectorBoots = new Map<NodeId, string>()
+  let hadPeerUpdates = false
   /** Monotonic time until which reports include quota levels, because a receiver may have just started. */
   let levelsUntilMs = 0
   let reportingCount = 0
@@ -70,6 +71,8 @@
   /** Sets the choice. If the digest source changes, activity from the previous sources is discarded. */
   function applyChoice (next: CollectorChoice): void {
     const before = choice.digestSource
+    const watchers = next.watchers.join()
+    if (watchers !== choice.watchers.join()) log('storeWatchersChosen', { watchers, before: choice.watchers.join() })
     choice = next
     if (before === next.digestSource) return
     log('collectorChosen', { collector: next.digestSource ?? node, before: before ?? node, heard: reportsByNode.size })
@@ -78,11 +81,23 @@
     for (const source of before === undefined ? reportsByNode.keys() : [before]) options.onSilent(source)
   }
 
+  function hasPeerUpdates (): boolean {
+    return choice.usesCollectors && !choice.isWatcher && collectors.peerContentAgeMs() < options.maxPeerContentAgeMs
+  }
+
+  /** Logs when this node no longer depends on the content of those that watch the key-value service for it. */
+  function logPeerContent (): void {
+    const hadUpdates = hadPeerUpdates
+    hadPeerUpdates = hasPeerUpdates()
+    if (hadUpdates && !hadPeerUpdates && choice.usesCollectors && !choice.isWatcher) log('peerContentOld', { contentAgeMs: Math.round(collectors.peerContentAgeMs()), watchers: choice.watchers.join() })
+  }
+
   function sendReport (isToAll: boolean): void {
     const peers = options.peers()
     const holder = options.dutyHolder()
     const content = options.collectReport()
     applyChoice(collectors.choose(peers, holder === node ? undefined : holder, content.isDraining))
+    logPeerContent()
     sequence += 1
     lastReportAtMs = clock.monotonicMs()
     const report: NodeReport = { ...content, node, bootId, sequence, wantsDigest: choice.usesCollectors, digestSource: choice.digestSource ?? node }
@@ -249,7 +264,7 @@
     collectors: () => choice.usesCollectors ? [...choice.everyReport] : [],
     isCollector: () => choice.isCollector,
     isWatcher: () => choice.isWatcher,
-    hasPeerUpdates: () => choice.usesCollectors && !choice.isWatcher && collectors.peerContentAgeMs() < options.maxPeerContentAgeMs,
+    hasPeerUpdates,
     usesCollectors: () => choice.usesCollectors,
     // With a collector, a report waits for half an interval there and its digest for half an interval here.
     activityAgeMs: () => choice.usesCollectors ? reportIntervalMs : reportIntervalMs / 2,
--- a/test/node-reports/exchange.test.ts
+++ b/test/node-reports/exchange.test.ts
@@ -34,7 +34,9 @@
   firstSources: NodeId[]
   levelsBySource: Map<NodeId, number>
   quarantine: Quarantine
-  state: { isDraining: boolean }
+  /** What the node reports; `contentAgeMs` is the age of its copy of the key-value service's content. */
+  state: { isDraining: boolean, contentAgeMs: number }
+  events: Array<{ event: string, fields: Record<string, unknown> }>
   /** Replaces the node by one that starts anew at the same address. */
   restart: () => Promise<void>
 }
@@ -55,7 +57,8 @@
     const openBySource = new Map<NodeId, number>()
     const deltas: ViewDelta[] = []
     const metrics = createMetrics()
-    const state = { isDraining: false }
+    const state = { isDraining: false, contentAgeMs: 0 }
+    const events: Node['events'] = []
     const quotas: Node['quotas'] = { decided: [], received: [] }
     let tokens = 0
     const quarantine: Quarantine = createQuarantine({
@@ -68,7 +71,7 @@
       linkMbps: 100,
       bootId: `boot-${index}-${boot}`,
       clock,
-      log: () => {},
+      log: (event, fields = {}) => { events.push({ event, fields }) },
       metrics,
       draw: text => Number(text.slice(-2)) / 100,
       takeoverAgeMs: 1_100,
@@ -111,7 +114,7 @@
         if (level !== undefined) levelsBySource.set(source, level)
       },
       onSilent: source => { openBySource.delete(source) },
-      deltaAfter: () => ({ revision, reachableForMs: 5_000, contentAgeMs: 0, changes: [change] }),
+      deltaAfter: () => ({ revision, reachableForMs: 5_000, contentAgeMs: state.contentAgeMs, changes: [change] }),
       onDelta: delta => { deltas.push(delta) }
     })
     async function restart (): Promise<void> {
@@ -120,7 +123,7 @@
       nodes[index] = restarted
       await restarted.reports.start()
     }
-    return { id, reports, quarantine, state, quotas, openBySource, deltas, metrics, firstSources, levelsBySource, restart }
+    return { id, reports, quarantine, state, events, quotas, openBySource, deltas, metrics, firstSources, levelsBySource, restart }
   }
   const nodes: Node[] = addresses.map((_, index) => createNode(index, 0))
   await Promise.all(nodes.map(({ reports }) => reports.start()))
@@ -249,3 +252,21 @@
   await until(() => small.every(node => openRequests(node) === 4))
   t.true(small.every(({ reports }) => reports.quotaDecider() === 'each-node'))
 })
+
+test.serial('nodes log who watches the key-value service for them, and when the content of those is old', async t => {
+  const nodes = await startCluster(t, 24)
+  const follower = nodes[9]!
+  const logged = (event: string): Array<Record<string, unknown>> => follower.events.flatMap(other => other.event === event ? [other.fields] : [])
+  await until(() => follower.reports.hasPeerUpdates())
+  t.deepEqual(logged('storeWatchersChosen').map(({ watchers }) => watchers), ['node-00,node-01'])
+  for (const { state } of nodes.slice(0, 2)) state.contentAgeMs = 60_000
+  await until(() => logged('storeWatchersChosen').length === 2)
+  t.like(logged('storeWatchersChosen')[1], { watchers: 'node-02,node-03', before: 'node-00,node-01' })
+  await until(() => nodes[2]?.reports.isWatcher() === true)
+  t.false(follower.reports.isWatcher())
+  t.deepEqual(logged('peerContentOld'), [])
+  for (const { state } of nodes) state.contentAgeMs = 60_000
+  await until(() => !follower.reports.hasPeerUpdates())
+  await until(() => logged('peerContentOld').length === 1)
+  t.true(Number(logged('peerContentOld')[0]?.['contentAgeMs']) >= 1_500)
+})
